--- /dev/null
+++ b/include/weldflow/balancer.h
@@ -0,0 +1,221 @@
+// weldflow: the decisions of a client-side load balancer. This file is the whole interface.
+//
+// One Balancer serves one client process. The embedder reports events (the on… functions) together with the
+// current time and then carries out, in order, the actions that were appended to its buffer. The library has
+// no clock, does no I/O, starts no thread and shares nothing between two Balancers. A Balancer is not
+// thread-safe: call it from one thread at a time. Every time and duration is in microseconds; the clock may
+// start anywhere. A time that runs backwards is read as "no time has passed".
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace weldflow {
+
+using Time = std::int64_t;           // microseconds
+using RequestId = std::uint64_t;     // chosen by the embedder, never used twice in one Balancer's life
+constexpr std::int32_t kUnset = -1;  // an index that was not given
+
+enum class Effect : std::uint8_t {
+  Safe,    // may be repeated and refused without limit
+  Keyed,   // a group of servers discards repeats for a while
+  Unsafe,  // must never run twice
+};
+enum class Group : std::uint8_t { All, Zone, Cell };  // which servers discard a keyed request's repeats
+
+struct RequestClass {
+  Time aim = 0;       // an answer within this time earns the full worth; > 0
+  Time deadline = 0;  // how long clients of this class wait at most; > 0
+  Effect effect = Effect::Unsafe;
+  Group group = Group::All;  // read for Keyed
+  Time window = 0;           // read for Keyed: repeats are discarded this long after the first send; > 0
+  double worth = 1;          // what one answer in time is worth; >= 0
+  double late_worth = 0;     // fraction of the worth for an answer between aim and deadline
+  double aim_stretch = 0;    // the aim grows by this multiple of the request's own work
+};
+
+struct Tenant {
+  double fraction = 0;  // its portion of the service, 0 to 1; its requests beyond that are shed first
+};
+
+enum class Discovery : std::uint8_t { Push, Ask };
+enum class ReportSource : std::uint8_t { None, Answers, Probe };
+
+// What the deployment states once, at start. The constructor throws std::invalid_argument naming the field
+// if a value is impossible.
+struct Settings {
+  std::uint32_t client = 0;  // this client's number among all clients, from 0
+  std::int32_t zone = 0;     // the zone this client is in
+  Discovery discovery = Discovery::Push;
+  ReportSource reports = ReportSource::None;
+  bool weighted = false;              // Host::capacity tells sizes apart
+  bool warm_keys = false;             // a server that met a key lately needs less work for it
+  std::vector<RequestClass> classes;  // at least one
+  std::vector<Tenant> tenants;        // may be empty
+  double over_share_worth = 1;        // worth of a request beyond its tenant's share, as a fraction
+  // What the deployment permits.
+  std::int32_t max_attempts = 1;  // per request, >= 1
+  bool may_cancel = false;
+  bool may_probe = false;
+  bool retry_after = false;  // clients are told how long to stay away after a refusal
+  Time max_retry_after = 0;
+  // The figures of the rules.
+  Time drain_grace = 0;  // sends to a draining server must have stopped after this; here they stop at once
+  double cold_from = 1;  // a server starts with at least this fraction of its capacity; in (0, 1]
+  Time cold_time = 0;    // and is warm no later than this
+  double cold_multiple = 1;  // sent more than this multiple of its present capacity ...
+  Time cold_window = 0;      // ... for this long, a cold server falls over; here no burst of two is saved up
+  Time ask_within = 0;       // Discovery::Ask: silence this long counts as knowing what was listed then
+  Time tick = 1000;          // the least time between two rounds of events
+  bool explain = false;      // fill in Action::reason; costs a walk along the subset for each Send
+};
+
+enum class HostState : std::uint8_t { Healthy, Draining, Gone };
+
+// One entry of the server list.
+struct Host {
+  std::string id;
+  HostState state = HostState::Healthy;
+  Time up_since = 0;    // when its process last started; 0: long ago
+  double capacity = 1;  // comparable between hosts if Settings::weighted
+  std::int32_t zone = 0;
+  std::int32_t cell = 0;
+};
+
+enum class ListKind : std::uint8_t {
+  Changes,      // only the entries that changed
+  Full,         // the whole list; what it lacks is gone
+  Restored,     // the whole list as this client last held it, possibly stale
+  Unavailable,  // a call failed or the subscription broke; no entries
+};
+
+struct Request {
+  RequestId id = 0;
+  Time time_left = 0;              // until the client gives this try up
+  Time expected_work = 0;          // on a standard core; 0: unknown
+  std::int32_t request_class = 0;  // index into Settings::classes
+  std::int32_t tenant = kUnset;    // index into Settings::tenants
+  std::int64_t key = kUnset;       // what the request is about
+};
+
+enum class Result : std::uint8_t {
+  Ok,
+  Error,          // may have run
+  Rejected,       // never ran: turned away unseen
+  TimedOut,       // may have run
+  ConnectFailed,  // never ran
+  Reset,          // may have run
+  Cancelled,      // may have run
+  NotSent,        // never ran: the embedder did not send it
+};
+
+// What a server says about its own load; a negative value was not reported. Read from probes where
+// Settings::reports is Probe.
+struct LoadReport {
+  double in_flight = -1;  // requests it holds
+};
+
+// How one attempt ended. Each Send gets exactly one.
+struct Outcome {
+  RequestId request = 0;
+  std::int32_t attempt = 0;  // 0, 1, 2 … in the order of the request's Sends
+  Result result = Result::Ok;
+  bool final = false;  // the client has its answer (an Ok always is one); nothing is owed any more
+  Time latency = 0;
+  LoadReport load;
+};
+
+// What the caller must do. Fields not named for a kind have no meaning there.
+enum class ActionKind : std::uint8_t {
+  Send,       // start an attempt of `request` at `server` now, give it up after `time` microseconds (0: when
+              // the client gives up) and report exactly one Outcome; if it cannot be sent, Result::NotSent
+  Cancel,     // stop waiting for `attempt` of `request`; its Outcome still follows, Cancelled or as it ended
+  Refuse,     // final answer to the client of `request`: not done, repeating is harmless; `time` advises how
+              // many microseconds to stay away (0: no advice)
+  Fail,       // final answer to the client of `request`: failed, effect unknown
+  Probe,      // check `server` once and report with onProbe, also if it fails or takes long
+  Subscribe,  // ask discovery for all changes from now on; report with onServers, failures as Unavailable
+  SetTimer,   // call onTimer(`timer`) at or soon after clock time `time`; timers are never withdrawn, and one
+              // that is no longer needed does nothing
+  Trace,      // a line for staff: `text`; dropping it is harmless
+};
+
+// Why a Send goes where it goes; docs/on-call.md uses the same words (toString).
+enum class Reason : std::uint8_t {
+  None,              // not a Send, or Settings::explain is off
+  OrdinaryPick,      // fewest own requests in flight within the subset, ties by turn
+  LengthenedSubset,  // the same, beyond the subset's ordinary length: own demand has outgrown it
+  StandIn,           // the same, in place of a member that drains, is ejected or may not take it now
+  LeastReported,     // of the tied members that were asked for their load
+  Trial,             // an ejected server's time is over and it may prove itself
+  GroupBoundRepeat,  // a repeat that only the group of its first attempt may take
+  ColdShare,         // this client's part of what a server that started lately can take
+};
+std::string_view toString(Reason reason);
+
+struct Action {
+  ActionKind kind;
+  RequestId request = 0;
+  std::int32_t attempt = 0;
+  std::string_view server{};  // a Host::id; valid until the next call on the Balancer
+  Time time = 0;
+  std::uint64_t timer = 0;
+  std::string text{};
+  Reason reason = Reason::None;  // for Send, if Settings::explain
+};
+using Actions = std::vector<Action>;
+
+class Balancer {
+ public:
+  Balancer(Settings settings, std::uint64_t seed);
+  ~Balancer();
+  Balancer(Balancer&&) noexcept;
+  Balancer& operator=(Balancer&&) noexcept;
+
+  // Every on… function: `now` is the caller's clock; what it appends to `out` is to be carried out in order
+  // before the next call. Arguments are read during the call only; nothing is kept by reference. Unknown ids,
+  // second outcomes and answers that come too late are ignored.
+
+  // Discovery's news. The first call should be the Restored list (it may be empty).
+  void onServers(Time now, ListKind kind, std::span<const Host> hosts, Actions& out);
+  // A client's request. It gets exactly one final answer: an Outcome with `final`, Refuse or Fail.
+  void onRequest(Time now, const Request& request, Actions& out);
+  // An attempt has ended, also one whose request was answered long ago.
+  void onOutcome(Time now, const Outcome& outcome, Actions& out);
+  // The answer of a streamed class has begun: it belongs to the client now.
+  void onStreaming(Time now, RequestId request, std::int32_t attempt, Actions& out);
+  // The client has gone; no answer is owed.
+  void onClientGone(Time now, RequestId request, Actions& out);
+  // A probe has ended. `ok`: the server answered; `load`: what it said of itself, if anything.
+  void onProbe(Time now, std::string_view server, bool ok, Time latency, const LoadReport& load,
+               Actions& out);
+  // A timer that SetTimer asked for is due.
+  void onTimer(Time now, std::uint64_t timer, Actions& out);
+
+  // For tests and operators: the ids of the present subset, in order of preference.
+  std::vector<std::string> subset(Time now);
+  // How much is remembered and how much was done: requests without an answer or with an attempt out, servers
+  // that are listed or still owe an outcome, slots, and servers weighed in all picks so far.
+  std::size_t liveRequests() const;
+  std::size_t knownServers() const;
+  std::size_t rememberedSlots() const;
+  std::uint64_t serversLookedAt() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+// Throws std::invalid_argument that names the field if a value is impossible; the constructor calls it.
+void validate(const Settings& settings);
+
+// The order in which client `client` reads `slots` server slots (0 … slots-1): Rocksteadier subsetting.
+std::vector<std::uint32_t> subsetOrder(std::uint32_t client, std::uint32_t slots);
+// The order in which client lot `client_lot` visits `server_lots` lots.
+std::vector<std::uint32_t> lotOrder(std::uint32_t client_lot, std::uint32_t server_lots);
+
+}  // namespace weldflow
--- /dev/null
+++ b/src/drill/main.cpp
@@ -0,0 +1,434 @@
+// The adapter between the bench's wire and the library: it parses events, calls the Balancer of the instance
+// concerned and writes its actions. It decides nothing.
+#include <array>
+#include <charconv>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "settings.h"
+#include "weldflow/balancer.h"
+
+namespace weldflow::drill {
+namespace {
+
+// The parts of one line, taken from the left.
+class Fields {
+ public:
+  explicit Fields(std::string_view line) : rest_(line) {}
+
+  std::string_view text(const char* name) {
+    if (done_) throw BadField(name, "is missing");
+    const std::size_t tab = rest_.find('\t');
+    const std::string_view part = rest_.substr(0, tab);
+    if (tab == std::string_view::npos) {
+      done_ = true;
+    } else {
+      rest_.remove_prefix(tab + 1);
+    }
+    return part;
+  }
+
+  std::string_view word(const char* name) {
+    const std::string_view part = text(name);
+    if (part.empty() || part == "-") throw BadField(name, "is empty");
+    return part;
+  }
+
+  std::string_view tail(const char* name) {
+    if (done_) throw BadField(name, "is missing");
+    done_ = true;
+    return rest_;
+  }
+
+  template <typename T>
+  T number(const char* name) {
+    return parse<T>(word(name), name, 10);
+  }
+
+  template <typename T>
+  T numberOr(const char* name, T fallback) {
+    if (done_) return fallback;
+    const std::string_view part = text(name);
+    return part == "-" || part.empty() ? fallback : parse<T>(part, name, 10);
+  }
+
+  RequestId request(const char* name) {
+    const std::string_view part = word(name);
+    if (part.size() != 16) throw BadField(name, "is not 16 hex digits");
+    return parse<RequestId>(part, name, 16);
+  }
+
+  bool flag(const char* name) {
+    const int v = number<int>(name);
+    if (v != 0 && v != 1) throw BadField(name, "is not 0 or 1");
+    return v == 1;
+  }
+
+  template <typename T>
+  static T parse(std::string_view part, const char* name, int base) {
+    T value{};
+    std::from_chars_result r{};
+    if constexpr (std::is_floating_point_v<T>) {
+      r = std::from_chars(part.data(), part.data() + part.size(), value);
+    } else {
+      r = std::from_chars(part.data(), part.data() + part.size(), value, base);
+    }
+    if (r.ec != std::errc{} || r.ptr != part.data() + part.size()) {
+      throw BadField(name, "is not a number: " + std::string(part));
+    }
+    return value;
+  }
+
+  void end() const {
+    if (!done_) throw BadField("end of line", "has more parts than the message");
+  }
+
+ private:
+  std::string_view rest_;
+  bool done_ = false;
+};
+
+LoadReport parseReport(std::string_view text, const char* name) {
+  LoadReport report;
+  if (text == "-" || text.empty()) return report;
+  while (!text.empty()) {
+    const std::size_t comma = text.find(',');
+    const std::string_view pair = text.substr(0, comma);
+    text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
+    const std::size_t colon = pair.find(':');
+    if (colon == std::string_view::npos) throw BadField(name, "lacks a colon: " + std::string(pair));
+    const double value = Fields::parse<double>(pair.substr(colon + 1), name, 10);
+    // The module reads one of them; the rest must be well-formed all the same.
+    if (isInFlightGauge(pair.substr(0, colon))) report.in_flight = value;
+  }
+  return report;
+}
+
+Result parseResult(int code, const char* name) {
+  switch (code) {
+    case 0:
+      return Result::Ok;
+    case 1:
+      return Result::Cancelled;
+    case 4:
+      return Result::TimedOut;
+    case 8:
+      return Result::Rejected;
+    case 9:
+      return Result::NotSent;
+    case 10:
+      return Result::Reset;
+    case 13:
+      return Result::Error;
+    case 14:
+      return Result::ConnectFailed;
+    default:
+      throw BadField(name, "is unknown: " + std::to_string(code));
+  }
+}
+
+class Adapter {
+ public:
+  // Reads rounds until the input ends; false after a bad line.
+  bool run(std::istream& in, std::ostream& out) {
+    std::string line;
+    while (std::getline(in, line)) {
+      ++line_;
+      if (!line.empty() && line.back() == '\r') line.pop_back();
+      try {
+        if (hosts_left_ > 0) {
+          hostLine(line);
+        } else if (eventLine(line)) {
+          reply_ += "EOR\n";
+          out.write(reply_.data(), static_cast<std::streamsize>(reply_.size()));
+          out.flush();
+          reply_.clear();
+        }
+      } catch (const BadField& e) {
+        return complain("field " + e.field + ' ' + e.what());
+      } catch (const std::invalid_argument& e) {
+        return complain(std::string("field config: ") + e.what());
+      }
+    }
+    if (in_round_ || hosts_left_ > 0) {
+      ++line_;
+      return complain("field EOB is missing: the input ends inside a round");
+    }
+    return true;
+  }
+
+ private:
+  struct Instance {
+    std::string name;
+    std::unique_ptr<Balancer> balancer;
+  };
+  struct NameHash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view s) const { return std::hash<std::string_view>{}(s); }
+  };
+
+  bool complain(const std::string& what) const {
+    std::cerr << "weldflow_drill: line " << line_ << ": " << what << '\n';
+    return false;
+  }
+
+  Instance& instance(Fields& f) {
+    const std::string_view name = f.word("i");
+    const auto it = instances_.find(name);
+    if (it == instances_.end() || !it->second.balancer) {
+      throw BadField("i", "names an instance that was not started: " + std::string(name));
+    }
+    return it->second;
+  }
+
+  // One line of a round; true at its end.
+  bool eventLine(std::string_view line) {
+    Fields f(line);
+    const std::string_view word = f.text("message");
+    if (word == "ROUND") {
+      if (in_round_) throw BadField("message", "ROUND inside a round");
+      now_ = f.number<Time>("clock");
+      f.end();
+      in_round_ = true;
+      return false;
+    }
+    if (!in_round_) throw BadField("message", "stands outside a round: " + std::string(word));
+    if (word == "EOB") {
+      f.end();
+      in_round_ = false;
+      return true;
+    }
+    if (word == "DIRECTORY") {
+      roster(f);
+    } else if (word == "POWER_ON") {
+      powerOn(f);
+    } else if (word == "RETIRE") {
+      instance(f).balancer.reset();
+      f.end();
+    } else {
+      Instance& at = instance(f);
+      event(word, *at.balancer, f);
+      write(at.name);
+    }
+    return false;
+  }
+
+  void powerOn(Fields& f) {
+    const std::string_view name = f.word("i");
+    const std::uint64_t seed = f.number<std::uint64_t>("init_seed");
+    Instance& at = instances_[std::string(name)];
+    at.name = name;
+    at.balancer = std::make_unique<Balancer>(parseSettings(f.tail("config")), seed);
+  }
+
+  void event(std::string_view word, Balancer& b, Fields& f) {
+    if (word == "JOB_IN") {
+      Request r;
+      r.id = f.request("corr");
+      r.time_left = f.number<Time>("left_us");
+      const Time hint = f.numberOr<Time>("predicted_us", 0);
+      r.tenant = f.numberOr<std::int32_t>("billing", kUnset);
+      r.request_class = f.number<std::int32_t>("qos");
+      r.key = f.numberOr<std::int64_t>("name_key", kUnset);
+      const unsigned bits = f.numberOr<unsigned>("state_bits", 0);
+      f.end();
+      r.expected_work = (bits & 1U) != 0 ? hint : 0;
+      b.onRequest(now_, r, actions_);
+    } else if (word == "RETURNED") {
+      Outcome o;
+      o.request = f.request("corr");
+      o.attempt = f.number<std::int32_t>("round_no");
+      o.result = parseResult(f.number<int>("disposition"), "disposition");
+      o.final = f.flag("terminal");
+      o.latency = f.numberOr<Time>("latency_us", 0);
+      f.word("host");
+      o.load = parseReport(f.text("gauge"), "gauge");
+      f.end();
+      b.onOutcome(now_, o, actions_);
+    } else if (word == "ELAPSED") {
+      const std::uint64_t handle = f.number<std::uint64_t>("handle");
+      f.end();
+      b.onTimer(now_, handle, actions_);
+    } else if (word == "FLEET") {
+      fleet(b, f);
+    } else if (word == "STREAMING") {
+      const RequestId id = f.request("corr");
+      const std::int32_t attempt = f.number<std::int32_t>("round_no");
+      f.word("host");
+      f.numberOr<Time>("latency_us", 0);
+      f.end();
+      b.onStreaming(now_, id, attempt, actions_);
+    } else if (word == "LEFT") {
+      const RequestId id = f.request("corr");
+      f.end();
+      b.onClientGone(now_, id, actions_);
+    } else if (word == "SAMPLED") {
+      const std::string_view host = f.word("host");
+      const Result result = parseResult(f.number<int>("disposition"), "disposition");
+      const Time latency = f.numberOr<Time>("latency_us", 0);
+      const LoadReport load = parseReport(f.text("gauge"), "gauge");
+      f.end();
+      b.onProbe(now_, host, result == Result::Ok, latency, load, actions_);
+    } else if (word == "MESSAGE") {
+      // Balancers share nothing: what a peer says is not used.
+      f.number<std::int32_t>("sender");
+      f.text("data");
+      f.end();
+    } else {
+      throw BadField("message", "is unknown: " + std::string(word));
+    }
+  }
+
+  std::vector<Host>& rosterAt(Fields& f) {
+    const int id = f.number<int>("roster_id");
+    if (id < 0 || id >= static_cast<int>(rosters_.size())) throw BadField("roster_id", "is not 0 to 15");
+    return rosters_[static_cast<std::size_t>(id)];
+  }
+
+  void roster(Fields& f) {
+    std::vector<Host>& hosts = rosterAt(f);
+    const int count = f.number<int>("nodes_list");
+    f.end();
+    if (count < 0) throw BadField("nodes_list", "is negative");
+    hosts.clear();
+    filling_ = &hosts;
+    hosts_left_ = count;
+  }
+
+  void hostLine(std::string_view line) {
+    Fields f(line);
+    if (f.text("message") != "M") throw BadField("message", "is not M, though the list has more entries");
+    Host h;
+    h.up_since = f.numberOr<Time>("up_since_us", 0);
+    h.zone = f.numberOr<std::int32_t>("site", 0);
+    h.capacity = f.numberOr<double>("capacity_hint", 1);
+    const std::string_view state = f.word("state");
+    if (state == "healthy") {
+      h.state = HostState::Healthy;
+    } else if (state == "cordoned") {
+      h.state = HostState::Draining;
+    } else if (state == "deregistered") {
+      h.state = HostState::Gone;
+    } else {
+      throw BadField("state", "is unknown: " + std::string(state));
+    }
+    h.id = f.word("host");
+    (void)f.numberOr<std::int32_t>("model", 0);
+    h.cell = f.numberOr<std::int32_t>("group", 0);
+    f.end();
+    filling_->push_back(std::move(h));
+    --hosts_left_;
+  }
+
+  void fleet(Balancer& b, Fields& f) {
+    const std::string_view mode = f.word("mode");
+    ListKind kind = ListKind::Changes;
+    if (mode == "replace") {
+      kind = ListKind::Full;
+    } else if (mode == "restored") {
+      kind = ListKind::Restored;
+    } else if (mode == "unavailable") {
+      b.onServers(now_, ListKind::Unavailable, {}, actions_);
+      return;
+    } else if (mode != "update") {
+      throw BadField("mode", "is unknown: " + std::string(mode));
+    }
+    f.text("version");
+    const std::vector<Host>& hosts = rosterAt(f);
+    f.end();
+    b.onServers(now_, kind, hosts, actions_);
+  }
+
+  void put(std::string_view text) { reply_ += text; }
+  template <typename T>
+  void putNumber(T value) {
+    std::array<char, 24> buffer;
+    const auto r = std::to_chars(buffer.data(), buffer.data() + buffer.size(), value);
+    reply_ += '\t';
+    reply_.append(buffer.data(), r.ptr);
+  }
+  void putRequest(RequestId id) {
+    static constexpr char kDigits[] = "0123456789abcdef";
+    reply_ += '\t';
+    for (int shift = 60; shift >= 0; shift -= 4) reply_ += kDigits[(id >> shift) & 15U];
+  }
+  void begin(std::string_view word, std::string_view name) {
+    put(word);
+    reply_ += '\t';
+    put(name);
+  }
+
+  void write(std::string_view name) {
+    for (const Action& a : actions_) {
+      switch (a.kind) {
+        case ActionKind::Send:
+          begin("PLACE", name);
+          putRequest(a.request);
+          reply_ += '\t';
+          put(a.server);
+          putNumber(a.time);
+          break;
+        case ActionKind::Cancel:
+          begin("STOP_ATTEMPT", name);
+          putRequest(a.request);
+          putNumber(a.attempt);
+          break;
+        case ActionKind::Refuse:
+          begin("DECLINE", name);
+          putRequest(a.request);
+          putNumber(a.time);
+          break;
+        case ActionKind::Fail:
+          begin("DROP_REQUEST", name);
+          putRequest(a.request);
+          break;
+        case ActionKind::Probe:
+          begin("INSPECT", name);
+          reply_ += '\t';
+          put(a.server);
+          break;
+        case ActionKind::Subscribe:
+          begin("WATCH", name);
+          putNumber(1);
+          break;
+        case ActionKind::SetTimer:
+          begin("AFTER", name);
+          putNumber(a.time);
+          putNumber(a.timer);
+          break;
+        case ActionKind::Trace:
+          begin("TRACE", name);
+          reply_ += '\t';
+          put(a.text);
+          break;
+      }
+      reply_ += '\n';
+    }
+    actions_.clear();
+  }
+
+  std::unordered_map<std::string, Instance, NameHash, std::equal_to<>> instances_;
+  std::array<std::vector<Host>, 16> rosters_;
+  std::vector<Host>* filling_ = nullptr;
+  int hosts_left_ = 0;
+  bool in_round_ = false;
+  Time now_ = 0;
+  std::size_t line_ = 0;
+  Actions actions_;
+  std::string reply_;
+};
+
+}  // namespace
+}  // namespace weldflow::drill
+
+int main() {
+  std::ios::sync_with_stdio(false);
+  std::cin.tie(nullptr);
+  weldflow::drill::Adapter adapter;
+  return adapter.run(std::cin, std::cout) ? 0 : 1;
+}
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,68 @@
+// quinceline: one client proxy. Reads its configuration, builds the parts, waits for signals.
+#include <malloc.h>
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <utility>
+
+#include "net/config.h"
+#include "net/log.h"
+#include "net/proxy.h"
+
+namespace {
+
+using namespace quinceline;
+
+// What is bounded by the system counts as much as what is configured.
+void fitToSystem(Config& config) {
+  rlimit files{};
+  if (getrlimit(RLIMIT_NOFILE, &files) != 0) return;
+  files.rlim_cur = files.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &files);
+  if (getrlimit(RLIMIT_NOFILE, &files) == 0 && files.rlim_cur != RLIM_INFINITY) {
+    config.sockets = std::min<std::size_t>(config.sockets, files.rlim_cur);
+  }
+}
+
+void serve(Config config) {
+  fitToSystem(config);
+  // Large bodies come and go: they are to leave no holes behind in the heap.
+  mallopt(M_MMAP_THRESHOLD, 256 * 1024);
+  mallopt(M_TRIM_THRESHOLD, 1024 * 1024);
+  std::signal(SIGPIPE, SIG_IGN);
+  const Clock clock;
+  Log log(clock, config.name);
+  boost::asio::io_context io(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
+  Proxy proxy(io, std::move(config), log, clock);
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](boost::system::error_code ec, int) {
+    if (!ec) proxy.shutdown([&io] { io.stop(); });
+  });
+  proxy.start();
+  io.run();
+}
+
+}  // namespace
+
+int main() {
+  Config config;
+  try {
+    config = readConfig([](const char* name) { return std::getenv(name); });
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "quinceline: %s\n", e.what());
+    return 1;
+  }
+  try {
+    serve(std::move(config));
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "quinceline: %s\n", e.what());
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,92 @@
+#include "config.h"
+
+#include <charconv>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "drill/json_node.h"
+
+namespace quinceline {
+namespace {
+
+using nlohmann::json;
+using weldflow::drill::Node;
+
+constexpr double kLeastMemory = 32, kLeastSockets = 64;
+
+std::string readFile(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) throw std::runtime_error("PROXY_CONFIG: cannot read " + path);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+// Hex digits as in the example; a plain number will do as well.
+std::uint64_t parseSeed(const Node& node) {
+  if (!node.isText()) return static_cast<std::uint64_t>(node.number(0, 1.8e19));
+  const std::string text = node.text();
+  std::uint64_t seed = 0;
+  const auto r = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  if (r.ec != std::errc{} || r.ptr != text.data() + text.size()) node.bad("is not a hexadecimal number");
+  return seed;
+}
+
+Endpoint endpointOf(const char* variable, const char* key, const char* value, const Node& root) {
+  if (value == nullptr && !root.has(key)) {
+    throw std::runtime_error(std::string(variable) + ": is not set, nor is " + key + " in PROXY_CONFIG");
+  }
+  const std::string where = value != nullptr ? variable : std::string("PROXY_CONFIG: ") + key;
+  const std::string text = value != nullptr ? value : root.at(key).text();
+  try {
+    return parseEndpoint(text);
+  } catch (const std::runtime_error& e) {
+    throw std::runtime_error(where + ": " + e.what());
+  }
+}
+
+// Runs a part of the reading; a complaint gets the part's name in front.
+template <typename Read>
+auto within(const std::string& part, Read read) {
+  try {
+    return read();
+  } catch (const std::exception& e) {
+    throw std::runtime_error(part + e.what());
+  }
+}
+
+}  // namespace
+
+Config readConfig(const std::function<const char*(const char*)>& getenv) {
+  const char* const path = getenv("PROXY_CONFIG");
+  if (path == nullptr) throw std::runtime_error("PROXY_CONFIG: is not set");
+  const json doc = json::parse(readFile(path), nullptr, false);
+  if (doc.is_discarded() || !doc.is_object()) throw std::runtime_error("PROXY_CONFIG: is not a JSON object");
+  const Node root(doc, "");
+  Config c;
+  c.listen = endpointOf("PROXY_LISTEN", "listen", getenv("PROXY_LISTEN"), root);
+  c.discovery = endpointOf("PROXY_DISCOVERY", "discovery", getenv("PROXY_DISCOVERY"), root);
+  return within("PROXY_CONFIG: ", [&] {
+    const char* const name = getenv("PROXY_NAME");
+    c.name = name != nullptr ? name : root.has("name") ? root.at("name").text() : "quinceline";
+    if (root.has("seed")) c.seed = parseSeed(root.at("seed"));
+    if (root.has("limits")) {
+      const Node limits = root.at("limits");
+      c.cores = limits.numberOr("cores", c.cores, 0);
+      if (limits.has("memory_mb"))
+        c.memory_mb = static_cast<std::size_t>(limits.at("memory_mb").number(kLeastMemory, 1e9));
+      if (limits.has("sockets"))
+        c.sockets = static_cast<std::size_t>(limits.at("sockets").number(kLeastSockets, 1e9));
+    }
+    root.at("settings");
+    c.site = within("settings: ", [&] { return weldflow::drill::parseSite(doc.at("settings").dump()); });
+    within("settings: ", [&] { weldflow::validate(c.site.settings); });
+    c.zones = Zones(c.site.zones);
+    if (root.has("known")) {
+      c.known = within("known: ", [&] { return parseHostList(doc.at("known").dump(), c.zones); });
+    }
+    return c;
+  });
+}
+
+}  // namespace quinceline
--- /dev/null
+++ b/src/net/config.h
@@ -0,0 +1,30 @@
+// What the client proxy is told: the PROXY_* variables and the JSON file, as typed values.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "drill/settings.h"
+#include "host_list.h"
+
+namespace quinceline {
+
+struct Config {
+  std::string name;
+  Endpoint listen;
+  Endpoint discovery;
+  std::uint64_t seed = 0;
+  double cores = 1;
+  std::size_t memory_mb = 256;
+  std::size_t sockets = 1024;
+  weldflow::drill::Site site;
+  Zones zones;
+  HostList known;  // the list as this client proxy last had it, perhaps old
+};
+
+// Reads the variables with `getenv` (null: not set) and the file that PROXY_CONFIG names. Variables win over
+// the file. Throws std::runtime_error: one line that names the variable or key at fault.
+Config readConfig(const std::function<const char*(const char*)>& getenv);
+
+}  // namespace quinceline
--- /dev/null
+++ b/src/net/host_list.cpp
@@ -0,0 +1,88 @@
+#include "host_list.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "drill/json_node.h"
+
+namespace quinceline {
+namespace {
+
+using weldflow::HostState;
+using weldflow::drill::Node;
+
+HostState parseState(const Node& node) {
+  const std::string word = node.text();
+  if (word == "active") return HostState::Healthy;
+  if (word == "leaving") return HostState::Draining;
+  if (word == "left") return HostState::Gone;
+  node.bad("is unknown: " + word);
+}
+
+}  // namespace
+
+Zones::Zones(const std::vector<std::string>& names) {
+  for (const std::string& name : names) indexOf(name);
+}
+
+std::int32_t Zones::indexOf(const std::string& name) {
+  return index_.emplace(name, static_cast<std::int32_t>(index_.size())).first->second;
+}
+
+Endpoint parseEndpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) throw std::runtime_error("is not an address and port: " + text);
+  std::string host = text.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
+  boost::system::error_code ec;
+  const auto address = boost::asio::ip::make_address(host, ec);
+  std::uint16_t port = 0;
+  const char* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+  if (ec || parsed.ec != std::errc{} || parsed.ptr != end) {
+    throw std::runtime_error("is not an address and port: " + text);
+  }
+  return {address, port};
+}
+
+HostList parseHostList(std::string_view text, Zones& zones) {
+  const auto doc = nlohmann::json::parse(text, nullptr, false);
+  if (doc.is_discarded() || !doc.is_object()) throw std::runtime_error("is not a JSON object");
+  const Node root(doc, "");
+  HostList list;
+  list.revision = static_cast<std::uint64_t>(root.at("rev").number(0, 9e15));
+  list.full = root.flagOr("all", false);
+  const Node targets = root.at("targets");
+  const std::size_t count = targets.size();
+  list.hosts.reserve(count);
+  list.endpoints.reserve(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    const Node entry = targets.at(i);
+    weldflow::Host host;
+    host.id = entry.at("uid").text();
+    if (host.id.empty()) entry.at("uid").bad("is empty");
+    host.state = parseState(entry.at("state"));
+    // What has left needs no more than its name.
+    if (host.state == HostState::Gone) {
+      list.hosts.push_back(std::move(host));
+      list.endpoints.emplace_back();
+      continue;
+    }
+    try {
+      list.endpoints.push_back(parseEndpoint(entry.at("endpoint").text()));
+    } catch (const weldflow::drill::BadField&) {
+      throw;
+    } catch (const std::runtime_error& e) {
+      entry.at("endpoint").bad(e.what());
+    }
+    host.up_since = entry.timeOr("boot_ms", 0) * 1000;
+    host.capacity = entry.numberOr("capacity_hint", 1, 0);
+    host.zone = entry.has("az") ? zones.indexOf(entry.at("az").text()) : 0;
+    host.cell = entry.has("pod_group") ? entry.at("pod_group").whole(0) : 0;
+    list.hosts.push_back(std::move(host));
+  }
+  return list;
+}
+
+}  // namespace quinceline
--- /dev/null
+++ b/src/net/host_list.h
@@ -0,0 +1,42 @@
+// Discovery's form of the list of hosts: in `known` of the configuration, and one object a line in a watch.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "weldflow/balancer.h"
+
+namespace quinceline {
+
+using Endpoint = boost::asio::ip::tcp::endpoint;
+
+// Zones by name. One that the settings do not list gets a number of its own, so that two strangers never
+// count as one zone.
+class Zones {
+ public:
+  Zones() = default;
+  explicit Zones(const std::vector<std::string>& names);
+  std::int32_t indexOf(const std::string& name);
+
+ private:
+  std::map<std::string, std::int32_t> index_;
+};
+
+struct HostList {
+  std::uint64_t revision = 0;
+  bool full = false;
+  std::vector<weldflow::Host> hosts;
+  std::vector<Endpoint> endpoints;  // of hosts[i]
+};
+
+// Throws std::runtime_error that tells what is wrong; a list is read whole or not at all.
+HostList parseHostList(std::string_view text, Zones& zones);
+
+// "address:port"; throws std::runtime_error.
+Endpoint parseEndpoint(const std::string& text);
+
+}  // namespace quinceline
--- /dev/null
+++ b/src/net/http.cpp
@@ -0,0 +1,193 @@
+#include "http.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+
+namespace quinceline {
+namespace {
+
+using boost::beast::iequals;
+
+constexpr std::size_t kIdleBuffer = 2 * 1024;
+
+std::string_view view(Text text) { return {text.data(), text.size()}; }
+
+// Headers that concern one connection, or that the client proxy writes itself.
+bool forThisHop(http::field name) {
+  switch (name) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::proxy_authenticate:
+    case http::field::proxy_authorization:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::expect:
+    case http::field::content_length:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}  // namespace
+
+std::optional<Time> parseSeconds(std::string_view text) {
+  double seconds = 0;
+  const auto r = std::from_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed);
+  if (r.ec != std::errc{} || r.ptr != text.data() + text.size() || !std::isfinite(seconds) ||
+      std::abs(seconds) > 1e9) {
+    return std::nullopt;
+  }
+  return static_cast<Time>(std::llround(seconds * 1e6));
+}
+
+std::string formatSeconds(Time time) {
+  std::array<char, 40> text;
+  const int n = std::snprintf(text.data(), text.size(), "%lld.%06lld", static_cast<long long>(time / kSecond),
+                              static_cast<long long>(time % kSecond));
+  return {text.data(), static_cast<std::size_t>(n)};
+}
+
+// ---- requests ----
+
+RequestParser::RequestParser() {
+  header_limit(static_cast<std::uint32_t>(kMostHead));
+  body_limit(kMostBody);
+}
+
+void RequestParser::on_request_impl(http::verb, Text method, Text target, int version,
+                                    boost::beast::error_code& ec) {
+  if (version != 10 && version != 11) {
+    ec = http::error::bad_version;
+    return;
+  }
+  head.method = view(method);
+  head.target = view(target);
+  head.old_version = version == 10;
+  head.forward.reserve(384);
+}
+
+void RequestParser::on_field_impl(http::field name, Text name_text, Text value, boost::beast::error_code& ec) {
+  if (name == http::field::expect) {
+    head.expects_continue = iequals(value, "100-continue");
+  } else if (name == http::field::connection) {
+    for (const auto& token : http::token_list(value)) hop_names_.emplace_back(view(token));
+  } else if (name == http::field::transfer_encoding && !iequals(value, "chunked")) {
+    ec = http::error::bad_transfer_encoding;  // a coding that only the sender and this hop would share
+  }
+  if (forThisHop(name)) return;
+  if (name == http::field::host) head.has_host = true;
+  if (name == http::field::unknown) {
+    if (iequals(name_text, "X-Time-Left")) {
+      head.time_left = view(value);
+      head.has_time_left = true;
+      return;  // what the attempt may take is written anew
+    }
+    if (iequals(name_text, "X-Correlation-Id")) head.correlation = view(value);
+    if (iequals(name_text, "X-Account")) head.account = view(value);
+    if (iequals(name_text, "X-Weight-Hint")) head.weight_hint = view(value);
+    if (iequals(name_text, "Idempotency-Key")) head.keyed = true;
+  }
+  head.forward.append(name_text.data(), name_text.size());
+  head.forward += ": ";
+  head.forward.append(value.data(), value.size());
+  head.forward += "\r\n";
+}
+
+void RequestParser::on_header_impl(boost::beast::error_code&) {
+  for (const std::string& name : hop_names_) {
+    std::size_t at = 0;
+    while (at < head.forward.size()) {
+      const std::size_t end = head.forward.find("\r\n", at) + 2;
+      const std::size_t colon = head.forward.find(':', at);
+      if (iequals(Text(head.forward.data() + at, colon - at), name)) {
+        head.forward.erase(at, end - at);
+      } else {
+        at = end;
+      }
+    }
+  }
+}
+
+void RequestParser::on_body_init_impl(const boost::optional<std::uint64_t>& length,
+                                      boost::beast::error_code&) {
+  // The whole length at once: a string that grows by doubling would hold half as much again. Pages that were
+  // not written to cost nothing, so an untrue length does no harm.
+  if (length) body.reserve(static_cast<std::size_t>(std::min<std::uint64_t>(*length, kMostBody)));
+}
+
+std::size_t RequestParser::on_body_impl(Text part, boost::beast::error_code&) {
+  body.append(part.data(), part.size());
+  return part.size();
+}
+
+std::size_t RequestParser::on_chunk_body_impl(std::uint64_t, Text part, boost::beast::error_code&) {
+  body.append(part.data(), part.size());
+  return part.size();
+}
+
+// ---- responses ----
+
+ResponseParser::ResponseParser() {
+  header_limit(static_cast<std::uint32_t>(kMostHead));
+  body_limit(boost::none);  // large answers pass through in pieces
+}
+
+void ResponseParser::on_field_impl(http::field name, Text name_text, Text value, boost::beast::error_code&) {
+  if (name == http::field::content_type) {
+    content_type = view(value);
+  } else if (name == http::field::unknown) {
+    if (iequals(name_text, "X-Unprocessed")) unprocessed = value == "1";
+    if (iequals(name_text, "X-Backend-Load")) load = view(value);
+  }
+}
+
+void ResponseParser::on_body_init_impl(const boost::optional<std::uint64_t>& length,
+                                       boost::beast::error_code&) {
+  if (length) body.reserve(static_cast<std::size_t>(std::min<std::uint64_t>(*length, kSmallAnswer)));
+}
+
+std::size_t ResponseParser::on_body_impl(Text part, boost::beast::error_code&) {
+  body.append(part.data(), part.size());
+  return part.size();
+}
+
+std::size_t ResponseParser::on_chunk_body_impl(std::uint64_t, Text part, boost::beast::error_code&) {
+  body.append(part.data(), part.size());
+  return part.size();
+}
+
+// ---- buffer ----
+
+boost::asio::mutable_buffer ReadBuffer::space(std::size_t least) {
+  if (begin_ == end_) begin_ = end_ = 0;
+  if (bytes_.size() - end_ < least && begin_ > 0) {
+    std::copy(bytes_.begin() + static_cast<std::ptrdiff_t>(begin_),
+              bytes_.begin() + static_cast<std::ptrdiff_t>(end_), bytes_.begin());
+    end_ -= begin_;
+    begin_ = 0;
+  }
+  if (bytes_.size() - end_ < least) bytes_.resize(std::max(kIdleBuffer, end_ + least));
+  return {bytes_.data() + end_, bytes_.size() - end_};
+}
+
+void ReadBuffer::consume(std::size_t bytes) {
+  begin_ += bytes;
+  if (begin_ == end_) begin_ = end_ = 0;
+}
+
+void ReadBuffer::shrink() {
+  if (size() > 0 || bytes_.size() <= kIdleBuffer) return;
+  std::vector<char>(kIdleBuffer).swap(bytes_);
+  begin_ = end_ = 0;
+}
+
+}  // namespace quinceline
--- /dev/null
+++ b/src/net/http.h
@@ -0,0 +1,102 @@
+// HTTP/1.1 messages as the client proxy needs them, on Boost.Beast's parser. Only what is looked at is kept:
+// one text of header lines to pass on instead of an allocation for each field.
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "clock.h"
+
+namespace quinceline {
+
+namespace http = boost::beast::http;
+using Text = boost::beast::string_view;
+
+constexpr std::size_t kMostHead = 16 * 1024;
+constexpr std::uint64_t kMostBody = 32ULL * 1024 * 1024;
+constexpr std::size_t kSmallAnswer = 64 * 1024;  // up to this an answer is held until it is whole
+
+// Seconds with decimals ("0.480") as microseconds; nothing if it is not such a number.
+std::optional<Time> parseSeconds(std::string_view text);
+// Microseconds as seconds with decimals.
+std::string formatSeconds(Time time);
+
+struct RequestHead {
+  std::string method, target;
+  std::string forward;  // the header lines that go on to the host, each with its line end
+  std::string correlation, account, time_left;
+  bool has_time_left = false;
+  std::string weight_hint;
+  bool keyed = false;  // has an Idempotency-Key
+  bool has_host = false;
+  bool expects_continue = false;
+  bool old_version = false;  // HTTP/1.0
+};
+
+// A request as it comes in. The body's bytes go to `body`; who feeds the parser bounds how fast.
+class RequestParser final : public http::basic_parser<true> {
+ public:
+  RequestParser();
+  RequestHead head;
+  std::string body;
+
+ private:
+  void on_request_impl(http::verb, Text method, Text target, int version,
+                       boost::beast::error_code& ec) override;
+  void on_response_impl(int, Text, int, boost::beast::error_code&) override {}
+  void on_field_impl(http::field name, Text name_text, Text value, boost::beast::error_code& ec) override;
+  void on_header_impl(boost::beast::error_code& ec) override;
+  void on_body_init_impl(const boost::optional<std::uint64_t>& length, boost::beast::error_code&) override;
+  std::size_t on_body_impl(Text part, boost::beast::error_code&) override;
+  void on_chunk_header_impl(std::uint64_t, Text, boost::beast::error_code&) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t, Text part, boost::beast::error_code&) override;
+  void on_finish_impl(boost::beast::error_code&) override {}
+  std::vector<std::string> hop_names_;  // named by Connection: for this hop only
+};
+
+// A host's or discovery's answer.
+class ResponseParser final : public http::basic_parser<false> {
+ public:
+  ResponseParser();
+  int status = 0;
+  bool unprocessed = false;  // X-Unprocessed: 1
+  std::string load;          // X-Backend-Load
+  std::string content_type;
+  std::string body;  // what came since it was last taken out
+
+ private:
+  void on_request_impl(http::verb, Text, Text, int, boost::beast::error_code&) override {}
+  void on_response_impl(int code, Text, int, boost::beast::error_code&) override { status = code; }
+  void on_field_impl(http::field name, Text name_text, Text value, boost::beast::error_code&) override;
+  void on_header_impl(boost::beast::error_code&) override {}
+  void on_body_init_impl(const boost::optional<std::uint64_t>& length, boost::beast::error_code&) override;
+  std::size_t on_body_impl(Text part, boost::beast::error_code&) override;
+  void on_chunk_header_impl(std::uint64_t, Text, boost::beast::error_code&) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t, Text part, boost::beast::error_code&) override;
+  void on_finish_impl(boost::beast::error_code&) override {}
+};
+
+// The bytes that were read and not yet parsed. It grows up to a bound while a head is incomplete.
+class ReadBuffer {
+ public:
+  boost::asio::mutable_buffer space(std::size_t least);
+  void commit(std::size_t bytes) { end_ += bytes; }
+  boost::asio::const_buffer data() const { return {bytes_.data() + begin_, end_ - begin_}; }
+  std::size_t size() const { return end_ - begin_; }
+  void consume(std::size_t bytes);
+  void shrink();  // back to an idle connection's size, where nothing is held
+
+ private:
+  std::vector<char> bytes_;
+  std::size_t begin_ = 0, end_ = 0;
+};
+
+}  // namespace quinceline
--- /dev/null
+++ b/src/net/proxy.cpp
@@ -0,0 +1,458 @@
+#include "proxy.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <stdexcept>
+#include <utility>
+
+namespace quinceline {
+namespace {
+
+using weldflow::Action;
+using weldflow::ActionKind;
+using weldflow::Effect;
+using weldflow::ListKind;
+using weldflow::Outcome;
+using weldflow::Result;
+
+// Descriptors that are neither a client's nor a host's: standard streams, the loop's own, the listener,
+// signals, discovery, and some to spare.
+constexpr std::size_t kOwnDescriptors = 24;
+constexpr std::uint64_t kMostKey = 1ULL << 53;
+constexpr std::size_t kMegabyte = 1024 * 1024;
+
+// After SIGTERM new connections go on coming for 0.4 s at most, and a request that crosses the closing of an
+// idle connection is sent once more on a new one.
+constexpr Time kIdleAfterTerm = 420 * kMillisecond;
+constexpr Time kListenAfterTerm = 600 * kMillisecond;
+constexpr Time kLastAfterTerm = 3600 * kMillisecond;
+
+std::string_view pathOf(std::string_view target) { return target.substr(0, target.find_first_of("?#")); }
+
+std::string_view firstPart(std::string_view path) {
+  if (path.empty() || path.front() != '/') return {};
+  path.remove_prefix(1);
+  return path.substr(0, path.find('/'));
+}
+
+// What the request is about: the last part, as a number below 2^53 or as a stable hash of its text.
+std::int64_t keyOf(std::string_view path) {
+  const std::size_t slash = path.rfind('/');
+  if (slash == 0 || slash == std::string_view::npos || slash + 1 == path.size()) return weldflow::kUnset;
+  const std::string_view last = path.substr(slash + 1);
+  std::uint64_t key = 0;
+  const auto r = std::from_chars(last.data(), last.data() + last.size(), key);
+  if (r.ec != std::errc{} || r.ptr != last.data() + last.size() || key >= kMostKey) {
+    key = 0xCBF29CE484222325ULL;
+    for (const char c : last) key = (key ^ static_cast<unsigned char>(c)) * 0x100000001B3ULL;
+    key >>= 11;
+  }
+  return static_cast<std::int64_t>(key);
+}
+
+Answer plain(int status) { return {.status = status, .body = {}, .content_type = {}, .retry_after = {}}; }
+
+Server::Limits serverLimits(const Config& config, std::size_t descriptors) {
+  Server::Limits limits;
+  limits.body_bytes = std::max<std::size_t>(config.memory_mb * kMegabyte / 2, kMostBody);
+  limits.connections = std::max<std::size_t>(descriptors * 6 / 10, 16);
+  return limits;
+}
+
+Upstream::Limits upstreamLimits(const Config& config, std::size_t descriptors) {
+  Upstream::Limits limits;
+  limits.connect_timeout = config.site.connect_timeout;
+  limits.idle = config.site.idle;
+  limits.spare_descriptors = descriptors / 8;
+  limits.probe_load = config.site.reports;
+  return limits;
+}
+
+std::size_t budgetOf(const Config& config) {
+  return config.sockets > 2 * kOwnDescriptors ? config.sockets - kOwnDescriptors : kOwnDescriptors;
+}
+
+}  // namespace
+
+Proxy::Proxy(boost::asio::io_context& io, Config config, Log& log, const Clock& clock)
+    : io_(io),
+      config_(std::move(config)),
+      log_(log),
+      clock_(clock),
+      timers_(io, clock),
+      descriptors_(budgetOf(config_)),
+      balancer_(config_.site.settings, config_.seed),
+      server_(io, timers_, descriptors_, log, *this, serverLimits(config_, descriptors_.limit())),
+      upstream_(io, timers_, descriptors_, *this, upstreamLimits(config_, descriptors_.limit())),
+      discovery_(io, timers_, config_.zones, *this, config_.discovery, config_.known.revision, {}) {
+  for (std::size_t i = 0; i < config_.site.classes.size(); ++i) {
+    const weldflow::RequestClass& c = config_.site.settings.classes[i];
+    classes_[config_.site.classes[i]] = {static_cast<std::int32_t>(i), c.deadline, c.effect};
+  }
+  for (std::size_t i = 0; i < config_.site.tenants.size(); ++i) {
+    tenants_[config_.site.tenants[i]] = static_cast<std::int32_t>(i);
+  }
+  descriptors_.addReclaimer([this] { return upstream_.closeOneIdle(); });
+  descriptors_.addReclaimer([this] { return server_.closeOneIdle(); });
+}
+
+Proxy::~Proxy() = default;
+
+void Proxy::start() {
+  server_.listen(config_.listen);
+  HostList known = std::move(config_.known);
+  known.full = true;
+  applyHosts(known);
+  tell([this, known = std::move(known)](Time now) {
+    balancer_.onServers(now, ListKind::Restored, known.hosts, actions_);
+  });
+}
+
+// ---- events for the module ----
+
+template <typename Event>
+void Proxy::tell(Event event) {
+  if (telling_) {
+    events_.emplace_back(std::move(event));
+    return;
+  }
+  telling_ = true;
+  event(clock_.now());
+  carryOut();
+  while (!events_.empty()) {
+    const std::function<void(Time)> next = std::move(events_.front());
+    events_.pop_front();
+    next(clock_.now());
+    carryOut();
+  }
+  telling_ = false;
+}
+
+void Proxy::carryOut() {
+  // Acting adds no actions: what it leads to is told afterwards.
+  for (const Action& action : actions_) act(action);
+  actions_.clear();
+}
+
+void Proxy::act(const Action& action) {
+  switch (action.kind) {
+    case ActionKind::Send:
+      return send(action);
+    case ActionKind::Cancel:
+      upstream_.giveUp(attemptId(action.request, action.attempt), Result::Cancelled);
+      return;
+    case ActionKind::Refuse: {
+      Answer answer = plain(503);
+      if (action.time > 0) answer.retry_after = action.time;
+      return finish(action.request, answer);
+    }
+    case ActionKind::Fail: {
+      const auto it = open_.find(action.request);
+      return finish(action.request, plain(it != open_.end() && it->second.timed_out ? 504 : 502));
+    }
+    case ActionKind::Probe:
+      return upstream_.probe(action.server);
+    case ActionKind::Subscribe:
+      return discovery_.subscribe();
+    case ActionKind::SetTimer:
+      timers_.at(action.time, [this, timer = action.timer] {
+        tell([this, timer](Time now) { balancer_.onTimer(now, timer, actions_); });
+      });
+      return;
+    case ActionKind::Trace:
+      return log_.line(action.text);
+  }
+}
+
+// ---- requests ----
+
+const Proxy::ClassInfo* Proxy::classOf(std::string_view target) const {
+  const auto it = classes_.find(firstPart(pathOf(target)));
+  return it == classes_.end() ? nullptr : &it->second;
+}
+
+std::optional<Answer> Proxy::onHead(const RequestHead& head) {
+  if (pathOf(head.target) == "/healthz") return plain(head.method == "GET" ? 200 : 405);
+  const ClassInfo* const info = classOf(head.target);
+  if (info == nullptr) return plain(404);
+  if (head.method != (info->effect == Effect::Safe ? "GET" : "POST")) return plain(405);
+  if (head.correlation.empty()) return plain(400);
+  // A repeat of a keyed request is harmless by its key only.
+  if (info->effect == Effect::Keyed && !head.keyed) return plain(400);
+  if (head.has_time_left) {
+    const std::optional<Time> left = parseSeconds(head.time_left);
+    if (!left) return plain(400);
+    if (*left <= 0) return plain(504);
+  }
+  if (unanswered_ >= static_cast<std::size_t>(config_.site.max_open)) return plain(503);
+  return std::nullopt;
+}
+
+void Proxy::onRequest(ExchangeId id, ClientRequest request) {
+  const ClassInfo* const info = classOf(request.head.target);
+  const Time left =
+      request.head.has_time_left ? parseSeconds(request.head.time_left).value_or(0) : info->deadline;
+  const Time deadline = request.received + left;
+  if (deadline <= clock_.now()) return server_.answer(id, plain(504));  // over before it was read
+  open(id, std::move(request), *info, deadline);
+}
+
+void Proxy::open(ExchangeId exchange, ClientRequest request, const ClassInfo& info, Time deadline) {
+  const RequestId id = next_request_++;
+  weldflow::Request told;
+  told.id = id;
+  told.request_class = info.index;
+  told.key = keyOf(pathOf(request.head.target));
+  const auto tenant = tenants_.find(request.head.account);
+  if (tenant != tenants_.end()) told.tenant = tenant->second;
+  if (const auto hint = parseSeconds(request.head.weight_hint)) told.expected_work = *hint / kSecond;
+  Open& r = open_[id];
+  r.exchange = exchange;
+  r.request = std::move(request);
+  r.deadline = deadline;
+  ++unanswered_;
+  by_exchange_.emplace(exchange, id);
+  timers_.at(deadline, [this, id] { onDeadline(id); });
+  tell([this, told, deadline](Time now) mutable {
+    told.time_left = deadline - now;
+    balancer_.onRequest(now, told, actions_);
+  });
+}
+
+void Proxy::send(const Action& action) {
+  const auto it = open_.find(action.request);
+  if (it == open_.end()) return;
+  Open& r = it->second;
+  const Time now = clock_.now();
+  const Time left = r.deadline - now;
+  const Time limit = action.time > 0 ? std::min(action.time, left) : left;
+  const auto attempt = static_cast<std::int32_t>(r.attempts.size());
+  r.attempts.push_back({.sent = now, .begun = 0, .over = false});
+  ++r.outstanding;
+  const AttemptId id = attemptId(action.request, attempt);
+  const bool may_go = !r.answered && limit > 0 && action.time >= 0 && r.attempts.size() < kMostAttempts;
+  if (!may_go) return onAttemptEnd(id, {});
+  timers_.at(now + limit, [this, request = action.request, attempt] { onAttemptTimeout(request, attempt); });
+  upstream_.start(id, action.server, {headFor(r, limit), r.request.body});
+}
+
+std::string Proxy::headFor(const Open& r, Time time_left) const {
+  const RequestHead& from = r.request.head;
+  std::string head;
+  head.reserve(from.method.size() + from.target.size() + from.forward.size() + 128);
+  head += from.method;
+  head += ' ';
+  head += from.target;
+  head += " HTTP/1.1\r\n";
+  head += from.forward;
+  if (!from.has_host) head += "Host: api.internal\r\n";
+  head += "X-Time-Left: ";
+  head += formatSeconds(time_left);
+  head += "\r\n";
+  if (from.method != "GET" || r.request.body) {
+    head += "Content-Length: ";
+    head += std::to_string(r.request.body ? r.request.body->size() : 0);
+    head += "\r\n";
+  }
+  head += "\r\n";
+  return head;
+}
+
+void Proxy::finish(RequestId id, const Answer& answer) {
+  const auto it = open_.find(id);
+  if (it == open_.end() || it->second.answered) return;
+  it->second.answered = true;
+  --unanswered_;
+  server_.answer(it->second.exchange, answer);
+  closeIfOver(id);
+}
+
+void Proxy::closeIfOver(RequestId id) {
+  const auto it = open_.find(id);
+  if (it == open_.end() || !it->second.answered || it->second.outstanding > 0) return;
+  by_exchange_.erase(it->second.exchange);
+  open_.erase(it);
+}
+
+void Proxy::onAttemptTimeout(RequestId id, std::int32_t attempt) {
+  const auto it = open_.find(id);
+  if (it == open_.end() || it->second.attempts[static_cast<std::size_t>(attempt)].over) return;
+  upstream_.giveUp(attemptId(id, attempt), Result::TimedOut);
+}
+
+void Proxy::onDeadline(RequestId id) {
+  const auto it = open_.find(id);
+  if (it == open_.end() || it->second.streaming) return;
+  const auto attempts = static_cast<std::int32_t>(it->second.attempts.size());
+  for (std::int32_t a = 0; a < attempts; ++a) onAttemptTimeout(id, a);
+  const auto after = open_.find(id);
+  if (after == open_.end() || after->second.answered) return;
+  // The module owes an answer at the latest now. A client must not wait for a mistake of ours.
+  log_.line("defect: no final answer at the deadline of request " + std::to_string(id));
+  finish(id, plain(504));
+  tell([this, id](Time now) { balancer_.onClientGone(now, id, actions_); });
+}
+
+void Proxy::onClientGone(ExchangeId exchange) {
+  const auto known = by_exchange_.find(exchange);
+  if (known == by_exchange_.end()) return;
+  const RequestId id = known->second;
+  Open& r = open_.at(id);
+  if (r.answered) return;
+  r.answered = true;
+  --unanswered_;
+  if (r.streaming) {
+    // The module does not call off an answer that has begun; without a client it has nowhere to go.
+    upstream_.abandon(attemptId(id, static_cast<std::int32_t>(r.attempts.size()) - 1), Result::Cancelled);
+    return;
+  }
+  tell([this, id](Time now) { balancer_.onClientGone(now, id, actions_); });
+  closeIfOver(id);
+}
+
+void Proxy::onStreamWritable(ExchangeId exchange) {
+  const auto known = by_exchange_.find(exchange);
+  if (known == by_exchange_.end()) return;
+  const Open& r = open_.at(known->second);
+  if (!r.attempts.empty())
+    upstream_.resume(attemptId(known->second, static_cast<std::int32_t>(r.attempts.size()) - 1));
+}
+
+// ---- attempts and probes ----
+
+void Proxy::onAttemptEnd(AttemptId id, AttemptEnd end) {
+  tell([this, id, end = std::move(end)](Time now) mutable {
+    outcome(now, id / kMostAttempts, static_cast<std::int32_t>(id % kMostAttempts), std::move(end));
+  });
+}
+
+void Proxy::outcome(Time now, RequestId id, std::int32_t attempt, AttemptEnd end) {
+  const auto it = open_.find(id);
+  if (it == open_.end()) return;
+  Open& r = it->second;
+  Attempt& a = r.attempts[static_cast<std::size_t>(attempt)];
+  if (std::exchange(a.over, true)) return;
+  --r.outstanding;
+  r.timed_out |= end.result == Result::TimedOut;
+  const bool ok = end.result == Result::Ok;
+  if (!r.answered && (ok || a.begun != 0)) {
+    r.answered = true;
+    --unanswered_;
+    if (a.begun == 0) {
+      Answer answer = plain(200);
+      answer.body = std::move(end.body);
+      answer.content_type = std::move(end.content_type);
+      server_.answer(r.exchange, answer);
+    } else if (ok) {
+      server_.endStream(r.exchange);
+    } else {
+      server_.breakStream(r.exchange);
+    }
+  }
+  Outcome told;
+  told.request = id;
+  told.attempt = attempt;
+  told.result = end.result;
+  told.final = r.answered;
+  // A large answer takes as long as its client reads: its time is that of its first bytes.
+  told.latency = (a.begun != 0 ? a.begun : now) - a.sent;
+  told.load = parseLoad(end.load);
+  balancer_.onOutcome(now, told, actions_);
+  closeIfOver(id);
+}
+
+void Proxy::onAnswerBegun(AttemptId id, std::optional<std::uint64_t> length, const std::string& type) {
+  const RequestId request = id / kMostAttempts;
+  const auto attempt = static_cast<std::int32_t>(id % kMostAttempts);
+  const auto it = open_.find(request);
+  if (it == open_.end() || it->second.answered) return upstream_.abandon(id, Result::Cancelled);
+  it->second.streaming = true;
+  it->second.attempts[static_cast<std::size_t>(attempt)].begun = clock_.now();
+  server_.beginStream(it->second.exchange, length, type);
+  tell([this, request, attempt](Time now) { balancer_.onStreaming(now, request, attempt, actions_); });
+}
+
+bool Proxy::onAnswerPiece(AttemptId id, std::string piece) {
+  const auto it = open_.find(id / kMostAttempts);
+  return it == open_.end() || server_.stream(it->second.exchange, std::move(piece));
+}
+
+void Proxy::onProbeEnd(const std::string& uid, bool ok, Time latency, const std::string& load) {
+  tell([this, uid, ok, latency, report = parseLoad(load)](Time now) {
+    balancer_.onProbe(now, uid, ok, latency, report, actions_);
+  });
+}
+
+// A report that is not well-formed is no report; the answer it came with stands.
+weldflow::LoadReport Proxy::parseLoad(std::string_view text) const {
+  weldflow::LoadReport report;
+  if (!config_.site.reports || text.empty()) return report;
+  while (!text.empty()) {
+    const std::size_t comma = text.find(',');
+    const std::string_view pair = text.substr(0, comma);
+    text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
+    const std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos) return {};
+    const std::string_view number = pair.substr(equals + 1);
+    double value = 0;
+    const auto r = std::from_chars(number.data(), number.data() + number.size(), value);
+    if (r.ec != std::errc{} || r.ptr != number.data() + number.size() || !(value >= 0)) return {};
+    if (weldflow::drill::isInFlightGauge(pair.substr(0, equals))) report.in_flight = value;
+  }
+  return report;
+}
+
+// ---- discovery ----
+
+void Proxy::applyHosts(const HostList& list) {
+  std::set<std::string, std::less<>> left;
+  if (list.full) left.swap(listed_);
+  for (std::size_t i = 0; i < list.hosts.size(); ++i) {
+    const weldflow::Host& host = list.hosts[i];
+    left.erase(host.id);
+    if (host.state == weldflow::HostState::Gone) {
+      upstream_.removeHost(host.id);
+      listed_.erase(host.id);
+    } else {
+      upstream_.setHost(host.id, list.endpoints[i]);
+      listed_.insert(host.id);
+    }
+  }
+  for (const std::string& uid : left) upstream_.removeHost(uid);
+}
+
+void Proxy::onHostList(const HostList& list) {
+  applyHosts(list);
+  tell([this, list](Time now) {
+    balancer_.onServers(now, list.full ? ListKind::Full : ListKind::Changes, list.hosts, actions_);
+  });
+}
+
+void Proxy::onDiscoveryLost(const std::string& why) {
+  log_.line("discovery: " + why);
+  tell([this](Time now) { balancer_.onServers(now, ListKind::Unavailable, {}, actions_); });
+}
+
+// ---- shutdown ----
+
+void Proxy::shutdown(std::function<void()> done) {
+  if (done_) return;
+  done_ = std::move(done);
+  log_.line("shutting down");
+  server_.drain();
+  timers_.after(kIdleAfterTerm, [this] { server_.closeIdle(); });
+  timers_.after(kListenAfterTerm, [this] {
+    server_.stopListening();
+    waitUntilDone();
+  });
+  timers_.after(kLastAfterTerm, [this] { done_(); });
+}
+
+void Proxy::waitUntilDone() {
+  server_.closeIdle();
+  if (server_.connections() == 0) return done_();
+  timers_.after(20 * kMillisecond, [this] { waitUntilDone(); });
+}
+
+}  // namespace quinceline
--- /dev/null
+++ b/src/net/proxy.h
@@ -0,0 +1,123 @@
+// The embedder: sole owner of the Balancer, its clock and timers, and of the table of open requests. It turns
+// what server, upstream and discovery report into the module's events, and carries out the module's actions in
+// order. It decides nothing but what the protocol leaves no choice in.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "config.h"
+#include "discovery.h"
+#include "server.h"
+#include "upstream.h"
+#include "weldflow/balancer.h"
+
+namespace quinceline {
+
+class Proxy final : private RequestSink, private AttemptSink, private DiscoverySink {
+ public:
+  Proxy(boost::asio::io_context& io, Config config, Log& log, const Clock& clock);
+  ~Proxy() override;
+
+  // Tells the module the known hosts, then listens.
+  void start();
+  // Graceful: goes on accepting while new connections may still come, finishes what was taken; then `done`.
+  void shutdown(std::function<void()> done);
+
+  Endpoint localEndpoint() const { return server_.localEndpoint(); }
+  std::size_t openRequests() const { return open_.size(); }
+  const Server& server() const { return server_; }
+  const Upstream& upstream() const { return upstream_; }
+
+ private:
+  using RequestId = weldflow::RequestId;
+
+  struct Attempt {
+    Time sent = 0;
+    Time begun = 0;     // when a large answer's first bytes came; 0: not (yet)
+    bool over = false;  // its outcome is known
+  };
+  struct Open {  // unanswered, or with an attempt out
+    ExchangeId exchange = 0;
+    ClientRequest request;
+    Time deadline = 0;
+    std::vector<Attempt> attempts;
+    std::int32_t outstanding = 0;
+    bool answered = false;   // the client has its answer, or is gone
+    bool streaming = false;  // its answer passes through
+    bool timed_out = false;  // an attempt has
+  };
+  struct ClassInfo {
+    std::int32_t index;
+    Time deadline;
+    weldflow::Effect effect;
+  };
+
+  // What server, upstream and discovery report.
+  std::optional<Answer> onHead(const RequestHead& head) override;
+  void onRequest(ExchangeId id, ClientRequest request) override;
+  void onClientGone(ExchangeId id) override;
+  void onStreamWritable(ExchangeId id) override;
+  void onAttemptEnd(AttemptId id, AttemptEnd end) override;
+  void onAnswerBegun(AttemptId id, std::optional<std::uint64_t> length, const std::string& type) override;
+  bool onAnswerPiece(AttemptId id, std::string piece) override;
+  void onProbeEnd(const std::string& uid, bool ok, Time latency, const std::string& load) override;
+  void onHostList(const HostList& list) override;
+  void onDiscoveryLost(const std::string& why) override;
+
+  // Calls into the Balancer are never nested: what happens while actions are carried out waits in line.
+  template <typename Event>
+  void tell(Event event);
+  void carryOut();
+  void act(const weldflow::Action& action);
+  void send(const weldflow::Action& action);
+  void finish(RequestId id, const Answer& answer);
+  void onAttemptTimeout(RequestId id, std::int32_t attempt);
+  void onDeadline(RequestId id);
+  void outcome(Time now, RequestId id, std::int32_t attempt, AttemptEnd end);
+  void closeIfOver(RequestId id);
+  void applyHosts(const HostList& list);
+  void waitUntilDone();
+  weldflow::LoadReport parseLoad(std::string_view text) const;
+  const ClassInfo* classOf(std::string_view target) const;
+  void open(ExchangeId exchange, ClientRequest request, const ClassInfo& info, Time deadline);
+  std::string headFor(const Open& request, Time time_left) const;
+
+  static AttemptId attemptId(RequestId request, std::int32_t attempt) {
+    return request * kMostAttempts + static_cast<AttemptId>(attempt);
+  }
+  static constexpr AttemptId kMostAttempts = 64;
+
+  boost::asio::io_context& io_;
+  Config config_;
+  Log& log_;
+  const Clock& clock_;
+  Timers timers_;
+  Descriptors descriptors_;
+  weldflow::Balancer balancer_;
+  Server server_;
+  Upstream upstream_;
+  Discovery discovery_;
+
+  std::map<std::string, ClassInfo, std::less<>> classes_;  // by the path's first part
+  std::map<std::string, std::int32_t, std::less<>> tenants_;
+  std::unordered_map<RequestId, Open> open_;
+  std::unordered_map<ExchangeId, RequestId> by_exchange_;
+  std::set<std::string, std::less<>> listed_;  // the hosts that upstream knows
+  std::size_t unanswered_ = 0;
+  RequestId next_request_ = 1;
+  std::deque<std::function<void(Time)>> events_;
+  bool telling_ = false;
+  weldflow::Actions actions_;
+  std::function<void()> done_;
+};
+
+}  // namespace quinceline
--- /dev/null
+++ b/src/net/timers.cpp
@@ -0,0 +1,56 @@
+#include "timers.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+namespace quinceline {
+namespace {
+
+// Later than this, the process was not scheduled for a while.
+constexpr Time kStalled = 5 * kMillisecond;
+
+}  // namespace
+
+void Timers::at(Time when, std::function<void()> callback) {
+  heap_.push_back({when, next_order_++, std::move(callback)});
+  std::push_heap(heap_.begin(), heap_.end(), Later{});
+  if (!running_ && when < armed_for_) arm();
+}
+
+void Timers::arm() {
+  armed_for_ = heap_.empty() ? kNever : heap_.front().when;
+  if (heap_.empty()) return;
+  const Time wait = std::max<Time>(0, armed_for_ - clock_.now());
+  timer_.expires_after(std::chrono::microseconds(wait));
+  timer_.async_wait([this](boost::system::error_code ec) {
+    if (!ec) fired();
+  });
+}
+
+// After a stall, answers may wait unread in the sockets while their time-outs are due. Input is looked at
+// first: a posted handler runs behind the sockets that are ready now, and each further round lets what those
+// reads led to (a head, then its body) come in as well.
+void Timers::fired() {
+  running_ = true;  // no re-arming meanwhile
+  const bool stalled = clock_.now() - armed_for_ > kStalled;
+  yieldThenRun(stalled ? 3 : 0);
+}
+
+void Timers::yieldThenRun(int rounds) {
+  if (rounds == 0) return runDue();
+  boost::asio::post(timer_.get_executor(), [this, rounds] { yieldThenRun(rounds - 1); });
+}
+
+void Timers::runDue() {
+  const Time now = clock_.now();
+  while (!heap_.empty() && heap_.front().when <= now) {
+    std::pop_heap(heap_.begin(), heap_.end(), Later{});
+    const std::function<void()> callback = std::move(heap_.back().callback);
+    heap_.pop_back();
+    callback();
+  }
+  running_ = false;
+  arm();
+}
+
+}  // namespace quinceline
--- /dev/null
+++ b/src/net/upstream.h
@@ -0,0 +1,112 @@
+// Connections to hosts: a pool for each, one attempt or probe at a time on a connection. Each start() and
+// probe() ends in exactly one report. It never resends, retries or picks a host.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "descriptors.h"
+#include "host_list.h"
+#include "http.h"
+#include "timers.h"
+
+namespace quinceline {
+
+using AttemptId = std::uint64_t;  // chosen by the caller, never used twice
+
+struct AttemptRequest {
+  std::string head;                         // complete, with the empty line
+  std::shared_ptr<const std::string> body;  // may be null
+};
+
+struct AttemptEnd {
+  weldflow::Result result = weldflow::Result::NotSent;
+  std::string body;  // of an Ok that was not streamed
+  std::string content_type;
+  std::string load;  // the host's report of its load, if one came
+};
+
+// What upstream tells. Reports may come from within start(); calls back into upstream are allowed from each.
+class AttemptSink {
+ public:
+  virtual ~AttemptSink() = default;
+  virtual void onAttemptEnd(AttemptId id, AttemptEnd end) = 0;
+  // A large answer has begun; its pieces follow. From now on the attempt ends as Ok or Reset.
+  virtual void onAnswerBegun(AttemptId id, std::optional<std::uint64_t> length,
+                             const std::string& content_type) = 0;
+  // False: wait for resume().
+  virtual bool onAnswerPiece(AttemptId id, std::string piece) = 0;
+  virtual void onProbeEnd(const std::string& uid, bool ok, Time latency, const std::string& load) = 0;
+};
+
+class Upstream {
+ public:
+  struct Limits {
+    Time connect_timeout = 250 * kMillisecond;
+    Time idle = 10 * kSecond;  // when hosts close idle connections
+    Time probe_timeout = 500 * kMillisecond;
+    Time stream_stall = 5 * kSecond;   // a host that stops in the middle of a large answer
+    std::size_t spare_descriptors = 0;  // left to clients
+    bool probe_load = false;            // hosts report their load to probes
+  };
+
+  Upstream(boost::asio::io_context& io, Timers& timers, Descriptors& descriptors, AttemptSink& sink,
+           Limits limits);
+  ~Upstream();
+
+  // A host and where it is. A new endpoint retires the idle connections to the old one.
+  void setHost(const std::string& uid, const Endpoint& endpoint);
+  void removeHost(const std::string& uid);
+  bool knows(std::string_view uid) const;
+
+  void start(AttemptId id, std::string_view uid, AttemptRequest request);
+  // Stop waiting: the connection is closed and `as` reported, at once. Nothing happens if the attempt has
+  // ended, or (false) if its answer has begun to pass through.
+  bool giveUp(AttemptId id, weldflow::Result as);
+  // The client of a streamed answer has gone: like giveUp, also in the middle.
+  void abandon(AttemptId id, weldflow::Result as);
+  void resume(AttemptId id);
+  void probe(std::string_view uid);
+
+  bool closeOneIdle();
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  class Connection;
+  friend class Connection;
+  struct Pool {
+    Endpoint endpoint;
+    std::vector<Connection*> idle;  // the most recently used last
+  };
+  struct NameHash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view s) const { return std::hash<std::string_view>{}(s); }
+  };
+
+  Connection* takeIdle(Pool& pool);
+  Connection* open(const std::string& uid, const Endpoint& endpoint);
+  void keep(Connection& connection);
+  void forget(Connection& connection);  // no longer idle
+  void closeIdle(Pool& pool);
+  void sweep();
+  Time idleLimit() const;
+
+  boost::asio::io_context& io_;
+  Timers& timers_;
+  Descriptors& descriptors_;
+  AttemptSink& sink_;
+  Limits limits_;
+  std::unordered_map<std::string, Pool, NameHash, std::equal_to<>> pools_;
+  std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> connections_;
+  std::unordered_map<AttemptId, Connection*> attempts_;  // that have no report yet
+  std::uint64_t next_connection_ = 1;
+};
+
+}  // namespace quinceline
--- /dev/null
+++ b/tests/balancer_test.cpp
@@ -0,0 +1,705 @@
+// What the module decides, one small test for each thing it is to do or to prevent.
+#include <gtest/gtest.h>
+
+#include <limits>
+#include <map>
+#include <set>
+#include <stdexcept>
+
+#include "support.h"
+
+namespace weldflow::test {
+namespace {
+
+// ---- slots and subset ----
+
+TEST(Subset, SizeIsBoundedAndPrefixOfTheOrder) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(100));
+  const auto subset = d.balancer.subset(d.now);
+  const auto order = subsetOrder(0, 100);
+  ASSERT_LT(subset.size(), 50U);
+  for (std::size_t i = 0; i < subset.size(); ++i)
+    EXPECT_EQ(subset[i], makeHost(static_cast<int>(order[i])).id);
+}
+
+TEST(Subset, ListOrderDoesNotMatter) {
+  std::vector<Host> hosts = makeHosts(40);
+  Driver a(makeSettings()), b(makeSettings());
+  a.servers(ListKind::Restored, hosts);
+  std::reverse(hosts.begin(), hosts.end());
+  b.servers(ListKind::Restored, hosts);
+  EXPECT_EQ(a.balancer.subset(a.now), b.balancer.subset(b.now));
+}
+
+TEST(Subset, OneLeavingChangesOneMember) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(60));
+  const auto before = d.balancer.subset(d.now);
+  Host gone = makeHost(std::stoi(before[3].substr(7)), HostState::Gone);
+  d.servers(ListKind::Changes, {gone});
+  const auto after = d.balancer.subset(d.now);
+  ASSERT_EQ(after.size(), before.size());
+  const std::set<std::string> was(before.begin(), before.end());
+  int fresh = 0;
+  for (const std::string& id : after) fresh += was.contains(id) ? 0 : 1;
+  EXPECT_EQ(fresh, 1);
+}
+
+TEST(Subset, ANewcomerTakesTheFreeSlotOfTheOneThatLeft) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(60));
+  auto expected = d.balancer.subset(d.now);
+  const std::string left = expected[5];
+  d.servers(ListKind::Changes, {makeHost(std::stoi(left.substr(7)), HostState::Gone)});
+  d.servers(ListKind::Changes, {makeHost(900)});
+  expected[5] = makeHost(900).id;
+  EXPECT_EQ(d.balancer.subset(d.now), expected);
+}
+
+TEST(Subset, ADrainingServerIsPassedOverAndTheNextStandsIn) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(60));
+  const auto before = d.balancer.subset(d.now);
+  d.servers(ListKind::Changes, {makeHost(std::stoi(before[0].substr(7)), HostState::Draining)});
+  const auto after = d.balancer.subset(d.now);
+  ASSERT_EQ(after.size(), before.size());
+  for (std::size_t i = 1; i < before.size(); ++i) EXPECT_EQ(after[i - 1], before[i]);
+}
+
+// A client whose own demand outgrows its subset lengthens it; what it had stays.
+TEST(Subset, OwnDemandLengthensThePrefixAndCalmShortensIt) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(100));
+  const auto before = d.balancer.subset(d.now);
+  for (RequestId id = 1; id <= 60; ++id) d.request(id, 4);
+  const auto longer = d.balancer.subset(d.now);
+  EXPECT_GT(longer.size(), before.size());
+  for (std::size_t i = 0; i < before.size(); ++i) EXPECT_EQ(longer[i], before[i]);
+  d.now += 50 * kMs;
+  for (RequestId id = 1; id <= 60; ++id) {
+    if (!d.checker.requests.at(id).ended) d.outcome(id, 0, Result::Ok, 50 * kMs);
+  }
+  for (RequestId id = 100; id < 500; ++id) {
+    d.now += 300 * kMs;
+    d.request(id, 4);
+    d.outcome(id, 0, Result::Ok, 50 * kMs);
+  }
+  EXPECT_EQ(d.balancer.subset(d.now), before);
+}
+
+// ---- pick ----
+
+TEST(Pick, FewestInFlightThenByTurn) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(4));
+  std::map<std::string, int> sent;
+  for (RequestId id = 1; id <= 8; ++id) {
+    d.request(id, 4);
+    ++sent[d.sentTo()];
+  }
+  EXPECT_EQ(sent.size(), 4U);
+  for (const auto& [server, n] : sent) EXPECT_EQ(n, 2) << server;
+}
+
+// An attempt leaves the count once, at its one outcome, also when its request has long ended.
+TEST(Pick, AbandonedAttemptsCountUntilTheirOutcome) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(2));
+  d.request(1, 4);
+  const std::string busy = d.sentTo();
+  d.gone(1);
+  for (RequestId id = 2; id <= 5; ++id) {
+    d.request(id, 4);
+    EXPECT_NE(d.sentTo(), busy);
+    d.now += kMs;
+    d.outcome(id, 0, Result::Ok, kMs);
+  }
+  d.outcome(1, 0, Result::Cancelled);
+  d.outcome(1, 0, Result::Cancelled);  // said twice: changes nothing
+  EXPECT_EQ(d.balancer.liveRequests(), 0U);
+}
+
+// ---- rule 1 ----
+
+TEST(Answers, NoServerEndsInARefusalInTime) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, {});
+  d.request(1, 4, 400 * kMs);
+  for (int i = 0; i < 100 && !d.checker.requests.at(1).ended; ++i) {
+    Time when = 0;
+    std::uint64_t handle = 0;
+    for (const Action& a : d.actions) {
+      if (a.kind == ActionKind::SetTimer) when = a.time, handle = a.timer;
+    }
+    ASSERT_GT(when, 0) << "a held request without a timer";
+    d.now = when;
+    d.timer(handle);
+  }
+  EXPECT_TRUE(d.checker.requests.at(1).ended);
+  EXPECT_EQ(d.checker.broken, std::vector<std::string>{});
+}
+
+TEST(Answers, LessTimeThanATickIsRefusedAtOnce) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(4));
+  d.request(1, 4, kMs);
+  EXPECT_EQ(d.count(ActionKind::Refuse), 1);
+}
+
+TEST(Answers, AHeldRequestGoesToAServerThatAppears) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, {});
+  d.request(1, 4);
+  const std::uint64_t handle = d.actions.at(0).timer;
+  const Time when = d.actions.at(0).time;
+  d.servers(ListKind::Changes, makeHosts(1));
+  d.now = when;
+  d.timer(handle);
+  EXPECT_EQ(d.sentTo(), makeHost(0).id);
+}
+
+// ---- health ----
+
+TEST(Health, AFailedConnectionEjectsAndAProbeReadmits) {
+  Settings settings = makeSettings();
+  settings.may_probe = true;
+  Driver d(settings);
+  d.servers(ListKind::Restored, makeHosts(8));
+  d.request(1, 4);
+  const std::string bad = d.sentTo();
+  d.outcome(1, 0, Result::ConnectFailed);
+  d.outcome(1, 1, Result::Ok, kMs);
+  std::string probed;
+  RequestId id = 10;
+  for (; id < 200 && probed.empty(); ++id) {
+    d.now += 50 * kMs;
+    d.request(id, 4);
+    EXPECT_NE(d.sentTo(), bad);
+    for (const Action& a : d.actions) {
+      if (a.kind == ActionKind::Probe) probed = a.server;
+    }
+    d.outcome(id, 0, Result::Ok, kMs);
+  }
+  EXPECT_EQ(probed, bad);
+  d.probe(bad, true);
+  bool back = false;
+  for (; id < 600 && !back; ++id) {
+    d.now += 50 * kMs;
+    d.request(id, 4);
+    back = d.sentTo() == bad;
+    d.outcome(id, 0, Result::Ok, kMs);
+  }
+  EXPECT_TRUE(back);
+}
+
+// Without probes only a request that may be repeated is risked on a server that failed.
+TEST(Health, WithoutProbesATrialIsARepeatableRequest) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(8));
+  d.request(1, 4);
+  const std::string bad = d.sentTo();
+  d.outcome(1, 0, Result::ConnectFailed);
+  d.outcome(1, 1, Result::Ok, kMs);
+  d.now += 30 * kSec;
+  for (RequestId id = 10; id < 40; ++id) {
+    d.now += kMs;
+    d.request(id, 4);
+    EXPECT_NE(d.sentTo(), bad);
+    d.outcome(id, 0, Result::Ok, kMs);
+  }
+  bool tried = false;
+  for (RequestId id = 100; id < 130; ++id) {
+    d.now += kMs;
+    d.request(id, 0);
+    tried |= d.sentTo() == bad;
+    d.outcome(id, 0, Result::Ok, kMs);
+  }
+  EXPECT_TRUE(tried);
+}
+
+// One time-out at a sound server must not eject it: long requests happen.
+TEST(Health, OneTimeOutDoesNotEjectTwoInARowDo) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(3));
+  std::map<std::string, int> timeouts;
+  for (RequestId id = 1; id <= 6; ++id) {
+    d.request(id, 4);
+    ASSERT_FALSE(d.sentTo().empty());
+    const std::string to = d.sentTo();
+    d.now += 500 * kMs;
+    if (to == makeHost(0).id) {
+      d.outcome(id, 0, Result::TimedOut, 500 * kMs);
+      ++timeouts[to];
+    } else {
+      d.outcome(id, 0, Result::Ok, 20 * kMs);
+    }
+    const auto subset = d.balancer.subset(d.now);
+    const bool in = std::find(subset.begin(), subset.end(), makeHost(0).id) != subset.end();
+    EXPECT_EQ(in, timeouts[makeHost(0).id] < 2);
+  }
+}
+
+TEST(Health, ACapKeepsMostOfTheSubset) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(10));
+  RequestId id = 1;
+  for (; id < 60; ++id) {
+    d.request(id, 4);
+    for (std::int32_t n = 0; !d.checker.requests.at(id).ended && n < 5; ++n) {
+      if (static_cast<std::size_t>(n) >= d.checker.requests.at(id).attempts.size()) break;
+      d.outcome(id, n, Result::ConnectFailed);
+    }
+    d.now += 10 * kMs;
+  }
+  EXPECT_GE(d.balancer.subset(d.now).size(), 5U);
+}
+
+TEST(Health, TheOnlyServerIsNeverEjected) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(1));
+  for (RequestId id = 1; id <= 5; ++id) {
+    d.request(id, 4);
+    d.outcome(id, 0, Result::Error, kMs);
+    EXPECT_EQ(d.balancer.subset(d.now).size(), 1U);
+  }
+}
+
+// ---- cold start ----
+
+// Least in flight would send everything to the new, empty server.
+TEST(ColdStart, OneClientStaysWithinItsShare) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(9));
+  RequestId id = 1;
+  const auto play = [&](int requests) {
+    int cold = 0;
+    for (int i = 0; i < requests; ++i, ++id) {
+      d.now += 10 * kMs;
+      d.request(id, 4);
+      cold += d.sentTo() == makeHost(9).id ? 1 : 0;
+      if (!d.checker.requests.at(id).ended) d.outcome(id, 0, Result::Ok, 5 * kMs);
+    }
+    return cold;
+  };
+  play(500);
+  Host fresh = makeHost(9);
+  fresh.up_since = d.now;
+  d.servers(ListKind::Changes, {fresh});
+  const int first = play(200);     // two seconds at a hundred a second: a tenth of it would be 20
+  EXPECT_LE(first, 20 * 0.4 + 1);  // capacity is 0.25 to 0.4 of the full in this time
+  EXPECT_GE(first, 2);             // but it gets some, and warms
+  play(800);
+  EXPECT_NEAR(play(200), 20, 6);  // warm: its full part
+}
+
+// All clients acting alike, without talk: the sum stays within the budget of the rule.
+TEST(ColdStart, TheSumOverManyQuietClientsStaysWithinTheBudget) {
+  Settings settings = makeSettings();
+  int cold = 0;
+  for (std::uint32_t m = 0; m < 40; ++m) {
+    settings.client = m;
+    Driver d(settings, m + 1);
+    d.servers(ListKind::Restored, makeHosts(30));
+    RequestId id = 1;
+    const auto play = [&](int requests) {
+      int hits = 0;
+      for (int i = 0; i < requests; ++i, ++id) {
+        d.now += 250 * kMs;  // four a second
+        d.request(id, 4);
+        hits += d.sentTo() == makeHost(30).id ? 1 : 0;
+        if (!d.checker.requests.at(id).ended) d.outcome(id, 0, Result::Ok, 5 * kMs);
+      }
+      return hits;
+    };
+    play(80);
+    Host fresh = makeHost(30);
+    fresh.up_since = d.now;
+    d.servers(ListKind::Changes, {fresh});
+    cold += play(8);  // the two seconds of the rule's window
+  }
+  // 40 clients at 4 a second over 31 servers: 5.2 a second each. Budget: 3 x 0.25 x 5.2 x 2 s = 7.7 if that
+  // is the server's whole capacity, which it is not: fleets run with room to spare.
+  EXPECT_LE(cold, 8);
+}
+
+// ---- admission ----
+
+TEST(Admission, LateAnswersBringRefusalsAndPromptOnesEndThem) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(10));
+  RequestId id = 1;
+  const auto refused = [&](Time latency, int requests) {
+    int n = 0;
+    for (int i = 0; i < requests; ++i, ++id) {
+      d.request(id, 4);
+      n += d.count(ActionKind::Refuse);
+      d.now += latency;
+      if (!d.checker.requests.at(id).ended) d.outcome(id, 0, Result::Ok, latency);
+    }
+    return n;
+  };
+  EXPECT_EQ(refused(50 * kMs, 100), 0);
+  EXPECT_GT(refused(490 * kMs, 100), 20);
+  refused(50 * kMs, 200);
+  EXPECT_EQ(refused(50 * kMs, 100), 0);
+}
+
+TEST(Admission, TheTenantBeyondItsShareGoesFirst) {
+  Settings settings = makeSettings();
+  settings.tenants = {{0.5}, {0.5}};
+  settings.over_share_worth = 0.1;
+  Driver d(settings);
+  d.servers(ListKind::Restored, makeHosts(10));
+  std::map<int, int> refused, asked;
+  for (RequestId id = 1; id <= 600; ++id) {
+    const int tenant = id % 5 == 0 ? 1 : 0;  // tenant 0 asks four times as much
+    d.request(id, 4, 2 * kSec, tenant);
+    ++asked[tenant];
+    refused[tenant] += d.count(ActionKind::Refuse);
+    const Time latency = id <= 10 ? 490 * kMs : 260 * kMs;  // overload comes and stays as it is
+    d.now += latency;
+    if (!d.checker.requests.at(id).ended) d.outcome(id, 0, Result::Ok, latency);
+  }
+  ASSERT_GT(refused[0], 20);
+  EXPECT_LT(refused[1] * asked[0], refused[0] * asked[1] / 2);
+}
+
+// ---- attempts ----
+
+TEST(Attempts, RepeatsHaveABudget) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(30));
+  for (RequestId id = 1; id <= 400; ++id) {
+    d.request(id, 0);
+    for (std::int32_t n = 0; !d.checker.requests.at(id).ended && n < 5; ++n) {
+      if (static_cast<std::size_t>(n) >= d.checker.requests.at(id).attempts.size()) break;
+      d.outcome(id, n, Result::Error, kMs);
+    }
+    d.now += 5 * kMs;
+  }
+  EXPECT_LE(d.checker.sends, 400U * 1.2 + 10);
+}
+
+TEST(Attempts, AClientThatLeavesHasItsAttemptCancelled) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(8));
+  d.request(1, 0);
+  d.outcome(1, 0, Result::ConnectFailed);
+  d.gone(1);
+  ASSERT_EQ(d.count(ActionKind::Cancel), 1);
+  EXPECT_EQ(d.actions.at(0).attempt, 1);
+}
+
+// ---- asking for load ----
+
+Settings askingSettings() {
+  Settings s = makeSettings();
+  s.reports = ReportSource::Probe;
+  s.may_probe = true;
+  s.warm_keys = true;
+  s.explain = true;
+  return s;
+}
+
+TEST(Asking, TheMemberThatHoldsLeastGetsTheRequest) {
+  Driver d(askingSettings());
+  d.servers(ListKind::Restored, makeHosts(12));
+  d.request(1, 0);
+  EXPECT_EQ(d.count(ActionKind::Send), 0);
+  const auto asked = d.probed();
+  ASSERT_EQ(asked.size(), 3U);
+  d.probe(asked[0], true, 9);
+  d.probe(asked[1], true, 2);
+  EXPECT_EQ(d.count(ActionKind::Send), 0);
+  d.probe(asked[2], true, 7);
+  EXPECT_EQ(d.sentTo(), asked[1]);
+  EXPECT_EQ(d.reason(), Reason::LeastReported);
+}
+
+// Nobody answers the questions: the request must not wait for them longer than a part of its aim.
+TEST(Asking, SilenceEndsInAnOrdinaryPick) {
+  Driver d(askingSettings());
+  d.servers(ListKind::Restored, makeHosts(12));
+  d.request(1, 0);
+  ASSERT_EQ(d.count(ActionKind::SetTimer), 1);
+  const Action timer = d.actions.back();
+  EXPECT_LE(timer.time - d.now, 50 * kMs);
+  d.now = timer.time;
+  d.timer(timer.timer);
+  EXPECT_EQ(d.count(ActionKind::Send), 1);
+  EXPECT_EQ(d.reason(), Reason::OrdinaryPick);
+}
+
+// A server that leaves the list while it is being asked must not be sent to, nor remembered by the request.
+TEST(Asking, AnAskedServerThatLeavesIsForgotten) {
+  Driver d(askingSettings());
+  d.servers(ListKind::Restored, makeHosts(12));
+  d.request(1, 0);
+  const auto asked = d.probed();
+  ASSERT_EQ(asked.size(), 3U);
+  d.probe(asked[0], true, 5);
+  std::vector<Host> left = makeHosts(12);
+  std::erase_if(left, [&](const Host& h) { return h.id == asked[0]; });
+  d.servers(ListKind::Full, left);
+  d.probe(asked[1], true, 8);
+  d.probe(asked[2], true, 6);
+  EXPECT_TRUE(d.sentTo() == asked[1] || d.sentTo() == asked[2]);
+}
+
+// Late reports lead all clients to the same servers: after two late answers they decide nothing for a while.
+TEST(Asking, LateReportsAreDistrusted) {
+  Driver d(askingSettings());
+  d.servers(ListKind::Restored, makeHosts(12));
+  for (RequestId id = 1; id <= 2; ++id) {
+    d.request(id, 0);
+    for (const std::string& s : d.probed()) d.probe(s, true, 0);
+    d.now += 500 * kMs;
+    d.outcome(id, 0, Result::TimedOut, 500 * kMs, true);
+  }
+  d.request(3, 0);
+  EXPECT_TRUE(d.probed().empty());
+  EXPECT_EQ(d.count(ActionKind::Send), 1);
+  d.now += 6 * kSec;
+  d.request(4, 0);
+  EXPECT_FALSE(d.probed().empty());
+}
+
+TEST(Asking, OnlyWhereReportsComeByProbe) {
+  Settings s = askingSettings();
+  s.reports = ReportSource::Answers;
+  Driver d(s);
+  d.servers(ListKind::Restored, makeHosts(12));
+  d.request(1, 0);
+  EXPECT_TRUE(d.probed().empty());
+  EXPECT_EQ(d.count(ActionKind::Send), 1);
+}
+
+// ---- reasons and trace lines ----
+
+TEST(Reasons, AreOffByDefaultAndNameThePick) {
+  Driver quiet(makeSettings());
+  quiet.servers(ListKind::Restored, makeHosts(4));
+  quiet.request(1, 0);
+  EXPECT_EQ(quiet.reason(), Reason::None);
+
+  Settings s = makeSettings();
+  s.explain = true;
+  Driver d(s);
+  d.servers(ListKind::Restored, makeHosts(60));
+  d.request(1, 0);
+  EXPECT_EQ(d.reason(), Reason::OrdinaryPick);
+  d.outcome(1, 0, Result::ConnectFailed);  // ejected; the next in order stands in
+  std::set<Reason> seen;
+  for (RequestId id = 2; id <= 17; ++id) {
+    d.request(id, 0);
+    seen.insert(d.reason());
+    d.now += kMs;
+    d.outcome(id, 0, Result::Ok, kMs);
+  }
+  EXPECT_TRUE(seen.contains(Reason::StandIn));
+  for (RequestId id = 18; id <= 120; ++id) {
+    d.request(id, 0);
+    seen.insert(d.reason());
+  }
+  EXPECT_TRUE(seen.contains(Reason::LengthenedSubset));
+}
+
+TEST(Reasons, TrialColdShareAndGroupBoundRepeat) {
+  Settings s = makeSettings();
+  s.explain = true;
+  Driver d(s);
+  d.servers(ListKind::Restored, makeHosts(2));
+  d.request(1, 0);
+  d.outcome(1, 0, Result::ConnectFailed);
+  d.now += 10 * kSec;
+  std::set<Reason> seen;
+  for (RequestId id = 2; id <= 4; ++id) {
+    d.request(id, 0);
+    seen.insert(d.reason());
+  }
+  EXPECT_TRUE(seen.contains(Reason::Trial));
+
+  Driver keyed(s);
+  keyed.servers(ListKind::Restored, makeHosts(24));
+  keyed.request(1, 2);
+  keyed.outcome(1, 0, Result::Error, kMs);
+  EXPECT_EQ(keyed.reason(), Reason::GroupBoundRepeat);
+
+  Driver cold(s);
+  std::vector<Host> hosts = makeHosts(1);
+  hosts[0].up_since = cold.now - kSec;
+  cold.servers(ListKind::Restored, hosts);
+  Reason why = Reason::None;
+  for (RequestId id = 1; id <= 200 && why == Reason::None; ++id) {
+    cold.request(id, 0);
+    why = cold.reason();
+    cold.now += 20 * kMs;
+  }
+  EXPECT_EQ(why, Reason::ColdShare);
+  EXPECT_EQ(toString(why), "cold share");
+}
+
+TEST(Traces, SayWhatChangedOncePerKindAndSecond) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(40));
+  d.request(1, 0);
+  d.outcome(1, 0, Result::ConnectFailed);
+  EXPECT_TRUE(d.traced("ejected "));
+  d.outcome(1, 1, Result::ConnectFailed);
+  EXPECT_FALSE(d.traced("ejected "));  // within the same second
+  d.servers(ListKind::Unavailable, {});
+  EXPECT_TRUE(d.traced("list stale"));
+  d.now += 2 * kSec;
+  d.servers(ListKind::Full, makeHosts(40));
+  EXPECT_TRUE(d.traced("list fresh"));
+  bool lengthened = false, begun = false, ended = false;
+  for (RequestId id = 10; id <= 300; ++id) {
+    d.request(id, 0);
+    lengthened |= d.traced("subset lengthened to ");
+  }
+  EXPECT_TRUE(lengthened);
+  for (RequestId id = 301; id <= 800; ++id) {
+    d.request(id, 0);
+    if (d.count(ActionKind::Send) == 0) continue;
+    d.now += 20 * kMs;
+    d.outcome(id, 0, Result::Ok, id < 360 ? 499 * kMs : 5 * kMs);
+    begun |= d.traced("shedding begun");
+    ended |= d.traced("shedding ended");
+  }
+  EXPECT_TRUE(begun);
+  EXPECT_TRUE(ended);
+}
+
+// ---- discovery ----
+
+TEST(Discovery, AsksOnceWithJitterAndBacksOffAfterFailures) {
+  Settings settings = makeSettings();
+  settings.discovery = Discovery::Ask;
+  std::set<Time> first;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Driver d(settings, seed);
+    d.servers(ListKind::Restored, makeHosts(4));
+    ASSERT_EQ(d.count(ActionKind::SetTimer), 1);
+    first.insert(d.actions.at(0).time);
+    Time gap = 0;
+    for (int i = 0; i < 6; ++i) {
+      const Time due = d.actions.at(0).time;
+      const std::uint64_t handle = d.actions.at(0).timer;
+      gap = due - d.now;
+      d.now = due;
+      d.timer(handle);
+      ASSERT_EQ(d.count(ActionKind::Subscribe), 1);
+      d.servers(ListKind::Unavailable, {});
+      ASSERT_EQ(d.count(ActionKind::SetTimer), 1);
+    }
+    EXPECT_GT(gap, kSec);                 // backed off
+    EXPECT_LE(gap, settings.ask_within);  // but never silent for as long as that
+    d.servers(ListKind::Changes, {});     // a subscription stands
+    EXPECT_EQ(d.count(ActionKind::Subscribe), 0);
+  }
+  EXPECT_GT(first.size(), 15U);
+}
+
+TEST(Discovery, PushNeedsNoAsking) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(4));
+  EXPECT_TRUE(d.actions.empty());
+}
+
+// ---- bad input at the interface ----
+
+TEST(BadInput, ImpossibleSettingsNameTheField) {
+  const auto complaint = [](auto change) {
+    Settings s = makeSettings();
+    change(s);
+    try {
+      Balancer b(s, 1);
+    } catch (const std::invalid_argument& e) {
+      return std::string(e.what());
+    }
+    return std::string("accepted");
+  };
+  EXPECT_NE(complaint([](Settings& s) { s.classes.clear(); }).find("classes"), std::string::npos);
+  EXPECT_NE(complaint([](Settings& s) { s.classes[1].aim = -1; }).find("classes[1].aim"), std::string::npos);
+  EXPECT_NE(complaint([](Settings& s) { s.classes[2].window = 0; }).find("classes[2].window"),
+            std::string::npos);
+  EXPECT_NE(complaint([](Settings& s) { s.max_attempts = 0; }).find("max_attempts"), std::string::npos);
+  EXPECT_NE(complaint([](Settings& s) { s.cold_from = 0; }).find("cold_from"), std::string::npos);
+}
+
+Outcome outcomeOf(std::int32_t attempt) {
+  Outcome o;
+  o.request = 99;
+  o.attempt = attempt;
+  return o;
+}
+
+TEST(BadInput, EveryImpossibleFieldIsNamed) {
+  const auto names = [](const std::string& field, auto change) {
+    Settings s = makeSettings();
+    s.tenants = {{0.5}};
+    change(s);
+    try {
+      validate(s);
+    } catch (const std::invalid_argument& e) {
+      return std::string(e.what()) == "impossible setting: " + field;
+    }
+    return false;
+  };
+  constexpr double kNan = std::numeric_limits<double>::quiet_NaN();
+  EXPECT_TRUE(names("classes[0].deadline", [](Settings& s) { s.classes[0].deadline = 0; }));
+  EXPECT_TRUE(names("classes[0].worth", [=](Settings& s) { s.classes[0].worth = kNan; }));
+  EXPECT_TRUE(names("classes[4].late_worth", [](Settings& s) { s.classes[4].late_worth = -1; }));
+  EXPECT_TRUE(names("classes[0].aim_stretch", [](Settings& s) { s.classes[0].aim_stretch = -1; }));
+  EXPECT_TRUE(names("tenants[0].fraction", [=](Settings& s) { s.tenants[0].fraction = kNan; }));
+  EXPECT_TRUE(names("over_share_worth", [](Settings& s) { s.over_share_worth = -1; }));
+  EXPECT_TRUE(names("max_retry_after", [](Settings& s) { s.max_retry_after = -1; }));
+  EXPECT_TRUE(names("drain_grace", [](Settings& s) { s.drain_grace = -1; }));
+  EXPECT_TRUE(names("cold_from", [](Settings& s) { s.cold_from = 1.5; }));
+  EXPECT_TRUE(names("cold_time", [](Settings& s) { s.cold_time = -1; }));
+  EXPECT_TRUE(names("cold_multiple", [](Settings& s) { s.cold_multiple = -1; }));
+  EXPECT_TRUE(names("cold_window", [](Settings& s) { s.cold_window = -1; }));
+  EXPECT_TRUE(names("tick", [](Settings& s) { s.tick = 0; }));
+  EXPECT_TRUE(names("ask_within", [](Settings& s) { s.discovery = Discovery::Ask, s.ask_within = 0; }));
+}
+
+TEST(BadInput, CallsOutOfOrderDoNoHarm) {
+  Driver d(makeSettings());
+  d.request(1, 0);  // before any list
+  EXPECT_EQ(d.count(ActionKind::Send), 0);
+  d.servers(ListKind::Restored, makeHosts(4));
+  d.request(2, 0);
+  const Time later = d.now;
+  Actions out;
+  Request again;
+  again.id = 2;
+  again.time_left = kSec;
+  d.balancer.onRequest(later - 3 * kSec, again, out);  // the same id twice, and time runs backwards
+  EXPECT_TRUE(out.empty());
+  d.outcome(2, 0, Result::Ok, kMs);
+  Outcome second;
+  second.request = 2;
+  second.final = true;
+  d.balancer.onOutcome(later, second, out);  // a second final
+  d.balancer.onStreaming(later, 2, 0, out);
+  d.balancer.onClientGone(later, 2, out);
+  EXPECT_TRUE(out.empty());
+}
+
+TEST(BadInput, UnknownAndLateIdsChangeNothing) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(4));
+  Actions out;
+  d.balancer.onOutcome(d.now, outcomeOf(0), out);
+  d.balancer.onTimer(d.now, 0xFFFF'FFFF'FFFFULL, out);
+  d.balancer.onTimer(d.now, 5, out);
+  d.balancer.onClientGone(d.now, 99, out);
+  d.balancer.onProbe(d.now, "nobody", true, 1, {}, out);
+  d.balancer.onStreaming(d.now, 99, 0, out);
+  d.balancer.onOutcome(d.now - kSec, outcomeOf(-1), out);
+  EXPECT_TRUE(out.empty());
+}
+
+}  // namespace
+}  // namespace weldflow::test
--- /dev/null
+++ b/tests/support.h
@@ -0,0 +1,150 @@
+// Shared by the tests: settings and hosts made up for them, and a small driver around one Balancer.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "rule_checker.h"
+#include "weldflow/balancer.h"
+
+namespace weldflow::test {
+
+constexpr Time kMs = 1000;
+constexpr Time kSec = 1'000'000;
+constexpr Time kStart = 5'000'000'000;
+
+inline RequestClass makeClass(Effect effect, Group group = Group::All) {
+  RequestClass c;
+  c.aim = 500 * kMs;
+  c.deadline = 2 * kSec;
+  c.effect = effect;
+  c.group = group;
+  c.window = 900 * kMs;
+  c.worth = 2;
+  return c;
+}
+
+// Classes: 0 safe, 1 keyed (all), 2 keyed (zone), 3 keyed (cell), 4 unsafe.
+inline Settings makeSettings() {
+  Settings s;
+  s.classes = {makeClass(Effect::Safe), makeClass(Effect::Keyed, Group::All),
+               makeClass(Effect::Keyed, Group::Zone), makeClass(Effect::Keyed, Group::Cell),
+               makeClass(Effect::Unsafe)};
+  s.max_attempts = 5;
+  s.may_cancel = true;
+  s.drain_grace = 500 * kMs;
+  s.cold_from = 0.25;
+  s.cold_time = 10 * kSec;
+  s.cold_multiple = 3;
+  s.cold_window = 2 * kSec;
+  s.ask_within = 10 * kSec;
+  s.tick = 5 * kMs;
+  return s;
+}
+
+inline Host makeHost(int n, HostState state = HostState::Healthy) {
+  Host h;
+  h.id = "server-" + std::string(n < 10 ? "00" : n < 100 ? "0" : "") + std::to_string(n);
+  h.state = state;
+  h.zone = n % 3;
+  h.cell = n / 4;
+  return h;
+}
+
+inline std::vector<Host> makeHosts(int count) {
+  std::vector<Host> hosts;
+  for (int n = 0; n < count; ++n) hosts.push_back(makeHost(n));
+  return hosts;
+}
+
+// One Balancer with a checker beside it: each call passes on the event and judges the actions.
+class Driver {
+ public:
+  explicit Driver(const Settings& settings, std::uint64_t seed = 1)
+      : checker(settings), balancer(settings, seed) {}
+
+  const Actions& servers(ListKind kind, const std::vector<Host>& hosts) {
+    checker.servers(now, kind, hosts);
+    return act([&](Actions& out) { balancer.onServers(now, kind, hosts, out); });
+  }
+  const Actions& request(RequestId id, std::int32_t cls, Time left = 2 * kSec, std::int32_t tenant = kUnset) {
+    Request r;
+    r.id = id;
+    r.time_left = left;
+    r.request_class = cls;
+    r.tenant = tenant;
+    checker.request(now, r);
+    return act([&](Actions& out) { balancer.onRequest(now, r, out); });
+  }
+  const Actions& outcome(RequestId id, std::int32_t attempt, Result result, Time latency = 0,
+                         bool final = false) {
+    Outcome o;
+    o.request = id;
+    o.attempt = attempt;
+    o.result = result;
+    o.final = final || result == Result::Ok;
+    o.latency = latency;
+    checker.outcome(o);
+    return act([&](Actions& out) { balancer.onOutcome(now, o, out); });
+  }
+  const Actions& timer(std::uint64_t handle) {
+    return act([&](Actions& out) { balancer.onTimer(now, handle, out); });
+  }
+  const Actions& gone(RequestId id) {
+    checker.gone(id);
+    return act([&](Actions& out) { balancer.onClientGone(now, id, out); });
+  }
+  const Actions& probe(const std::string& server, bool ok, double holds = -1) {
+    LoadReport load;
+    load.in_flight = holds;
+    return act([&](Actions& out) { balancer.onProbe(now, server, ok, kMs, load, out); });
+  }
+
+  // The server of the only Send in the last actions; empty if there was none.
+  std::string sentTo() const {
+    for (const Action& a : actions) {
+      if (a.kind == ActionKind::Send) return std::string(a.server);
+    }
+    return {};
+  }
+  Reason reason() const {
+    for (const Action& a : actions) {
+      if (a.kind == ActionKind::Send) return a.reason;
+    }
+    return Reason::None;
+  }
+  std::vector<std::string> probed() const {
+    std::vector<std::string> ids;
+    for (const Action& a : actions) {
+      if (a.kind == ActionKind::Probe) ids.emplace_back(a.server);
+    }
+    return ids;
+  }
+  bool traced(const std::string& text) const {
+    for (const Action& a : actions) {
+      if (a.kind == ActionKind::Trace && a.text.find(text) == 0) return true;
+    }
+    return false;
+  }
+  int count(ActionKind kind) const {
+    int n = 0;
+    for (const Action& a : actions) n += a.kind == kind ? 1 : 0;
+    return n;
+  }
+
+  Time now = kStart;
+  RuleChecker checker;
+  Balancer balancer;
+  Actions actions;
+
+ private:
+  template <typename Call>
+  const Actions& act(Call call) {
+    actions.clear();
+    call(actions);
+    checker.check(now, actions);
+    return actions;
+  }
+};
+
+}  // namespace weldflow::test
