Lists with bad entries or two hosts at one address; who gives way when descriptors are short

The one that started last holds the address. - proxy.cpp: when descriptors were short, connections to hosts were closed before those of clients that only stay.

--- a/include/weldflow/balancer.h
+++ b/include/weldflow/balancer.h
@@ -146,7 +146,7 @@
   Trace,      // a line for staff: `text`; dropping it is harmless
 };
 
-// Why a Send goes where it goes; docs/on-call.md uses the same words (toString).
+// Why a Send goes where it goes; toString gives the words.
 enum class Reason : std::uint8_t {
   None,              // not a Send, or Settings::explain is off
   OrdinaryPick,      // fewest own requests in flight within the subset, ties by turn
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,6 +1,6 @@
 // Every decision of weldflow. Types, events and actions: include/weldflow/balancer.h.
-// The ordinary path is Rocksteadier subsetting and least in flight, ties by turn; docs/design.md says what
-// was kept and under which condition each exception acts.
+// The ordinary path is Rocksteadier subsetting and least in flight, ties by turn; each exception says beside it
+// under which condition it acts.
 #include <algorithm>
 #include <array>
 #include <cmath>
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -94,7 +94,7 @@
       if (line.empty()) continue;  // a heartbeat
       HostList list;
       try {
-        list = parseHostList(line, owner_->zones_);
+        list = parseHostList(line, owner_->zones_, BadEntry::PassOver);
       } catch (const std::exception& e) {
         fail(std::string("a list is malformed: ") + e.what());
         return false;
--- a/src/net/host_list.cpp
+++ b/src/net/host_list.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <utility>
 
 #include "drill/json_node.h"
 
@@ -20,6 +21,37 @@
   node.bad("is unknown: " + word);
 }
 
+std::pair<weldflow::Host, Endpoint> parseEntry(const Node& entry, Zones& zones) {
+  weldflow::Host host;
+  host.id = entry.at("uid").text();
+  if (host.id.empty()) entry.at("uid").bad("is empty");
+  host.state = parseState(entry.at("state"));
+  // What has left needs no more than its name.
+  if (host.state == HostState::Gone) return {std::move(host), Endpoint()};
+  Endpoint endpoint;
+  try {
+    endpoint = parseEndpoint(entry.at("endpoint").text());
+  } catch (const weldflow::drill::BadField&) {
+    throw;
+  } catch (const std::runtime_error& e) {
+    entry.at("endpoint").bad(e.what());
+  }
+  host.up_since = entry.timeOr("boot_ms", 0) * 1000;
+  host.capacity = entry.numberOr("capacity_hint", 1, 0);
+  host.zone = entry.has("az") ? zones.indexOf(entry.at("az").text()) : 0;
+  host.cell = entry.has("pod_group") ? entry.at("pod_group").whole(0) : 0;
+  return {std::move(host), endpoint};
+}
+
+// Of an entry that can't be read otherwise; empty if not even that.
+std::string idOf(const Node& entry) {
+  try {
+    return entry.at("uid").text();
+  } catch (const weldflow::drill::BadField&) {
+    return {};
+  }
+}
+
 }  // namespace
 
 Zones::Zones(const std::vector<std::string>& names) {
@@ -46,7 +78,7 @@
   return {address, port};
 }
 
-HostList parseHostList(std::string_view text, Zones& zones) {
+HostList parseHostList(std::string_view text, Zones& zones, BadEntry bad) {
   const auto doc = nlohmann::json::parse(text, nullptr, false);
   if (doc.is_discarded() || !doc.is_object()) throw std::runtime_error("is not a JSON object");
   const Node root(doc, "");
@@ -59,28 +91,15 @@
   list.endpoints.reserve(count);
   for (std::size_t i = 0; i < count; ++i) {
     const Node entry = targets.at(i);
-    weldflow::Host host;
-    host.id = entry.at("uid").text();
-    if (host.id.empty()) entry.at("uid").bad("is empty");
-    host.state = parseState(entry.at("state"));
-    // What has left needs no more than its name.
-    if (host.state == HostState::Gone) {
-      list.hosts.push_back(std::move(host));
-      list.endpoints.emplace_back();
-      continue;
-    }
     try {
-      list.endpoints.push_back(parseEndpoint(entry.at("endpoint").text()));
-    } catch (const weldflow::drill::BadField&) {
-      throw;
+      auto [host, endpoint] = parseEntry(entry, zones);
+      list.hosts.push_back(std::move(host));
+      list.endpoints.push_back(endpoint);
     } catch (const std::runtime_error& e) {
-      entry.at("endpoint").bad(e.what());
+      if (bad == BadEntry::Throw) throw;
+      list.complaint = e.what();
+      list.unread.push_back(idOf(entry));
     }
-    host.up_since = entry.timeOr("boot_ms", 0) * 1000;
-    host.capacity = entry.numberOr("capacity_hint", 1, 0);
-    host.zone = entry.has("az") ? zones.indexOf(entry.at("az").text()) : 0;
-    host.cell = entry.has("pod_group") ? entry.at("pod_group").whole(0) : 0;
-    list.hosts.push_back(std::move(host));
   }
   return list;
 }
--- a/src/net/host_list.h
+++ b/src/net/host_list.h
@@ -31,10 +31,16 @@
   bool full = false;
   std::vector<weldflow::Host> hosts;
   std::vector<Endpoint> endpoints;  // of hosts[i]
+  std::vector<std::string> unread;  // the ids of entries that were passed over
+  std::string complaint;            // what was wrong with the last of these
 };
 
-// Throws std::runtime_error that tells what is wrong; a list is read whole or not at all.
-HostList parseHostList(std::string_view text, Zones& zones);
+// What becomes of an entry that can't be read: in a configuration it is a mistake to be told; in a watch one
+// bad entry must not cost the news of all others.
+enum class BadEntry { Throw, PassOver };
+
+// Throws std::runtime_error that tells what is wrong with the list.
+HostList parseHostList(std::string_view text, Zones& zones, BadEntry bad = BadEntry::Throw);
 
 // "address:port"; throws std::runtime_error.
 Endpoint parseEndpoint(const std::string& text);
--- a/src/net/proxy.cpp
+++ b/src/net/proxy.cpp
@@ -28,6 +28,9 @@
 constexpr Time kListenAfterTerm = 600 * kMillisecond;
 constexpr Time kLastAfterTerm = 3600 * kMillisecond;
 
+// A connection without an open request may be closed after this, says the protocol's later page.
+constexpr Time kMayBeClosed = 2 * kSecond;
+
 std::string_view pathOf(std::string_view target) { return target.substr(0, target.find_first_of("?#")); }
 
 std::string_view firstPart(std::string_view path) {
@@ -97,6 +100,8 @@
   for (std::size_t i = 0; i < config_.site.tenants.size(); ++i) {
     tenants_[config_.site.tenants[i]] = static_cast<std::int32_t>(i);
   }
+  // Clients that only stay are cheaper to lose than connections to hosts, which cost these work to open.
+  descriptors_.addReclaimer([this] { return server_.closeOneIdle(kMayBeClosed); });
   descriptors_.addReclaimer([this] { return upstream_.closeOneIdle(); });
   descriptors_.addReclaimer([this] { return server_.closeOneIdle(); });
 }
@@ -105,12 +110,10 @@
 
 void Proxy::start() {
   server_.listen(config_.listen);
-  HostList known = std::move(config_.known);
-  known.full = true;
+  config_.known.full = true;
+  const HostList known = completed(std::exchange(config_.known, {}));
   applyHosts(known);
-  tell([this, known = std::move(known)](Time now) {
-    balancer_.onServers(now, ListKind::Restored, known.hosts, actions_);
-  });
+  tell([this, known](Time now) { balancer_.onServers(now, ListKind::Restored, known.hosts, actions_); });
 }
 
 // ---- events for the module ----
@@ -190,7 +193,11 @@
     if (!left) return plain(400);
     if (*left <= 0) return plain(504);
   }
-  if (unanswered_ >= static_cast<std::size_t>(config_.site.max_open)) return plain(503);
+  if (unanswered_ >= static_cast<std::size_t>(config_.site.max_open)) {
+    Answer full = plain(503);
+    full.retry_after = info->deadline / 8;
+    return full;
+  }
   return std::nullopt;
 }
 
@@ -380,8 +387,52 @@
 
 // ---- discovery ----
 
+// What the list means together with what is known. An entry that could not be read leaves its host as it was.
+// An address has one host, the one that started last: a machine that has been replaced may still be listed
+// beside the new one, and what is sent to it then would come on top of what the new, cold one can take. This
+// would harm a fleet in which hosts share an address, which the protocol does not have.
+HostList Proxy::completed(HostList list) const {
+  for (const std::string& uid : list.unread) {
+    const auto known = listed_.find(uid);
+    if (known == listed_.end()) continue;
+    list.hosts.push_back(known->second.host);
+    list.endpoints.push_back(known->second.endpoint);
+  }
+  std::map<std::string_view, std::size_t> named;
+  for (std::size_t i = 0; i < list.hosts.size(); ++i) named[list.hosts[i].id] = i;
+  std::map<Endpoint, weldflow::Host> holders;
+  const auto claim = [&](const Endpoint& at, const weldflow::Host& host) {
+    if (host.state == weldflow::HostState::Gone) return;
+    const auto [it, first] = holders.emplace(at, host);
+    if (!first && host.up_since >= it->second.up_since) it->second = host;
+  };
+  if (!list.full) {
+    for (const auto& [uid, known] : listed_) {
+      if (!named.count(uid)) claim(known.endpoint, known.host);
+    }
+  }
+  for (std::size_t i = 0; i < list.hosts.size(); ++i) claim(list.endpoints[i], list.hosts[i]);
+  const auto lost = [&](const Endpoint& at, const std::string& uid) { return holders.at(at).id != uid; };
+  for (std::size_t i = 0; i < list.hosts.size(); ++i) {
+    weldflow::Host& host = list.hosts[i];
+    if (host.state != weldflow::HostState::Gone && lost(list.endpoints[i], host.id)) {
+      host.state = weldflow::HostState::Gone;
+    }
+  }
+  std::vector<weldflow::Host> replaced;
+  for (const auto& [uid, known] : listed_) {
+    if (!list.full && !named.count(uid) && lost(known.endpoint, uid)) replaced.push_back(known.host);
+  }
+  for (weldflow::Host& host : replaced) {
+    host.state = weldflow::HostState::Gone;
+    list.hosts.push_back(std::move(host));
+    list.endpoints.emplace_back();
+  }
+  return list;
+}
+
 void Proxy::applyHosts(const HostList& list) {
-  std::set<std::string, std::less<>> left;
+  std::map<std::string, Listed, std::less<>> left;
   if (list.full) left.swap(listed_);
   for (std::size_t i = 0; i < list.hosts.size(); ++i) {
     const weldflow::Host& host = list.hosts[i];
@@ -391,13 +442,15 @@
       listed_.erase(host.id);
     } else {
       upstream_.setHost(host.id, list.endpoints[i]);
-      listed_.insert(host.id);
+      listed_[host.id] = {host, list.endpoints[i]};
     }
   }
-  for (const std::string& uid : left) upstream_.removeHost(uid);
+  for (const auto& [uid, known] : left) upstream_.removeHost(uid);
 }
 
-void Proxy::onHostList(const HostList& list) {
+void Proxy::onHostList(const HostList& news) {
+  if (!news.unread.empty()) log_.line("discovery: an entry is passed over: " + news.complaint);
+  const HostList list = completed(news);
   applyHosts(list);
   tell([this, list](Time now) {
     balancer_.onServers(now, list.full ? ListKind::Full : ListKind::Changes, list.hosts, actions_);
--- a/src/net/proxy.h
+++ b/src/net/proxy.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -82,6 +81,7 @@
   void onDeadline(RequestId id);
   void outcome(Time now, RequestId id, std::int32_t attempt, AttemptEnd end);
   void closeIfOver(RequestId id);
+  HostList completed(HostList list) const;
   void applyHosts(const HostList& list);
   void waitUntilDone();
   weldflow::LoadReport parseLoad(std::string_view text) const;
@@ -109,8 +109,12 @@
   std::map<std::string, std::int32_t, std::less<>> tenants_;
   std::unordered_map<RequestId, Open> open_;
   std::unordered_map<ExchangeId, RequestId> by_exchange_;
-  std::unordered_set<std::string> ids_;        // X-Correlation-Id of each in open_
-  std::set<std::string, std::less<>> listed_;  // the hosts that upstream knows
+  std::unordered_set<std::string> ids_;  // X-Correlation-Id of each in open_
+  struct Listed {
+    weldflow::Host host;
+    Endpoint endpoint;
+  };
+  std::map<std::string, Listed, std::less<>> listed_;  // the hosts that upstream knows
   std::size_t unanswered_ = 0;
   RequestId next_request_ = 1;
   std::deque<std::function<void(Time)>> events_;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -439,9 +439,10 @@
 
 // Those that have never said anything go first (a flood of them must not cost clients that ask their
 // connections), then whoever has rested longest. Cost: those looked at that have input waiting, hardly any.
-bool Server::closeOneIdle() {
-  const Time silent_before = timers_.clock().now() - kSilentGrace;
-  return closeFirst(silent_, silent_before) || closeFirst(idle_, kNever) || closeFirst(silent_, kNever);
+bool Server::closeOneIdle(Time rested) {
+  const Time now = timers_.clock().now();
+  return closeFirst(silent_, now - std::max(rested, kSilentGrace)) || closeFirst(idle_, now - rested) ||
+         closeFirst(silent_, now - rested);
 }
 
 bool Server::closeFirst(Resting& list, Time resting_before) {
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -77,8 +77,8 @@
   void closeIdle();
   // Takes what is left in the accept queue, then closes the listener.
   void stopListening();
-  // Gives a descriptor back; false: no connection is idle.
-  bool closeOneIdle();
+  // Gives a descriptor back, of a connection that has rested for `rested`; false: there is none.
+  bool closeOneIdle(Time rested = 0);
   std::size_t connections() const { return connections_.size(); }
 
  private:
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -95,7 +95,8 @@
   ASSERT_TRUE(loop.until([&] { return first->heard("hello"); }));
   EXPECT_EQ(host.peers.size(), 1U);
   second->say(request("same"));  // and is free again then
-  ASSERT_TRUE(loop.until([&] { return host.peers[0]->got.rfind("same") != host.peers[0]->got.find("same"); }));
+  ASSERT_TRUE(
+      loop.until([&] { return host.peers[0]->got.rfind("same") != host.peers[0]->got.find("same"); }));
 }
 
 TEST_F(ProxyTest, ARequestThatAHostFindsFaultWithFailsAndIsNotRepeated) {
@@ -159,6 +160,45 @@
   EXPECT_TRUE(host.peers.empty());
 }
 
+TEST_F(ProxyTest, OneBadEntryCostsNothingOfTheOthersNews) {
+  start(json::array({entry("s-1", host.endpoint())}));
+  const auto w = watch(discovery);
+  ASSERT_TRUE(w);
+  const json bad = {{"uid", "s-1"}, {"endpoint", "nowhere"}, {"state", "active"}};
+  const json worse = {{"uid", 7}};
+  w->say(kWatch + line(2, true, json::array({bad, worse, "?", entry("s-2", other.endpoint())})));
+  // s-2 is known now, and s-1 still is: with both busy in turn, each is asked.
+  const auto one = client(), two = client();
+  ASSERT_TRUE(loop.until([&] { return proxy->upstream().knows("s-2"); }));
+  EXPECT_TRUE(proxy->upstream().knows("s-1"));
+  one->say(request("a"));
+  two->say(request("b"));
+  ASSERT_TRUE(loop.until([&] { return host.peers.size() == 1 && other.peers.size() == 1; }));
+  EXPECT_FALSE(w->ended);
+}
+
+TEST_F(ProxyTest, AnAddressHasOneHostTheOneThatStartedLast) {
+  start(json::array({entry("s-1", host.endpoint())}));
+  const auto w = watch(discovery);
+  ASSERT_TRUE(w);
+  const auto c = client();
+  c->say(request("a"));
+  ASSERT_TRUE(loop.until([&] { return host.peers.size() == 1 && host.peers[0]->heard("\r\n\r\n"); }));
+  host.peers[0]->say(answerOf("hello"));
+  ASSERT_TRUE(loop.until([&] { return c->heard("hello"); }));
+  json replacement = entry("s-2", host.endpoint());
+  replacement["boot_ms"] = loop.clock.now() / 1000;
+  w->say(kWatch + line(2, false, json::array({replacement})));
+  ASSERT_TRUE(loop.until([&] { return proxy->upstream().knows("s-2"); }));
+  EXPECT_FALSE(proxy->upstream().knows("s-1"));
+  // Later news of the one that was replaced does not bring it back.
+  w->say(line(3, false,
+              json::array({entry("s-1", host.endpoint(), "leaving"), entry("s-3", other.endpoint())})));
+  ASSERT_TRUE(loop.until([&] { return proxy->upstream().knows("s-3"); }));
+  EXPECT_FALSE(proxy->upstream().knows("s-1"));
+  EXPECT_TRUE(proxy->upstream().knows("s-2"));
+}
+
 // The program itself: signals are its business.
 class Program {
  public:
