Sound hosts stay in use when connections break: whose fault an outcome is

Causes, in brain.cpp judge() and readmit(): - one reset was evidence enough to eject, and counted as silence. A reset weighs as little as a spoilt answer now; a dead process refuses the next connection, which ejects as before. - a connection that broke while the request was being written counted as an unreachable host. It is Result::CutShort now (never ran, weak evidence). - an answer to what a host had before its ejection readmitted it as if it had restarted. And in the network code: - what can't be repeated takes a new connection where a host's kept ones broke lately. Measured: 425 breaks on kept connections, rests of under 1 to over 100 ms before them, so a pause before reuse was ruled out. - discovery.cpp: the former watch's lists could pass for a watch that goes on when the new one had failed. By reading, not met. - connect time-out is a quarter of the shortest aim at most; a push agent is watched (it never was).

--- a/include/weldflow/balancer.h
+++ b/include/weldflow/balancer.h
@@ -113,6 +113,7 @@
   BadRequest,     // may have run: the server finds fault with the request itself
   Cancelled,      // may have run
   NotSent,        // never ran: the embedder did not send it
+  CutShort,       // never ran: the connection broke before the server had all of it
 };
 
 // What a server says about its own load; a negative value was not reported. Read from probes where
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,6 +1,6 @@
 // Every decision of weldflow. Types, events and actions: include/weldflow/balancer.h.
-// The ordinary path is Rocksteadier subsetting and least in flight, ties by turn; each exception says beside it
-// under which condition it acts.
+// The ordinary path is Rocksteadier subsetting and least in flight, ties by turn; each exception says beside
+// it under which condition it acts.
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -30,23 +30,23 @@
 constexpr Time kLongestOut = 8 * kSecond;  // a server that returns is found within seconds
 constexpr double kStrikeHalf = 10e6;       // evidence against a server halves in this time
 constexpr double kTimeoutEvidence = 0.5;   // long requests time out at sound servers: two in a row tell more
-constexpr double kSpoiltEvidence =
-    0.3;                               // spoilt answers come from sound servers too: only a run of them tells
-constexpr double kEnough = 0.9;        // evidence that ejects: one clear failure, decayed a little
-constexpr double kAnswerMends = 0.8;   // an answer takes back less than a failure adds, so part failures show
-constexpr double kMaxOut = 0.4;        // of the subset: if more fail, the fault is not theirs
-constexpr double kBudgetShare = 0.15;  // repeats allowed for each request: bounded extra load in overload
-constexpr double kBudgetMost = 10;     // a burst of repeats: what a small failure needs at once
-constexpr double kRecent = 0.99;       // the mix of arrivals is taken over the last hundred
-constexpr double kShedGain = 0.05;     // shedding follows some twenty outcomes: faster than a queue fills
-constexpr double kLateFrom = 0.4;      // an answer after this part of its aim begins to count as late
-constexpr double kLateTarget = 0.2;    // so much lateness on average is a full fleet; more is a growing queue
-constexpr double kMostShed = 0.95;     // a few requests keep telling whether the overload is over
-constexpr double kShedNoted = 0.1;     // of arrivals: less is the noise of a busy hour, not worth a line
-constexpr double kFullLate = 0.35;     // a full server: overload once more than half are full
-constexpr std::size_t kAsked = 3;      // members asked for their load before a send: more tell little more
-constexpr Time kAskPart = 10;          // of the aim: longer than a probe takes, short beside the work
-constexpr double kDistrust = 0.3;      // two surprises in a row
+constexpr double kBrokenEvidence = 0.3;    // spoilt or cut short: sound servers do it too, only a run tells
+constexpr double kEnough = 0.9;            // evidence that ejects: one clear failure, decayed a little
+constexpr double kAnswerMends = 0.8;  // an answer takes back less than a failure adds, so part failures show
+constexpr double kMaxOut = 0.4;       // of the subset: if more fail, the fault is not theirs
+constexpr double kMaxUnreachable = 0.75;  // of those that can't be connected to, which are of no use at all
+constexpr double kBudgetShare = 0.15;     // repeats allowed for each request: bounded extra load in overload
+constexpr double kBudgetMost = 10;        // a burst of repeats: what a small failure needs at once
+constexpr double kRecent = 0.99;          // the mix of arrivals is taken over the last hundred
+constexpr double kShedGain = 0.05;        // shedding follows some twenty outcomes: faster than a queue fills
+constexpr double kLateFrom = 0.4;         // an answer after this part of its aim begins to count as late
+constexpr double kLateTarget = 0.2;  // so much lateness on average is a full fleet; more is a growing queue
+constexpr double kMostShed = 0.95;   // a few requests keep telling whether the overload is over
+constexpr double kShedNoted = 0.1;   // of arrivals: less is the noise of a busy hour, not worth a line
+constexpr double kFullLate = 0.35;   // a full server: overload once more than half are full
+constexpr std::size_t kAsked = 3;    // members asked for their load before a send: more tell little more
+constexpr Time kAskPart = 10;        // of the aim: longer than a probe takes, short beside the work
+constexpr double kDistrust = 0.3;    // two surprises in a row
 constexpr Time kDistrusted = 5 * kSecond;  // late reports last; trying again costs a surprise or two
 
 // The van der Corput point of n as a 32-bit fraction of the circle: its bits reversed.
@@ -110,6 +110,7 @@
     bool out = false;     // ejected: passed over like a placeholder
     bool silent = false;  // ejected for silence: it may come back cold
     bool probing = false;
+    Time out_since = 0;
     Time out_until = 0;                    // then a probe or a trial may prove it
     Time cold_since = 0;                   // 0: warm
     double cold_tokens = 0, reported = 0;  // reported: requests it held when it last said so
@@ -370,7 +371,7 @@
 
   // Evidence against a server. False if it is not ejected: too little, or many fail and it is not their
   // fault.
-  bool strike(Server& s, bool silent, double evidence, Actions& out) {
+  bool strike(Server& s, bool silent, double evidence, Actions& out, double most_out = kMaxOut) {
     s.strikes = s.strikes * std::exp2(-static_cast<double>(now - s.struck_at) / kStrikeHalf) + evidence;
     s.struck_at = now;
     if (s.strikes < kEnough) return false;
@@ -378,9 +379,9 @@
       const auto outs = std::count_if(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(reach),
                                       [](const Server* o) { return o->out; });
       // Never too many of them, and the last one is better than none.
-      if (members <= 1 || static_cast<double>(outs + 1) > std::max(1.0, kMaxOut * members)) return false;
+      if (members <= 1 || static_cast<double>(outs + 1) > std::max(1.0, most_out * members)) return false;
     }
-    s.out = true;
+    if (!std::exchange(s.out, true)) s.out_since = now;
     s.silent = silent;
     const double length = std::min<double>(kLongestOut, kFirstOut * std::exp2(std::max(0.0, s.strikes - 1)));
     s.out_until = now + static_cast<Time>(length * (0.75 + 0.5 * random.unit()));
@@ -390,10 +391,12 @@
     return true;
   }
 
-  void readmit(Server& s, Actions& out) {
+  // `asked`: when it was asked what it has answered now. A silent one has perhaps restarted and is cold; an
+  // answer to what it had before it was ejected shows that it has not.
+  void readmit(Server& s, Time asked, Actions& out) {
     if (!s.out) return;
     s.out = false;
-    if (s.silent && settings.cold_time > 0) startCold(s, now);  // a silent one has perhaps restarted
+    if (s.silent && settings.cold_time > 0 && asked > s.out_since) startCold(s, now);
     measureReach();
     trace(out, Readmitted, "readmitted " + s.host.id);
   }
@@ -423,7 +426,7 @@
       s.reported_at = now;
     }
     if (!s.out) return heard(s, ok, out);
-    if (s.listed && ok) readmit(s, out);
+    if (s.listed && ok) readmit(s, now, out);
     if (s.listed && !ok) strike(s, true, 1, out);
   }
 
@@ -741,8 +744,8 @@
     Attempt* const found = outstanding(r, o.attempt);
     if (found == nullptr) return;
     Attempt& a = *found;
-    const bool never_ran =
-        o.result == Result::Rejected || o.result == Result::ConnectFailed || o.result == Result::NotSent;
+    const bool never_ran = o.result == Result::Rejected || o.result == Result::ConnectFailed ||
+                           o.result == Result::NotSent || o.result == Result::CutShort;
     a.run = never_ran ? Run::NeverRan : Run::MayHaveRun;
     r->faulty |= o.result == Result::BadRequest;
     Server& s = *a.server;
@@ -763,10 +766,14 @@
     closeIfDone(*r);
   }
 
+  double lateness(const Live& r, const Outcome& o) const {
+    const double part = static_cast<double>(o.latency) / static_cast<double>(classOf(r).aim);
+    return std::clamp((part - kLateFrom) / (1 - kLateFrom), 0.0, 1.0);
+  }
+
   // What an outcome says about its server and about the load.
   void judge(Server& s, const Live& r, const Attempt& a, const Outcome& o, Actions& out) {
     const bool silent_since = s.last_answer < a.sent;
-    const auto aim = static_cast<double>(classOf(r).aim);
     if (o.result == Result::Ok || o.result == Result::Rejected || o.result == Result::Error ||
         o.result == Result::Spoilt || o.result == Result::BadRequest)
       s.last_answer = now;
@@ -774,9 +781,9 @@
     switch (o.result) {
       case Result::Ok:
         learn(s, r.request_class, o);
-        readmit(s, out);
+        readmit(s, a.sent, out);
         s.strikes *= kAnswerMends;
-        late = std::clamp((static_cast<double>(o.latency) / aim - kLateFrom) / (1 - kLateFrom), 0.0, 1.0);
+        late = lateness(r, o);
         break;
       case Result::Rejected:
         s.turn += 1 / weight(s);  // full: let others have a turn
@@ -786,18 +793,19 @@
         strike(s, false, 1, out);
         return;
       case Result::Spoilt:
-        strike(s, false, kSpoiltEvidence, out);
+      case Result::CutShort:
+      case Result::Reset:  // a process that has died refuses the next connection
+        strike(s, false, kBrokenEvidence, out);
         return;
       case Result::TimedOut:
         // Only silence is held against the server; late among answers, or silence of all, is load.
         s.turn += 1 / weight(s);
         learn(s, r.request_class, o);
         if (silent_since && strike(s, true, kTimeoutEvidence, out)) return;
-        late = 1;
+        late = lateness(r, o);  // not 1: an attempt that began late in its request's time had little of it
         break;
       case Result::ConnectFailed:
-      case Result::Reset:
-        strike(s, true, 1, out);
+        strike(s, true, 1, out, kMaxUnreachable);
         return;
       case Result::BadRequest:  // says nothing of the server: a bad client must not eject sound ones
       case Result::Cancelled:
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -129,8 +129,12 @@
     if (owner == nullptr) return;
     const auto self = shared_from_this();
     stop();
-    if (owner->former_ == self) return owner->former_.reset();
-    owner->watch_.reset();
+    if (owner->former_ == self) {
+      owner->former_.reset();
+      if (owner->watch_) return;  // else its lists passed for a watch that goes on
+    } else {
+      owner->watch_.reset();
+    }
     owner->sink_.onDiscoveryLost(why);
   }
 
--- a/src/net/proxy.cpp
+++ b/src/net/proxy.cpp
@@ -65,7 +65,6 @@
 
 Upstream::Limits upstreamLimits(const Config& config, std::size_t descriptors) {
   Upstream::Limits limits;
-  limits.connect_timeout = config.site.connect_timeout;
   limits.idle = config.site.idle;
   limits.spare_descriptors = descriptors / 8;
   limits.probe_load = config.site.reports;
@@ -73,6 +72,8 @@
   Time aim = kSecond;
   for (const weldflow::RequestClass& c : config.site.settings.classes) aim = std::min(aim, c.aim);
   limits.answer_whole = std::max(aim / 4, 20 * kMillisecond);
+  // A machine that has vanished must leave time for another; hosts are never far away.
+  limits.connect_timeout = std::min(config.site.connect_timeout, std::max(aim / 4, 20 * kMillisecond));
   return limits;
 }
 
@@ -114,8 +115,12 @@
   const HostList known = completed(std::exchange(config_.known, {}));
   applyHosts(known);
   tell([this, known](Time now) { balancer_.onServers(now, ListKind::Restored, known.hosts, actions_); });
+  if (pushed()) discovery_.subscribe();
 }
 
+// Where lists are pushed, the module waits for them; the agent beside us that has them still wants a watch.
+bool Proxy::pushed() const { return config_.site.settings.discovery == weldflow::Discovery::Push; }
+
 // ---- events for the module ----
 
 template <typename Event>
@@ -229,6 +234,7 @@
   r.exchange = exchange;
   r.request = std::move(request);
   r.deadline = deadline;
+  r.unrepeatable = info.effect == Effect::Unsafe;
   ++unanswered_;
   by_exchange_.emplace(exchange, id);
   timers_.at(deadline, [this, id] { onDeadline(id); });
@@ -252,7 +258,7 @@
   const bool may_go = !r.answered && limit > 0 && action.time >= 0 && r.attempts.size() < kMostAttempts;
   if (!may_go) return onAttemptEnd(id, {});
   timers_.at(now + limit, [this, request = action.request, attempt] { onAttemptTimeout(request, attempt); });
-  upstream_.start(id, action.server, {headFor(r, limit), r.request.body});
+  upstream_.start(id, action.server, {headFor(r, limit), r.request.body, r.unrepeatable});
 }
 
 std::string Proxy::headFor(const Open& r, Time time_left) const {
@@ -459,6 +465,7 @@
 
 void Proxy::onDiscoveryLost(const std::string& why) {
   log_.line("discovery: " + why);
+  if (pushed()) timers_.after(kSecond, [this] { discovery_.subscribe(); });
   tell([this](Time now) { balancer_.onServers(now, ListKind::Unavailable, {}, actions_); });
 }
 
--- a/src/net/proxy.h
+++ b/src/net/proxy.h
@@ -54,6 +54,7 @@
     std::int32_t outstanding = 0;
     bool answered = false;   // the client has its answer, or is gone
     bool timed_out = false;  // an attempt has
+    bool unrepeatable = false;
   };
   struct ClassInfo {
     std::int32_t index;
@@ -83,6 +84,7 @@
   void closeIfOver(RequestId id);
   HostList completed(HostList list) const;
   void applyHosts(const HostList& list);
+  bool pushed() const;
   void waitUntilDone();
   weldflow::LoadReport parseLoad(std::string_view text) const;
   const ClassInfo* classOf(std::string_view target) const;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -122,7 +122,7 @@
 
   void bodyMayGrow() {
     if (!std::exchange(waits_for_room_, false)) return;
-    if (state_ == State::Reading) armRead();
+    if (state_ == State::Reading) readOn();
   }
 
   // The limits of time. None is renewed by a byte more or less: whoever trickles gets no longer than whoever
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -18,6 +18,8 @@
 
 constexpr std::size_t kRead = 4 * 1024;
 constexpr Time kSweep = 500 * kMillisecond;
+constexpr double kReuseWeight = 0.1;       // the last ten or so uses of kept connections count
+constexpr double kMostBrokenReuse = 0.04;  // one break among them: about nine good ones are needed again
 
 }  // namespace
 
@@ -168,13 +170,13 @@
   }
 
   // It may have run once the host can have the whole request.
-  void broken() { end(written() ? Result::Reset : Result::ConnectFailed); }
+  void broken() { end(written() ? Result::Reset : Result::CutShort); }
 
   // What came is no answer to this request. Guards against noise, heads that can't be read or don't end,
   // lengths that contradict one another or exceed what the protocol has, and 1xx without end. It should catch
   // whatever else a host may say out of turn; it would harm if hosts sent answers beyond the protocol's 64
   // KiB.
-  void spoilt() { end(written() ? Result::Spoilt : Result::ConnectFailed); }
+  void spoilt() { end(written() ? Result::Spoilt : Result::CutShort); }
 
   // An answer that has begun must come to its end. The clock is not renewed by further bytes, so that an
   // endless trickle is no way round it. Guards against lengths that promise more than comes; it would harm
@@ -225,7 +227,7 @@
   Result resultOf() const {
     if (parser_->status == 200) return Result::Ok;
     if ((parser_->status == 503 || parser_->status == 504) && parser_->unprocessed) return Result::Rejected;
-    if (!written()) return Result::ConnectFailed;  // the host cannot have the last byte
+    if (!written()) return Result::CutShort;  // the host cannot have the last byte
     return parser_->status / 100 == 4 ? Result::BadRequest : Result::Error;
   }
 
@@ -243,6 +245,9 @@
       report.body = std::move(parser_->body);
       report.content_type = std::move(parser_->content_type);
     }
+    if (turn_ > 1 && (whole || result == Result::Reset || result == Result::CutShort)) {
+      up_.noteReuse(uid_, !whole && !parser_->got_some());
+    }
     const bool probe = std::exchange(probe_, false);
     const AttemptId attempt = std::exchange(attempt_, 0);
     const Time latency = up_.timers_.clock().now() - started_;
@@ -321,7 +326,8 @@
 
 void Upstream::start(AttemptId id, std::string_view uid, AttemptRequest request) {
   const auto it = pools_.find(uid);
-  Connection* connection = it == pools_.end() ? nullptr : takeIdle(it->second);
+  const bool fresh = request.unrepeatable && it != pools_.end() && it->second.broken_reuse > kMostBrokenReuse;
+  Connection* connection = it == pools_.end() || fresh ? nullptr : takeIdle(it->second);
   if (connection == nullptr && it != pools_.end()) connection = open(it->first, it->second.endpoint);
   if (connection == nullptr) return sink_.onAttemptEnd(id, {});
   attempts_.emplace(id, connection);
@@ -360,6 +366,16 @@
   return nullptr;
 }
 
+// Guards against hosts that end or reset kept connections while the next request is on its way: what can't be
+// repeated then fails. It should catch whatever else makes a host's kept connections unsafe, and costs a
+// handshake for a few requests after each such break; where breaks come from the network, that is spent for
+// nothing.
+void Upstream::noteReuse(const std::string& uid, bool broke) {
+  const auto it = pools_.find(uid);
+  if (it != pools_.end())
+    it->second.broken_reuse += kReuseWeight * ((broke ? 1 : 0) - it->second.broken_reuse);
+}
+
 Upstream::Connection* Upstream::open(const std::string& uid, const Endpoint& endpoint) {
   if (!descriptors_.take(limits_.spare_descriptors)) return nullptr;
   const std::uint64_t id = next_connection_++;
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -24,6 +24,7 @@
 struct AttemptRequest {
   std::string head;                         // complete, with the empty line
   std::shared_ptr<const std::string> body;  // may be null
+  bool unrepeatable = false;                // once it may have run, that was its only chance
 };
 
 struct AttemptEnd {
@@ -76,6 +77,7 @@
   struct Pool {
     Endpoint endpoint;
     std::vector<Connection*> idle;  // the most recently used last
+    double broken_reuse = 0;        // part of the uses of kept connections that broke without an answer
   };
   struct NameHash {
     using is_transparent = void;
@@ -84,6 +86,7 @@
 
   Connection* takeIdle(Pool& pool);
   Connection* open(const std::string& uid, const Endpoint& endpoint);
+  void noteReuse(const std::string& uid, bool broke);
   void keep(Connection& connection);
   void forget(Connection& connection);  // no longer idle
   void closeIdle(Pool& pool);
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -723,5 +723,44 @@
   EXPECT_TRUE(ejected);
 }
 
+TEST(Fault, BrokenConnectionsOfASoundServerNeitherEjectItNorMakeItCold) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(4));
+  bool ejected = false;
+  for (RequestId id = 1; id < 200; ++id) {  // one of ten breaks
+    d.request(id, 0);
+    d.now += 5 * kMs;
+    d.outcome(id, 0, id % 20 == 0 ? Result::Reset : id % 20 == 10 ? Result::CutShort : Result::Ok, 5 * kMs);
+    ejected |= d.traced("ejected");
+    if (id % 10 == 0) d.outcome(id, 1, Result::Ok, 5 * kMs);
+  }
+  EXPECT_FALSE(ejected);
+}
+
+TEST(Fault, AnAnswerToWhatItHadBeforeShowsThatAnEjectedServerHasNotRestarted) {
+  Settings settings = makeSettings();
+  settings.explain = true;
+  Driver d(settings);
+  d.servers(ListKind::Restored, makeHosts(1));
+  d.servers(ListKind::Full, makeHosts(2));
+  d.request(1, 4);
+  const std::string first = d.sentTo();
+  d.request(2, 4);
+  d.request(3, 4);
+  ASSERT_EQ(d.sentTo(), first);  // two each, or so: the third is with the first again
+  d.now += 10 * kMs;
+  d.outcome(3, 0, Result::ConnectFailed);
+  ASSERT_TRUE(d.traced("ejected"));
+  d.now += 10 * kMs;
+  d.outcome(1, 0, Result::Ok, 10 * kMs);
+  ASSERT_EQ(d.balancer.subset(d.now).size(), 2U);
+  for (RequestId id = 10; id < 30; ++id) {
+    d.now += 10 * kMs;
+    d.request(id, 4);
+    EXPECT_NE(d.reason(), Reason::ColdShare);
+    d.outcome(id, 0, Result::Ok, 5 * kMs);
+  }
+}
+
 }  // namespace
 }  // namespace weldflow::test
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <cstdlib>
 #include <filesystem>
@@ -199,6 +200,13 @@
   EXPECT_TRUE(proxy->upstream().knows("s-2"));
 }
 
+// A port for the program, on an address that no other test uses: nobody takes it before the program does.
+tcp::endpoint freePort(Loop& loop) {
+  const auto pid = static_cast<unsigned>(getpid());
+  const asio::ip::address_v4 address(0x7F'4D'00'00U | (pid & 0xFFFFU));
+  return tcp::acceptor(loop.io, tcp::endpoint(address, 0)).local_endpoint();
+}
+
 // The program itself: signals are its business.
 class Program {
  public:
@@ -216,6 +224,13 @@
     waitpid(pid_, nullptr, 0);
   }
   void signal(int number) const { kill(pid_, number); }
+  // The exit status; -1 while it runs.
+  int status() {
+    int value = 0;
+    if (pid_ <= 0 || waitpid(pid_, &value, WNOHANG) != pid_) return -1;
+    pid_ = -1;
+    return WIFEXITED(value) ? WEXITSTATUS(value) : 1000 + value;
+  }
   bool runs() { return pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == 0; }
 
  private:
@@ -226,11 +241,7 @@
   Loop loop;
   Host host(loop), discovery(loop), moved(loop);
   ConfigFile file(json::array({entry("s-1", host.endpoint())}), discovery.endpoint());
-  tcp::endpoint listen;
-  {
-    tcp::acceptor probe(loop.io, anyPort());
-    listen = probe.local_endpoint();
-  }
+  const tcp::endpoint listen = freePort(loop);
   file.doc["listen"] = textOf(listen);
   file.write(file.doc.dump());
   Program program(file);
@@ -250,5 +261,34 @@
   EXPECT_TRUE(program.runs());
 }
 
+TEST(Program, AfterSigtermItTakesWhatStillComesAndAnswersAllItHasTaken) {
+  Loop loop;
+  Host host(loop), discovery(loop);
+  ConfigFile file(json::array({entry("s-1", host.endpoint())}), discovery.endpoint());
+  const tcp::endpoint listen = freePort(loop);
+  file.doc["listen"] = textOf(listen);
+  for (json& c : file.doc["settings"]["request_classes"]) c["goal_time_us"] = c["deadline_us"] = 3'000'000;
+  file.write(file.doc.dump());
+  Program program(file);
+  ASSERT_TRUE(loop.until([&] { return discovery.peers.size() == 1; }));
+  const auto held = Peer::connect(loop, listen);
+  held->say(request("held"));
+  ASSERT_TRUE(loop.until([&] { return host.peers.size() == 1 && host.peers[0]->heard("held"); }));
+  program.signal(SIGTERM);
+  const auto late = Peer::connect(loop, listen);
+  late->say(request("late"));
+  ASSERT_TRUE(loop.until([&] { return host.peers.size() == 2 && host.peers[1]->heard("late"); }));
+  host.peers[0]->say(answerOf("first"));
+  host.peers[1]->say(answerOf("second"));
+  ASSERT_TRUE(loop.until([&] { return held->ended && late->ended; }));
+  EXPECT_TRUE(held->heard("first") && held->heard("Connection: close"));
+  EXPECT_TRUE(late->heard("second"));
+  held->close();
+  late->close();
+  int status = -1;
+  ASSERT_TRUE(loop.until([&] { return (status = program.status()) != -1; }));
+  EXPECT_EQ(status, 0);
+}
+
 }  // namespace
 }  // namespace quinceline::test
--- a/tests/rule_checker.h
+++ b/tests/rule_checker.h
@@ -112,7 +112,8 @@
   };
 
   static bool proves(Result r) {
-    return r == Result::Rejected || r == Result::ConnectFailed || r == Result::NotSent;
+    return r == Result::Rejected || r == Result::ConnectFailed || r == Result::CutShort ||
+           r == Result::NotSent;
   }
 
   void send(Time now, const Action& a) {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -63,6 +63,7 @@
                              GateCase{2, Result::Rejected, 1200 * kMs, true, kRefuse},
                              GateCase{3, Result::NotSent, 1200 * kMs, true, kRefuse},
                              GateCase{4, Result::Rejected, 100 * kMs, true, kRefuse},
+                             GateCase{4, Result::CutShort, 100 * kMs, true, kRefuse},
                              GateCase{4, Result::ConnectFailed, 100 * kMs, true, kRefuse},
                              GateCase{4, Result::NotSent, 100 * kMs, true, kRefuse},
                              // may have run: safe goes on
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -84,6 +84,18 @@
   c->close();
 }
 
+TEST_F(ServerTest, RequestsInOneBreathAreAnsweredInTurn) {
+  serve();
+  const auto c = client();
+  std::string all;
+  for (int i = 0; i < 200; ++i) all += "GET /n" + std::to_string(i) + " HTTP/1.1\r\nHost: h\r\n\r\n";
+  c->say(all + "no request at all\r\n\r\n");
+  ASSERT_TRUE(loop.until([&] { return c->ended; }));
+  ASSERT_EQ(taken.requests.size(), 200U);
+  for (std::size_t i = 0; i < 200; ++i) EXPECT_EQ(taken.requests[i], "/n" + std::to_string(i));
+  EXPECT_TRUE(c->heard("HTTP/1.1 400"));
+}
+
 TEST_F(ServerTest, SilentConnectionsAreClosedAndGiveWayToThoseThatAsk) {
   limits.connections = 4;
   limits.silent = 400 * kMillisecond;
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -22,7 +22,9 @@
 class UpstreamTest : public ::testing::Test {
  protected:
   UpstreamTest() { up.setHost("h", host.endpoint()); }
-  void start(AttemptId id) { up.start(id, "h", {"GET /x HTTP/1.1\r\nX-Correlation-Id: a\r\n\r\n", nullptr}); }
+  void start(AttemptId id) {
+    up.start(id, "h", {"GET /x HTTP/1.1\r\nX-Correlation-Id: a\r\n\r\n", nullptr, false});
+  }
   bool ended(AttemptId id) {
     return loop.until([&] { return reports.ends.count(id) > 0; });
   }
@@ -143,6 +145,38 @@
   }
 }
 
+TEST_F(UpstreamTest, AfterAKeptConnectionBrokeTheUnrepeatableGoOnNewOnes) {
+  const auto answer = [&](AttemptId id, std::size_t connection, std::size_t requests) {
+    const auto peer = asked(connection, requests);
+    if (peer) peer->say(answerOf("x"));
+    return peer != nullptr && ended(id);
+  };
+  const auto startUnrepeatable = [&](AttemptId id) {
+    up.start(id, "h", {"POST /x HTTP/1.1\r\nX-Correlation-Id: a\r\n\r\n", nullptr, true});
+  };
+  start(1);
+  ASSERT_TRUE(answer(1, 1, 1));
+  startUnrepeatable(2);  // on the kept one, so long as those hold
+  const auto peer = asked(1, 2);
+  ASSERT_TRUE(peer);
+  peer->close();
+  ASSERT_TRUE(ended(2));
+  EXPECT_EQ(reports.ends[2].result, Result::Reset);
+  start(3);
+  ASSERT_TRUE(answer(3, 2, 1));
+  startUnrepeatable(4);
+  ASSERT_TRUE(answer(4, 3, 1));
+  start(5);  // what may be repeated still takes a kept one
+  ASSERT_TRUE(loop.until([&] {
+    std::size_t requests = 0;
+    for (const auto& p : host.peers)
+      requests += p->got.find("GET /x", 3) != std::string::npos ||
+                  p->got.find("GET /x", p->got.find("POST") + 1) != std::string::npos;
+    return requests > 0 || host.peers.size() > 3;
+  }));
+  EXPECT_EQ(host.peers.size(), 3U);
+}
+
 TEST_F(UpstreamTest, TheHostsOpinionOfARequestIsToldFromItsTrouble) {
   const std::vector<std::pair<std::string, Result>> answers = {
       {"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n", Result::BadRequest},
