--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -228,7 +228,8 @@
     if (parser_->status == 200) return Result::Ok;
     if ((parser_->status == 503 || parser_->status == 504) && parser_->unprocessed) return Result::Rejected;
     if (!written()) return Result::CutShort;  // the host cannot have the last byte
-    return parser_->status / 100 == 4 ? Result::BadRequest : Result::Error;
+    const bool own = parser_->status == 408 || parser_->status == 429;  // about the host, not the request
+    return parser_->status / 100 == 4 && !own ? Result::BadRequest : Result::Error;
   }
 
   // The one place where an attempt or probe ends.
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -180,6 +180,7 @@
 TEST_F(UpstreamTest, TheHostsOpinionOfARequestIsToldFromItsTrouble) {
   const std::vector<std::pair<std::string, Result>> answers = {
       {"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n", Result::BadRequest},
+      {"HTTP/1.1 429 Too Many\r\nContent-Length: 0\r\n\r\n", Result::Error},
       {"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", Result::Error},
       {"HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", Result::Rejected}};
   for (std::size_t i = 0; i < answers.size(); ++i) {
