Admission of connections: what nobody uses again is closed with its answer

Clients there ask once on a connection, keep it for 1 to 3 s and may have 128: our keeping them open is what they could not ask on. Crowds that say nothing took kept connections' places for 200 ms each, and clients had a fixed 60 % of the descriptors.

Change: src/admission, without I/O or clock. ConnectionGate decides who is kept, closed with the answer, closed for room or overdue, with a cause each; ReuseJudge whether kept connections are used again (25 requests to notice, the few still kept tell when to go back); Places shares descriptors by late use.

--- /dev/null
+++ b/src/admission/cause.h
@@ -0,0 +1,67 @@
+// Why a client got nothing, or lost its connection: the closed list of causes that admission gives. Each has
+// one name, which the log, the operators' page and docs/admission.md use.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace quinceline::admission {
+
+using Time = std::int64_t;  // microseconds, as in weldflow/balancer.h
+
+enum class Cause : std::uint8_t {
+  None,  // let in, or kept
+  // A connection was closed.
+  SilentOverdue,   // it never said anything within its time
+  SilentGaveWay,   // it had said nothing yet, and room was needed
+  IdleOverdue,     // no request for the time that one is kept
+  IdleGaveWay,     // it rested, and room was needed
+  UnusedGaveWay,   // it rested after its only request where connections are not used again, and room was
+                   // needed
+  NotReused,       // closed with its answer: clients do not use kept connections again
+  PeerShare,       // its address held more than its share, and room was needed
+  RequestOverdue,  // a request did not come whole in time
+  AnswerNotTaken,  // the client did not take its answer in time
+  LingerOver,      // the client did not end its sending in time
+  Shutdown,        // the proxy stops
+  // A request was refused before it was sent anywhere.
+  ConnectionsFull,  // it came on a connection beyond the bound
+  OpenFull,         // the bound on open requests, and no place to wait
+  BytesFull,        // the bound on the bytes of requests, and no place to wait
+  ClassFull,        // its class is at its own bound or share
+  TenantFull,       // its tenant is at its own bound or share
+  TooLate,          // it would wait for a place until it can't be answered in time
+  Displaced,        // it waited, and gave its place to a class or tenant that has fewer waiting
+  RetryBudget,      // a client's marked retry beyond the budget for retries
+  BodyMemory,       // no memory for its body in time
+};
+constexpr std::size_t kCauses = static_cast<std::size_t>(Cause::BodyMemory) + 1;
+
+constexpr std::string_view nameOf(Cause cause) {
+  constexpr std::array<std::string_view, kCauses> kNames = {"none",
+                                                            "silent_overdue",
+                                                            "silent_gave_way",
+                                                            "idle_overdue",
+                                                            "idle_gave_way",
+                                                            "unused_gave_way",
+                                                            "not_reused",
+                                                            "peer_share",
+                                                            "request_overdue",
+                                                            "answer_not_taken",
+                                                            "linger_over",
+                                                            "shutdown",
+                                                            "connections_full",
+                                                            "open_full",
+                                                            "bytes_full",
+                                                            "class_full",
+                                                            "tenant_full",
+                                                            "too_late",
+                                                            "displaced",
+                                                            "retry_budget",
+                                                            "body_memory"};
+  return kNames[static_cast<std::size_t>(cause)];
+}
+
+}  // namespace quinceline::admission
--- /dev/null
+++ b/src/admission/connections.cpp
@@ -0,0 +1,306 @@
+#include "connections.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace quinceline::admission {
+namespace {
+
+// A client that has just connected is about to ask. How long that takes is learnt; these are its bounds.
+constexpr Time kLeastGrace = 20'000, kMostGrace = 200'000;
+constexpr double kGraceFactor = 4;
+constexpr double kAsksWeight = 0.1;   // the last ten connections count
+constexpr double kDelayFades = 0.02;  // of the learnt delay, with each client that asks sooner
+// Room is taken from one address first where it has this many times what the others have on average, and this
+// part of all.
+constexpr double kOverShare = 2;
+constexpr std::size_t kLargePart = 8;
+// Connections with input waiting that makeRoom() passes over before it says that there is none.
+constexpr int kMostSkipped = 64;
+
+}  // namespace
+
+ConnectionGate::ConnectionGate(Limits limits) : limits_(limits) {}
+
+std::size_t ConnectionGate::AddressHash::operator()(const PeerAddress& a) const {
+  std::uint64_t high = 0, low = 0;
+  std::memcpy(&high, a.data(), 8);
+  std::memcpy(&low, a.data() + 8, 8);
+  std::uint64_t h = (high * 0x9E3779B97F4A7C15ULL) ^ low;
+  h = (h ^ (h >> 31)) * 0xBF58476D1CE4E5B9ULL;
+  return h ^ (h >> 29);
+}
+
+ConnectionGate::Record* ConnectionGate::find(ConnectionId id) {
+  const auto slot = static_cast<std::uint32_t>(id) - 1U;
+  if (slot >= records_.size()) return nullptr;
+  Record& r = records_[slot];
+  return r.generation == id >> 32 && r.peer != kNoSlot ? &r : nullptr;
+}
+
+SlotList& ConnectionGate::listOf(const Record& r) {
+  return r.state == State::Silent ? silent_ : r.requests > 1 ? used_ : once_;
+}
+
+void ConnectionGate::rest(Slot slot) {
+  Record& r = records_[slot];
+  r.resting = true;
+  r.skipped = false;
+  listOf(r).pushBack(records_, &Record::order, slot);
+  peers_[r.peer].resting.pushBack(records_, &Record::of_peer, slot);
+}
+
+void ConnectionGate::wake(Slot slot) {
+  Record& r = records_[slot];
+  if (!std::exchange(r.resting, false)) return;
+  listOf(r).remove(records_, &Record::order, slot);
+  peers_[r.peer].resting.remove(records_, &Record::of_peer, slot);
+}
+
+void ConnectionGate::setDue(Slot slot, Time due) {
+  Record& r = records_[slot];
+  if (r.due != 0) wheel_[r.bucket].remove(records_, &Record::wheel, slot);
+  r.due = due;
+  if (due == 0) return;
+  // What is due already goes where the next look begins.
+  r.bucket = static_cast<std::uint16_t>(std::max(due / kTick, swept_) % static_cast<Time>(kBuckets));
+  wheel_[r.bucket].pushBack(records_, &Record::wheel, slot);
+}
+
+void ConnectionGate::recount(Slot peer, std::uint32_t connections) {
+  std::uint32_t& count = peers_[peer].connections;
+  // Those with a single connection can't be over a share, and there may be very many of them.
+  if (count > 1) by_count_.erase({count, peer});
+  count = connections;
+  if (count > 1) by_count_.insert({count, peer});
+}
+
+void ConnectionGate::joinPeer(Slot slot, const PeerAddress& address) {
+  const auto [it, first] = peer_slots_.try_emplace(address, kNoSlot);
+  if (first) {
+    if (free_peers_.empty()) {
+      free_peers_.push_back(static_cast<Slot>(peers_.size()));
+      peers_.emplace_back();
+    }
+    it->second = free_peers_.back();
+    free_peers_.pop_back();
+    peers_[it->second].address = address;
+  }
+  records_[slot].peer = it->second;
+  recount(it->second, peers_[it->second].connections + 1);
+}
+
+void ConnectionGate::leavePeer(Slot slot) {
+  const Slot peer = std::exchange(records_[slot].peer, kNoSlot);
+  recount(peer, peers_[peer].connections - 1);
+  if (peers_[peer].connections > 0) return;
+  peer_slots_.erase(peers_[peer].address);
+  free_peers_.push_back(peer);
+}
+
+ConnectionId ConnectionGate::onAccepted(Time now, const PeerAddress& peer) {
+  if (connections_ == 0) swept_ = std::max(swept_, now / kTick);
+  if (free_.empty()) {
+    free_.push_back(static_cast<Slot>(records_.size()));
+    records_.emplace_back();
+  }
+  const Slot slot = free_.back();
+  free_.pop_back();
+  Record& r = records_[slot];
+  const std::uint32_t generation = r.generation + 1;
+  r = {};
+  r.generation = generation;
+  r.since = now;
+  r.beyond = full();
+  joinPeer(slot, peer);
+  r.beyond |= atBound(peers_[r.peer]);
+  rest(slot);
+  setDue(slot, now + limits_.silent);
+  ++connections_;
+  ++accepted_;
+  return idOf(slot);
+}
+
+void ConnectionGate::onFirstByte(Time now, ConnectionId id) {
+  Record* const r = find(id);
+  if (r == nullptr) return;
+  const auto slot = static_cast<Slot>(r - records_.data());
+  const bool first = r->state == State::Silent;
+  if (first) {
+    const auto took = static_cast<double>(now - r->since);
+    asks_ += kAsksWeight * (1 - asks_);
+    ask_delay_ = std::max(took, ask_delay_ - kDelayFades * (ask_delay_ - took));
+  }
+  if (r->resting) reuse_.onRequest(now, r->requests + 1, idle());
+  wake(slot);
+  ++r->requests;
+  const Time from = first ? r->since : now;
+  r->state = State::Reading;
+  r->since = from;
+  setDue(slot, from + limits_.request);
+}
+
+void ConnectionGate::onRequest(ConnectionId id) {
+  Record* const r = find(id);
+  if (r == nullptr) return;
+  r->state = State::Waiting;
+  setDue(static_cast<Slot>(r - records_.data()), 0);
+}
+
+Cause ConnectionGate::onAnswer(Time now, ConnectionId id, bool more) {
+  Record* const r = find(id);
+  if (r == nullptr) return Cause::None;
+  const auto slot = static_cast<Slot>(r - records_.data());
+  wake(slot);
+  r->state = State::Answering;
+  r->since = now;
+  setDue(slot, now + limits_.write);
+  const bool full_without_silent = connections_ - silent() > limits_.most;
+  if (std::exchange(r->beyond, false) && (full_without_silent || atBound(peers_[r->peer])))
+    return Cause::ConnectionsFull;
+  if (more || !reuse_.frugal()) return Cause::None;
+  // One that was used again before is as good as any.
+  return r->requests < 2 && idle() >= limits_.kept ? Cause::NotReused : Cause::None;
+}
+
+void ConnectionGate::onRest(Time now, ConnectionId id) {
+  Record* const r = find(id);
+  if (r == nullptr) return;
+  const auto slot = static_cast<Slot>(r - records_.data());
+  wake(slot);
+  r->state = State::Idle;
+  r->since = now;
+  rest(slot);
+  setDue(slot, now + limits_.idle);
+}
+
+void ConnectionGate::onLinger(Time now, ConnectionId id) {
+  Record* const r = find(id);
+  if (r == nullptr) return;
+  const auto slot = static_cast<Slot>(r - records_.data());
+  wake(slot);
+  r->state = State::Lingering;
+  r->since = now;
+  setDue(slot, now + limits_.linger);
+}
+
+void ConnectionGate::onClosed(ConnectionId id, Cause cause) {
+  Record* const r = find(id);
+  if (r == nullptr) return;
+  const auto slot = static_cast<Slot>(r - records_.data());
+  const bool early =
+      cause == Cause::IdleGaveWay || cause == Cause::UnusedGaveWay || cause == Cause::PeerShare;
+  if (r->state == State::Idle && !early) reuse_.onUnused(r->requests);
+  if (r->state == State::Silent) asks_ -= kAsksWeight * asks_;
+  wake(slot);
+  setDue(slot, 0);
+  leavePeer(slot);
+  free_.push_back(slot);
+  --connections_;
+  ++closed_[static_cast<std::size_t>(cause)];
+}
+
+bool ConnectionGate::refuses(ConnectionId id) const {
+  const Record* const r = find(id);
+  // Whoever says nothing or rests will make room: only those that are busy stand in the way.
+  return r != nullptr && r->beyond && (busy() > limits_.most || atBound(peers_[r->peer]));
+}
+
+void ConnectionGate::notYet(Time now, ConnectionId id) {
+  Record* const r = find(id);
+  if (r == nullptr) return;
+  r->skipped = true;
+  if (r->due != 0 && r->due <= now) setDue(static_cast<Slot>(r - records_.data()), now + kTick);
+}
+
+Time ConnectionGate::silentGrace() const {
+  if (crowded()) return kLeastGrace;
+  return std::clamp(static_cast<Time>(kGraceFactor * ask_delay_), kLeastGrace, kMostGrace);
+}
+
+std::optional<ConnectionGate::Closing> ConnectionGate::oldest(const SlotList& list, Time before,
+                                                              Cause cause) {
+  int skipped = 0;
+  for (Slot s = list.front(); s != kNoSlot; s = records_[s].order.after) {
+    if (records_[s].since > before) return std::nullopt;
+    if (!records_[s].skipped) return Closing{idOf(s), cause};
+    if (++skipped > kMostSkipped) return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+// One address that holds far more than the others gives way before anybody else's kept connections do.
+std::optional<ConnectionGate::Closing> ConnectionGate::overShare(Time now, Time before) const {
+  if (by_count_.empty() || peer_slots_.size() < 2) return std::nullopt;
+  const auto [count, peer] = *by_count_.rbegin();
+  const double others =
+      static_cast<double>(connections_ - count) / static_cast<double>(peer_slots_.size() - 1);
+  if (count < limits_.most / kLargePart || count <= kOverShare * others) return std::nullopt;
+  return oldestOf(peers_[peer], now, before);
+}
+
+std::optional<ConnectionGate::Closing> ConnectionGate::oldestOf(const Peer& peer, Time now,
+                                                                Time before) const {
+  int skipped = 0;
+  for (Slot s = peer.resting.front(); s != kNoSlot; s = records_[s].of_peer.after) {
+    const Record& r = records_[s];
+    if (r.since > before) return std::nullopt;
+    const bool just_connected = r.state == State::Silent && r.since > now - kLeastGrace;
+    if (!r.skipped && !just_connected) return Closing{idOf(s), Cause::PeerShare};
+    if (++skipped > kMostSkipped) return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+std::optional<ConnectionGate::Closing> ConnectionGate::makeRoomAt(Time now, const PeerAddress& peer) {
+  const auto it = peer_slots_.find(peer);
+  if (it == peer_slots_.end() || !atBound(peers_[it->second])) return std::nullopt;
+  return oldestOf(peers_[it->second], now, now);
+}
+
+// The least useful first. Silent ones that had their chance; then what one address holds beyond its share;
+// then kept ones: where connections are not used again those that never were, else whoever has rested
+// longest, and those that have carried several requests last. Silent ones that are still protected come at
+// the very end, and those that have connected just now never: a client whose request is on its way would lose
+// it. In a crowd that says nothing no kept one goes for another of the crowd: there is room again as soon as
+// the protection is over.
+std::optional<ConnectionGate::Closing> ConnectionGate::makeRoom(Time now, Time rested) {
+  const Time before = now - rested;
+  if (auto c = oldest(silent_, std::min(before, now - silentGrace()), Cause::SilentGaveWay)) return c;
+  if (auto c = overShare(now, before)) return c;
+  if (crowded() && !silent_.empty()) return std::nullopt;
+  if (auto c = oldest(once_, before, reuse_.frugal() ? Cause::UnusedGaveWay : Cause::IdleGaveWay)) return c;
+  if (auto c = oldest(used_, before, Cause::IdleGaveWay)) return c;
+  return oldest(silent_, std::min(before, now - kLeastGrace), Cause::SilentGaveWay);
+}
+
+void ConnectionGate::overdue(Time now, std::vector<Overdue>& out) {
+  const Time to = now / kTick;
+  const Time from = std::max(swept_, to - static_cast<Time>(kBuckets) + 1);
+  for (Time tick = from; tick <= to; ++tick) {
+    const SlotList& bucket = wheel_[static_cast<std::size_t>(tick) % kBuckets];
+    for (Slot s = bucket.front(); s != kNoSlot; s = records_[s].wheel.after) {
+      if (records_[s].due <= now) out.push_back({idOf(s), records_[s].state});
+    }
+  }
+  swept_ = to;
+}
+
+Cause ConnectionGate::causeOf(State state) {
+  switch (state) {
+    case State::Silent:
+      return Cause::SilentOverdue;
+    case State::Idle:
+      return Cause::IdleOverdue;
+    case State::Reading:
+      return Cause::RequestOverdue;
+    case State::Lingering:
+      return Cause::LingerOver;
+    case State::Waiting:
+    case State::Answering:
+      break;
+  }
+  return Cause::AnswerNotTaken;
+}
+
+}  // namespace quinceline::admission
--- a/src/net/descriptors.h
+++ b/src/net/descriptors.h
@@ -6,36 +6,59 @@
 #include <utility>
 #include <vector>
 
+#include "admission/places.h"
+#include "clock.h"
+
 namespace quinceline {
 
-// Whoever opens a connection takes a place first. When none is left, idle connections give way: first those
-// to hosts, then those of clients (each reclaimer closes one and tells whether it could).
+using admission::Side;
+
+// Whoever opens a connection takes a place first. When none is free for that side, connections give way, in
+// the order of the reclaimers (each closes one and tells whether it could).
 class Descriptors {
  public:
-  explicit Descriptors(std::size_t limit) : limit_(limit) {}
-
-  void addReclaimer(std::function<bool()> closeOneIdle) { reclaimers_.push_back(std::move(closeOneIdle)); }
-
-  // `spare`: places that must stay free for others. Attempts leave some to clients: a request that waits in
-  // the accept queue is lost, an attempt that is not sent is merely turned away.
-  bool take(std::size_t spare = 0) {
-    while (used_ + spare >= limit_) {
-      bool closed = false;
-      for (const auto& reclaim : reclaimers_) {
-        if ((closed = reclaim())) break;
-      }
-      if (!closed) return false;
+  Descriptors(const Clock& clock, std::size_t limit)
+      : clock_(clock), places_({.all = limit, .least_clients = limit / 8, .least_hosts = limit / 4}) {}
+
+  void addReclaimer(Side side, std::function<bool()> closeOne) {
+    reclaimers_.push_back({side, std::move(closeOne)});
+  }
+
+  // False: there is no place, and nobody can give way.
+  bool take(Side side) {
+    while (!places_.free(clock_.now(), side)) {
+      if (!reclaim(side)) return false;
     }
-    ++used_;
+    places_.take(clock_.now(), side);
     return true;
   }
-  void release() { --used_; }
-  std::size_t used() const { return used_; }
-  std::size_t limit() const { return limit_; }
+  // For a connection that is open already.
+  void takeAnyway(Side side) { places_.take(clock_.now(), side); }
+  void release(Side side) { places_.release(clock_.now(), side); }
+
+  std::size_t most(Side side) { return places_.most(clock_.now(), side); }
+  std::size_t used() const { return places_.used(); }
+  std::size_t used(Side side) const { return places_.used(side); }
+  std::size_t limit() const { return places_.all(); }
 
  private:
-  std::size_t limit_, used_ = 0;
-  std::vector<std::function<bool()>> reclaimers_;
+  struct Reclaimer {
+    Side side;
+    std::function<bool()> closeOne;
+  };
+
+  // Where a side is at its own bound, only its own connections make room for it.
+  bool reclaim(Side side) {
+    const bool own = places_.used(side) >= places_.most(clock_.now(), side);
+    for (const Reclaimer& r : reclaimers_) {
+      if ((!own || r.side == side) && r.closeOne()) return true;
+    }
+    return false;
+  }
+
+  const Clock& clock_;
+  admission::Places places_;
+  std::vector<Reclaimer> reclaimers_;
 };
 
 }  // namespace quinceline
--- a/src/net/proxy.cpp
+++ b/src/net/proxy.cpp
@@ -59,14 +59,15 @@
 Server::Limits serverLimits(const Config& config, std::size_t descriptors) {
   Server::Limits limits;
   limits.body_bytes = std::max<std::size_t>(config.memory_mb * kMegabyte / 4, kMostBody);
-  limits.connections = std::max<std::size_t>(descriptors * 6 / 10, 16);
+  limits.connections.most = descriptors;  // fewer where hosts use their share
+  limits.connections.overflow = std::max<std::size_t>(descriptors / 16, 4);
+  limits.connections.kept = std::max<std::size_t>(descriptors / 24, 8);
   return limits;
 }
 
-Upstream::Limits upstreamLimits(const Config& config, std::size_t descriptors) {
+Upstream::Limits upstreamLimits(const Config& config) {
   Upstream::Limits limits;
   limits.idle = config.site.idle;
-  limits.spare_descriptors = descriptors / 8;
   limits.probe_load = config.site.reports;
   // Answers are small and written at once; what stops half-way is worth a part of the aim at most.
   Time aim = kSecond;
@@ -89,10 +90,10 @@
       log_(log),
       clock_(clock),
       timers_(io, clock),
-      descriptors_(budgetOf(config_)),
+      descriptors_(clock, budgetOf(config_)),
       balancer_(config_.site.settings, config_.seed),
       server_(io, timers_, descriptors_, log, *this, serverLimits(config_, descriptors_.limit())),
-      upstream_(io, timers_, descriptors_, *this, upstreamLimits(config_, descriptors_.limit())),
+      upstream_(io, timers_, descriptors_, *this, upstreamLimits(config_)),
       discovery_(io, timers_, config_.zones, *this, config_.discovery, config_.known.revision, {}) {
   for (std::size_t i = 0; i < config_.site.classes.size(); ++i) {
     const weldflow::RequestClass& c = config_.site.settings.classes[i];
@@ -102,9 +103,9 @@
     tenants_[config_.site.tenants[i]] = static_cast<std::int32_t>(i);
   }
   // Clients that only stay are cheaper to lose than connections to hosts, which cost these work to open.
-  descriptors_.addReclaimer([this] { return server_.closeOneIdle(kMayBeClosed); });
-  descriptors_.addReclaimer([this] { return upstream_.closeOneIdle(); });
-  descriptors_.addReclaimer([this] { return server_.closeOneIdle(); });
+  descriptors_.addReclaimer(Side::Clients, [this] { return server_.closeOneIdle(kMayBeClosed); });
+  descriptors_.addReclaimer(Side::Hosts, [this] { return upstream_.closeOneIdle(); });
+  descriptors_.addReclaimer(Side::Clients, [this] { return server_.closeOneIdle(); });
 }
 
 Proxy::~Proxy() = default;
@@ -184,7 +185,7 @@
   return it == classes_.end() ? nullptr : &it->second;
 }
 
-std::optional<Answer> Proxy::onHead(const RequestHead& head) {
+std::optional<Answer> Proxy::onHead(const RequestHead& head, bool room) {
   if (pathOf(head.target) == "/healthz") return plain(head.method == "GET" ? 200 : 405);
   const ClassInfo* const info = classOf(head.target);
   if (info == nullptr) return plain(404);
@@ -198,7 +199,7 @@
     if (!left) return plain(400);
     if (*left <= 0) return plain(504);
   }
-  if (unanswered_ >= static_cast<std::size_t>(config_.site.max_open)) {
+  if (!room || unanswered_ >= static_cast<std::size_t>(config_.site.max_open)) {
     Answer full = plain(503);
     full.retry_after = info->deadline / 8;
     return full;
--- a/src/net/proxy.h
+++ b/src/net/proxy.h
@@ -63,7 +63,7 @@
   };
 
   // What server, upstream and discovery report.
-  std::optional<Answer> onHead(const RequestHead& head) override;
+  std::optional<Answer> onHead(const RequestHead& head, bool room) override;
   void onRequest(ExchangeId id, ClientRequest request) override;
   void onClientGone(ExchangeId id) override;
   void onAttemptEnd(AttemptId id, AttemptEnd end) override;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -21,9 +21,9 @@
 constexpr std::size_t kReadAhead = 4 * 1024;  // of a next request that comes before the answer
 constexpr std::size_t kBodyRead = 32 * 1024;  // at a time
 constexpr std::size_t kHeadRead = 1024;
-constexpr Time kSweep = 100 * kMillisecond;        // how often connections are looked at for what is overdue
-constexpr Time kSilentGrace = 200 * kMillisecond;  // a client that has just connected is about to ask
-constexpr Time kAcceptAgain = 20 * kMillisecond;   // after the system or the budget had no descriptor
+constexpr Time kSweep = 100 * kMillisecond;       // how often connections are looked at for what is overdue
+constexpr Time kAcceptAgain = 20 * kMillisecond;  // after the system or the budget had no descriptor
+constexpr int kAcceptBatch = 64;                  // connections taken before others have their turn
 
 std::string_view reasonOf(int status) {
   const auto text = http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status)));
@@ -67,26 +67,29 @@
   return static_cast<Time>(info.tcpi_last_data_recv) * kMillisecond;
 }
 
+admission::PeerAddress addressOf(const asio::ip::tcp::socket& socket) {
+  error_code ec;
+  const asio::ip::address address = socket.remote_endpoint(ec).address();
+  if (ec) return {};
+  return (address.is_v4() ? asio::ip::make_address_v6(asio::ip::v4_mapped, address.to_v4()) : address.to_v6())
+      .to_bytes();
+}
+
 }  // namespace
 
 // One client's connection. It lives as long as the server lists it or an operation of its socket is out.
 class Server::Connection : public std::enable_shared_from_this<Connection> {
  public:
-  Connection(Server& server, std::uint64_t id, Socket socket)
+  Connection(Server& server, ConnectionId id, Socket socket)
       : server_(server), id_(id), socket_(std::move(socket)) {}
 
   void start() {
     error_code ignored;
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);
-    rest(server_.silent_, server_.limits_.silent);
     nextRequest();
   }
 
-  // When something must have happened; then overdue() is called.
-  Time due() const { return due_; }
-  Time restingSince() const { return resting_since_; }
-
   // Something has come that was not read yet: the connection is not really idle.
   bool inputWaits() {
     error_code ec;
@@ -94,7 +97,10 @@
   }
 
   void answer(Answer answer) {
-    wake();
+    resting_ = false;
+    const Cause verdict = server_.gate_.onAnswer(server_.now(), id_, in_.size() > 0);
+    if (verdict != Cause::None) close_ = true;
+    cause_ = verdict;
     out_ = headOf(answer.status, answer.content_type);
     if (answer.retry_after) {
       out_ += "Retry-After: ";
@@ -104,7 +110,7 @@
     out_ += "Content-Length: ";
     appendNumber(out_, answer.body.size());
     out_ += "\r\n";
-    if (server_.draining_) close_ = true;
+    if (server_.draining_) close_ = true, cause_ = Cause::Shutdown;
     if (close_) {
       out_ += "Connection: close\r\n";
     } else if (old_version_) {
@@ -116,7 +122,6 @@
     parser_.reset();  // with the body of a request that is refused
     share_.reset();
     state_ = State::Answering;
-    due_ = now() + server_.limits_.write;
     write();
   }
 
@@ -127,41 +132,27 @@
 
   // The limits of time. None is renewed by a byte more or less: whoever trickles gets no longer than whoever
   // is silent. They would harm clients on slow lines; the protocol's are on the same machine.
-  void overdue() {
-    if (resting_ != nullptr) {
-      if (inputWaits()) return;  // its reading is under way
-      return close();
-    }
-    if (state_ == State::Reading) return refuse(waits_for_room_ ? 503 : 408);
-    close();
+  void overdue(Cause cause) {
+    if (resting_ && inputWaits())
+      return server_.gate_.notYet(server_.now(), id_);  // its reading is under way
+    if (resting_ || state_ != State::Reading) return close(cause);
+    refuse(waits_for_room_ ? 503 : 408);
+    cause_ = waits_for_room_ ? Cause::BodyMemory : cause;
   }
 
-  void close() {
+  void close(Cause cause) {
     if (state_ == State::Closed) return;
-    wake();
     state_ = State::Closed;
     share_.reset();
     error_code ignored;
     socket_.close(ignored);
-    server_.remove(id_);  // the last thing: it may destroy this
+    server_.remove(id_, cause);  // the last thing: it may destroy this
   }
 
  private:
   enum class State { Reading, Waiting, Answering, Lingering, Closed };
 
-  Time now() const { return server_.timers_.clock().now(); }
-
-  // No request is open here: first among those to give way, in the order of `list`.
-  void rest(Resting& list, Time limit) {
-    resting_ = &list;
-    resting_since_ = now();
-    place_ = list.insert(list.end(), this);
-    due_ = resting_since_ + limit;
-  }
-
-  void wake() {
-    if (Resting* const list = std::exchange(resting_, nullptr)) list->erase(place_);
-  }
+  void close() { close(cause_); }
 
   void nextRequest() {
     state_ = State::Reading;
@@ -178,12 +169,10 @@
     }
   }
 
-  // A request's first byte is here. A connection's first request is counted from its acceptance.
+  // A request's first byte is here.
   void begin() {
-    const bool first = resting_ == &server_.silent_;
-    const Time from = first ? resting_since_ : now();
-    wake();
-    due_ = from + server_.limits_.request;
+    resting_ = false;
+    server_.gate_.onFirstByte(server_.now(), id_);
   }
 
   // ---- reading ----
@@ -207,7 +196,7 @@
     if (ec) return onReadEnd(ec);
     in_.commit(n);
     if (state_ == State::Reading) {
-      if (resting_ != nullptr) begin();
+      if (resting_) begin();
       return parse();
     }
     // A further request before this one's answer: it waits, and so do we beyond a bound.
@@ -257,7 +246,7 @@
     head_seen_ = true;
     old_version_ = parser_->head.old_version;
     close_ = !parser_->keep_alive();
-    if (std::optional<Answer> early = server_.sink_.onHead(parser_->head)) {
+    if (std::optional<Answer> early = server_.sink_.onHead(parser_->head, !server_.gate_.refuses(id_))) {
       if (!parser_->is_done()) close_ = true;  // its body is not waited for
       answer(std::move(*early));
       return false;
@@ -284,7 +273,7 @@
 
   void complete() {
     ClientRequest request;
-    request.received = now() - ageOfInput(socket_.native_handle());
+    request.received = server_.now() - ageOfInput(socket_.native_handle());
     request.head = std::move(parser_->head);
     // The body and its share of the budget go together, whoever holds them longest.
     if (share_) {
@@ -297,7 +286,7 @@
       share_.reset();
     }
     state_ = State::Waiting;
-    due_ = kNever;  // its deadline is the sink's to keep
+    server_.gate_.onRequest(id_);  // its deadline is the sink's to keep
     parser_.reset();
     exchange_ = server_.next_exchange_++;
     server_.exchanges_.emplace(exchange_, this);
@@ -322,7 +311,8 @@
     out_ = std::string();
     if (ec) return close();
     if (close_) return linger();
-    rest(server_.idle_, server_.limits_.idle);
+    resting_ = true;
+    server_.gate_.onRest(server_.now(), id_);
     nextRequest();
   }
 
@@ -330,7 +320,7 @@
   // then take what the client still sends, and forget it, until it has closed too or the time is up.
   void linger() {
     state_ = State::Lingering;
-    due_ = now() + server_.limits_.linger;
+    server_.gate_.onLinger(server_.now(), id_);
     error_code ec;
     socket_.shutdown(asio::socket_base::shutdown_send, ec);
     if (ec) return close();
@@ -347,13 +337,11 @@
   }
 
   Server& server_;
-  const std::uint64_t id_;
+  const ConnectionId id_;
   Socket socket_;
   State state_ = State::Reading;
-  Time due_ = kNever;
-  Resting* resting_ = nullptr;  // the list it is in while no request is open here
-  Resting::iterator place_;
-  Time resting_since_ = 0;
+  Cause cause_ = Cause::None;  // of its end, where that was decided here
+  bool resting_ = true;        // no request is open here
   ReadBuffer in_;
   std::optional<RequestParser> parser_;
   std::shared_ptr<BodyShare> share_;  // of the body that is being read
@@ -373,7 +361,8 @@
       sink_(sink),
       limits_(limits),
       bodies_(std::make_shared<BodyBudget>(limits.body_bytes)),
-      acceptor_(io) {
+      acceptor_(io),
+      gate_(limits.connections) {
   bodies_->onRoom([this] { grantBodies(); });
   sweep();
 }
@@ -381,7 +370,7 @@
 Server::~Server() {
   bodies_->onRoom(nullptr);
   const auto connections = std::exchange(connections_, {});
-  for (const auto& [id, connection] : connections) connection->close();
+  for (const auto& [id, connection] : connections) connection->close(Cause::Shutdown);
 }
 
 void Server::listen(const asio::ip::tcp::endpoint& endpoint) {
@@ -396,73 +385,99 @@
 
 asio::ip::tcp::endpoint Server::localEndpoint() const { return acceptor_.local_endpoint(); }
 
-// The next connection is awaited only while there is a descriptor for it. When there is none, the wait is
-// timed: trying on at once would spin, and a client that waits in the queue must be taken up again.
 void Server::accept() {
-  if (accepting_ || !acceptor_.is_open()) return;
-  const bool room = connections_.size() < limits_.connections || closeOneIdle();
-  if (!room || !descriptors_.take()) {
-    timers_.after(kAcceptAgain, [this] { accept(); });
-    return;
-  }
+  if (accepting_ || no_place_ || !acceptor_.is_open()) return;
   accepting_ = true;
-  acceptor_.async_accept([this](error_code ec, Socket socket) {
+  acceptor_.async_wait(asio::ip::tcp::acceptor::wait_read, [this](error_code ec) {
     accepting_ = false;
-    if (ec == asio::error::operation_aborted || !acceptor_.is_open()) {
-      descriptors_.release();
-      return;
-    }
-    if (ec) {
-      descriptors_.release();
-      if (ec == asio::error::no_descriptors || ec.value() == ENFILE) {
-        log_.line("accept: " + ec.message());
-        closeOneIdle();
-      }
-      timers_.after(kAcceptAgain, [this] { accept(); });
-      return;
-    }
-    admit(std::move(socket));
+    if (ec != asio::error::operation_aborted && acceptor_.is_open()) acceptBatch();
+  });
+}
+
+// Trying on at once would spin; a client that waits in the queue must be taken up again, also if nobody
+// leaves: what may give way changes with time.
+void Server::acceptLater() {
+  no_place_ = true;
+  timers_.after(kAcceptAgain, [this] {
+    no_place_ = false;
     accept();
   });
 }
 
+// The queue is drained in bounded batches: what waits behind a crowd that says nothing is reached soon, and
+// open requests have their turn in between.
+void Server::acceptBatch() {
+  for (int n = 0; n < kAcceptBatch; ++n) {
+    if (!takePlace()) return acceptLater();
+    error_code ec;
+    Socket socket(io_);
+    acceptor_.accept(socket, ec);
+    if (!ec) {
+      if (gate_.full()) closeOneIdle();
+      admit(std::move(socket));
+      continue;
+    }
+    descriptors_.release(Side::Clients);
+    if (ec == asio::error::would_block) break;
+    if (ec == asio::error::no_descriptors || ec.value() == ENFILE) {
+      log_.line("accept: " + ec.message());
+      closeOneIdle();
+      return acceptLater();
+    }
+  }
+  accept();
+}
+
+// A descriptor for the next connection. Beyond the bound a few more are taken whose requests are refused at
+// once: left in the queue they would wait for nothing.
+bool Server::takePlace() {
+  const std::size_t most = descriptors_.most(Side::Clients), over = limits_.connections.overflow;
+  gate_.setMost(std::min(limits_.connections.most, most > over ? most - over : 1));
+  if (gate_.overfull() && !closeOneIdle()) return false;
+  return descriptors_.take(Side::Clients);
+}
+
 void Server::admit(Socket socket) {
-  const std::uint64_t id = next_connection_++;
+  const admission::PeerAddress peer = addressOf(socket);
+  const ConnectionId id = gate_.onAccepted(now(), peer);
   const auto connection = std::make_shared<Connection>(*this, id, std::move(socket));
   connections_.emplace(id, connection);
   connection->start();
+  closeChosen([&] { return gate_.makeRoomAt(now(), peer); }, std::nullopt);
 }
 
-void Server::remove(std::uint64_t connection) {
-  if (connections_.erase(connection) > 0) descriptors_.release();
+void Server::remove(ConnectionId connection, Cause cause) {
+  if (connections_.erase(connection) == 0) return;
+  gate_.onClosed(connection, cause);
+  descriptors_.release(Side::Clients);
 }
 
-// Those that have never said anything go first (a flood of them must not cost clients that ask their
-// connections), then whoever has rested longest. Cost: those looked at that have input waiting, hardly any.
-bool Server::closeOneIdle(Time rested) {
-  const Time now = timers_.clock().now();
-  return closeFirst(silent_, now - std::max(rested, kSilentGrace)) || closeFirst(idle_, now - rested) ||
-         closeFirst(silent_, now - rested);
+bool Server::closeOne(Time rested, std::optional<Cause> why) {
+  return closeChosen([&] { return gate_.makeRoom(now(), rested); }, why);
 }
 
-bool Server::closeFirst(Resting& list, Time resting_before) {
-  for (Connection* const c : list) {
-    if (c->restingSince() > resting_before) return false;
-    if (c->inputWaits()) continue;
-    c->close();
+template <typename Choose>
+bool Server::closeChosen(Choose choose, std::optional<Cause> why) {
+  while (const auto victim = choose()) {
+    const std::shared_ptr<Connection> connection = connections_.at(victim->id);
+    if (connection->inputWaits()) {
+      gate_.notYet(now(), victim->id);
+      continue;
+    }
+    connection->close(why.value_or(victim->cause));
     return true;
   }
   return false;
 }
 
 void Server::sweep() {
-  const Time now = timers_.clock().now();
-  std::vector<std::shared_ptr<Connection>> overdue;
-  for (const auto& [id, connection] : connections_) {
-    if (connection->due() <= now) overdue.push_back(connection);
-  }
-  for (const auto& connection : overdue) {
-    if (connection->due() <= now) connection->overdue();
+  overdue_.clear();
+  gate_.overdue(now(), overdue_);
+  for (const auto& [id, state] : overdue_) {
+    const auto it = connections_.find(id);
+    if (it == connections_.end()) continue;
+    const std::shared_ptr<Connection> connection = it->second;
+    connection->overdue(admission::ConnectionGate::causeOf(state));
   }
   timers_.after(kSweep, [this] { sweep(); });
 }
@@ -480,7 +495,7 @@
 void Server::drain() { draining_ = true; }
 
 void Server::closeIdle() {
-  while (closeOneIdle()) {
+  while (closeOne(0, Cause::Shutdown)) {
   }
 }
 
@@ -492,7 +507,7 @@
     Socket socket(io_);
     acceptor_.accept(socket, ec);
     if (ec) break;
-    descriptors_.take();  // beyond the budget if need be: these few are the last
+    descriptors_.takeAnyway(Side::Clients);  // these few are the last
     admit(std::move(socket));
   }
   error_code ignored;
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -6,12 +6,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
-#include <list>
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
+#include "admission/connections.h"
 #include "body_budget.h"
 #include "descriptors.h"
 #include "http.h"
@@ -39,8 +40,9 @@
 class RequestSink {
  public:
   virtual ~RequestSink() = default;
-  // A request's head has come. Something to refuse it with, before its body is read; nothing: go on.
-  virtual std::optional<Answer> onHead(const RequestHead& head) = 0;
+  // A request's head has come; `room`: its connection is within the bound. Something to refuse it with,
+  // before its body is read; nothing: go on.
+  virtual std::optional<Answer> onHead(const RequestHead& head, bool room) = 0;
   // A whole request; it wants one answer.
   virtual void onRequest(ExchangeId id, ClientRequest request) = 0;
   // The client has gone before its answer was complete. Nothing is owed any more.
@@ -51,14 +53,7 @@
  public:
   struct Limits {
     std::size_t body_bytes = 64 * 1024 * 1024;  // all request bodies together
-    std::size_t connections = 512;
-    Time request =
-        2400 * kMillisecond;  // from a connection's acceptance, or a next request's first byte, to its last
-    Time silent = 2400 * kMillisecond;  // from a connection's acceptance to its first byte
-    Time idle = 4 * kSecond;            // between an answer and the next request
-    Time write = 3 * kSecond;           // for a client to take its whole answer
-    Time linger =
-        2500 * kMillisecond;  // for it to end its sending after an answer that closes the connection
+    admission::ConnectionGate::Limits connections;
   };
 
   Server(boost::asio::io_context& io, Timers& timers, Descriptors& descriptors, Log& log, RequestSink& sink,
@@ -73,24 +68,32 @@
 
   // Graceful shutdown: from now on each answer closes its connection.
   void drain();
-  // Closes the connections on which nothing has come.
+  // Closes the connections on which no request is open.
   void closeIdle();
   // Takes what is left in the accept queue, then closes the listener.
   void stopListening();
   // Gives a descriptor back, of a connection that has rested for `rested`; false: there is none.
-  bool closeOneIdle(Time rested = 0);
+  bool closeOneIdle(Time rested = 0) { return closeOne(rested, std::nullopt); }
   std::size_t connections() const { return connections_.size(); }
+  const admission::ConnectionGate& gate() const { return gate_; }
 
  private:
   class Connection;
   friend class Connection;
   using Socket = boost::asio::ip::tcp::socket;
-  using Resting = std::list<Connection*>;  // without an open request, the one that rests longest first
+  using Cause = admission::Cause;
+  using ConnectionId = admission::ConnectionId;
 
+  Time now() const { return timers_.clock().now(); }
   void accept();
+  void acceptLater();
+  void acceptBatch();
+  bool takePlace();
+  bool closeOne(Time rested, std::optional<Cause> why);
+  template <typename Choose>
+  bool closeChosen(Choose choose, std::optional<Cause> why);
   void admit(Socket socket);
-  void remove(std::uint64_t connection);
-  bool closeFirst(Resting& list, Time resting_before);
+  void remove(ConnectionId connection, Cause cause);
   void sweep();
   void grantBodies();
 
@@ -102,14 +105,15 @@
   Limits limits_;
   std::shared_ptr<BodyBudget> bodies_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> connections_;
+  admission::ConnectionGate gate_;
+  std::unordered_map<ConnectionId, std::shared_ptr<Connection>> connections_;
   std::unordered_map<ExchangeId, Connection*> exchanges_;  // those that wait for their answer
-  Resting silent_, idle_;                                  // before the first request, and after one
   std::array<char, 64 * 1024> discarded_;                  // where unwanted input goes, of all connections
-  std::uint64_t next_connection_ = 1;
+  std::vector<admission::ConnectionGate::Overdue> overdue_;
   ExchangeId next_exchange_ = 1;
   bool draining_ = false;
-  bool accepting_ = false;  // an accept is under way and holds a descriptor's place
+  bool accepting_ = false;  // the listener is being watched
+  bool no_place_ = false;   // connections wait in the queue until somebody leaves
 };
 
 }  // namespace quinceline
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -70,7 +70,7 @@
     error_code ignored;
     socket_.close(ignored);
     up_.forget(*this);
-    up_.descriptors_.release();
+    up_.descriptors_.release(Side::Hosts);
     up_.connections_.erase(id_);  // the last thing: it may destroy this
   }
 
@@ -378,7 +378,7 @@
 }
 
 Upstream::Connection* Upstream::open(const std::string& uid, const Endpoint& endpoint) {
-  if (!descriptors_.take(limits_.spare_descriptors)) return nullptr;
+  if (!descriptors_.take(Side::Hosts)) return nullptr;
   const std::uint64_t id = next_connection_++;
   const auto connection = std::make_shared<Connection>(*this, id, uid, endpoint);
   connections_.emplace(id, connection);
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -49,7 +49,6 @@
     Time idle = 10 * kSecond;  // when hosts close idle connections
     Time probe_timeout = 500 * kMillisecond;
     Time answer_whole = 250 * kMillisecond;  // from an answer's first byte to its last
-    std::size_t spare_descriptors = 0;       // left to clients
     bool probe_load = false;                 // hosts report their load to probes
   };
 
