--- /dev/null
+++ b/src/admission/ledger.h
@@ -0,0 +1,60 @@
+// What admission decided, counted by cause, class and tenant. No I/O, no clock.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cause.h"
+
+namespace quinceline::admission {
+
+// Classes and tenants go by index; one that is not known (-1, or beyond the last) is counted as the last,
+// "other".
+class Ledger {
+ public:
+  Ledger(std::size_t classes, std::size_t tenants)
+      : classes_(classes + 1), tenants_(tenants + 1), counts_(kCauses * classes_ * tenants_) {}
+
+  void note(Cause cause, std::int32_t cls, std::int32_t tenant) {
+    ++counts_[at(cause, place(cls, classes_), place(tenant, tenants_))];
+    ++totals_[static_cast<std::size_t>(cause)];
+  }
+  std::uint64_t total(Cause cause) const { return totals_[static_cast<std::size_t>(cause)]; }
+  std::uint64_t count(Cause cause, std::size_t cls, std::size_t tenant) const {
+    return counts_[at(cause, cls, tenant)];
+  }
+  std::size_t classes() const { return classes_; }
+  std::size_t tenants() const { return tenants_; }
+
+  // "12 open_full, 3 too_late": what came since the last call, let in not counted; empty if nothing did.
+  std::string newsSinceLast(const std::array<std::uint64_t, kCauses>& also = {}) {
+    std::string news;
+    for (std::size_t c = 1; c < kCauses; ++c) {
+      const std::uint64_t now = totals_[c] + also[c];
+      if (now == told_[c]) continue;
+      if (!news.empty()) news += ", ";
+      news += std::to_string(now - told_[c]) + ' ' + std::string(nameOf(static_cast<Cause>(c)));
+      told_[c] = now;
+    }
+    return news;
+  }
+
+ private:
+  static std::size_t place(std::int32_t index, std::size_t count) {
+    const auto i = static_cast<std::size_t>(index);
+    return index < 0 || i >= count ? count - 1 : i;
+  }
+  std::size_t at(Cause cause, std::size_t cls, std::size_t tenant) const {
+    return (static_cast<std::size_t>(cause) * classes_ + cls) * tenants_ + tenant;
+  }
+
+  std::size_t classes_, tenants_;
+  std::vector<std::uint64_t> counts_;
+  std::array<std::uint64_t, kCauses> totals_{}, told_{};
+};
+
+}  // namespace quinceline::admission
--- /dev/null
+++ b/src/admission/requests.cpp
@@ -0,0 +1,246 @@
+#include "requests.h"
+
+#include <algorithm>
+#include <cmath>
+#include <stdexcept>
+#include <string>
+
+namespace quinceline::admission {
+namespace {
+
+constexpr double kUsualWeight = 0.1;  // the last ten or so answers of a class
+constexpr double kGapWeight = 0.1;
+constexpr double kAdviceHalves = 1e6;  // microseconds: refusals of the last seconds count
+
+}  // namespace
+
+RequestGate::RequestGate(Limits limits)
+    : limits_(std::move(limits)),
+      classes_(partsOf(limits_.classes, limits_.open, "classes")),
+      tenants_(partsOf(limits_.tenants, limits_.open, "tenants")),
+      usual_(classes_.all.size()) {
+  if (!(limits_.retries_part >= 0)) throw std::invalid_argument("retries: the part is below 0");
+}
+
+RequestGate::Parts RequestGate::partsOf(const std::vector<Share>& shares, std::size_t places,
+                                        const char* what) {
+  Parts parts;
+  for (const Share& share : shares) {
+    if (!(share.weight > 0)) throw std::invalid_argument(std::string(what) + ": a weight is not above 0");
+    if (share.guaranteed > share.most)
+      throw std::invalid_argument(std::string(what) + ": more is guaranteed than allowed");
+    if (share.guaranteed > places - std::min(places, parts.unmet))
+      throw std::invalid_argument(std::string(what) + ": more is guaranteed in all than there are places");
+    parts.unmet += share.guaranteed;
+    parts.all.push_back({share, 0});
+  }
+  parts.all.emplace_back();
+  return parts;
+}
+
+std::size_t RequestGate::place(const Parts& parts, std::int32_t index) {
+  const auto i = static_cast<std::size_t>(index);
+  return index < 0 || i >= parts.all.size() ? parts.all.size() - 1 : i;
+}
+
+void RequestGate::count(Parts& parts, std::int32_t index, bool in) {
+  Part& p = parts.all[place(parts, index)];
+  if (!in) --p.open;
+  if (p.open < p.share.guaranteed) in ? --parts.unmet : ++parts.unmet;
+  if (in) ++p.open;
+}
+
+// Whoever is below what it is guaranteed always finds a place: the others leave as many free as are
+// guaranteed and not used, so that used places and these together never exceed the bound.
+Cause RequestGate::blockedBy(const Parts& parts, std::int32_t index, Cause own) const {
+  const Part& p = part(parts, index);
+  if (p.open < p.share.guaranteed) return Cause::None;
+  if (p.open >= p.share.most) return own;
+  return parts.unmet > 0 && limits_.open - open_.size() <= parts.unmet ? own : Cause::None;
+}
+
+Cause RequestGate::blocked(const Ask& ask) const {
+  if (open_.size() >= limits_.open) return Cause::OpenFull;
+  // One alone may exceed the bound: it would never be let in otherwise.
+  if (!open_.empty() && ask.bytes > limits_.bytes - std::min(limits_.bytes, bytes_)) return Cause::BytesFull;
+  const Cause by_class = blockedBy(classes_, ask.request_class, Cause::ClassFull);
+  return by_class != Cause::None ? by_class : blockedBy(tenants_, ask.tenant, Cause::TenantFull);
+}
+
+// Clients' own repeats: a part of the work, as Envoy bounds its own. After an outage everybody repeats at
+// once, and first tries must find room beside that.
+bool RequestGate::overRetries(const Ask& ask) const {
+  if (!ask.retry) return false;
+  const std::size_t held = retries_ + waiting_retries_;
+  const auto part = limits_.retries_part * static_cast<double>(open_.size() - retries_);
+  return held >= limits_.retries_least && static_cast<double>(held) >= part;
+}
+
+RequestGate::Pair RequestGate::pairOf(const Ask& ask) const {
+  return {static_cast<std::int32_t>(place(classes_, ask.request_class)),
+          static_cast<std::int32_t>(place(tenants_, ask.tenant))};
+}
+
+double RequestGate::weightOf(const Pair& pair) const {
+  return part(classes_, pair.first).share.weight * part(tenants_, pair.second).share.weight;
+}
+
+// About how long whoever comes last waits.
+Time RequestGate::expectedWait() const {
+  return static_cast<Time>(gap_ * static_cast<double>(waiting_.size() + 1));
+}
+
+const RequestGate::Pair* RequestGate::longestLine() const {
+  const Pair* longest = nullptr;
+  double most = 0;
+  for (const auto& [pair, line] : lines_) {
+    const double length = static_cast<double>(line.size()) / weightOf(pair);
+    if (length > most) most = length, longest = &pair;
+  }
+  return longest;
+}
+
+Cause RequestGate::early(const Ask& ask) const {
+  if (overRetries(ask)) return Cause::RetryBudget;
+  const Cause cause = blocked(ask);
+  if (cause == Cause::None || waiting_.size() < limits_.waiting) return Cause::None;
+  if (limits_.waiting == 0) return cause;
+  // The queue is full: only a line that is shorter than the longest gets a place in it.
+  const Pair own = pairOf(ask), longest = *longestLine();
+  const auto it = lines_.find(own);
+  const double mine = static_cast<double>(it == lines_.end() ? 1 : it->second.size() + 1) / weightOf(own);
+  return mine <= static_cast<double>(lines_.at(longest).size() - 1) / weightOf(longest) ? Cause::None : cause;
+}
+
+Verdict RequestGate::offer(Time now, const Ask& ask, std::vector<Refusal>& refused) {
+  fade(now);
+  const auto refuse = [&](Cause cause) {
+    turned_away_ += 1;
+    return Verdict{Entry::Refused, cause};
+  };
+  if (const Cause cause = early(ask); cause != Cause::None) return refuse(cause);
+  // Nobody passes those of the same kind that wait already, unless what they wait for is memory.
+  const Cause cause = blocked(ask);
+  const bool line = lines_.count(pairOf(ask)) > 0 && pickNext() != nullptr;
+  if (cause == Cause::None && !line) {
+    admit(now, ask);
+    return {};
+  }
+  if (limits_.waiting == 0) return refuse(cause);
+  if (now + expectedWait() + usual(ask.request_class) >= ask.deadline) return refuse(Cause::TooLate);
+  if (waiting_.size() >= limits_.waiting) {
+    const Line& longest = lines_.at(*longestLine());
+    const RequestKey last = longest.rbegin()->second;
+    const Waiting given_up = waiting_.at(last);
+    leaveLine(given_up.ask, given_up.latest);
+    turned_away_ += 1;
+    refused.push_back({last, Cause::Displaced});
+  }
+  enqueue(ask);
+  return {Entry::Waits, Cause::None};
+}
+
+void RequestGate::admit(Time now, const Ask& ask) {
+  count(classes_, ask.request_class, true);
+  count(tenants_, ask.tenant, true);
+  bytes_ += ask.bytes;
+  retries_ += ask.retry ? 1 : 0;
+  let_in_ += 1;
+  open_.emplace(ask.id, Open{ask.request_class, ask.tenant, ask.bytes, now, ask.retry});
+}
+
+void RequestGate::enqueue(const Ask& ask) {
+  const Time latest = ask.deadline - usual(ask.request_class);
+  waiting_.emplace(ask.id, Waiting{ask, latest});
+  lines_[pairOf(ask)].insert({ask.deadline, ask.id});
+  by_latest_.insert({latest, ask.id});
+  waiting_retries_ += ask.retry ? 1 : 0;
+}
+
+void RequestGate::leaveLine(const Ask& given, Time latest) {
+  const Ask ask = given;  // it may be the very entry that goes
+  const auto line = lines_.find(pairOf(ask));
+  line->second.erase({ask.deadline, ask.id});
+  if (line->second.empty()) lines_.erase(line);
+  by_latest_.erase({latest, ask.id});
+  waiting_retries_ -= ask.retry ? 1 : 0;
+  waiting_.erase(ask.id);
+}
+
+void RequestGate::release(Time now, RequestKey id) {
+  if (const auto it = waiting_.find(id); it != waiting_.end())
+    return leaveLine(it->second.ask, it->second.latest);
+  const auto it = open_.find(id);
+  if (it == open_.end()) return;
+  const Open& o = it->second;
+  Time& usual = usual_[place(classes_, o.request_class)];
+  const Time took = std::max<Time>(now - o.since, 0);
+  usual = usual == 0 ? took : usual + static_cast<Time>(kUsualWeight * static_cast<double>(took - usual));
+  if (!waiting_.empty() && released_ != 0) {
+    gap_ += kGapWeight * (static_cast<double>(now - released_) - gap_);
+  }
+  released_ = waiting_.empty() ? 0 : now;
+  count(classes_, o.request_class, false);
+  count(tenants_, o.tenant, false);
+  bytes_ -= o.bytes;
+  retries_ -= o.retry ? 1 : 0;
+  open_.erase(it);
+}
+
+// The first of the line that has the fewest open for its weight, of those that are not blocked.
+const Ask* RequestGate::pickNext() const {
+  const Ask* best = nullptr;
+  std::array<double, 3> least{};
+  for (const auto& [pair, line] : lines_) {
+    const Ask& first = waiting_.at(line.begin()->second).ask;
+    if (blocked(first) != Cause::None) continue;
+    const Part &c = part(classes_, pair.first), &t = part(tenants_, pair.second);
+    const bool owed = c.open < c.share.guaranteed || t.open < t.share.guaranteed;
+    const std::array<double, 3> rank = {owed ? 0.0 : 1.0, static_cast<double>(c.open + 1) / c.share.weight,
+                                        static_cast<double>(t.open + 1) / t.share.weight};
+    if (best == nullptr || rank < least) best = &first, least = rank;
+  }
+  return best;
+}
+
+void RequestGate::next(Time now, std::vector<RequestKey>& admitted, std::vector<Refusal>& refused) {
+  fade(now);
+  while (!by_latest_.empty() && by_latest_.begin()->first <= now) {
+    const auto [latest, id] = *by_latest_.begin();
+    leaveLine(waiting_.at(id).ask, latest);
+    turned_away_ += 1;
+    refused.push_back({id, Cause::TooLate});
+  }
+  while (const Ask* const found = pickNext()) {
+    const Ask ask = *found;
+    leaveLine(ask, waiting_.at(ask.id).latest);
+    admit(now, ask);
+    admitted.push_back(ask.id);
+  }
+}
+
+Time RequestGate::due() const {
+  return by_latest_.empty() ? std::numeric_limits<Time>::max() : by_latest_.begin()->first;
+}
+
+void RequestGate::fade(Time now) {
+  if (now <= faded_) return;
+  const double part = std::exp2(-static_cast<double>(now - faded_) / kAdviceHalves);
+  let_in_ *= part;
+  turned_away_ *= part;
+  faded_ = now;
+}
+
+void RequestGate::noteRefused(Time now) {
+  fade(now);
+  turned_away_ += 1;
+}
+
+Time RequestGate::advice(Time now) {
+  fade(now);
+  const double excess = turned_away_ / std::max(1.0, let_in_);
+  const double advised = static_cast<double>(limits_.advice_least) * (1 + excess);
+  return static_cast<Time>(std::min(advised, static_cast<double>(limits_.advice_most)));
+}
+
+}  // namespace quinceline::admission
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,12 +9,16 @@
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <optional>
 #include <string>
 #include <utility>
 
 #include "net/config.h"
 #include "net/log.h"
 #include "net/proxy.h"
+#ifdef QUINCELINE_OPERATOR
+#include "status/status_server.h"
+#endif
 
 namespace {
 
@@ -47,6 +51,9 @@
 
 void serve(Config config) {
   fitToSystem(config);
+#ifdef QUINCELINE_OPERATOR
+  const std::optional<Endpoint> status_at = config.own.status;
+#endif
   // Large bodies come and go: they are to leave no holes behind in the heap.
   mallopt(M_MMAP_THRESHOLD, 256 * 1024);
   mallopt(M_TRIM_THRESHOLD, 1024 * 1024);
@@ -61,6 +68,11 @@
   });
   boost::asio::signal_set reload(io, SIGHUP);
   awaitReload(reload, proxy, log);
+#ifdef QUINCELINE_OPERATOR
+  StatusServer status(io);
+  status.page("/admission", [&] { return proxy.admissionReport(); });
+  if (status_at) status.listen(*status_at);
+#endif
   proxy.start();
   io.run();
 }
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -55,6 +55,16 @@
   }
 }
 
+OperatorSettings operatorSettings(const char* path, const weldflow::drill::Site& site) {
+  if (path == nullptr) return {};
+#ifdef QUINCELINE_OPERATOR
+  return readOperatorFile(path, site.classes, site.tenants);
+#else
+  static_cast<void>(site);
+  throw std::runtime_error("PROXY_OPERATOR: this program was built without WELDFLOW_OPERATOR");
+#endif
+}
+
 }  // namespace
 
 Config readConfig(const std::function<const char*(const char*)>& getenv) {
@@ -66,7 +76,7 @@
   Config c;
   c.listen = endpointOf("PROXY_LISTEN", "listen", getenv("PROXY_LISTEN"), root);
   c.discovery = endpointOf("PROXY_DISCOVERY", "discovery", getenv("PROXY_DISCOVERY"), root);
-  return within("PROXY_CONFIG: ", [&] {
+  within("PROXY_CONFIG: ", [&] {
     const char* const name = getenv("PROXY_NAME");
     c.name = name != nullptr ? name : root.has("name") ? root.at("name").text() : "quinceline";
     if (root.has("seed")) c.seed = parseSeed(root.at("seed"));
@@ -85,8 +95,9 @@
     if (root.has("known")) {
       c.known = within("known: ", [&] { return parseHostList(doc.at("known").dump(), c.zones); });
     }
-    return c;
   });
+  c.own = operatorSettings(getenv("PROXY_OPERATOR"), c.site);
+  return c;
 }
 
 Config rereadConfig(const std::function<const char*(const char*)>& getenv) {
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -7,6 +7,7 @@
 
 #include "drill/settings.h"
 #include "host_list.h"
+#include "operator/operator_settings.h"
 
 namespace quinceline {
 
@@ -20,7 +21,8 @@
   std::size_t sockets = 1024;
   weldflow::drill::Site site;
   Zones zones;
-  HostList known;  // the list as this client proxy last had it, perhaps old
+  OperatorSettings own;  // from PROXY_OPERATOR
+  HostList known;        // the list as this client proxy last had it, perhaps old
 };
 
 // Reads the variables with `getenv` (null: not set) and the file that PROXY_CONFIG names. Variables win over
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -107,6 +107,7 @@
       once(has_correlation_);
       head.correlation = view(value);
     }
+    if (iequals(name_text, "X-Repeat")) head.repeat = value == "1";
     if (iequals(name_text, "X-Account")) head.account = view(value);
     if (iequals(name_text, "X-Weight-Hint")) head.weight_hint = view(value);
     if (iequals(name_text, "Idempotency-Key")) once(head.keyed);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -34,7 +34,8 @@
   std::string correlation, account, time_left;
   bool has_time_left = false;
   std::string weight_hint;
-  bool keyed = false;  // has an Idempotency-Key
+  bool keyed = false;   // has an Idempotency-Key
+  bool repeat = false;  // X-Repeat: 1: the client's own retry
   bool has_host = false;
   bool expects_continue = false;
   bool old_version = false;  // HTTP/1.0
--- a/src/net/proxy.cpp
+++ b/src/net/proxy.cpp
@@ -1,7 +1,9 @@
 #include "proxy.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <charconv>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
 #include <utility>
@@ -9,6 +11,8 @@
 namespace quinceline {
 namespace {
 
+namespace asio = boost::asio;
+using admission::Cause;
 using weldflow::Action;
 using weldflow::ActionKind;
 using weldflow::Effect;
@@ -28,6 +32,11 @@
 constexpr Time kListenAfterTerm = 600 * kMillisecond;
 constexpr Time kLastAfterTerm = 3600 * kMillisecond;
 
+// Clients' own repeats that may be open whatever else is: what a few failing hosts lead to.
+constexpr std::size_t kLeastRetries = 64;
+constexpr std::size_t kRequestCost = 1024;  // bytes that an open request holds beside its head and body
+constexpr Time kSummary = 10 * kSecond;     // between two lines on what was turned away
+
 // A connection without an open request may be closed after this, says the protocol's later page.
 constexpr Time kMayBeClosed = 2 * kSecond;
 
@@ -61,7 +70,34 @@
   limits.body_bytes = std::max<std::size_t>(config.memory_mb * kMegabyte / 4, kMostBody);
   limits.connections.most = descriptors;  // fewer where hosts use their share
   limits.connections.overflow = std::max<std::size_t>(descriptors / 16, 4);
-  limits.connections.kept = std::max<std::size_t>(descriptors / 24, 8);
+  limits.connections.kept = config.own.idle_kept.value_or(std::max<std::size_t>(descriptors / 24, 8));
+  limits.connections.most = config.own.connections.value_or(limits.connections.most);
+  limits.connections.per_peer = config.own.connections_per_address.value_or(0);
+  return limits;
+}
+
+admission::RequestGate::Limits requestLimits(const Config& config) {
+  const OperatorSettings& own = config.own;
+  const weldflow::Settings& settings = config.site.settings;
+  admission::RequestGate::Limits limits;
+  limits.open = own.open.value_or(static_cast<std::size_t>(config.site.max_open));
+  limits.bytes = std::max<std::size_t>(config.memory_mb * kMegabyte / 2, kMostBody);
+  limits.waiting = own.waiting.value_or(limits.open / 8);
+  limits.classes = own.classes;
+  limits.classes.resize(settings.classes.size());
+  limits.tenants = own.tenants;
+  if (limits.tenants.empty()) {
+    for (const weldflow::Tenant& t : settings.tenants)
+      limits.tenants.push_back({.weight = std::max(t.fraction, 0.01)});
+  }
+  limits.retries_least = own.retries_least.value_or(kLeastRetries);
+  limits.retries_part = own.retries_part.value_or(1);
+  if (settings.retry_after) {
+    Time aim = kSecond;
+    for (const weldflow::RequestClass& c : settings.classes) aim = std::min(aim, c.aim);
+    limits.advice_least = aim / 8;
+    limits.advice_most = settings.max_retry_after;
+  }
   return limits;
 }
 
@@ -94,7 +130,9 @@
       balancer_(config_.site.settings, config_.seed),
       server_(io, timers_, descriptors_, log, *this, serverLimits(config_, descriptors_.limit())),
       upstream_(io, timers_, descriptors_, *this, upstreamLimits(config_)),
-      discovery_(io, timers_, config_.zones, *this, config_.discovery, config_.known.revision, {}) {
+      discovery_(io, timers_, config_.zones, *this, config_.discovery, config_.known.revision, {}),
+      requests_(requestLimits(config_)),
+      ledger_(config_.site.classes.size(), config_.site.tenants.size()) {
   for (std::size_t i = 0; i < config_.site.classes.size(); ++i) {
     const weldflow::RequestClass& c = config_.site.settings.classes[i];
     classes_[config_.site.classes[i]] = {static_cast<std::int32_t>(i), c.deadline, c.effect};
@@ -112,6 +150,7 @@
 
 void Proxy::start() {
   server_.listen(config_.listen);
+  timers_.after(kSummary, [this] { summarize(); });
   config_.known.full = true;
   const HostList known = completed(std::exchange(config_.known, {}));
   applyHosts(known);
@@ -199,12 +238,11 @@
     if (!left) return plain(400);
     if (*left <= 0) return plain(504);
   }
-  if (!room || unanswered_ >= static_cast<std::size_t>(config_.site.max_open)) {
-    Answer full = plain(503);
-    full.retry_after = info->deadline / 8;
-    return full;
-  }
-  return std::nullopt;
+  const admission::Ask ask = askOf(0, head, *info, 0, 0);
+  const Cause cause = room ? requests_.early(ask) : Cause::ConnectionsFull;
+  if (cause == Cause::None) return std::nullopt;
+  requests_.noteRefused(clock_.now());
+  return refusal(ask, cause);
 }
 
 void Proxy::onRequest(ExchangeId id, ClientRequest request) {
@@ -219,7 +257,151 @@
   // Two open requests of one id: hosts could not tell them apart, nor could their answers be told apart. The
   // first one's attempts count too, also after its answer. It would harm clients that reuse an id at once.
   if (!ids_.insert(request.head.correlation).second) return server_.answer(id, plain(409));
-  open(id, std::move(request), *info, deadline);
+  const std::size_t bytes = (request.body ? request.body->size() : 0) + request.head.forward.size();
+  const admission::Ask ask = askOf(id, request.head, *info, bytes, deadline);
+  std::vector<admission::Refusal> displaced;
+  const admission::Verdict verdict = requests_.offer(clock_.now(), ask, displaced);
+  switch (verdict.entry) {
+    case admission::Entry::Admitted:
+      ledger_.note(Cause::None, ask.request_class, ask.tenant);
+      open(id, std::move(request), *info, deadline);
+      break;
+    case admission::Entry::Waits:
+      waiting_.emplace(id, Held{std::move(request), info, deadline});
+      break;
+    case admission::Entry::Refused:
+      ids_.erase(request.head.correlation);
+      server_.answer(id, refusal(ask, verdict.cause));
+      break;
+  }
+  refuseWaiting(displaced);
+  awaitPlaces();
+}
+
+// ---- admission: who gets a place, before the module hears of a request ----
+
+admission::Ask Proxy::askOf(ExchangeId id, const RequestHead& head, const ClassInfo& info, std::size_t bytes,
+                            Time deadline) const {
+  const auto tenant = tenants_.find(head.account);
+  return {.id = id,
+          .request_class = info.index,
+          .tenant = tenant == tenants_.end() ? -1 : tenant->second,
+          .bytes = bytes + kRequestCost,
+          .deadline = deadline,
+          .retry = head.repeat};
+}
+
+// Nothing was sent for it yet: trying again is harmless, whatever its class.
+Answer Proxy::refusal(const admission::Ask& ask, Cause cause) {
+  ledger_.note(cause, ask.request_class, ask.tenant);
+  Answer answer = plain(503);
+  if (const Time advice = requests_.advice(clock_.now()); advice > 0) answer.retry_after = advice;
+  return answer;
+}
+
+void Proxy::refuseWaiting(const std::vector<admission::Refusal>& refused) {
+  for (const admission::Refusal& r : refused) {
+    const auto it = waiting_.find(r.id);
+    if (it == waiting_.end()) continue;
+    const Held held = std::move(it->second);
+    waiting_.erase(it);
+    ids_.erase(held.request.head.correlation);
+    server_.answer(r.id, refusal(askOf(r.id, held.request.head, *held.info, 0, held.deadline), r.cause));
+  }
+}
+
+void Proxy::admitWaiting() {
+  places_freed_ = false;
+  std::vector<admission::RequestKey> admitted;
+  std::vector<admission::Refusal> refused;
+  requests_.next(clock_.now(), admitted, refused);
+  refuseWaiting(refused);
+  for (const ExchangeId id : admitted) {
+    const auto it = waiting_.find(id);
+    Held held = std::move(it->second);
+    waiting_.erase(it);
+    const admission::Ask ask = askOf(id, held.request.head, *held.info, 0, held.deadline);
+    ledger_.note(Cause::None, ask.request_class, ask.tenant);
+    open(id, std::move(held.request), *held.info, held.deadline);
+  }
+  awaitPlaces();
+}
+
+// Timers are never withdrawn: a new one is set only where the next is due earlier than any that is set.
+void Proxy::awaitPlaces() {
+  const Time due = requests_.due();
+  if (due >= places_due_) return;
+  places_due_ = due;
+  timers_.at(due, [this, due] {
+    if (places_due_ == due) places_due_ = kNever;
+    admitWaiting();
+  });
+}
+
+// The client has its answer, or has gone: the place is free. Whoever waits for it gets it in the same turn of
+// the loop, but not from within what is going on now.
+void Proxy::settled(Open& r) {
+  r.answered = true;
+  requests_.release(clock_.now(), r.exchange);
+  if (requests_.waiting() == 0 || std::exchange(places_freed_, true)) return;
+  asio::post(io_, [this] { admitWaiting(); });
+}
+
+void Proxy::summarize() {
+  const std::string news = ledger_.newsSinceLast(server_.gate().closed());
+  if (!news.empty()) log_.line("admission, last 10 s: " + news);
+  timers_.after(kSummary, [this] { summarize(); });
+}
+
+std::string Proxy::admissionReport() {
+  using nlohmann::json;
+  const admission::ConnectionGate& c = server_.gate();
+  const auto bound = [](std::size_t n) { return n == admission::kNoBound ? json() : json(n); };
+  json closed = json::object(), refused = json::object();
+  const auto named = [](const std::vector<std::string>& names, std::size_t i) {
+    return i < names.size() ? names[i] : "other";
+  };
+  for (std::size_t i = 1; i < admission::kCauses; ++i) {
+    const auto cause = static_cast<Cause>(i);
+    const std::string name(admission::nameOf(cause));
+    if (c.closed()[i] > 0) closed[name] = c.closed()[i];
+    for (std::size_t k = 0; k < ledger_.classes(); ++k) {
+      for (std::size_t t = 0; t < ledger_.tenants(); ++t) {
+        if (const auto n = ledger_.count(cause, k, t); n > 0)
+          refused[name][named(config_.site.classes, k)][named(config_.site.tenants, t)] = n;
+      }
+    }
+  }
+  const auto side = [&](Side s) {
+    return json{{"used", descriptors_.used(s)}, {"most", descriptors_.most(s)}};
+  };
+  const auto& limits = requests_.limits();
+  const json report = {
+      {"name", config_.name},
+      {"connections",
+       {{"open", c.connections()},
+        {"silent", c.silent()},
+        {"idle", c.idle()},
+        {"busy", c.busy()},
+        {"addresses", c.peers()},
+        {"most", c.limits().most},
+        {"accepted", c.accepted()},
+        {"reused_part", c.reuse().reusedPart()},
+        {"kept_sparingly", c.reuse().frugal()},
+        {"closed", closed}}},
+      {"descriptors",
+       {{"all", descriptors_.limit()}, {"clients", side(Side::Clients)}, {"hosts", side(Side::Hosts)}}},
+      {"requests",
+       {{"open", requests_.open()},
+        {"waiting", requests_.waiting()},
+        {"bytes", requests_.bytes()},
+        {"repeats", requests_.retries()},
+        {"most_open", bound(limits.open)},
+        {"most_waiting", bound(limits.waiting)},
+        {"most_bytes", bound(limits.bytes)},
+        {"admitted", ledger_.total(Cause::None)},
+        {"refused", refused}}}};
+  return report.dump(2);
 }
 
 void Proxy::open(ExchangeId exchange, ClientRequest request, const ClassInfo& info, Time deadline) {
@@ -236,7 +418,6 @@
   r.request = std::move(request);
   r.deadline = deadline;
   r.unrepeatable = info.effect == Effect::Unsafe;
-  ++unanswered_;
   by_exchange_.emplace(exchange, id);
   timers_.at(deadline, [this, id] { onDeadline(id); });
   tell([this, told, deadline](Time now) mutable {
@@ -287,8 +468,7 @@
 void Proxy::finish(RequestId id, const Answer& answer) {
   const auto it = open_.find(id);
   if (it == open_.end() || it->second.answered) return;
-  it->second.answered = true;
-  --unanswered_;
+  settled(it->second);
   server_.answer(it->second.exchange, answer);
   closeIfOver(id);
 }
@@ -321,13 +501,18 @@
 }
 
 void Proxy::onClientGone(ExchangeId exchange) {
+  if (const auto held = waiting_.find(exchange); held != waiting_.end()) {
+    ids_.erase(held->second.request.head.correlation);
+    waiting_.erase(held);
+    requests_.release(clock_.now(), exchange);
+    return;
+  }
   const auto known = by_exchange_.find(exchange);
   if (known == by_exchange_.end()) return;
   const RequestId id = known->second;
   Open& r = open_.at(id);
   if (r.answered) return;
-  r.answered = true;
-  --unanswered_;
+  settled(r);
   tell([this, id](Time now) { balancer_.onClientGone(now, id, actions_); });
   closeIfOver(id);
 }
@@ -349,8 +534,7 @@
   --r.outstanding;
   r.timed_out |= end.result == Result::TimedOut;
   if (!r.answered && end.result == Result::Ok) {
-    r.answered = true;
-    --unanswered_;
+    settled(r);
     Answer answer = plain(200);
     answer.body = std::move(end.body);
     answer.content_type = std::move(end.content_type);
--- a/src/net/proxy.h
+++ b/src/net/proxy.h
@@ -14,6 +14,8 @@
 #include <unordered_set>
 #include <vector>
 
+#include "admission/ledger.h"
+#include "admission/requests.h"
 #include "config.h"
 #include "discovery.h"
 #include "server.h"
@@ -35,7 +37,10 @@
   void reload(const Config& config);
 
   Endpoint localEndpoint() const { return server_.localEndpoint(); }
+  // What admission has decided and what it goes by, as JSON: docs/admission.md explains it.
+  std::string admissionReport();
   std::size_t openRequests() const { return open_.size(); }
+  const admission::RequestGate& requests() const { return requests_; }
   const Server& server() const { return server_; }
   const Upstream& upstream() const { return upstream_; }
 
@@ -61,6 +66,11 @@
     Time deadline;
     weldflow::Effect effect;
   };
+  struct Held {  // waits for a place
+    ClientRequest request;
+    const ClassInfo* info = nullptr;
+    Time deadline = 0;
+  };
 
   // What server, upstream and discovery report.
   std::optional<Answer> onHead(const RequestHead& head, bool room) override;
@@ -77,6 +87,14 @@
   void carryOut();
   void act(const weldflow::Action& action);
   void send(const weldflow::Action& action);
+  admission::Ask askOf(ExchangeId id, const RequestHead& head, const ClassInfo& info, std::size_t bytes,
+                       Time deadline) const;
+  Answer refusal(const admission::Ask& ask, admission::Cause cause);
+  void refuseWaiting(const std::vector<admission::Refusal>& refused);
+  void admitWaiting();
+  void awaitPlaces();
+  void settled(Open& request);
+  void summarize();
   void finish(RequestId id, const Answer& answer);
   void onAttemptTimeout(RequestId id, std::int32_t attempt);
   void onDeadline(RequestId id);
@@ -117,7 +135,11 @@
     Endpoint endpoint;
   };
   std::map<std::string, Listed, std::less<>> listed_;  // the hosts that upstream knows
-  std::size_t unanswered_ = 0;
+  admission::RequestGate requests_;                    // by exchange
+  admission::Ledger ledger_;
+  std::unordered_map<ExchangeId, Held> waiting_;
+  Time places_due_ = kNever;   // when the gate is asked again for sure
+  bool places_freed_ = false;  // it will be asked in this turn of the loop
   RequestId next_request_ = 1;
   std::deque<std::function<void(Time)>> events_;
   bool telling_ = false;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -156,7 +156,6 @@
 
   void nextRequest() {
     state_ = State::Reading;
-    parser_.emplace();
     head_seen_ = false;
     exchange_ = 0;
     share_.reset();
@@ -172,6 +171,7 @@
   // A request's first byte is here.
   void begin() {
     resting_ = false;
+    parser_ = std::make_unique<RequestParser>();
     server_.gate_.onFirstByte(server_.now(), id_);
   }
 
@@ -343,7 +343,7 @@
   Cause cause_ = Cause::None;  // of its end, where that was decided here
   bool resting_ = true;        // no request is open here
   ReadBuffer in_;
-  std::optional<RequestParser> parser_;
+  std::unique_ptr<RequestParser> parser_;  // only while a request comes: it is large
   std::shared_ptr<BodyShare> share_;  // of the body that is being read
   std::string out_;                   // the answer
   ExchangeId exchange_ = 0;
--- /dev/null
+++ b/tests/admission_proxy_test.cpp
@@ -0,0 +1,323 @@
+// Admission in the whole client proxy: places, the queue, repeats, and what operators see of it.
+#include <algorithm>
+
+#include "proxy_support.h"
+#ifdef QUINCELINE_OPERATOR
+#include "status/status_server.h"
+#endif
+
+namespace quinceline::test {
+namespace {
+
+class AdmissionProxyTest : public ProxyTest {
+ protected:
+  void start(const std::function<void(Config&)>& change) {
+    ProxyTest::start(json::array({entry("s-1", host.endpoint())}), change);
+  }
+  std::shared_ptr<Peer> ask(const std::string& id, const std::string& extra = "") {
+    const auto c = client();
+    c->say(request(id, extra));
+    return c;
+  }
+  static std::string named(const char* kind, int number) {
+    std::string name = kind;
+    name += std::to_string(number);
+    return name;
+  }
+  // The host's connection that has this request.
+  std::shared_ptr<Peer> holder(const std::string& id) {
+    for (const auto& p : host.peers) {
+      if (p->heard("Correlation-Id: " + id + "\r\n")) return p;
+    }
+    return nullptr;
+  }
+  bool reaches(const std::string& id) {
+    return loop.until([&] { return holder(id) != nullptr; });
+  }
+  void serve(const std::string& id) {
+    const auto p = holder(id);
+    p->got.clear();
+    p->say(answerOf("for " + id));
+  }
+  // Answers whatever comes, until `done`.
+  bool serveAllUntil(const std::function<bool()>& done) {
+    return loop.until([&] {
+      for (const auto& p : host.peers) {
+        if (!p->heard("\r\n\r\n")) continue;
+        p->got.clear();
+        p->say(answerOf("served"));
+      }
+      return done();
+    });
+  }
+  json report() { return json::parse(proxy->admissionReport()); }
+};
+
+TEST_F(AdmissionProxyTest, AtTheBoundARequestWaitsAndIsServedOnceAPlaceIsFree) {
+  start([](Config& c) { c.own.open = 1, c.own.waiting = 2; });
+  const auto first = ask("a");
+  ASSERT_TRUE(reaches("a"));
+  const auto second = ask("b");
+  ASSERT_TRUE(loop.until([&] { return proxy->requests().waiting() == 1; }));
+  EXPECT_EQ(holder("b"), nullptr);
+  serve("a");
+  ASSERT_TRUE(reaches("b"));
+  serve("b");
+  ASSERT_TRUE(loop.until([&] { return second->heard("for b"); }));
+  EXPECT_TRUE(first->heard("for a"));
+  EXPECT_EQ(proxy->requests().open() + proxy->requests().waiting(), 0U);
+}
+
+TEST_F(AdmissionProxyTest, BeyondTheQueueItIsRefusedAtOnceAndToldWhenToComeBack) {
+  start([](Config& c) { c.own.open = 1, c.own.waiting = 0; });
+  const auto first = ask("a");
+  ASSERT_TRUE(reaches("a"));
+  const auto second = ask("b");
+  ASSERT_TRUE(loop.until([&] { return second->heard("\r\n\r\n"); }));
+  EXPECT_TRUE(second->heard("HTTP/1.1 503"));
+  EXPECT_TRUE(second->heard("Retry-After: 0."));
+  EXPECT_FALSE(second->heard("Connection: close")) << "a refusal costs no connection";
+  EXPECT_EQ(report()["requests"]["refused"]["open_full"]["slot-status"]["acme"], 1);
+  serve("a");
+  ASSERT_TRUE(loop.until([&] { return first->heard("for a"); }));
+  second->got.clear();
+  second->say(request("b"));  // its id is free again
+  ASSERT_TRUE(reaches("b"));
+}
+
+TEST_F(AdmissionProxyTest, AClientThatLeavesWhileItWaitsIsNeverSentAnywhere) {
+  start([](Config& c) { c.own.open = 1, c.own.waiting = 2; });
+  const auto first = ask("a");
+  ASSERT_TRUE(reaches("a"));
+  const auto gone = ask("b");
+  ASSERT_TRUE(loop.until([&] { return proxy->requests().waiting() == 1; }));
+  gone->close();
+  ASSERT_TRUE(loop.until([&] { return proxy->requests().waiting() == 0; }));
+  const auto next = ask("c");
+  ASSERT_TRUE(loop.until([&] { return proxy->requests().waiting() == 1; }));
+  serve("a");
+  ASSERT_TRUE(reaches("c"));
+  EXPECT_EQ(holder("b"), nullptr);
+}
+
+TEST_F(AdmissionProxyTest, WhoWaitsTooLongIsTurnedAwayBeforeItsTimeIsUp) {
+  start([](Config& c) { c.own.open = 1, c.own.waiting = 2; });
+  const auto first = ask("a");
+  ASSERT_TRUE(reaches("a"));
+  const auto second = ask("b", "X-Time-Left: 0.2\r\n");
+  ASSERT_TRUE(loop.until([&] { return second->heard("\r\n\r\n"); }));
+  EXPECT_TRUE(second->heard("HTTP/1.1 503"));
+  EXPECT_EQ(report()["requests"]["refused"]["too_late"]["slot-status"]["acme"], 1);
+  EXPECT_EQ(holder("b"), nullptr);
+}
+
+TEST_F(AdmissionProxyTest, AnUnsafeRequestThatMayHaveRunFailsAndIsNotRefusedWhateverIsFull) {
+  start([](Config& c) { c.own.open = 1, c.own.waiting = 0; });
+  const auto c = client();
+  c->say(
+      "POST /swap-charge/7 HTTP/1.1\r\nHost: h\r\nX-Account: acme\r\nX-Correlation-Id: u\r\n"
+      "Content-Length: 2\r\n\r\nhi");
+  ASSERT_TRUE(reaches("u"));
+  const auto refused = ask("b");
+  ASSERT_TRUE(loop.until([&] { return refused->heard("HTTP/1.1 503"); }));
+  holder("u")->close();
+  ASSERT_TRUE(loop.until([&] { return c->heard("\r\n\r\n"); }));
+  EXPECT_TRUE(c->heard("HTTP/1.1 502"));
+}
+
+TEST_F(AdmissionProxyTest, ATenantThatTakesAllLeavesTheOtherItsGuarantee) {
+  start([](Config& c) {
+    c.site.tenants = {"acme", "quiet"};
+    c.site.settings.tenants = {{.fraction = 0.5}, {.fraction = 0.5}};
+    c.own.open = 8;
+    c.own.waiting = 4;
+    c.own.tenants = {{}, {.guaranteed = 2}};
+  });
+  std::vector<std::shared_ptr<Peer>> greedy;
+  for (int i = 0; i < 20; ++i) greedy.push_back(ask(named("g", i)));
+  ASSERT_TRUE(loop.until([&] { return proxy->requests().open() == 6 && proxy->requests().waiting() == 4; }));
+  const auto quiet = client();
+  quiet->say("GET /slot-status/7 HTTP/1.1\r\nHost: h\r\nX-Account: quiet\r\nX-Correlation-Id: q\r\n\r\n");
+  ASSERT_TRUE(reaches("q"));
+  EXPECT_GE(report()["requests"]["refused"]["tenant_full"]["slot-status"]["acme"], 8);
+}
+
+// All hosts were silent for longer than clients wait; then all repeat at once.
+TEST_F(AdmissionProxyTest, AStormOfRepeatsAfterSilenceLeavesRoomForFirstTries) {
+  start([](Config& c) { c.own.open = 100, c.own.retries_least = 5, c.own.retries_part = 0.5; });
+  std::vector<std::shared_ptr<Peer>> first, again;
+  for (int i = 0; i < 30; ++i) first.push_back(ask(named("f", i), "X-Time-Left: 0.3\r\n"));
+  ASSERT_TRUE(loop.until([&] {  // the hosts' silence outlasts every one of them
+    return std::all_of(first.begin(), first.end(), [](const auto& c) { return c->heard("HTTP/1.1 5"); });
+  }));
+  for (int i = 0; i < 30; ++i) again.push_back(ask(named("r", i), "X-Repeat: 1\r\n"));
+  ASSERT_TRUE(loop.until([&] {
+    return std::count_if(again.begin(), again.end(),
+                         [](const auto& c) { return c->heard("HTTP/1.1 503"); }) == 25;
+  }));
+  EXPECT_EQ(proxy->requests().retries(), 5U);
+  EXPECT_EQ(report()["requests"]["refused"]["retry_budget"]["slot-status"]["acme"], 25);
+  const auto fresh = ask("fresh");
+  ASSERT_TRUE(serveAllUntil([&] { return fresh->heard("served"); }));
+}
+
+TEST_F(AdmissionProxyTest, ARestartMetByAllClientsAtOnceServesThemAll) {
+  start({});
+  // None of them is accepted before all have connected and asked.
+  std::vector<std::shared_ptr<Peer>> all;
+  for (int i = 0; i < 300; ++i) all.push_back(ask(named("c", i)));
+  ASSERT_TRUE(serveAllUntil(
+      [&] { return std::all_of(all.begin(), all.end(), [](const auto& c) { return c->heard("served"); }); }));
+}
+
+TEST_F(AdmissionProxyTest, TheReportTellsWhatIsHeldAndWhatItGoesBy) {
+  start([](Config& c) { c.own.open = 7; });
+  const auto c = ask("a");
+  ASSERT_TRUE(reaches("a"));
+  const json r = report();
+  EXPECT_EQ(r["requests"]["open"], 1);
+  EXPECT_EQ(r["requests"]["most_open"], 7);
+  EXPECT_EQ(r["requests"]["admitted"], 1);
+  EXPECT_EQ(r["connections"]["busy"], 1);
+  EXPECT_EQ(r["descriptors"]["hosts"]["used"], 1);
+}
+
+#ifdef QUINCELINE_OPERATOR
+
+class StatusTest : public ::testing::Test {
+ protected:
+  StatusTest() {
+    status.page("/admission", [] { return std::string("{\"page\": 1}"); });
+    status.listen(anyPort());
+  }
+  std::shared_ptr<Peer> ask(const std::string& text) {
+    const auto c = Peer::connect(loop, status.localEndpoint());
+    c->say(text);
+    return c;
+  }
+  Loop loop;
+  StatusServer status{loop.io};
+};
+
+TEST_F(StatusTest, APageIsMadeWhenItIsAskedFor) {
+  const auto c = ask("GET /admission HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(loop.until([&] { return c->ended; }));
+  EXPECT_TRUE(c->heard("HTTP/1.1 200"));
+  EXPECT_TRUE(c->heard("{\"page\": 1}"));
+}
+
+TEST_F(StatusTest, AnythingElseIsRefusedPlainly) {
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"GET /else HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 404"},
+      {"POST /admission HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 405"},
+      {"what is this\r\n\r\n", "HTTP/1.1 400"},
+      {"GET /admission HTTP/1.1\r\nX: " + std::string(8000, 'x') + "\r\n\r\n", "HTTP/1.1 400"}};
+  for (const auto& [text, expected] : cases) {
+    const auto c = ask(text);
+    ASSERT_TRUE(loop.until([&] { return c->ended; })) << text.substr(0, 40);
+    EXPECT_EQ(c->got.substr(0, expected.size()), expected) << text.substr(0, 40);
+  }
+}
+
+TEST_F(StatusTest, WhoSaysNothingHoldsAPlaceForTwoSecondsAtMostAndPlacesAreFew) {
+  std::vector<std::shared_ptr<Peer>> silent;
+  for (std::size_t i = 0; i < 3 * StatusServer::kMostConnections; ++i) {
+    silent.push_back(Peer::connect(loop, status.localEndpoint()));
+    loop.turn();
+  }
+  ASSERT_TRUE(loop.until([&] { return status.connections() == StatusServer::kMostConnections; }));
+  ASSERT_TRUE(loop.until(
+      [&] { return std::all_of(silent.begin(), silent.end(), [](const auto& c) { return c->ended; }); }));
+  const auto c = ask("GET /admission HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(loop.until([&] { return c->heard("200"); }));
+}
+
+TEST_F(StatusTest, ItListensOnLoopbackOnly) {
+  StatusServer other(loop.io);
+  EXPECT_THROW(other.listen({asio::ip::make_address("0.0.0.0"), 0}), std::runtime_error);
+}
+
+class OperatorFile : public ::testing::Test {
+ protected:
+  OperatorSettings read(const std::string& text) {
+    const std::string path =
+        ::testing::TempDir() + "quinceline-operator-" + std::to_string(getpid()) + ".toml";
+    std::ofstream(path, std::ios::trunc) << text;
+    struct Removed {
+      std::string path;
+      ~Removed() { std::filesystem::remove(path); }
+    } removed{path};
+    return readOperatorFile(path, {"readings", "charge"}, {"pampa", "litoral"});
+  }
+  std::string complaint(const std::string& text) {
+    try {
+      read(text);
+    } catch (const std::runtime_error& e) {
+      const std::string what = e.what();
+      return what.substr(what.find(".toml:") + 6);
+    }
+    return "none";
+  }
+};
+
+TEST_F(OperatorFile, EveryKeyIsTaken) {
+  const OperatorSettings s = read(R"(
+[status]
+listen = "127.0.0.1:9901"
+[admission]
+connections = 4000
+connections_per_address = 200
+idle_kept = 16
+open = 400
+waiting = 100
+retries_least = 10
+retries_percent = 50
+[admission.class.charge]
+guaranteed = 20
+[admission.tenant.pampa]
+most = 300
+weight = 4.5
+)");
+  EXPECT_EQ(s.status->port(), 9901);
+  EXPECT_EQ(s.connections, 4000U);
+  EXPECT_EQ(s.connections_per_address, 200U);
+  EXPECT_EQ(s.idle_kept, 16U);
+  EXPECT_EQ(s.open, 400U);
+  EXPECT_EQ(s.waiting, 100U);
+  EXPECT_EQ(s.retries_least, 10U);
+  EXPECT_EQ(s.retries_part, 0.5);
+  EXPECT_EQ(s.classes.at(1).guaranteed, 20U);
+  EXPECT_EQ(s.classes.at(0).guaranteed, 0U);
+  EXPECT_EQ(s.tenants.at(0).most, 300U);
+  EXPECT_EQ(s.tenants.at(0).weight, 4.5);
+}
+
+TEST_F(OperatorFile, WhatIsWrongIsNamedWithItsLineAndKey) {
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"[admission]\nopne = 4\n", "2: admission.opne: is not known; here go connections, "},
+      {"[admision]\n", "1: admision: is not known; here go status, admission"},
+      {"[admission]\n\nopen = \"4\"\n", "3: admission.open: is not a whole number"},
+      {"[admission]\nopen = 4.5\n", "2: admission.open: is not a whole number"},
+      {"[admission]\nopen = 0\n", "2: admission.open: is not within 1 to 10000000"},
+      {"[admission]\nopen = -1\n", "2: admission.open: is not within"},
+      {"[admission]\nretries_percent = true\n", "2: admission.retries_percent: is not a number"},
+      {"[admission.class.chrage]\nmost = 2\n",
+       "1: admission.class.chrage: there is no such class; known are readings, charge"},
+      {"[admission.class]\ncharge = 3\n", "2: admission.class.charge: is not a table"},
+      {"[admission.tenant.pampa]\nweight = 0\n", "2: admission.tenant.pampa.weight: is not within"},
+      {"[admission]\nopen = 4\n[admission.class.charge]\nguaranteed = 5\n",
+       "1: admission: classes: more is guaranteed in all than there are places"},
+      {"[status]\nlisten = \"0.0.0.0:80\"\n", "2: status.listen: 0.0.0.0:80 is not a loopback address"},
+      {"[status]\nlisten = \"here\"\n", "2: status.listen: "},
+      {"[status]\nlisten = 80\n", "2: status.listen: is not a text"},
+      {"[admission\n", "1: "}};
+  for (const auto& [text, expected] : cases) {
+    EXPECT_EQ(complaint(text).substr(0, expected.size()), expected) << text;
+  }
+  EXPECT_THROW(readOperatorFile("/nowhere/at/all.toml", {}, {}), std::runtime_error);
+}
+
+#endif
+
+}  // namespace
+}  // namespace quinceline::test
--- /dev/null
+++ b/tests/admission_requests_test.cpp
@@ -0,0 +1,324 @@
+// The gate for requests: shares, the queue, the budget for repeats; and what no sequence of events may break.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+#include <stdexcept>
+
+#include "admission/ledger.h"
+#include "admission/requests.h"
+
+namespace quinceline::admission {
+namespace {
+
+constexpr Time kMs = 1'000, kSecond = 1'000'000;
+
+struct Gate {
+  explicit Gate(RequestGate::Limits limits) : gate(std::move(limits)) {}
+
+  RequestKey offer(std::int32_t cls = 0, std::int32_t tenant = 0, std::size_t bytes = 1, Time left = kSecond,
+                   bool retry = false) {
+    const RequestKey id = next_id++;
+    refused.clear();
+    verdict = gate.offer(now, {id, cls, tenant, bytes, now + left, retry}, refused);
+    return id;
+  }
+  Entry entry(std::int32_t cls = 0, std::int32_t tenant = 0) { return offer(cls, tenant), verdict.entry; }
+  void release(RequestKey id) {
+    gate.release(now, id);
+    next();
+  }
+  void next() {
+    admitted.clear();
+    refused.clear();
+    gate.next(now, admitted, refused);
+  }
+
+  Time now = 10 * kSecond;
+  RequestKey next_id = 1;
+  RequestGate gate;
+  Verdict verdict;
+  std::vector<RequestKey> admitted;
+  std::vector<Refusal> refused;
+};
+
+TEST(RequestGate, WithoutBoundsEveryoneIsLetIn) {
+  Gate g({});
+  for (int i = 0; i < 10'000; ++i) ASSERT_EQ(g.entry(i % 7, i % 3), Entry::Admitted);
+  EXPECT_EQ(g.gate.open(), 10'000U);
+}
+
+TEST(RequestGate, BeyondTheBoundOneWaitsThenIsRefused) {
+  Gate g({.open = 2, .waiting = 1});
+  const RequestKey first = g.offer();
+  g.offer();
+  const RequestKey waits = g.offer();
+  EXPECT_EQ(g.verdict.entry, Entry::Waits);
+  g.offer();
+  EXPECT_EQ(g.verdict.entry, Entry::Refused);
+  EXPECT_EQ(g.verdict.cause, Cause::OpenFull);
+  g.release(first);
+  EXPECT_EQ(g.admitted, std::vector{waits});
+}
+
+TEST(RequestGate, WhoHasTheLeastTimeGoesFirst) {
+  Gate g({.open = 1, .waiting = 3});
+  const RequestKey first = g.offer();
+  g.offer(0, 0, 1, 900 * kMs);
+  const RequestKey urgent = g.offer(0, 0, 1, 300 * kMs);
+  g.offer(0, 0, 1, 600 * kMs);
+  g.release(first);
+  EXPECT_EQ(g.admitted, std::vector{urgent});
+}
+
+TEST(RequestGate, WhoCannotBeAnsweredInTimeAnyMoreIsTurnedAwayThen) {
+  Gate g({.open = 1, .waiting = 4});
+  RequestKey open = g.offer();
+  g.now += 100 * kMs;
+  g.release(open);  // a request takes 100 ms
+  open = g.offer();
+  const RequestKey waits = g.offer(0, 0, 1, 250 * kMs);
+  EXPECT_EQ(g.gate.due(), g.now + 150 * kMs);
+  g.now += 149 * kMs;
+  g.next();
+  EXPECT_TRUE(g.refused.empty());
+  g.now += kMs;
+  g.next();
+  ASSERT_EQ(g.refused.size(), 1U);
+  EXPECT_EQ(g.refused[0].id, waits);
+  EXPECT_EQ(g.refused[0].cause, Cause::TooLate);
+  g.offer(0, 0, 1, 100 * kMs);
+  EXPECT_EQ(g.verdict.cause, Cause::TooLate) << "no time for the wait and the work: at once";
+}
+
+TEST(RequestGate, AClassBelowItsGuaranteeIsLetInWhateverTheOthersHold) {
+  Gate g({.open = 10, .classes = {{}, {.guaranteed = 3}}});
+  int readings = 0;
+  while (g.entry(0) == Entry::Admitted) ++readings;
+  EXPECT_EQ(readings, 7);
+  EXPECT_EQ(g.verdict.cause, Cause::ClassFull);
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(g.entry(1), Entry::Admitted);
+  EXPECT_EQ(g.entry(1), Entry::Refused);
+}
+
+TEST(RequestGate, ATenantAtTenTimesItsShareLeavesTheOtherItsPlaces) {
+  Gate g({.open = 20, .waiting = 20, .tenants = {{.guaranteed = 4, .weight = 4}, {.weight = 1}}});
+  std::map<RequestKey, std::int32_t> tenant_of;
+  std::array<int, 2> served{};
+  std::vector<RequestKey> open;
+  const auto take = [&](RequestKey id) {
+    open.push_back(id), ++served[static_cast<std::size_t>(tenant_of[id])];
+  };
+  for (int step = 0; step < 4000; ++step) {
+    const std::int32_t tenant = step % 11 == 0 ? 0 : 1;  // ten times as many
+    const RequestKey id = g.offer(0, tenant, 1, 10 * kSecond);
+    tenant_of[id] = tenant;
+    if (g.verdict.entry == Entry::Admitted) take(id);
+    if (step % 4 != 0) continue;  // the fleet does a quarter of what is asked for
+    g.now += kMs;
+    g.release(open.front());
+    open.erase(open.begin());
+    for (const RequestKey a : g.admitted) take(a);
+  }
+  EXPECT_GT(served[0], 340) << "of 364 asked for";
+  EXPECT_GT(served[1], 500);
+}
+
+TEST(RequestGate, AFullQueueGivesThePlaceOfTheLongestLineToAShorterOne) {
+  Gate g({.open = 1, .waiting = 4, .classes = {{}, {}}});
+  g.offer(0);
+  for (int i = 0; i < 3; ++i) g.offer(0);
+  const RequestKey last = g.offer(0, 0, 1, 2 * kSecond);
+  ASSERT_EQ(g.entry(0), Entry::Refused);
+  g.offer(1);
+  EXPECT_EQ(g.verdict.entry, Entry::Waits);
+  ASSERT_EQ(g.refused.size(), 1U);
+  EXPECT_EQ(g.refused[0].id, last);
+  EXPECT_EQ(g.refused[0].cause, Cause::Displaced);
+  EXPECT_EQ(g.gate.waiting(), 4U);
+}
+
+TEST(RequestGate, SmallOnesPassThoseThatWaitForMemory) {
+  Gate g({.bytes = 100, .waiting = 10});
+  const RequestKey big = g.offer(0, 0, 90);
+  const RequestKey other = g.offer(0, 0, 60);
+  EXPECT_EQ(g.verdict.entry, Entry::Waits);
+  g.offer(0, 0, 5);
+  EXPECT_EQ(g.verdict.entry, Entry::Admitted);
+  g.release(big);
+  EXPECT_EQ(g.admitted, std::vector{other});
+  EXPECT_EQ(g.gate.bytes(), 65U);
+}
+
+TEST(RequestGate, OneAloneMayExceedTheBytes) {
+  Gate g({.bytes = 100});
+  g.offer(0, 0, 500);
+  EXPECT_EQ(g.verdict.entry, Entry::Admitted);
+  g.offer(0, 0, 1);
+  EXPECT_EQ(g.verdict.cause, Cause::BytesFull);
+}
+
+// All hosts were silent for 3 s, everybody's time was up, everybody repeats at once.
+TEST(RequestGate, AStormOfRepeatsLeavesRoomForFirstTries) {
+  Gate g({.open = 100, .retries_least = 10, .retries_part = 0.5});
+  int repeats = 0;
+  for (int i = 0; i < 500; ++i) {
+    g.offer(0, 0, 1, kSecond, true);
+    repeats += g.verdict.entry == Entry::Admitted ? 1 : 0;
+  }
+  EXPECT_EQ(repeats, 10);
+  EXPECT_EQ(g.verdict.cause, Cause::RetryBudget);
+  for (int i = 0; i < 40; ++i) ASSERT_EQ(g.entry(), Entry::Admitted);
+  for (int i = 0; i < 500; ++i) {
+    g.offer(0, 0, 1, kSecond, true);
+    repeats += g.verdict.entry == Entry::Admitted ? 1 : 0;
+  }
+  EXPECT_EQ(repeats, 20) << "half of the first tries that are open";
+}
+
+TEST(RequestGate, TheHeadAloneTellsWhatWouldBeRefused) {
+  Gate g({.open = 1, .retries_least = 0, .retries_part = 0});
+  EXPECT_EQ(g.gate.early({.id = 9}), Cause::None);
+  EXPECT_EQ(g.gate.early({.id = 9, .retry = true}), Cause::RetryBudget);
+  g.offer();
+  EXPECT_EQ(g.gate.early({.id = 9}), Cause::OpenFull);
+}
+
+TEST(RequestGate, TheAdviceGrowsWithTheExcessUpToItsBound) {
+  Gate g({.open = 10, .advice_least = 100 * kMs, .advice_most = kSecond});
+  EXPECT_EQ(g.gate.advice(g.now), 100 * kMs);
+  for (int i = 0; i < 20; ++i) g.offer();
+  const Time twice = g.gate.advice(g.now);
+  EXPECT_EQ(twice, 200 * kMs);
+  for (int i = 0; i < 30; ++i) g.offer();
+  EXPECT_GT(g.gate.advice(g.now), twice);
+  for (int i = 0; i < 1000; ++i) g.offer();
+  EXPECT_EQ(g.gate.advice(g.now), kSecond);
+  EXPECT_LT(g.gate.advice(g.now + 30 * kSecond), 110 * kMs);
+}
+
+TEST(RequestGate, ImpossibleSharesAreRefusedAtStart) {
+  EXPECT_THROW(RequestGate({.open = 4, .classes = {{.guaranteed = 3}, {.guaranteed = 2}}}),
+               std::invalid_argument);
+  EXPECT_THROW(RequestGate({.classes = {{.guaranteed = 3, .most = 2}}}), std::invalid_argument);
+  EXPECT_THROW(RequestGate({.tenants = {{.weight = 0}}}), std::invalid_argument);
+}
+
+// 100,000 seeded steps against a plain model.
+TEST(RequestGateProperties, NoSequenceOfEventsBreaksABoundOrStarvesWhoIsOwed) {
+  for (const std::uint32_t seed : {1U, 2U, 3U}) {
+    std::mt19937 random(seed);
+    const auto below = [&](std::uint32_t n) { return static_cast<std::uint32_t>(random() % n); };
+    const RequestGate::Limits limits{
+        .open = 30,
+        .bytes = 4000,
+        .waiting = 12,
+        .classes = {{.guaranteed = 5}, {.most = 12, .weight = 3}, {.guaranteed = 4}},
+        .tenants = {{.guaranteed = 8, .weight = 5}, {.guaranteed = 2}},
+        .retries_least = 4,
+        .retries_part = 0.3};
+    RequestGate gate(limits);
+    struct Held {
+      Ask ask;
+      bool open;
+    };
+    std::map<RequestKey, Held> model;
+    std::vector<RequestKey> ids;
+    Time now = kSecond;
+    RequestKey next_id = 1;
+    std::uint64_t ended = 0;
+    const auto drop = [&](RequestKey id) {
+      model.erase(id);
+      ids.erase(std::find(ids.begin(), ids.end(), id));
+      ++ended;
+    };
+    const auto count = [&](auto which) {
+      std::size_t n = 0;
+      for (const auto& [id, h] : model) n += which(h) ? 1 : 0;
+      return n;
+    };
+    const auto refuse = [&](const std::vector<Refusal>& refused) {
+      for (const Refusal& r : refused) {
+        ASSERT_TRUE(model.count(r.id) == 1 && !model.at(r.id).open) << "refused what is open, or twice";
+        drop(r.id);
+      }
+    };
+    for (int step = 0; step < 100'000; ++step) {
+      now += below(2000);
+      std::vector<Refusal> refused;
+      if (below(5) < 3) {
+        const Ask ask{next_id++,
+                      static_cast<std::int32_t>(below(5)) - 1,
+                      static_cast<std::int32_t>(below(4)) - 1,
+                      below(10) == 0 ? below(5000) : below(60),
+                      now + below(200'000) + 1,
+                      below(6) == 0};
+        const Verdict v = gate.offer(now, ask, refused);
+        refuse(refused);
+        if (HasFatalFailure()) return;
+        // Below both guarantees nothing but memory or a bound on repeats may stand in the way.
+        const bool class_owed = (ask.request_class == 0 && gate.openOfClass(0) < 5) ||
+                                (ask.request_class == 2 && gate.openOfClass(2) < 4);
+        const bool tenant_owed =
+            (ask.tenant == 0 && gate.openOfTenant(0) < 8) || (ask.tenant == 1 && gate.openOfTenant(1) < 2);
+        if (class_owed && tenant_owed && v.entry != Entry::Admitted) {
+          ASSERT_TRUE(v.cause == Cause::RetryBudget || ask.bytes + gate.bytes() > limits.bytes);
+        }
+        if (v.entry != Entry::Refused) {
+          model.emplace(ask.id, Held{ask, v.entry == Entry::Admitted});
+          ids.push_back(ask.id);
+        } else {
+          ++ended;
+          ASSERT_NE(v.cause, Cause::None);
+        }
+      } else if (!ids.empty()) {
+        const RequestKey id = ids[below(static_cast<std::uint32_t>(ids.size()))];
+        gate.release(now, id);
+        drop(id);
+        gate.release(now, id);  // a second time does nothing
+        std::vector<RequestKey> admitted;
+        gate.next(now, admitted, refused);
+        refuse(refused);
+        if (HasFatalFailure()) return;
+        for (const RequestKey a : admitted) {
+          ASSERT_TRUE(model.count(a) == 1 && !model.at(a).open);
+          model.at(a).open = true;
+        }
+        ASSERT_GT(gate.due(), now);
+      }
+      ASSERT_LE(gate.open(), limits.open);
+      ASSERT_LE(gate.waiting(), limits.waiting);
+      ASSERT_LE(gate.openOfClass(1), 12U);
+      ASSERT_LE(gate.bytes(), gate.open() > 1 ? 5000U + limits.bytes : 5000U);
+      if (step % 20 != 0) continue;
+      ASSERT_EQ(gate.open(), count([](const Held& h) { return h.open; }));
+      ASSERT_EQ(gate.waiting(), count([](const Held& h) { return !h.open; }));
+      ASSERT_EQ(gate.retries(), count([](const Held& h) { return h.open && h.ask.retry; }));
+      std::size_t bytes = 0;
+      for (const auto& [id, h] : model) bytes += h.open ? h.ask.bytes : 0;
+      ASSERT_EQ(gate.bytes(), bytes);
+      ASSERT_EQ(next_id - 1, ended + model.size()) << "each is open, waits or has ended";
+    }
+    for (const RequestKey id : std::vector(ids)) gate.release(now, id), drop(id);
+    EXPECT_EQ(gate.open() + gate.waiting() + gate.bytes() + gate.retries(), 0U);
+    for (const std::int32_t c : {-1, 0, 1, 2}) EXPECT_EQ(gate.openOfClass(c), 0U);
+  }
+}
+
+TEST(Ledger, CountsByCauseClassAndTenantAndTellsTheNews) {
+  Ledger ledger(2, 1);
+  ledger.note(Cause::OpenFull, 1, 0);
+  ledger.note(Cause::OpenFull, 7, -1);  // not known: other
+  ledger.note(Cause::None, 0, 0);
+  EXPECT_EQ(ledger.total(Cause::OpenFull), 2U);
+  EXPECT_EQ(ledger.count(Cause::OpenFull, 1, 0), 1U);
+  EXPECT_EQ(ledger.count(Cause::OpenFull, 2, 1), 1U);
+  EXPECT_EQ(ledger.newsSinceLast(), "2 open_full");
+  EXPECT_EQ(ledger.newsSinceLast(), "");
+  std::array<std::uint64_t, kCauses> also{};
+  also[static_cast<std::size_t>(Cause::SilentOverdue)] = 3;
+  EXPECT_EQ(ledger.newsSinceLast(also), "3 silent_overdue");
+}
+
+}  // namespace
+}  // namespace quinceline::admission
--- a/tests/admission_server_test.cpp
+++ b/tests/admission_server_test.cpp
@@ -182,6 +182,32 @@
   while (hosts-- > 0) places->release(Side::Hosts);
 }
 
+TEST_F(AdmissionServerTest, UploadsThatTakeAllMemoryDoNotHoldUpSmallRequests) {
+  limits.body_bytes = 192 * 1024;
+  limits.connections.request = 1500 * kMillisecond;
+  serve();
+  std::vector<std::shared_ptr<Peer>> uploads;
+  for (int i = 0; i < 12; ++i) {
+    uploads.push_back(client());
+    uploads.back()->say("POST /open HTTP/1.1\r\nContent-Length: 60000\r\n\r\n" + std::string(50'000, 'x'));
+  }
+  ASSERT_TRUE(loop.until([&] {
+    return std::all_of(uploads.begin(), uploads.end(), [](const auto& c) { return c->said == 1; });
+  }));
+  const auto small = client();
+  small->say(kAsk);
+  ASSERT_TRUE(loop.until([&] { return small->heard("served"); }));
+  EXPECT_EQ(taken.taken, 1);
+  // Each of them is told in the end, those that waited for memory that trying again is harmless.
+  ASSERT_TRUE(loop.until([&] {
+    return std::all_of(uploads.begin(), uploads.end(), [](const auto& c) { return c->heard("HTTP/1.1 "); });
+  }));
+  const auto refused =
+      std::count_if(uploads.begin(), uploads.end(), [](const auto& c) { return c->heard("HTTP/1.1 503"); });
+  EXPECT_GT(refused, 0);
+  for (const auto& c : uploads) EXPECT_TRUE(c->heard("HTTP/1.1 503") || c->heard("HTTP/1.1 408"));
+}
+
 TEST_F(AdmissionServerTest, AStormOfHealthCallsLeavesKeptConnectionsAlone) {
   limits.connections.most = 60;
   serve();
--- /dev/null
+++ b/tests/proxy_support.h
@@ -0,0 +1,128 @@
+// Shared by the tests of the whole client proxy: its configuration, a scripted discovery, the program itself.
+#pragma once
+
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "net/proxy.h"
+#include "net_support.h"
+
+namespace quinceline::test {
+
+using nlohmann::json;
+
+inline std::string textOf(const tcp::endpoint& e) {
+  return e.address().to_string() + ":" + std::to_string(e.port());
+}
+
+inline json entry(const std::string& uid, const tcp::endpoint& at, const char* state = "active") {
+  return {{"uid", uid}, {"endpoint", textOf(at)}, {"az", "a"}, {"state", state}};
+}
+
+inline std::string line(int revision, bool full, const json& targets) {
+  const std::string text = json{{"rev", revision}, {"all", full}, {"targets", targets}}.dump() + "\n";
+  char size[20];
+  std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+  return size + text + "\r\n";
+}
+inline const std::string kWatch = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// A configuration file of its own, and the environment that names it.
+class ConfigFile {
+ public:
+  ConfigFile(const json& known, const tcp::endpoint& discovery) {
+    std::ifstream in(EXAMPLE_CONFIG);
+    doc = json::parse(in);
+    doc["listen"] = "127.0.0.1:0";
+    doc["discovery"] = textOf(discovery);
+    doc["known"]["targets"] = known;
+    doc["settings"]["rules"]["ask_within_us"] = 300000;
+    char name[] = "/tmp/quinceline-test-XXXXXX";
+    const int fd = mkstemp(name);
+    if (fd >= 0) ::close(fd);
+    path = name;
+    write(doc.dump());
+  }
+  ~ConfigFile() { std::filesystem::remove(path); }
+  void write(const std::string& text) { std::ofstream(path, std::ios::trunc) << text; }
+  std::function<const char*(const char*)> environment() const {
+    return [this](const char* name) {
+      return std::string_view(name) == "PROXY_CONFIG" ? path.c_str() : nullptr;
+    };
+  }
+  json doc;
+  std::string path;
+};
+
+inline std::string request(const std::string& id, const std::string& extra = "") {
+  return "GET /slot-status/7 HTTP/1.1\r\nHost: h\r\nX-Account: acme\r\nX-Correlation-Id: " + id + "\r\n" +
+         extra + "\r\n";
+}
+
+class ProxyTest : public ::testing::Test {
+ protected:
+  // `change` may alter the configuration before it is used.
+  void start(const json& known, const std::function<void(Config&)>& change = {}) {
+    file = std::make_unique<ConfigFile>(known, discovery.endpoint());
+    Config config = readConfig(file->environment());
+    if (change) change(config);
+    proxy = std::make_unique<Proxy>(loop.io, std::move(config), loop.log, loop.clock);
+    proxy->start();
+  }
+  std::shared_ptr<Peer> client() { return Peer::connect(loop, proxy->localEndpoint()); }
+  std::shared_ptr<Peer> watch(Host& at) {
+    const bool come = loop.until([&] { return !at.peers.empty() && at.peers.back()->heard("\r\n\r\n"); });
+    return come ? at.peers.back() : nullptr;
+  }
+  Loop loop;
+  Host host{loop}, other{loop}, discovery{loop}, moved{loop};
+  std::unique_ptr<ConfigFile> file;
+  std::unique_ptr<Proxy> proxy;
+};
+
+// A port for the program, on an address that no other test uses: nobody takes it before the program does.
+inline tcp::endpoint freePort(Loop& loop) {
+  const auto pid = static_cast<unsigned>(getpid());
+  const asio::ip::address_v4 address(0x7F'4D'00'00U | (pid & 0xFFFFU));
+  return tcp::acceptor(loop.io, tcp::endpoint(address, 0)).local_endpoint();
+}
+
+// The program itself: signals are its business.
+class Program {
+ public:
+  explicit Program(const ConfigFile& file) {
+    std::string config = "PROXY_CONFIG=" + file.path;
+    std::string discovery = "PROXY_DISCOVERY=" + file.doc["discovery"].get<std::string>();
+    char* const environment[] = {config.data(), discovery.data(), nullptr};
+    char name[] = QUINCELINE;
+    char* const arguments[] = {name, nullptr};
+    if (posix_spawn(&pid_, QUINCELINE, nullptr, nullptr, arguments, environment) != 0) pid_ = -1;
+  }
+  ~Program() {
+    if (pid_ <= 0) return;
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+  }
+  void signal(int number) const { kill(pid_, number); }
+  // The exit status; -1 while it runs.
+  int status() {
+    int value = 0;
+    if (pid_ <= 0 || waitpid(pid_, &value, WNOHANG) != pid_) return -1;
+    pid_ = -1;
+    return WIFEXITED(value) ? WEXITSTATUS(value) : 1000 + value;
+  }
+  bool runs() { return pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == 0; }
+
+ private:
+  pid_t pid_ = -1;
+};
+
+}  // namespace quinceline::test
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -1,90 +1,9 @@
 // The whole client proxy on loopback sockets: a scripted client, host and discovery around the real parts.
-#include "net/proxy.h"
-
-#include <signal.h>
-#include <spawn.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
-#include <cstdlib>
-#include <filesystem>
-#include <fstream>
-#include <map>
-#include <nlohmann/json.hpp>
-
-#include "net_support.h"
+#include "proxy_support.h"
 
 namespace quinceline::test {
 namespace {
 
-using nlohmann::json;
-
-std::string textOf(const tcp::endpoint& e) {
-  return e.address().to_string() + ":" + std::to_string(e.port());
-}
-
-json entry(const std::string& uid, const tcp::endpoint& at, const char* state = "active") {
-  return {{"uid", uid}, {"endpoint", textOf(at)}, {"az", "a"}, {"state", state}};
-}
-
-std::string line(int revision, bool full, const json& targets) {
-  const std::string text = json{{"rev", revision}, {"all", full}, {"targets", targets}}.dump() + "\n";
-  char size[20];
-  std::snprintf(size, sizeof size, "%zx\r\n", text.size());
-  return size + text + "\r\n";
-}
-const std::string kWatch = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-// A configuration file of its own, and the environment that names it.
-class ConfigFile {
- public:
-  ConfigFile(const json& known, const tcp::endpoint& discovery) {
-    std::ifstream in(EXAMPLE_CONFIG);
-    doc = json::parse(in);
-    doc["listen"] = "127.0.0.1:0";
-    doc["discovery"] = textOf(discovery);
-    doc["known"]["targets"] = known;
-    doc["settings"]["rules"]["ask_within_us"] = 300000;
-    char name[] = "/tmp/quinceline-test-XXXXXX";
-    const int fd = mkstemp(name);
-    if (fd >= 0) ::close(fd);
-    path = name;
-    write(doc.dump());
-  }
-  ~ConfigFile() { std::filesystem::remove(path); }
-  void write(const std::string& text) { std::ofstream(path, std::ios::trunc) << text; }
-  std::function<const char*(const char*)> environment() const {
-    return [this](const char* name) {
-      return std::string_view(name) == "PROXY_CONFIG" ? path.c_str() : nullptr;
-    };
-  }
-  json doc;
-  std::string path;
-};
-
-std::string request(const std::string& id, const std::string& extra = "") {
-  return "GET /slot-status/7 HTTP/1.1\r\nHost: h\r\nX-Account: acme\r\nX-Correlation-Id: " + id + "\r\n" +
-         extra + "\r\n";
-}
-
-class ProxyTest : public ::testing::Test {
- protected:
-  void start(const json& known) {
-    file = std::make_unique<ConfigFile>(known, discovery.endpoint());
-    proxy = std::make_unique<Proxy>(loop.io, readConfig(file->environment()), loop.log, loop.clock);
-    proxy->start();
-  }
-  std::shared_ptr<Peer> client() { return Peer::connect(loop, proxy->localEndpoint()); }
-  std::shared_ptr<Peer> watch(Host& at) {
-    const bool come = loop.until([&] { return !at.peers.empty() && at.peers.back()->heard("\r\n\r\n"); });
-    return come ? at.peers.back() : nullptr;
-  }
-  Loop loop;
-  Host host{loop}, other{loop}, discovery{loop}, moved{loop};
-  std::unique_ptr<ConfigFile> file;
-  std::unique_ptr<Proxy> proxy;
-};
-
 TEST_F(ProxyTest, TheIdOfAnOpenRequestIsTakenOnce) {
   start(json::array({entry("s-1", host.endpoint())}));
   const auto first = client(), second = client();
@@ -200,43 +119,6 @@
   EXPECT_TRUE(proxy->upstream().knows("s-2"));
 }
 
-// A port for the program, on an address that no other test uses: nobody takes it before the program does.
-tcp::endpoint freePort(Loop& loop) {
-  const auto pid = static_cast<unsigned>(getpid());
-  const asio::ip::address_v4 address(0x7F'4D'00'00U | (pid & 0xFFFFU));
-  return tcp::acceptor(loop.io, tcp::endpoint(address, 0)).local_endpoint();
-}
-
-// The program itself: signals are its business.
-class Program {
- public:
-  explicit Program(const ConfigFile& file) {
-    std::string config = "PROXY_CONFIG=" + file.path;
-    std::string discovery = "PROXY_DISCOVERY=" + file.doc["discovery"].get<std::string>();
-    char* const environment[] = {config.data(), discovery.data(), nullptr};
-    char name[] = QUINCELINE;
-    char* const arguments[] = {name, nullptr};
-    if (posix_spawn(&pid_, QUINCELINE, nullptr, nullptr, arguments, environment) != 0) pid_ = -1;
-  }
-  ~Program() {
-    if (pid_ <= 0) return;
-    kill(pid_, SIGKILL);
-    waitpid(pid_, nullptr, 0);
-  }
-  void signal(int number) const { kill(pid_, number); }
-  // The exit status; -1 while it runs.
-  int status() {
-    int value = 0;
-    if (pid_ <= 0 || waitpid(pid_, &value, WNOHANG) != pid_) return -1;
-    pid_ = -1;
-    return WIFEXITED(value) ? WEXITSTATUS(value) : 1000 + value;
-  }
-  bool runs() { return pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == 0; }
-
- private:
-  pid_t pid_ = -1;
-};
-
 TEST(Program, OutlivesSighupAndTakesOnlyConfigurationsThatCanBeRead) {
   Loop loop;
   Host host(loop), discovery(loop), moved(loop);
