The operators' language as text: syntax, units, includes, definitions; quinceline fmt

Need: routes and limits are edited by tired people; mistakes must be found before they serve, each with its place and what to write instead. TOML, as the operator file has now, tells one error a run, loses comments and knows no includes.

The platform's start is as before.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -17,6 +17,7 @@
 #include "net/log.h"
 #include "net/proxy.h"
 #ifdef QUINCELINE_OPERATOR
+#include "cli/commands.h"
 #include "status/status_server.h"
 #endif
 
@@ -79,7 +80,15 @@
 
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
+#ifdef QUINCELINE_OPERATOR
+  if (argc > 1) return runCommand(argc, argv);
+#else
+  if (argc > 1) {
+    std::fprintf(stderr, "%s: this program was built without commands (WELDFLOW_OPERATOR)\n", argv[0]);
+    return 2;
+  }
+#endif
   Config config;
   try {
     config = readConfig([](const char* name) { return std::getenv(name); });
