A list shorter than the subset is not lengthened on every arrival

Cause: adjustLength() compared the demand's length with the present one before bounding it by the list. Change: the demand is bounded by the list first. A test, seen to fail before.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -228,9 +228,10 @@
 
   // A client whose own demand outgrows its subset lengthens it; the prefix property keeps what it had.
   void adjustLength(Actions& out) {
-    const auto want = std::max(kSubset, static_cast<std::uint32_t>(std::ceil(kReach * demand)));
+    const auto asked = static_cast<std::uint32_t>(std::ceil(kReach * demand));
+    const auto want = std::max(kSubset, std::min(asked, static_cast<std::uint32_t>(order.size())));
     if (want > wanted) {
-      wanted = std::min(want, std::max(kSubset, static_cast<std::uint32_t>(order.size())));
+      wanted = want;
       lengthened = now;
       measureReach();
       trace(out, Lengthened, "subset lengthened to " + std::to_string(wanted));
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -88,6 +88,18 @@
   EXPECT_EQ(d.balancer.subset(d.now), before);
 }
 
+// With fewer servers than the subset's ordinary length there is nothing to lengthen, however great the demand.
+TEST(Subset, AShortListIsNotLengthenedOnEveryArrival) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(6));
+  for (RequestId id = 1; id <= 60; ++id) {
+    d.now += 100 * kMs;
+    d.request(id, 0);
+    EXPECT_FALSE(d.traced("subset lengthened")) << id;
+  }
+  EXPECT_EQ(d.balancer.subset(d.now).size(), 6U);
+}
+
 // ---- pick ----
 
 TEST(Pick, FewestInFlightThenByTurn) {
