Admission tidied: one way into a state, one walk for who gives way, one index rule

Found by reading the whole change again: the gate for connections wrote the same four lines for each state and the same walk twice; ledger and request gate each had the rule for an unknown class; a waiting request's tenant was looked up again when it was let in or refused; the shortest aim was computed in two places; closing one connection went through three functions; an unused member and includes.

--- a/src/admission/cause.h
+++ b/src/admission/cause.h
@@ -11,6 +11,12 @@
 
 using Time = std::int64_t;  // microseconds, as in weldflow/balancer.h
 
+// Classes and tenants go by index. One that is not known (-1, or beyond the last) is the last of `count`.
+constexpr std::size_t indexOrLast(std::int32_t index, std::size_t count) {
+  const auto i = static_cast<std::size_t>(index);
+  return index < 0 || i >= count ? count - 1 : i;
+}
+
 enum class Cause : std::uint8_t {
   None,  // let in, or kept
   // A connection was closed.
--- a/src/admission/connections.cpp
+++ b/src/admission/connections.cpp
@@ -67,6 +67,14 @@
   wheel_[r.bucket].pushBack(records_, &Record::wheel, slot);
 }
 
+void ConnectionGate::enter(Record& r, State state, Time since, Time limit) {
+  const Slot slot = slotOf(r);
+  wake(slot);
+  r.state = state;
+  r.since = since;
+  setDue(slot, since + limit);
+}
+
 void ConnectionGate::recount(Slot peer, std::uint32_t connections) {
   std::uint32_t& count = peers_[peer].connections;
   // Those with a single connection can't be over a share, and there may be very many of them.
@@ -124,7 +132,6 @@
 void ConnectionGate::onFirstByte(Time now, ConnectionId id) {
   Record* const r = find(id);
   if (r == nullptr) return;
-  const auto slot = static_cast<Slot>(r - records_.data());
   const bool first = r->state == State::Silent;
   if (first) {
     const auto took = static_cast<double>(now - r->since);
@@ -132,29 +139,21 @@
     ask_delay_ = std::max(took, ask_delay_ - kDelayFades * (ask_delay_ - took));
   }
   if (r->resting) reuse_.onRequest(now, r->requests + 1, idle());
-  wake(slot);
-  ++r->requests;
-  const Time from = first ? r->since : now;
-  r->state = State::Reading;
-  r->since = from;
-  setDue(slot, from + limits_.request);
+  enter(*r, State::Reading, first ? r->since : now, limits_.request);
+  ++r->requests;  // only now: it tells in which list it has rested
 }
 
 void ConnectionGate::onRequest(ConnectionId id) {
   Record* const r = find(id);
   if (r == nullptr) return;
   r->state = State::Waiting;
-  setDue(static_cast<Slot>(r - records_.data()), 0);
+  setDue(slotOf(*r), 0);
 }
 
 Cause ConnectionGate::onAnswer(Time now, ConnectionId id, bool more) {
   Record* const r = find(id);
   if (r == nullptr) return Cause::None;
-  const auto slot = static_cast<Slot>(r - records_.data());
-  wake(slot);
-  r->state = State::Answering;
-  r->since = now;
-  setDue(slot, now + limits_.write);
+  enter(*r, State::Answering, now, limits_.write);
   const bool full_without_silent = connections_ - silent() > limits_.most;
   if (std::exchange(r->beyond, false) && (full_without_silent || atBound(peers_[r->peer])))
     return Cause::ConnectionsFull;
@@ -166,28 +165,20 @@
 void ConnectionGate::onRest(Time now, ConnectionId id) {
   Record* const r = find(id);
   if (r == nullptr) return;
-  const auto slot = static_cast<Slot>(r - records_.data());
-  wake(slot);
-  r->state = State::Idle;
-  r->since = now;
-  rest(slot);
-  setDue(slot, now + limits_.idle);
+  enter(*r, State::Idle, now, limits_.idle);
+  rest(slotOf(*r));
 }
 
 void ConnectionGate::onLinger(Time now, ConnectionId id) {
   Record* const r = find(id);
   if (r == nullptr) return;
-  const auto slot = static_cast<Slot>(r - records_.data());
-  wake(slot);
-  r->state = State::Lingering;
-  r->since = now;
-  setDue(slot, now + limits_.linger);
+  enter(*r, State::Lingering, now, limits_.linger);
 }
 
 void ConnectionGate::onClosed(ConnectionId id, Cause cause) {
   Record* const r = find(id);
   if (r == nullptr) return;
-  const auto slot = static_cast<Slot>(r - records_.data());
+  const Slot slot = slotOf(*r);
   const bool early =
       cause == Cause::IdleGaveWay || cause == Cause::UnusedGaveWay || cause == Cause::PeerShare;
   if (r->state == State::Idle && !early) reuse_.onUnused(r->requests);
@@ -210,7 +201,7 @@
   Record* const r = find(id);
   if (r == nullptr) return;
   r->skipped = true;
-  if (r->due != 0 && r->due <= now) setDue(static_cast<Slot>(r - records_.data()), now + kTick);
+  if (r->due != 0 && r->due <= now) setDue(slotOf(*r), now + kTick);
 }
 
 Time ConnectionGate::silentGrace() const {
@@ -218,12 +209,15 @@
   return std::clamp(static_cast<Time>(kGraceFactor * ask_delay_), kLeastGrace, kMostGrace);
 }
 
-std::optional<ConnectionGate::Closing> ConnectionGate::oldest(const SlotList& list, Time before,
-                                                              Cause cause) {
+// `hook`: of the list. A connection made just now is passed over: its request may be on its way.
+std::optional<ConnectionGate::Closing> ConnectionGate::oldest(const SlotList& list, Hook Record::*hook,
+                                                              Time now, Time before, Cause cause) const {
   int skipped = 0;
-  for (Slot s = list.front(); s != kNoSlot; s = records_[s].order.after) {
-    if (records_[s].since > before) return std::nullopt;
-    if (!records_[s].skipped) return Closing{idOf(s), cause};
+  for (Slot s = list.front(); s != kNoSlot; s = (records_[s].*hook).after) {
+    const Record& r = records_[s];
+    if (r.since > before) return std::nullopt;
+    const bool just_connected = r.state == State::Silent && r.since > now - kLeastGrace;
+    if (!r.skipped && !just_connected) return Closing{idOf(s), cause};
     if (++skipped > kMostSkipped) return std::nullopt;
   }
   return std::nullopt;
@@ -236,26 +230,13 @@
   const double others =
       static_cast<double>(connections_ - count) / static_cast<double>(peer_slots_.size() - 1);
   if (count < limits_.most / kLargePart || count <= kOverShare * others) return std::nullopt;
-  return oldestOf(peers_[peer], now, before);
-}
-
-std::optional<ConnectionGate::Closing> ConnectionGate::oldestOf(const Peer& peer, Time now,
-                                                                Time before) const {
-  int skipped = 0;
-  for (Slot s = peer.resting.front(); s != kNoSlot; s = records_[s].of_peer.after) {
-    const Record& r = records_[s];
-    if (r.since > before) return std::nullopt;
-    const bool just_connected = r.state == State::Silent && r.since > now - kLeastGrace;
-    if (!r.skipped && !just_connected) return Closing{idOf(s), Cause::PeerShare};
-    if (++skipped > kMostSkipped) return std::nullopt;
-  }
-  return std::nullopt;
+  return oldest(peers_[peer].resting, &Record::of_peer, now, before, Cause::PeerShare);
 }
 
 std::optional<ConnectionGate::Closing> ConnectionGate::makeRoomAt(Time now, const PeerAddress& peer) {
   const auto it = peer_slots_.find(peer);
   if (it == peer_slots_.end() || !atBound(peers_[it->second])) return std::nullopt;
-  return oldestOf(peers_[it->second], now, now);
+  return oldest(peers_[it->second].resting, &Record::of_peer, now, now, Cause::PeerShare);
 }
 
 // The least useful first. Silent ones that had their chance; then what one address holds beyond its share;
@@ -266,12 +247,15 @@
 // the protection is over.
 std::optional<ConnectionGate::Closing> ConnectionGate::makeRoom(Time now, Time rested) {
   const Time before = now - rested;
-  if (auto c = oldest(silent_, std::min(before, now - silentGrace()), Cause::SilentGaveWay)) return c;
+  const auto first = [&](const SlotList& list, Time since, Cause cause) {
+    return oldest(list, &Record::order, now, since, cause);
+  };
+  if (auto c = first(silent_, std::min(before, now - silentGrace()), Cause::SilentGaveWay)) return c;
   if (auto c = overShare(now, before)) return c;
   if (crowded() && !silent_.empty()) return std::nullopt;
-  if (auto c = oldest(once_, before, reuse_.frugal() ? Cause::UnusedGaveWay : Cause::IdleGaveWay)) return c;
-  if (auto c = oldest(used_, before, Cause::IdleGaveWay)) return c;
-  return oldest(silent_, std::min(before, now - kLeastGrace), Cause::SilentGaveWay);
+  if (auto c = first(once_, before, reuse_.frugal() ? Cause::UnusedGaveWay : Cause::IdleGaveWay)) return c;
+  if (auto c = first(used_, before, Cause::IdleGaveWay)) return c;
+  return first(silent_, before, Cause::SilentGaveWay);
 }
 
 void ConnectionGate::overdue(Time now, std::vector<Overdue>& out) {
--- a/src/admission/connections.h
+++ b/src/admission/connections.h
@@ -135,16 +135,19 @@
   ConnectionId idOf(Slot slot) const {
     return (std::uint64_t{records_[slot].generation} << 32) | (slot + 1U);
   }
+  Slot slotOf(const Record& r) const { return static_cast<Slot>(&r - records_.data()); }
   SlotList& listOf(const Record& r);
   void rest(Slot slot);
   void wake(Slot slot);
   void setDue(Slot slot, Time due);
+  // A state that is counted from `since` and may last for `limit`; at rest no more.
+  void enter(Record& r, State state, Time since, Time limit);
   void joinPeer(Slot slot, const PeerAddress& address);
   void leavePeer(Slot slot);
   void recount(Slot peer, std::uint32_t connections);
-  std::optional<Closing> oldest(const SlotList& list, Time before, Cause cause);
+  std::optional<Closing> oldest(const SlotList& list, Hook Record::*hook, Time now, Time before,
+                                Cause cause) const;
   std::optional<Closing> overShare(Time now, Time before) const;
-  std::optional<Closing> oldestOf(const Peer& peer, Time now, Time before) const;
   // Most of those that connect say nothing.
   bool crowded() const { return asks_ < 0.5 || 2 * silent_.size() > limits_.most; }
   bool atBound(const Peer& peer) const { return limits_.per_peer > 0 && peer.connections > limits_.per_peer; }
--- a/src/admission/ledger.h
+++ b/src/admission/ledger.h
@@ -12,15 +12,14 @@
 
 namespace quinceline::admission {
 
-// Classes and tenants go by index; one that is not known (-1, or beyond the last) is counted as the last,
-// "other".
+// A class or tenant that is not known is counted as the last, "other".
 class Ledger {
  public:
   Ledger(std::size_t classes, std::size_t tenants)
       : classes_(classes + 1), tenants_(tenants + 1), counts_(kCauses * classes_ * tenants_) {}
 
   void note(Cause cause, std::int32_t cls, std::int32_t tenant) {
-    ++counts_[at(cause, place(cls, classes_), place(tenant, tenants_))];
+    ++counts_[at(cause, indexOrLast(cls, classes_), indexOrLast(tenant, tenants_))];
     ++totals_[static_cast<std::size_t>(cause)];
   }
   std::uint64_t total(Cause cause) const { return totals_[static_cast<std::size_t>(cause)]; }
@@ -44,10 +43,6 @@
   }
 
  private:
-  static std::size_t place(std::int32_t index, std::size_t count) {
-    const auto i = static_cast<std::size_t>(index);
-    return index < 0 || i >= count ? count - 1 : i;
-  }
   std::size_t at(Cause cause, std::size_t cls, std::size_t tenant) const {
     return (static_cast<std::size_t>(cause) * classes_ + cls) * tenants_ + tenant;
   }
--- a/src/admission/requests.cpp
+++ b/src/admission/requests.cpp
@@ -39,8 +39,7 @@
 }
 
 std::size_t RequestGate::place(const Parts& parts, std::int32_t index) {
-  const auto i = static_cast<std::size_t>(index);
-  return index < 0 || i >= parts.all.size() ? parts.all.size() - 1 : i;
+  return indexOrLast(index, parts.all.size());
 }
 
 void RequestGate::count(Parts& parts, std::int32_t index, bool in) {
@@ -129,10 +128,8 @@
   if (limits_.waiting == 0) return refuse(cause);
   if (now + expectedWait() + usual(ask.request_class) >= ask.deadline) return refuse(Cause::TooLate);
   if (waiting_.size() >= limits_.waiting) {
-    const Line& longest = lines_.at(*longestLine());
-    const RequestKey last = longest.rbegin()->second;
-    const Waiting given_up = waiting_.at(last);
-    leaveLine(given_up.ask, given_up.latest);
+    const RequestKey last = lines_.at(*longestLine()).rbegin()->second;
+    leaveLine(last);
     turned_away_ += 1;
     refused.push_back({last, Cause::Displaced});
   }
@@ -157,19 +154,19 @@
   waiting_retries_ += ask.retry ? 1 : 0;
 }
 
-void RequestGate::leaveLine(const Ask& given, Time latest) {
-  const Ask ask = given;  // it may be the very entry that goes
+void RequestGate::leaveLine(RequestKey id) {
+  const auto it = waiting_.find(id);
+  const auto& [ask, latest] = it->second;
   const auto line = lines_.find(pairOf(ask));
-  line->second.erase({ask.deadline, ask.id});
+  line->second.erase({ask.deadline, id});
   if (line->second.empty()) lines_.erase(line);
-  by_latest_.erase({latest, ask.id});
+  by_latest_.erase({latest, id});
   waiting_retries_ -= ask.retry ? 1 : 0;
-  waiting_.erase(ask.id);
+  waiting_.erase(it);
 }
 
 void RequestGate::release(Time now, RequestKey id) {
-  if (const auto it = waiting_.find(id); it != waiting_.end())
-    return leaveLine(it->second.ask, it->second.latest);
+  if (waiting_.count(id) > 0) return leaveLine(id);
   const auto it = open_.find(id);
   if (it == open_.end()) return;
   const Open& o = it->second;
@@ -206,14 +203,14 @@
 void RequestGate::next(Time now, std::vector<RequestKey>& admitted, std::vector<Refusal>& refused) {
   fade(now);
   while (!by_latest_.empty() && by_latest_.begin()->first <= now) {
-    const auto [latest, id] = *by_latest_.begin();
-    leaveLine(waiting_.at(id).ask, latest);
+    const RequestKey id = by_latest_.begin()->second;
+    leaveLine(id);
     turned_away_ += 1;
     refused.push_back({id, Cause::TooLate});
   }
   while (const Ask* const found = pickNext()) {
     const Ask ask = *found;
-    leaveLine(ask, waiting_.at(ask.id).latest);
+    leaveLine(ask.id);
     admit(now, ask);
     admitted.push_back(ask.id);
   }
--- a/src/admission/requests.h
+++ b/src/admission/requests.h
@@ -124,7 +124,7 @@
   double weightOf(const Pair& pair) const;
   void admit(Time now, const Ask& ask);
   void enqueue(const Ask& ask);
-  void leaveLine(const Ask& ask, Time latest);
+  void leaveLine(RequestKey id);
   const Ask* pickNext() const;
   const Pair* longestLine() const;
   Time usual(std::int32_t cls) const { return usual_[place(classes_, cls)]; }
--- a/src/net/proxy.cpp
+++ b/src/net/proxy.cpp
@@ -65,6 +65,13 @@
 
 Answer plain(int status) { return {.status = status, .body = {}, .content_type = {}, .retry_after = {}}; }
 
+// Never more than a second.
+Time shortestAim(const weldflow::Settings& settings) {
+  Time aim = kSecond;
+  for (const weldflow::RequestClass& c : settings.classes) aim = std::min(aim, c.aim);
+  return aim;
+}
+
 Server::Limits serverLimits(const Config& config, std::size_t descriptors) {
   Server::Limits limits;
   limits.body_bytes = std::max<std::size_t>(config.memory_mb * kMegabyte / 4, kMostBody);
@@ -93,9 +100,7 @@
   limits.retries_least = own.retries_least.value_or(kLeastRetries);
   limits.retries_part = own.retries_part.value_or(1);
   if (settings.retry_after) {
-    Time aim = kSecond;
-    for (const weldflow::RequestClass& c : settings.classes) aim = std::min(aim, c.aim);
-    limits.advice_least = aim / 8;
+    limits.advice_least = shortestAim(settings) / 8;
     limits.advice_most = settings.max_retry_after;
   }
   return limits;
@@ -106,8 +111,7 @@
   limits.idle = config.site.idle;
   limits.probe_load = config.site.reports;
   // Answers are small and written at once; what stops half-way is worth a part of the aim at most.
-  Time aim = kSecond;
-  for (const weldflow::RequestClass& c : config.site.settings.classes) aim = std::min(aim, c.aim);
+  const Time aim = shortestAim(config.site.settings);
   limits.answer_whole = std::max(aim / 4, 20 * kMillisecond);
   // A machine that has vanished must leave time for another; hosts are never far away.
   limits.connect_timeout = std::min(config.site.connect_timeout, std::max(aim / 4, 20 * kMillisecond));
@@ -267,7 +271,7 @@
       open(id, std::move(request), *info, deadline);
       break;
     case admission::Entry::Waits:
-      waiting_.emplace(id, Held{std::move(request), info, deadline});
+      waiting_.emplace(id, Held{std::move(request), info, ask});
       break;
     case admission::Entry::Refused:
       ids_.erase(request.head.correlation);
@@ -306,7 +310,7 @@
     const Held held = std::move(it->second);
     waiting_.erase(it);
     ids_.erase(held.request.head.correlation);
-    server_.answer(r.id, refusal(askOf(r.id, held.request.head, *held.info, 0, held.deadline), r.cause));
+    server_.answer(r.id, refusal(held.ask, r.cause));
   }
 }
 
@@ -320,9 +324,8 @@
     const auto it = waiting_.find(id);
     Held held = std::move(it->second);
     waiting_.erase(it);
-    const admission::Ask ask = askOf(id, held.request.head, *held.info, 0, held.deadline);
-    ledger_.note(Cause::None, ask.request_class, ask.tenant);
-    open(id, std::move(held.request), *held.info, held.deadline);
+    ledger_.note(Cause::None, held.ask.request_class, held.ask.tenant);
+    open(id, std::move(held.request), *held.info, held.ask.deadline);
   }
   awaitPlaces();
 }
--- a/src/net/proxy.h
+++ b/src/net/proxy.h
@@ -69,7 +69,7 @@
   struct Held {  // waits for a place
     ClientRequest request;
     const ClassInfo* info = nullptr;
-    Time deadline = 0;
+    admission::Ask ask;
   };
 
   // What server, upstream and discovery report.
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -344,8 +344,8 @@
   bool resting_ = true;        // no request is open here
   ReadBuffer in_;
   std::unique_ptr<RequestParser> parser_;  // only while a request comes: it is large
-  std::shared_ptr<BodyShare> share_;  // of the body that is being read
-  std::string out_;                   // the answer
+  std::shared_ptr<BodyShare> share_;       // of the body that is being read
+  std::string out_;                        // the answer
   ExchangeId exchange_ = 0;
   bool head_seen_ = false;
   bool old_version_ = false, close_ = false;
@@ -443,7 +443,7 @@
   const auto connection = std::make_shared<Connection>(*this, id, std::move(socket));
   connections_.emplace(id, connection);
   connection->start();
-  closeChosen([&] { return gate_.makeRoomAt(now(), peer); }, std::nullopt);
+  closeChosen([&] { return gate_.makeRoomAt(now(), peer); });
 }
 
 void Server::remove(ConnectionId connection, Cause cause) {
@@ -452,8 +452,8 @@
   descriptors_.release(Side::Clients);
 }
 
-bool Server::closeOne(Time rested, std::optional<Cause> why) {
-  return closeChosen([&] { return gate_.makeRoom(now(), rested); }, why);
+bool Server::closeOneIdle(Time rested) {
+  return closeChosen([&] { return gate_.makeRoom(now(), rested); });
 }
 
 template <typename Choose>
@@ -495,7 +495,7 @@
 void Server::drain() { draining_ = true; }
 
 void Server::closeIdle() {
-  while (closeOne(0, Cause::Shutdown)) {
+  while (closeChosen([&] { return gate_.makeRoom(now()); }, Cause::Shutdown)) {
   }
 }
 
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -73,7 +73,7 @@
   // Takes what is left in the accept queue, then closes the listener.
   void stopListening();
   // Gives a descriptor back, of a connection that has rested for `rested`; false: there is none.
-  bool closeOneIdle(Time rested = 0) { return closeOne(rested, std::nullopt); }
+  bool closeOneIdle(Time rested = 0);
   std::size_t connections() const { return connections_.size(); }
   const admission::ConnectionGate& gate() const { return gate_; }
 
@@ -89,9 +89,8 @@
   void acceptLater();
   void acceptBatch();
   bool takePlace();
-  bool closeOne(Time rested, std::optional<Cause> why);
   template <typename Choose>
-  bool closeChosen(Choose choose, std::optional<Cause> why);
+  bool closeChosen(Choose choose, std::optional<Cause> why = std::nullopt);
   void admit(Socket socket);
   void remove(ConnectionId connection, Cause cause);
   void sweep();
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -1,8 +1,6 @@
 #include <toml++/toml.h>
 
 #include <algorithm>
-#include <array>
-#include <limits>
 #include <stdexcept>
 #include <string_view>
 
@@ -28,12 +26,7 @@
                 std::initializer_list<std::string_view> keys) const {
     for (const auto& [key, value] : table) {
       if (std::find(keys.begin(), keys.end(), key.str()) != keys.end()) continue;
-      std::string known;
-      for (const std::string_view k : keys) {
-        if (!known.empty()) known += ", ";
-        known += k;
-      }
-      bad(key.source(), join(name, key.str()), "is not known; here go " + known);
+      bad(key.source(), join(name, key.str()), "is not known; here go " + listed(keys));
     }
   }
 
@@ -97,9 +90,10 @@
     if (s.back() == '.') s.pop_back();
     return s;
   }
-  static std::string listed(const std::vector<std::string>& names) {
+  template <typename Names>
+  static std::string listed(const Names& names) {
     std::string all;
-    for (const std::string& n : names) {
+    for (const std::string_view n : names) {
       if (!all.empty()) all += ", ";
       all += n;
     }
--- a/src/status/status_server.cpp
+++ b/src/status/status_server.cpp
@@ -1,6 +1,5 @@
 #include "status_server.h"
 
-#include <boost/asio/ip/v6_only.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -8,7 +7,6 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <chrono>
-#include <optional>
 #include <stdexcept>
 
 namespace quinceline {
@@ -81,7 +79,7 @@
   http::response<http::string_body> answer_;
 };
 
-StatusServer::StatusServer(asio::io_context& io) : io_(io), acceptor_(io) {}
+StatusServer::StatusServer(asio::io_context& io) : acceptor_(io) {}
 StatusServer::~StatusServer() = default;
 
 void StatusServer::listen(const asio::ip::tcp::endpoint& at) {
--- a/src/status/status_server.h
+++ b/src/status/status_server.h
@@ -32,7 +32,6 @@
 
   void accept();
 
-  boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::map<std::string, Page, std::less<>> pages_;
   std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0);  // sessions may outlive this
