--- a/include/weldflow/balancer.h
+++ b/include/weldflow/balancer.h
@@ -31,11 +31,13 @@
   Time aim = 0;       // an answer within this time earns the full worth; > 0
   Time deadline = 0;  // how long clients of this class wait at most; > 0
   Effect effect = Effect::Unsafe;
-  Group group = Group::All;  // read for Keyed
-  Time window = 0;           // read for Keyed: repeats are discarded this long after the first send; > 0
-  double worth = 1;          // what one answer in time is worth; >= 0
-  double late_worth = 0;     // fraction of the worth for an answer between aim and deadline
-  double aim_stretch = 0;    // the aim grows by this multiple of the request's own work
+  Group group = Group::All;       // read for Keyed
+  Time window = 0;                // read for Keyed: repeats are discarded this long after the first send; > 0
+  double worth = 1;               // what one answer in time is worth; >= 0
+  double late_worth = 0;          // fraction of the worth for an answer between aim and deadline
+  double aim_stretch = 0;         // the aim grows by this multiple of the request's own work
+  std::int32_t max_attempts = 0;  // per request; 0: Settings::max_attempts
+  bool operator==(const RequestClass&) const = default;
 };
 
 struct Tenant {
@@ -183,6 +185,11 @@
   // before the next call. Arguments are read during the call only; nothing is kept by reference. Unknown ids,
   // second outcomes and answers that come too late are ignored.
 
+  // The settings are others from now on. What is known of servers stays: slots, ejections, cold shares. A
+  // class whose definition is replaced must have no request in flight; new ones go to the end; none can be
+  // taken out. Client, zone and discovery must be the same. Throws std::invalid_argument that names the
+  // field, and then nothing has changed.
+  void reconfigure(Settings settings);
   // Discovery's news. The first call should be the Restored list (it may be empty).
   void onServers(Time now, ListKind kind, std::span<const Host> hosts, Actions& out);
   // A client's request. It gets exactly one final answer: an Outcome with `final`, Refuse or Fail.
@@ -215,6 +222,8 @@
 
 // Throws std::invalid_argument that names the field if a value is impossible; the constructor calls it.
 void validate(const Settings& settings);
+// The same for what can't take the place of `before`; reconfigure() calls it.
+void validateChange(const Settings& before, const Settings& settings);
 
 // The order in which client `client` reads `slots` server slots (0 … slots-1): Rocksteadier subsetting.
 std::vector<std::uint32_t> subsetOrder(std::uint32_t client, std::uint32_t slots);
--- a/src/admission/connections.h
+++ b/src/admission/connections.h
@@ -90,6 +90,8 @@
   static Cause causeOf(State state);
   // The bound follows what others leave.
   void setMost(std::size_t most) { limits_.most = most; }
+  // The limits are others from now on; a connection keeps the time it has for what it is in.
+  void reconfigure(const Limits& limits) { limits_ = limits; }
 
   // ---- figures ----
 
--- a/src/admission/ledger.h
+++ b/src/admission/ledger.h
@@ -1,11 +1,13 @@
 // What admission decided, counted by cause, class and tenant. No I/O, no clock.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "cause.h"
@@ -22,6 +24,24 @@
     ++counts_[at(cause, indexOrLast(cls, classes_), indexOrLast(tenant, tenants_))];
     ++totals_[static_cast<std::size_t>(cause)];
   }
+  // Room for more of them; what was counted stays where it belongs.
+  void grow(std::size_t classes, std::size_t tenants) {
+    Ledger grown(std::max(classes, classes_ - 1), std::max(tenants, tenants_ - 1));
+    const auto moved = [](std::size_t i, std::size_t before, std::size_t now) {
+      return i + 1 == before ? now - 1 : i;
+    };
+    for (std::size_t cause = 0; cause < kCauses; ++cause) {
+      for (std::size_t c = 0; c < classes_; ++c) {
+        for (std::size_t t = 0; t < tenants_; ++t)
+          grown.counts_[grown.at(static_cast<Cause>(cause), moved(c, classes_, grown.classes_),
+                                 moved(t, tenants_, grown.tenants_))] =
+              counts_[at(static_cast<Cause>(cause), c, t)];
+      }
+    }
+    grown.totals_ = totals_;
+    grown.told_ = told_;
+    *this = std::move(grown);
+  }
   std::uint64_t total(Cause cause) const { return totals_[static_cast<std::size_t>(cause)]; }
   std::uint64_t count(Cause cause, std::size_t cls, std::size_t tenant) const {
     return counts_[at(cause, cls, tenant)];
--- a/src/admission/requests.cpp
+++ b/src/admission/requests.cpp
@@ -22,6 +22,24 @@
   if (!(limits_.retries_part >= 0)) throw std::invalid_argument("retries: the part is below 0");
 }
 
+void RequestGate::reconfigure(Limits limits) {
+  RequestGate fresh(std::move(limits));  // throws before anything has changed
+  for (const auto& [id, o] : open_) {
+    count(fresh.classes_, o.request_class, true);
+    count(fresh.tenants_, o.tenant, true);
+  }
+  // The last is whoever is not known, wherever that is now.
+  const std::size_t kept = std::min(usual_.size(), fresh.usual_.size()) - 1;
+  std::copy_n(usual_.begin(), kept, fresh.usual_.begin());
+  fresh.usual_.back() = usual_.back();
+  limits_ = std::move(fresh.limits_);
+  classes_ = std::move(fresh.classes_);
+  tenants_ = std::move(fresh.tenants_);
+  usual_ = std::move(fresh.usual_);
+  lines_.clear();
+  for (const auto& [id, w] : waiting_) lines_[pairOf(w.ask)].insert({w.ask.deadline, id});
+}
+
 RequestGate::Parts RequestGate::partsOf(const std::vector<Share>& shares, std::size_t places,
                                         const char* what) {
   Parts parts;
--- a/src/admission/requests.h
+++ b/src/admission/requests.h
@@ -65,6 +65,10 @@
 
   // Throws std::invalid_argument if guarantees exceed the bound or a weight is not above 0.
   explicit RequestGate(Limits limits);
+  // The bounds are others from now on: for what comes, and for what waits; what is open stays open. Classes
+  // and tenants may become more. Throws like the constructor, and then nothing has changed. Then next() is
+  // due.
+  void reconfigure(Limits limits);
 
   // A request's head has come: the cause for which it would be refused if it were whole, or none. Spares
   // reading a body for nothing.
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -175,12 +175,28 @@
 
   Impl(Settings s, std::uint64_t seed) : settings(std::move(s)), random(seed) {
     validate(settings);
+    fitTables();
+  }
+
+  void fitTables() {
     latency.resize(settings.classes.size());
     tenant_recent.resize(settings.tenants.size());
     level_recent.resize(2 * settings.classes.size());
+    some_repeatable = false;
     for (const RequestClass& c : settings.classes) some_repeatable |= c.effect != Effect::Unsafe;
   }
 
+  // What was learnt of a class says nothing of another in its place.
+  void reconfigure(Settings next) {
+    validateChange(settings, next);
+    for (std::size_t i = 0; i < settings.classes.size(); ++i) {
+      if (next.classes[i] == settings.classes[i]) continue;
+      latency[i] = level_recent[2 * i] = level_recent[2 * i + 1] = 0;
+    }
+    settings = std::move(next);
+    fitTables();
+  }
+
   // A clock may start anywhere; later, a time that runs backwards is no time at all.
   Impl& at(Time t) {
     if (!std::exchange(started_up, true))
@@ -306,6 +322,10 @@
   const RequestClass& classOf(const Live& r) const {
     return settings.classes[static_cast<std::size_t>(r.request_class)];
   }
+  bool mayTryAgain(const Live& r) const {
+    const std::int32_t own = classOf(r).max_attempts;
+    return static_cast<std::int32_t>(r.attempts.size()) < (own > 0 ? own : settings.max_attempts);
+  }
 
   // ---- discovery ----
 
@@ -604,7 +624,7 @@
 
   // May this request be sent (to `s`), given what its attempts may have done? Without `s`: to anyone.
   bool mayRepeat(const Live& r, const Server* s) const {
-    if (static_cast<std::int32_t>(r.attempts.size()) >= settings.max_attempts) return false;
+    if (!mayTryAgain(r)) return false;
     const RequestClass& c = classOf(r);
     for (const Attempt& a : r.attempts) {
       if (a.run == Run::NeverRan) continue;
@@ -757,7 +777,7 @@
     judge(s, *r, a, o, out);
     r->ended |= o.final || o.result == Result::Ok;
     if (!r->ended && !r->streaming && r->outstanding == 0) {
-      const bool room = static_cast<std::int32_t>(r->attempts.size()) < settings.max_attempts;
+      const bool room = mayTryAgain(*r);
       if (room && o.result != Result::BadRequest && (never_ran || spend())) {
         dispatch(*r, out);
       } else {
@@ -904,6 +924,7 @@
 Balancer::Balancer(Balancer&&) noexcept = default;
 Balancer& Balancer::operator=(Balancer&&) noexcept = default;
 
+void Balancer::reconfigure(Settings settings) { impl_->reconfigure(std::move(settings)); }
 void Balancer::onServers(Time now, ListKind kind, std::span<const Host> hosts, Actions& out) {
   impl_->at(now).onServers(kind, hosts, out);
 }
--- a/src/conf/model.cpp
+++ b/src/conf/model.cpp
@@ -190,6 +190,7 @@
     c.deadline = holds<Micros>(&s, "deadline").value_or(0);
     c.group = static_cast<Group>(holds<int>(&s, "group").value_or(static_cast<int>(Group::All)));
     c.window = holds<Micros>(&s, "window").value_or(0);
+    c.attempts = given<std::int32_t>(&s, "attempts");
     c.worth = holds<double>(&s, "worth").value_or(1);
     c.late_worth = holds<double>(&s, "late-worth").value_or(0);
     if (s.has("aim") && s.has("deadline") && c.deadline < c.aim)
@@ -209,6 +210,10 @@
     if (s.has("late-worth") && c.late_worth > 0 && c.deadline == c.aim)
       warn(placeOf(&s, "late-worth"), "no answer of '" + s.title() + "' is late: its deadline is its aim",
            "delete it, or write a longer deadline");
+    if (c.effect == Effect::Unsafe && s.has("effect") && c.attempts && *c.attempts > 1)
+      warn(placeOf(&s, "attempts"),
+           "'" + s.title() + "' is unsafe: it is sent again only if no earlier attempt can have run",
+           "write 1, or leave it out");
     return c;
   }
 
@@ -353,13 +358,9 @@
   return out;
 }
 
-std::string firstError(const std::vector<Diagnostic>& found, const Sources& sources) {
-  for (const Diagnostic& d : found) {
-    if (d.severity != Severity::Error) continue;
-    const std::string whole = render(d, sources);
-    return whole.substr(0, whole.find('\n'));
-  }
-  return {};
+std::string oneLine(const Diagnostic& diagnostic, const Sources& sources) {
+  const std::string whole = render(diagnostic, sources);
+  return whole.substr(0, whole.find('\n'));
 }
 
 }  // namespace quinceline::conf
--- a/src/conf/model.h
+++ b/src/conf/model.h
@@ -31,6 +31,7 @@
   Micros aim = 0, deadline = 0;
   Group group = Group::All;
   Micros window = 0;
+  std::optional<std::int32_t> attempts;
   double worth = 1, late_worth = 0;
   Share share;
 };
@@ -101,8 +102,7 @@
 };
 HostsFile readHostsFile(FileSource& files, const std::string& path);
 
-// The first error, as "file:line: key or word: what is wrong; what to write", in one line; empty: there is
-// none.
-std::string firstError(const std::vector<Diagnostic>& found, const Sources& sources);
+// "file:line:column: error: what is wrong; what to write instead", without the line and the caret.
+std::string oneLine(const Diagnostic& diagnostic, const Sources& sources);
 
 }  // namespace quinceline::conf
--- a/src/daemon/serve.cpp
+++ b/src/daemon/serve.cpp
@@ -12,13 +12,16 @@
 #include <exception>
 #include <optional>
 #include <stdexcept>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "net/config.h"
 #include "net/log.h"
 #include "net/proxy.h"
 #ifdef QUINCELINE_OPERATOR
 #include "files/disk_source.h"
+#include "operator/file_watch.h"
 #include "operator/operator_file.h"
 #include "status/status_server.h"
 #endif
@@ -28,19 +31,6 @@
 
 const char* variable(const char* name) { return std::getenv(name); }
 
-// `again`: after it may have been replaced.
-Config readAll(const std::string& operator_file, bool again) {
-  const char* const named = variable("PROXY_OPERATOR");
-  const std::string path = !operator_file.empty() ? operator_file : named != nullptr ? named : "";
-  if (path.empty()) return again ? rereadConfig(variable) : readConfig(variable);
-#ifdef QUINCELINE_OPERATOR
-  DiskSource files;
-  return readOperated(files, path, variable, again);
-#else
-  throw std::runtime_error("PROXY_OPERATOR: this program was built without WELDFLOW_OPERATOR");
-#endif
-}
-
 // What is bounded by the system counts as much as what is configured.
 void fitToSystem(Config& config) {
   rlimit files{};
@@ -52,55 +42,166 @@
   }
 }
 
-// A configuration that can't be read leaves the one before in force: a mistake in a file must not end
-// service.
-void awaitReload(boost::asio::signal_set& signals, Proxy& proxy, Log& log, const std::string& operator_file) {
-  signals.async_wait([&](boost::system::error_code ec, int) {
-    if (ec) return;
-    try {
-      proxy.reload(readAll(operator_file, true));
-    } catch (const std::exception& e) {
-      log.line(std::string("configuration not taken: ") + e.what(), LogLevel::Error);
-    }
-    awaitReload(signals, proxy, log, operator_file);
-  });
-}
+// Where the configuration comes from: what the environment names, and the operator file if there is one.
+class Source {
+ public:
+  explicit Source(const std::string& operator_file) {
+    const char* const named = variable("PROXY_OPERATOR");
+    const std::string path = !operator_file.empty() ? operator_file : named != nullptr ? named : "";
+    if (path.empty()) return;
+#ifdef QUINCELINE_OPERATOR
+    operated_.emplace(files_, path, variable);
+#else
+    throw std::runtime_error("PROXY_OPERATOR: this program was built without WELDFLOW_OPERATOR");
+#endif
+  }
 
-void run(Config config, const std::string& operator_file) {
-  fitToSystem(config);
-  // Large bodies come and go: they are to leave no holes behind in the heap.
-  mallopt(M_MMAP_THRESHOLD, 256 * 1024);
-  mallopt(M_TRIM_THRESHOLD, 1024 * 1024);
-  std::signal(SIGPIPE, SIG_IGN);
-  const Clock clock;
-  Log log(clock, config.name);
-  log.setLevel(config.own.log_level);
-  boost::asio::io_context io(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
 #ifdef QUINCELINE_OPERATOR
-  const std::optional<Endpoint> status_at = config.own.status;
+  Config read() { return operated_ ? operated_->read() : readConfig(variable); }
+  Config reread(const Zones& zones) { return operated_ ? operated_->read(zones) : rereadConfig(variable); }
+  HostList hosts(const std::string& path, Zones& zones) { return readHosts(files_, path, zones); }
+  // It is in force now: what there is to say of it.
+  std::vector<std::string> taken() {
+    if (!operated_) return {};
+    operated_->taken();
+    return operated_->notes();
+  }
+
+ private:
+  DiskSource files_;
+  std::optional<OperatorSource> operated_;
+#else
+  Config read() { return readConfig(variable); }
+  Config reread(const Zones&) { return rereadConfig(variable); }
+  std::vector<std::string> taken() { return {}; }
 #endif
-  Proxy proxy(io, std::move(config), log, clock);
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&](boost::system::error_code ec, int) {
-    if (!ec) proxy.shutdown([&io] { io.stop(); });
-  });
-  boost::asio::signal_set reload(io, SIGHUP);
-  awaitReload(reload, proxy, log, operator_file);
+};
+
+void complain(Log& log, const std::string& what, const std::exception& e) {
 #ifdef QUINCELINE_OPERATOR
-  StatusServer status(io);
-  status.page("/admission", [&] { return proxy.admissionReport(); });
-  if (status_at) status.listen(*status_at);
+  if (const auto* const refused = dynamic_cast<const ConfigurationRefused*>(&e)) {
+    for (const std::string& error : refused->errors) log.line(what + error, LogLevel::Error);
+    return;
+  }
 #endif
-  proxy.start();
-  io.run();
+  log.line(what + e.what(), LogLevel::Error);
 }
 
+// What runs until a signal ends it.
+class Daemon {
+ public:
+  Daemon(Source& source, Config config)
+      : source_(source),
+        log_(clock_, config.name),
+        status_at_(config.own.status),
+        hosts_file_(config.hosts_file),
+        io_(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE),
+        proxy_(io_, levelled(std::move(config)), log_, clock_),
+        end_(io_, SIGTERM, SIGINT),
+        reload_(io_, SIGHUP)
+#ifdef QUINCELINE_OPERATOR
+        ,
+        status_(io_),
+        hosts_watch_(io_, kLook, [this] { takeHosts(); })
+#endif
+  {
+  }
+
+  void run() {
+    for (const std::string& note : source_.taken()) log_.line(note, LogLevel::Warning);
+    end_.async_wait([this](boost::system::error_code ec, int) {
+      if (!ec) proxy_.shutdown([this] { io_.stop(); });
+    });
+    awaitReload();
+#ifdef QUINCELINE_OPERATOR
+    status_.page("/admission", [this] { return proxy_.admissionReport(); });
+    if (status_at_) status_.listen(*status_at_);
+    hosts_watch_.follow(hosts_file_);
+#endif
+    proxy_.start();
+    io_.run();
+  }
+
+ private:
+  Config levelled(Config config) {
+    log_.setLevel(config.own.log_level);
+    return config;
+  }
+
+  // A configuration that can't be read leaves the one before in force: a mistake in a file must not end
+  // service.
+  void awaitReload() {
+    reload_.async_wait([this](boost::system::error_code ec, int) {
+      if (ec) return;
+      try {
+        takeConfiguration(source_.reread(proxy_.zones()));
+      } catch (const std::exception& e) {
+        complain(log_, "configuration not taken: ", e);
+      }
+      awaitReload();
+    });
+  }
+
+  void takeConfiguration(Config config) {
+    const std::string hosts_file = config.hosts_file;
+    const bool operated = !config.own.file.empty();
+    proxy_.reload(std::move(config));
+    const std::vector<std::string> notes = source_.taken();
+    for (const std::string& note : notes) log_.line("configuration: " + note);
+    if (operated) log_.line(notes.empty() ? "configuration read again: nothing new" : "configuration taken");
+    hosts_file_ = hosts_file;
+#ifdef QUINCELINE_OPERATOR
+    hosts_watch_.follow(hosts_file_);
+#endif
+  }
+
+#ifdef QUINCELINE_OPERATOR
+  void takeHosts() {
+    try {
+      HostList list = source_.hosts(hosts_file_, proxy_.zones());
+      log_.line("hosts file taken: " + std::to_string(list.hosts.size()) + " hosts");
+      proxy_.setHosts(std::move(list));
+    } catch (const std::exception& e) {
+      complain(log_, "hosts file not taken: ", e);
+    }
+  }
+  static constexpr std::chrono::milliseconds kLook{500};
+#endif
+
+  Source& source_;
+  const Clock clock_;
+  Log log_;
+  std::optional<Endpoint> status_at_;
+  std::string hosts_file_;
+  boost::asio::io_context io_;
+  Proxy proxy_;
+  boost::asio::signal_set end_, reload_;
+#ifdef QUINCELINE_OPERATOR
+  StatusServer status_;
+  FileWatch hosts_watch_;
+#endif
+};
+
 }  // namespace
 
 int serve(const std::string& operator_file) {
   try {
-    run(readAll(operator_file, false), operator_file);
+    Source source(operator_file);
+    Config config = source.read();
+    fitToSystem(config);
+    // Large bodies come and go: they are to leave no holes behind in the heap.
+    mallopt(M_MMAP_THRESHOLD, 256 * 1024);
+    mallopt(M_TRIM_THRESHOLD, 1024 * 1024);
+    std::signal(SIGPIPE, SIG_IGN);
+    Daemon(source, std::move(config)).run();
   } catch (const std::exception& e) {
+#ifdef QUINCELINE_OPERATOR
+    if (const auto* const refused = dynamic_cast<const ConfigurationRefused*>(&e)) {
+      for (const std::string& error : refused->errors)
+        std::fprintf(stderr, "quinceline: %s\n", error.c_str());
+      return 1;
+    }
+#endif
     std::fprintf(stderr, "quinceline: %s\n", e.what());
     return 1;
   }
--- a/src/net/proxy.cpp
+++ b/src/net/proxy.cpp
@@ -82,6 +82,21 @@
   return limits;
 }
 
+// Shares by name, in the order of `names`; `shares` are in the order of `of`.
+std::vector<admission::RequestGate::Share> sharesOf(
+    const std::vector<std::string>& names, const std::vector<std::string>& of,
+    const std::vector<admission::RequestGate::Share>& shares) {
+  std::vector<admission::RequestGate::Share> out;
+  if (shares.empty()) return out;
+  for (const std::string& name : names) {
+    const auto it = std::find(of.begin(), of.end(), name);
+    out.push_back(it == of.end() ? admission::RequestGate::Share{}
+                                 : shares[static_cast<std::size_t>(it - of.begin())]);
+  }
+  return out;
+}
+
+// Classes and tenants in the configuration's order.
 admission::RequestGate::Limits requestLimits(const Config& config) {
   const OperatorSettings& own = config.own;
   const weldflow::Settings& settings = config.site.settings;
@@ -127,26 +142,63 @@
 
 }  // namespace
 
+void Proxy::Known::assign(const Config& config) {
+  const weldflow::Settings& settings = config.site.settings;
+  admission::Indices<weldflow::RequestClass>::Named classes_now;
+  for (std::size_t i = 0; i < config.site.classes.size(); ++i) {
+    classes_now.emplace_back(config.site.classes[i], settings.classes[i]);
+    // As many attempts as when it came, also after a reload that says otherwise.
+    std::int32_t& attempts = classes_now.back().second.max_attempts;
+    if (attempts == 0) attempts = settings.max_attempts;
+  }
+  classes.assign(classes_now);
+  admission::Indices<TenantInfo>::Named tenants_now;
+  for (const std::string& name : config.site.tenants) tenants_now.emplace_back(name, TenantInfo{});
+  tenants.assign(tenants_now);
+}
+
+// By number. One that no name means any more is what it was, for the requests that came under it.
+weldflow::Settings Proxy::Known::settings(const Config& config) const {
+  weldflow::Settings s = config.site.settings;
+  s.classes.clear();
+  for (std::size_t i = 0; i < classes.size(); ++i)
+    s.classes.push_back(classes.at(static_cast<std::int32_t>(i)));
+  s.tenants.assign(tenants.size(), {});
+  for (std::size_t i = 0; i < config.site.tenants.size(); ++i) {
+    if (const auto number = tenants.find(config.site.tenants[i]))
+      s.tenants[static_cast<std::size_t>(*number)] = config.site.settings.tenants[i];
+  }
+  return s;
+}
+
+admission::RequestGate::Limits Proxy::Known::limits(const Config& config) const {
+  admission::RequestGate::Limits limits = requestLimits(config);
+  const auto byNumber = [](const auto& indices, const std::vector<std::string>& names, const auto& shares) {
+    std::vector<admission::RequestGate::Share> out(indices.size());
+    for (std::size_t i = 0; i < std::min(names.size(), shares.size()); ++i) {
+      if (const auto number = indices.find(names[i])) out[static_cast<std::size_t>(*number)] = shares[i];
+    }
+    return out;
+  };
+  limits.classes = byNumber(classes, config.site.classes, limits.classes);
+  limits.tenants = byNumber(tenants, config.site.tenants, limits.tenants);
+  return limits;
+}
+
 Proxy::Proxy(boost::asio::io_context& io, Config config, Log& log, const Clock& clock)
     : io_(io),
       config_(std::move(config)),
+      known_(config_),
       log_(log),
       clock_(clock),
       timers_(io, clock),
       descriptors_(clock, budgetOf(config_)),
-      balancer_(config_.site.settings, config_.seed),
+      balancer_(known_.settings(config_), config_.seed),
       server_(io, timers_, descriptors_, log, *this, serverLimits(config_, descriptors_.limit())),
       upstream_(io, timers_, descriptors_, *this, upstreamLimits(config_)),
       discovery_(io, timers_, config_.zones, *this, config_.discovery, config_.known.revision, {}),
-      requests_(requestLimits(config_)),
-      ledger_(config_.site.classes.size(), config_.site.tenants.size()) {
-  for (std::size_t i = 0; i < config_.site.classes.size(); ++i) {
-    const weldflow::RequestClass& c = config_.site.settings.classes[i];
-    classes_[config_.site.classes[i]] = {static_cast<std::int32_t>(i), c.deadline, c.effect};
-  }
-  for (std::size_t i = 0; i < config_.site.tenants.size(); ++i) {
-    tenants_[config_.site.tenants[i]] = static_cast<std::int32_t>(i);
-  }
+      requests_(known_.limits(config_)),
+      ledger_(known_.classes.size(), known_.tenants.size()) {
   // Clients that only stay are cheaper to lose than connections to hosts, which cost these work to open.
   descriptors_.addReclaimer(Side::Clients, [this] { return server_.closeOneIdle(kMayBeClosed); });
   descriptors_.addReclaimer(Side::Hosts, [this] { return upstream_.closeOneIdle(); });
@@ -159,11 +211,8 @@
   server_.listen(config_.listen);
   timers_.after(kSummary, [this] { summarize(); });
   config_.known.full = true;
-  const HostList known = completed(std::exchange(config_.known, {}));
-  applyHosts(known);
   // What an operator has written is how it is; what a platform remembers may be old.
-  const ListKind kind = config_.alone ? ListKind::Full : ListKind::Restored;
-  tell([this, known, kind](Time now) { balancer_.onServers(now, kind, known.hosts, actions_); });
+  applyList(std::exchange(config_.known, {}), config_.alone ? ListKind::Full : ListKind::Restored);
   if (pushed()) discovery_.subscribe();
 }
 
@@ -231,15 +280,28 @@
 
 // ---- requests ----
 
-const Proxy::ClassInfo* Proxy::classOf(std::string_view target) const {
-  const auto it = classes_.find(firstPart(pathOf(target)));
-  return it == classes_.end() ? nullptr : &it->second;
+std::optional<Proxy::ClassInfo> Proxy::classOf(std::string_view target) const {
+  const auto index = known_.classes.find(firstPart(pathOf(target)));
+  if (!index) return std::nullopt;
+  const weldflow::RequestClass& c = known_.classes.at(*index);
+  return ClassInfo{*index, c.deadline, c.effect};
+}
+
+// What is in flight or waits goes by these numbers to its end.
+void Proxy::use(const admission::Ask& ask) {
+  known_.classes.use(ask.request_class);
+  known_.tenants.use(ask.tenant);
+}
+
+void Proxy::unuse(std::int32_t request_class, std::int32_t tenant) {
+  known_.classes.release(request_class);
+  known_.tenants.release(tenant);
 }
 
 std::optional<Answer> Proxy::onHead(const RequestHead& head, bool room) {
   if (pathOf(head.target) == "/healthz") return plain(head.method == "GET" ? 200 : 405);
-  const ClassInfo* const info = classOf(head.target);
-  if (info == nullptr) return plain(404);
+  const std::optional<ClassInfo> info = classOf(head.target);
+  if (!info) return plain(404);
   if (const auto fault = faultOf(head, info->effect)) return plain(fault->status);
   const admission::Ask ask = askOf(0, head, *info, 0, 0);
   const Cause cause = room ? requests_.early(ask) : Cause::ConnectionsFull;
@@ -249,7 +311,10 @@
 }
 
 void Proxy::onRequest(ExchangeId id, ClientRequest request) {
-  const ClassInfo* const info = classOf(request.head.target);
+  // A reload may have come between its head and its last byte.
+  const std::optional<ClassInfo> info = classOf(request.head.target);
+  if (!info) return server_.answer(id, plain(404));
+  if (const auto fault = faultOf(request.head, info->effect)) return server_.answer(id, plain(fault->status));
   // No longer than the class allows, whatever the client says: what is kept for a request must not outlive
   // it.
   const Time left =
@@ -267,10 +332,11 @@
   switch (verdict.entry) {
     case admission::Entry::Admitted:
       ledger_.note(Cause::None, ask.request_class, ask.tenant);
-      open(id, std::move(request), *info, deadline);
+      open(ask, std::move(request), *info);
       break;
     case admission::Entry::Waits:
-      waiting_.emplace(id, Held{std::move(request), info, ask});
+      use(ask);
+      waiting_.emplace(id, Held{std::move(request), *info, ask});
       break;
     case admission::Entry::Refused:
       ids_.erase(request.head.correlation);
@@ -285,10 +351,9 @@
 
 admission::Ask Proxy::askOf(ExchangeId id, const RequestHead& head, const ClassInfo& info, std::size_t bytes,
                             Time deadline) const {
-  const auto tenant = tenants_.find(head.account);
   return {.id = id,
           .request_class = info.index,
-          .tenant = tenant == tenants_.end() ? -1 : tenant->second,
+          .tenant = known_.tenants.find(head.account).value_or(weldflow::kUnset),
           .bytes = bytes + kRequestCost,
           .deadline = deadline,
           .retry = head.repeat};
@@ -308,6 +373,7 @@
     if (it == waiting_.end()) continue;
     const Held held = std::move(it->second);
     waiting_.erase(it);
+    unuse(held.ask.request_class, held.ask.tenant);
     ids_.erase(held.request.head.correlation);
     server_.answer(r.id, refusal(held.ask, r.cause));
   }
@@ -324,7 +390,8 @@
     Held held = std::move(it->second);
     waiting_.erase(it);
     ledger_.note(Cause::None, held.ask.request_class, held.ask.tenant);
-    open(id, std::move(held.request), *held.info, held.ask.deadline);
+    open(held.ask, std::move(held.request), held.info);
+    unuse(held.ask.request_class, held.ask.tenant);  // as one that waits
   }
   awaitPlaces();
 }
@@ -360,8 +427,8 @@
   const admission::ConnectionGate& c = server_.gate();
   const auto bound = [](std::size_t n) { return n == admission::kNoBound ? json() : json(n); };
   json closed = json::object(), refused = json::object();
-  const auto named = [](const std::vector<std::string>& names, std::size_t i) {
-    return i < names.size() ? names[i] : "other";
+  const auto named = [](const auto& indices, std::size_t i) {
+    return i < indices.size() ? indices.name(i) : "other";
   };
   for (std::size_t i = 1; i < admission::kCauses; ++i) {
     const auto cause = static_cast<Cause>(i);
@@ -369,8 +436,10 @@
     if (c.closed()[i] > 0) closed[name] = c.closed()[i];
     for (std::size_t k = 0; k < ledger_.classes(); ++k) {
       for (std::size_t t = 0; t < ledger_.tenants(); ++t) {
-        if (const auto n = ledger_.count(cause, k, t); n > 0)
-          refused[name][named(config_.site.classes, k)][named(config_.site.tenants, t)] = n;
+        const auto n = ledger_.count(cause, k, t);
+        if (n == 0) continue;
+        json& cell = refused[name][named(known_.classes, k)][named(known_.tenants, t)];
+        cell = n + (cell.is_number() ? cell.get<std::uint64_t>() : 0);  // a name may have had several numbers
       }
     }
   }
@@ -406,21 +475,24 @@
   return report.dump(2);
 }
 
-void Proxy::open(ExchangeId exchange, ClientRequest request, const ClassInfo& info, Time deadline) {
+void Proxy::open(const admission::Ask& ask, ClientRequest request, const ClassInfo& info) {
   const RequestId id = next_request_++;
+  const Time deadline = ask.deadline;
   weldflow::Request told;
   told.id = id;
   told.request_class = info.index;
   told.key = keyOf(pathOf(request.head.target));
-  const auto tenant = tenants_.find(request.head.account);
-  if (tenant != tenants_.end()) told.tenant = tenant->second;
+  told.tenant = ask.tenant;
+  use(ask);
   if (const auto hint = parseSeconds(request.head.weight_hint)) told.expected_work = *hint / kSecond;
   Open& r = open_[id];
-  r.exchange = exchange;
+  r.exchange = ask.id;
+  r.request_class = ask.request_class;
+  r.tenant = ask.tenant;
   r.request = std::move(request);
   r.deadline = deadline;
   r.unrepeatable = info.effect == Effect::Unsafe;
-  by_exchange_.emplace(exchange, id);
+  by_exchange_.emplace(ask.id, id);
   timers_.at(deadline, [this, id] { onDeadline(id); });
   tell([this, told, deadline](Time now) mutable {
     told.time_left = deadline - now;
@@ -480,6 +552,7 @@
   if (it == open_.end() || !it->second.answered || it->second.outstanding > 0) return;
   by_exchange_.erase(it->second.exchange);
   ids_.erase(it->second.request.head.correlation);
+  unuse(it->second.request_class, it->second.tenant);
   open_.erase(it);
 }
 
@@ -505,6 +578,7 @@
 void Proxy::onClientGone(ExchangeId exchange) {
   if (const auto held = waiting_.find(exchange); held != waiting_.end()) {
     ids_.erase(held->second.request.head.correlation);
+    unuse(held->second.ask.request_class, held->second.ask.tenant);
     waiting_.erase(held);
     requests_.release(clock_.now(), exchange);
     return;
@@ -644,11 +718,13 @@
 void Proxy::onHostList(const HostList& news) {
   if (!news.unread.empty())
     log_.line("discovery: an entry is passed over: " + news.complaint, LogLevel::Warning);
-  const HostList list = completed(news);
+  applyList(news, news.full ? ListKind::Full : ListKind::Changes);
+}
+
+void Proxy::applyList(HostList news, ListKind kind) {
+  const HostList list = completed(std::move(news));
   applyHosts(list);
-  tell([this, list](Time now) {
-    balancer_.onServers(now, list.full ? ListKind::Full : ListKind::Changes, list.hosts, actions_);
-  });
+  tell([this, list, kind](Time now) { balancer_.onServers(now, kind, list.hosts, actions_); });
 }
 
 void Proxy::onDiscoveryLost(const std::string& why) {
@@ -657,10 +733,53 @@
   tell([this](Time now) { balancer_.onServers(now, ListKind::Unavailable, {}, actions_); });
 }
 
-void Proxy::reload(const Config& config) {
-  if (config.discovery == discovery_.endpoint()) return log_.line("configuration read again: nothing new");
-  log_.line("configuration read again: discovery has moved");
-  discovery_.moveTo(config.discovery);
+// ---- reload ----
+
+void Proxy::setHosts(HostList list) {
+  list.full = true;
+  applyList(std::move(list), ListKind::Full);
+}
+
+void Proxy::reload(Config next) {
+  if (next.alone != config_.alone)
+    throw std::runtime_error(
+        "a file with a pool can't take the place of one without, nor the reverse: restart");
+  // The platform's part stays; shares go by its names, whose order may be another by now.
+  if (!next.alone) {
+    next.own.classes = sharesOf(config_.site.classes, next.site.classes, next.own.classes);
+    next.own.tenants = sharesOf(config_.site.tenants, next.site.tenants, next.own.tenants);
+    next.site = config_.site;
+    next.zones = config_.zones;
+  }
+  next.site.settings.client = config_.site.settings.client;
+  next.memory_mb = config_.memory_mb;
+  next.sockets = config_.sockets;
+  Known known = known_;
+  known.assign(next);
+  weldflow::Settings settings = known.settings(next);
+  const admission::RequestGate::Limits limits = known.limits(next);
+  const admission::RequestGate tried(limits);  // throws where they can't hold together
+  balancer_.reconfigure(std::move(settings));  // or this; nothing has changed until then
+  known_ = std::move(known);
+  requests_.reconfigure(limits);
+  ledger_.grow(known_.classes.size(), known_.tenants.size());
+  server_.reconfigure(serverLimits(next, descriptors_.limit()).connections);
+  upstream_.reconfigure(upstreamLimits(next));
+  log_.setLevel(next.own.log_level);
+  HostList hosts = std::exchange(next.known, {});
+  const Endpoint discovery = next.discovery;
+  next.listen = config_.listen;
+  next.name = config_.name;
+  config_ = std::move(next);
+  if (config_.alone) {
+    setHosts(std::move(hosts));
+  } else if (discovery != discovery_.endpoint()) {
+    log_.line("configuration read again: discovery has moved");
+    discovery_.moveTo(discovery);
+  } else if (config_.own.file.empty()) {
+    log_.line("configuration read again: nothing new");
+  }
+  admitWaiting();  // there may be places now
 }
 
 // ---- shutdown ----
--- a/src/net/proxy.h
+++ b/src/net/proxy.h
@@ -14,6 +14,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "admission/indices.h"
 #include "admission/ledger.h"
 #include "admission/requests.h"
 #include "config.h"
@@ -33,8 +34,14 @@
   void start();
   // Graceful: goes on accepting while new connections may still come, finishes what was taken; then `done`.
   void shutdown(std::function<void()> done);
-  // The configuration was replaced. Discovery's address is taken from it; all else is as at start.
-  void reload(const Config& config);
+  // The configuration was replaced: all of it is taken, or nothing and std::exception is thrown. Requests
+  // that are in flight or wait end under what they began with; what is known of hosts stays. The platform's
+  // part is as at start, but for discovery's address. What can't change while running (the listener, the
+  // client's number and zone, sockets, memory) is as at start too: the caller tells.
+  void reload(Config next);
+  // Alone: the whole list of hosts is this from now on; zones by zones().
+  void setHosts(HostList list);
+  Zones& zones() { return config_.zones; }
 
   Endpoint localEndpoint() const { return server_.localEndpoint(); }
   // What admission has decided and what it goes by, as JSON: docs/admission.md explains it.
@@ -54,6 +61,7 @@
   struct Open {  // unanswered, or with an attempt out
     ExchangeId exchange = 0;
     ClientRequest request;
+    std::int32_t request_class = 0, tenant = -1;
     Time deadline = 0;
     std::vector<Attempt> attempts;
     std::int32_t outstanding = 0;
@@ -62,13 +70,24 @@
     bool unrepeatable = false;
   };
   struct ClassInfo {
-    std::int32_t index;
-    Time deadline;
-    weldflow::Effect effect;
+    std::int32_t index = 0;
+    Time deadline = 0;
+    weldflow::Effect effect = weldflow::Effect::Unsafe;
+  };
+  struct TenantInfo {  // what changes of a tenant is taken at once
+    bool operator==(const TenantInfo&) const = default;
+  };
+  struct Known {  // classes by the path's first part, tenants by account
+    admission::Indices<weldflow::RequestClass> classes;
+    admission::Indices<TenantInfo> tenants;
+    explicit Known(const Config& config) { assign(config); }
+    void assign(const Config& config);
+    weldflow::Settings settings(const Config& config) const;
+    admission::RequestGate::Limits limits(const Config& config) const;
   };
   struct Held {  // waits for a place
     ClientRequest request;
-    const ClassInfo* info = nullptr;
+    ClassInfo info;
     admission::Ask ask;
   };
 
@@ -105,8 +124,11 @@
   bool pushed() const;
   void waitUntilDone();
   weldflow::LoadReport parseLoad(std::string_view text) const;
-  const ClassInfo* classOf(std::string_view target) const;
-  void open(ExchangeId exchange, ClientRequest request, const ClassInfo& info, Time deadline);
+  std::optional<ClassInfo> classOf(std::string_view target) const;
+  void open(const admission::Ask& ask, ClientRequest request, const ClassInfo& info);
+  void use(const admission::Ask& ask);
+  void unuse(std::int32_t request_class, std::int32_t tenant);
+  void applyList(HostList list, weldflow::ListKind kind);
   std::string headFor(const Open& request, Time time_left) const;
 
   static AttemptId attemptId(RequestId request, std::int32_t attempt) {
@@ -116,6 +138,7 @@
 
   boost::asio::io_context& io_;
   Config config_;
+  Known known_;
   Log& log_;
   const Clock& clock_;
   Timers timers_;
@@ -125,8 +148,6 @@
   Upstream upstream_;
   Discovery discovery_;
 
-  std::map<std::string, ClassInfo, std::less<>> classes_;  // by the path's first part
-  std::map<std::string, std::int32_t, std::less<>> tenants_;
   std::unordered_map<RequestId, Open> open_;
   std::unordered_map<ExchangeId, RequestId> by_exchange_;
   std::unordered_set<std::string> ids_;  // X-Correlation-Id of each in open_
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -383,6 +383,11 @@
   accept();
 }
 
+void Server::reconfigure(const admission::ConnectionGate::Limits& limits) {
+  limits_.connections = limits;
+  gate_.reconfigure(limits);
+}
+
 asio::ip::tcp::endpoint Server::localEndpoint() const { return acceptor_.local_endpoint(); }
 
 void Server::accept() {
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -60,6 +60,8 @@
          Limits limits);
   ~Server();
 
+  // The limits of connections are others from now on; that of bodies stays.
+  void reconfigure(const admission::ConnectionGate::Limits& limits);
   void listen(const boost::asio::ip::tcp::endpoint& endpoint);
   boost::asio::ip::tcp::endpoint localEndpoint() const;
 
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -56,6 +56,9 @@
            Limits limits);
   ~Upstream();
 
+  // For what begins from now on.
+  void reconfigure(const Limits& limits) { limits_ = limits; }
+
   // A host and where it is. A new endpoint retires the idle connections to the old one.
   void setHost(const std::string& uid, const Endpoint& endpoint);
   void removeHost(const std::string& uid);
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -5,6 +5,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "conf/report.h"
 #include "conf/units.h"
 
 namespace quinceline {
@@ -18,8 +19,17 @@
 
 Endpoint endpointOf(const conf::Address& a) { return {boost::asio::ip::make_address(a.host), a.port}; }
 
+constexpr std::size_t kToldErrors = 3;
+
 [[noreturn]] void refuse(const std::vector<conf::Diagnostic>& found, const conf::Sources& sources) {
-  throw std::runtime_error(conf::firstError(found, sources));
+  std::vector<std::string> errors;
+  std::size_t all = 0;
+  for (const conf::Diagnostic& d : found) {
+    if (d.severity != conf::Severity::Error) continue;
+    if (++all <= kToldErrors) errors.push_back(conf::oneLine(d, sources));
+  }
+  if (all > kToldErrors) errors.back() += " (and " + std::to_string(all - kToldErrors) + " more)";
+  throw ConfigurationRefused(std::move(errors));
 }
 
 RequestGate::Share shareOf(const conf::Share& s, double weight) {
@@ -86,6 +96,7 @@
               : c.group == conf::Group::Zone ? weldflow::Group::Zone
                                              : weldflow::Group::Cell;
   out.window = c.window;
+  out.max_attempts = c.attempts.value_or(0);
   out.worth = c.worth;
   out.late_worth = c.late_worth;
   return out;
@@ -97,7 +108,7 @@
   s.client = m.client;
   s.discovery = weldflow::Discovery::Push;
   s.reports = weldflow::ReportSource::None;
-  s.weighted = std::any_of(p.hosts.begin(), p.hosts.end(), [](const auto& h) { return h.capacity != 1; });
+  s.weighted = true;
   for (const conf::ClassModel& c : m.classes) s.classes.push_back(classOf(c));
   for (const conf::TenantModel& t : m.tenants) s.tenants.push_back({.fraction = t.part});
   s.max_attempts = p.attempts;
@@ -128,7 +139,9 @@
   return list;
 }
 
-Config aloneConfig(const Model& m, conf::FileSource& files, const std::string& path) {
+// `zones`: as they are numbered already; nothing: at start.
+Config aloneConfig(const Model& m, conf::FileSource& files, const std::string& path,
+                   const std::optional<Zones>& zones) {
   Config c;
   c.alone = true;
   c.name = m.name;
@@ -147,28 +160,43 @@
     c.site.tenants.push_back(t.name);
     c.own.tenants.push_back(shareOf(t.share, std::max(t.part, 0.01)));
   }
-  c.zones = Zones({m.zone});
+  c.zones = zones ? *zones : Zones({m.zone});
   c.site.zones = {m.zone};
   c.hosts_file = m.pool->hosts_file;
   if (c.hosts_file.empty()) {
     c.known = listOf(m.pool->hosts, c.zones);
   } else {
     c.known = readHosts(files, c.hosts_file, c.zones);
-    c.site.settings.weighted = std::any_of(c.known.hosts.begin(), c.known.hosts.end(),
-                                           [](const auto& h) { return h.capacity != 1; });
   }
   return c;
 }
 
 }  // namespace
 
-Config readOperated(conf::FileSource& files, const std::string& path, const Environment& getenv, bool again) {
-  Configuration read = conf::readConfiguration(files, path);
+OperatorSource::OperatorSource(conf::FileSource& files, std::string path, Environment getenv)
+    : files_(files), path_(std::move(path)), getenv_(std::move(getenv)) {}
+
+Config OperatorSource::read(const std::optional<Zones>& zones) {
+  conf::Configuration read = conf::readConfiguration(files_, path_);
   if (!read.ok()) refuse(read.found, read.sources);
+  Config c = configOf(read, zones);
+  notes_.clear();
+  if (in_force_) {
+    for (const conf::Change& change : conf::compare(in_force_->root, read.root))
+      notes_.push_back(change.text());
+  }
+  for (const conf::Diagnostic& d : read.found) notes_.push_back(conf::oneLine(d, read.sources));
+  read_ = std::move(read);
+  return c;
+}
+
+void OperatorSource::taken() { in_force_ = std::exchange(read_, std::nullopt); }
+
+Config OperatorSource::configOf(conf::Configuration& read, const std::optional<Zones>& zones) {
   const Model& m = read.model;
-  if (m.pool) return aloneConfig(m, files, path);
-  Config c = again ? rereadConfig(getenv) : readConfig(getenv);
-  c.own = settingsOf(m, path);
+  if (m.pool) return aloneConfig(m, files_, path_, zones);
+  Config c = in_force_ ? rereadConfig(getenv_) : readConfig(getenv_);
+  c.own = settingsOf(m, path_);
   if (m.sockets) c.sockets = std::min(c.sockets, *m.sockets);
   if (m.memory) c.memory_mb = std::min(c.memory_mb, *m.memory / kMegabyte);
   c.own.classes = sharesOf(read, "class", m.classes, c.site.classes);
--- a/src/operator/operator_file.h
+++ b/src/operator/operator_file.h
@@ -3,7 +3,11 @@
 #pragma once
 
 #include <functional>
+#include <optional>
+#include <stdexcept>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "conf/model.h"
 #include "net/config.h"
@@ -12,12 +16,39 @@
 
 using Environment = std::function<const char*(const char*)>;
 
-// Reads `path`. With a pool in it that is all; else what PROXY_CONFIG names is read too (`again`: after it
-// was replaced, see rereadConfig) and the file's values are put beside it. Throws std::runtime_error: one
-// line, "file:line:column: error: what is wrong; what to write instead". Warnings are no reason to refuse.
-Config readOperated(conf::FileSource& files, const std::string& path, const Environment& getenv, bool again);
+// Each line is "file:line:column: error: what is wrong; what to write instead": the first few of all.
+struct ConfigurationRefused : std::runtime_error {
+  explicit ConfigurationRefused(std::vector<std::string> lines)
+      : std::runtime_error(lines.front()), errors(std::move(lines)) {}
+  std::vector<std::string> errors;
+};
 
-// The hosts of a hosts file, as a whole list. Throws std::runtime_error like the above.
+class OperatorSource {
+ public:
+  // `files` must live as long as this.
+  OperatorSource(conf::FileSource& files, std::string path, Environment getenv);
+
+  // Reads the file. With a pool in it that is all; else what PROXY_CONFIG names is read too, and the file's
+  // values are put beside it. `zones`: as the running proxy numbers them; nothing: at start. Throws
+  // ConfigurationRefused, or std::runtime_error for the platform's file; then all is as before.
+  Config read(const std::optional<Zones>& zones = std::nullopt);
+  // What was read is in force now; the next differences are told from it.
+  void taken();
+  // Of the last read(): what differs from what is in force, with its risk and whether it takes effect at a
+  // restart only; then warnings. A line each.
+  const std::vector<std::string>& notes() const { return notes_; }
+
+ private:
+  Config configOf(conf::Configuration& read, const std::optional<Zones>& zones);
+
+  conf::FileSource& files_;
+  std::string path_;
+  Environment getenv_;
+  std::optional<conf::Configuration> in_force_, read_;
+  std::vector<std::string> notes_;
+};
+
+// The hosts of a hosts file, as a whole list. Throws ConfigurationRefused.
 HostList readHosts(conf::FileSource& files, const std::string& path, Zones& zones);
 
 }  // namespace quinceline
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -27,6 +27,7 @@
     need(notNegative(c.worth), at + "worth");
     need(notNegative(c.late_worth), at + "late_worth");
     need(notNegative(c.aim_stretch), at + "aim_stretch");
+    need(c.max_attempts >= 0, at + "max_attempts");
   }
   for (std::size_t i = 0; i < s.tenants.size(); ++i) {
     need(notNegative(s.tenants[i].fraction), "tenants[" + std::to_string(i) + "].fraction");
@@ -43,6 +44,15 @@
   need(s.tick > 0, "tick");
 }
 
+void validateChange(const Settings& before, const Settings& s) {
+  validate(s);
+  need(s.classes.size() >= before.classes.size(), "classes");
+  need(s.tenants.size() >= before.tenants.size(), "tenants");
+  need(s.client == before.client, "client");
+  need(s.zone == before.zone, "zone");
+  need(s.discovery == before.discovery, "discovery");
+}
+
 std::string_view toString(Reason reason) {
   switch (reason) {
     case Reason::None:
--- a/tests/conf_schema_test.cpp
+++ b/tests/conf_schema_test.cpp
@@ -80,7 +80,7 @@
   memory.files["other"] = "listen 127.0.0.1:80\nhost a 10.0.0.1:80\nhost b 10.0.0.1:80\n";
   EXPECT_EQ(readHostsFile(memory, "good").hosts.at(1).cell, 3);
   const HostsFile cut = readHostsFile(memory, "cut"), other = readHostsFile(memory, "other");
-  EXPECT_EQ(firstError(cut.found, cut.sources),
+  EXPECT_EQ(oneLine(cut.found.at(0), cut.sources),
             "cut:1:1: error: no host is there; add host NAME ADDRESS:PORT");
   ASSERT_EQ(other.found.size(), 2U);
   EXPECT_EQ(other.found[0].message, "'listen' is not known here");
--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -2,59 +2,17 @@
 #include <algorithm>
 
 #include "conf/schema.h"
-#include "files/disk_source.h"
-#include "operator/operator_file.h"
-#include "proxy_support.h"
+#include "operator_support.h"
 
 namespace quinceline::test {
 namespace {
 
-namespace fs = std::filesystem;
-
-// Files in a folder of their own, gone with it.
-class Files {
- public:
-  Files() {
-    char name[] = "/tmp/quinceline-operator-XXXXXX";
-    folder_ = mkdtemp(name);
-  }
-  ~Files() { fs::remove_all(folder_); }
-  std::string path(const std::string& name) const { return (folder_ / name).string(); }
-  // Replaced as a whole, as an editor or fmt --write does.
-  std::string write(const std::string& name, const std::string& text) const {
-    std::ofstream(path(name + ".new"), std::ios::trunc) << text;
-    fs::rename(path(name + ".new"), path(name));
-    return path(name);
-  }
-
- private:
-  fs::path folder_;
-};
-
-const char* nothing(const char*) { return nullptr; }
-
-std::string poolOf(const std::vector<tcp::endpoint>& hosts, const std::string& more = "") {
-  std::string text = "pool stations {\n";
-  for (std::size_t i = 0; i < hosts.size(); ++i)
-    text += "  host s-" + std::to_string(i + 1) + " " + textOf(hosts[i]) + "\n";
-  return text + more + "}\n";
-}
-
-std::string alone(const std::string& pool, const std::string& more = "") {
-  return "listen 127.0.0.1:0\n"
-         "class slot-status {\n  effect safe\n  aim 800ms\n  deadline 2.5s\n}\n"
-         "class swap-charge {\n  effect unsafe\n  aim 1s\n  deadline 2.5s\n}\n"
-         "class reservation {\n  effect keyed\n  window 2s\n  aim 1s\n  deadline 3s\n}\n"
-         "tenant acme {\n  share 50%\n}\n" +
-         pool + more;
-}
-
 class OperatorFile : public ::testing::Test {
  protected:
   OperatorFile() : config(json::array(), tcp::endpoint(asio::ip::make_address("127.0.0.1"), 9)) {}
   Config read(const std::string& text) {
     DiskSource disk;
-    return readOperated(disk, files.write("op.conf", text), config.environment(), false);
+    return OperatorSource(disk, files.write("op.conf", text), config.environment()).read();
   }
   std::string complaint(const std::string& text) {
     try {
@@ -102,7 +60,8 @@
   EXPECT_EQ(complaint("tenant nobody {\n  most 2\n}\n"),
             "op.conf:1:1: error: the platform has no tenant 'nobody'; delete it");
   DiskSource disk;
-  EXPECT_THROW(readOperated(disk, "/nowhere/at/all.conf", config.environment(), false), std::runtime_error);
+  EXPECT_THROW(OperatorSource(disk, "/nowhere/at/all.conf", config.environment()).read(),
+               ConfigurationRefused);
 }
 
 // ---- every key acts ----
@@ -134,7 +93,7 @@
   for (const std::string& name : c.site.tenants) all << '|' << name;
   for (const auto& k : s.classes)
     all << '|' << k.aim << ',' << k.deadline << ',' << static_cast<int>(k.effect) << ','
-        << static_cast<int>(k.group) << ',' << k.window << ',' << k.worth << ',' << k.late_worth;
+        << static_cast<int>(k.group) << ',' << k.window << ',' << k.worth << ',' << k.late_worth << ',' << k.max_attempts;
   for (const auto& t : s.tenants) all << '|' << t.fraction;
   all << '|' << s.client << ',' << s.zone << ',' << s.max_attempts << s.may_cancel << s.may_probe
       << s.retry_after << s.max_retry_after << ',' << s.drain_grace << ',' << s.cold_from << ','
@@ -195,7 +154,7 @@
   };
   const auto read_alone = [&](const std::string& t) {
     DiskSource disk;
-    return fingerprint(readOperated(disk, files.write("op.conf", t), nothing, false));
+    return fingerprint(OperatorSource(disk, files.write("op.conf", t), nothing).read());
   };
   const std::string base = read_alone(text("none", "", ""));
   int keys = 0;
@@ -246,25 +205,6 @@
 
 // ---- alone ----
 
-class AloneTest : public ::testing::Test {
- protected:
-  void start(const std::string& text) {
-    DiskSource disk;
-    proxy = std::make_unique<Proxy>(loop.io, readOperated(disk, files.write("op.conf", text), nothing, false),
-                                    loop.log, loop.clock);
-    proxy->start();
-  }
-  std::shared_ptr<Peer> ask(const std::string& id) {
-    const auto c = Peer::connect(loop, proxy->localEndpoint());
-    c->say(request(id));
-    return c;
-  }
-  Loop loop;
-  Host host{loop}, other{loop};
-  Files files;
-  std::unique_ptr<Proxy> proxy;
-};
-
 TEST_F(AloneTest, TheFileIsEnoughToServe) {
   start(alone(poolOf({host.endpoint()})));
   const auto c = ask("a");
@@ -284,14 +224,9 @@
   for (int i = 0; i < 8; ++i) {
     const std::string id = "a" + std::to_string(i);
     const auto c = ask(id);
-    const auto holder = [&]() -> std::shared_ptr<Peer> {
-      for (const auto& p : host.peers) {
-        if (p->heard("Correlation-Id: " + id + "\r\n")) return p;
-      }
-      return nullptr;
-    };
-    ASSERT_TRUE(loop.until([&] { return holder() != nullptr; })) << i;
-    holder()->say(answerOf("served"));
+    const auto holds = awaitHolder(host, id);
+    ASSERT_NE(holds, nullptr) << i;
+    holds->say(answerOf("served"));
     ASSERT_TRUE(loop.until([&] { return c->heard("served"); })) << i;
   }
 }
--- a/tests/proxy_support.h
+++ b/tests/proxy_support.h
@@ -1,6 +1,7 @@
 // Shared by the tests of the whole client proxy: its configuration, a scripted discovery, the program itself.
 #pragma once
 
+#include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
@@ -98,13 +99,21 @@
 // The program itself: signals are its business.
 class Program {
  public:
-  explicit Program(const ConfigFile& file) {
-    std::string config = "PROXY_CONFIG=" + file.path;
-    std::string discovery = "PROXY_DISCOVERY=" + file.doc["discovery"].get<std::string>();
-    char* const environment[] = {config.data(), discovery.data(), nullptr};
-    char name[] = QUINCELINE;
-    char* const arguments[] = {name, nullptr};
-    if (posix_spawn(&pid_, QUINCELINE, nullptr, nullptr, arguments, environment) != 0) pid_ = -1;
+  explicit Program(const ConfigFile& file)
+      : Program({}, {"PROXY_CONFIG=" + file.path,
+                     "PROXY_DISCOVERY=" + file.doc["discovery"].get<std::string>()}) {}
+  // `log`: the file that its standard error goes to; empty: ours.
+  Program(std::vector<std::string> arguments, std::vector<std::string> environment,
+          const std::string& log = {}) {
+    arguments.insert(arguments.begin(), QUINCELINE);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    if (!log.empty())
+      posix_spawn_file_actions_addopen(&actions, 2, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    if (posix_spawn(&pid_, QUINCELINE, &actions, nullptr, pointers(arguments).data(),
+                    pointers(environment).data()) != 0)
+      pid_ = -1;
+    posix_spawn_file_actions_destroy(&actions);
   }
   ~Program() {
     if (pid_ <= 0) return;
@@ -122,6 +131,12 @@
   bool runs() { return pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == 0; }
 
  private:
+  static std::vector<char*> pointers(std::vector<std::string>& texts) {
+    std::vector<char*> all;
+    for (std::string& t : texts) all.push_back(t.data());
+    all.push_back(nullptr);
+    return all;
+  }
   pid_t pid_ = -1;
 };
 
