--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -10,10 +10,15 @@
 #include <utility>
 #include <vector>
 
-#include "settings.h"
+#include "platform/settings.h"
 #include "weldflow/balancer.h"
 
 namespace weldflow::drill {
+
+using platform::BadField;
+using platform::isInFlightGauge;
+using platform::parseSettings;
+
 namespace {
 
 // The parts of one line, taken from the left.
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -6,13 +6,13 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
-#include "drill/json_node.h"
+#include "platform/json_node.h"
 
 namespace quinceline {
 namespace {
 
 using nlohmann::json;
-using weldflow::drill::Node;
+using weldflow::platform::Node;
 
 constexpr double kLeastMemory = 32, kLeastSockets = 64;
 
@@ -79,7 +79,7 @@
         c.sockets = static_cast<std::size_t>(limits.at("sockets").number(kLeastSockets, 1e9));
     }
     root.at("settings");
-    c.site = within("settings: ", [&] { return weldflow::drill::parseSite(doc.at("settings").dump()); });
+    c.site = within("settings: ", [&] { return weldflow::platform::parseSite(doc.at("settings").dump()); });
     within("settings: ", [&] { weldflow::validate(c.site.settings); });
     c.zones = Zones(c.site.zones);
     if (root.has("known")) {
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -5,7 +5,7 @@
 #include <functional>
 #include <string>
 
-#include "drill/settings.h"
+#include "platform/settings.h"
 #include "host_list.h"
 #include "operator_settings.h"
 
@@ -19,7 +19,7 @@
   double cores = 1;
   std::size_t memory_mb = 256;
   std::size_t sockets = 1024;
-  weldflow::drill::Site site;
+  weldflow::platform::Site site;
   Zones zones;
   OperatorSettings own;  // of the operator file
   HostList known;        // the list as this client proxy last had it, perhaps old
--- a/src/net/host_list.cpp
+++ b/src/net/host_list.cpp
@@ -5,13 +5,13 @@
 #include <stdexcept>
 #include <utility>
 
-#include "drill/json_node.h"
+#include "platform/json_node.h"
 
 namespace quinceline {
 namespace {
 
 using weldflow::HostState;
-using weldflow::drill::Node;
+using weldflow::platform::Node;
 
 HostState parseState(const Node& node) {
   const std::string word = node.text();
@@ -31,7 +31,7 @@
   Endpoint endpoint;
   try {
     endpoint = parseEndpoint(entry.at("endpoint").text());
-  } catch (const weldflow::drill::BadField&) {
+  } catch (const weldflow::platform::BadField&) {
     throw;
   } catch (const std::runtime_error& e) {
     entry.at("endpoint").bad(e.what());
@@ -47,7 +47,7 @@
 std::string idOf(const Node& entry) {
   try {
     return entry.at("uid").text();
-  } catch (const weldflow::drill::BadField&) {
+  } catch (const weldflow::platform::BadField&) {
     return {};
   }
 }
--- a/src/net/proxy.cpp
+++ b/src/net/proxy.cpp
@@ -647,7 +647,7 @@
     double value = 0;
     const auto r = std::from_chars(number.data(), number.data() + number.size(), value);
     if (r.ec != std::errc{} || r.ptr != number.data() + number.size() || !(value >= 0)) return {};
-    if (weldflow::drill::isInFlightGauge(pair.substr(0, equals))) report.in_flight = value;
+    if (weldflow::platform::isInFlightGauge(pair.substr(0, equals))) report.in_flight = value;
   }
   return report;
 }
--- a/src/drill/json_node.h
+++ b/src/platform/json_node.h
@@ -10,7 +10,7 @@
 
 #include "settings.h"
 
-namespace weldflow::drill {
+namespace weldflow::platform {
 
 class Node {
  public:
@@ -74,4 +74,4 @@
   std::string path_;
 };
 
-}  // namespace weldflow::drill
+}  // namespace weldflow::platform
--- a/src/drill/settings.cpp
+++ b/src/platform/settings.cpp
@@ -4,7 +4,7 @@
 
 #include "json_node.h"
 
-namespace weldflow::drill {
+namespace weldflow::platform {
 namespace {
 
 using nlohmann::json;
@@ -136,4 +136,4 @@
   return site;
 }
 
-}  // namespace weldflow::drill
+}  // namespace weldflow::platform
--- a/src/drill/settings.h
+++ b/src/platform/settings.h
@@ -8,7 +8,7 @@
 
 #include "weldflow/balancer.h"
 
-namespace weldflow::drill {
+namespace weldflow::platform {
 
 // What is wrong with a line, and in which of its fields.
 struct BadField : std::runtime_error {
@@ -32,4 +32,4 @@
 };
 Site parseSite(std::string_view json);
 
-}  // namespace weldflow::drill
+}  // namespace weldflow::platform
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <nlohmann/json.hpp>
 #include <sstream>
 #include <string>
 
@@ -88,6 +89,118 @@
   EXPECT_EQ(run("fmt --write /dev/null"), 1);
 }
 
+const char* const kWhole =
+    "listen 127.0.0.1:8080\n"
+    "\n"
+    "class swap-charge {\n"
+    "  effect unsafe\n"
+    "  aim 1s\n"
+    "  deadline 2.5s\n"
+    "}\n"
+    "\n"
+    "class reservation {\n"
+    "  effect keyed\n"
+    "  window 2s\n"
+    "  aim 1s\n"
+    "  deadline 3s\n"
+    "}\n"
+    "\n"
+    "pool stations {\n"
+    "  host s-1 10.0.0.1:80\n"
+    "}\n";
+
+std::string with(std::string text, const std::string& from, const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+TEST_F(Commands, CheckSaysAllThatIsWrongAndWarningsAreNoErrorUnlessStrict) {
+  const std::string good = file("good.conf", kWhole);
+  EXPECT_EQ(run("check " + good), 0);
+  EXPECT_EQ(said, "");
+  const std::string bad = file("bad.conf", with(with(kWhole, "aim 1s", "aim 1"), "keyed", "keyd"));
+  EXPECT_EQ(run("check " + bad), 1);
+  EXPECT_TRUE(heard(bad + ":5:7: error: '1' has no unit; write 1ms or 1s\n    aim 1\n        ^\n")) << said;
+  EXPECT_TRUE(heard("did you mean keyed?")) << said;
+  const std::string doubtful = file("doubtful.conf", with(kWhole, "aim 1s", "aim 1s\n  attempts 2"));
+  EXPECT_EQ(run("check " + doubtful), 0);
+  EXPECT_TRUE(heard(": warning: 'class swap-charge' is unsafe")) << said;
+  EXPECT_EQ(run("check --strict " + doubtful), 1);
+  EXPECT_TRUE(heard(": error: 'class swap-charge' is unsafe")) << said;
+}
+
+TEST_F(Commands, CheckLooksIntoTheHostsFileToo) {
+  const std::string whole = file("whole.conf", with(kWhole, "host s-1 10.0.0.1:80", "hosts-file hosts.conf"));
+  EXPECT_EQ(run("check " + whole), 1);
+  EXPECT_TRUE(heard("hosts.conf:1:1: error: this file can't be read")) << said;
+  file("hosts.conf", "host s-1 10.0.0.1:80\n");
+  EXPECT_EQ(run("check " + whole), 0) << said;
+  file("hosts.conf", "host s-1 10.0.0.1\n");
+  EXPECT_EQ(run("check " + whole), 1);
+  EXPECT_TRUE(heard("hosts.conf:1:10: error: ")) << said;
+}
+
+TEST_F(Commands, CheckAsJsonIsAListWithPlaces) {
+  const std::string bad = file("bad.conf", with(kWhole, "aim 1s", "aim \xFF"));
+  EXPECT_EQ(run("check --json " + bad), 1);
+  const auto list = nlohmann::json::parse(said);
+  ASSERT_GE(list.size(), 1U);
+  EXPECT_EQ(list[0]["file"], bad);
+  EXPECT_EQ(list[0]["line"], 5);
+  EXPECT_EQ(list[0]["column"], 7);
+  EXPECT_EQ(list[0]["severity"], "error");
+  EXPECT_FALSE(list[0]["message"].get<std::string>().empty());
+  const std::string good = file("good.conf", kWhole);
+  EXPECT_EQ(run("check --json " + good), 0);
+  EXPECT_EQ(nlohmann::json::parse(said).size(), 0U);
+}
+
+TEST_F(Commands, DiffSaysWhatDiffersByMeaningAndItsStatusWhetherAnythingDoes) {
+  const std::string a = file("a.conf", kWhole), same = file("same.conf", with(kWhole, "2.5s", "2500ms"));
+  const std::string b = file("b.conf", with(kWhole, "effect unsafe", "effect safe"));
+  EXPECT_EQ(run("diff " + a + " " + same), 0);
+  EXPECT_EQ(said, "");
+  EXPECT_EQ(run("diff " + a + " " + b), 1);
+  EXPECT_EQ(
+      said,
+      "class swap-charge: effect unsafe -> safe; risk: requests that may have run are repeated now, which "
+      "was not allowed\n");
+  EXPECT_EQ(run("diff " + a + " " + file("broken.conf", "opne 1\n")), 2);
+}
+
+TEST_F(Commands, ExplainSaysWhatARequestGetsAndFromWhichLine) {
+  const std::string a = file("a.conf", kWhole);
+  EXPECT_EQ(run("explain " + a + " 'POST /swap-charge/7?x=1' -H 'X-Correlation-Id: 1'"), 0);
+  EXPECT_EQ(said.rfind("class swap-charge  (" + a + ":3)\n  effect unsafe  (" + a + ":4)\n", 0), 0U) << said;
+  EXPECT_EQ(run("explain " + a + " 'GET /swap-charge/7' -H 'X-Correlation-Id: 1'"), 0);
+  EXPECT_EQ(said.rfind("answered 405: ", 0), 0U) << said;
+  EXPECT_EQ(run("explain " + a + " 'POST /reservation/7' -H 'X-Correlation-Id: 1'"), 0);
+  EXPECT_EQ(said.rfind("answered 400: a keyed class needs an Idempotency-Key", 0), 0U) << said;
+  EXPECT_EQ(run("explain " + a + " 'POST /reservation/7' -H 'X-Correlation-Id: 1' -H 'Idempotency-Key: k'"),
+            0);
+  EXPECT_EQ(said.rfind("class reservation  (", 0), 0U) << said;
+  EXPECT_EQ(run("explain " + a + " /nothing"), 0);
+  EXPECT_EQ(said.rfind("class nothing: not there: answered 404\n", 0), 0U) << said;
+  EXPECT_EQ(run("explain " + a + " 'GET nothing at all'"), 0);
+  EXPECT_EQ(said.rfind("answered 400: ", 0), 0U) << said;
+}
+
+TEST_F(Commands, DumpIsAFileAgainThatMeansTheSame) {
+  const std::string a = file("a.conf", kWhole);
+  ASSERT_EQ(run("dump " + a), 0);
+  EXPECT_TRUE(heard("attempts 3  # holds anyway\n")) << said;
+  const std::string dumped = file("dumped.conf", said);
+  EXPECT_EQ(run("diff " + a + " " + dumped), 0) << said;
+  EXPECT_EQ(run("fmt --check " + dumped), 0) << said;
+  EXPECT_EQ(run("dump " + file("broken.conf", "opne 1\n")), 1);
+}
+
+TEST_F(Commands, EachHasItsHelp) {
+  for (const char* const command : {"run", "check", "fmt", "diff", "explain", "dump", "reference"}) {
+    EXPECT_EQ(run(std::string(command) + " --help"), 0);
+    EXPECT_TRUE(heard("--help")) << command;
+  }
+}
+
 TEST_F(Commands, AWrongCommandLineIsItsOwnStatus) {
   EXPECT_EQ(run("fmt"), 2);
   EXPECT_EQ(run("fmt --check --write x.conf"), 2);
