--- a/src/daemon/serve.cpp
+++ b/src/daemon/serve.cpp
@@ -16,9 +16,9 @@
 #include <utility>
 #include <vector>
 
+#include "front/proxy.h"
 #include "net/config.h"
 #include "net/log.h"
-#include "net/proxy.h"
 #ifdef QUINCELINE_OPERATOR
 #include "files/disk_source.h"
 #include "operator/file_watch.h"
--- a/src/net/proxy.cpp
+++ b/src/front/proxy.cpp
@@ -2,30 +2,23 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <charconv>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
 #include <utility>
 
-#include "head_rules.h"
+#include "net/head_rules.h"
 
 namespace quinceline {
 namespace {
 
 namespace asio = boost::asio;
 using admission::Cause;
-using weldflow::Action;
-using weldflow::ActionKind;
 using weldflow::Effect;
-using weldflow::ListKind;
-using weldflow::Outcome;
-using weldflow::Result;
 
 // Descriptors that are neither a client's nor a host's: standard streams, the loop's own, the listener,
 // signals, discovery, and some to spare.
 constexpr std::size_t kOwnDescriptors = 24;
-constexpr std::uint64_t kMostKey = 1ULL << 53;
 constexpr std::size_t kMegabyte = 1024 * 1024;
 
 // After SIGTERM new connections go on coming for 0.4 s at most, and a request that crosses the closing of an
@@ -42,23 +35,6 @@
 // A connection without an open request may be closed after this, says the protocol's later page.
 constexpr Time kMayBeClosed = 2 * kSecond;
 
-// What the request is about: the last part, as a number below 2^53 or as a stable hash of its text.
-std::int64_t keyOf(std::string_view path) {
-  const std::size_t slash = path.rfind('/');
-  if (slash == 0 || slash == std::string_view::npos || slash + 1 == path.size()) return weldflow::kUnset;
-  const std::string_view last = path.substr(slash + 1);
-  std::uint64_t key = 0;
-  const auto r = std::from_chars(last.data(), last.data() + last.size(), key);
-  if (r.ec != std::errc{} || r.ptr != last.data() + last.size() || key >= kMostKey) {
-    key = 0xCBF29CE484222325ULL;
-    for (const char c : last) key = (key ^ static_cast<unsigned char>(c)) * 0x100000001B3ULL;
-    key >>= 11;
-  }
-  return static_cast<std::int64_t>(key);
-}
-
-Answer plain(int status) { return {.status = status, .body = {}, .content_type = {}, .retry_after = {}}; }
-
 // Never more than a second.
 Time shortestAim(const weldflow::Settings& settings) {
   Time aim = kSecond;
@@ -185,6 +161,17 @@
   return limits;
 }
 
+Pool::Config Proxy::poolConfig(const Config& config, weldflow::Settings settings) {
+  Pool::Config pool;
+  pool.settings = std::move(settings);
+  pool.seed = config.seed;
+  pool.upstream = upstreamLimits(config);
+  pool.reports = config.site.reports;
+  if (!config.alone) pool.discovery = config.discovery;
+  pool.revision = config.known.revision;
+  return pool;
+}
+
 Proxy::Proxy(boost::asio::io_context& io, Config config, Log& log, const Clock& clock)
     : io_(io),
       config_(std::move(config)),
@@ -193,15 +180,14 @@
       clock_(clock),
       timers_(io, clock),
       descriptors_(clock, budgetOf(config_)),
-      balancer_(known_.settings(config_), config_.seed),
       server_(io, timers_, descriptors_, log, *this, serverLimits(config_, descriptors_.limit())),
-      upstream_(io, timers_, descriptors_, *this, upstreamLimits(config_)),
-      discovery_(io, timers_, config_.zones, *this, config_.discovery, config_.known.revision, {}),
+      pool_(io, timers_, descriptors_, log, config_.zones, *this,
+            poolConfig(config_, known_.settings(config_))),
       requests_(known_.limits(config_)),
       ledger_(known_.classes.size(), known_.tenants.size()) {
   // Clients that only stay are cheaper to lose than connections to hosts, which cost these work to open.
   descriptors_.addReclaimer(Side::Clients, [this] { return server_.closeOneIdle(kMayBeClosed); });
-  descriptors_.addReclaimer(Side::Hosts, [this] { return upstream_.closeOneIdle(); });
+  descriptors_.addReclaimer(Side::Hosts, [this] { return pool_.closeOneIdle(); });
   descriptors_.addReclaimer(Side::Clients, [this] { return server_.closeOneIdle(); });
 }
 
@@ -210,72 +196,7 @@
 void Proxy::start() {
   server_.listen(config_.listen);
   timers_.after(kSummary, [this] { summarize(); });
-  config_.known.full = true;
-  // What an operator has written is how it is; what a platform remembers may be old.
-  applyList(std::exchange(config_.known, {}), config_.alone ? ListKind::Full : ListKind::Restored);
-  if (pushed()) discovery_.subscribe();
-}
-
-// Where lists are pushed, the module waits for them; the agent beside us that has them still wants a watch.
-bool Proxy::pushed() const {
-  return !config_.alone && config_.site.settings.discovery == weldflow::Discovery::Push;
-}
-
-// ---- events for the module ----
-
-template <typename Event>
-void Proxy::tell(Event event) {
-  if (telling_) {
-    events_.emplace_back(std::move(event));
-    return;
-  }
-  telling_ = true;
-  event(clock_.now());
-  carryOut();
-  while (!events_.empty()) {
-    const std::function<void(Time)> next = std::move(events_.front());
-    events_.pop_front();
-    next(clock_.now());
-    carryOut();
-  }
-  telling_ = false;
-}
-
-void Proxy::carryOut() {
-  // Acting adds no actions: what it leads to is told afterwards.
-  for (const Action& action : actions_) act(action);
-  actions_.clear();
-}
-
-void Proxy::act(const Action& action) {
-  switch (action.kind) {
-    case ActionKind::Send:
-      return send(action);
-    case ActionKind::Cancel:
-      upstream_.giveUp(attemptId(action.request, action.attempt), Result::Cancelled);
-      return;
-    case ActionKind::Refuse: {
-      Answer answer = plain(503);
-      if (action.time > 0) answer.retry_after = action.time;
-      return finish(action.request, answer);
-    }
-    case ActionKind::Fail: {
-      const auto it = open_.find(action.request);
-      return finish(action.request, plain(it != open_.end() && it->second.timed_out ? 504 : 502));
-    }
-    case ActionKind::Probe:
-      return upstream_.probe(action.server);
-    case ActionKind::Subscribe:
-      if (!config_.alone) discovery_.subscribe();
-      return;
-    case ActionKind::SetTimer:
-      timers_.at(action.time, [this, timer = action.timer] {
-        tell([this, timer](Time now) { balancer_.onTimer(now, timer, actions_); });
-      });
-      return;
-    case ActionKind::Trace:
-      return log_.line(action.text);
-  }
+  pool_.start(std::exchange(config_.known, {}));
 }
 
 // ---- requests ----
@@ -299,10 +220,10 @@
 }
 
 std::optional<Answer> Proxy::onHead(const RequestHead& head, bool room) {
-  if (pathOf(head.target) == "/healthz") return plain(head.method == "GET" ? 200 : 405);
+  if (pathOf(head.target) == "/healthz") return plainAnswer(head.method == "GET" ? 200 : 405);
   const std::optional<ClassInfo> info = classOf(head.target);
-  if (!info) return plain(404);
-  if (const auto fault = faultOf(head, info->effect)) return plain(fault->status);
+  if (!info) return plainAnswer(404);
+  if (const auto fault = faultOf(head, info->effect)) return plainAnswer(fault->status);
   const admission::Ask ask = askOf(0, head, *info, 0, 0);
   const Cause cause = room ? requests_.early(ask) : Cause::ConnectionsFull;
   if (cause == Cause::None) return std::nullopt;
@@ -313,18 +234,19 @@
 void Proxy::onRequest(ExchangeId id, ClientRequest request) {
   // A reload may have come between its head and its last byte.
   const std::optional<ClassInfo> info = classOf(request.head.target);
-  if (!info) return server_.answer(id, plain(404));
-  if (const auto fault = faultOf(request.head, info->effect)) return server_.answer(id, plain(fault->status));
+  if (!info) return server_.answer(id, plainAnswer(404));
+  if (const auto fault = faultOf(request.head, info->effect))
+    return server_.answer(id, plainAnswer(fault->status));
   // No longer than the class allows, whatever the client says: what is kept for a request must not outlive
   // it.
   const Time left =
       std::min(request.head.has_time_left ? parseSeconds(request.head.time_left).value_or(0) : info->deadline,
                info->deadline);
   const Time deadline = request.received + left;
-  if (deadline <= clock_.now()) return server_.answer(id, plain(504));  // over before it was read
+  if (deadline <= clock_.now()) return server_.answer(id, plainAnswer(504));  // over before it was read
   // Two open requests of one id: hosts could not tell them apart, nor could their answers be told apart. The
   // first one's attempts count too, also after its answer. It would harm clients that reuse an id at once.
-  if (!ids_.insert(request.head.correlation).second) return server_.answer(id, plain(409));
+  if (!ids_.insert(request.head.correlation).second) return server_.answer(id, plainAnswer(409));
   const std::size_t bytes = (request.body ? request.body->size() : 0) + request.head.forward.size();
   const admission::Ask ask = askOf(id, request.head, *info, bytes, deadline);
   std::vector<admission::Refusal> displaced;
@@ -362,7 +284,7 @@
 // Nothing was sent for it yet: trying again is harmless, whatever its class.
 Answer Proxy::refusal(const admission::Ask& ask, Cause cause) {
   ledger_.note(cause, ask.request_class, ask.tenant);
-  Answer answer = plain(503);
+  Answer answer = plainAnswer(503);
   if (const Time advice = requests_.advice(clock_.now()); advice > 0) answer.retry_after = advice;
   return answer;
 }
@@ -409,9 +331,8 @@
 
 // The client has its answer, or has gone: the place is free. Whoever waits for it gets it in the same turn of
 // the loop, but not from within what is going on now.
-void Proxy::settled(Open& r) {
-  r.answered = true;
-  requests_.release(clock_.now(), r.exchange);
+void Proxy::settled(ExchangeId id) {
+  requests_.release(clock_.now(), id);
   if (requests_.waiting() == 0 || std::exchange(places_freed_, true)) return;
   asio::post(io_, [this] { admitWaiting(); });
 }
@@ -475,270 +396,47 @@
   return report.dump(2);
 }
 
+// ---- requests that were let in ----
+
 void Proxy::open(const admission::Ask& ask, ClientRequest request, const ClassInfo& info) {
-  const RequestId id = next_request_++;
-  const Time deadline = ask.deadline;
-  weldflow::Request told;
-  told.id = id;
-  told.request_class = info.index;
-  told.key = keyOf(pathOf(request.head.target));
-  told.tenant = ask.tenant;
   use(ask);
-  if (const auto hint = parseSeconds(request.head.weight_hint)) told.expected_work = *hint / kSecond;
-  Open& r = open_[id];
-  r.exchange = ask.id;
-  r.request_class = ask.request_class;
-  r.tenant = ask.tenant;
-  r.request = std::move(request);
-  r.deadline = deadline;
-  r.unrepeatable = info.effect == Effect::Unsafe;
-  by_exchange_.emplace(ask.id, id);
-  timers_.at(deadline, [this, id] { onDeadline(id); });
-  tell([this, told, deadline](Time now) mutable {
-    told.time_left = deadline - now;
-    balancer_.onRequest(now, told, actions_);
-  });
-}
-
-void Proxy::send(const Action& action) {
-  const auto it = open_.find(action.request);
-  if (it == open_.end()) return;
-  Open& r = it->second;
-  const Time now = clock_.now();
-  const Time left = r.deadline - now;
-  const Time limit = action.time > 0 ? std::min(action.time, left) : left;
-  const auto attempt = static_cast<std::int32_t>(r.attempts.size());
-  r.attempts.push_back({.sent = now, .over = false});
-  ++r.outstanding;
-  const AttemptId id = attemptId(action.request, attempt);
-  const bool may_go = !r.answered && limit > 0 && action.time >= 0 && r.attempts.size() < kMostAttempts;
-  if (!may_go) return onAttemptEnd(id, {});
-  timers_.at(now + limit, [this, request = action.request, attempt] { onAttemptTimeout(request, attempt); });
-  upstream_.start(id, action.server, {headFor(r, limit), r.request.body, r.unrepeatable});
-}
-
-std::string Proxy::headFor(const Open& r, Time time_left) const {
-  const RequestHead& from = r.request.head;
-  std::string head;
-  head.reserve(from.method.size() + from.target.size() + from.forward.size() + 128);
-  head += from.method;
-  head += ' ';
-  head += from.target;
-  head += " HTTP/1.1\r\n";
-  head += from.forward;
-  if (!from.has_host) head += "Host: api.internal\r\n";
-  head += "X-Time-Left: ";
-  head += formatSeconds(time_left);
-  head += "\r\n";
-  if (from.method != "GET" || r.request.body) {
-    head += "Content-Length: ";
-    head += std::to_string(r.request.body ? r.request.body->size() : 0);
-    head += "\r\n";
-  }
-  head += "\r\n";
-  return head;
+  routed_.emplace(ask.id, &pool_);
+  pool_.open({.exchange = ask.id,
+              .request = std::move(request),
+              .request_class = ask.request_class,
+              .tenant = ask.tenant,
+              .effect = info.effect,
+              .deadline = ask.deadline});
 }
 
-void Proxy::finish(RequestId id, const Answer& answer) {
-  const auto it = open_.find(id);
-  if (it == open_.end() || it->second.answered) return;
-  settled(it->second);
-  server_.answer(it->second.exchange, answer);
-  closeIfOver(id);
+void Proxy::onAnswer(ExchangeId id, Answer answer) {
+  settled(id);
+  server_.answer(id, std::move(answer));
 }
 
-void Proxy::closeIfOver(RequestId id) {
-  const auto it = open_.find(id);
-  if (it == open_.end() || !it->second.answered || it->second.outstanding > 0) return;
-  by_exchange_.erase(it->second.exchange);
-  ids_.erase(it->second.request.head.correlation);
-  unuse(it->second.request_class, it->second.tenant);
-  open_.erase(it);
+void Proxy::onOver(const Taken& request) {
+  routed_.erase(request.exchange);
+  ids_.erase(request.request.head.correlation);
+  unuse(request.request_class, request.tenant);
 }
 
-void Proxy::onAttemptTimeout(RequestId id, std::int32_t attempt) {
-  const auto it = open_.find(id);
-  if (it == open_.end() || it->second.attempts[static_cast<std::size_t>(attempt)].over) return;
-  upstream_.giveUp(attemptId(id, attempt), Result::TimedOut);
-}
-
-void Proxy::onDeadline(RequestId id) {
-  const auto it = open_.find(id);
-  if (it == open_.end()) return;
-  const auto attempts = static_cast<std::int32_t>(it->second.attempts.size());
-  for (std::int32_t a = 0; a < attempts; ++a) onAttemptTimeout(id, a);
-  const auto after = open_.find(id);
-  if (after == open_.end() || after->second.answered) return;
-  // The module owes an answer at the latest now. A client must not wait for a mistake of ours.
-  log_.line("defect: no final answer at the deadline of request " + std::to_string(id), LogLevel::Error);
-  finish(id, plain(504));
-  tell([this, id](Time now) { balancer_.onClientGone(now, id, actions_); });
-}
-
-void Proxy::onClientGone(ExchangeId exchange) {
-  if (const auto held = waiting_.find(exchange); held != waiting_.end()) {
+void Proxy::onClientGone(ExchangeId id) {
+  if (const auto held = waiting_.find(id); held != waiting_.end()) {
     ids_.erase(held->second.request.head.correlation);
     unuse(held->second.ask.request_class, held->second.ask.tenant);
     waiting_.erase(held);
-    requests_.release(clock_.now(), exchange);
+    requests_.release(clock_.now(), id);
     return;
   }
-  const auto known = by_exchange_.find(exchange);
-  if (known == by_exchange_.end()) return;
-  const RequestId id = known->second;
-  Open& r = open_.at(id);
-  if (r.answered) return;
-  settled(r);
-  tell([this, id](Time now) { balancer_.onClientGone(now, id, actions_); });
-  closeIfOver(id);
-}
-
-// ---- attempts and probes ----
-
-void Proxy::onAttemptEnd(AttemptId id, AttemptEnd end) {
-  tell([this, id, end = std::move(end)](Time now) mutable {
-    outcome(now, id / kMostAttempts, static_cast<std::int32_t>(id % kMostAttempts), std::move(end));
-  });
-}
-
-void Proxy::outcome(Time now, RequestId id, std::int32_t attempt, AttemptEnd end) {
-  const auto it = open_.find(id);
-  if (it == open_.end()) return;
-  Open& r = it->second;
-  Attempt& a = r.attempts[static_cast<std::size_t>(attempt)];
-  if (std::exchange(a.over, true)) return;
-  --r.outstanding;
-  r.timed_out |= end.result == Result::TimedOut;
-  if (!r.answered && end.result == Result::Ok) {
-    settled(r);
-    Answer answer = plain(200);
-    answer.body = std::move(end.body);
-    answer.content_type = std::move(end.content_type);
-    server_.answer(r.exchange, std::move(answer));
-  }
-  Outcome told;
-  told.request = id;
-  told.attempt = attempt;
-  told.result = end.result;
-  told.final = r.answered;
-  told.latency = now - a.sent;
-  told.load = parseLoad(end.load);
-  balancer_.onOutcome(now, told, actions_);
-  closeIfOver(id);
-}
-
-void Proxy::onProbeEnd(const std::string& uid, bool ok, Time latency, const std::string& load) {
-  tell([this, uid, ok, latency, report = parseLoad(load)](Time now) {
-    balancer_.onProbe(now, uid, ok, latency, report, actions_);
-  });
-}
-
-// A report that is not well-formed is no report; the answer it came with stands.
-weldflow::LoadReport Proxy::parseLoad(std::string_view text) const {
-  weldflow::LoadReport report;
-  if (!config_.site.reports || text.empty()) return report;
-  while (!text.empty()) {
-    const std::size_t comma = text.find(',');
-    const std::string_view pair = text.substr(0, comma);
-    text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
-    const std::size_t equals = pair.find('=');
-    if (equals == std::string_view::npos) return {};
-    const std::string_view number = pair.substr(equals + 1);
-    double value = 0;
-    const auto r = std::from_chars(number.data(), number.data() + number.size(), value);
-    if (r.ec != std::errc{} || r.ptr != number.data() + number.size() || !(value >= 0)) return {};
-    if (weldflow::platform::isInFlightGauge(pair.substr(0, equals))) report.in_flight = value;
-  }
-  return report;
-}
-
-// ---- discovery ----
-
-// What the list means together with what is known. An entry that could not be read leaves its host as it was.
-// An address has one host, the one that started last: a machine that has been replaced may still be listed
-// beside the new one, and what is sent to it then would come on top of what the new, cold one can take. This
-// would harm a fleet in which hosts share an address, which the protocol does not have.
-HostList Proxy::completed(HostList list) const {
-  for (const std::string& uid : list.unread) {
-    const auto known = listed_.find(uid);
-    if (known == listed_.end()) continue;
-    list.hosts.push_back(known->second.host);
-    list.endpoints.push_back(known->second.endpoint);
-  }
-  std::map<std::string_view, std::size_t> named;
-  for (std::size_t i = 0; i < list.hosts.size(); ++i) named[list.hosts[i].id] = i;
-  std::map<Endpoint, weldflow::Host> holders;
-  const auto claim = [&](const Endpoint& at, const weldflow::Host& host) {
-    if (host.state == weldflow::HostState::Gone) return;
-    const auto [it, first] = holders.emplace(at, host);
-    if (!first && host.up_since >= it->second.up_since) it->second = host;
-  };
-  if (!list.full) {
-    for (const auto& [uid, known] : listed_) {
-      if (!named.count(uid)) claim(known.endpoint, known.host);
-    }
-  }
-  for (std::size_t i = 0; i < list.hosts.size(); ++i) claim(list.endpoints[i], list.hosts[i]);
-  const auto lost = [&](const Endpoint& at, const std::string& uid) { return holders.at(at).id != uid; };
-  for (std::size_t i = 0; i < list.hosts.size(); ++i) {
-    weldflow::Host& host = list.hosts[i];
-    if (host.state != weldflow::HostState::Gone && lost(list.endpoints[i], host.id)) {
-      host.state = weldflow::HostState::Gone;
-    }
-  }
-  std::vector<weldflow::Host> replaced;
-  for (const auto& [uid, known] : listed_) {
-    if (!list.full && !named.count(uid) && lost(known.endpoint, uid)) replaced.push_back(known.host);
-  }
-  for (weldflow::Host& host : replaced) {
-    host.state = weldflow::HostState::Gone;
-    list.hosts.push_back(std::move(host));
-    list.endpoints.emplace_back();
-  }
-  return list;
-}
-
-void Proxy::applyHosts(const HostList& list) {
-  std::map<std::string, Listed, std::less<>> left;
-  if (list.full) left.swap(listed_);
-  for (std::size_t i = 0; i < list.hosts.size(); ++i) {
-    const weldflow::Host& host = list.hosts[i];
-    left.erase(host.id);
-    if (host.state == weldflow::HostState::Gone) {
-      upstream_.removeHost(host.id);
-      listed_.erase(host.id);
-    } else {
-      upstream_.setHost(host.id, list.endpoints[i]);
-      listed_[host.id] = {host, list.endpoints[i]};
-    }
-  }
-  for (const auto& [uid, known] : left) upstream_.removeHost(uid);
-}
-
-void Proxy::onHostList(const HostList& news) {
-  if (!news.unread.empty())
-    log_.line("discovery: an entry is passed over: " + news.complaint, LogLevel::Warning);
-  applyList(news, news.full ? ListKind::Full : ListKind::Changes);
-}
-
-void Proxy::applyList(HostList news, ListKind kind) {
-  const HostList list = completed(std::move(news));
-  applyHosts(list);
-  tell([this, list, kind](Time now) { balancer_.onServers(now, kind, list.hosts, actions_); });
-}
-
-void Proxy::onDiscoveryLost(const std::string& why) {
-  log_.line("discovery: " + why, LogLevel::Warning);
-  if (pushed()) timers_.after(kSecond, [this] { discovery_.subscribe(); });
-  tell([this](Time now) { balancer_.onServers(now, ListKind::Unavailable, {}, actions_); });
+  const auto routed = routed_.find(id);
+  if (routed == routed_.end()) return;
+  settled(id);
+  routed->second->clientGone(id);
 }
 
 // ---- reload ----
 
-void Proxy::setHosts(HostList list) {
-  list.full = true;
-  applyList(std::move(list), ListKind::Full);
-}
+void Proxy::setHosts(HostList list) { pool_.setHosts(std::move(list)); }
 
 void Proxy::reload(Config next) {
   if (next.alone != config_.alone)
@@ -759,12 +457,12 @@
   weldflow::Settings settings = known.settings(next);
   const admission::RequestGate::Limits limits = known.limits(next);
   const admission::RequestGate tried(limits);  // throws where they can't hold together
-  balancer_.reconfigure(std::move(settings));  // or this; nothing has changed until then
+  // Or this; nothing has changed until then.
+  pool_.reconfigure(std::move(settings), upstreamLimits(next));
   known_ = std::move(known);
   requests_.reconfigure(limits);
   ledger_.grow(known_.classes.size(), known_.tenants.size());
   server_.reconfigure(serverLimits(next, descriptors_.limit()).connections);
-  upstream_.reconfigure(upstreamLimits(next));
   log_.setLevel(next.own.log_level);
   HostList hosts = std::exchange(next.known, {});
   const Endpoint discovery = next.discovery;
@@ -773,9 +471,9 @@
   config_ = std::move(next);
   if (config_.alone) {
     setHosts(std::move(hosts));
-  } else if (discovery != discovery_.endpoint()) {
+  } else if (discovery != pool_.discoveryEndpoint()) {
     log_.line("configuration read again: discovery has moved");
-    discovery_.moveTo(discovery);
+    pool_.moveDiscovery(discovery);
   } else if (config_.own.file.empty()) {
     log_.line("configuration read again: nothing new");
   }
--- a/src/net/proxy.h
+++ b/src/front/proxy.h
@@ -1,12 +1,9 @@
-// The embedder: sole owner of the Balancer, its clock and timers, and of the table of open requests. It turns
-// what server, upstream and discovery report into the module's events, and carries out the module's actions
-// in order. It decides nothing but what the protocol leaves no choice in.
+// The front: the listener, who is let in, which class a request is of, and what a reload means. Requests that
+// were let in go to the pool, which answers each of them once.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -17,15 +14,13 @@
 #include "admission/indices.h"
 #include "admission/ledger.h"
 #include "admission/requests.h"
-#include "config.h"
-#include "discovery.h"
-#include "server.h"
-#include "upstream.h"
-#include "weldflow/balancer.h"
+#include "net/config.h"
+#include "net/server.h"
+#include "pools/pool.h"
 
 namespace quinceline {
 
-class Proxy final : private RequestSink, private AttemptSink, private DiscoverySink {
+class Proxy final : private RequestSink, private PoolSink {
  public:
   Proxy(boost::asio::io_context& io, Config config, Log& log, const Clock& clock);
   ~Proxy() override;
@@ -46,29 +41,12 @@
   Endpoint localEndpoint() const { return server_.localEndpoint(); }
   // What admission has decided and what it goes by, as JSON: docs/admission.md explains it.
   std::string admissionReport();
-  std::size_t openRequests() const { return open_.size(); }
+  std::size_t openRequests() const { return pool_.openRequests(); }
   const admission::RequestGate& requests() const { return requests_; }
   const Server& server() const { return server_; }
-  const Upstream& upstream() const { return upstream_; }
+  const Upstream& upstream() const { return pool_.upstream(); }
 
  private:
-  using RequestId = weldflow::RequestId;
-
-  struct Attempt {
-    Time sent = 0;
-    bool over = false;  // its outcome is known
-  };
-  struct Open {  // unanswered, or with an attempt out
-    ExchangeId exchange = 0;
-    ClientRequest request;
-    std::int32_t request_class = 0, tenant = -1;
-    Time deadline = 0;
-    std::vector<Attempt> attempts;
-    std::int32_t outstanding = 0;
-    bool answered = false;   // the client has its answer, or is gone
-    bool timed_out = false;  // an attempt has
-    bool unrepeatable = false;
-  };
   struct ClassInfo {
     std::int32_t index = 0;
     Time deadline = 0;
@@ -91,50 +69,27 @@
     admission::Ask ask;
   };
 
-  // What server, upstream and discovery report.
+  // What server and pool report.
   std::optional<Answer> onHead(const RequestHead& head, bool room) override;
   void onRequest(ExchangeId id, ClientRequest request) override;
   void onClientGone(ExchangeId id) override;
-  void onAttemptEnd(AttemptId id, AttemptEnd end) override;
-  void onProbeEnd(const std::string& uid, bool ok, Time latency, const std::string& load) override;
-  void onHostList(const HostList& list) override;
-  void onDiscoveryLost(const std::string& why) override;
+  void onAnswer(ExchangeId id, Answer answer) override;
+  void onOver(const Taken& request) override;
 
-  // Calls into the Balancer are never nested: what happens while actions are carried out waits in line.
-  template <typename Event>
-  void tell(Event event);
-  void carryOut();
-  void act(const weldflow::Action& action);
-  void send(const weldflow::Action& action);
   admission::Ask askOf(ExchangeId id, const RequestHead& head, const ClassInfo& info, std::size_t bytes,
                        Time deadline) const;
   Answer refusal(const admission::Ask& ask, admission::Cause cause);
   void refuseWaiting(const std::vector<admission::Refusal>& refused);
   void admitWaiting();
   void awaitPlaces();
-  void settled(Open& request);
+  void settled(ExchangeId id);
   void summarize();
-  void finish(RequestId id, const Answer& answer);
-  void onAttemptTimeout(RequestId id, std::int32_t attempt);
-  void onDeadline(RequestId id);
-  void outcome(Time now, RequestId id, std::int32_t attempt, AttemptEnd end);
-  void closeIfOver(RequestId id);
-  HostList completed(HostList list) const;
-  void applyHosts(const HostList& list);
-  bool pushed() const;
   void waitUntilDone();
-  weldflow::LoadReport parseLoad(std::string_view text) const;
   std::optional<ClassInfo> classOf(std::string_view target) const;
   void open(const admission::Ask& ask, ClientRequest request, const ClassInfo& info);
   void use(const admission::Ask& ask);
   void unuse(std::int32_t request_class, std::int32_t tenant);
-  void applyList(HostList list, weldflow::ListKind kind);
-  std::string headFor(const Open& request, Time time_left) const;
-
-  static AttemptId attemptId(RequestId request, std::int32_t attempt) {
-    return request * kMostAttempts + static_cast<AttemptId>(attempt);
-  }
-  static constexpr AttemptId kMostAttempts = 64;
+  static Pool::Config poolConfig(const Config& config, weldflow::Settings settings);
 
   boost::asio::io_context& io_;
   Config config_;
@@ -143,28 +98,16 @@
   const Clock& clock_;
   Timers timers_;
   Descriptors descriptors_;
-  weldflow::Balancer balancer_;
   Server server_;
-  Upstream upstream_;
-  Discovery discovery_;
+  Pool pool_;
 
-  std::unordered_map<RequestId, Open> open_;
-  std::unordered_map<ExchangeId, RequestId> by_exchange_;
-  std::unordered_set<std::string> ids_;  // X-Correlation-Id of each in open_
-  struct Listed {
-    weldflow::Host host;
-    Endpoint endpoint;
-  };
-  std::map<std::string, Listed, std::less<>> listed_;  // the hosts that upstream knows
-  admission::RequestGate requests_;                    // by exchange
+  std::unordered_map<ExchangeId, Pool*> routed_;  // who has it, until it is over
+  std::unordered_set<std::string> ids_;           // X-Correlation-Id of each that waits or is not over
+  admission::RequestGate requests_;               // by exchange
   admission::Ledger ledger_;
   std::unordered_map<ExchangeId, Held> waiting_;
   Time places_due_ = kNever;   // when the gate is asked again for sure
   bool places_freed_ = false;  // it will be asked in this turn of the loop
-  RequestId next_request_ = 1;
-  std::deque<std::function<void(Time)>> events_;
-  bool telling_ = false;
-  weldflow::Actions actions_;
   std::function<void()> done_;
 };
 
--- /dev/null
+++ b/src/net/exchange.h
@@ -0,0 +1,32 @@
+// A client's request and its answer, as front, pools and server pass them on.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "http.h"
+
+namespace quinceline {
+
+using ExchangeId = std::uint64_t;  // one request on one client connection; from 1, never used twice
+
+struct ClientRequest {
+  RequestHead head;
+  std::shared_ptr<const std::string> body;
+  Time received = 0;  // when its last byte came
+};
+
+struct Answer {
+  int status = 200;
+  std::string body;
+  std::string content_type;
+  std::optional<Time> retry_after;
+};
+
+inline Answer plainAnswer(int status) {
+  return {.status = status, .body = {}, .content_type = {}, .retry_after = {}};
+}
+
+}  // namespace quinceline
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -15,27 +15,13 @@
 #include "admission/connections.h"
 #include "body_budget.h"
 #include "descriptors.h"
+#include "exchange.h"
 #include "http.h"
 #include "log.h"
 #include "timers.h"
 
 namespace quinceline {
 
-using ExchangeId = std::uint64_t;  // one request on one client connection; never used twice
-
-struct ClientRequest {
-  RequestHead head;
-  std::shared_ptr<const std::string> body;
-  Time received = 0;  // when its last byte came
-};
-
-struct Answer {
-  int status = 200;
-  std::string body;
-  std::string content_type;
-  std::optional<Time> retry_after;
-};
-
 // What the server tells. Calls back into the server are allowed from each.
 class RequestSink {
  public:
--- /dev/null
+++ b/src/pools/pool.cpp
@@ -0,0 +1,387 @@
+#include "pool.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "net/head_rules.h"
+#include "platform/settings.h"
+
+namespace quinceline {
+namespace {
+
+using weldflow::Action;
+using weldflow::ActionKind;
+using weldflow::ListKind;
+using weldflow::Outcome;
+using weldflow::Result;
+
+constexpr std::uint64_t kMostKey = 1ULL << 53;
+
+// What the request is about: the last part, as a number below 2^53 or as a stable hash of its text.
+std::int64_t keyOf(std::string_view path) {
+  const std::size_t slash = path.rfind('/');
+  if (slash == 0 || slash == std::string_view::npos || slash + 1 == path.size()) return weldflow::kUnset;
+  const std::string_view last = path.substr(slash + 1);
+  std::uint64_t key = 0;
+  const auto r = std::from_chars(last.data(), last.data() + last.size(), key);
+  if (r.ec != std::errc{} || r.ptr != last.data() + last.size() || key >= kMostKey) {
+    key = 0xCBF29CE484222325ULL;
+    for (const char c : last) key = (key ^ static_cast<unsigned char>(c)) * 0x100000001B3ULL;
+    key >>= 11;
+  }
+  return static_cast<std::int64_t>(key);
+}
+
+}  // namespace
+
+Pool::Pool(boost::asio::io_context& io, Timers& timers, Descriptors& descriptors, Log& log, Zones& zones,
+           PoolSink& sink, Config config)
+    : config_(std::move(config)),
+      timers_(timers),
+      clock_(timers.clock()),
+      log_(log),
+      sink_(sink),
+      balancer_(config_.settings, config_.seed),
+      upstream_(io, timers, descriptors, *this, config_.upstream) {
+  if (!config_.discovery) return;
+  discovery_.emplace(io, timers, zones, static_cast<DiscoverySink&>(*this), *config_.discovery,
+                     config_.revision, Discovery::Limits{});
+}
+
+Pool::~Pool() = default;
+
+void Pool::log(std::string_view text, LogLevel level) {
+  if (config_.name.empty()) return log_.line(text, level);
+  std::string whole = "pool " + config_.name + ": ";
+  whole += text;
+  log_.line(whole, level);
+}
+
+// What an operator has written is how it is; what a platform remembers may be old.
+void Pool::start(HostList known) {
+  known.full = true;
+  applyList(std::move(known), discovery_ ? ListKind::Restored : ListKind::Full);
+  if (pushed()) discovery_->subscribe();
+}
+
+// Where lists are pushed, the module waits for them; the agent beside us that has them still wants a watch.
+bool Pool::pushed() const { return discovery_ && config_.settings.discovery == weldflow::Discovery::Push; }
+
+std::optional<Endpoint> Pool::discoveryEndpoint() const {
+  return discovery_ ? std::optional(discovery_->endpoint()) : std::nullopt;
+}
+
+void Pool::setHosts(HostList list) {
+  list.full = true;
+  applyList(std::move(list), ListKind::Full);
+}
+
+void Pool::reconfigure(weldflow::Settings settings, const Upstream::Limits& upstream) {
+  balancer_.reconfigure(settings);
+  config_.settings = std::move(settings);
+  upstream_.reconfigure(upstream);
+}
+
+void Pool::moveDiscovery(const Endpoint& to) {
+  if (discovery_) discovery_->moveTo(to);
+}
+
+// ---- events for the module ----
+
+template <typename Event>
+void Pool::tell(Event event) {
+  if (telling_) {
+    events_.emplace_back(std::move(event));
+    return;
+  }
+  telling_ = true;
+  event(clock_.now());
+  carryOut();
+  while (!events_.empty()) {
+    const std::function<void(Time)> next = std::move(events_.front());
+    events_.pop_front();
+    next(clock_.now());
+    carryOut();
+  }
+  telling_ = false;
+}
+
+void Pool::carryOut() {
+  // Acting adds no actions: what it leads to is told afterwards.
+  for (const Action& action : actions_) act(action);
+  actions_.clear();
+}
+
+void Pool::act(const Action& action) {
+  switch (action.kind) {
+    case ActionKind::Send:
+      return send(action);
+    case ActionKind::Cancel:
+      upstream_.giveUp(attemptId(action.request, action.attempt), Result::Cancelled);
+      return;
+    case ActionKind::Refuse: {
+      Answer answer = plainAnswer(503);
+      if (action.time > 0) answer.retry_after = action.time;
+      return finish(action.request, answer);
+    }
+    case ActionKind::Fail: {
+      const auto it = open_.find(action.request);
+      return finish(action.request, plainAnswer(it != open_.end() && it->second.timed_out ? 504 : 502));
+    }
+    case ActionKind::Probe:
+      return upstream_.probe(action.server);
+    case ActionKind::Subscribe:
+      if (discovery_) discovery_->subscribe();
+      return;
+    case ActionKind::SetTimer:
+      timers_.at(action.time, [this, timer = action.timer] {
+        tell([this, timer](Time now) { balancer_.onTimer(now, timer, actions_); });
+      });
+      return;
+    case ActionKind::Trace:
+      return log(action.text);
+  }
+}
+
+// ---- requests ----
+
+void Pool::open(Taken taken) {
+  const RequestId id = taken.exchange;
+  const Time deadline = taken.deadline;
+  weldflow::Request told;
+  told.id = id;
+  told.request_class = taken.request_class;
+  told.tenant = taken.tenant;
+  told.key = keyOf(pathOf(taken.request.head.target));
+  if (const auto hint = parseSeconds(taken.request.head.weight_hint)) told.expected_work = *hint / kSecond;
+  open_[id].taken = std::move(taken);
+  timers_.at(deadline, [this, id] { onDeadline(id); });
+  tell([this, told, deadline](Time now) mutable {
+    told.time_left = deadline - now;
+    balancer_.onRequest(now, told, actions_);
+  });
+}
+
+void Pool::send(const Action& action) {
+  const auto it = open_.find(action.request);
+  if (it == open_.end()) return;
+  Open& r = it->second;
+  const Time now = clock_.now();
+  const Time left = r.taken.deadline - now;
+  const Time limit = action.time > 0 ? std::min(action.time, left) : left;
+  const auto attempt = static_cast<std::int32_t>(r.attempts.size());
+  r.attempts.push_back({.sent = now, .over = false});
+  ++r.outstanding;
+  const AttemptId id = attemptId(action.request, attempt);
+  const bool may_go = !r.answered && limit > 0 && action.time >= 0 && r.attempts.size() < kMostAttempts;
+  if (!may_go) return onAttemptEnd(id, {});
+  timers_.at(now + limit, [this, request = action.request, attempt] { onAttemptTimeout(request, attempt); });
+  upstream_.start(id, action.server,
+                  {headFor(r, limit), r.taken.request.body, r.taken.effect == weldflow::Effect::Unsafe});
+}
+
+std::string Pool::headFor(const Open& r, Time time_left) const {
+  const RequestHead& from = r.taken.request.head;
+  std::string head;
+  head.reserve(from.method.size() + from.target.size() + from.forward.size() + 128);
+  head += from.method;
+  head += ' ';
+  head += from.target;
+  head += " HTTP/1.1\r\n";
+  head += from.forward;
+  if (!from.has_host) head += "Host: api.internal\r\n";
+  head += "X-Time-Left: ";
+  head += formatSeconds(time_left);
+  head += "\r\n";
+  if (from.method != "GET" || r.taken.request.body) {
+    head += "Content-Length: ";
+    head += std::to_string(r.taken.request.body ? r.taken.request.body->size() : 0);
+    head += "\r\n";
+  }
+  head += "\r\n";
+  return head;
+}
+
+void Pool::finish(RequestId id, Answer answer) {
+  const auto it = open_.find(id);
+  if (it == open_.end() || it->second.answered) return;
+  it->second.answered = true;
+  sink_.onAnswer(id, std::move(answer));
+  closeIfOver(id);
+}
+
+void Pool::closeIfOver(RequestId id) {
+  const auto it = open_.find(id);
+  if (it == open_.end() || !it->second.answered || it->second.outstanding > 0) return;
+  const Taken over = std::move(it->second.taken);
+  open_.erase(it);
+  sink_.onOver(over);
+}
+
+void Pool::onAttemptTimeout(RequestId id, std::int32_t attempt) {
+  const auto it = open_.find(id);
+  if (it == open_.end() || it->second.attempts[static_cast<std::size_t>(attempt)].over) return;
+  upstream_.giveUp(attemptId(id, attempt), Result::TimedOut);
+}
+
+void Pool::onDeadline(RequestId id) {
+  const auto it = open_.find(id);
+  if (it == open_.end()) return;
+  const auto attempts = static_cast<std::int32_t>(it->second.attempts.size());
+  for (std::int32_t a = 0; a < attempts; ++a) onAttemptTimeout(id, a);
+  const auto after = open_.find(id);
+  if (after == open_.end() || after->second.answered) return;
+  // The module owes an answer at the latest now. A client must not wait for a mistake of ours.
+  log("defect: no final answer at the deadline of request " + std::to_string(id), LogLevel::Error);
+  finish(id, plainAnswer(504));
+  tell([this, id](Time now) { balancer_.onClientGone(now, id, actions_); });
+}
+
+void Pool::clientGone(ExchangeId id) {
+  const auto it = open_.find(id);
+  if (it == open_.end() || std::exchange(it->second.answered, true)) return;
+  tell([this, id](Time now) { balancer_.onClientGone(now, id, actions_); });
+  closeIfOver(id);
+}
+
+// ---- attempts and probes ----
+
+void Pool::onAttemptEnd(AttemptId id, AttemptEnd end) {
+  tell([this, id, end = std::move(end)](Time now) mutable {
+    outcome(now, id / kMostAttempts, static_cast<std::int32_t>(id % kMostAttempts), std::move(end));
+  });
+}
+
+void Pool::outcome(Time now, RequestId id, std::int32_t attempt, AttemptEnd end) {
+  const auto it = open_.find(id);
+  if (it == open_.end()) return;
+  Open& r = it->second;
+  Attempt& a = r.attempts[static_cast<std::size_t>(attempt)];
+  if (std::exchange(a.over, true)) return;
+  --r.outstanding;
+  r.timed_out |= end.result == Result::TimedOut;
+  if (!r.answered && end.result == Result::Ok) {
+    r.answered = true;
+    Answer answer = plainAnswer(200);
+    answer.body = std::move(end.body);
+    answer.content_type = std::move(end.content_type);
+    sink_.onAnswer(id, std::move(answer));
+  }
+  Outcome told;
+  told.request = id;
+  told.attempt = attempt;
+  told.result = end.result;
+  told.final = r.answered;
+  told.latency = now - a.sent;
+  told.load = parseLoad(end.load);
+  balancer_.onOutcome(now, told, actions_);
+  closeIfOver(id);
+}
+
+void Pool::onProbeEnd(const std::string& uid, bool ok, Time latency, const std::string& load) {
+  tell([this, uid, ok, latency, report = parseLoad(load)](Time now) {
+    balancer_.onProbe(now, uid, ok, latency, report, actions_);
+  });
+}
+
+// A report that is not well-formed is no report; the answer it came with stands.
+weldflow::LoadReport Pool::parseLoad(std::string_view text) const {
+  weldflow::LoadReport report;
+  if (!config_.reports || text.empty()) return report;
+  while (!text.empty()) {
+    const std::size_t comma = text.find(',');
+    const std::string_view pair = text.substr(0, comma);
+    text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
+    const std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos) return {};
+    const std::string_view number = pair.substr(equals + 1);
+    double value = 0;
+    const auto r = std::from_chars(number.data(), number.data() + number.size(), value);
+    if (r.ec != std::errc{} || r.ptr != number.data() + number.size() || !(value >= 0)) return {};
+    if (weldflow::platform::isInFlightGauge(pair.substr(0, equals))) report.in_flight = value;
+  }
+  return report;
+}
+
+// ---- hosts ----
+
+// What the list means together with what is known. An entry that could not be read leaves its host as it was.
+// An address has one host, the one that started last: a machine that has been replaced may still be listed
+// beside the new one, and what is sent to it then would come on top of what the new, cold one can take. This
+// would harm a fleet in which hosts share an address, which the protocol does not have.
+HostList Pool::completed(HostList list) const {
+  for (const std::string& uid : list.unread) {
+    const auto known = listed_.find(uid);
+    if (known == listed_.end()) continue;
+    list.hosts.push_back(known->second.host);
+    list.endpoints.push_back(known->second.endpoint);
+  }
+  std::map<std::string_view, std::size_t> named;
+  for (std::size_t i = 0; i < list.hosts.size(); ++i) named[list.hosts[i].id] = i;
+  std::map<Endpoint, weldflow::Host> holders;
+  const auto claim = [&](const Endpoint& at, const weldflow::Host& host) {
+    if (host.state == weldflow::HostState::Gone) return;
+    const auto [it, first] = holders.emplace(at, host);
+    if (!first && host.up_since >= it->second.up_since) it->second = host;
+  };
+  if (!list.full) {
+    for (const auto& [uid, known] : listed_) {
+      if (!named.count(uid)) claim(known.endpoint, known.host);
+    }
+  }
+  for (std::size_t i = 0; i < list.hosts.size(); ++i) claim(list.endpoints[i], list.hosts[i]);
+  const auto lost = [&](const Endpoint& at, const std::string& uid) { return holders.at(at).id != uid; };
+  for (std::size_t i = 0; i < list.hosts.size(); ++i) {
+    weldflow::Host& host = list.hosts[i];
+    if (host.state != weldflow::HostState::Gone && lost(list.endpoints[i], host.id)) {
+      host.state = weldflow::HostState::Gone;
+    }
+  }
+  std::vector<weldflow::Host> replaced;
+  for (const auto& [uid, known] : listed_) {
+    if (!list.full && !named.count(uid) && lost(known.endpoint, uid)) replaced.push_back(known.host);
+  }
+  for (weldflow::Host& host : replaced) {
+    host.state = weldflow::HostState::Gone;
+    list.hosts.push_back(std::move(host));
+    list.endpoints.emplace_back();
+  }
+  return list;
+}
+
+void Pool::applyHosts(const HostList& list) {
+  std::map<std::string, Listed, std::less<>> left;
+  if (list.full) left.swap(listed_);
+  for (std::size_t i = 0; i < list.hosts.size(); ++i) {
+    const weldflow::Host& host = list.hosts[i];
+    left.erase(host.id);
+    if (host.state == weldflow::HostState::Gone) {
+      upstream_.removeHost(host.id);
+      listed_.erase(host.id);
+    } else {
+      upstream_.setHost(host.id, list.endpoints[i]);
+      listed_[host.id] = {host, list.endpoints[i]};
+    }
+  }
+  for (const auto& [uid, known] : left) upstream_.removeHost(uid);
+}
+
+void Pool::onHostList(const HostList& news) {
+  if (!news.unread.empty()) log("discovery: an entry is passed over: " + news.complaint, LogLevel::Warning);
+  applyList(news, news.full ? ListKind::Full : ListKind::Changes);
+}
+
+void Pool::applyList(HostList news, ListKind kind) {
+  const HostList list = completed(std::move(news));
+  applyHosts(list);
+  tell([this, list, kind](Time now) { balancer_.onServers(now, kind, list.hosts, actions_); });
+}
+
+void Pool::onDiscoveryLost(const std::string& why) {
+  log("discovery: " + why, LogLevel::Warning);
+  if (pushed()) timers_.after(kSecond, [this] { discovery_->subscribe(); });
+  tell([this](Time now) { balancer_.onServers(now, ListKind::Unavailable, {}, actions_); });
+}
+
+}  // namespace quinceline
--- /dev/null
+++ b/src/pools/pool.h
@@ -0,0 +1,142 @@
+// A pool of hosts: sole owner of its decision module, its list of hosts, its connections to them and the
+// table of its open requests. It turns what these report into the module's events and carries out the
+// module's actions in order. It decides nothing but what the protocol leaves no choice in, and knows nothing
+// of clients, other pools or who was let in.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "net/discovery.h"
+#include "net/exchange.h"
+#include "net/upstream.h"
+#include "weldflow/balancer.h"
+
+namespace quinceline {
+
+// A request that was let in, with what it came under.
+struct Taken {
+  ExchangeId exchange = 0;
+  ClientRequest request;
+  std::int32_t request_class = 0, tenant = weldflow::kUnset;  // the module's numbers
+  weldflow::Effect effect = weldflow::Effect::Unsafe;
+  Time deadline = 0;
+};
+
+// What a pool tells. Calls back into it are allowed from each.
+class PoolSink {
+ public:
+  virtual ~PoolSink() = default;
+  // The one final answer of a request, unless its client has gone before.
+  virtual void onAnswer(ExchangeId id, Answer answer) = 0;
+  // Nothing of it is in flight any more, after its answer: the last word on it.
+  virtual void onOver(const Taken& request) = 0;
+};
+
+class Pool final : private AttemptSink, private DiscoverySink {
+ public:
+  struct Config {
+    std::string name;  // before its lines in the log; empty: none
+    weldflow::Settings settings;
+    std::uint64_t seed = 0;
+    Upstream::Limits upstream;
+    bool reports = false;               // hosts report their load
+    std::optional<Endpoint> discovery;  // where lists come from; nothing: setHosts() only
+    std::uint64_t revision = 0;         // of the list that is known
+  };
+
+  // `zones` and all else by reference must outlive it.
+  Pool(boost::asio::io_context& io, Timers& timers, Descriptors& descriptors, Log& log, Zones& zones,
+       PoolSink& sink, Config config);
+  ~Pool() override;
+
+  // The list as it was last known, perhaps old; then the watch on discovery, if there is one.
+  void start(HostList known);
+  // The whole list is this from now on.
+  void setHosts(HostList list);
+  // Throws std::invalid_argument like weldflow::validateChange, and then nothing has changed.
+  void reconfigure(weldflow::Settings settings, const Upstream::Limits& upstream);
+  void moveDiscovery(const Endpoint& to);
+
+  void open(Taken request);
+  // Its client has gone: no answer is owed. Nothing happens if it has been answered.
+  void clientGone(ExchangeId id);
+
+  std::size_t openRequests() const { return open_.size(); }
+  bool closeOneIdle() { return upstream_.closeOneIdle(); }
+  const std::string& name() const { return config_.name; }
+  const Upstream& upstream() const { return upstream_; }
+  const weldflow::Settings& settings() const { return config_.settings; }
+  std::optional<Endpoint> discoveryEndpoint() const;
+
+ private:
+  using RequestId = weldflow::RequestId;  // an ExchangeId
+
+  struct Attempt {
+    Time sent = 0;
+    bool over = false;  // its outcome is known
+  };
+  struct Open {  // unanswered, or with an attempt out
+    Taken taken;
+    std::vector<Attempt> attempts;
+    std::int32_t outstanding = 0;
+    bool answered = false;   // the client has its answer, or is gone
+    bool timed_out = false;  // an attempt has
+  };
+  struct Listed {
+    weldflow::Host host;
+    Endpoint endpoint;
+  };
+
+  void onAttemptEnd(AttemptId id, AttemptEnd end) override;
+  void onProbeEnd(const std::string& uid, bool ok, Time latency, const std::string& load) override;
+  void onHostList(const HostList& list) override;
+  void onDiscoveryLost(const std::string& why) override;
+
+  // Calls into the Balancer are never nested: what happens while actions are carried out waits in line.
+  template <typename Event>
+  void tell(Event event);
+  void carryOut();
+  void act(const weldflow::Action& action);
+  void send(const weldflow::Action& action);
+  void finish(RequestId id, Answer answer);
+  void onAttemptTimeout(RequestId id, std::int32_t attempt);
+  void onDeadline(RequestId id);
+  void outcome(Time now, RequestId id, std::int32_t attempt, AttemptEnd end);
+  void closeIfOver(RequestId id);
+  HostList completed(HostList list) const;
+  void applyHosts(const HostList& list);
+  void applyList(HostList list, weldflow::ListKind kind);
+  bool pushed() const;
+  weldflow::LoadReport parseLoad(std::string_view text) const;
+  std::string headFor(const Open& request, Time time_left) const;
+  void log(std::string_view text, LogLevel level = LogLevel::Info);
+
+  static AttemptId attemptId(RequestId request, std::int32_t attempt) {
+    return request * kMostAttempts + static_cast<AttemptId>(attempt);
+  }
+  static constexpr AttemptId kMostAttempts = 64;
+
+  Config config_;
+  Timers& timers_;
+  const Clock& clock_;
+  Log& log_;
+  PoolSink& sink_;
+  weldflow::Balancer balancer_;
+  Upstream upstream_;
+  std::optional<Discovery> discovery_;
+  std::unordered_map<RequestId, Open> open_;
+  std::map<std::string, Listed, std::less<>> listed_;  // the hosts that upstream knows
+  std::deque<std::function<void(Time)>> events_;
+  bool telling_ = false;
+  weldflow::Actions actions_;
+};
+
+}  // namespace quinceline
--- a/tests/proxy_support.h
+++ b/tests/proxy_support.h
@@ -13,7 +13,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
-#include "net/proxy.h"
+#include "front/proxy.h"
 #include "net_support.h"
 
 namespace quinceline::test {
