What stood twice stands once: places, paths, effects, names; no table of who has a request

The front held a table of who has each request, with an entry made and dropped per request, though there is one pool and it knows its own; it counted a waiting request's numbers twice while letting it in.

Pool::clientGone tells whether an answer was owed, and the table is gone; a taken request keeps its numbers from the gate to its end, and one function lets them go. Sources::lineOf, noErrors, pathFrom, effectOf, emptySection and linesOf serve those places. Accessors and assignments that nothing read are gone. No message, bound or test has changed.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
@@ -16,6 +17,7 @@
 #include "daemon/serve.h"
 #include "files/disk_source.h"
 #include "net/head_rules.h"
+#include "operator/operator_file.h"
 
 namespace quinceline {
 namespace {
@@ -30,6 +32,10 @@
   return false;
 }
 
+void print(const std::vector<conf::Diagnostic>& found, const conf::Sources& sources) {
+  for (const conf::Diagnostic& d : found) std::fputs(conf::render(d, sources).c_str(), stderr);
+}
+
 // A file is replaced as a whole or not at all: whoever reads it meanwhile, or after a crash, sees the old or
 // the new.
 bool replaceFile(const std::string& file, const std::string& text) {
@@ -61,7 +67,7 @@
   conf::Sources sources;
   std::vector<conf::Diagnostic> found;
   const conf::Document document = conf::parse(sources, sources.add(file, *text), found);
-  for (const conf::Diagnostic& d : found) std::fputs(conf::render(d, sources).c_str(), stderr);
+  print(found, sources);
   if (!found.empty()) return false;
   const std::string formatted = conf::format(document);
   if (options.check)
@@ -82,13 +88,7 @@
   bool strict = false, json = false;
 };
 
-void print(const std::vector<conf::Diagnostic>& found, const conf::Sources& sources) {
-  for (const conf::Diagnostic& d : found) std::fputs(conf::render(d, sources).c_str(), stderr);
-}
-
-std::string asJson(const std::vector<conf::Diagnostic>& found, const conf::Sources& sources) {
-  using nlohmann::json;
-  json all = json::array();
+void append(nlohmann::json& all, const std::vector<conf::Diagnostic>& found, const conf::Sources& sources) {
   for (const conf::Diagnostic& d : found) {
     all.push_back({{"file", sources.name(d.at.file)},
                    {"line", d.at.line},
@@ -98,8 +98,6 @@
                    {"message", d.message},
                    {"hint", d.hint}});
   }
-  // A message may quote bytes that are no text.
-  return all.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
 // What is wrong with the hosts that a pool's file lists belongs to the whole.
@@ -118,9 +116,11 @@
     }
   }
   if (options.json) {
-    auto all = nlohmann::json::parse(asJson(c.found, c.sources));
-    for (const auto& d : nlohmann::json::parse(asJson(hosts.found, hosts.sources))) all.push_back(d);
-    std::printf("%s\n", all.dump(2).c_str());
+    nlohmann::json all = nlohmann::json::array();
+    append(all, c.found, c.sources);
+    append(all, hosts.found, hosts.sources);
+    // A message may quote bytes that are no text.
+    std::printf("%s\n", all.dump(2, ' ', false, nlohmann::json::error_handler_t::replace).c_str());
   } else {
     print(c.found, c.sources);
     print(hosts.found, hosts.sources);
@@ -173,16 +173,6 @@
   return std::nullopt;
 }
 
-std::optional<weldflow::Effect> effectOf(const conf::Model& m, std::string_view name) {
-  for (const conf::ClassModel& c : m.classes) {
-    if (c.name != name) continue;
-    return c.effect == conf::Effect::Safe    ? weldflow::Effect::Safe
-           : c.effect == conf::Effect::Keyed ? weldflow::Effect::Keyed
-                                             : weldflow::Effect::Unsafe;
-  }
-  return std::nullopt;
-}
-
 int explain(const ExplainOptions& options) {
   const auto c = readWhole(options.file);
   if (!c) return 1;
@@ -193,12 +183,13 @@
     return 0;
   }
   const std::string_view name = firstPart(pathOf(head->target));
-  if (c->model.pool) {
-    if (const auto effect = effectOf(c->model, name)) {
-      if (const auto fault = faultOf(*head, *effect))
-        std::printf("answered %d: %.*s\n", fault->status, static_cast<int>(fault->why.size()),
-                    fault->why.data());
-    }
+  const auto& classes = c->model.classes;
+  const auto known =
+      std::find_if(classes.begin(), classes.end(), [&](const auto& k) { return k.name == name; });
+  if (c->model.pool && known != classes.end()) {
+    if (const auto fault = faultOf(*head, effectOf(known->effect)))
+      std::printf("answered %d: %.*s\n", fault->status, static_cast<int>(fault->why.size()),
+                  fault->why.data());
   }
   std::fputs(conf::explain(*c, name, head->account).c_str(), stdout);
   return 0;
--- a/src/conf/check.cpp
+++ b/src/conf/check.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <map>
 #include <utility>
 
 #include "units.h"
@@ -36,9 +37,8 @@
 
 std::string durationText(double us) {
   if (us == 0) return "0s";
-  if (us >= 120e6 && std::fmod(us, 60e6) != 0) return inUnits(us, {{1e6, "s"}, {1e3, "ms"}, {1, "us"}});
-  return us < 120e6 ? inUnits(us, {{1e6, "s"}, {1e3, "ms"}, {1, "us"}})
-                    : inUnits(us, {{3600e6, "h"}, {60e6, "m"}});
+  if (us >= 120e6 && std::fmod(us, 60e6) == 0) return inUnits(us, {{3600e6, "h"}, {60e6, "m"}});
+  return inUnits(us, {{1e6, "s"}, {1e3, "ms"}, {1, "us"}});
 }
 
 std::string sizeText(double bytes) {
@@ -83,17 +83,22 @@
   }
 }
 
+Value wrong(std::string_view text, const char* what, std::string hint) {
+  std::string message = "'";
+  message += text;
+  message += what;
+  return {0, {}, message, std::move(hint)};
+}
+
 template <typename T>
 Value bounded(const Key& key, std::string_view text, const Read<T>& read) {
   if (!read.ok()) return {0, {}, read.message, read.hint};
   const auto number = static_cast<double>(read.value);
   if (number >= key.least && number <= key.most) return {number, textOf(key.kind, number), {}, {}};
-  std::string message = "'";
-  message += text;
-  message += "' is out of bounds";
   const std::string least = textOf(key.kind, key.least);
-  if (key.most >= kMostNumber) return {0, {}, message, "write at least " + least};
-  return {0, {}, message, "write " + least + " to " + textOf(key.kind, key.most)};
+  return wrong(text, "' is out of bounds",
+               key.most >= kMostNumber ? "write at least " + least
+                                       : "write " + least + " to " + textOf(key.kind, key.most));
 }
 
 Read<double> readNumber(std::string_view text) {
@@ -108,13 +113,6 @@
   return {0, message, "write a number such as 1.5"};
 }
 
-Value wrong(std::string_view text, const char* what, std::string hint) {
-  std::string message = "'";
-  message += text;
-  message += what;
-  return {0, {}, message, std::move(hint)};
-}
-
 bool isName(std::string_view text) {
   return !text.empty() && text.size() <= 200 && std::all_of(text.begin(), text.end(), [](char c) {
     return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
@@ -122,6 +120,17 @@
   });
 }
 
+Value readName(std::string_view text) {
+  if (!isName(text)) return wrong(text, "' can't be a name", "use letters, digits, '-', '_' and '.'");
+  return {0, std::string(text), {}, {}};
+}
+
+Value readAddressText(std::string_view text) {
+  if (!readAddress(text))
+    return wrong(text, "' is no address and port", "write it like 127.0.0.1:8080 or [::1]:8080");
+  return {0, std::string(text), {}, {}};
+}
+
 Value readValue(const Key& key, std::string_view text) {
   switch (key.kind) {
     case Kind::Duration:
@@ -145,15 +154,12 @@
                    meant.empty() ? "write one of " + joined(choices) : "did you mean " + meant + "?");
     }
     case Kind::Name:
-      if (!isName(text)) return wrong(text, "' can't be a name", "use letters, digits, '-', '_' and '.'");
-      return {0, std::string(text), {}, {}};
+      return readName(text);
     case Kind::Text:
       if (text.empty()) return wrong(text, "' is empty", "write something");
       return {0, std::string(text), {}, {}};
     case Kind::Address:
-      if (!readAddress(text))
-        return wrong(text, "' is no address and port", "write it like 127.0.0.1:8080 or [::1]:8080");
-      return {0, std::string(text), {}, {}};
+      return readAddressText(text);
     case Kind::Block:
       break;
   }
@@ -198,8 +204,7 @@
     const auto [it, fresh] = seen.try_emplace(what, at);
     if (fresh) return true;
     const Place& before = it->second;
-    error(at, "'" + what + "' is there twice",
-          "it is in " + sources_.name(before.file) + ":" + std::to_string(before.line) + " already");
+    error(at, "'" + what + "' is there twice", "it is in " + sources_.lineOf(before) + " already");
     return false;
   }
 
@@ -229,20 +234,15 @@
       error(s.name().at, "'" + std::string(key.name) + "' is not written like this",
             "write " + form + (block.address ? "" : " { ... }"));
     }
-    std::string name;
     bool named = whole;
-    if (block.named && s.words.size() > 1) {
-      name = s.words[1].text;
-      if (!isName(name)) {
-        named = false;
-        error(s.words[1].at, "'" + name + "' can't be a name", "use letters, digits, '-', '_' and '.'");
-      }
-    }
-    if (named && block.address && !readAddress(s.words[2].text)) {
+    const auto reads = [&](const Value& v, const Word& word) {
+      if (v.message.empty()) return;
       named = false;
-      error(s.words[2].at, "'" + s.words[2].text + "' is no address and port",
-            "write it like 127.0.0.1:8080 or [::1]:8080");
-    }
+      error(word.at, v.message, v.hint);
+    };
+    const std::string name = block.named && s.words.size() > 1 ? s.words[1].text : std::string();
+    if (block.named && s.words.size() > 1) reads(readName(name), s.words[1]);
+    if (named && block.address) reads(readAddressText(s.words[2].text), s.words[2]);
     // Its content is looked at in any case: all errors in one run.
     Section inner = section(block, s.children);
     if (!named) return;
@@ -250,7 +250,7 @@
     if (block.named) what += " " + name;
     if (!first(seen, what, block.named ? s.words[1].at : s.name().at)) return;
     inner.kind = key.name;
-    inner.name = std::move(name);
+    inner.name = name;
     if (block.address) inner.address = s.words[2].text;
     inner.at = s.name().at;
     out.sections.push_back(std::move(inner));
--- a/src/conf/check.h
+++ b/src/conf/check.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
--- a/src/conf/diagnostic.cpp
+++ b/src/conf/diagnostic.cpp
@@ -34,6 +34,11 @@
   return static_cast<std::uint32_t>(files_.size() - 1);
 }
 
+bool noErrors(const std::vector<Diagnostic>& found) {
+  return std::none_of(found.begin(), found.end(),
+                      [](const auto& d) { return d.severity == Severity::Error; });
+}
+
 std::string_view Sources::line(std::uint32_t file, std::uint32_t number) const {
   const File& f = files_[file];
   if (number == 0 || number > f.line_starts.size()) return {};
--- a/src/conf/diagnostic.h
+++ b/src/conf/diagnostic.h
@@ -23,6 +23,9 @@
   std::string hint;     // what to write instead; may be empty
 };
 
+// Warnings at most.
+bool noErrors(const std::vector<Diagnostic>& found);
+
 // The texts that were read, so that a message can show the line it is about.
 class Sources {
  public:
@@ -30,6 +33,8 @@
   const std::string& name(std::uint32_t file) const { return files_[file].name; }
   const std::string& text(std::uint32_t file) const { return files_[file].text; }
   std::string_view line(std::uint32_t file, std::uint32_t number) const;
+  // "file:line", to name a place in a message about another.
+  std::string lineOf(const Place& at) const { return name(at.file) + ":" + std::to_string(at.line); }
   std::size_t size() const { return files_.size(); }
 
  private:
--- a/src/conf/loader.cpp
+++ b/src/conf/loader.cpp
@@ -11,11 +11,6 @@
 
 constexpr std::size_t kLongestValue = 4096;
 
-std::string folderOf(const std::string& path) {
-  const std::size_t slash = path.rfind('/');
-  return slash == std::string::npos ? std::string() : path.substr(0, slash + 1);
-}
-
 // "a/./b/../c" is "a/c", so that a loop is seen whatever way a file is named. A ".." at the front stays.
 std::string normal(const std::string& path) {
   std::vector<std::string> parts;
@@ -110,8 +105,7 @@
       return {};
     }
     const Word& word = s.words[1];
-    const bool absolute = !word.text.empty() && word.text.front() == '/';
-    const std::string path = normal(absolute ? word.text : folderOf(chain_.back()) + word.text);
+    const std::string path = normal(pathFrom(chain_.back(), word.text));
     std::vector<std::string> paths = {path};
     if (isPattern(path)) {
       paths = files_.match(path);
@@ -161,8 +155,7 @@
     if (first) return;
     const Place& before = it->second.at;
     error(name.at, "'" + name.text + "' is defined twice",
-          "it is defined in " + out_.sources.name(before.file) + ":" + std::to_string(before.line) +
-              " already");
+          "it is defined in " + out_.sources.lineOf(before) + " already");
   }
 
   void resolveDefinitions() {
@@ -243,9 +236,11 @@
 
 }  // namespace
 
-bool Loaded::ok() const {
-  return std::none_of(found.begin(), found.end(),
-                      [](const auto& d) { return d.severity == Severity::Error; });
+bool Loaded::ok() const { return noErrors(found); }
+
+std::string pathFrom(const std::string& file, const std::string& path) {
+  if (!path.empty() && path.front() == '/') return path;
+  return file.substr(0, file.rfind('/') + 1) + path;  // none: nothing of it
 }
 
 Loaded load(FileSource& files, const std::string& path) { return Loader(files).run(path); }
--- a/src/conf/loader.h
+++ b/src/conf/loader.h
@@ -19,6 +19,9 @@
   virtual std::vector<std::string> match(const std::string& pattern) = 0;
 };
 
+// What `path` means in `file`: relative to its folder, if it is not absolute.
+std::string pathFrom(const std::string& file, const std::string& path);
+
 constexpr std::size_t kMostFiles = 1000;
 
 struct Loaded {
--- a/src/conf/model.cpp
+++ b/src/conf/model.cpp
@@ -7,16 +7,6 @@
 namespace quinceline::conf {
 namespace {
 
-bool noError(const std::vector<Diagnostic>& found) {
-  return std::none_of(found.begin(), found.end(),
-                      [](const auto& d) { return d.severity == Severity::Error; });
-}
-
-std::string folderOf(const std::string& path) {
-  const std::size_t slash = path.rfind('/');
-  return slash == std::string::npos ? std::string() : path.substr(0, slash + 1);
-}
-
 // What holds for a key, converted; nothing where nothing was set and the schema has no fallback.
 template <typename T>
 std::optional<T> holds(const Section* section, std::string_view key) {
@@ -55,10 +45,10 @@
     const auto [it, first] = holders.try_emplace({a.host, a.port}, &s);
     if (first) continue;
     const Section& other = *it->second;
-    found.push_back({Severity::Error, s.at,
-                     "'" + s.name + "' has the address of '" + other.name + "' in " +
-                         sources.name(other.at.file) + ":" + std::to_string(other.at.line),
-                     "write its own: one machine under two names would get twice its share"});
+    found.push_back(
+        {Severity::Error, s.at,
+         "'" + s.name + "' has the address of '" + other.name + "' in " + sources.lineOf(other.at),
+         "write its own: one machine under two names would get twice its share"});
   }
   return hosts;
 }
@@ -102,10 +92,6 @@
     }
     return section->at;
   }
-  std::string lineOf(const Place& at) const {
-    return out_.sources.name(at.file) + ":" + std::to_string(at.line);
-  }
-
   // Each key where it belongs, and those that a block can't do without.
   void placesOfUse(const Section& section) {
     for (const Setting& s : section.settings) {
@@ -223,7 +209,8 @@
 
   void pool(const Section& s) {
     if (m_.pool)
-      return error(s.at, "there is a pool already, '" + m_.pool->name + "' in " + lineOf(m_.pool->at),
+      return error(s.at,
+                   "there is a pool already, '" + m_.pool->name + "' in " + out_.sources.lineOf(m_.pool->at),
                    "keep one: this program serves one pool");
     PoolModel p;
     p.name = s.name;
@@ -232,7 +219,7 @@
     if (s.has("hosts-file")) {
       const std::string path = textOf(s, "hosts-file");
       p.hosts_file_at = placeOf(&s, "hosts-file");
-      p.hosts_file = path.front() == '/' ? path : folderOf(out_.sources.name(p.hosts_file_at.file)) + path;
+      p.hosts_file = pathFrom(out_.sources.name(p.hosts_file_at.file), path);
     }
     if (!s.wasTried("host") && !s.wasTried("hosts-file"))
       error(s.at, "'" + s.title() + "' has no host", "add host NAME ADDRESS:PORT, or hosts-file FILE");
@@ -264,7 +251,7 @@
     if (m_.sockets && m_.connections && *m_.connections >= *m_.sockets)
       error(placeOf(a, "connections"),
             "more connections than sockets, which is " + std::to_string(*m_.sockets) + " in " +
-                lineOf(placeOf(root_.section("limits"), "sockets")),
+                out_.sources.lineOf(placeOf(root_.section("limits"), "sockets")),
             "write less: hosts need a quarter of the sockets");
     if (m_.idle_kept && m_.connections && *m_.idle_kept > *m_.connections)
       error(placeOf(a, "idle-kept"),
@@ -285,7 +272,7 @@
     if (m_.connect && *m_.connect >= shortest)
       error(placeOf(root_.section("upstream"), "connect"),
             "a connection may take longer than 'class " + tightest->name + "' may wait, see " +
-                lineOf(tightest->at),
+                out_.sources.lineOf(tightest->at),
             "write much less than its deadline");
     const bool unsafe = std::any_of(m_.classes.begin(), m_.classes.end(),
                                     [](const ClassModel& c) { return c.effect == Effect::Unsafe; });
@@ -332,8 +319,8 @@
 
 }  // namespace
 
-bool Configuration::ok() const { return noError(found); }
-bool HostsFile::ok() const { return noError(found); }
+bool Configuration::ok() const { return noErrors(found); }
+bool HostsFile::ok() const { return noErrors(found); }
 
 Configuration readConfiguration(FileSource& files, const std::string& path) {
   Configuration out;
--- a/src/conf/report.cpp
+++ b/src/conf/report.cpp
@@ -10,6 +10,14 @@
 
 Word word(std::string text) { return {std::move(text), false, {}}; }
 
+// A block in which nothing is set.
+Section emptySection(const Key& key) {
+  Section none;
+  none.block = key.block;
+  none.kind = key.name;
+  return none;
+}
+
 // ---- dump ----
 
 // `rest`: comments that no statement follows.
@@ -36,12 +44,7 @@
     const std::string name(key.name);
     if (key.kind == Kind::Block) {
       const bool there = section.section(key.name) != nullptr;
-      if (!there && !key.block->named) {
-        Section empty;
-        empty.block = key.block;
-        empty.kind = key.name;
-        add(blockOf(empty, alone));
-      }
+      if (!there && !key.block->named) add(blockOf(emptySection(key), alone));
       for (const Section& inner : section.sections) {
         if (inner.kind == key.name) add(blockOf(inner, alone));
       }
@@ -104,9 +107,7 @@
   }
 
   void single(const Key& key, const Section& before, const Section& after, const std::string& where) {
-    Section none;
-    none.block = key.block;
-    none.kind = key.name;
+    const Section none = emptySection(key);
     const Section* const old = before.section(key.name);
     const Section* const now = after.section(key.name);
     sections(old != nullptr ? *old : none, now != nullptr ? *now : none,
@@ -178,19 +179,12 @@
     }
     for (const char* const kind : {"clients", "upstream", "admission", "limits"}) {
       const Section* const s = c_.root.section(kind);
-      Section none;
-      none.block = c_.root.block->find(kind)->block;
-      none.kind = kind;
-      section(s != nullptr ? *s : none);
+      section(s != nullptr ? *s : emptySection(*c_.root.block->find(kind)));
     }
     return std::move(out_);
   }
 
  private:
-  std::string lineOf(const Place& at) const {
-    return c_.sources.name(at.file) + ":" + std::to_string(at.line);
-  }
-
   void part(const std::string& kind, std::string_view name, const char* without) {
     for (const Section& s : c_.root.sections) {
       if (s.kind == kind && s.name == name) return section(s);
@@ -200,20 +194,20 @@
 
   void section(const Section& s) {
     out_ += s.title();
-    if (s.at.line > 0 && !s.name.empty()) out_ += "  (" + lineOf(s.at) + ")";
+    if (s.at.line > 0 && !s.name.empty()) out_ += "  (" + c_.sources.lineOf(s.at) + ")";
     out_ += '\n';
     for (const Key& key : s.block->keys) {
       if (key.kind == Kind::Block || (key.use == Use::Alone && !alone_)) continue;
       std::string line = "  " + std::string(key.name) + " ";
       const std::optional<Setting> value = s.find(key.name);
       line += value ? value->text : std::string(key.otherwise);
-      line += value && value->set ? "  (" + lineOf(value->at) + ")"
+      line += value && value->set ? "  (" + c_.sources.lineOf(value->at) + ")"
               : value             ? "  (holds anyway)"
                                   : "  (not set)";
       out_ += line + '\n';
     }
     for (const Section& inner : s.sections) {
-      out_ += "  " + inner.title() + " " + inner.address + "  (" + lineOf(inner.at) + ")\n";
+      out_ += "  " + inner.title() + " " + inner.address + "  (" + c_.sources.lineOf(inner.at) + ")\n";
     }
   }
 
--- a/src/daemon/serve.cpp
+++ b/src/daemon/serve.cpp
@@ -77,14 +77,16 @@
 #endif
 };
 
-void complain(Log& log, const std::string& what, const std::exception& e) {
+// A line each.
+std::vector<std::string> linesOf(const std::exception& e) {
 #ifdef QUINCELINE_OPERATOR
-  if (const auto* const refused = dynamic_cast<const ConfigurationRefused*>(&e)) {
-    for (const std::string& error : refused->errors) log.line(what + error, LogLevel::Error);
-    return;
-  }
+  if (const auto* const refused = dynamic_cast<const ConfigurationRefused*>(&e)) return refused->errors;
 #endif
-  log.line(what + e.what(), LogLevel::Error);
+  return {e.what()};
+}
+
+void complain(Log& log, const std::string& what, const std::exception& e) {
+  for (const std::string& line : linesOf(e)) log.line(what + line, LogLevel::Error);
 }
 
 // What runs until a signal ends it.
@@ -195,14 +197,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     Daemon(source, std::move(config)).run();
   } catch (const std::exception& e) {
-#ifdef QUINCELINE_OPERATOR
-    if (const auto* const refused = dynamic_cast<const ConfigurationRefused*>(&e)) {
-      for (const std::string& error : refused->errors)
-        std::fprintf(stderr, "quinceline: %s\n", error.c_str());
-      return 1;
-    }
-#endif
-    std::fprintf(stderr, "quinceline: %s\n", e.what());
+    for (const std::string& line : linesOf(e)) std::fprintf(stderr, "quinceline: %s\n", line.c_str());
     return 1;
   }
   return 0;
--- a/src/front/proxy.cpp
+++ b/src/front/proxy.cpp
@@ -214,7 +214,9 @@
   known_.tenants.use(ask.tenant);
 }
 
-void Proxy::unuse(std::int32_t request_class, std::int32_t tenant) {
+// It is over, or was never let in: its id and its numbers are free.
+void Proxy::letGo(const ClientRequest& request, std::int32_t request_class, std::int32_t tenant) {
+  ids_.erase(request.head.correlation);
   known_.classes.release(request_class);
   known_.tenants.release(tenant);
 }
@@ -253,6 +255,7 @@
   const admission::Verdict verdict = requests_.offer(clock_.now(), ask, displaced);
   switch (verdict.entry) {
     case admission::Entry::Admitted:
+      use(ask);
       ledger_.note(Cause::None, ask.request_class, ask.tenant);
       open(ask, std::move(request), *info);
       break;
@@ -295,8 +298,7 @@
     if (it == waiting_.end()) continue;
     const Held held = std::move(it->second);
     waiting_.erase(it);
-    unuse(held.ask.request_class, held.ask.tenant);
-    ids_.erase(held.request.head.correlation);
+    letGo(held.request, held.ask.request_class, held.ask.tenant);
     server_.answer(r.id, refusal(held.ask, r.cause));
   }
 }
@@ -313,7 +315,6 @@
     waiting_.erase(it);
     ledger_.note(Cause::None, held.ask.request_class, held.ask.tenant);
     open(held.ask, std::move(held.request), held.info);
-    unuse(held.ask.request_class, held.ask.tenant);  // as one that waits
   }
   awaitPlaces();
 }
@@ -399,8 +400,6 @@
 // ---- requests that were let in ----
 
 void Proxy::open(const admission::Ask& ask, ClientRequest request, const ClassInfo& info) {
-  use(ask);
-  routed_.emplace(ask.id, &pool_);
   pool_.open({.exchange = ask.id,
               .request = std::move(request),
               .request_class = ask.request_class,
@@ -414,24 +413,16 @@
   server_.answer(id, std::move(answer));
 }
 
-void Proxy::onOver(const Taken& request) {
-  routed_.erase(request.exchange);
-  ids_.erase(request.request.head.correlation);
-  unuse(request.request_class, request.tenant);
-}
+void Proxy::onOver(const Taken& request) { letGo(request.request, request.request_class, request.tenant); }
 
 void Proxy::onClientGone(ExchangeId id) {
   if (const auto held = waiting_.find(id); held != waiting_.end()) {
-    ids_.erase(held->second.request.head.correlation);
-    unuse(held->second.ask.request_class, held->second.ask.tenant);
+    letGo(held->second.request, held->second.ask.request_class, held->second.ask.tenant);
     waiting_.erase(held);
     requests_.release(clock_.now(), id);
     return;
   }
-  const auto routed = routed_.find(id);
-  if (routed == routed_.end()) return;
-  settled(id);
-  routed->second->clientGone(id);
+  if (pool_.clientGone(id)) settled(id);
 }
 
 // ---- reload ----
@@ -465,15 +456,14 @@
   server_.reconfigure(serverLimits(next, descriptors_.limit()).connections);
   log_.setLevel(next.own.log_level);
   HostList hosts = std::exchange(next.known, {});
-  const Endpoint discovery = next.discovery;
   next.listen = config_.listen;
   next.name = config_.name;
   config_ = std::move(next);
   if (config_.alone) {
     setHosts(std::move(hosts));
-  } else if (discovery != pool_.discoveryEndpoint()) {
+  } else if (config_.discovery != pool_.discoveryEndpoint()) {
     log_.line("configuration read again: discovery has moved");
-    pool_.moveDiscovery(discovery);
+    pool_.moveDiscovery(config_.discovery);
   } else if (config_.own.file.empty()) {
     log_.line("configuration read again: nothing new");
   }
--- a/src/front/proxy.h
+++ b/src/front/proxy.h
@@ -88,7 +88,7 @@
   std::optional<ClassInfo> classOf(std::string_view target) const;
   void open(const admission::Ask& ask, ClientRequest request, const ClassInfo& info);
   void use(const admission::Ask& ask);
-  void unuse(std::int32_t request_class, std::int32_t tenant);
+  void letGo(const ClientRequest& request, std::int32_t request_class, std::int32_t tenant);
   static Pool::Config poolConfig(const Config& config, weldflow::Settings settings);
 
   boost::asio::io_context& io_;
@@ -101,9 +101,8 @@
   Server server_;
   Pool pool_;
 
-  std::unordered_map<ExchangeId, Pool*> routed_;  // who has it, until it is over
-  std::unordered_set<std::string> ids_;           // X-Correlation-Id of each that waits or is not over
-  admission::RequestGate requests_;               // by exchange
+  std::unordered_set<std::string> ids_;  // X-Correlation-Id of each that waits or is not over
+  admission::RequestGate requests_;      // by exchange
   admission::Ledger ledger_;
   std::unordered_map<ExchangeId, Held> waiting_;
   Time places_due_ = kNever;   // when the gate is asked again for sure
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -89,9 +89,7 @@
   weldflow::RequestClass out;
   out.aim = c.aim;
   out.deadline = c.deadline;
-  out.effect = c.effect == conf::Effect::Safe    ? weldflow::Effect::Safe
-               : c.effect == conf::Effect::Keyed ? weldflow::Effect::Keyed
-                                                 : weldflow::Effect::Unsafe;
+  out.effect = effectOf(c.effect);
   out.group = c.group == conf::Group::All    ? weldflow::Group::All
               : c.group == conf::Group::Zone ? weldflow::Group::Zone
                                              : weldflow::Group::Cell;
@@ -151,7 +149,6 @@
   if (m.memory) c.memory_mb = *m.memory / kMegabyte;
   c.own = settingsOf(m, path);
   c.site.settings = moduleSettings(m);
-  c.site.idle = m.upstream_idle.value_or(c.site.idle);
   for (const conf::ClassModel& k : m.classes) {
     c.site.classes.push_back(k.name);
     c.own.classes.push_back(shareOf(k.share, 1));
@@ -161,7 +158,6 @@
     c.own.tenants.push_back(shareOf(t.share, std::max(t.part, 0.01)));
   }
   c.zones = zones ? *zones : Zones({m.zone});
-  c.site.zones = {m.zone};
   c.hosts_file = m.pool->hosts_file;
   if (c.hosts_file.empty()) {
     c.known = listOf(m.pool->hosts, c.zones);
@@ -173,6 +169,12 @@
 
 }  // namespace
 
+weldflow::Effect effectOf(conf::Effect effect) {
+  return effect == conf::Effect::Safe    ? weldflow::Effect::Safe
+         : effect == conf::Effect::Keyed ? weldflow::Effect::Keyed
+                                         : weldflow::Effect::Unsafe;
+}
+
 OperatorSource::OperatorSource(conf::FileSource& files, std::string path, Environment getenv)
     : files_(files), path_(std::move(path)), getenv_(std::move(getenv)) {}
 
--- a/src/operator/operator_file.h
+++ b/src/operator/operator_file.h
@@ -48,6 +48,9 @@
   std::vector<std::string> notes_;
 };
 
+// The module's word for it.
+weldflow::Effect effectOf(conf::Effect effect);
+
 // The hosts of a hosts file, as a whole list. Throws ConfigurationRefused.
 HostList readHosts(conf::FileSource& files, const std::string& path, Zones& zones);
 
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -78,8 +78,7 @@
 }
 
 void Pool::reconfigure(weldflow::Settings settings, const Upstream::Limits& upstream) {
-  balancer_.reconfigure(settings);
-  config_.settings = std::move(settings);
+  balancer_.reconfigure(std::move(settings));
   upstream_.reconfigure(upstream);
 }
 
@@ -238,11 +237,12 @@
   tell([this, id](Time now) { balancer_.onClientGone(now, id, actions_); });
 }
 
-void Pool::clientGone(ExchangeId id) {
+bool Pool::clientGone(ExchangeId id) {
   const auto it = open_.find(id);
-  if (it == open_.end() || std::exchange(it->second.answered, true)) return;
+  if (it == open_.end() || std::exchange(it->second.answered, true)) return false;
   tell([this, id](Time now) { balancer_.onClientGone(now, id, actions_); });
   closeIfOver(id);
+  return true;
 }
 
 // ---- attempts and probes ----
--- a/src/pools/pool.h
+++ b/src/pools/pool.h
@@ -66,14 +66,12 @@
   void moveDiscovery(const Endpoint& to);
 
   void open(Taken request);
-  // Its client has gone: no answer is owed. Nothing happens if it has been answered.
-  void clientGone(ExchangeId id);
+  // Its client has gone: no answer is owed. False: none was, it is not here or has been answered.
+  bool clientGone(ExchangeId id);
 
   std::size_t openRequests() const { return open_.size(); }
   bool closeOneIdle() { return upstream_.closeOneIdle(); }
-  const std::string& name() const { return config_.name; }
   const Upstream& upstream() const { return upstream_; }
-  const weldflow::Settings& settings() const { return config_.settings; }
   std::optional<Endpoint> discoveryEndpoint() const;
 
  private:
