A console for staff, figures, hosts out of use by hand, draining on call

A listener at console or $PROXY_CONSOLE with places of its own that clients can't take; the calls are read without I/O. A ban is a fact in the decision module beside discovery's state and ejection: it holds whatever is listed, keeps the host's slot, and ends cold. Figures are counted where a thing happens once and written by prometheus-cpp's serializer. Draining says no at /healthz, closes with answers, then what rests. The page of the operator file is the same server.

--- a/include/weldflow/balancer.h
+++ b/include/weldflow/balancer.h
@@ -149,6 +149,12 @@
   Trace,      // a line for staff: `text`; dropping it is harmless
 };
 
+// How many servers the list has, and how many of them nothing goes to as a matter of course: they drain, are
+// ejected, or staff have taken them out.
+struct Standing {
+  std::size_t listed = 0, avoided = 0;
+};
+
 // Why a Send goes where it goes; toString gives the words.
 enum class Reason : std::uint8_t {
   None,              // not a Send, or Settings::explain is off
@@ -203,9 +209,13 @@
   // A probe has ended. `ok`: the server answered; `load`: what it said of itself, if anything.
   void onProbe(Time now, std::string_view server, bool ok, Time latency, const LoadReport& load,
                Actions& out);
+  // Staff take a server out: nothing new goes to it, whatever is listed, also if it leaves the list and comes
+  // back, until they put it back. Then it counts as started now. False: no server has this id.
+  bool setMaintenance(Time now, std::string_view server, bool out_of_use);
   // A timer that SetTimer asked for is due.
   void onTimer(Time now, std::uint64_t timer, Actions& out);
 
+  Standing standing() const;
   // For tests and operators: the ids of the present subset, in order of preference.
   std::vector<std::string> subset(Time now);
   // How much is remembered and how much was done: requests without an answer or with an attempt out, servers
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -99,6 +99,7 @@
   struct Server {
     Host host;
     bool listed = false, named = false;
+    bool banned = false;  // taken out by hand: nothing new, whatever is listed, until it is put back
     bool member = false;  // of the subset's prefix
     std::int32_t slot = kUnset;
     std::int32_t in_flight = 0;  // this client's attempts that have no outcome yet
@@ -214,7 +215,11 @@
   }
 
   // A server is usable if new requests may go to it as a matter of course.
-  static bool usable(const Server& s) { return s.listed && s.host.state == HostState::Healthy && !s.out; }
+  static bool usable(const Server& s) { return inService(s) && !s.out; }
+  // Neither discovery nor staff want it left alone.
+  static bool inService(const Server& s) {
+    return s.listed && s.host.state == HostState::Healthy && !s.banned;
+  }
 
   void rebuildOrder() {
     order.clear();
@@ -259,12 +264,52 @@
   }
 
   void remove(Server& s) {
-    if (s.slot != kUnset) slots[static_cast<std::size_t>(s.slot)] = nullptr;
-    s.slot = kUnset;
+    if (!s.banned) freeSlot(s);  // one that is out by hand is to come back, and then shifts nobody
     s.listed = false;
     s.host.state = HostState::Gone;
   }
 
+  void freeSlot(Server& s) {
+    if (s.slot != kUnset) slots[static_cast<std::size_t>(s.slot)] = nullptr;
+    s.slot = kUnset;
+  }
+
+  // Of servers that nobody lists and nothing waits for, nothing is kept but what staff have said.
+  void forgetGone() {
+    while (!slots.empty() && slots.back() == nullptr) slots.pop_back();
+    rebuildOrder();
+    for (const RequestId id : asking) std::erase_if(find(id)->asked, [](auto* s) { return !s->listed; });
+    std::erase_if(servers, [](const auto& e) {
+      const Server& s = *e.second;
+      return !s.listed && !s.banned && s.in_flight == 0 && !s.probing;
+    });
+  }
+
+  // Staff take a server out, or put it back: it has been restarted meanwhile and is cold.
+  bool maintain(std::string_view id, bool out_of_use) {
+    const auto it = servers.find(id);
+    if (it == servers.end() || !(it->second->listed || it->second->banned)) return false;
+    Server& s = *it->second;
+    if (s.banned == out_of_use) return true;
+    s.banned = out_of_use;
+    if (!out_of_use) {
+      s.out = false, s.strikes = 0, s.slowness = 1;
+      startCold(s, now);
+      if (!s.listed) freeSlot(s);
+    }
+    forgetGone();
+    return true;
+  }
+
+  Standing standing() const {
+    Standing all;
+    for (const auto& [id, s] : servers) {
+      all.listed += s->listed ? 1U : 0U;
+      all.avoided += s->listed && !usable(*s) ? 1U : 0U;
+    }
+    return all;
+  }
+
   void onServers(ListKind kind, std::span<const Host> hosts, Actions& out) {
     if (kind == ListKind::Unavailable) {
       list_stale = true;
@@ -303,19 +348,13 @@
     std::sort(newcomers.begin(), newcomers.end(), [](auto* a, auto* b) { return a->host.id < b->host.id; });
     std::size_t free = 0;
     for (Server* s : newcomers) {
+      if (s->slot != kUnset) continue;  // kept for it
       while (free < slots.size() && slots[free] != nullptr) ++free;
       if (free == slots.size()) slots.push_back(nullptr);
       slots[free] = s;
       s->slot = static_cast<std::int32_t>(free);
     }
-    while (!slots.empty() && slots.back() == nullptr) slots.pop_back();
-    if (changed) {
-      rebuildOrder();
-      for (const RequestId id : asking) std::erase_if(find(id)->asked, [](auto* s) { return !s->listed; });
-      std::erase_if(servers, [](const auto& e) {
-        return !e.second->listed && e.second->in_flight == 0 && !e.second->probing;
-      });
-    }
+    if (changed) forgetGone();
     discoveryAnswered(kind, out);
   }
 
@@ -430,7 +469,7 @@
       if (!s->out) continue;
       if (now < s->out_until) {
         next_return = next_return == 0 ? s->out_until : std::min(next_return, s->out_until);
-      } else if (settings.may_probe && !s->probing && s->host.state == HostState::Healthy) {
+      } else if (settings.may_probe && !s->probing && inService(*s)) {
         s->probing = true;
         out.push_back({.kind = ActionKind::Probe, .server = s->host.id});
       }
@@ -639,8 +678,7 @@
   }
 
   bool gate(const Live& r, const Server& s) const {
-    return !r.ended && !r.streaming && s.listed && s.host.state == HostState::Healthy && now < r.deadline &&
-           mayRepeat(r, &s);
+    return !r.ended && !r.streaming && inService(s) && now < r.deadline && mayRepeat(r, &s);
   }
 
   bool mayRefuse(const Live& r) const {
@@ -725,8 +763,11 @@
       if (mayAsk(r) && ask(r, out)) return;
       if (Server* s = leastReported(r)) return send(r, *s, out, true);
       if (Server* s = pick(r)) return send(r, *s, out);
-      // Nobody can take it now: a newly listed or recovered server may, a moment later.
-      if (now - r.arrived < (r.give_up - r.arrived) / 4) {
+      // Nobody can take it now: a newly listed or recovered server may, a moment later. Not if staff have taken
+      // out all there are.
+      const bool hope =
+          order.empty() || std::any_of(order.begin(), order.end(), [](auto* s) { return !s->banned; });
+      if (hope && now - r.arrived < (r.give_up - r.arrived) / 4) {
         return setTimer(out, now + std::max(4 * settings.tick, (r.give_up - r.arrived) / 16), timerOf(r));
       }
     }
@@ -943,6 +984,10 @@
   impl_->at(now).onProbe(server, ok, load, out);
 }
 void Balancer::onTimer(Time now, std::uint64_t timer, Actions& out) { impl_->at(now).onTimer(timer, out); }
+bool Balancer::setMaintenance(Time now, std::string_view server, bool out_of_use) {
+  return impl_->at(now).maintain(server, out_of_use);
+}
+Standing Balancer::standing() const { return impl_->standing(); }
 std::vector<std::string> Balancer::subset(Time now) {
   impl_->at(now);
   std::vector<std::string> ids;
--- a/src/daemon/serve.cpp
+++ b/src/daemon/serve.cpp
@@ -16,6 +16,7 @@
 #include <utility>
 #include <vector>
 
+#include "console/console_server.h"
 #include "front/proxy.h"
 #include "net/config.h"
 #include "net/log.h"
@@ -23,7 +24,6 @@
 #include "files/disk_source.h"
 #include "operator/file_watch.h"
 #include "operator/operator_file.h"
-#include "status/status_server.h"
 #endif
 
 namespace quinceline {
@@ -90,20 +90,21 @@
 }
 
 // What runs until a signal ends it.
-class Daemon {
+class Daemon final : private console::Actor {
  public:
   Daemon(Source& source, Config config)
       : source_(source),
         log_(clock_, config.name),
         status_at_(config.own.status),
+        console_at_(config.console),
         hosts_file_(config.hosts_file),
         io_(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE),
         proxy_(io_, levelled(std::move(config)), log_, clock_),
         end_(io_, SIGTERM, SIGINT),
-        reload_(io_, SIGHUP)
+        reload_(io_, SIGHUP),
+        console_(io_, *this)
 #ifdef QUINCELINE_OPERATOR
         ,
-        status_(io_),
         hosts_watch_(io_, kLook, [this] { takeHosts(); })
 #endif
   {
@@ -115,9 +116,8 @@
       if (!ec) proxy_.shutdown([this] { io_.stop(); });
     });
     awaitReload();
+    listenToStaff();
 #ifdef QUINCELINE_OPERATOR
-    status_.page("/admission", [this] { return proxy_.admissionReport(); });
-    if (status_at_) status_.listen(*status_at_);
     hosts_watch_.follow(hosts_file_);
 #endif
     proxy_.start();
@@ -125,6 +125,22 @@
   }
 
  private:
+  bool canServe() override { return proxy_.canServe(); }
+  std::string stats() override { return proxy_.stats(); }
+  bool takeOut(const std::string& host) override { return proxy_.takeOut(host); }
+  bool putBack(const std::string& host) override { return proxy_.putBack(host); }
+  void drainClients() override { proxy_.drainClients(); }
+  void takeClients() override { proxy_.takeClients(); }
+
+  void listenToStaff() {
+    console_.page("/admission", [this] { return proxy_.admissionReport(); });
+    if (console_at_) console_.listen(*console_at_);
+    if (!status_at_) return;
+    if (!status_at_->address().is_loopback())
+      throw std::runtime_error(status_at_->address().to_string() + " is not a loopback address");
+    console_.listen(*status_at_);
+  }
+
   Config levelled(Config config) {
     log_.setLevel(config.own.log_level);
     return config;
@@ -173,13 +189,13 @@
   Source& source_;
   const Clock clock_;
   Log log_;
-  std::optional<Endpoint> status_at_;
+  std::optional<Endpoint> status_at_, console_at_;
   std::string hosts_file_;
   boost::asio::io_context io_;
   Proxy proxy_;
   boost::asio::signal_set end_, reload_;
+  console::ConsoleServer console_;
 #ifdef QUINCELINE_OPERATOR
-  StatusServer status_;
   FileWatch hosts_watch_;
 #endif
 };
--- /dev/null
+++ b/src/figures/figures.cpp
@@ -0,0 +1,76 @@
+#include "figures.h"
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+#include <map>
+
+namespace quinceline::figures {
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+MetricFamily counter(const char* name, const char* help, const std::map<std::string, ClassCounts>& classes,
+                     std::uint64_t ClassCounts::*count) {
+  MetricFamily family{.name = name, .help = help, .type = MetricType::Counter, .metric = {}};
+  for (const auto& [of, counts] : classes) {
+    ClientMetric metric;
+    metric.label.push_back({"type", of});
+    metric.counter.value = static_cast<double>(counts.*count);
+    family.metric.push_back(std::move(metric));
+  }
+  return family;
+}
+
+MetricFamily gauge(const char* name, const char* help, std::size_t value) {
+  ClientMetric metric;
+  metric.gauge.value = static_cast<double>(value);
+  return {.name = name, .help = help, .type = MetricType::Gauge, .metric = {metric}};
+}
+
+}  // namespace
+
+Ending endingOf(int status) {
+  if (status == 200) return Ending::Success;
+  return status == 429 || status == 503 ? Ending::Overload : Ending::Error;
+}
+
+void Counts::ended(std::size_t request_class, int status) {
+  ClassCounts& counts = at(request_class);
+  switch (endingOf(status)) {
+    case Ending::Success:
+      ++counts.success;
+      break;
+    case Ending::Overload:
+      ++counts.overload;
+      break;
+    case Ending::Error:
+      ++counts.error;
+      break;
+  }
+}
+
+std::string textOf(const Page& page) {
+  std::map<std::string, ClassCounts> classes;
+  for (const Page::Row& row : page.classes) {
+    ClassCounts& sum = classes[row.name];
+    sum.success += row.counts.success;
+    sum.overload += row.counts.overload;
+    sum.error += row.counts.error;
+    sum.dispatches += row.counts.dispatches;
+  }
+  return prometheus::TextSerializer().Serialize({
+      counter("app_success", "Requests served.", classes, &ClassCounts::success),
+      counter("app_overload", "Requests refused.", classes, &ClassCounts::overload),
+      counter("app_error", "Requests failed.", classes, &ClassCounts::error),
+      counter("app_dispatches", "Attempts written whole to hosts.", classes, &ClassCounts::dispatches),
+      gauge("app_concurrent", "Requests taken but not yet ended.", page.concurrent),
+      gauge("app_targets", "Hosts in the list.", page.targets),
+      gauge("app_targets_disabled", "Hosts in the list that are avoided, by hand or by choice.",
+            page.targets_disabled),
+  });
+}
+
+}  // namespace quinceline::figures
--- a/src/front/proxy.cpp
+++ b/src/front/proxy.cpp
@@ -7,6 +7,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "console/console_server.h"
 #include "net/head_rules.h"
 
 namespace quinceline {
@@ -19,6 +20,8 @@
 // Descriptors that are neither a client's nor a host's: standard streams, the loop's own, the listener,
 // signals, discovery, and some to spare.
 constexpr std::size_t kOwnDescriptors = 24;
+// The console's: its connections, its listener, and one that is about to make room for another.
+constexpr std::size_t kConsoleDescriptors = console::ConsoleServer::kMostConnections + 2;
 constexpr std::size_t kMegabyte = 1024 * 1024;
 
 // After SIGTERM new connections go on coming for 0.4 s at most, and a request that crosses the closing of an
@@ -27,6 +30,13 @@
 constexpr Time kListenAfterTerm = 600 * kMillisecond;
 constexpr Time kLastAfterTerm = 3600 * kMillisecond;
 
+// After the front was told, new connections come for 0.3 s more and kept ones stay in use. One that is closed
+// while its client begins to ask costs that client another: what rests long is closed first, and the rest while
+// there is time left to the 4 s after which none may be held.
+constexpr Time kCloseFrom = 500 * kMillisecond, kCloseAll = 2500 * kMillisecond;
+constexpr Time kCloseStep = 100 * kMillisecond;
+constexpr Time kRestedLong = 500 * kMillisecond;
+
 // Clients' own repeats that may be open whatever else is: what a few failing hosts lead to.
 constexpr std::size_t kLeastRetries = 64;
 constexpr std::size_t kRequestCost = 1024;  // bytes that an open request holds beside its head and body
@@ -113,7 +123,8 @@
 }
 
 std::size_t budgetOf(const Config& config) {
-  return config.sockets > 2 * kOwnDescriptors ? config.sockets - kOwnDescriptors : kOwnDescriptors;
+  const std::size_t own = kOwnDescriptors + (config.console ? kConsoleDescriptors : 0);
+  return config.sockets > 2 * own ? config.sockets - own : own;
 }
 
 }  // namespace
@@ -195,6 +206,7 @@
 
 void Proxy::start() {
   server_.listen(config_.listen);
+  listening_ = true;
   timers_.after(kSummary, [this] { summarize(); });
   pool_.start(std::exchange(config_.known, {}));
 }
@@ -222,15 +234,20 @@
 }
 
 std::optional<Answer> Proxy::onHead(const RequestHead& head, bool room) {
-  if (pathOf(head.target) == "/healthz") return plainAnswer(head.method == "GET" ? 200 : 405);
+  if (pathOf(head.target) == "/healthz")
+    return plainAnswer(head.method != "GET" ? 405 : drained_ ? 503 : 200);
   const std::optional<ClassInfo> info = classOf(head.target);
   if (!info) return plainAnswer(404);
-  if (const auto fault = faultOf(head, info->effect)) return plainAnswer(fault->status);
+  const auto counted = [&](Answer answer) {
+    counts_.ended(static_cast<std::size_t>(info->index), answer.status);
+    return answer;
+  };
+  if (const auto fault = faultOf(head, info->effect)) return counted(plainAnswer(fault->status));
   const admission::Ask ask = askOf(0, head, *info, 0, 0);
   const Cause cause = room ? requests_.early(ask) : Cause::ConnectionsFull;
   if (cause == Cause::None) return std::nullopt;
   requests_.noteRefused(clock_.now());
-  return refusal(ask, cause);
+  return counted(refusal(ask, cause));
 }
 
 void Proxy::onRequest(ExchangeId id, ClientRequest request) {
@@ -238,17 +255,17 @@
   const std::optional<ClassInfo> info = classOf(request.head.target);
   if (!info) return server_.answer(id, plainAnswer(404));
   if (const auto fault = faultOf(request.head, info->effect))
-    return server_.answer(id, plainAnswer(fault->status));
+    return conclude(id, info->index, plainAnswer(fault->status));
   // No longer than the class allows, whatever the client says: what is kept for a request must not outlive
   // it.
   const Time left =
       std::min(request.head.has_time_left ? parseSeconds(request.head.time_left).value_or(0) : info->deadline,
                info->deadline);
   const Time deadline = request.received + left;
-  if (deadline <= clock_.now()) return server_.answer(id, plainAnswer(504));  // over before it was read
+  if (deadline <= clock_.now()) return conclude(id, info->index, plainAnswer(504));  // over before it was read
   // Two open requests of one id: hosts could not tell them apart, nor could their answers be told apart. The
   // first one's attempts count too, also after its answer. It would harm clients that reuse an id at once.
-  if (!ids_.insert(request.head.correlation).second) return server_.answer(id, plainAnswer(409));
+  if (!ids_.insert(request.head.correlation).second) return conclude(id, info->index, plainAnswer(409));
   const std::size_t bytes = (request.body ? request.body->size() : 0) + request.head.forward.size();
   const admission::Ask ask = askOf(id, request.head, *info, bytes, deadline);
   std::vector<admission::Refusal> displaced;
@@ -265,7 +282,7 @@
       break;
     case admission::Entry::Refused:
       ids_.erase(request.head.correlation);
-      server_.answer(id, refusal(ask, verdict.cause));
+      conclude(id, info->index, refusal(ask, verdict.cause));
       break;
   }
   refuseWaiting(displaced);
@@ -299,7 +316,7 @@
     const Held held = std::move(it->second);
     waiting_.erase(it);
     letGo(held.request, held.ask.request_class, held.ask.tenant);
-    server_.answer(r.id, refusal(held.ask, r.cause));
+    conclude(r.id, held.ask.request_class, refusal(held.ask, r.cause));
   }
 }
 
@@ -397,6 +414,40 @@
   return report.dump(2);
 }
 
+std::string Proxy::stats() const {
+  figures::Page page;
+  for (std::size_t i = 0; i < known_.classes.size(); ++i)
+    page.classes.push_back({known_.classes.name(i), counts_.of(i)});
+  const weldflow::Standing hosts = pool_.standing();
+  page.concurrent = server_.openRequests();
+  page.targets = hosts.listed;
+  page.targets_disabled = hosts.avoided;
+  return figures::textOf(page);
+}
+
+// ---- drain by hand ----
+
+void Proxy::drainClients() {
+  if (std::exchange(drained_, true)) return;
+  log_.line("draining clients, by hand");
+  drained_since_ = clock_.now();
+  server_.drain(true);
+  timers_.after(kCloseFrom, [this, drain = ++drains_] { closeResting(drain); });
+}
+
+void Proxy::takeClients() {
+  if (!std::exchange(drained_, false)) return;
+  log_.line("taking clients again, by hand");
+  if (!done_) server_.drain(false);
+}
+
+void Proxy::closeResting(std::uint64_t drain) {
+  if (!drained_ || drain != drains_) return;
+  const bool all = clock_.now() - drained_since_ >= kCloseAll;
+  server_.closeIdle(all ? kCloseStep : kRestedLong);
+  timers_.after(kCloseStep, [this, drain] { closeResting(drain); });
+}
+
 // ---- requests that were let in ----
 
 void Proxy::open(const admission::Ask& ask, ClientRequest request, const ClassInfo& info) {
@@ -408,8 +459,15 @@
               .deadline = ask.deadline});
 }
 
-void Proxy::onAnswer(ExchangeId id, Answer answer) {
+void Proxy::onAnswer(const Taken& request, Answer answer) {
+  const ExchangeId id = request.exchange;
+  const std::int32_t request_class = request.request_class;
   settled(id);
+  conclude(id, request_class, std::move(answer));
+}
+
+void Proxy::conclude(ExchangeId id, std::int32_t request_class, Answer answer) {
+  counts_.ended(static_cast<std::size_t>(request_class), answer.status);
   server_.answer(id, std::move(answer));
 }
 
@@ -476,7 +534,7 @@
   if (done_) return;
   done_ = std::move(done);
   log_.line("shutting down");
-  server_.drain();
+  server_.drain(true);
   timers_.after(kIdleAfterTerm, [this] { server_.closeIdle(); });
   timers_.after(kListenAfterTerm, [this] {
     server_.stopListening();
--- a/src/front/proxy.h
+++ b/src/front/proxy.h
@@ -14,6 +14,7 @@
 #include "admission/indices.h"
 #include "admission/ledger.h"
 #include "admission/requests.h"
+#include "figures/figures.h"
 #include "net/config.h"
 #include "net/server.h"
 #include "pools/pool.h"
@@ -38,6 +39,21 @@
   void setHosts(HostList list);
   Zones& zones() { return config_.zones; }
 
+  // ---- by hand (docs/on-call.md) ----
+
+  // This process can serve: it listens and has had a list of hosts.
+  bool canServe() const { return listening_ && pool_.standing().listed > 0; }
+  // Nothing new to this host, or again. False: no host has this id.
+  bool takeOut(const std::string& host) { return pool_.takeOut(host); }
+  bool putBack(const std::string& host) { return pool_.putBack(host); }
+  // The front is told to send clients elsewhere; their connections are closed with their answers, and those
+  // that rest before long. Listening goes on. Either may be called twice.
+  void drainClients();
+  void takeClients();
+  bool drained() const { return drained_; }
+  // In Prometheus' text format.
+  std::string stats() const;
+
   Endpoint localEndpoint() const { return server_.localEndpoint(); }
   // What admission has decided and what it goes by, as JSON: docs/admission.md explains it.
   std::string admissionReport();
@@ -73,11 +89,17 @@
   std::optional<Answer> onHead(const RequestHead& head, bool room) override;
   void onRequest(ExchangeId id, ClientRequest request) override;
   void onClientGone(ExchangeId id) override;
-  void onAnswer(ExchangeId id, Answer answer) override;
+  void onAnswer(const Taken& request, Answer answer) override;
+  void onDispatched(std::int32_t request_class) override {
+    counts_.dispatched(static_cast<std::size_t>(request_class));
+  }
   void onOver(const Taken& request) override;
 
   admission::Ask askOf(ExchangeId id, const RequestHead& head, const ClassInfo& info, std::size_t bytes,
                        Time deadline) const;
+  // A request's final answer.
+  void conclude(ExchangeId id, std::int32_t request_class, Answer answer);
+  void closeResting(std::uint64_t drain);
   Answer refusal(const admission::Ask& ask, admission::Cause cause);
   void refuseWaiting(const std::vector<admission::Refusal>& refused);
   void admitWaiting();
@@ -104,9 +126,13 @@
   std::unordered_set<std::string> ids_;  // X-Correlation-Id of each that waits or is not over
   admission::RequestGate requests_;      // by exchange
   admission::Ledger ledger_;
+  figures::Counts counts_;
   std::unordered_map<ExchangeId, Held> waiting_;
   Time places_due_ = kNever;   // when the gate is asked again for sure
   bool places_freed_ = false;  // it will be asked in this turn of the loop
+  bool listening_ = false, drained_ = false;
+  std::uint64_t drains_ = 0;  // so far; tells the steps of an earlier one
+  Time drained_since_ = 0;
   std::function<void()> done_;
 };
 
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -66,6 +66,9 @@
   Config c;
   c.listen = endpointOf("PROXY_LISTEN", "listen", getenv("PROXY_LISTEN"), root);
   c.discovery = endpointOf("PROXY_DISCOVERY", "discovery", getenv("PROXY_DISCOVERY"), root);
+  const char* const console = getenv("PROXY_CONSOLE");
+  if (console != nullptr || root.has("console"))
+    c.console = endpointOf("PROXY_CONSOLE", "console", console, root);
   within("PROXY_CONFIG: ", [&] {
     const char* const name = getenv("PROXY_NAME");
     c.name = name != nullptr ? name : root.has("name") ? root.at("name").text() : "quinceline";
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "platform/settings.h"
@@ -15,6 +16,7 @@
   std::string name;
   Endpoint listen;
   Endpoint discovery;
+  std::optional<Endpoint> console;  // where staff call (docs/on-call.md); not set: nowhere
   std::uint64_t seed = 0;
   double cores = 1;
   std::size_t memory_mb = 256;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -143,6 +143,7 @@
   void close(Cause cause) {
     if (state_ == State::Closed) return;
     state_ = State::Closed;
+    ended();
     share_.reset();
     error_code ignored;
     socket_.close(ignored);
@@ -154,6 +155,9 @@
 
   void close() { close(cause_); }
 
+  // Its request has.
+  void ended() { server_.open_requests_ -= std::exchange(taken_, false) ? 1U : 0U; }
+
   void nextRequest() {
     state_ = State::Reading;
     head_seen_ = false;
@@ -286,6 +290,8 @@
       share_.reset();
     }
     state_ = State::Waiting;
+    taken_ = true;
+    ++server_.open_requests_;
     server_.gate_.onRequest(id_);  // its deadline is the sink's to keep
     parser_.reset();
     exchange_ = server_.next_exchange_++;
@@ -309,6 +315,7 @@
   void onWritten(error_code ec) {
     if (state_ == State::Closed) return;
     out_ = std::string();
+    ended();
     if (ec) return close();
     if (close_) return linger();
     resting_ = true;
@@ -348,6 +355,7 @@
   std::string out_;                        // the answer
   ExchangeId exchange_ = 0;
   bool head_seen_ = false;
+  bool taken_ = false;  // its request is whole and has not ended
   bool old_version_ = false, close_ = false;
   bool reading_ = false, waits_for_room_ = false;
 };
@@ -497,10 +505,10 @@
   if (it != exchanges_.end()) it->second->answer(std::move(answer));
 }
 
-void Server::drain() { draining_ = true; }
+void Server::drain(bool on) { draining_ = on; }
 
-void Server::closeIdle() {
-  while (closeChosen([&] { return gate_.makeRoom(now()); }, Cause::Shutdown)) {
+void Server::closeIdle(Time rested) {
+  while (closeChosen([&] { return gate_.makeRoom(now(), rested); }, Cause::Shutdown)) {
   }
 }
 
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -54,10 +54,12 @@
   // A whole answer. Ignored where the exchange is over.
   void answer(ExchangeId id, Answer answer);
 
-  // Graceful shutdown: from now on each answer closes its connection.
-  void drain();
-  // Closes the connections on which no request is open.
-  void closeIdle();
+  // While this holds, each answer closes its connection.
+  void drain(bool on);
+  // Closes the connections on which no request is open, of those that have rested for `rested`.
+  void closeIdle(Time rested = 0);
+  // Requests that are taken and have not ended: they wait for an answer, or it is being written.
+  std::size_t openRequests() const { return open_requests_; }
   // Takes what is left in the accept queue, then closes the listener.
   void stopListening();
   // Gives a descriptor back, of a connection that has rested for `rested`; false: there is none.
@@ -98,6 +100,7 @@
   std::array<char, 64 * 1024> discarded_;                  // where unwanted input goes, of all connections
   std::vector<admission::ConnectionGate::Overdue> overdue_;
   ExchangeId next_exchange_ = 1;
+  std::size_t open_requests_ = 0;
   bool draining_ = false;
   bool accepting_ = false;  // the listener is being watched
   bool no_place_ = false;   // connections wait in the queue until somebody leaves
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -129,6 +129,7 @@
   void write() {
     error_code ec;
     while (!ec && !written()) sent_ += socket_.write_some(unsent(), ec);
+    if (written() && attempt_ != 0) up_.sink_.onAttemptWritten(attempt_);
     if (ec == asio::error::would_block) {
       socket_.async_wait(Socket::wait_write, [self = shared_from_this(), turn = turn_](error_code e) {
         if (!e && self->busy_ && self->turn_ == turn) self->write();
@@ -323,6 +324,11 @@
   pools_.erase(uid);
 }
 
+void Upstream::closeIdleTo(std::string_view uid) {
+  const auto it = pools_.find(uid);
+  if (it != pools_.end()) closeIdle(it->second);
+}
+
 bool Upstream::knows(std::string_view uid) const { return pools_.find(uid) != pools_.end(); }
 
 void Upstream::start(AttemptId id, std::string_view uid, AttemptRequest request) {
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -39,6 +39,8 @@
  public:
   virtual ~AttemptSink() = default;
   virtual void onAttemptEnd(AttemptId id, AttemptEnd end) = 0;
+  // Its last byte is with the kernel: the host may have it whole. Once at most, before its end.
+  virtual void onAttemptWritten(AttemptId id) = 0;
   virtual void onProbeEnd(const std::string& uid, bool ok, Time latency, const std::string& load) = 0;
 };
 
@@ -62,6 +64,8 @@
   // A host and where it is. A new endpoint retires the idle connections to the old one.
   void setHost(const std::string& uid, const Endpoint& endpoint);
   void removeHost(const std::string& uid);
+  // What rests is closed: the host is out of use, and is about to restart.
+  void closeIdleTo(std::string_view uid);
   bool knows(std::string_view uid) const;
 
   void start(AttemptId id, std::string_view uid, AttemptRequest request);
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -206,7 +206,7 @@
   const auto it = open_.find(id);
   if (it == open_.end() || it->second.answered) return;
   it->second.answered = true;
-  sink_.onAnswer(id, std::move(answer));
+  sink_.onAnswer(it->second.taken, std::move(answer));
   closeIfOver(id);
 }
 
@@ -266,7 +266,7 @@
     Answer answer = plainAnswer(200);
     answer.body = std::move(end.body);
     answer.content_type = std::move(end.content_type);
-    sink_.onAnswer(id, std::move(answer));
+    sink_.onAnswer(r.taken, std::move(answer));
   }
   Outcome told;
   told.request = id;
@@ -279,6 +279,11 @@
   closeIfOver(id);
 }
 
+void Pool::onAttemptWritten(AttemptId id) {
+  const auto it = open_.find(id / kMostAttempts);
+  if (it != open_.end()) sink_.onDispatched(it->second.taken.request_class);
+}
+
 void Pool::onProbeEnd(const std::string& uid, bool ok, Time latency, const std::string& load) {
   tell([this, uid, ok, latency, report = parseLoad(load)](Time now) {
     balancer_.onProbe(now, uid, ok, latency, report, actions_);
@@ -306,6 +311,13 @@
 
 // ---- hosts ----
 
+bool Pool::maintain(const std::string& host, bool out_of_use) {
+  if (!balancer_.setMaintenance(clock_.now(), host, out_of_use)) return false;
+  if (out_of_use) upstream_.closeIdleTo(host);
+  log("host " + host + (out_of_use ? " is out of use, by hand" : " is in use again, by hand"));
+  return true;
+}
+
 // What the list means together with what is known. An entry that could not be read leaves its host as it was.
 // An address has one host, the one that started last: a machine that has been replaced may still be listed
 // beside the new one, and what is sent to it then would come on top of what the new, cold one can take. This
--- a/src/pools/pool.h
+++ b/src/pools/pool.h
@@ -35,7 +35,9 @@
  public:
   virtual ~PoolSink() = default;
   // The one final answer of a request, unless its client has gone before.
-  virtual void onAnswer(ExchangeId id, Answer answer) = 0;
+  virtual void onAnswer(const Taken& request, Answer answer) = 0;
+  // An attempt of this class has been written whole to a host.
+  virtual void onDispatched(std::int32_t request_class) = 0;
   // Nothing of it is in flight any more, after its answer: the last word on it.
   virtual void onOver(const Taken& request) = 0;
 };
@@ -69,6 +71,11 @@
   // Its client has gone: no answer is owed. False: none was, it is not here or has been answered.
   bool clientGone(ExchangeId id);
 
+  // By hand: nothing new to this host, or again. False: no host has this id.
+  bool takeOut(const std::string& host) { return maintain(host, true); }
+  bool putBack(const std::string& host) { return maintain(host, false); }
+  weldflow::Standing standing() const { return balancer_.standing(); }
+
   std::size_t openRequests() const { return open_.size(); }
   bool closeOneIdle() { return upstream_.closeOneIdle(); }
   const Upstream& upstream() const { return upstream_; }
@@ -94,6 +101,7 @@
   };
 
   void onAttemptEnd(AttemptId id, AttemptEnd end) override;
+  void onAttemptWritten(AttemptId id) override;
   void onProbeEnd(const std::string& uid, bool ok, Time latency, const std::string& load) override;
   void onHostList(const HostList& list) override;
   void onDiscoveryLost(const std::string& why) override;
@@ -109,6 +117,7 @@
   void onDeadline(RequestId id);
   void outcome(Time now, RequestId id, std::int32_t attempt, AttemptEnd end);
   void closeIfOver(RequestId id);
+  bool maintain(const std::string& host, bool out_of_use);
   HostList completed(HostList list) const;
   void applyHosts(const HostList& list);
   void applyList(HostList list, weldflow::ListKind kind);
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -15,8 +15,13 @@
   void onAttemptEnd(AttemptId id, AttemptEnd end) override {
     EXPECT_TRUE(ends.emplace(id, std::move(end)).second) << "two reports of attempt " << id;
   }
+  void onAttemptWritten(AttemptId id) override {
+    EXPECT_EQ(ends.count(id), 0U) << "written after its end: " << id;
+    ++written[id];
+  }
   void onProbeEnd(const std::string&, bool, Time, const std::string&) override {}
   std::map<AttemptId, AttemptEnd> ends;
+  std::map<AttemptId, int> written;
 };
 
 class UpstreamTest : public ::testing::Test {
