A second start takes the old process's place: state and clients' connections handed on

A new build started beside the running one ended with exit 1 (its address was in use), a crash.

The new process takes the inherited listener and asks the old one at a Unix socket in $TMPDIR for hosts, slots, bans, ejections, cold marks and the drained state; then it serves. The old one stops accepting, hands each client connection at rest on with SCM_RIGHTS, ends what is in flight and leaves. Bans and drains are told both ways meanwhile.

--- a/include/weldflow/balancer.h
+++ b/include/weldflow/balancer.h
@@ -155,6 +155,20 @@
   std::size_t listed = 0, avoided = 0;
 };
 
+// What a Balancer has found out of a server, for the one that takes its place. Times are of the same clock.
+struct Remembered {
+  std::string id;
+  std::int32_t slot = kUnset;
+  bool out_of_use = false;                   // staff have taken it out
+  bool ejected = false, silent = false;      // silent: ejected for silence, so it may come back cold
+  Time ejected_since = 0, ejected_until = 0;
+  double strikes = 0;  // evidence of failure
+  Time struck_at = 0;
+  Time cold_since = 0;  // 0: warm
+  double slowness = 1;
+  bool operator==(const Remembered&) const = default;
+};
+
 // Why a Send goes where it goes; toString gives the words.
 enum class Reason : std::uint8_t {
   None,              // not a Send, or Settings::explain is off
@@ -216,6 +230,12 @@
   void onTimer(Time now, std::uint64_t timer, Actions& out);
 
   Standing standing() const;
+  // All that is known of servers, by id.
+  std::vector<Remembered> remember() const;
+  // What another Balancer of this client has found out; to be called once, after the Restored list. Servers
+  // that are not listed are passed over, but for those that staff have taken out. Impossible values are
+  // passed over too. A cold server gets nothing at first: the other may have spent its share.
+  void recall(Time now, std::span<const Remembered> servers, Actions& out);
   // For tests and operators: the ids of the present subset, in order of preference.
   std::vector<std::string> subset(Time now);
   // How much is remembered and how much was done: requests without an answer or with an attempt out, servers
--- a/src/admission/cause.h
+++ b/src/admission/cause.h
@@ -32,6 +32,7 @@
   AnswerNotTaken,  // the client did not take its answer in time
   LingerOver,      // the client did not end its sending in time
   Shutdown,        // the proxy stops
+  HandedOn,        // the process that takes this one's place has it now
   // A request was refused before it was sent anywhere.
   ConnectionsFull,  // it came on a connection beyond the bound
   OpenFull,         // the bound on open requests, and no place to wait
@@ -58,6 +59,7 @@
                                                             "answer_not_taken",
                                                             "linger_over",
                                                             "shutdown",
+                                                            "handed_on",
                                                             "connections_full",
                                                             "open_full",
                                                             "bytes_full",
--- a/src/admission/places.h
+++ b/src/admission/places.h
@@ -45,6 +45,7 @@
   std::size_t used() const { return used_[0] + used_[1]; }
   std::size_t used(Side side) const { return used_[index(side)]; }
   std::size_t all() const { return limits_.all; }
+  void setAll(std::size_t all) { limits_.all = all; }
   // What the other side can't take, used or not.
   std::size_t reserve(Time now, Side side) {
     fade(now, side);
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -274,6 +274,17 @@
     s.slot = kUnset;
   }
 
+  void takeFreeSlots(const std::vector<Server*>& without) {
+    std::size_t free = 0;
+    for (Server* s : without) {
+      if (s->slot != kUnset) continue;  // kept for it
+      while (free < slots.size() && slots[free] != nullptr) ++free;
+      if (free == slots.size()) slots.push_back(nullptr);
+      slots[free] = s;
+      s->slot = static_cast<std::int32_t>(free);
+    }
+  }
+
   // Of servers that nobody lists and nothing waits for, nothing is kept but what staff have said.
   void forgetGone() {
     while (!slots.empty() && slots.back() == nullptr) slots.pop_back();
@@ -301,6 +312,61 @@
     return true;
   }
 
+  // ---- what another Balancer takes over ----
+
+  std::vector<Remembered> remember() const {
+    std::vector<Remembered> all;
+    for (const auto& [id, s] : servers) {
+      if (!s->listed && !s->banned) continue;
+      all.push_back({id, s->slot, s->banned, s->out, s->silent, s->out_since, s->out_until, s->strikes,
+                     s->struck_at, s->cold_since, s->slowness});
+    }
+    return all;
+  }
+
+  void recall(std::span<const Remembered> known, Actions& out) {
+    constexpr std::int32_t kMostSlots = 1 << 20;
+    for (const Remembered& k : known) {
+      auto it = servers.find(k.id);
+      if (it == servers.end() && k.out_of_use) {
+        it = servers.emplace(k.id, std::make_unique<Server>()).first;
+        it->second->host = {.id = k.id, .state = HostState::Gone};
+      }
+      if (it == servers.end()) continue;
+      Server& s = *it->second;
+      s.banned = k.out_of_use;
+      if (std::isfinite(k.slowness) && k.slowness > 0) s.slowness = std::min(k.slowness, 8.0);
+      if (std::isfinite(k.strikes) && k.strikes >= 0) s.strikes = k.strikes;
+      s.struck_at = std::min(k.struck_at, now);
+      if (k.cold_since > 0 && k.cold_since <= now && now - k.cold_since < settings.cold_time)
+        startCold(s, k.cold_since);
+      if (s.cold_since != 0) s.cold_tokens = 0;
+      if (!k.ejected) continue;
+      s.out = true;
+      s.silent = k.silent;
+      s.out_since = std::min(k.ejected_since, now);
+      s.out_until = std::min(k.ejected_until, now + kLongestOut);
+      next_return = next_return == 0 ? s.out_until : std::min(next_return, s.out_until);
+    }
+    // Slots as they were; whoever has none takes what is free.
+    std::vector<Server*> rest;
+    slots.clear();
+    for (auto& [id, s] : servers) s->slot = kUnset;
+    for (const Remembered& k : known) {
+      const auto it = servers.find(k.id);
+      if (it == servers.end() || k.slot < 0 || k.slot >= kMostSlots || it->second->slot != kUnset) continue;
+      const auto slot = static_cast<std::size_t>(k.slot);
+      if (slots.size() <= slot) slots.resize(slot + 1);
+      if (slots[slot] == nullptr) slots[slot] = it->second.get(), it->second->slot = k.slot;
+    }
+    for (auto& [id, s] : servers) {
+      if (s->listed && s->slot == kUnset) rest.push_back(s.get());
+    }
+    takeFreeSlots(rest);
+    forgetGone();
+    if (settings.discovery == Discovery::Ask && !subscribed) setTimer(out, now, kDiscoveryTimer);
+  }
+
   Standing standing() const {
     Standing all;
     for (const auto& [id, s] : servers) {
@@ -346,14 +412,7 @@
     }
     // Newcomers of one update take the lowest free slots in the order of their ids.
     std::sort(newcomers.begin(), newcomers.end(), [](auto* a, auto* b) { return a->host.id < b->host.id; });
-    std::size_t free = 0;
-    for (Server* s : newcomers) {
-      if (s->slot != kUnset) continue;  // kept for it
-      while (free < slots.size() && slots[free] != nullptr) ++free;
-      if (free == slots.size()) slots.push_back(nullptr);
-      slots[free] = s;
-      s->slot = static_cast<std::int32_t>(free);
-    }
+    takeFreeSlots(newcomers);
     if (changed) forgetGone();
     discoveryAnswered(kind, out);
   }
@@ -987,6 +1046,10 @@
 bool Balancer::setMaintenance(Time now, std::string_view server, bool out_of_use) {
   return impl_->at(now).maintain(server, out_of_use);
 }
+std::vector<Remembered> Balancer::remember() const { return impl_->remember(); }
+void Balancer::recall(Time now, std::span<const Remembered> servers, Actions& out) {
+  impl_->at(now).recall(servers, out);
+}
 Standing Balancer::standing() const { return impl_->standing(); }
 std::vector<std::string> Balancer::subset(Time now) {
   impl_->at(now);
--- a/src/daemon/serve.cpp
+++ b/src/daemon/serve.cpp
@@ -18,6 +18,7 @@
 
 #include "console/console_server.h"
 #include "front/proxy.h"
+#include "handover/link.h"
 #include "net/config.h"
 #include "net/log.h"
 #ifdef QUINCELINE_OPERATOR
@@ -90,11 +91,15 @@
 }
 
 // What runs until a signal ends it.
-class Daemon final : private console::Actor {
+class Daemon final : private console::Actor, private handover::Holder {
  public:
   Daemon(Source& source, Config config)
       : source_(source),
         log_(clock_, config.name),
+        shared_at_(config.inherited && !config.shared_folder.empty()
+                       ? handover::socketPath(config.shared_folder, config.name)
+                       : std::string()),
+        name_(config.name),
         status_at_(config.own.status),
         console_at_(config.console),
         hosts_file_(config.hosts_file),
@@ -116,21 +121,70 @@
       if (!ec) proxy_.shutdown([this] { io_.stop(); });
     });
     awaitReload();
+    if (!shared_at_.empty()) link_.emplace(io_, shared_at_, name_, static_cast<handover::Holder&>(*this));
     listenToStaff();
 #ifdef QUINCELINE_OPERATOR
     hosts_watch_.follow(hosts_file_);
 #endif
-    proxy_.start();
+    link_ ? link_->begin() : begin(std::nullopt);
     io_.run();
   }
 
  private:
   bool canServe() override { return proxy_.canServe(); }
   std::string stats() override { return proxy_.stats(); }
-  bool takeOut(const std::string& host) override { return proxy_.takeOut(host); }
-  bool putBack(const std::string& host) override { return proxy_.putBack(host); }
-  void drainClients() override { proxy_.drainClients(); }
-  void takeClients() override { proxy_.takeClients(); }
+  bool takeOut(const std::string& host) override {
+    return proxy_.takeOut(host) && tellOther({handover::Type::TakeOut, host});
+  }
+  bool putBack(const std::string& host) override {
+    return proxy_.putBack(host) && tellOther({handover::Type::PutBack, host});
+  }
+  void drainClients() override {
+    proxy_.drainClients();
+    tellOther({handover::Type::Drain, {}});
+  }
+  void takeClients() override {
+    proxy_.takeClients();
+    tellOther({handover::Type::TakeClients, {}});
+  }
+
+  // While one process takes another's place, staff may call either.
+  bool tellOther(const handover::Frame& call) {
+    if (link_) link_->tell(call);
+    return true;
+  }
+  void told(const handover::Frame& call) override {
+    switch (call.type) {
+      case handover::Type::TakeOut:
+        proxy_.takeOut(call.payload);
+        return;
+      case handover::Type::PutBack:
+        proxy_.putBack(call.payload);
+        return;
+      case handover::Type::Drain:
+        return proxy_.drainClients();
+      case handover::Type::TakeClients:
+        return proxy_.takeClients();
+      default:
+        return;
+    }
+  }
+
+  void begin(std::optional<handover::State> state) override {
+    state ? proxy_.start(*state) : proxy_.start();
+  }
+  handover::State state() override { return proxy_.state(); }
+  void give(std::function<bool(int)> give) override { proxy_.handOn(std::move(give)); }
+  void takeBack() override { proxy_.takeBack(); }
+  void adopt(int descriptor) override { proxy_.adopt(descriptor); }
+  std::size_t descriptorsHeld() override { return proxy_.descriptorsHeld(); }
+  void otherHolds(std::size_t descriptors) override { proxy_.otherHolds(descriptors); }
+  bool finished() override { return proxy_.idle(); }
+  void leave() override {
+    log_.line("all is handed on");
+    io_.stop();
+  }
+  void log(const std::string& line) override { log_.line(line); }
 
   void listenToStaff() {
     console_.page("/admission", [this] { return proxy_.admissionReport(); });
@@ -189,12 +243,15 @@
   Source& source_;
   const Clock clock_;
   Log log_;
+  std::string shared_at_;  // where a process that takes this one's place finds it; empty: nowhere
+  std::string name_;
   std::optional<Endpoint> status_at_, console_at_;
   std::string hosts_file_;
   boost::asio::io_context io_;
   Proxy proxy_;
   boost::asio::signal_set end_, reload_;
   console::ConsoleServer console_;
+  std::optional<handover::Link> link_;
 #ifdef QUINCELINE_OPERATOR
   FileWatch hosts_watch_;
 #endif
--- a/src/front/proxy.cpp
+++ b/src/front/proxy.cpp
@@ -204,13 +204,59 @@
 
 Proxy::~Proxy() = default;
 
-void Proxy::start() {
-  server_.listen(config_.listen);
+void Proxy::listen() {
+  config_.inherited ? server_.listenOn(*config_.inherited) : server_.listen(config_.listen);
   listening_ = true;
   timers_.after(kSummary, [this] { summarize(); });
+}
+
+void Proxy::start() {
+  listen();
   pool_.start(std::exchange(config_.known, {}));
 }
 
+// ---- one process after another ----
+
+void Proxy::start(const handover::State& state) {
+  HostList known = std::exchange(config_.known, {});
+  if (!state.hosts.empty()) {
+    try {
+      known = parseHostList(state.hosts, config_.zones, BadEntry::PassOver);
+    } catch (const std::runtime_error& e) {
+      log_.line(std::string("the list of the process before this one is not used: ") + e.what(),
+                LogLevel::Warning);
+    }
+  }
+  pool_.start(std::move(known), state.servers);
+  if (state.drained) drainClients();
+  listen();
+}
+
+handover::State Proxy::state() const {
+  return {formatHostList(pool_.hosts(), config_.zones), pool_.remember(), drained_};
+}
+
+void Proxy::handOn(std::function<bool(int)> give) {
+  handing_on_ = true;
+  pool_.keepConnections(false);
+  server_.drain(false);  // no need to send anybody away
+  server_.handOn(std::move(give));
+}
+
+void Proxy::takeBack() {
+  handing_on_ = false;
+  pool_.keepConnections(true);
+  server_.drain(drained_ || done_);
+  server_.keepAll();
+}
+
+std::size_t Proxy::descriptorsHeld() const { return descriptors_.used() + kOwnDescriptors; }
+
+void Proxy::otherHolds(std::size_t descriptors) {
+  const std::size_t all = budgetOf(config_);
+  descriptors_.setLimit(all - std::min(descriptors, all / 2));
+}
+
 // ---- requests ----
 
 std::optional<Proxy::ClassInfo> Proxy::classOf(std::string_view target) const {
@@ -534,6 +580,10 @@
   if (done_) return;
   done_ = std::move(done);
   log_.line("shutting down");
+  if (handing_on_) {
+    timers_.after(kLastAfterTerm, [this] { done_(); });
+    return waitUntilDone();
+  }
   server_.drain(true);
   timers_.after(kIdleAfterTerm, [this] { server_.closeIdle(); });
   timers_.after(kListenAfterTerm, [this] {
--- a/src/front/proxy.h
+++ b/src/front/proxy.h
@@ -15,6 +15,7 @@
 #include "admission/ledger.h"
 #include "admission/requests.h"
 #include "figures/figures.h"
+#include "handover/state.h"
 #include "net/config.h"
 #include "net/server.h"
 #include "pools/pool.h"
@@ -28,6 +29,23 @@
 
   // Tells the module the known hosts, then listens.
   void start();
+  // The same with what the process before this one knew.
+  void start(const handover::State& state);
+  // What the process after this one is to know.
+  handover::State state() const;
+  // That one serves now: nobody is accepted here, `give` gets each client's connection at rest.
+  void handOn(std::function<bool(int descriptor)> give);
+  // It has gone: serve as before.
+  void takeBack();
+  // A client's connection at rest, from the process before this one.
+  void adopt(int descriptor) { server_.adopt(descriptor); }
+  // Nothing is left here.
+  bool idle() const { return server_.connections() == 0 && pool_.openRequests() == 0; }
+  // Of clients and hosts, and the process's own.
+  std::size_t descriptorsHeld() const;
+  // Another process holds so many of those that both may hold together.
+  void otherHolds(std::size_t descriptors);
+
   // Graceful: goes on accepting while new connections may still come, finishes what was taken; then `done`.
   void shutdown(std::function<void()> done);
   // The configuration was replaced: all of it is taken, or nothing and std::exception is thrown. Requests
@@ -107,6 +125,7 @@
   void settled(ExchangeId id);
   void summarize();
   void waitUntilDone();
+  void listen();
   std::optional<ClassInfo> classOf(std::string_view target) const;
   void open(const admission::Ask& ask, ClientRequest request, const ClassInfo& info);
   void use(const admission::Ask& ask);
@@ -130,7 +149,7 @@
   std::unordered_map<ExchangeId, Held> waiting_;
   Time places_due_ = kNever;   // when the gate is asked again for sure
   bool places_freed_ = false;  // it will be asked in this turn of the loop
-  bool listening_ = false, drained_ = false;
+  bool listening_ = false, drained_ = false, handing_on_ = false;
   std::uint64_t drains_ = 0;  // so far; tells the steps of an earlier one
   Time drained_since_ = 0;
   std::function<void()> done_;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -45,6 +45,14 @@
   }
 }
 
+int descriptorOf(const std::string& text) {
+  int descriptor = -1;
+  const auto r = std::from_chars(text.data(), text.data() + text.size(), descriptor);
+  if (r.ec != std::errc{} || r.ptr != text.data() + text.size() || descriptor < 3)
+    throw std::runtime_error("PROXY_INHERITED_FD: is not the number of a descriptor: " + text);
+  return descriptor;
+}
+
 // Runs a part of the reading; a complaint gets the part's name in front.
 template <typename Read>
 auto within(const std::string& part, Read read) {
@@ -66,6 +74,8 @@
   Config c;
   c.listen = endpointOf("PROXY_LISTEN", "listen", getenv("PROXY_LISTEN"), root);
   c.discovery = endpointOf("PROXY_DISCOVERY", "discovery", getenv("PROXY_DISCOVERY"), root);
+  if (const char* const inherited = getenv("PROXY_INHERITED_FD")) c.inherited = descriptorOf(inherited);
+  if (const char* const folder = getenv("TMPDIR")) c.shared_folder = folder;
   const char* const console = getenv("PROXY_CONSOLE");
   if (console != nullptr || root.has("console"))
     c.console = endpointOf("PROXY_CONSOLE", "console", console, root);
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -17,6 +17,8 @@
   Endpoint listen;
   Endpoint discovery;
   std::optional<Endpoint> console;  // where staff call (docs/on-call.md); not set: nowhere
+  std::optional<int> inherited;     // the descriptor of a listening socket, to be used instead of `listen`
+  std::string shared_folder;        // $TMPDIR: where processes of one proxy find one another; empty: nowhere
   std::uint64_t seed = 0;
   double cores = 1;
   std::size_t memory_mb = 256;
--- a/src/net/descriptors.h
+++ b/src/net/descriptors.h
@@ -39,6 +39,8 @@
   std::size_t most(Side side) { return places_.most(clock_.now(), side); }
   std::size_t used() const { return places_.used(); }
   std::size_t used(Side side) const { return places_.used(side); }
+  // A bound of all together from now on; more may be in use.
+  void setLimit(std::size_t limit) { places_.setAll(limit); }
   std::size_t limit() const { return places_.all(); }
 
  private:
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -42,6 +42,8 @@
   // Discovery is elsewhere now, and may count revisions of its own: asks there at once for the whole list.
   // Until that has come, the watch on the old one goes on, for as long as that keeps it open.
   void moveTo(const Endpoint& endpoint);
+  // From what revision the next watch asks; 0: the whole list.
+  void askFrom(std::uint64_t revision) { revision_ = revision; }
   const Endpoint& endpoint() const { return endpoint_; }
   std::uint64_t revision() const { return revision_; }
 
--- a/src/net/host_list.cpp
+++ b/src/net/host_list.cpp
@@ -1,5 +1,6 @@
 #include "host_list.h"
 
+#include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -62,6 +63,35 @@
   return index_.emplace(name, static_cast<std::int32_t>(index_.size())).first->second;
 }
 
+std::string Zones::nameOf(std::int32_t index) const {
+  for (const auto& [name, at] : index_) {
+    if (at == index) return name;
+  }
+  return {};
+}
+
+std::string formatHostList(const HostList& list, const Zones& zones) {
+  using nlohmann::json;
+  json targets = json::array();
+  for (std::size_t i = 0; i < list.hosts.size(); ++i) {
+    const weldflow::Host& host = list.hosts[i];
+    const Endpoint& at = list.endpoints[i];
+    const std::string address = at.address().to_string();
+    json entry = {{"uid", host.id},
+                  {"endpoint", (at.address().is_v6() ? "[" + address + "]" : address) + ":" +
+                                   std::to_string(at.port())},
+                  {"state", host.state == HostState::Healthy    ? "active"
+                            : host.state == HostState::Draining ? "leaving"
+                                                                : "left"},
+                  {"capacity_hint", host.capacity},
+                  {"pod_group", std::max(host.cell, 0)},
+                  {"boot_ms", host.up_since / 1000}};
+    if (const std::string zone = zones.nameOf(host.zone); !zone.empty()) entry["az"] = zone;
+    targets.push_back(std::move(entry));
+  }
+  return json{{"rev", list.revision}, {"all", list.full}, {"targets", targets}}.dump();
+}
+
 Endpoint parseEndpoint(const std::string& text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos) throw std::runtime_error("is not an address and port: " + text);
--- a/src/net/host_list.h
+++ b/src/net/host_list.h
@@ -21,6 +21,8 @@
   Zones() = default;
   explicit Zones(const std::vector<std::string>& names);
   std::int32_t indexOf(const std::string& name);
+  // Empty: no zone has this number.
+  std::string nameOf(std::int32_t index) const;
 
  private:
   std::map<std::string, std::int32_t> index_;
@@ -42,6 +44,9 @@
 // Throws std::runtime_error that tells what is wrong with the list.
 HostList parseHostList(std::string_view text, Zones& zones, BadEntry bad = BadEntry::Throw);
 
+// The same the other way: what parseHostList() reads as this list.
+std::string formatHostList(const HostList& list, const Zones& zones);
+
 // "address:port"; throws std::runtime_error.
 Endpoint parseEndpoint(const std::string& text);
 
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -10,6 +11,8 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 #include <charconv>
+#include <stdexcept>
+#include <string>
 #include <utility>
 
 namespace quinceline {
@@ -83,6 +86,11 @@
   Connection(Server& server, ConnectionId id, Socket socket)
       : server_(server), id_(id), socket_(std::move(socket)) {}
 
+  // It has been at rest elsewhere.
+  void rest() {
+    if (resting_ && state_ == State::Reading) server_.gate_.onRest(server_.now(), id_);
+  }
+
   void start() {
     error_code ignored;
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -140,6 +148,15 @@
     cause_ = waits_for_room_ ? Cause::BodyMemory : cause;
   }
 
+  // Gives its socket away where nothing has been read of a request. What waits in the kernel goes with it.
+  void handOn() {
+    if (!resting_ || state_ != State::Reading || in_.size() > 0) return;
+    if (!server_.give_(socket_.native_handle())) return;
+    error_code ignored;
+    ::close(socket_.release(ignored));  // it lives on elsewhere: this loop must not hear of it any more
+    close(Cause::HandedOn);
+  }
+
   void close(Cause cause) {
     if (state_ == State::Closed) return;
     state_ = State::Closed;
@@ -320,7 +337,9 @@
     if (close_) return linger();
     resting_ = true;
     server_.gate_.onRest(server_.now(), id_);
+    const auto self = shared_from_this();
     nextRequest();
+    if (server_.give_) handOn();
   }
 
   // Closing now could reset the connection and destroy the answer while it is under way: end the sending,
@@ -381,6 +400,55 @@
   for (const auto& [id, connection] : connections) connection->close(Cause::Shutdown);
 }
 
+void Server::listenOn(int descriptor) {
+  sockaddr_storage address{};
+  socklen_t size = sizeof address;
+  error_code ec;
+  if (getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) != 0)
+    ec.assign(errno, boost::system::system_category());
+  const bool six = address.ss_family == AF_INET6;
+  if (!ec) acceptor_.assign(six ? asio::ip::tcp::v6() : asio::ip::tcp::v4(), descriptor, ec);
+  // It may be bound only; where it listens already this changes the length of its queue.
+  if (!ec) acceptor_.listen(4096, ec);
+  if (!ec) acceptor_.non_blocking(true, ec);
+  if (ec) throw std::runtime_error("descriptor " + std::to_string(descriptor) + ": " + ec.message());
+  accept();
+}
+
+void Server::handOn(std::function<bool(int)> give) {
+  give_ = std::move(give);
+  if (acceptor_.is_open()) acceptor_.cancel();
+  std::vector<std::shared_ptr<Connection>> all;
+  for (const auto& [id, connection] : connections_) all.push_back(connection);
+  for (const auto& connection : all) connection->handOn();
+}
+
+void Server::keepAll() {
+  give_ = nullptr;
+  accept();
+}
+
+// Its client has asked before, or is about to: it rests like any other.
+void Server::adopt(int descriptor) {
+  Socket socket(io_);
+  error_code ec;
+  sockaddr_storage address{};
+  socklen_t size = sizeof address;
+  if (getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0) {
+    const bool six = address.ss_family == AF_INET6;
+    socket.assign(six ? asio::ip::tcp::v6() : asio::ip::tcp::v4(), descriptor, ec);
+  } else {
+    ec = asio::error::bad_descriptor;
+  }
+  if (ec) {
+    ::close(descriptor);
+    return;
+  }
+  descriptors_.takeAnyway(Side::Clients);
+  const auto connection = admit(std::move(socket));
+  connection->rest();
+}
+
 void Server::listen(const asio::ip::tcp::endpoint& endpoint) {
   acceptor_.open(endpoint.protocol());
   // A client proxy that was killed starts again at once under its address.
@@ -399,11 +467,13 @@
 asio::ip::tcp::endpoint Server::localEndpoint() const { return acceptor_.local_endpoint(); }
 
 void Server::accept() {
-  if (accepting_ || no_place_ || !acceptor_.is_open()) return;
+  if (accepting_ || no_place_ || give_ || !acceptor_.is_open()) return;
   accepting_ = true;
   acceptor_.async_wait(asio::ip::tcp::acceptor::wait_read, [this](error_code ec) {
     accepting_ = false;
-    if (ec != asio::error::operation_aborted && acceptor_.is_open()) acceptBatch();
+    if (give_) return;
+    if (ec == asio::error::operation_aborted) return accept();
+    if (acceptor_.is_open()) acceptBatch();
   });
 }
 
@@ -450,13 +520,14 @@
   return descriptors_.take(Side::Clients);
 }
 
-void Server::admit(Socket socket) {
+std::shared_ptr<Server::Connection> Server::admit(Socket socket) {
   const admission::PeerAddress peer = addressOf(socket);
   const ConnectionId id = gate_.onAccepted(now(), peer);
   const auto connection = std::make_shared<Connection>(*this, id, std::move(socket));
   connections_.emplace(id, connection);
   connection->start();
   closeChosen([&] { return gate_.makeRoomAt(now(), peer); });
+  return connection;
 }
 
 void Server::remove(ConnectionId connection, Cause cause) {
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -49,8 +50,19 @@
   // The limits of connections are others from now on; that of bodies stays.
   void reconfigure(const admission::ConnectionGate::Limits& limits);
   void listen(const boost::asio::ip::tcp::endpoint& endpoint);
+  // The same on a socket that listens already and that others may share. Takes the descriptor over.
+  void listenOn(int descriptor);
   boost::asio::ip::tcp::endpoint localEndpoint() const;
 
+  // From now on nobody is accepted here, and `give` gets the descriptor of each client's connection on which
+  // no request is open, at once or when its answer is written. False: it could not, and owns it no more
+  // than before.
+  void handOn(std::function<bool(int descriptor)> give);
+  // That is over: accepts again.
+  void keepAll();
+  // A client's connection on which no request is open, from another process. Takes the descriptor over.
+  void adopt(int descriptor);
+
   // A whole answer. Ignored where the exchange is over.
   void answer(ExchangeId id, Answer answer);
 
@@ -81,7 +93,7 @@
   bool takePlace();
   template <typename Choose>
   bool closeChosen(Choose choose, std::optional<Cause> why = std::nullopt);
-  void admit(Socket socket);
+  std::shared_ptr<Connection> admit(Socket socket);
   void remove(ConnectionId connection, Cause cause);
   void sweep();
   void grantBodies();
@@ -100,6 +112,7 @@
   std::array<char, 64 * 1024> discarded_;                  // where unwanted input goes, of all connections
   std::vector<admission::ConnectionGate::Overdue> overdue_;
   ExchangeId next_exchange_ = 1;
+  std::function<bool(int)> give_;  // not set: nothing is handed on
   std::size_t open_requests_ = 0;
   bool draining_ = false;
   bool accepting_ = false;  // the listener is being watched
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -394,7 +394,7 @@
 void Upstream::keep(Connection& connection) {
   const auto it = pools_.find(connection.uid());
   // The host has moved or gone meanwhile.
-  if (it == pools_.end() || it->second.endpoint != connection.endpoint()) return connection.close();
+  if (!keeps_ || it == pools_.end() || it->second.endpoint != connection.endpoint()) return connection.close();
   it->second.idle.push_back(&connection);
 }
 
@@ -407,6 +407,12 @@
   while (!pool.idle.empty()) pool.idle.back()->close();
 }
 
+void Upstream::keepConnections(bool keep) {
+  keeps_ = keep;
+  if (keep) return;
+  for (auto& [uid, pool] : pools_) closeIdle(pool);
+}
+
 bool Upstream::closeOneIdle() {
   Connection* oldest = nullptr;
   for (auto& [uid, pool] : pools_) {
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -74,6 +74,8 @@
   void giveUp(AttemptId id, weldflow::Result as);
   void probe(std::string_view uid);
 
+  // From now on no connection is kept for a next attempt, or again as usual.
+  void keepConnections(bool keep);
   bool closeOneIdle();
   std::size_t connections() const { return connections_.size(); }
 
@@ -108,6 +110,7 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> connections_;
   std::unordered_map<AttemptId, Connection*> attempts_;  // that have no report yet
   std::uint64_t next_connection_ = 1;
+  bool keeps_ = true;
 };
 
 }  // namespace quinceline
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -65,6 +65,25 @@
   if (pushed()) discovery_->subscribe();
 }
 
+void Pool::start(HostList known, const std::vector<weldflow::Remembered>& servers) {
+  known.full = true;
+  // Where it was asked may have had revisions of its own.
+  if (discovery_) discovery_->askFrom(0);
+  applyList(std::move(known), discovery_ ? ListKind::Restored : ListKind::Full);
+  tell([this, &servers](Time now) { balancer_.recall(now, servers, actions_); });
+  if (pushed()) discovery_->subscribe();
+}
+
+HostList Pool::hosts() const {
+  HostList list;
+  list.full = true;
+  for (const auto& [uid, known] : listed_) {
+    list.hosts.push_back(known.host);
+    list.endpoints.push_back(known.endpoint);
+  }
+  return list;
+}
+
 // Where lists are pushed, the module waits for them; the agent beside us that has them still wants a watch.
 bool Pool::pushed() const { return discovery_ && config_.settings.discovery == weldflow::Discovery::Push; }
 
--- a/src/pools/pool.h
+++ b/src/pools/pool.h
@@ -61,6 +61,12 @@
 
   // The list as it was last known, perhaps old; then the watch on discovery, if there is one.
   void start(HostList known);
+  // The same with what the process before this one knew: `known` is how the list was a moment ago.
+  void start(HostList known, const std::vector<weldflow::Remembered>& servers);
+  // What the process after this one is to know.
+  HostList hosts() const;
+  std::vector<weldflow::Remembered> remember() const { return balancer_.remember(); }
+  void keepConnections(bool keep) { upstream_.keepConnections(keep); }
   // The whole list is this from now on.
   void setHosts(HostList list);
   // Throws std::invalid_argument like weldflow::validateChange, and then nothing has changed.
--- a/tests/maintenance_test.cpp
+++ b/tests/maintenance_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 #include "support.h"
@@ -163,5 +164,71 @@
   EXPECT_EQ(d->balancer.standing().avoided, 2U);
 }
 
+// ---- what another Balancer takes over ----
+
+TEST_F(Maintenance, AnotherBalancerKnowsBansEjectionsSlotsAndColdMarks) {
+  Settings settings = makeSettings();
+  settings.may_probe = true;
+  start(30, settings);
+  d->servers(ListKind::Changes, {makeHost(4, HostState::Gone), makeHost(9, HostState::Gone)});
+  d->servers(ListKind::Changes, {makeHost(77), makeHost(9)});  // slots are no longer in the order of ids
+  const std::string banned = d->balancer.subset(d->now)[1];
+  d->balancer.setMaintenance(d->now, banned, true);
+  d->request(++next_, 0);
+  const std::string ejected = d->sentTo();
+  d->outcome(next_, 0, Result::ConnectFailed);
+  d->balancer.setMaintenance(d->now, makeHost(20).id, true);
+  d->balancer.setMaintenance(d->now, makeHost(20).id, false);  // cold now
+  std::vector<Host> listed = makeHosts(30);
+  listed.erase(listed.begin() + 4);
+  listed.push_back(makeHost(77));
+  const auto known = d->balancer.remember();
+
+  Driver after(settings, 99);
+  after.now = d->now + kMs;
+  after.servers(ListKind::Restored, listed);
+  after.actions.clear();
+  after.balancer.recall(after.now, known, after.actions);
+  EXPECT_EQ(after.balancer.remember(), known);
+  EXPECT_EQ(after.balancer.subset(after.now), d->balancer.subset(d->now));
+  std::set<std::string> sent;
+  for (RequestId id = 1; id <= 100; ++id) {
+    after.now += kMs;
+    after.request(id, 0);
+    sent.insert(after.sentTo());
+    after.outcome(id, 0, Result::Ok, kMs);
+  }
+  EXPECT_EQ(sent.count(banned), 0U);
+  EXPECT_EQ(sent.count(ejected), 0U);
+}
+
+TEST_F(Maintenance, ABanIsRecalledOfAServerThatIsNotListedAndWhatIsImpossibleIsPassedOver) {
+  start(3);
+  Actions out;
+  std::vector<Remembered> known(6);
+  known[0].id = "server-000";
+  known[0].slot = -7;
+  known[0].slowness = -1;
+  known[1].id = "server-001";
+  known[1].slot = std::numeric_limits<std::int32_t>::max();
+  known[1].ejected_until = std::numeric_limits<Time>::max();
+  known[1].ejected = true;
+  known[2].id = "server-002";
+  known[2].slot = 5;
+  known[3].id = "server-002";  // twice
+  known[3].slot = 6;
+  known[4].id = "server-050";
+  known[4].slot = 5;
+  known[4].out_of_use = true;
+  known[5].id = "server-060";
+  d->balancer.recall(d->now, known, out);
+  EXPECT_EQ(d->balancer.knownServers(), 4U);
+  d->servers(ListKind::Changes, {makeHost(50)});
+  EXPECT_EQ(used(60).count("server-050"), 0U);
+  d->now += 10 * kSec;  // no ejection lasts longer than the module's own
+  EXPECT_GT(used(60).count("server-001"), 0U);
+  EXPECT_TRUE(d->balancer.setMaintenance(d->now, "server-050", false));
+}
+
 }  // namespace
 }  // namespace weldflow::test
--- a/tests/proxy_support.h
+++ b/tests/proxy_support.h
@@ -103,13 +103,18 @@
       : Program({}, {"PROXY_CONFIG=" + file.path,
                      "PROXY_DISCOVERY=" + file.doc["discovery"].get<std::string>()}) {}
   // `log`: the file that its standard error goes to; empty: ours.
+  // `inherited`: a descriptor that it gets as its descriptor 3; -1: none.
   Program(std::vector<std::string> arguments, std::vector<std::string> environment,
-          const std::string& log = {}) {
+          const std::string& log = {}, int inherited = -1) {
     arguments.insert(arguments.begin(), QUINCELINE);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     if (!log.empty())
       posix_spawn_file_actions_addopen(&actions, 2, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    if (inherited >= 0) {
+      posix_spawn_file_actions_adddup2(&actions, inherited, 3);
+      posix_spawn_file_actions_addclosefrom_np(&actions, 4);  // none of ours
+    }
     if (posix_spawn(&pid_, QUINCELINE, &actions, nullptr, pointers(arguments).data(),
                     pointers(environment).data()) != 0)
       pid_ = -1;
--- /dev/null
+++ b/tests/upgrade_test.cpp
@@ -0,0 +1,244 @@
+// The program itself beside itself: clients keep asking while one process takes another's place.
+#include <filesystem>
+#include <set>
+
+#include "proxy_support.h"
+
+namespace quinceline::test {
+namespace {
+
+class Upgrade : public ::testing::Test {
+ protected:
+  Upgrade() : listener(loop.io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {
+    listener.listen(1024);
+    char name[] = "/tmp/quinceline-upgrade-XXXXXX";
+    folder = mkdtemp(name);
+    file.doc["listen"] = textOf(listener.local_endpoint());
+    file.doc["settings"]["rules"]["drain_grace_us"] = 2'000'000;
+    for (json& c : file.doc["settings"]["request_classes"]) c["goal_time_us"] = c["deadline_us"] = 3'000'000;
+    file.write(file.doc.dump());
+  }
+  ~Upgrade() override {
+    running.clear();
+    std::filesystem::remove_all(folder);
+  }
+  struct Running {
+    std::unique_ptr<Program> program;
+    tcp::endpoint console;
+  };
+  // Starts one more and waits until it says that it can serve.
+  Running& startOne() {
+    Running next;
+    next.console = freePort(loop);
+    next.program = std::make_unique<Program>(
+        std::vector<std::string>{},
+        std::vector<std::string>{"PROXY_CONFIG=" + file.path, "TMPDIR=" + folder, "PROXY_INHERITED_FD=3",
+                                 "PROXY_CONSOLE=" + textOf(next.console),
+                                 "PROXY_DISCOVERY=" + file.doc["discovery"].get<std::string>()},
+        folder + "/log", listener.native_handle());
+    running.push_back(std::move(next));
+    EXPECT_TRUE(loop.until([&] {
+      serveHosts();
+      return call(running.back().console, "GET /healthcheck").find("HTTP/1.1 200") == 0;
+    }));
+    return running.back();
+  }
+  // Empty: nobody listens there yet.
+  std::string call(const tcp::endpoint& at, const std::string& what) {
+    tcp::socket socket(loop.io);
+    error_code ec;
+    socket.connect(at, ec);
+    if (ec) return {};
+    const auto peer = std::make_shared<Peer>(std::move(socket));
+    peer->listen();
+    peer->say(what + " HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_TRUE(loop.until([&] {
+      serveHosts();
+      return peer->ended;
+    }));
+    return peer->got;
+  }
+  // Every host answers whatever it has been asked.
+  void serveHosts() {
+    for (Host* h : {&host, &other}) {
+      for (const auto& peer : h->peers) {
+        std::size_t& from = read[peer.get()];
+        for (std::size_t end = 0; (end = peer->got.find("\r\n\r\n", from)) != std::string::npos;
+             from = end + 4) {
+          const std::size_t id = peer->got.find("X-Correlation-Id: ", from);
+          if (id < end) ++seen[peer->got.substr(id + 18, peer->got.find("\r\n", id) - id - 18)];
+          peer->say(answerOf("yes"));
+        }
+      }
+    }
+  }
+  static std::string charge(const std::string& id) {
+    return "POST /swap-charge/7 HTTP/1.1\r\nHost: h\r\nX-Account: acme\r\nX-Correlation-Id: " + id +
+           "\r\nContent-Length: 0\r\n\r\n";
+  }
+  static int answers(const Peer& peer, const std::string& status) {
+    int n = 0;
+    const std::string line = "HTTP/1.1 " + status;
+    for (std::size_t at = peer.got.find(line); at != std::string::npos; at = peer.got.find(line, at + 1)) ++n;
+    return n;
+  }
+  bool ended(Running& r) {
+    return loop.until([&] {
+      serveHosts();
+      return r.program->status() == 0;
+    });
+  }
+
+  Loop loop;
+  Host host{loop}, other{loop}, discovery{loop};
+  tcp::acceptor listener;
+  ConfigFile file{{entry("s-1", host.endpoint()), entry("s-2", other.endpoint())}, discovery.endpoint()};
+  std::string folder;
+  std::deque<Running> running;
+  std::map<const Peer*, std::size_t> read;  // how far, of what each host's connection got
+  std::map<std::string, int> seen;          // by hosts: the ids and how often
+};
+
+TEST_F(Upgrade, OfAThousandChargesOverTwentyUpgradesNoneIsLostCutOrDoubled) {
+  startOne();
+  struct Client {
+    std::shared_ptr<Peer> peer;
+    int asked = 0;
+  };
+  std::vector<Client> clients(8);
+  for (Client& c : clients) c.peer = Peer::connect(loop, listener.local_endpoint());
+  int asked = 0;
+  const auto step = [&](int most) {
+    serveHosts();
+    for (Client& c : clients) {
+      if (asked < most && answers(*c.peer, "200") == c.asked) {
+        ++c.asked;
+        c.peer->say(charge("id-" + std::to_string(asked++)));
+      }
+    }
+  };
+  const auto allAnswered = [&] {
+    for (const Client& c : clients) {
+      if (answers(*c.peer, "200") != c.asked) return false;
+    }
+    return true;
+  };
+  for (int n = 0; n < 20; ++n) {
+    ASSERT_TRUE(loop.until([&] { return step(50 * n + 25), asked >= 50 * n + 25; }));
+    startOne();
+    running.front().program->signal(SIGTERM);
+    bool left = false;
+    ASSERT_TRUE(loop.until([&] {
+      step(50 * (n + 1));
+      left = left || running.front().program->status() == 0;
+      return left && asked >= 50 * (n + 1);
+    }));
+    running.pop_front();
+  }
+  ASSERT_TRUE(loop.until([&] { return serveHosts(), allAnswered(); }));
+  EXPECT_EQ(asked, 1000);
+  for (const Client& c : clients) EXPECT_FALSE(c.peer->ended) << "a client lost its connection";
+  EXPECT_EQ(seen.size(), 1000U);
+  for (const auto& [id, times] : seen) EXPECT_EQ(times, 1) << id;
+}
+
+TEST_F(Upgrade, ABanHoldsOverItAndMayBeCalledAtEitherAddress) {
+  const tcp::endpoint old = startOne().console;
+  EXPECT_EQ(call(old, "POST /hosts/s-1/maint").find("HTTP/1.1 200"), 0U);
+  // In flight, so that the old one stays.
+  const auto held = Peer::connect(loop, listener.local_endpoint());
+  held->say(charge("held"));
+  ASSERT_TRUE(loop.until([&] { return !other.peers.empty() && other.peers[0]->heard("held"); }));
+  read[other.peers[0].get()] = other.peers[0]->got.size();  // never answered
+  const tcp::endpoint next = startOne().console;
+  EXPECT_NE(call(next, "GET /stats").find("app_targets_disabled 1"), std::string::npos);
+  EXPECT_EQ(call(next, "POST /hosts/s-2/maint").find("HTTP/1.1 200"), 0U);
+  EXPECT_NE(call(old, "GET /stats").find("app_targets_disabled 2"), std::string::npos);
+  EXPECT_EQ(call(old, "POST /hosts/s-1/ready").find("HTTP/1.1 200"), 0U);
+  ASSERT_TRUE(loop.until(
+      [&] { return call(next, "GET /stats").find("app_targets_disabled 1") != std::string::npos; }));
+  const auto c = Peer::connect(loop, listener.local_endpoint());
+  c->say(charge("a"));
+  ASSERT_TRUE(loop.until([&] { return serveHosts(), c->heard("200"); }));
+  EXPECT_EQ(other.peers.size(), 1U);
+  EXPECT_FALSE(held->ended);
+}
+
+TEST_F(Upgrade, ADrainHoldsOverItAndEndsInTheNewOne) {
+  EXPECT_EQ(call(startOne().console, "POST /healthcheck/fail").find("HTTP/1.1 200"), 0U);
+  const tcp::endpoint next = startOne().console;
+  const std::string healthz = "GET /healthz";
+  ASSERT_TRUE(loop.until([&] { return call(listener.local_endpoint(), healthz).find("HTTP/1.1 503") == 0; }));
+  EXPECT_EQ(call(next, "POST /healthcheck/ok").find("HTTP/1.1 200"), 0U);
+  const auto front = Peer::connect(loop, listener.local_endpoint());
+  front->say(healthz + " HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(loop.until([&] { return front->heard("HTTP/1.1 200"); }));
+}
+
+TEST_F(Upgrade, WhatIsInFlightAtSigtermEndsInTheOldOne) {
+  startOne();
+  const auto c = Peer::connect(loop, listener.local_endpoint());
+  c->say(charge("slow"));
+  const auto holder = [&]() -> std::shared_ptr<Peer> {
+    for (Host* h : {&host, &other}) {
+      for (const auto& p : h->peers) {
+        if (p->heard("slow")) return p;
+      }
+    }
+    return nullptr;
+  };
+  ASSERT_TRUE(loop.until([&] { return holder() != nullptr; }));
+  const auto asked = holder();
+  read[asked.get()] = asked->got.size();  // not answered yet
+  startOne();
+  running.front().program->signal(SIGTERM);
+  asked->say(answerOf("at last"));
+  ASSERT_TRUE(loop.until([&] { return c->heard("at last"); }));
+  ASSERT_TRUE(ended(running.front()));
+  EXPECT_FALSE(c->ended);
+  c->say(charge("next"));
+  ASSERT_TRUE(loop.until([&] { return serveHosts(), answers(*c, "200") == 2; }));
+}
+
+TEST_F(Upgrade, IfTheNewOneIsKilledTheOldOneServesOn) {
+  startOne();
+  startOne();
+  running.back().program.reset();  // SIGKILL
+  running.pop_back();
+  for (int n = 0; n < 5; ++n) {
+    const auto c = Peer::connect(loop, listener.local_endpoint());
+    c->say(charge("k" + std::to_string(n)));
+    ASSERT_TRUE(loop.until([&] { return serveHosts(), c->heard("200"); }));
+  }
+  startOne();  // and the next one takes over as if nothing had been
+  running.front().program->signal(SIGTERM);
+  ASSERT_TRUE(ended(running.front()));
+}
+
+TEST_F(Upgrade, IfTheOldOneWasKilledTheNewOneStartsFromNothing) {
+  startOne();
+  running.front().program.reset();
+  running.pop_front();
+  startOne();
+  const auto c = Peer::connect(loop, listener.local_endpoint());
+  c->say(charge("a"));
+  ASSERT_TRUE(loop.until([&] { return serveHosts(), c->heard("200"); }));
+}
+
+TEST_F(Upgrade, ADescriptorThatIsNoListenerIsNamed) {
+  const std::string log = folder + "/log";
+  Program program({},
+                  {"PROXY_CONFIG=" + file.path, "PROXY_INHERITED_FD=three",
+                   "PROXY_DISCOVERY=" + file.doc["discovery"].get<std::string>()},
+                  log);
+  int status = -1;
+  ASSERT_TRUE(loop.until([&] { return (status = program.status()) != -1; }));
+  EXPECT_EQ(status, 1);
+  std::ifstream in(log);
+  const std::string text(std::istreambuf_iterator<char>(in), {});
+  EXPECT_NE(text.find("PROXY_INHERITED_FD: is not the number of a descriptor: three"), std::string::npos)
+      << text;
+}
+
+}  // namespace
+}  // namespace quinceline::test
