--- a/src/admission/connections.cpp
+++ b/src/admission/connections.cpp
@@ -143,6 +143,11 @@
   ++r->requests;  // only now: it tells in which list it has rested
 }
 
+void ConnectionGate::extend(ConnectionId id, Time due) {
+  Record* const r = find(id);
+  if (r != nullptr) setDue(slotOf(*r), due);
+}
+
 void ConnectionGate::onRequest(ConnectionId id) {
   Record* const r = find(id);
   if (r == nullptr) return;
--- a/src/admission/connections.h
+++ b/src/admission/connections.h
@@ -32,7 +32,7 @@
     std::size_t per_peer = 0;   // of one address; 0: no bound but the fair share where room is short
     std::size_t kept = 16;      // idle ones that are always worth keeping
     Time silent = 2'400'000;    // from acceptance to the first byte
-    Time request = 2'400'000;   // from acceptance, or a next request's first byte, to its last
+    Time request = 2'700'000;   // from acceptance, or a next request's first byte, to its head's last
     Time idle = 4'000'000;      // between an answer and the next request
     Time write = 3'000'000;     // for the client to take its answer
     Time linger = 2'500'000;    // for it to end its sending after an answer that closes the connection
@@ -55,6 +55,8 @@
   ConnectionId onAccepted(Time now, const PeerAddress& peer);
   // The first byte of a request. Its time is counted from the acceptance on a connection's first request.
   void onFirstByte(Time now, ConnectionId id);
+  // What it is in may last until `due`: it makes progress. 0: for good.
+  void extend(ConnectionId id, Time due);
   // The request is whole; its deadline is kept elsewhere.
   void onRequest(ConnectionId id);
   // An answer is about to be written. A cause: the connection is to be closed with it. `more`: a further
--- a/src/front/proxy.cpp
+++ b/src/front/proxy.cpp
@@ -31,16 +31,17 @@
 constexpr Time kLastAfterTerm = 3600 * kMillisecond;
 
 // After the front was told, new connections come for 0.3 s more and kept ones stay in use. One that is closed
-// while its client begins to ask costs that client another: what rests long is closed first, and the rest while
-// there is time left to the 4 s after which none may be held.
+// while its client begins to ask costs that client another: what rests long is closed first, and the rest
+// while there is time left to the 4 s after which none may be held.
 constexpr Time kCloseFrom = 500 * kMillisecond, kCloseAll = 2500 * kMillisecond;
 constexpr Time kCloseStep = 100 * kMillisecond;
 constexpr Time kRestedLong = 500 * kMillisecond;
 
 // Clients' own repeats that may be open whatever else is: what a few failing hosts lead to.
 constexpr std::size_t kLeastRetries = 64;
-constexpr std::size_t kRequestCost = 1024;  // bytes that an open request holds beside its head and body
-constexpr Time kSummary = 10 * kSecond;     // between two lines on what was turned away
+constexpr std::size_t kRequestCost = 1024;       // bytes that an open request holds beside its head and body
+constexpr Time kLongestUpload = 3600 * kSecond;  // its pace is the server's to watch
+constexpr Time kSummary = 10 * kSecond;          // between two lines on what was turned away
 
 // A connection without an open request may be closed after this, says the protocol's later page.
 constexpr Time kMayBeClosed = 2 * kSecond;
@@ -307,13 +308,16 @@
   const Time left =
       std::min(request.head.has_time_left ? parseSeconds(request.head.time_left).value_or(0) : info->deadline,
                info->deadline);
-  const Time deadline = request.received + left;
-  if (deadline <= clock_.now()) return conclude(id, info->index, plainAnswer(504));  // over before it was read
+  // Of a long request only the beginning is here; its client's time runs from its last byte.
+  const Time deadline = request.received + (request.rest ? kLongestUpload : left);
+  if (left <= 0 || deadline <= clock_.now())
+    return conclude(id, info->index, plainAnswer(504));  // over before it was read
   // Two open requests of one id: hosts could not tell them apart, nor could their answers be told apart. The
   // first one's attempts count too, also after its answer. It would harm clients that reuse an id at once.
   if (!ids_.insert(request.head.correlation).second) return conclude(id, info->index, plainAnswer(409));
   const std::size_t bytes = (request.body ? request.body->size() : 0) + request.head.forward.size();
   const admission::Ask ask = askOf(id, request.head, *info, bytes, deadline);
+  if (request.rest) uploads_[id] = left;
   std::vector<admission::Refusal> displaced;
   const admission::Verdict verdict = requests_.offer(clock_.now(), ask, displaced);
   switch (verdict.entry) {
@@ -328,6 +332,7 @@
       break;
     case admission::Entry::Refused:
       ids_.erase(request.head.correlation);
+      uploads_.erase(id);
       conclude(id, info->index, refusal(ask, verdict.cause));
       break;
   }
@@ -362,6 +367,7 @@
     const Held held = std::move(it->second);
     waiting_.erase(it);
     letGo(held.request, held.ask.request_class, held.ask.tenant);
+    uploads_.erase(r.id);
     conclude(r.id, held.ask.request_class, refusal(held.ask, r.cause));
   }
 }
@@ -378,6 +384,7 @@
     waiting_.erase(it);
     ledger_.note(Cause::None, held.ask.request_class, held.ask.tenant);
     open(held.ask, std::move(held.request), held.info);
+    if (held.uploaded != 0) pool_.uploaded(id, held.uploaded, held.ask.deadline);
   }
   awaitPlaces();
 }
@@ -502,16 +509,31 @@
               .request_class = ask.request_class,
               .tenant = ask.tenant,
               .effect = info.effect,
-              .deadline = ask.deadline});
+              .deadline = ask.deadline,
+              .patience = info.deadline});
 }
 
 void Proxy::onAnswer(const Taken& request, Answer answer) {
   const ExchangeId id = request.exchange;
   const std::int32_t request_class = request.request_class;
+  uploads_.erase(id);
   settled(id);
   conclude(id, request_class, std::move(answer));
 }
 
+void Proxy::onUploaded(ExchangeId id, Time received) {
+  const auto it = uploads_.find(id);
+  if (it == uploads_.end()) return;
+  const Time deadline = received + it->second;
+  uploads_.erase(it);
+  if (const auto held = waiting_.find(id); held != waiting_.end()) {
+    held->second.ask.deadline = deadline;
+    held->second.uploaded = received;
+    return;
+  }
+  pool_.uploaded(id, received, deadline);
+}
+
 void Proxy::conclude(ExchangeId id, std::int32_t request_class, Answer answer) {
   counts_.ended(static_cast<std::size_t>(request_class), answer.status);
   server_.answer(id, std::move(answer));
@@ -520,6 +542,7 @@
 void Proxy::onOver(const Taken& request) { letGo(request.request, request.request_class, request.tenant); }
 
 void Proxy::onClientGone(ExchangeId id) {
+  uploads_.erase(id);
   if (const auto held = waiting_.find(id); held != waiting_.end()) {
     letGo(held->second.request, held->second.ask.request_class, held->second.ask.tenant);
     waiting_.erase(held);
--- a/src/front/proxy.h
+++ b/src/front/proxy.h
@@ -101,11 +101,13 @@
     ClientRequest request;
     ClassInfo info;
     admission::Ask ask;
+    Time uploaded = 0;  // when the last byte of a long one came; 0: not yet
   };
 
   // What server and pool report.
   std::optional<Answer> onHead(const RequestHead& head, bool room) override;
   void onRequest(ExchangeId id, ClientRequest request) override;
+  void onUploaded(ExchangeId id, Time received) override;
   void onClientGone(ExchangeId id) override;
   void onAnswer(const Taken& request, Answer answer) override;
   void onDispatched(std::int32_t request_class) override {
@@ -147,8 +149,9 @@
   admission::Ledger ledger_;
   figures::Counts counts_;
   std::unordered_map<ExchangeId, Held> waiting_;
-  Time places_due_ = kNever;   // when the gate is asked again for sure
-  bool places_freed_ = false;  // it will be asked in this turn of the loop
+  std::unordered_map<ExchangeId, Time> uploads_;  // how long each client waits after its last byte
+  Time places_due_ = kNever;                      // when the gate is asked again for sure
+  bool places_freed_ = false;                     // it will be asked in this turn of the loop
   bool listening_ = false, drained_ = false, handing_on_ = false;
   std::uint64_t drains_ = 0;  // so far; tells the steps of an earlier one
   Time drained_since_ = 0;
--- /dev/null
+++ b/src/net/body_pipe.h
@@ -0,0 +1,84 @@
+// A body too long to be held, on its way: one side puts in what comes, the other takes it out.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace quinceline {
+
+// Both sides run on one loop. Whoever puts asks hasRoom() before it reads more, so that no more than a window
+// and one read is held, however long the body is. Callbacks are called from within put(), take() and the
+// like, and may call back; each side sets its own and takes it away before it goes.
+class BodyPipe {
+ public:
+  static constexpr std::size_t kWindow = 32 * 1024;
+  enum class End : std::uint8_t { Open, Whole, Broken };
+
+  // `length`: of the whole body, with what was held before the pipe; nothing: it is not known beforehand.
+  explicit BodyPipe(std::optional<std::uint64_t> length) : length_(length) {}
+  BodyPipe(const BodyPipe&) = delete;
+  BodyPipe& operator=(const BodyPipe&) = delete;
+
+  std::optional<std::uint64_t> length() const { return length_; }
+
+  // ---- who puts ----
+
+  bool hasRoom() const { return held_.size() < kWindow; }
+  void put(std::string_view piece) {
+    if (end_ != End::Open || abandoned_ || piece.empty()) return;
+    held_.append(piece);
+    call(on_more_);
+  }
+  // That was all, or no more will come though there should.
+  void finish() { close(End::Whole); }
+  void breakOff() { close(End::Broken); }
+  // There is room again after there was none.
+  void onRoom(std::function<void()> callback) { on_room_ = std::move(callback); }
+  // Nobody takes it any more.
+  void onAbandoned(std::function<void()> callback) { on_abandoned_ = std::move(callback); }
+  bool abandoned() const { return abandoned_; }
+
+  // ---- who takes ----
+
+  // All that is held; empty: nothing now. A broken body gives what came before it broke.
+  std::string take() {
+    started_ |= !held_.empty();
+    std::string piece = std::exchange(held_, {});
+    if (piece.size() >= kWindow && end_ == End::Open) call(on_room_);
+    return piece;
+  }
+  // What take() has not given out yet comes first.
+  End end() const { return held_.empty() ? end_ : End::Open; }
+  // Something has been taken: it can't be sent once more.
+  bool started() const { return started_; }
+  void onMore(std::function<void()> callback) { on_more_ = std::move(callback); }
+  void giveUp() {
+    if (std::exchange(abandoned_, true) || end_ != End::Open) return;
+    held_ = std::string();
+    call(on_abandoned_);
+  }
+
+ private:
+  // A copy: the callback may set another.
+  static void call(const std::function<void()>& callback) {
+    if (const std::function<void()> copy = callback) copy();
+  }
+  void close(End end) {
+    if (end_ != End::Open) return;
+    end_ = end;
+    call(on_more_);
+  }
+
+  const std::optional<std::uint64_t> length_;
+  std::string held_;
+  End end_ = End::Open;
+  bool started_ = false, abandoned_ = false;
+  std::function<void()> on_more_, on_room_, on_abandoned_;
+};
+
+}  // namespace quinceline
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -6,9 +6,9 @@
 #include <optional>
 #include <string>
 
-#include "platform/settings.h"
 #include "host_list.h"
 #include "operator_settings.h"
+#include "platform/settings.h"
 
 namespace quinceline {
 
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "body_pipe.h"
 #include "http.h"
 
 namespace quinceline {
@@ -14,8 +15,9 @@
 
 struct ClientRequest {
   RequestHead head;
-  std::shared_ptr<const std::string> body;
-  Time received = 0;  // when its last byte came
+  std::shared_ptr<const std::string> body;  // of a long one what came first
+  std::shared_ptr<BodyPipe> rest;           // of a long one; null: `body` is all
+  Time received = 0;                        // when its last byte came; of a long one when it became one
 };
 
 struct Answer {
@@ -23,6 +25,7 @@
   std::string body;
   std::string content_type;
   std::optional<Time> retry_after;
+  std::shared_ptr<BodyPipe> rest{};  // of a long one; null: `body` is all
 };
 
 inline Answer plainAnswer(int status) {
--- a/src/net/host_list.cpp
+++ b/src/net/host_list.cpp
@@ -78,8 +78,8 @@
     const Endpoint& at = list.endpoints[i];
     const std::string address = at.address().to_string();
     json entry = {{"uid", host.id},
-                  {"endpoint", (at.address().is_v6() ? "[" + address + "]" : address) + ":" +
-                                   std::to_string(at.port())},
+                  {"endpoint",
+                   (at.address().is_v6() ? "[" + address + "]" : address) + ":" + std::to_string(at.port())},
                   {"state", host.state == HostState::Healthy    ? "active"
                             : host.state == HostState::Draining ? "leaving"
                                                                 : "left"},
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -59,7 +59,7 @@
 
 RequestParser::RequestParser() {
   header_limit(static_cast<std::uint32_t>(kMostHead));
-  body_limit(kMostBody);
+  body_limit(kMostLong);
 }
 
 void RequestParser::on_request_impl(http::verb, Text method, Text target, int version,
@@ -82,6 +82,8 @@
 
 void RequestParser::on_field_impl(http::field name, Text name_text, Text value,
                                   boost::beast::error_code& ec) {
+  // RFC 9110, 6.5.1: a trailer is no part of the head, and nothing of it is needed.
+  if (head_done_) return;
   if (name == http::field::expect) {
     head.expects_continue = iequals(value, "100-continue");
   } else if (name == http::field::connection) {
@@ -119,6 +121,7 @@
 }
 
 void RequestParser::on_header_impl(boost::beast::error_code&) {
+  head_done_ = true;
   for (const std::string& name : hop_names_) {
     std::size_t at = 0;
     while (at < head.forward.size()) {
@@ -158,6 +161,7 @@
 }
 
 void ResponseParser::on_field_impl(http::field name, Text name_text, Text value, boost::beast::error_code&) {
+  if (head_done_) return;
   if (name == http::field::content_type) {
     content_type = view(value);
   } else if (name == http::field::connection) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -21,7 +21,8 @@
 using Text = boost::beast::string_view;
 
 constexpr std::size_t kMostHead = 16 * 1024;
-constexpr std::uint64_t kMostBody = 64 * 1024;  // the protocol's bound, for requests and answers
+constexpr std::uint64_t kMostBody = 64 * 1024;         // held whole, so that it can be sent again
+constexpr std::uint64_t kMostLong = 40 * 1024 * 1024;  // passed on as it comes; more is refused or spoilt
 
 // Seconds with decimals ("0.480") as microseconds; nothing if it is not such a number.
 std::optional<Time> parseSeconds(std::string_view text);
@@ -63,13 +64,14 @@
   void on_finish_impl(boost::beast::error_code&) override {}
   void once(bool& seen);
   bool has_length_ = false, has_correlation_ = false;
+  bool head_done_ = false;              // what follows is a trailer
   std::vector<std::string> hop_names_;  // named by Connection: for this hop only
 };
 
 // A host's or discovery's answer. A host's body is bounded; discovery's goes on and is taken out in pieces.
 class ResponseParser final : public http::basic_parser<false> {
  public:
-  explicit ResponseParser(std::optional<std::uint64_t> most_body = kMostBody);
+  explicit ResponseParser(std::optional<std::uint64_t> most_body = kMostLong);
   int status = 0;
   bool unprocessed = false;  // X-Unprocessed: 1
   bool says_close = false;   // Connection: close
@@ -78,10 +80,11 @@
   std::string body;  // what came since it was last taken out
 
  private:
+  bool head_done_ = false;
   void on_request_impl(http::verb, Text, Text, int, boost::beast::error_code&) override {}
   void on_response_impl(int code, Text, int, boost::beast::error_code&) override { status = code; }
   void on_field_impl(http::field name, Text name_text, Text value, boost::beast::error_code&) override;
-  void on_header_impl(boost::beast::error_code&) override {}
+  void on_header_impl(boost::beast::error_code&) override { head_done_ = true; }
   void on_body_init_impl(const boost::optional<std::uint64_t>& length, boost::beast::error_code&) override;
   std::size_t on_body_impl(Text part, boost::beast::error_code&) override;
   void on_chunk_header_impl(std::uint64_t, Text, boost::beast::error_code&) override {}
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -15,6 +15,8 @@
 #include <string>
 #include <utility>
 
+#include "admission/upload_clock.h"
+
 namespace quinceline {
 namespace {
 
@@ -24,6 +26,8 @@
 constexpr std::size_t kReadAhead = 4 * 1024;  // of a next request that comes before the answer
 constexpr std::size_t kBodyRead = 32 * 1024;  // at a time
 constexpr std::size_t kHeadRead = 1024;
+constexpr int kLongSendBuffer = 128 * 1024;       // a slow client is heard of before megabytes wait for it
+constexpr Time kHostMayRest = 10 * kSecond;       // between pieces of a long answer: the host's side ends it
 constexpr Time kSweep = 100 * kMillisecond;       // how often connections are looked at for what is overdue
 constexpr Time kAcceptAgain = 20 * kMillisecond;  // after the system or the budget had no descriptor
 constexpr int kAcceptBatch = 64;                  // connections taken before others have their turn
@@ -106,6 +110,10 @@
 
   void answer(Answer answer) {
     resting_ = false;
+    if (std::exchange(uploading_, false)) {
+      close_ = true;  // the rest of what it sends is not wanted
+      pipe_->breakOff();
+    }
     const Cause verdict = server_.gate_.onAnswer(server_.now(), id_, in_.size() > 0);
     if (verdict != Cause::None) close_ = true;
     cause_ = verdict;
@@ -115,9 +123,17 @@
       out_ += formatSeconds(*answer.retry_after);
       out_ += "\r\n";
     }
-    out_ += "Content-Length: ";
-    appendNumber(out_, answer.body.size());
-    out_ += "\r\n";
+    rest_ = std::move(answer.rest);
+    chunked_ = rest_ && !rest_->length() && !old_version_;
+    if (chunked_) {
+      out_ += "Transfer-Encoding: chunked\r\n";
+    } else if (!rest_ || rest_->length()) {
+      out_ += "Content-Length: ";
+      appendNumber(out_, rest_ ? *rest_->length() : answer.body.size());
+      out_ += "\r\n";
+    } else {
+      close_ = true;  // HTTP/1.0: its end is the connection's
+    }
     if (server_.draining_) close_ = true, cause_ = Cause::Shutdown;
     if (close_) {
       out_ += "Connection: close\r\n";
@@ -125,17 +141,57 @@
       out_ += "Connection: keep-alive\r\n";
     }
     out_ += "\r\n";
+    if (rest_) {
+      error_code ignored;
+      socket_.set_option(asio::socket_base::send_buffer_size(kLongSendBuffer), ignored);
+      rest_->onMore([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) self->passOn();
+      });
+    }
+    if (chunked_) {
+      appendNumber(out_, answer.body.size(), 16);
+      out_ += "\r\n";
+    }
     out_ += answer.body;
     server_.exchanges_.erase(exchange_);
     parser_.reset();  // with the body of a request that is refused
     share_.reset();
+    pipe_.reset();
     state_ = State::Answering;
     write();
   }
 
+  // Its answer waits for the host, or the host's next piece is here.
+  void passOn() {
+    if (state_ != State::Answering || writing_ || !rest_) return;
+    const std::string piece = rest_->take();
+    const BodyPipe::End end = rest_->end();
+    if (!piece.empty()) {
+      if (chunked_) {
+        out_ += "\r\n";
+        appendNumber(out_, piece.size(), 16);
+        out_ += "\r\n";
+      }
+      out_ += piece;
+    } else if (end == BodyPipe::End::Broken) {
+      return close();
+    }
+    if (end == BodyPipe::End::Whole) {
+      if (chunked_) out_ += "\r\n0\r\n\r\n";
+      rest_.reset();
+    }
+    if (out_.empty() && rest_) return server_.gate_.extend(id_, server_.now() + kHostMayRest);
+    // Each piece has the time that a whole answer has: whoever takes nothing at all loses it.
+    server_.gate_.extend(id_, server_.now() + server_.limits_.connections.write);
+    if (out_.empty()) return onAnswered();
+    write();
+  }
+
   void bodyMayGrow() {
-    if (!std::exchange(waits_for_room_, false)) return;
-    if (state_ == State::Reading) readOn();
+    if (!std::exchange(waits_for_room_, false) || state_ != State::Reading) return;
+    clock_->resume(server_.now());
+    server_.gate_.extend(id_, clock_->due());
+    readOn();
   }
 
   // The limits of time. None is renewed by a byte more or less: whoever trickles gets no longer than whoever
@@ -144,6 +200,8 @@
     if (resting_ && inputWaits())
       return server_.gate_.notYet(server_.now(), id_);  // its reading is under way
     if (resting_ || state_ != State::Reading) return close(cause);
+    abandonUpload();
+    if (state_ == State::Closed) return;
     refuse(waits_for_room_ ? 503 : 408);
     cause_ = waits_for_room_ ? Cause::BodyMemory : cause;
   }
@@ -162,7 +220,13 @@
     state_ = State::Closed;
     ended();
     share_.reset();
+    if (pipe_) std::exchange(pipe_, nullptr)->breakOff();
     error_code ignored;
+    if (rest_) {
+      // Nothing that could pass for a whole answer.
+      socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+      std::exchange(rest_, nullptr)->giveUp();
+    }
     socket_.close(ignored);
     server_.remove(id_, cause);  // the last thing: it may destroy this
   }
@@ -179,6 +243,7 @@
     state_ = State::Reading;
     head_seen_ = false;
     exchange_ = 0;
+    clock_.reset();
     share_.reset();
     if (in_.size() > 0) {
       begin();
@@ -218,6 +283,10 @@
     in_.commit(n);
     if (state_ == State::Reading) {
       if (resting_) begin();
+      if (clock_) {
+        clock_->onBytes(server_.now(), n);
+        server_.gate_.extend(id_, clock_->due());
+      }
       return parse();
     }
     // A further request before this one's answer: it waits, and so do we beyond a bound.
@@ -242,10 +311,20 @@
         if (ec != asio::error::eof) close();
         return;
       default:
+        abandonUpload();
         return close();
     }
   }
 
+  // What was begun to be passed on will never be whole.
+  void abandonUpload() {
+    if (!std::exchange(uploading_, false)) return;
+    const ExchangeId exchange = exchange_;
+    server_.exchanges_.erase(exchange);
+    std::exchange(pipe_, nullptr)->breakOff();
+    server_.sink_.onClientGone(exchange);
+  }
+
   void parse() {
     error_code ec;
     while (!parser_->is_done()) {
@@ -256,10 +335,17 @@
         if (in_.size() <= kMostHead) return readOn();
         ec = http::error::buffer_overflow;
       }
-      if (ec) return refuse(statusOf(ec));
+      if (ec) {
+        abandonUpload();
+        return refuse(statusOf(ec));
+      }
       if (parser_->is_header_done() && !head_seen_ && !acceptHead()) return;
+      if (!uploading_ && parser_->body.size() > kMostBody) beginLong();
+      if (state_ != State::Reading) return;  // answered already
+      if (uploading_) pipe_->put(std::exchange(parser_->body, {}));
+      if (state_ != State::Reading) return;
     }
-    complete();
+    uploading_ ? completeLong() : complete();
   }
 
   // False: the request was answered by its head alone.
@@ -273,6 +359,8 @@
       return false;
     }
     if (parser_->is_done()) return true;
+    clock_.emplace(server_.now());
+    server_.gate_.extend(id_, clock_->due());
     share_ = std::make_shared<BodyShare>(server_.bodies_, [weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->bodyMayGrow();
     });
@@ -285,14 +373,60 @@
   }
 
   void readOn() {
+    if (uploading_ && !pipe_->hasRoom()) {
+      clock_->pause(server_.now());  // the host's side is slow: not the client's fault
+      server_.gate_.extend(id_, 0);
+      return;
+    }
     if (share_ && !share_->mayGrow(parser_->body.size())) {
       waits_for_room_ = true;  // backpressure: the kernel's buffer fills, then the client's
+      clock_->pause(server_.now());
+      server_.gate_.extend(id_, server_.now() + server_.limits_.connections.request);
       return;
     }
     armRead();
   }
 
-  void complete() {
+  // The host's side has taken what waited for it.
+  void uploadMayGoOn() {
+    if (!uploading_ || state_ != State::Reading) return;
+    clock_->resume(server_.now());
+    server_.gate_.extend(id_, clock_->due());
+    armRead();
+  }
+
+  // More than is held: from here on it is passed on as it comes.
+  void beginLong() {
+    const auto length = parser_->content_length();
+    pipe_ = std::make_shared<BodyPipe>(length ? std::optional<std::uint64_t>(*length) : std::nullopt);
+    pipe_->onRoom([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->uploadMayGoOn();
+    });
+    uploading_ = true;
+    ClientRequest request = takeRequest();
+    request.rest = pipe_;
+    exchange_ = server_.next_exchange_++;
+    server_.exchanges_.emplace(exchange_, this);
+    server_.sink_.onRequest(exchange_, std::move(request));
+  }
+
+  void completeLong() {
+    uploading_ = false;
+    clock_.reset();
+    state_ = State::Waiting;
+    taken_ = true;
+    ++server_.open_requests_;
+    server_.gate_.onRequest(id_);
+    const Time received = server_.now() - ageOfInput(socket_.native_handle());
+    const ExchangeId exchange = exchange_;
+    parser_.reset();
+    armRead();
+    const auto pipe = pipe_;
+    pipe->finish();
+    if (state_ == State::Waiting) server_.sink_.onUploaded(exchange, received);
+  }
+
+  ClientRequest takeRequest() {
     ClientRequest request;
     request.received = server_.now() - ageOfInput(socket_.native_handle());
     request.head = std::move(parser_->head);
@@ -305,7 +439,14 @@
       auto held = std::make_shared<Held>(Held{std::move(share_), std::move(parser_->body)});
       request.body = std::shared_ptr<const std::string>(held, &held->bytes);
       share_.reset();
+      parser_->body = std::string();
     }
+    return request;
+  }
+
+  void complete() {
+    ClientRequest request = takeRequest();
+    clock_.reset();
     state_ = State::Waiting;
     taken_ = true;
     ++server_.open_requests_;
@@ -325,15 +466,22 @@
   // ---- writing ----
 
   void write() {
+    writing_ = true;
     asio::async_write(socket_, asio::buffer(out_),
                       [self = shared_from_this()](error_code ec, std::size_t) { self->onWritten(ec); });
   }
 
   void onWritten(error_code ec) {
     if (state_ == State::Closed) return;
+    writing_ = false;
     out_ = std::string();
-    ended();
     if (ec) return close();
+    if (rest_) return passOn();
+    onAnswered();
+  }
+
+  void onAnswered() {
+    ended();
     if (close_) return linger();
     resting_ = true;
     server_.gate_.onRest(server_.now(), id_);
@@ -369,13 +517,18 @@
   Cause cause_ = Cause::None;  // of its end, where that was decided here
   bool resting_ = true;        // no request is open here
   ReadBuffer in_;
-  std::unique_ptr<RequestParser> parser_;  // only while a request comes: it is large
-  std::shared_ptr<BodyShare> share_;       // of the body that is being read
-  std::string out_;                        // the answer
+  std::unique_ptr<RequestParser> parser_;        // only while a request comes: it is large
+  std::shared_ptr<BodyShare> share_;             // of the body that is being read
+  std::string out_;                              // the answer
+  std::shared_ptr<BodyPipe> pipe_;               // of the long body that is being read
+  std::shared_ptr<BodyPipe> rest_;               // of the long answer that is being written
+  std::optional<admission::UploadClock> clock_;  // of the body that is being read
   ExchangeId exchange_ = 0;
   bool head_seen_ = false;
   bool taken_ = false;  // its request is whole and has not ended
   bool old_version_ = false, close_ = false;
+  bool uploading_ = false;  // a long body: its request is with the sink already
+  bool writing_ = false, chunked_ = false;
   bool reading_ = false, waits_for_room_ = false;
 };
 
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -30,8 +30,10 @@
   // A request's head has come; `room`: its connection is within the bound. Something to refuse it with,
   // before its body is read; nothing: go on.
   virtual std::optional<Answer> onHead(const RequestHead& head, bool room) = 0;
-  // A whole request; it wants one answer.
+  // A whole request, or the beginning of a long one; it wants one answer.
   virtual void onRequest(ExchangeId id, ClientRequest request) = 0;
+  // A long request's last byte has come.
+  virtual void onUploaded(ExchangeId id, Time received) = 0;
   // The client has gone before its answer was complete. Nothing is owed any more.
   virtual void onClientGone(ExchangeId id) = 0;
 };
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
+#include <cstdio>
 #include <utility>
 
 namespace quinceline {
@@ -16,7 +17,9 @@
 using boost::system::error_code;
 using weldflow::Result;
 
-constexpr std::size_t kRead = 4 * 1024;
+constexpr std::size_t kRead = 4 * 1024, kLongRead = 16 * 1024;
+constexpr Time kLook = 250 * kMillisecond;  // between two looks whether a long body moves
+constexpr double kLeastPace = 32 * 1024;    // bytes a second, of an answer that is held
 constexpr Time kSweep = 500 * kMillisecond;
 constexpr double kReuseWeight = 0.1;       // the last ten or so uses of kept connections count
 constexpr double kMostBrokenReuse = 0.04;  // one break among them: about nine good ones are needed again
@@ -78,11 +81,15 @@
   void begin(AttemptRequest request) {
     request_ = std::move(request);
     busy_ = true;
+    up_.countBusy(uid_, true);
     ++turn_;
     started_ = up_.timers_.clock().now();
     sent_ = 0;
     answer_begun_ = interims_ = 0;
+    come_ = 0;
+    rest_done_ = waits_for_client_ = false;
     parser_.emplace();
+    if (request_.rest) watchLong();
     connected_ ? write() : connect();
   }
 
@@ -116,7 +123,7 @@
 
   std::size_t total() const { return request_.head.size() + (request_.body ? request_.body->size() : 0); }
   // All of the request is with the kernel: from here on it may run.
-  bool written() const { return sent_ == total(); }
+  bool written() const { return sent_ == total() && (!request_.rest || rest_done_); }
 
   std::array<asio::const_buffer, 2> unsent() const {
     const asio::const_buffer head = asio::buffer(request_.head);
@@ -127,8 +134,12 @@
   // The kernel is handed the bytes here and not by a composed operation, whose count comes with its handler:
   // a break that is noticed between the two would pass a request that may run for one that never can.
   void write() {
+    if (written()) return;
     error_code ec;
-    while (!ec && !written()) sent_ += socket_.write_some(unsent(), ec);
+    do {
+      while (!ec && sent_ < total()) sent_ += socket_.write_some(unsent(), ec);
+    } while (!ec && request_.rest && !rest_done_ && refill());
+    moved_ = up_.timers_.clock().now();
     if (written() && attempt_ != 0) up_.sink_.onAttemptWritten(attempt_);
     if (ec == asio::error::would_block) {
       socket_.async_wait(Socket::wait_write, [self = shared_from_this(), turn = turn_](error_code e) {
@@ -139,6 +150,57 @@
     armRead();
   }
 
+  // The next piece of a long body. False: there is none now.
+  bool refill() {
+    BodyPipe& rest = *request_.rest;
+    const std::string piece = rest.take();
+    waits_for_client_ = piece.empty() && rest.end() == BodyPipe::End::Open;
+    if (waits_for_client_) {
+      rest.onMore([weak = weak_from_this(), turn = turn_] {
+        const auto self = weak.lock();
+        if (self && self->busy_ && self->turn_ == turn && self->waits_for_client_) self->write();
+      });
+      return false;
+    }
+    if (rest.end() == BodyPipe::End::Broken) {
+      later(Result::CutShort);  // its client has gone: the host never gets all of it
+      return false;
+    }
+    const bool chunked = !rest.length();
+    request_.body.reset();
+    request_.head.clear();
+    sent_ = 0;
+    if (!piece.empty()) {
+      if (chunked) {
+        std::array<char, 24> size;
+        const int n = std::snprintf(size.data(), size.size(), "\r\n%zx\r\n", piece.size());
+        request_.head.append(size.data(), static_cast<std::size_t>(n));
+      }
+      request_.head += piece;
+    }
+    rest_done_ = rest.end() == BodyPipe::End::Whole;
+    if (rest_done_ && chunked) request_.head += "\r\n0\r\n\r\n";
+    return true;
+  }
+
+  // A long body must move, unless it is the client that does not: it may neither send nor take.
+  void watchLong() {
+    moved_ = up_.timers_.clock().now();
+    lookAfterLong();
+  }
+  void lookAfterLong() {
+    up_.timers_.after(kLook, [weak = weak_from_this(), turn = turn_] {
+      const auto self = weak.lock();
+      if (!self || !self->busy_ || self->turn_ != turn) return;
+      const Time now = self->up_.timers_.clock().now();
+      const bool sending = self->request_.rest && !self->written();
+      if (!sending && !self->stream_) return;  // others look after the answer
+      if (!self->connected_ || self->waits_for_client_) self->moved_ = now;
+      if (now - self->moved_ > self->up_.limits_.long_still) return self->broken();
+      self->lookAfterLong();
+    });
+  }
+
   // ---- reading ----
 
   void armRead() {
@@ -153,10 +215,12 @@
     if (closed_) return;
     if (!busy_) return close();  // idle: the host has closed it, or says something that nobody asked
     if (ec) return broken();
-    const std::size_t n = socket_.read_some(in_.space(kRead), ec);
+    const std::size_t n = socket_.read_some(in_.space(stream_ ? kLongRead : kRead), ec);
     if (ec == asio::error::would_block) return armRead();
     if (ec) return onReadEnd(ec);
     in_.commit(n);
+    come_ += n;
+    moved_ = up_.timers_.clock().now();
     if (answer_begun_ == 0) watchAnswer();
     parse();
   }
@@ -179,17 +243,58 @@
   // KiB.
   void spoilt() { end(written() ? Result::Spoilt : Result::CutShort); }
 
-  // An answer that has begun must come to its end. The clock is not renewed by further bytes, so that an
-  // endless trickle is no way round it. Guards against lengths that promise more than comes; it would harm
-  // hosts that write an answer while they work on it.
+  // An answer that has begun must come to its end: it may not stand still, nor come slower than a least pace,
+  // so that an endless trickle is no way round it. Guards against lengths that promise more than comes; it
+  // would harm hosts that write an answer while they work on it.
   void watchAnswer() {
-    answer_begun_ = up_.timers_.clock().now();
-    up_.timers_.after(up_.limits_.answer_whole, [weak = weak_from_this(), turn = turn_] {
+    answer_begun_ = moved_;
+    lookAfterAnswer();
+  }
+  void lookAfterAnswer() {
+    const Time still = up_.limits_.answer_whole;
+    const auto earned = static_cast<Time>(static_cast<double>(come_) / kLeastPace * 1e6);
+    const Time due = std::min(moved_ + still, answer_begun_ + still + earned);
+    up_.timers_.at(due, [weak = weak_from_this(), turn = turn_, due] {
       const auto self = weak.lock();
-      if (self && self->busy_ && self->turn_ == turn) self->spoilt();
+      if (!self || !self->busy_ || self->turn_ != turn || self->stream_) return;
+      const Time late = self->up_.timers_.clock().now();
+      const Time limit = self->up_.limits_.answer_whole;
+      const auto allowed = static_cast<Time>(static_cast<double>(self->come_) / kLeastPace * 1e6);
+      if (late >= std::min(self->moved_ + limit, self->answer_begun_ + limit + allowed))
+        return self->spoilt();
+      self->lookAfterAnswer();
     });
   }
 
+  // More than is held, or the head says that there will be: it belongs to the client from here on.
+  bool becomesLong() const {
+    if (stream_ || probe_ || parser_->status != 200 || parser_->body.empty()) return false;
+    const auto length = parser_->content_length();
+    return parser_->body.size() > kMostBody || (length && *length > kMostBody);
+  }
+
+  void beginLong() {
+    const auto length = parser_->content_length();
+    stream_ = std::make_shared<BodyPipe>(length ? std::optional<std::uint64_t>(*length) : std::nullopt);
+    const auto guarded = [this](void (Connection::*then)()) {
+      return [weak = weak_from_this(), turn = turn_, then] {
+        const auto self = weak.lock();
+        if (self && self->busy_ && self->turn_ == turn) (self.get()->*then)();
+      };
+    };
+    stream_->onRoom(guarded(&Connection::readOn));
+    stream_->onAbandoned(guarded(&Connection::abandoned));
+    watchLong();
+    up_.sink_.onAttemptAnswers(attempt_,
+                               {std::exchange(parser_->body, {}), std::move(parser_->content_type), stream_});
+  }
+  void abandoned() { later(Result::Cancelled); }
+
+  void readOn() {
+    waits_for_client_ = stream_ && !stream_->hasRoom();
+    if (!waits_for_client_) armRead();
+  }
+
   // So far as it has come, what a head of HTTP/1 begins with: noise need not hold a line's end.
   bool beginsLikeAnswer() const {
     static constexpr std::string_view kBegin = "HTTP/1.";
@@ -215,8 +320,18 @@
       }
       parser_->eager(true);
     }
+    if (parser_->is_header_done() && parser_->body.size() > kMostBody) {
+      if (parser_->status != 200) return end(resultOf());  // why it failed does not matter that much
+      if (probe_ || !written()) return spoilt();
+    }
+    if (parser_->is_header_done() && written() && becomesLong()) {
+      const std::uint64_t turn = turn_;
+      beginLong();
+      if (!busy_ || turn_ != turn) return;
+    }
+    if (stream_) stream_->put(std::exchange(parser_->body, {}));
     if (parser_->is_done()) return complete();
-    armRead();
+    readOn();
   }
 
   void complete() {
@@ -228,7 +343,7 @@
   Result resultOf() const {
     if (parser_->status == 200) return Result::Ok;
     if ((parser_->status == 503 || parser_->status == 504) && parser_->unprocessed) return Result::Rejected;
-    if (!written()) return Result::CutShort;  // the host cannot have the last byte
+    if (!written()) return Result::CutShort;                            // the host cannot have the last byte
     const bool own = parser_->status == 408 || parser_->status == 429;  // about the host, not the request
     return parser_->status / 100 == 4 && !own ? Result::BadRequest : Result::Error;
   }
@@ -237,9 +352,14 @@
   void end(Result result) {
     if (!busy_) return;
     busy_ = false;
+    up_.countBusy(uid_, false);
     AttemptEnd report;
     report.result = result;
+    report.begun = answer_begun_;
     const bool whole = parser_->is_done() && result != Result::Spoilt;
+    if (const auto stream = std::exchange(stream_, nullptr)) {
+      whole&& result == Result::Ok ? stream->finish() : stream->breakOff();
+    }
     // Bytes behind a good answer take nothing from it, but the connection is out of step.
     const bool reusable = whole && written() && parser_->keep_alive() && in_.size() == 0;
     if (whole) {
@@ -285,11 +405,16 @@
   ReadBuffer in_;
   std::optional<ResponseParser> parser_;
   AttemptRequest request_;
-  std::size_t sent_ = 0;  // bytes of the request that the kernel has taken
+  std::shared_ptr<BodyPipe> stream_;  // of a long answer that is coming
+  std::size_t sent_ = 0;    // bytes of the request, of a long one of this piece, that the kernel has taken
+  std::uint64_t come_ = 0;  // bytes of the answer
+  Time moved_ = 0;          // when a byte went or came last
   AttemptId attempt_ = 0;
   std::uint64_t turn_ = 0;  // attempts and probes so far: tells late callbacks of earlier ones
   Time started_ = 0, answer_begun_ = 0, idle_since_ = 0;
   int interims_ = 0;
+  bool rest_done_ = false;         // the last piece of a long request is in request_
+  bool waits_for_client_ = false;  // to send more of its request, or to take more of its answer
   bool connected_ = false, busy_ = false, probe_ = false, closed_ = false, reading_ = false;
 };
 
@@ -394,7 +519,8 @@
 void Upstream::keep(Connection& connection) {
   const auto it = pools_.find(connection.uid());
   // The host has moved or gone meanwhile.
-  if (!keeps_ || it == pools_.end() || it->second.endpoint != connection.endpoint()) return connection.close();
+  if (!keeps_ || it == pools_.end() || it->second.endpoint != connection.endpoint())
+    return connection.close();
   it->second.idle.push_back(&connection);
 }
 
@@ -424,10 +550,17 @@
   return true;
 }
 
+void Upstream::countBusy(const std::string& uid, bool busy) {
+  const auto it = pools_.find(uid);
+  if (it != pools_.end()) busy ? it->second.need.onBusy() : it->second.need.onIdle();
+}
+
 void Upstream::sweep() {
   const Time limit = timers_.clock().now() - idleLimit();
   for (auto& [uid, pool] : pools_) {
     while (!pool.idle.empty() && pool.idle.front()->idleSince() < limit) pool.idle.front()->close();
+    pool.need.tick();
+    while (pool.idle.size() > pool.need.worthKeeping()) pool.idle.front()->close();
   }
   timers_.after(kSweep, [this] { sweep(); });
 }
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -12,9 +12,11 @@
 #include <unordered_map>
 #include <vector>
 
+#include "body_pipe.h"
 #include "descriptors.h"
 #include "host_list.h"
 #include "http.h"
+#include "idle_need.h"
 #include "timers.h"
 
 namespace quinceline {
@@ -24,7 +26,9 @@
 struct AttemptRequest {
   std::string head;                         // complete, with the empty line
   std::shared_ptr<const std::string> body;  // may be null
-  bool unrepeatable = false;                // once it may have run, that was its only chance
+  std::shared_ptr<BodyPipe> rest;  // what follows `body`; where its length is not known the head says chunked
+                                   // and ends with the size line of `body` as a chunk (RFC 9112, 7.1)
+  bool unrepeatable = false;       // once it may have run, that was its only chance
 };
 
 struct AttemptEnd {
@@ -32,6 +36,14 @@
   std::string body;  // of an Ok
   std::string content_type;
   std::string load;  // the host's report of its load, if one came
+  Time begun = 0;    // when the first byte of an answer came; 0: none has
+};
+
+// An answer too long to be held has begun: what has come, and where the rest will come.
+struct LongAnswer {
+  std::string body;  // not empty
+  std::string content_type;
+  std::shared_ptr<BodyPipe> rest;
 };
 
 // What upstream tells. Reports may come from within start(); calls back into upstream are allowed from each.
@@ -41,6 +53,9 @@
   virtual void onAttemptEnd(AttemptId id, AttemptEnd end) = 0;
   // Its last byte is with the kernel: the host may have it whole. Once at most, before its end.
   virtual void onAttemptWritten(AttemptId id) = 0;
+  // It is served, by a long answer. Once at most; its end follows when all has come, or broke off, or when
+  // nobody takes it any more.
+  virtual void onAttemptAnswers(AttemptId id, LongAnswer answer) = 0;
   virtual void onProbeEnd(const std::string& uid, bool ok, Time latency, const std::string& load) = 0;
 };
 
@@ -50,7 +65,8 @@
     Time connect_timeout = 250 * kMillisecond;
     Time idle = 10 * kSecond;  // when hosts close idle connections
     Time probe_timeout = 500 * kMillisecond;
-    Time answer_whole = 250 * kMillisecond;  // from an answer's first byte to its last
+    Time answer_whole = 250 * kMillisecond;  // an answer may stand still for, on its way
+    Time long_still = 4 * kSecond;           // the same for a long one, and for a long request on its way
     bool probe_load = false;                 // hosts report their load to probes
   };
 
@@ -85,7 +101,8 @@
   struct Pool {
     Endpoint endpoint;
     std::vector<Connection*> idle;  // the most recently used last
-    double broken_reuse = 0;        // part of the uses of kept connections that broke without an answer
+    IdleNeed need;
+    double broken_reuse = 0;  // part of the uses of kept connections that broke without an answer
   };
   struct NameHash {
     using is_transparent = void;
@@ -98,6 +115,7 @@
   void keep(Connection& connection);
   void forget(Connection& connection);  // no longer idle
   void closeIdle(Pool& pool);
+  void countBusy(const std::string& uid, bool busy);
   void sweep();
   Time idleLimit() const;
 
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -1,7 +1,9 @@
 #include "pool.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
+#include <cstdio>
 #include <utility>
 
 #include "net/head_rules.h"
@@ -173,10 +175,12 @@
   told.tenant = taken.tenant;
   told.key = keyOf(pathOf(taken.request.head.target));
   if (const auto hint = parseSeconds(taken.request.head.weight_hint)) told.expected_work = *hint / kSecond;
+  // How long a long one will be on its way nobody knows; the module need not wait for it.
+  const Time most = taken.request.rest ? taken.patience : deadline;
   open_[id].taken = std::move(taken);
   timers_.at(deadline, [this, id] { onDeadline(id); });
-  tell([this, told, deadline](Time now) mutable {
-    told.time_left = deadline - now;
+  tell([this, told, deadline, most](Time now) mutable {
+    told.time_left = std::min(deadline - now, most);
     balancer_.onRequest(now, told, actions_);
   });
 }
@@ -189,14 +193,37 @@
   const Time left = r.taken.deadline - now;
   const Time limit = action.time > 0 ? std::min(action.time, left) : left;
   const auto attempt = static_cast<std::int32_t>(r.attempts.size());
-  r.attempts.push_back({.sent = now, .over = false});
+  r.attempts.push_back({.sent = now, .limit = limit});
   ++r.outstanding;
   const AttemptId id = attemptId(action.request, attempt);
-  const bool may_go = !r.answered && limit > 0 && action.time >= 0 && r.attempts.size() < kMostAttempts;
+  // What has been taken out of a long body is not there any more.
+  const bool whole = !r.taken.request.rest || !r.taken.request.rest->started();
+  const bool may_go =
+      whole && !r.answered && limit > 0 && action.time >= 0 && r.attempts.size() < kMostAttempts;
   if (!may_go) return onAttemptEnd(id, {});
-  timers_.at(now + limit, [this, request = action.request, attempt] { onAttemptTimeout(request, attempt); });
+  expectEnd(action.request, r, attempt);
   upstream_.start(id, action.server,
-                  {headFor(r, limit), r.taken.request.body, r.taken.effect == weldflow::Effect::Unsafe});
+                  {headFor(r, limit), r.taken.request.body, r.taken.request.rest,
+                   r.taken.effect == weldflow::Effect::Unsafe});
+}
+
+// A host begins when it has the last byte: until a long request's has come, no time runs for its attempts.
+void Pool::expectEnd(RequestId id, const Open& r, std::int32_t attempt) {
+  if (r.taken.request.rest && r.uploaded == 0) return;
+  const Attempt& a = r.attempts[static_cast<std::size_t>(attempt)];
+  timers_.at(std::max(a.sent, r.uploaded) + a.limit, [this, id, attempt] { onAttemptTimeout(id, attempt); });
+}
+
+void Pool::uploaded(ExchangeId id, Time received, Time deadline) {
+  const auto it = open_.find(id);
+  if (it == open_.end()) return;
+  Open& r = it->second;
+  r.uploaded = received;
+  r.taken.deadline = deadline;
+  timers_.at(deadline, [this, id] { onDeadline(id); });
+  for (std::size_t a = 0; a < r.attempts.size(); ++a) {
+    if (!r.attempts[a].over) expectEnd(id, r, static_cast<std::int32_t>(a));
+  }
 }
 
 std::string Pool::headFor(const Open& r, Time time_left) const {
@@ -212,7 +239,18 @@
   head += "X-Time-Left: ";
   head += formatSeconds(time_left);
   head += "\r\n";
-  if (from.method != "GET" || r.taken.request.body) {
+  const std::shared_ptr<BodyPipe>& rest = r.taken.request.rest;
+  if (rest && !rest->length()) {
+    std::array<char, 24> size;
+    const int n = std::snprintf(size.data(), size.size(), "%zx\r\n", r.taken.request.body->size());
+    head += "Transfer-Encoding: chunked\r\n\r\n";
+    return head.append(size.data(), static_cast<std::size_t>(n));
+  }
+  if (rest) {
+    head += "Content-Length: ";
+    head += std::to_string(*rest->length());
+    head += "\r\n";
+  } else if (from.method != "GET" || r.taken.request.body) {
     head += "Content-Length: ";
     head += std::to_string(r.taken.request.body ? r.taken.request.body->size() : 0);
     head += "\r\n";
@@ -239,7 +277,10 @@
 
 void Pool::onAttemptTimeout(RequestId id, std::int32_t attempt) {
   const auto it = open_.find(id);
-  if (it == open_.end() || it->second.attempts[static_cast<std::size_t>(attempt)].over) return;
+  if (it == open_.end()) return;
+  // A long answer that has begun is timed by its first byte.
+  const Attempt& a = it->second.attempts[static_cast<std::size_t>(attempt)];
+  if (a.over || a.answered != 0) return;
   upstream_.giveUp(attemptId(id, attempt), Result::TimedOut);
 }
 
@@ -292,7 +333,10 @@
   told.attempt = attempt;
   told.result = end.result;
   told.final = r.answered;
-  told.latency = now - a.sent;
+  // A host's own time: not that of a client that sends or takes a long body.
+  // Nor that of an answer that is written in pieces.
+  const Time begun = a.answered != 0 ? a.answered : end.begun != 0 ? end.begun : now;
+  told.latency = std::max<Time>(begun - std::max(a.sent, r.uploaded), 0);
   told.load = parseLoad(end.load);
   balancer_.onOutcome(now, told, actions_);
   closeIfOver(id);
@@ -303,6 +347,24 @@
   if (it != open_.end()) sink_.onDispatched(it->second.taken.request_class);
 }
 
+void Pool::onAttemptAnswers(AttemptId id, LongAnswer answer) {
+  tell([this, id, answer = std::move(answer)](Time now) mutable {
+    const RequestId request = id / kMostAttempts;
+    const auto attempt = static_cast<std::int32_t>(id % kMostAttempts);
+    const auto it = open_.find(request);
+    if (it == open_.end() || it->second.answered) return answer.rest->giveUp();
+    Open& r = it->second;
+    r.answered = true;
+    r.attempts[static_cast<std::size_t>(attempt)].answered = now;
+    balancer_.onStreaming(now, request, attempt, actions_);
+    Answer begun = plainAnswer(200);
+    begun.body = std::move(answer.body);
+    begun.content_type = std::move(answer.content_type);
+    begun.rest = std::move(answer.rest);
+    sink_.onAnswer(r.taken, std::move(begun));
+  });
+}
+
 void Pool::onProbeEnd(const std::string& uid, bool ok, Time latency, const std::string& load) {
   tell([this, uid, ok, latency, report = parseLoad(load)](Time now) {
     balancer_.onProbe(now, uid, ok, latency, report, actions_);
--- a/src/pools/pool.h
+++ b/src/pools/pool.h
@@ -28,6 +28,7 @@
   std::int32_t request_class = 0, tenant = weldflow::kUnset;  // the module's numbers
   weldflow::Effect effect = weldflow::Effect::Unsafe;
   Time deadline = 0;
+  Time patience = 0;  // of a long one: how long its client waits after the last byte, at most
 };
 
 // What a pool tells. Calls back into it are allowed from each.
@@ -74,6 +75,8 @@
   void moveDiscovery(const Endpoint& to);
 
   void open(Taken request);
+  // The last byte of a long request came at `received`; its client waits until `deadline`.
+  void uploaded(ExchangeId id, Time received, Time deadline);
   // Its client has gone: no answer is owed. False: none was, it is not here or has been answered.
   bool clientGone(ExchangeId id);
 
@@ -92,12 +95,15 @@
 
   struct Attempt {
     Time sent = 0;
+    Time limit = 0;     // from then, or from a long request's last byte
+    Time answered = 0;  // when its long answer began; 0: it has not
     bool over = false;  // its outcome is known
   };
   struct Open {  // unanswered, or with an attempt out
     Taken taken;
     std::vector<Attempt> attempts;
     std::int32_t outstanding = 0;
+    Time uploaded = 0;       // when the last byte of a long request came; 0: not yet
     bool answered = false;   // the client has its answer, or is gone
     bool timed_out = false;  // an attempt has
   };
@@ -108,6 +114,7 @@
 
   void onAttemptEnd(AttemptId id, AttemptEnd end) override;
   void onAttemptWritten(AttemptId id) override;
+  void onAttemptAnswers(AttemptId id, LongAnswer answer) override;
   void onProbeEnd(const std::string& uid, bool ok, Time latency, const std::string& load) override;
   void onHostList(const HostList& list) override;
   void onDiscoveryLost(const std::string& why) override;
@@ -121,6 +128,7 @@
   void finish(RequestId id, Answer answer);
   void onAttemptTimeout(RequestId id, std::int32_t attempt);
   void onDeadline(RequestId id);
+  void expectEnd(RequestId id, const Open& request, std::int32_t attempt);
   void outcome(Time now, RequestId id, std::int32_t attempt, AttemptEnd end);
   void closeIfOver(RequestId id);
   bool maintain(const std::string& host, bool out_of_use);
--- a/tests/admission_server_test.cpp
+++ b/tests/admission_server_test.cpp
@@ -22,6 +22,7 @@
     held.push_back(id);
     if (!hold) release();
   }
+  void onUploaded(ExchangeId, Time) override {}
   void onClientGone(ExchangeId) override {}
   void release() {
     for (const ExchangeId id : std::exchange(held, {})) {
--- /dev/null
+++ b/tests/long_bodies_test.cpp
@@ -0,0 +1,266 @@
+// Bodies beyond what is held, through the whole proxy: both ways, in pieces, at unlike speeds, broken off.
+#include "proxy_support.h"
+
+namespace quinceline::test {
+namespace {
+
+class LongBodies : public ProxyTest {
+ protected:
+  static constexpr std::size_t kLong = 1024 * 1024 + 13;
+
+  static std::string bytes(std::size_t n) {
+    std::string text(n, 'x');
+    for (std::size_t i = 0; i < n; ++i) text[i] = static_cast<char>('a' + (i * 7 + i / 251) % 26);
+    return text;
+  }
+  static std::string post(const std::string& id, const std::string& framing) {
+    return "POST /swap-charge/7 HTTP/1.1\r\nHost: h\r\nX-Account: acme\r\nX-Correlation-Id: " + id + "\r\n" +
+           framing + "\r\n";
+  }
+  static std::string chunked(const std::string& body, std::size_t piece) {
+    std::string out;
+    for (std::size_t at = 0; at < body.size(); at += piece) {
+      const std::string part = body.substr(at, piece);
+      char size[40];
+      std::snprintf(size, sizeof size, "%zx;ext=\"a b\"\r\n", part.size());
+      out += size + part + "\r\n";
+    }
+    return out + "0\r\nX-Trailer: 1\r\nX-Correlation-Id: other\r\n\r\n";
+  }
+  // The body of a chunked message that is whole; nothing otherwise.
+  static std::optional<std::string> unchunked(const std::string& text) {
+    std::string out;
+    std::size_t at = 0;
+    for (;;) {
+      const std::size_t end = text.find("\r\n", at);
+      if (end == std::string::npos) return std::nullopt;
+      const std::size_t size = std::stoul(text.substr(at, end - at), nullptr, 16);
+      if (text.size() < end + 2 + size + 2) return std::nullopt;
+      if (size == 0) return out;
+      out += text.substr(end + 2, size);
+      at = end + 2 + size + 2;
+    }
+  }
+  static std::string bodyOf(const std::string& message) {
+    const std::size_t end = message.find("\r\n\r\n");
+    return end == std::string::npos ? std::string() : message.substr(end + 4);
+  }
+  void startWithOne() { start(json::array({entry("s-1", host.endpoint())})); }
+  std::shared_ptr<Peer> asked(Host& at) {
+    const bool come = loop.until([&] { return !at.peers.empty() && at.peers.back()->heard("\r\n\r\n"); });
+    return come ? at.peers.back() : nullptr;
+  }
+};
+
+TEST_F(LongBodies, ALongRequestGoesOnUnchangedWhateverItsFraming) {
+  startWithOne();
+  const std::string body = bytes(kLong);
+  const auto whole = client();
+  whole->say(post("a", "Content-Length: " + std::to_string(body.size()) + "\r\n") + body);
+  ASSERT_TRUE(
+      loop.until([&] { return !host.peers.empty() && bodyOf(host.peers[0]->got).size() == body.size(); }));
+  EXPECT_TRUE(host.peers[0]->heard("Content-Length: " + std::to_string(body.size())));
+  EXPECT_EQ(bodyOf(host.peers[0]->got), body);
+  host.peers[0]->say(answerOf("one"));
+  ASSERT_TRUE(loop.until([&] { return whole->heard("one"); }));
+  host.peers[0]->got.clear();
+
+  whole->say(post("b", "Transfer-Encoding: chunked\r\n") + chunked(body, 10'007));
+  ASSERT_TRUE(loop.until([&] { return unchunked(bodyOf(host.peers[0]->got)).has_value(); }));
+  EXPECT_EQ(unchunked(bodyOf(host.peers[0]->got)), body);
+  EXPECT_TRUE(host.peers[0]->heard("X-Correlation-Id: b\r\n"));
+  EXPECT_FALSE(host.peers[0]->heard("other"));
+  host.peers[0]->say(answerOf("two"));
+  ASSERT_TRUE(loop.until([&] { return whole->heard("two"); }));
+  EXPECT_EQ(host.peers.size(), 1U);  // both connections were of use for more
+  EXPECT_FALSE(whole->ended);
+}
+
+TEST_F(LongBodies, ALongAnswerGoesOnUnchangedWhateverItsFraming) {
+  startWithOne();
+  const std::string body = bytes(kLong);
+  const auto c = client();
+  c->say(request("a"));
+  ASSERT_TRUE(asked(host));
+  host.peers[0]->say(answerOf(body));
+  ASSERT_TRUE(loop.until([&] { return bodyOf(c->got).size() == body.size(); }));
+  EXPECT_EQ(bodyOf(c->got), body);
+  EXPECT_TRUE(c->heard("Content-Length: " + std::to_string(body.size())));
+  c->got.clear();
+  host.peers[0]->got.clear();
+
+  c->say(request("b"));
+  ASSERT_TRUE(asked(host));
+  host.peers[0]->say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(body, 70'001));
+  ASSERT_TRUE(loop.until([&] { return unchunked(bodyOf(c->got)).has_value(); }));
+  EXPECT_EQ(unchunked(bodyOf(c->got)), body);
+  EXPECT_EQ(host.peers.size(), 1U);
+  c->got.clear();
+  host.peers[0]->got.clear();
+
+  c->say(request("d"));
+  ASSERT_TRUE(asked(host));
+  host.peers[0]->say("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body);
+  ASSERT_TRUE(loop.until([&] { return host.peers[0]->said == 3; }));
+  host.peers[0]->close();
+  ASSERT_TRUE(loop.until([&] { return unchunked(bodyOf(c->got)).has_value(); }));
+  EXPECT_EQ(unchunked(bodyOf(c->got)), body);
+}
+
+TEST_F(LongBodies, AnOldClientGetsALongAnswerOfUnknownLengthUpToTheConnectionsEnd) {
+  startWithOne();
+  const std::string body = bytes(200'000);
+  const auto c = client();
+  c->say("GET /slot-status/7 HTTP/1.0\r\nHost: h\r\nX-Account: acme\r\nX-Correlation-Id: a\r\n\r\n");
+  ASSERT_TRUE(asked(host));
+  host.peers[0]->say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(body, 50'000));
+  ASSERT_TRUE(loop.until([&] { return c->ended; }));
+  EXPECT_FALSE(c->reset);
+  EXPECT_EQ(bodyOf(c->got), body);
+  EXPECT_FALSE(c->heard("chunked"));
+}
+
+TEST_F(LongBodies, TheFirstBytesOfALongAnswerDoNotWaitForTheRest) {
+  startWithOne();
+  const auto c = client();
+  c->say(request("a"));
+  ASSERT_TRUE(asked(host));
+  host.peers[0]->say("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nfirst");
+  ASSERT_TRUE(loop.until([&] { return c->heard("first"); }));
+  host.peers[0]->say(std::string(99'995, 'x'));
+  ASSERT_TRUE(loop.until([&] { return bodyOf(c->got).size() == 100'000; }));
+}
+
+TEST_F(LongBodies, AnAnswerThatBreaksOffIsNoWholeOneForTheClient) {
+  for (const char* framing : {"Content-Length: 500000\r\n", "Transfer-Encoding: chunked\r\n"}) {
+    if (!proxy) startWithOne();
+    const auto c = client();
+    c->say(request(std::string("a") + framing[0]));
+    ASSERT_TRUE(loop.until(
+        [&] { return !host.peers.empty() && host.peers.back()->heard(std::string("Id: a") + framing[0]); }));
+    const std::string part = bytes(100'000);
+    char size[20];
+    std::snprintf(size, sizeof size, "%zx\r\n", part.size());
+    host.peers.back()->say(std::string("HTTP/1.1 200 OK\r\n") + framing + "\r\n" +
+                           (framing[0] == 'T' ? size + part + "\r\n" : part));
+    ASSERT_TRUE(loop.until([&] { return bodyOf(c->got).size() >= 100'000; }));
+    host.peers.back()->close();
+    ASSERT_TRUE(loop.until([&] { return c->ended; }));
+    EXPECT_LT(bodyOf(c->got).size(), 500'000U);
+    EXPECT_EQ(c->got.find("\r\n0\r\n"), std::string::npos);
+  }
+  EXPECT_EQ(host.peers.size(), 2U) << "never asked again";
+}
+
+TEST_F(LongBodies, AClientThatGoesStopsTheHost) {
+  startWithOne();
+  const auto c = client();
+  c->say(request("a"));
+  ASSERT_TRUE(asked(host));
+  host.peers[0]->say("HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n" + bytes(200'000));
+  ASSERT_TRUE(loop.until([&] { return bodyOf(c->got).size() > 100'000; }));
+  c->close();
+  ASSERT_TRUE(loop.until([&] { return host.peers[0]->ended; }));
+  ASSERT_TRUE(loop.until([&] { return proxy->openRequests() == 0; }));
+
+  const auto half = client();
+  half->say(post("b", "Content-Length: 300000\r\n") + bytes(100'000));
+  ASSERT_TRUE(
+      loop.until([&] { return host.peers.size() == 2 && bodyOf(host.peers[1]->got).size() > 50'000; }));
+  half->close();
+  ASSERT_TRUE(loop.until([&] { return host.peers[1]->ended; }));
+  ASSERT_TRUE(loop.until([&] { return proxy->openRequests() == 0; }));
+}
+
+// Nothing of it can have run, and what has been sent is not held any more.
+TEST_F(LongBodies, AHostThatBreaksOffALongUploadIsNotAskedAgainAndTheRequestIsRefused) {
+  start({entry("s-1", host.endpoint()), entry("s-2", other.endpoint())});
+  const auto c = client();
+  c->say(post("a", "Content-Length: 900000\r\n") + bytes(300'000));
+  ASSERT_TRUE(loop.until([&] {
+    return host.peers.size() + other.peers.size() == 1 &&
+           bodyOf((host.peers.empty() ? other : host).peers[0]->got).size() == 300'000;
+  }));
+  (host.peers.empty() ? other : host).peers[0]->close();
+  ASSERT_TRUE(loop.until([&] { return c->ended; }));
+  EXPECT_TRUE(c->heard("HTTP/1.1 503"));
+  EXPECT_EQ(host.peers.size() + other.peers.size(), 1U);
+}
+
+// Before that it can be sent elsewhere.
+TEST_F(LongBodies, ALongUploadThatNobodyHasBegunToTakeGoesToAnotherHost) {
+  tcp::acceptor closed(loop.io, anyPort());
+  const tcp::endpoint nobody = closed.local_endpoint();
+  closed.close();
+  start({entry("s-1", nobody), entry("s-2", other.endpoint())});
+  const std::string body = bytes(200'000);
+  for (int n = 0; n < 3; ++n) {
+    const auto c = client();
+    c->say(post("a" + std::to_string(n), "Content-Length: 200000\r\n") + body);
+    ASSERT_TRUE(loop.until(
+        [&] { return !other.peers.empty() && bodyOf(other.peers.back()->got).size() == body.size(); }));
+    EXPECT_EQ(bodyOf(other.peers.back()->got), body);
+    other.peers.back()->got.clear();
+    other.peers.back()->say(answerOf("yes"));
+    ASSERT_TRUE(loop.until([&] { return c->heard("yes"); }));
+  }
+}
+
+TEST_F(LongBodies, AHostMayRefuseBeforeItHasAllAndTheClientHearsOfIt) {
+  startWithOne();
+  const auto c = client();
+  c->say(post("a", "Content-Length: 900000\r\n") + bytes(200'000));
+  ASSERT_TRUE(loop.until([&] { return !host.peers.empty() && bodyOf(host.peers[0]->got).size() > 50'000; }));
+  host.peers[0]->say("HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(loop.until([&] { return c->heard("HTTP/1.1 503"); }));
+  EXPECT_EQ(host.peers.size(), 1U);
+}
+
+TEST_F(LongBodies, WhatIsLongerThanAnythingIsRefusedOrSpoilt) {
+  startWithOne();
+  const auto c = client();
+  c->say(post("a", "Content-Length: 63000000\r\n") + "begin");
+  ASSERT_TRUE(loop.until([&] { return c->heard("HTTP/1.1 413"); }));
+  EXPECT_TRUE(host.peers.empty());
+  const auto d = client();
+  d->say(post("b", "Content-Length: 0\r\n"));
+  ASSERT_TRUE(asked(host));
+  host.peers[0]->say("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxx");
+  ASSERT_TRUE(loop.until([&] { return d->heard("HTTP/1.1 502"); }));
+}
+
+TEST_F(LongBodies, ABrokenChunkInALongUploadIsA400AndTheHostNeverGetsItWhole) {
+  startWithOne();
+  const auto c = client();
+  std::string body = chunked(bytes(200'000), 50'000);
+  body.resize(body.size() / 2);
+  c->say(post("a", "Transfer-Encoding: chunked\r\n") + body.substr(0, 120'000));
+  ASSERT_TRUE(loop.until([&] { return !host.peers.empty() && bodyOf(host.peers[0]->got).size() > 50'000; }));
+  const auto d = client();
+  d->say(post("b", "Transfer-Encoding: chunked\r\n") + "11170\r\n" + bytes(70'000) + "\r\nzz\r\n");
+  ASSERT_TRUE(loop.until([&] { return d->heard("HTTP/1.1 400"); }));
+  for (const auto& p : host.peers) EXPECT_FALSE(unchunked(bodyOf(p->got)).has_value());
+}
+
+// Hundreds of half-taken answers hold windows, not bodies.
+TEST_F(LongBodies, AClientThatTakesNothingHoldsAWindowNotTheBody) {
+  startWithOne();
+  tcp::socket slow(loop.io);
+  slow.connect(proxy->localEndpoint());
+  slow.set_option(asio::socket_base::receive_buffer_size(256 * 1024));
+  asio::write(slow, asio::buffer(request("a")));
+  ASSERT_TRUE(asked(host));
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n";
+  host.peers[0]->say(head + bytes(30'000'000));
+  ASSERT_TRUE(loop.until([&] { return slow.available() > 0; }));
+  for (int n = 0; n < 50; ++n) loop.turn();
+  EXPECT_EQ(host.peers[0]->said, 0) << "all of it was taken";
+  const auto reader = std::make_shared<Peer>(std::move(slow));
+  reader->listen();
+  ASSERT_TRUE(loop.until([&] { return reader->got.size() > 30'000'000; }))
+      << reader->got.size() << reader->ended;
+  EXPECT_EQ(bodyOf(reader->got), bytes(30'000'000));
+}
+
+}  // namespace
+}  // namespace quinceline::test
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -17,6 +17,7 @@
     requests.push_back(request.head.target);
     server->answer(id, {.status = 200, .body = "served", .content_type = {}, .retry_after = {}});
   }
+  void onUploaded(ExchangeId, Time) override {}
   void onClientGone(ExchangeId) override {}
   Server* server = nullptr;
   std::vector<std::string> requests;
