Cold hosts at ease get more, by their size; requests at slow hosts count for more

With a host or two out by hand the others are full, while one that was just put back answered in 14 ms and got a third of what it could take: its share knew neither its size nor that it was at ease. A host that timed out nearly all it got still got a tenth of the requests, since six requests in flight there looked like six elsewhere.

A cold server's share follows its listed size, and grows by half while it has at most one request in flight and answers in under 0.7 of the others' time: what is served at once is within its capacity. Requests in flight at a server that takes twice the others' time count by its slowness.

Ruled out: hosts' bounds of connections, and connections closed by the drain (0 sent again).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -42,6 +42,9 @@
 constexpr double kLateFrom = 0.4;         // an answer after this part of its aim begins to count as late
 constexpr double kLateTarget = 0.2;  // so much lateness on average is a full fleet; more is a growing queue
 constexpr double kMostShed = 0.95;   // a few requests keep telling whether the overload is over
+constexpr double kAtEase = 0.7;      // of the others' time: a cold server that is not pushed over
+constexpr double kEaseGain = 1.5;    // its share grows by this: what is served at once is within its capacity
+constexpr double kSlow = 2;          // times the others: not what chance makes of equal servers
 constexpr double kShedNoted = 0.1;   // of arrivals: less is the noise of a busy hour, not worth a line
 constexpr double kFullLate = 0.35;   // a full server: overload once more than half are full
 constexpr std::size_t kAsked = 3;    // members asked for their load before a send: more tell little more
@@ -472,13 +475,31 @@
       return true;
     }
     const double capacity = settings.cold_from + (1 - settings.cold_from) * std::max(0.0, age) / full;
-    const double share = rate() / std::max(1U, members) * capacity * hardFactor();
+    const double share = rate() / std::max(1U, members) * relativeSize(s) * capacity * hardFactor() *
+                         (atEase(s) ? kEaseGain : 1);
     s.cold_tokens += share * static_cast<double>(now - s.cold_refilled) / 1e6;
     s.cold_tokens = std::min(s.cold_tokens, hardFactor());
     s.cold_refilled = now;
-    return s.cold_tokens >= (hard ? 1 : hardFactor());
+    return s.cold_tokens >= (hard || atEase(s) ? 1 : hardFactor());
+  }
+
+  // What warm servers of like size take: more than the average for a large one, less for a small one.
+  double relativeSize(const Server& s) const {
+    if (!settings.weighted || s.host.capacity <= 0) return 1;
+    double sum = 0;
+    int count = 0;
+    for (std::size_t i = 0; i < reach; ++i) {
+      if (!usable(*order[i]) || order[i]->host.capacity <= 0) continue;
+      sum += order[i]->host.capacity;
+      ++count;
+    }
+    return count == 0 ? 1 : std::clamp(s.host.capacity * count / sum, 0.5, 2.0);
   }
 
+  // A cold server that answers much faster than the others has room for the share that it may have at most:
+  // with many taken out by hand the others are full meanwhile.
+  static bool atEase(const Server& s) { return s.in_flight <= 1 && s.slowness < kAtEase; }
+
   // Requests a second that arrive here, averaged; early on over the time since the start.
   double rate() const {
     const double age = std::max(0.5e6, static_cast<double>(now - started));
@@ -587,14 +608,18 @@
     return false;
   }
 
+  // Requests in flight; at a server that has been slow for long each counts for more.
+  static double busy(const Server& s) {
+    return s.slowness < kSlow ? s.in_flight : s.in_flight * s.slowness / kSlow;
+  }
+
   // The member with the fewest own requests in flight, ties by turn.
   Server* leastBusy(const Live& r, std::size_t from, std::size_t to, bool last_resort = false) {
     Server* best = nullptr;
     for (std::size_t i = from; i < to; ++i) {
       Server* s = order[i];
       ++looked_at;
-      if (best != nullptr &&
-          (s->in_flight > best->in_flight || (s->in_flight == best->in_flight && s->turn >= best->turn))) {
+      if (best != nullptr && (busy(*s) > busy(*best) || (busy(*s) == busy(*best) && s->turn >= best->turn))) {
         continue;
       }
       if (eligible(r, *s, last_resort)) best = s;
@@ -822,8 +847,8 @@
       if (mayAsk(r) && ask(r, out)) return;
       if (Server* s = leastReported(r)) return send(r, *s, out, true);
       if (Server* s = pick(r)) return send(r, *s, out);
-      // Nobody can take it now: a newly listed or recovered server may, a moment later. Not if staff have taken
-      // out all there are.
+      // Nobody can take it now: a newly listed or recovered server may, a moment later. Not if staff have
+      // taken out all there are.
       const bool hope =
           order.empty() || std::any_of(order.begin(), order.end(), [](auto* s) { return !s->banned; });
       if (hope && now - r.arrived < (r.give_up - r.arrived) / 4) {
--- a/tests/maintenance_test.cpp
+++ b/tests/maintenance_test.cpp
@@ -164,6 +164,62 @@
   EXPECT_EQ(d->balancer.standing().avoided, 2U);
 }
 
+// ---- how much one that comes back cold gets, and one that is slow ----
+
+// Of 400 requests after it was put back, how many go to server 2; it answers in `cold`, the others in 100 ms.
+int sentToReturned(Time cold, bool weighted = false, double size = 1) {
+  Settings settings = makeSettings();
+  settings.weighted = weighted;
+  Driver d(settings);
+  std::vector<Host> hosts = makeHosts(6);
+  hosts[2].capacity = size;
+  d.servers(ListKind::Restored, hosts);
+  const std::string returned = makeHost(2).id;
+  int sent = 0;
+  for (RequestId id = 1; id <= 800; ++id) {
+    d.now += 5 * kMs;
+    if (id == 400) {
+      d.balancer.setMaintenance(d.now, returned, true);
+      d.balancer.setMaintenance(d.now, returned, false);
+    }
+    d.request(id, 0);
+    const bool there = d.sentTo() == returned;
+    sent += id > 400 && there ? 1 : 0;
+    d.outcome(id, 0, Result::Ok, there && id > 400 ? cold : 100 * kMs);
+  }
+  return sent;
+}
+
+TEST(ColdShare, GrowsWhileTheServerAnswersAtEaseAndStaysBounded) {
+  const int ordinary = sentToReturned(100 * kMs), at_ease = sentToReturned(10 * kMs);
+  EXPECT_GT(at_ease, ordinary * 3 / 2);
+  // 400 requests over 6 servers are 67 each; in 2 s of 10 it has 0.25 to 0.4 of its capacity, and falls over
+  // at three times that.
+  EXPECT_LT(at_ease, 67);
+  EXPECT_LT(ordinary, 67 / 2);
+}
+
+TEST(ColdShare, IsThatOfItsSize) {
+  EXPECT_GT(sentToReturned(100 * kMs, true, 2), sentToReturned(100 * kMs, true, 0.5) * 2);
+}
+
+TEST_F(Maintenance, WhatIsInFlightAtASlowServerCountsForMore) {
+  start(2);
+  for (int i = 0; i < 60; ++i) {
+    d->now += 10 * kMs;
+    d->request(++next_, 0);
+    const bool slow = d->sentTo() == "server-000";
+    d->outcome(next_, 0, Result::Ok, slow ? 200 * kMs : 40 * kMs);
+  }
+  int slow = 0;
+  for (int i = 0; i < 30; ++i) {  // none ends
+    d->request(++next_, 0);
+    slow += d->sentTo() == "server-000" ? 1 : 0;
+  }
+  EXPECT_GE(slow, 5);
+  EXPECT_LE(slow, 13);  // 15 if they were alike
+}
+
 // ---- what another Balancer takes over ----
 
 TEST_F(Maintenance, AnotherBalancerKnowsBansEjectionsSlotsAndColdMarks) {
