quinceline ctl; long uploads let their beginning go; absolute form taken, no Host refused

Two hundred long uploads at once held 41 MB: the first 64 KiB of each stayed although nothing could be sent again. They are let go when the pipe has started; the share of the budget stays for the window. On-call staff had only curl: ctl has the console's calls as commands with exit codes. RFC 9112: the absolute form got 404 and a request without Host was served; now the one is taken and the other a 400.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -10,10 +10,13 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "conf/report.h"
 #include "conf/syntax.h"
+#include "ctl.h"
 #include "daemon/serve.h"
 #include "files/disk_source.h"
 #include "net/head_rules.h"
@@ -163,7 +166,12 @@
   if (text.find(' ') == std::string::npos) text = "GET " + text;
   if (text.find(" HTTP/") == std::string::npos) text += " HTTP/1.1";
   text += "\r\n";
-  for (const std::string& header : options.headers) text += header + "\r\n";
+  bool has_host = false;
+  for (const std::string& header : options.headers) {
+    has_host |= header.size() > 5 && (header.rfind("Host:", 0) == 0 || header.rfind("host:", 0) == 0);
+    text += header + "\r\n";
+  }
+  if (!has_host) text += "Host: explained\r\n";  // which class it is of does not hang on it
   text += "\r\n";
   RequestParser parser;
   boost::system::error_code ec;
@@ -243,6 +251,24 @@
       "dump", "Print the effective configuration, after includes and with what holds anyway");
   dump_command->add_option("FILE", dumped, "a configuration file")->required();
 
+  CtlOptions ctl_options;
+  CLI::App* const ctl_command =
+      app.add_subcommand("ctl", "Call a running proxy's console; exit 1 if it says no, 2 if nobody answers");
+  ctl_command->add_option("--console", ctl_options.console, "its address:port; else PROXY_CONSOLE");
+  ctl_command->require_subcommand(1);
+  const std::vector<std::pair<const char*, const char*>> ctl_calls = {
+      {"stats", "Print the figures"},      {"healthy", "Ask whether it can serve"},
+      {"ban", "Nothing more to a host"},   {"ready", "Use a host again"},
+      {"drain", "Send clients elsewhere"}, {"undrain", "Take clients again"}};
+  for (const auto& [name, about] : ctl_calls) {
+    CLI::App* const call = ctl_command->add_subcommand(name, about);
+    call->callback([&ctl_options, name = name] { ctl_options.what = name; });
+    const std::string_view which = name;
+    if (which == "stats") call->add_flag("--json", ctl_options.json, "as JSON");
+    if (which == "ban" || which == "ready")
+      call->add_option("ID", ctl_options.host, "the host's id in the list")->required();
+  }
+
   CLI::App* const reference_command =
       app.add_subcommand("reference", "Print the reference of all keys (Markdown)");
   try {
@@ -255,6 +281,7 @@
   if (format_command->parsed()) return format(format_options);
   if (diff_command->parsed()) return diff(before, after);
   if (explain_command->parsed()) return explain(explain_options);
+  if (ctl_command->parsed()) return ctl(ctl_options);
   if (dump_command->parsed()) return dump(dumped);
   if (reference_command->parsed()) std::fputs(conf::reference().c_str(), stdout);
   return 0;
--- /dev/null
+++ b/src/cli/ctl.cpp
@@ -0,0 +1,186 @@
+#include "ctl.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <stdexcept>
+#include <string_view>
+#include <vector>
+
+#include "net/host_list.h"
+
+namespace quinceline {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr std::chrono::seconds kTime{3};
+constexpr std::string_view kPrefix = "app_";
+
+struct Figure {
+  std::string name, type;  // type: the class; empty: it has none
+  double value = 0;
+};
+
+// The lines that are figures; others, such as comments, are passed over.
+std::vector<Figure> figuresOf(const std::string& text) {
+  std::vector<Figure> figures;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.empty() || line.front() == '#') continue;
+    const std::size_t space = line.rfind(' ');
+    if (space == std::string::npos) continue;
+    Figure figure;
+    figure.name = line.substr(0, std::min(line.find('{'), space));
+    if (figure.name.rfind(kPrefix, 0) == 0) figure.name.erase(0, kPrefix.size());
+    const std::size_t open = line.find("type=\""), close = line.find('"', open + 6);
+    if (open != std::string::npos && close < space) figure.type = line.substr(open + 6, close - open - 6);
+    figure.value = std::strtod(line.c_str() + space + 1, nullptr);
+    figures.push_back(std::move(figure));
+  }
+  return figures;
+}
+
+struct Said {
+  error_code ec;
+  unsigned status = 0;
+  std::string body;
+};
+
+Said call(const Endpoint& at, http::verb method, const std::string& target) {
+  boost::asio::io_context io;
+  beast::tcp_stream stream(io);
+  http::request<http::empty_body> request(method, target, 11);
+  request.set(http::field::host, at.address().to_string());
+  request.prepare_payload();
+  beast::flat_buffer buffer;
+  http::response<http::string_body> response;
+  Said said;
+  stream.expires_after(kTime);
+  stream.async_connect(at, [&](error_code connected) {
+    if ((said.ec = connected)) return;
+    http::async_write(stream, request, [&](error_code written, std::size_t) {
+      if ((said.ec = written)) return;
+      http::async_read(stream, buffer, response, [&](error_code read, std::size_t) {
+        said.ec = read;
+        said.status = response.result_int();
+        said.body = std::move(response.body());
+      });
+    });
+  });
+  io.run();
+  return said;
+}
+
+// An id may hold what a path may not (RFC 3986, 2.1).
+std::string escaped(const std::string& id) {
+  std::string out;
+  for (const char c : id) {
+    const bool plain = (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                       std::string_view("-._~").find(c) != std::string_view::npos;
+    std::array<char, 4> hex{};
+    if (!plain) std::snprintf(hex.data(), hex.size(), "%%%02X", static_cast<unsigned>(c) & 0xFFU);
+    out += plain ? std::string(1, c) : std::string(hex.data());
+  }
+  return out;
+}
+
+int complain(const std::string& what) {
+  std::fprintf(stderr, "quinceline ctl: %s\n", what.c_str());
+  return 2;
+}
+
+}  // namespace
+
+std::string figuresAsJson(const std::string& text) {
+  nlohmann::ordered_json out = nlohmann::ordered_json::object();
+  for (const Figure& f : figuresOf(text)) {
+    const auto number = static_cast<std::int64_t>(f.value);
+    f.type.empty() ? out[f.name] = number : out[f.name][f.type] = number;
+  }
+  return out.dump(2) + "\n";
+}
+
+std::string figuresAsTable(const std::string& text) {
+  std::vector<std::string> columns;
+  std::map<std::string, std::map<std::string, double>> rows;
+  std::string single;
+  std::size_t widest = 5;
+  std::array<char, 160> line{};
+  for (const Figure& f : figuresOf(text)) {
+    if (f.type.empty()) {
+      std::snprintf(line.data(), line.size(), "%-24s %12.0f\n", f.name.c_str(), f.value);
+      single += line.data();
+      continue;
+    }
+    if (std::find(columns.begin(), columns.end(), f.name) == columns.end()) columns.push_back(f.name);
+    rows[f.type][f.name] = f.value;
+    widest = std::max(widest, f.type.size());
+  }
+  const auto cell = [&](const std::string& content, std::size_t width, bool left) {
+    std::string padded = content;
+    padded.insert(left ? padded.size() : 0, width > content.size() ? width - content.size() : 0, ' ');
+    return padded;
+  };
+  std::string out = cell("class", widest, true);
+  for (const std::string& c : columns) out += cell(c, 14, false);
+  out += '\n';
+  for (const auto& [name, values] : rows) {
+    out += cell(name, widest, true);
+    for (const std::string& c : columns) {
+      const auto it = values.find(c);
+      out +=
+          cell(it == values.end() ? "-" : std::to_string(static_cast<std::int64_t>(it->second)), 14, false);
+    }
+    out += '\n';
+  }
+  return out + "\n" + single;
+}
+
+int ctl(const CtlOptions& options) {
+  std::string address = options.console;
+  if (const char* const named = std::getenv("PROXY_CONSOLE"); address.empty() && named != nullptr)
+    address = named;
+  if (address.empty()) return complain("no console: give --console ADDRESS:PORT or set PROXY_CONSOLE");
+  Endpoint at;
+  try {
+    at = parseEndpoint(address);
+  } catch (const std::runtime_error& e) {
+    return complain("the console " + std::string(e.what()));
+  }
+  const std::map<std::string, std::pair<http::verb, std::string>> calls = {
+      {"stats", {http::verb::get, "/stats"}},
+      {"healthy", {http::verb::get, "/healthcheck"}},
+      {"drain", {http::verb::post, "/healthcheck/fail"}},
+      {"undrain", {http::verb::post, "/healthcheck/ok"}},
+      {"ban", {http::verb::post, "/hosts/" + escaped(options.host) + "/maint"}},
+      {"ready", {http::verb::post, "/hosts/" + escaped(options.host) + "/ready"}}};
+  const auto& [method, target] = calls.at(options.what);
+  const Said said = call(at, method, target);
+  if (said.ec) return complain("nobody answers at " + address + ": " + said.ec.message());
+  const bool yes = said.status / 100 == 2;
+  if (yes && options.what == "stats") {
+    std::fputs((options.json ? figuresAsJson(said.body) : figuresAsTable(said.body)).c_str(), stdout);
+  } else {
+    std::fputs(
+        said.body.empty() ? ("answered " + std::to_string(said.status) + "\n").c_str() : said.body.c_str(),
+        yes ? stdout : stderr);
+  }
+  return yes ? 0 : 1;
+}
+
+}  // namespace quinceline
--- /dev/null
+++ b/src/cli/ctl.h
@@ -0,0 +1,23 @@
+// `quinceline ctl`: a call on a running proxy's console, for people and scripts.
+#pragma once
+
+#include <string>
+
+namespace quinceline {
+
+struct CtlOptions {
+  std::string console;  // address:port; empty: $PROXY_CONSOLE
+  std::string what;     // stats, healthy, ban, ready, drain, undrain
+  std::string host;     // of ban and ready
+  bool json = false;    // of stats
+};
+
+// Prints what the console says. 0: yes; 1: it says no; 2: there is no address, or nobody answers there in 3
+// s.
+int ctl(const CtlOptions& options);
+
+// Figures as a table for people, or as JSON: {"success": {"CLASS": 7}, "concurrent": 2}.
+std::string figuresAsTable(const std::string& text);
+std::string figuresAsJson(const std::string& text);
+
+}  // namespace quinceline
--- a/src/net/body_pipe.h
+++ b/src/net/body_pipe.h
@@ -47,7 +47,7 @@
 
   // All that is held; empty: nothing now. A broken body gives what came before it broke.
   std::string take() {
-    started_ |= !held_.empty();
+    if (!held_.empty() && !std::exchange(started_, true)) call(on_started_);
     std::string piece = std::exchange(held_, {});
     if (piece.size() >= kWindow && end_ == End::Open) call(on_room_);
     return piece;
@@ -56,6 +56,8 @@
   End end() const { return held_.empty() ? end_ : End::Open; }
   // Something has been taken: it can't be sent once more.
   bool started() const { return started_; }
+  // From now on what was held before the pipe is of no use either.
+  void onStarted(std::function<void()> callback) { on_started_ = std::move(callback); }
   void onMore(std::function<void()> callback) { on_more_ = std::move(callback); }
   void giveUp() {
     if (std::exchange(abandoned_, true) || end_ != End::Open) return;
@@ -78,7 +80,7 @@
   std::string held_;
   End end_ = End::Open;
   bool started_ = false, abandoned_ = false;
-  std::function<void()> on_more_, on_room_, on_abandoned_;
+  std::function<void()> on_more_, on_room_, on_abandoned_, on_started_;
 };
 
 }  // namespace quinceline
--- a/src/net/head_rules.cpp
+++ b/src/net/head_rules.cpp
@@ -16,6 +16,7 @@
   if (head.method != (effect == Effect::Safe ? "GET" : "POST"))
     return HeadFault{405, effect == Effect::Safe ? "a safe class is asked by GET"
                                                  : "only safe classes are not asked by POST"};
+  if (!head.has_host && !head.old_version) return HeadFault{400, "Host is missing"};  // RFC 9112, 3.2
   if (head.correlation.empty()) return HeadFault{400, "X-Correlation-Id is missing"};
   if (head.ambiguous) return HeadFault{400, "a header is there twice that may be there once"};
   if (head.has_body && head.method == "GET") return HeadFault{400, "a GET has a body"};
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -36,6 +36,20 @@
   }
 }
 
+// RFC 9112, 3.2.2: a server takes the absolute form, although only proxies are sent it. What goes on is the
+// origin form.
+std::string originForm(std::string_view target) {
+  static constexpr std::string_view kScheme = "http://";
+  if (!iequals(Text(target.data(), std::min(target.size(), kScheme.size())),
+               Text(kScheme.data(), kScheme.size())))
+    return std::string(target);
+  target.remove_prefix(kScheme.size());
+  const std::size_t path = std::min(target.find_first_of("/?#"), target.size());
+  std::string origin(target.substr(path));
+  if (origin.empty() || origin.front() != '/') origin.insert(origin.begin(), '/');
+  return origin;
+}
+
 }  // namespace
 
 std::optional<Time> parseSeconds(std::string_view text) {
@@ -69,7 +83,7 @@
     return;
   }
   head.method = view(method);
-  head.target = view(target);
+  head.target = originForm(view(target));
   head.old_version = version == 10;
   head.forward.reserve(384);
 }
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -25,6 +25,7 @@
 
 constexpr std::size_t kReadAhead = 4 * 1024;  // of a next request that comes before the answer
 constexpr std::size_t kBodyRead = 32 * 1024;  // at a time
+constexpr std::size_t kLongRead = 16 * 1024;  // of a long one, which may fill its window and one read
 constexpr std::size_t kHeadRead = 1024;
 constexpr int kLongSendBuffer = 128 * 1024;       // a slow client is heard of before megabytes wait for it
 constexpr Time kHostMayRest = 10 * kSecond;       // between pieces of a long answer: the host's side ends it
@@ -277,7 +278,10 @@
     if (ec) return onReadEnd(ec);
     if (state_ == State::Lingering) return discard();
     const bool body = state_ == State::Reading && head_seen_;
-    const std::size_t n = socket_.read_some(in_.space(body ? kBodyRead : kHeadRead), ec);
+    const std::size_t n = socket_.read_some(in_.space(uploading_ ? kLongRead
+                                                      : body     ? kBodyRead
+                                                                 : kHeadRead),
+                                            ec);
     if (ec == asio::error::would_block) return armRead();
     if (ec) return onReadEnd(ec);
     in_.commit(n);
@@ -375,10 +379,11 @@
   void readOn() {
     if (uploading_ && !pipe_->hasRoom()) {
       clock_->pause(server_.now());  // the host's side is slow: not the client's fault
+      in_.release();
       server_.gate_.extend(id_, 0);
       return;
     }
-    if (share_ && !share_->mayGrow(parser_->body.size())) {
+    if (share_ && !uploading_ && !share_->mayGrow(parser_->body.size())) {
       waits_for_room_ = true;  // backpressure: the kernel's buffer fills, then the client's
       clock_->pause(server_.now());
       server_.gate_.extend(id_, server_.now() + server_.limits_.connections.request);
@@ -403,7 +408,10 @@
       if (const auto self = weak.lock()) self->uploadMayGoOn();
     });
     uploading_ = true;
+    // What it may hold of the budget it may go on holding, for its window, when the beginning is let go.
+    const auto share = share_;
     ClientRequest request = takeRequest();
+    share_ = share;
     request.rest = pipe_;
     exchange_ = server_.next_exchange_++;
     server_.exchanges_.emplace(exchange_, this);
@@ -412,6 +420,7 @@
 
   void completeLong() {
     uploading_ = false;
+    share_.reset();
     clock_.reset();
     state_ = State::Waiting;
     taken_ = true;
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -177,6 +177,11 @@
   if (const auto hint = parseSeconds(taken.request.head.weight_hint)) told.expected_work = *hint / kSecond;
   // How long a long one will be on its way nobody knows; the module need not wait for it.
   const Time most = taken.request.rest ? taken.patience : deadline;
+  if (taken.request.rest) {
+    taken.request.rest->onStarted([this, id] {
+      if (const auto it = open_.find(id); it != open_.end()) it->second.taken.request.body.reset();
+    });
+  }
   open_[id].taken = std::move(taken);
   timers_.at(deadline, [this, id] { onDeadline(id); });
   tell([this, told, deadline, most](Time now) mutable {
--- a/tests/body_pipe_test.cpp
+++ b/tests/body_pipe_test.cpp
@@ -43,6 +43,8 @@
   BodyPipe pipe(7);
   int heard = 0;
   pipe.onMore([&] { ++heard; });
+  int started = 0;
+  pipe.onStarted([&] { ++started; });
   EXPECT_FALSE(pipe.started());
   EXPECT_EQ(pipe.take(), "");
   EXPECT_FALSE(pipe.started());
@@ -56,6 +58,7 @@
   EXPECT_EQ(pipe.end(), BodyPipe::End::Open);
   EXPECT_EQ(pipe.take(), "abc");
   EXPECT_TRUE(pipe.started());
+  EXPECT_EQ(started, 1);
   EXPECT_EQ(pipe.end(), BodyPipe::End::Broken);
 }
 
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -119,6 +119,45 @@
   EXPECT_TRUE(proxy->upstream().knows("s-2"));
 }
 
+// RFC 9112: what is taken in which form, and what the host gets.
+TEST_F(ProxyTest, EachFormOfARequestIsTakenOrRefusedPlainly) {
+  start(json::array({entry("s-1", host.endpoint())}));
+  int n = 0;
+  const auto ask = [&](const std::string& line, const std::string& fields) {
+    const auto c = client();
+    c->say(line + "\r\nX-Account: acme\r\nX-Correlation-Id: f" + std::to_string(n++) + "\r\n" + fields);
+    const std::size_t before = host.peers.empty() ? 0 : host.peers[0]->got.size();
+    EXPECT_TRUE(loop.until([&] {
+      return c->heard("HTTP/1.1 ") || (!host.peers.empty() && host.peers[0]->got.size() > before &&
+                                       host.peers[0]->got.find("\r\n\r\n", before) != std::string::npos);
+    })) << line;
+    if (c->heard("HTTP/1.1 ")) return c->got.substr(9, 3);
+    const std::string got = host.peers[0]->got.substr(before);
+    host.peers[0]->say(answerOf("x"));
+    EXPECT_TRUE(loop.until([&] { return c->heard("200"); }));
+    return got.substr(0, got.find("\r\n"));
+  };
+  const std::string h = "Host: h\r\n\r\n";
+  EXPECT_EQ(ask("GET /slot-status/7 HTTP/1.1", h), "GET /slot-status/7 HTTP/1.1");
+  EXPECT_EQ(ask("GET http://h/slot-status/7?a=b HTTP/1.1", h), "GET /slot-status/7?a=b HTTP/1.1");
+  EXPECT_EQ(ask("GET HTTP://h:80/slot-status/7 HTTP/1.1", h), "GET /slot-status/7 HTTP/1.1");
+  EXPECT_EQ(ask("GET http://h HTTP/1.1", h), "404");
+  EXPECT_EQ(ask("GET http://h?x HTTP/1.1", h), "404");
+  EXPECT_EQ(ask("GET httpx://h/slot-status/7 HTTP/1.1", h), "404");
+  EXPECT_EQ(ask("GET /slot-status/7 HTTP/1.1", "\r\n"), "400");  // no Host
+  EXPECT_EQ(ask("GET /slot-status/7 HTTP/1.0", "\r\n"), "GET /slot-status/7 HTTP/1.1");
+  EXPECT_EQ(ask("GET /slot-status/7 HTTP/1.1", "Host: h\r\nHost: i\r\n\r\n"), "400");
+  EXPECT_EQ(ask("GET /slot-status/7 HTTP/2.0", h), "400");
+  EXPECT_EQ(ask("HEAD /slot-status/7 HTTP/1.1", h), "405");
+  EXPECT_EQ(ask("OPTIONS * HTTP/1.1", h), "404");
+  EXPECT_EQ(ask("POST /swap-charge/7 HTTP/1.1", "Content-Length: 0\r\n" + h), "POST /swap-charge/7 HTTP/1.1");
+  EXPECT_EQ(ask("POST /swap-charge/7 HTTP/1.1", "Transfer-Encoding: gzip, chunked\r\n" + h), "400");
+  EXPECT_EQ(ask("POST /swap-charge/7 HTTP/1.1", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n" + h),
+            "400");
+  EXPECT_EQ(ask("POST /swap-charge/7 HTTP/1.1", "Content-Length: 3, 4\r\n" + h), "400");
+  EXPECT_EQ(ask("POST /swap-charge/7 HTTP/1.1", "Content-Length: -3\r\n" + h), "400");
+}
+
 TEST(Program, OutlivesSighupAndTakesOnlyConfigurationsThatCanBeRead) {
   Loop loop;
   Host host(loop), discovery(loop), moved(loop);
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -1,4 +1,6 @@
 // The program itself beside itself: clients keep asking while one process takes another's place.
+#include <array>
+#include <cstdio>
 #include <filesystem>
 #include <set>
 
@@ -225,6 +227,39 @@
   ASSERT_TRUE(loop.until([&] { return serveHosts(), c->heard("200"); }));
 }
 
+#ifdef QUINCELINE_OPERATOR
+TEST_F(Upgrade, TheCommandCallsTheConsoleAndItsExitStatusSaysWhatCameOfIt) {
+  const std::string console = textOf(startOne().console);
+  std::string said;
+  const auto run = [&](const std::string& arguments) {
+    said.clear();
+    const std::string command = std::string(QUINCELINE) + " ctl " + arguments + " 2>&1";
+    FILE* const out = popen(command.c_str(), "r");
+    std::array<char, 4096> bytes;
+    while (const std::size_t n = std::fread(bytes.data(), 1, bytes.size(), out)) said.append(bytes.data(), n);
+    return WEXITSTATUS(pclose(out));
+  };
+  EXPECT_EQ(run("--console " + console + " healthy"), 0) << said;
+  EXPECT_EQ(run("--console " + console + " ban s-1"), 0) << said;
+  EXPECT_EQ(run("--console " + console + " stats --json"), 0) << said;
+  const json figures = json::parse(said);
+  EXPECT_EQ(figures.at("targets_disabled"), 1);
+  EXPECT_EQ(figures.at("success").at("swap-charge"), 0);
+  EXPECT_EQ(run("--console " + console + " stats"), 0);
+  EXPECT_NE(said.find("targets_disabled"), std::string::npos) << said;
+  EXPECT_EQ(run("--console " + console + " ready s-1"), 0) << said;
+  EXPECT_EQ(run("--console " + console + " ban 's 9/x'"), 1);
+  EXPECT_NE(said.find("no host has this id: s 9/x"), std::string::npos) << said;
+  EXPECT_EQ(run("--console " + console + " drain"), 0);
+  EXPECT_EQ(run("--console " + console + " undrain"), 0);
+  EXPECT_EQ(run("--console " + textOf(freePort(loop)) + " healthy"), 2);
+  EXPECT_NE(said.find("nobody answers at"), std::string::npos) << said;
+  EXPECT_EQ(run("--console nowhere healthy"), 2);
+  EXPECT_EQ(run("healthy"), 2);
+  EXPECT_EQ(run("--console " + console + " explode"), 2);
+}
+#endif
+
 TEST_F(Upgrade, ADescriptorThatIsNoListenerIsNamed) {
   const std::string log = folder + "/log";
   Program program({},
