A chunk's size line and the time an answer has stand once

The size line of a chunk was written in four places by three means, and the time that a held answer has was computed twice by one formula, with a captured value that nobody read. chunkLine() in net/http and answerDue() serve all of them.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -69,6 +69,12 @@
   return {text.data(), static_cast<std::size_t>(n)};
 }
 
+std::string chunkLine(std::size_t bytes) {
+  std::array<char, 24> text;
+  const int n = std::snprintf(text.data(), text.size(), "%zx\r\n", bytes);
+  return {text.data(), static_cast<std::size_t>(n)};
+}
+
 // ---- requests ----
 
 RequestParser::RequestParser() {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -29,6 +29,9 @@
 // Microseconds as seconds with decimals.
 std::string formatSeconds(Time time);
 
+// What stands before a chunk of so many bytes (RFC 9112, 7.1).
+std::string chunkLine(std::size_t bytes);
+
 struct RequestHead {
   std::string method, target;
   std::string forward;  // the header lines that go on to the host, each with its line end
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -38,9 +38,9 @@
   return {text.data(), text.size()};
 }
 
-void appendNumber(std::string& to, std::uint64_t value, int base = 10) {
+void appendNumber(std::string& to, std::uint64_t value) {
   std::array<char, 20> digits;
-  const auto r = std::to_chars(digits.data(), digits.data() + digits.size(), value, base);
+  const auto r = std::to_chars(digits.data(), digits.data() + digits.size(), value);
   to.append(digits.data(), r.ptr);
 }
 
@@ -149,10 +149,7 @@
         if (const auto self = weak.lock()) self->passOn();
       });
     }
-    if (chunked_) {
-      appendNumber(out_, answer.body.size(), 16);
-      out_ += "\r\n";
-    }
+    if (chunked_) out_ += chunkLine(answer.body.size());
     out_ += answer.body;
     server_.exchanges_.erase(exchange_);
     parser_.reset();  // with the body of a request that is refused
@@ -170,8 +167,7 @@
     if (!piece.empty()) {
       if (chunked_) {
         out_ += "\r\n";
-        appendNumber(out_, piece.size(), 16);
-        out_ += "\r\n";
+        out_ += chunkLine(piece.size());
       }
       out_ += piece;
     } else if (end == BodyPipe::End::Broken) {
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
-#include <cstdio>
 #include <utility>
 
 namespace quinceline {
@@ -171,11 +170,7 @@
     request_.head.clear();
     sent_ = 0;
     if (!piece.empty()) {
-      if (chunked) {
-        std::array<char, 24> size;
-        const int n = std::snprintf(size.data(), size.size(), "\r\n%zx\r\n", piece.size());
-        request_.head.append(size.data(), static_cast<std::size_t>(n));
-      }
+      if (chunked) request_.head += "\r\n" + chunkLine(piece.size());
       request_.head += piece;
     }
     rest_done_ = rest.end() == BodyPipe::End::Whole;
@@ -250,18 +245,16 @@
     answer_begun_ = moved_;
     lookAfterAnswer();
   }
-  void lookAfterAnswer() {
+  Time answerDue() const {
     const Time still = up_.limits_.answer_whole;
     const auto earned = static_cast<Time>(static_cast<double>(come_) / kLeastPace * 1e6);
-    const Time due = std::min(moved_ + still, answer_begun_ + still + earned);
-    up_.timers_.at(due, [weak = weak_from_this(), turn = turn_, due] {
+    return std::min(moved_ + still, answer_begun_ + still + earned);
+  }
+  void lookAfterAnswer() {
+    up_.timers_.at(answerDue(), [weak = weak_from_this(), turn = turn_] {
       const auto self = weak.lock();
       if (!self || !self->busy_ || self->turn_ != turn || self->stream_) return;
-      const Time late = self->up_.timers_.clock().now();
-      const Time limit = self->up_.limits_.answer_whole;
-      const auto allowed = static_cast<Time>(static_cast<double>(self->come_) / kLeastPace * 1e6);
-      if (late >= std::min(self->moved_ + limit, self->answer_begun_ + limit + allowed))
-        return self->spoilt();
+      if (self->up_.timers_.clock().now() >= self->answerDue()) return self->spoilt();
       self->lookAfterAnswer();
     });
   }
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -1,9 +1,7 @@
 #include "pool.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
-#include <cstdio>
 #include <utility>
 
 #include "net/head_rules.h"
@@ -246,10 +244,8 @@
   head += "\r\n";
   const std::shared_ptr<BodyPipe>& rest = r.taken.request.rest;
   if (rest && !rest->length()) {
-    std::array<char, 24> size;
-    const int n = std::snprintf(size.data(), size.size(), "%zx\r\n", r.taken.request.body->size());
     head += "Transfer-Encoding: chunked\r\n\r\n";
-    return head.append(size.data(), static_cast<std::size_t>(n));
+    return head += chunkLine(r.taken.request.body->size());
   }
   if (rest) {
     head += "Content-Length: ";
