Long answers count at their end; one being written at its aim goes on at its pace

Cause: Proxy::conclude() counted a long answer as a success with its head, so one that its host broke off stayed a success.

Change: the server tells the front the last word on a long answer (whole, or broken off with cause answer_cut); the figures count it then. Send says how long an attempt may take whose answer is being written (Action::longest, the client's time); the pool asks upstream whether one is, and upstream's pace (32 KiB a second, no standstill) bounds it as before.

With a stand-in that writes 40 kB over 400 ms at an aim of 200 ms: 200 instead of 504. What it costs: its place and connection until the client's time at the latest.

--- a/bench/admission.cpp
+++ b/bench/admission.cpp
@@ -124,6 +124,7 @@
   void onRequest(ExchangeId, ClientRequest) override {}
   void onUploaded(ExchangeId, Time) override {}
   void onClientGone(ExchangeId) override {}
+  void onStreamed(ExchangeId, bool) override {}
 };
 
 // Another process with connections that say nothing, so that only the proxy's side counts here.
--- a/include/weldflow/balancer.h
+++ b/include/weldflow/balancer.h
@@ -137,7 +137,8 @@
 // What the caller must do. Fields not named for a kind have no meaning there.
 enum class ActionKind : std::uint8_t {
   Send,       // start an attempt of `request` at `server` now, give it up after `time` microseconds (0: when
-              // the client gives up) and report exactly one Outcome; if it cannot be sent, Result::NotSent
+              // the client gives up) and report exactly one Outcome; if it cannot be sent, Result::NotSent.
+              // One whose answer is being written then, and keeps coming, may take `longest` in all
   Cancel,     // stop waiting for `attempt` of `request`; its Outcome still follows, Cancelled or as it ended
   Refuse,     // final answer to the client of `request`: not done, repeating is harmless; `time` advises how
               // many microseconds to stay away (0: no advice)
@@ -188,6 +189,7 @@
   std::int32_t attempt = 0;
   std::string_view server{};  // a Host::id; valid until the next call on the Balancer
   Time time = 0;
+  Time longest = 0;
   std::uint64_t timer = 0;
   std::string text{};
   Reason reason = Reason::None;  // for Send, if Settings::explain
--- a/src/admission/cause.h
+++ b/src/admission/cause.h
@@ -30,6 +30,7 @@
   PeerShare,       // its address held more than its share, and room was needed
   RequestOverdue,  // a request did not come whole in time
   AnswerNotTaken,  // the client did not take its answer in time
+  AnswerCut,       // its host broke a long answer off
   LingerOver,      // the client did not end its sending in time
   Shutdown,        // the proxy stops
   HandedOn,        // the process that takes this one's place has it now
@@ -57,6 +58,7 @@
                                                             "peer_share",
                                                             "request_overdue",
                                                             "answer_not_taken",
+                                                            "answer_cut",
                                                             "linger_over",
                                                             "shutdown",
                                                             "handed_on",
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -869,6 +869,9 @@
     if (s.cold_since != 0) s.cold_tokens = std::max(0.0, s.cold_tokens - hardFactor());
     r.attempts.push_back({&s, s.host.zone, s.host.cell, now, Run::Outstanding, by_report});
     out.push_back({.kind = ActionKind::Send, .request = r.id, .server = s.host.id, .time = r.give_up - now});
+    // The work is done where an answer is on its way: to end it saves nothing, and what can't be repeated is
+    // lost.
+    out.back().longest = r.deadline - now;
     out.back().reason = why;
   }
 
--- a/src/front/proxy.cpp
+++ b/src/front/proxy.cpp
@@ -534,11 +534,23 @@
   pool_.uploaded(id, received, deadline);
 }
 
+// A long answer counts when all of it is with the client, or will never be.
 void Proxy::conclude(ExchangeId id, std::int32_t request_class, Answer answer) {
-  counts_.ended(static_cast<std::size_t>(request_class), answer.status);
+  if (answer.rest) {
+    streamed_[id] = request_class;
+  } else {
+    counts_.ended(static_cast<std::size_t>(request_class), answer.status);
+  }
   server_.answer(id, std::move(answer));
 }
 
+void Proxy::onStreamed(ExchangeId id, bool whole) {
+  const auto it = streamed_.find(id);
+  if (it == streamed_.end()) return;
+  counts_.ended(static_cast<std::size_t>(it->second), whole ? 200 : 502);
+  streamed_.erase(it);
+}
+
 void Proxy::onOver(const Taken& request) { letGo(request.request, request.request_class, request.tenant); }
 
 void Proxy::onClientGone(ExchangeId id) {
--- a/src/front/proxy.h
+++ b/src/front/proxy.h
@@ -109,6 +109,7 @@
   void onRequest(ExchangeId id, ClientRequest request) override;
   void onUploaded(ExchangeId id, Time received) override;
   void onClientGone(ExchangeId id) override;
+  void onStreamed(ExchangeId id, bool whole) override;
   void onAnswer(const Taken& request, Answer answer) override;
   void onDispatched(std::int32_t request_class) override {
     counts_.dispatched(static_cast<std::size_t>(request_class));
@@ -150,6 +151,7 @@
   figures::Counts counts_;
   std::unordered_map<ExchangeId, Held> waiting_;
   std::unordered_map<ExchangeId, Time> uploads_;  // how long each client waits after its last byte
+  std::unordered_map<ExchangeId, std::int32_t> streamed_;  // classes of the long answers on their way
   Time places_due_ = kNever;                      // when the gate is asked again for sure
   bool places_freed_ = false;                     // it will be asked in this turn of the loop
   bool listening_ = false, drained_ = false, handing_on_ = false;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -125,6 +125,7 @@
       out_ += "\r\n";
     }
     rest_ = std::move(answer.rest);
+    if (rest_) streamed_ = exchange_;
     chunked_ = rest_ && !rest_->length() && !old_version_;
     if (chunked_) {
       out_ += "Transfer-Encoding: chunked\r\n";
@@ -171,7 +172,7 @@
       }
       out_ += piece;
     } else if (end == BodyPipe::End::Broken) {
-      return close();
+      return close(Cause::AnswerCut);
     }
     if (end == BodyPipe::End::Whole) {
       if (chunked_) out_ += "\r\n0\r\n\r\n";
@@ -225,6 +226,7 @@
       std::exchange(rest_, nullptr)->giveUp();
     }
     socket_.close(ignored);
+    tellStreamed(false);
     server_.remove(id_, cause);  // the last thing: it may destroy this
   }
 
@@ -236,6 +238,11 @@
   // Its request has.
   void ended() { server_.open_requests_ -= std::exchange(taken_, false) ? 1U : 0U; }
 
+  void tellStreamed(bool whole) {
+    const ExchangeId exchange = std::exchange(streamed_, 0);
+    if (exchange != 0 && !server_.ending_) server_.sink_.onStreamed(exchange, whole);
+  }
+
   void nextRequest() {
     state_ = State::Reading;
     head_seen_ = false;
@@ -487,6 +494,7 @@
 
   void onAnswered() {
     ended();
+    tellStreamed(true);
     if (close_) return linger();
     resting_ = true;
     server_.gate_.onRest(server_.now(), id_);
@@ -529,6 +537,7 @@
   std::shared_ptr<BodyPipe> rest_;               // of the long answer that is being written
   std::optional<admission::UploadClock> clock_;  // of the body that is being read
   ExchangeId exchange_ = 0;
+  ExchangeId streamed_ = 0;  // whose long answer is being written; 0: none
   bool head_seen_ = false;
   bool taken_ = false;  // its request is whole and has not ended
   bool old_version_ = false, close_ = false;
@@ -553,6 +562,7 @@
 }
 
 Server::~Server() {
+  ending_ = true;
   bodies_->onRoom(nullptr);
   const auto connections = std::exchange(connections_, {});
   for (const auto& [id, connection] : connections) connection->close(Cause::Shutdown);
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -36,6 +36,8 @@
   virtual void onUploaded(ExchangeId id, Time received) = 0;
   // The client has gone before its answer was complete. Nothing is owed any more.
   virtual void onClientGone(ExchangeId id) = 0;
+  // The last word on a long answer: the client's machine has all of it, or it broke off on the way.
+  virtual void onStreamed(ExchangeId id, bool whole) = 0;
 };
 
 class Server {
@@ -117,6 +119,7 @@
   std::function<bool(int)> give_;  // not set: nothing is handed on
   std::size_t open_requests_ = 0;
   bool draining_ = false;
+  bool ending_ = false;     // nobody is told any more
   bool accepting_ = false;  // the listener is being watched
   bool no_place_ = false;   // connections wait in the queue until somebody leaves
 };
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -56,6 +56,7 @@
   }
 
   void giveUp(Result as) { end(as); }
+  bool answering() const { return busy_ && parser_->is_header_done() && parser_->status == 200; }
 
   // An idle connection that the host has closed, or on which something lies that nobody asked for (a second
   // copy of the last answer, say): the next request must not take that for its answer. Nothing is read while
@@ -476,6 +477,11 @@
   if (it != attempts_.end()) it->second->giveUp(as);
 }
 
+bool Upstream::answering(AttemptId id) const {
+  const auto it = attempts_.find(id);
+  return it != attempts_.end() && it->second->answering();
+}
+
 Upstream::Connection* Upstream::takeIdle(Pool& pool) {
   const Time now = timers_.clock().now();
   while (!pool.idle.empty()) {
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -88,6 +88,8 @@
   // Stop waiting: the connection is closed and `as` reported, at once. Nothing happens if the attempt has
   // ended.
   void giveUp(AttemptId id, weldflow::Result as);
+  // A 200 answer to it is coming; that it keeps its pace is watched here.
+  bool answering(AttemptId id) const;
   void probe(std::string_view uid);
 
   // From now on no connection is kept for a next attempt, or again as usual.
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -196,7 +196,7 @@
   const Time left = r.taken.deadline - now;
   const Time limit = action.time > 0 ? std::min(action.time, left) : left;
   const auto attempt = static_cast<std::int32_t>(r.attempts.size());
-  r.attempts.push_back({.sent = now, .limit = limit});
+  r.attempts.push_back({.sent = now, .limit = limit, .longest = std::max(limit, action.longest)});
   ++r.outstanding;
   const AttemptId id = attemptId(action.request, attempt);
   // What has been taken out of a long body is not there any more.
@@ -214,7 +214,7 @@
 void Pool::expectEnd(RequestId id, const Open& r, std::int32_t attempt) {
   if (r.taken.request.rest && r.uploaded == 0) return;
   const Attempt& a = r.attempts[static_cast<std::size_t>(attempt)];
-  timers_.at(std::max(a.sent, r.uploaded) + a.limit, [this, id, attempt] { onAttemptTimeout(id, attempt); });
+  timers_.at(beganAt(r, a) + a.limit, [this, id, attempt] { onAttemptTimeout(id, attempt); });
 }
 
 void Pool::uploaded(ExchangeId id, Time received, Time deadline) {
@@ -280,8 +280,14 @@
   const auto it = open_.find(id);
   if (it == open_.end()) return;
   // A long answer that has begun is timed by its first byte.
-  const Attempt& a = it->second.attempts[static_cast<std::size_t>(attempt)];
+  const Open& r = it->second;
+  const Attempt& a = r.attempts[static_cast<std::size_t>(attempt)];
   if (a.over || a.answered != 0) return;
+  const Time due = std::min(beganAt(r, a) + a.longest, r.taken.deadline);
+  if (clock_.now() < due && upstream_.answering(attemptId(id, attempt))) {
+    timers_.at(due, [this, id, attempt] { onAttemptTimeout(id, attempt); });
+    return;
+  }
   upstream_.giveUp(attemptId(id, attempt), Result::TimedOut);
 }
 
@@ -337,7 +343,7 @@
   // A host's own time: not that of a client that sends or takes a long body.
   // Nor that of an answer that is written in pieces.
   const Time begun = a.answered != 0 ? a.answered : end.begun != 0 ? end.begun : now;
-  told.latency = std::max<Time>(begun - std::max(a.sent, r.uploaded), 0);
+  told.latency = std::max<Time>(begun - beganAt(r, a), 0);
   told.load = parseLoad(end.load);
   balancer_.onOutcome(now, told, actions_);
   closeIfOver(id);
--- a/src/pools/pool.h
+++ b/src/pools/pool.h
@@ -4,6 +4,7 @@
 // of clients, other pools or who was let in.
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <deque>
 #include <functional>
@@ -96,6 +97,7 @@
   struct Attempt {
     Time sent = 0;
     Time limit = 0;     // from then, or from a long request's last byte
+    Time longest = 0;   // the same where its answer is being written by then
     Time answered = 0;  // when its long answer began; 0: it has not
     bool over = false;  // its outcome is known
   };
@@ -129,6 +131,10 @@
   void onAttemptTimeout(RequestId id, std::int32_t attempt);
   void onDeadline(RequestId id);
   void expectEnd(RequestId id, const Open& request, std::int32_t attempt);
+  // When a host could begin with it: a long request's last byte counts.
+  static Time beganAt(const Open& request, const Attempt& attempt) {
+    return std::max(attempt.sent, request.uploaded);
+  }
   void outcome(Time now, RequestId id, std::int32_t attempt, AttemptEnd end);
   void closeIfOver(RequestId id);
   bool maintain(const std::string& host, bool out_of_use);
--- a/tests/admission_server_test.cpp
+++ b/tests/admission_server_test.cpp
@@ -24,6 +24,7 @@
   }
   void onUploaded(ExchangeId, Time) override {}
   void onClientGone(ExchangeId) override {}
+  void onStreamed(ExchangeId, bool) override {}
   void release() {
     for (const ExchangeId id : std::exchange(held, {})) {
       server->answer(id, {.status = 200, .body = "served", .content_type = {}, .retry_after = {}});
--- a/tests/long_bodies_test.cpp
+++ b/tests/long_bodies_test.cpp
@@ -45,6 +45,10 @@
     const std::size_t end = message.find("\r\n\r\n");
     return end == std::string::npos ? std::string() : message.substr(end + 4);
   }
+  bool counted(const std::string& ending, int n, const std::string& of = "slot-status") const {
+    return proxy->stats().find("app_" + ending + "{type=\"" + of + "\"} " + std::to_string(n) + "\n") !=
+           std::string::npos;
+  }
   void startWithOne() { start(json::array({entry("s-1", host.endpoint())})); }
   std::shared_ptr<Peer> asked(Host& at) {
     const bool come = loop.until([&] { return !at.peers.empty() && at.peers.back()->heard("\r\n\r\n"); });
@@ -150,6 +154,79 @@
     EXPECT_EQ(c->got.find("\r\n0\r\n"), std::string::npos);
   }
   EXPECT_EQ(host.peers.size(), 2U) << "never asked again";
+  EXPECT_TRUE(counted("error", 2)) << proxy->stats();
+  EXPECT_TRUE(counted("success", 0)) << proxy->stats();
+  EXPECT_NE(proxy->admissionReport().find("\"answer_cut\": 2"), std::string::npos);
+}
+
+// It counts when it is with the client's machine, not when it begins.
+TEST_F(LongBodies, ALongAnswerIsASuccessWhenAllOfItIsWritten) {
+  startWithOne();
+  const auto c = client();
+  c->say(request("a"));
+  ASSERT_TRUE(asked(host));
+  host.peers[0]->say("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nfirst");
+  ASSERT_TRUE(loop.until([&] { return c->heard("first"); }));
+  EXPECT_TRUE(counted("success", 0)) << proxy->stats();
+  host.peers[0]->say(std::string(99'995, 'x'));
+  ASSERT_TRUE(loop.until([&] { return bodyOf(c->got).size() == 100'000; }));
+  ASSERT_TRUE(loop.until([&] { return counted("success", 1); })) << proxy->stats();
+  EXPECT_TRUE(counted("error", 0)) << proxy->stats();
+}
+
+// An answer of up to 64 KiB that is being written when its attempt's time is up: the aim is 200 ms, the
+// deadline 2.5 s, and a host that gives 32 KiB a second keeps its pace.
+class SlowAnswers : public LongBodies {
+ protected:
+  // One whose head and first bytes come at once; its connection.
+  std::shared_ptr<Peer> begin(const std::string& more = "") {
+    start(json::array({entry("s-1", host.endpoint())}), [](Config& config) {
+      for (weldflow::RequestClass& k : config.site.settings.classes) {
+        k.aim = 200 * kMillisecond;
+        k.late_worth = 0;
+      }
+      config.own.answer = kSecond;  // it may stand still for
+    });
+    c = client();
+    c->say(post("a", "Content-Length: 0\r\n" + more));
+    if (!asked(host)) return nullptr;
+    began = loop.clock.now();
+    host.peers[0]->say("HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n" + bytes(20'000));
+    return host.peers[0];
+  }
+  Time passed() const { return loop.clock.now() - began; }
+  std::shared_ptr<Peer> c;
+  Time began = 0;
+};
+
+TEST_F(SlowAnswers, OneThatKeepsItsPaceIsNotGivenUpAtItsAim) {
+  const auto writer = begin();
+  ASSERT_TRUE(writer);
+  ASSERT_TRUE(loop.until([&] { return passed() > 400 * kMillisecond; }));
+  EXPECT_EQ(c->got, "");
+  EXPECT_FALSE(writer->ended);
+  writer->say(bytes(40'000).substr(20'000));
+  ASSERT_TRUE(loop.until([&] { return c->heard("\r\n\r\n"); }));
+  EXPECT_TRUE(c->heard("HTTP/1.1 200")) << c->got.substr(0, 40);
+  ASSERT_TRUE(loop.until([&] { return bodyOf(c->got).size() == 40'000; }));
+  EXPECT_EQ(bodyOf(c->got), bytes(40'000));
+}
+
+TEST_F(SlowAnswers, OneThatStandsStillIsGivenUpBeforeTheDeadline) {
+  const auto writer = begin();
+  ASSERT_TRUE(writer);
+  ASSERT_TRUE(loop.until([&] { return c->heard("\r\n\r\n"); }));
+  EXPECT_TRUE(c->heard("HTTP/1.1 502")) << c->got.substr(0, 40);
+  EXPECT_LT(passed(), 2 * kSecond);
+}
+
+TEST_F(SlowAnswers, NoneIsHeldBeyondTheClientsTime) {
+  const auto writer = begin("X-Time-Left: 0.400\r\n");
+  ASSERT_TRUE(writer);
+  ASSERT_TRUE(loop.until([&] { return c->heard("\r\n\r\n"); }));
+  EXPECT_TRUE(c->heard("HTTP/1.1 504")) << c->got.substr(0, 40);
+  EXPECT_GE(passed(), 390 * kMillisecond);
+  ASSERT_TRUE(loop.until([&] { return writer->ended; }));
 }
 
 TEST_F(LongBodies, AClientThatGoesStopsTheHost) {
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -19,6 +19,7 @@
   }
   void onUploaded(ExchangeId, Time) override {}
   void onClientGone(ExchangeId) override {}
+  void onStreamed(ExchangeId, bool) override {}
   Server* server = nullptr;
   std::vector<std::string> requests;
 };
