Tries of clients that give up before the aim are bounded like the module's own repeats

One client's key: 8.232 r3 149990, 8.382 r3 149989, 8.515 r3 149994, 8.533 r3 150003, ... Clients of the safe classes have 150 to 203 ms of patience there (their aim is 870 ms), and come again at once, 53 times at most: 14,105 tries of 150 ms in eight seconds, 4,056 of 4,474 given up in four of them. That is more than all hosts can do, so everybody waits behind work that nobody takes.

Checked and ruled out: gone hosts (no connect fails in our logs), the release itself (in time 77 % under 203 ms before the storm), warm keys after a given up try (285 ms against 212), and hosts' reports as a better choice (they explain 1 to 2 % of the latency that own answers do not, 19,524 answers).

Lines at fault: Impl::judge() takes a time-out for load only by its part of the aim (150 of 870 ms is none), and nothing else bounds such tries.

Change: kBudgetShare and kBudgetMost hold for them too; while that budget is empty a try whose client gives up before the aim is refused at once. Answers in time cost nothing.

Two tests; without the change the first sends 400 of 400.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -35,8 +35,9 @@
 constexpr double kAnswerMends = 0.8;  // an answer takes back less than a failure adds, so part failures show
 constexpr double kMaxOut = 0.4;       // of the subset: if more fail, the fault is not theirs
 constexpr double kMaxUnreachable = 0.75;  // of those that can't be connected to, which are of no use at all
-constexpr double kBudgetShare = 0.15;     // repeats allowed for each request: bounded extra load in overload
-constexpr double kBudgetMost = 10;        // a burst of repeats: what a small failure needs at once
+constexpr double kBudgetShare = 0.15;     // repeats allowed for each request: bounded extra load in overload;
+                                          // as many may be sent for clients that will not wait for the answer
+constexpr double kBudgetMost = 10;        // a burst of either: what a small failure needs at once
 constexpr double kRecent = 0.99;          // the mix of arrivals is taken over the last hundred
 constexpr double kShedGain = 0.05;        // shedding follows some twenty outcomes: faster than a queue fills
 constexpr double kLateFrom = 0.4;         // an answer after this part of its aim begins to count as late
@@ -169,6 +170,7 @@
   Time last_arrival = 0;
   std::uint64_t looked_at = 0;  // servers weighed in picks, for tests of cost
   double budget = kBudgetMost / 2;
+  double futile_budget = kBudgetMost / 2;
   double shed_part = 0;              // of the arrivals, refused on arrival
   std::vector<double> level_recent;  // arrivals by class, within and beyond the share
   Time ask_backoff = kSecond;
@@ -824,6 +826,7 @@
     last_arrival = now;
     demand += 0.1 * (in_flight + 1 - demand);
     budget = std::min(kBudgetMost, budget + kBudgetShare);
+    futile_budget = std::min(kBudgetMost, futile_budget + kBudgetShare);
     Live& r = open(q.id);
     r.request_class = q.request_class;
     r.key = q.key;
@@ -837,7 +840,7 @@
     }
     proveReturning(out);
     adjustLength(out);
-    shed(q) ? settle(r, out) : dispatch(r, out);
+    (impatient(r) && futile_budget < 1) || shed(q) ? settle(r, out) : dispatch(r, out);
     closeIfDone(r);
   }
 
@@ -902,6 +905,7 @@
     --in_flight;
     --r->outstanding;
     trust(*r, a, o);
+    judgePatience(*r, o.result);
     judge(s, *r, a, o, out);
     r->ended |= o.final || o.result == Result::Ok;
     if (!r->ended && !r->streaming && r->outstanding == 0) {
@@ -920,6 +924,17 @@
     return std::clamp((part - kLateFrom) / (1 - kLateFrom), 0.0, 1.0);
   }
 
+  // Its client gives it up before its answer would have lost its worth.
+  bool impatient(const Live& r) const { return r.deadline - r.arrived < classOf(r).aim; }
+
+  // An attempt that its client gives up has cost its server as much as an answer. Clients that come again at
+  // once can keep a whole fleet busy with what nobody waits for, and then nobody is answered in time: what ends
+  // so is bounded like repeats. Where answers come in time again, they cost nothing here.
+  void judgePatience(const Live& r, Result result) {
+    if (impatient(r) && (result == Result::TimedOut || result == Result::Cancelled))
+      futile_budget = std::max(0.0, futile_budget - 1);
+  }
+
   // What an outcome says about its server and about the load.
   void judge(Server& s, const Live& r, const Attempt& a, const Outcome& o, Actions& out) {
     const bool silent_since = s.last_answer < a.sent;
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -774,5 +774,45 @@
   }
 }
 
+// ---- clients that will not wait ----
+
+class Patience : public ::testing::Test {
+ protected:
+  Patience() { d.servers(ListKind::Restored, makeHosts(12)); }
+  // One try of a client that waits so long (the aim is 500 ms), at a host that would take so long. Was it sent?
+  bool tried(Time patience, Time takes, std::int32_t cls = 0) {
+    d.now += 10 * kMs;
+    d.request(++last, cls, patience);
+    const bool sent = d.count(ActionKind::Send) == 1;
+    EXPECT_EQ(d.count(ActionKind::Refuse), sent ? 0 : 1) << "refused at once, or sent";
+    if (!sent) return false;
+    d.now += std::min(patience, takes);
+    d.outcome(last, 0, takes <= patience ? Result::Ok : Result::TimedOut, std::min(patience, takes));
+    return true;
+  }
+  Driver d{makeSettings()};
+  RequestId last = 0;
+};
+
+// Clients that give up early and come again at once would keep the whole fleet busy with what nobody takes.
+TEST_F(Patience, WhatClientsGiveUpIsBoundedLikeRepeatsAndOthersGoOn) {
+  int sent = 0, others = 0;
+  for (int n = 0; n < 400; ++n) {
+    sent += tried(150 * kMs, 200 * kMs) ? 1 : 0;
+    if (n % 4 == 0) others += tried(500 * kMs, 100 * kMs, 4) ? 1 : 0;  // until the aim: patient
+  }
+  EXPECT_EQ(others, 100);
+  EXPECT_LE(sent, 0.15 * 500 + 10);
+  EXPECT_GE(sent, 50) << "some go on to tell when it is over";
+  // It is: whoever is answered in time costs nothing.
+  int again = 0;
+  for (int n = 0; n < 100; ++n) again += tried(150 * kMs, 50 * kMs) ? 1 : 0;
+  EXPECT_GE(again, 90);
+}
+
+TEST_F(Patience, ThoseThatAreAnsweredInTimeAreNeverRefused) {
+  for (int n = 0; n < 300; ++n) ASSERT_TRUE(tried(150 * kMs, n % 10 == 0 ? 200 * kMs : 100 * kMs));
+}
+
 }  // namespace
 }  // namespace weldflow::test
