Two silent servers of a zone from which nobody answers eject the zone, one answer undoes it

Checked and ruled out: shedding (refusals are attempts that ended at the aim), slow hosts alone (108 of 362 time-outs in the first window are at hosts that answered too), gone hosts (none).

Lines at fault: Impl::strike() takes each server by itself, two time-outs each; kMaxOut and kMaxUnreachable hold a proxy that is cut off with its own zone at the other three quarters; onProbe() readmits a host that answers probes, which then costs two more requests.

Change: silence() ejects a zone on two of its servers, if nothing has come from there since and something from elsewhere has; of its servers one is probed; answered() brings all back. A host that a probe readmitted is out again after one time-out.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -112,8 +112,10 @@
     Time last_answer = std::numeric_limits<Time>::min();
     double strikes = 0;  // decaying evidence of failure
     Time struck_at = 0;
-    bool out = false;     // ejected: passed over like a placeholder
-    bool silent = false;  // ejected for silence: it may come back cold
+    bool out = false;       // ejected: passed over like a placeholder
+    bool silent = false;    // ejected for silence: it may come back cold
+    bool by_zone = false;   // ejected with its whole zone
+    bool unproven = false;  // a probe has readmitted it, and no request was answered since
     bool probing = false;
     Time out_since = 0;
     Time out_until = 0;                    // then a probe or a trial may prove it
@@ -122,6 +124,10 @@
     Time reported_at = std::numeric_limits<Time>::min();
     Time cold_refilled = 0;
   };
+  struct Zone {
+    Time last_answer = std::numeric_limits<Time>::min();
+    std::string silent;  // the server there that was silent first, with no answer from the zone since
+  };
   enum class Run : std::uint8_t { Outstanding, MayHaveRun, NeverRan };
   struct Attempt {
     Server* server = nullptr;
@@ -148,9 +154,11 @@
   Time now = 0, started = 0;
   std::map<std::string, std::unique_ptr<Server>, std::less<>> servers;  // sorted: no decision hangs on a hash
   std::vector<Server*> slots;                                           // by slot; null: free
-  std::vector<Server*> order;  // this client's reading order of the listed servers
-  std::size_t reach = 0;       // the subset is the usable part of order[0, reach)
-  std::uint32_t members = 0;   // how many usable servers that is
+  std::map<std::int32_t, Zone> zones;
+  Time last_answer = std::numeric_limits<Time>::min();  // of any server
+  std::vector<Server*> order;                           // this client's reading order of the listed servers
+  std::size_t reach = 0;                                // the subset is the usable part of order[0, reach)
+  std::uint32_t members = 0;                            // how many usable servers that is
   std::uint32_t wanted = kSubset;
   Time lengthened = 0;
   double demand = 0;  // own requests in flight, averaged
@@ -175,7 +183,7 @@
   std::vector<double> level_recent;  // arrivals by class, within and beyond the share
   Time ask_backoff = kSecond;
   bool started_up = false, subscribed = false, list_stale = false, shedding = false, some_repeatable = false;
-  std::array<Time, 5> next_trace{};
+  std::array<Time, 6> next_trace{};
 
   static constexpr std::uint64_t kDiscoveryTimer = 0;
 
@@ -212,7 +220,7 @@
   }
 
   // A line for staff at a change of state; at most one of each kind a second.
-  enum TraceKind : std::uint8_t { Ejected, Readmitted, Lengthened, Shedding, Listing };
+  enum TraceKind : std::uint8_t { Ejected, Readmitted, Lengthened, Shedding, Listing, Zoned };
   void trace(Actions& out, TraceKind kind, std::string text) {
     if (now < next_trace[kind]) return;
     next_trace[kind] = now + kSecond;
@@ -537,18 +545,58 @@
   // answer to what it had before it was ejected shows that it has not.
   void readmit(Server& s, Time asked, Actions& out) {
     if (!s.out) return;
-    s.out = false;
+    s.out = s.by_zone = false;
     if (s.silent && settings.cold_time > 0 && asked > s.out_since) startCold(s, now);
     measureReach();
     trace(out, Readmitted, "readmitted " + s.host.id);
   }
 
-  // Ejected servers whose time is over are probed where that is permitted.
+  // Silence of two servers of a zone, with no answer from any there but some from elsewhere, is the zone's:
+  // it is lost, or cut off from here. To find it out of each server by itself would cost every client some
+  // requests for each, and where most zones are beyond a cut no bound on the ejected would let it.
+  void silence(const Server& s, Time sent, Actions& out) {
+    Zone& zone = zones[s.host.zone];
+    if (zone.last_answer >= sent || last_answer < sent) return;
+    if (zone.silent.empty()) zone.silent = s.host.id;
+    if (zone.silent == s.host.id) return;
+    const bool others = std::any_of(order.begin(), order.end(),
+                                    [&](auto* o) { return usable(*o) && o->host.zone != s.host.zone; });
+    if (!others) return;
+    const Time until = now + static_cast<Time>(kFirstOut * (0.75 + 0.5 * random.unit()));
+    for (Server* o : order) {
+      if (o->out || o->host.zone != s.host.zone) continue;
+      o->out = o->silent = o->by_zone = true;
+      o->out_since = now;
+      o->out_until = until;
+    }
+    next_return = next_return == 0 ? until : std::min(next_return, until);
+    measureReach();
+    trace(out, Zoned, "ejected zone " + std::to_string(s.host.zone));
+  }
+
+  // Somebody there answers again.
+  void answered(Server& s, Time asked, Actions& out) {
+    last_answer = now;
+    Zone& zone = zones[s.host.zone];
+    zone.last_answer = now;
+    zone.silent.clear();
+    if (!s.by_zone) return;
+    for (Server* o : order) {
+      if (o->by_zone && o->host.zone == s.host.zone) readmit(*o, asked, out);
+    }
+  }
+
+  // Ejected servers whose time is over are probed where that is permitted; of a zone one.
   void proveReturning(Actions& out) {
     if (next_return == 0 || now < next_return) return;
     next_return = 0;
+    std::vector<std::int32_t> asked_zones;
     for (Server* s : order) {
       if (!s->out) continue;
+      if (s->by_zone && now >= s->out_until) {
+        if (std::find(asked_zones.begin(), asked_zones.end(), s->host.zone) != asked_zones.end()) continue;
+        asked_zones.push_back(s->host.zone);
+      }
       if (now < s->out_until) {
         next_return = next_return == 0 ? s->out_until : std::min(next_return, s->out_until);
       } else if (settings.may_probe && !s->probing && inService(*s)) {
@@ -568,8 +616,18 @@
       s.reported_at = now;
     }
     if (!s.out) return heard(s, ok, out);
-    if (s.listed && ok) readmit(s, now, out);
-    if (s.listed && !ok) strike(s, true, 1, out);
+    if (s.listed && ok) {
+      s.unproven = true;
+      answered(s, now, out);
+      readmit(s, now, out);
+    } else if (s.listed) {
+      strike(s, true, 1, out);
+      for (Server* o : order) {
+        if (s.by_zone && o->by_zone && o->host.zone == s.host.zone) o->out_until = s.out_until;
+      }
+    } else if (s.by_zone) {
+      next_return = now;  // another of its zone is asked
+    }
   }
 
   void learn(Server& s, std::int32_t cls, const Outcome& o) {
@@ -928,8 +986,8 @@
   bool impatient(const Live& r) const { return r.deadline - r.arrived < classOf(r).aim; }
 
   // An attempt that its client gives up has cost its server as much as an answer. Clients that come again at
-  // once can keep a whole fleet busy with what nobody waits for, and then nobody is answered in time: what ends
-  // so is bounded like repeats. Where answers come in time again, they cost nothing here.
+  // once can keep a whole fleet busy with what nobody waits for, and then nobody is answered in time: what
+  // ends so is bounded like repeats. Where answers come in time again, they cost nothing here.
   void judgePatience(const Live& r, Result result) {
     if (impatient(r) && (result == Result::TimedOut || result == Result::Cancelled))
       futile_budget = std::max(0.0, futile_budget - 1);
@@ -939,8 +997,11 @@
   void judge(Server& s, const Live& r, const Attempt& a, const Outcome& o, Actions& out) {
     const bool silent_since = s.last_answer < a.sent;
     if (o.result == Result::Ok || o.result == Result::Rejected || o.result == Result::Error ||
-        o.result == Result::Spoilt || o.result == Result::BadRequest)
+        o.result == Result::Spoilt || o.result == Result::BadRequest) {
       s.last_answer = now;
+      s.unproven = false;
+      answered(s, a.sent, out);
+    }
     double late = 0;
     switch (o.result) {
       case Result::Ok:
@@ -965,10 +1026,13 @@
         // Only silence is held against the server; late among answers, or silence of all, is load.
         s.turn += 1 / weight(s);
         learn(s, r.request_class, o);
-        if (silent_since && strike(s, true, kTimeoutEvidence, out)) return;
+        if (silent_since) silence(s, a.sent, out);
+        // One that answers probes only is found out at once the next time.
+        if (silent_since && strike(s, true, s.unproven ? 1 : kTimeoutEvidence, out)) return;
         late = lateness(r, o);  // not 1: an attempt that began late in its request's time had little of it
         break;
       case Result::ConnectFailed:
+        silence(s, a.sent, out);
         strike(s, true, 1, out, kMaxUnreachable);
         return;
       case Result::BadRequest:  // says nothing of the server: a bad client must not eject sound ones
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -88,7 +88,8 @@
   EXPECT_EQ(d.balancer.subset(d.now), before);
 }
 
-// With fewer servers than the subset's ordinary length there is nothing to lengthen, however great the demand.
+// With fewer servers than the subset's ordinary length there is nothing to lengthen, however great the
+// demand.
 TEST(Subset, AShortListIsNotLengthenedOnEveryArrival) {
   Driver d(makeSettings());
   d.servers(ListKind::Restored, makeHosts(6));
@@ -779,7 +780,8 @@
 class Patience : public ::testing::Test {
  protected:
   Patience() { d.servers(ListKind::Restored, makeHosts(12)); }
-  // One try of a client that waits so long (the aim is 500 ms), at a host that would take so long. Was it sent?
+  // One try of a client that waits so long (the aim is 500 ms), at a host that would take so long. Was it
+  // sent?
   bool tried(Time patience, Time takes, std::int32_t cls = 0) {
     d.now += 10 * kMs;
     d.request(++last, cls, patience);
@@ -814,5 +816,129 @@
   for (int n = 0; n < 300; ++n) ASSERT_TRUE(tried(150 * kMs, n % 10 == 0 ? 200 * kMs : 100 * kMs));
 }
 
+// ---- zones ----
+
+class ZoneLost : public ::testing::Test {
+ protected:
+  ZoneLost() : d(probing()) { d.servers(ListKind::Restored, makeHosts(12)); }  // four in each of three zones
+  static Settings probing() {
+    Settings s = makeSettings();
+    s.may_probe = true;
+    return s;
+  }
+  static int zoneOf(const std::string& id) { return std::stoi(id.substr(7)) % 3; }
+  // One unsafe request; a host of a silent zone says nothing. Was it answered?
+  bool answered(const std::set<int>& silent) {
+    d.now += 100 * kMs;
+    d.request(++last, 4);
+    const std::string to = d.sentTo();
+    if (to.empty()) return false;
+    const bool ok = silent.count(zoneOf(to)) == 0;
+    d.now += ok ? 50 * kMs : 500 * kMs;
+    // Somebody elsewhere answers meanwhile.
+    d.request(++last, 4);
+    const std::string other = d.sentTo();
+    const bool other_ok = !other.empty() && silent.count(zoneOf(other)) == 0;
+    if (other_ok) d.outcome(last, 0, Result::Ok, 20 * kMs);
+    d.outcome(last - 1, 0, ok ? Result::Ok : Result::TimedOut, ok ? 50 * kMs : 500 * kMs);
+    if (!other.empty() && !other_ok) d.outcome(last, 0, Result::TimedOut, 500 * kMs);
+    return ok;
+  }
+  std::set<int> zonesInUse() {
+    std::set<int> zones;
+    for (const std::string& id : d.balancer.subset(d.now)) zones.insert(zoneOf(id));
+    return zones;
+  }
+  Driver d;
+  RequestId last = 0;
+};
+
+TEST_F(ZoneLost, TwoSilentServersOfAZoneStandForAllOfIt) {
+  for (int n = 0; n < 30; ++n) ASSERT_TRUE(answered({}));
+  int lost = 0;
+  while (zonesInUse().count(1) != 0 && lost < 10) lost += answered({1}) ? 0 : 1;
+  EXPECT_LE(lost, 3);
+  EXPECT_EQ(zonesInUse(), (std::set<int>{0, 2}));
+  // One of them is asked whether it is back, not each.
+  d.now += 2 * kSec;
+  d.request(++last, 4);
+  ASSERT_EQ(d.probed().size(), 1U);
+  const std::string asked = d.probed()[0];
+  EXPECT_EQ(zoneOf(asked), 1);
+  d.outcome(last, 0, Result::Ok, 20 * kMs);
+  d.probe(asked, false);
+  EXPECT_EQ(zonesInUse().count(1), 0U);
+  d.now += 10 * kSec;
+  d.request(++last, 4);
+  ASSERT_EQ(d.probed().size(), 1U);
+  const std::string again = d.probed()[0];
+  d.outcome(last, 0, Result::Ok, 20 * kMs);
+  d.probe(again, true);
+  EXPECT_EQ(zonesInUse(), (std::set<int>{0, 1, 2}));
+  EXPECT_EQ(d.balancer.subset(d.now).size(), 12U);
+}
+
+// A proxy that is cut off with its own zone has three quarters of the servers beyond the cut: no bound on how
+// many may be out keeps it at them.
+TEST_F(ZoneLost, WhoIsCutOffFromAllOtherZonesUsesItsOwn) {
+  for (int n = 0; n < 30; ++n) ASSERT_TRUE(answered({}));
+  int lost = 0;
+  while (zonesInUse().size() > 1 && lost < 20) lost += answered({1, 2}) ? 0 : 1;
+  EXPECT_LE(lost, 8);
+  EXPECT_EQ(zonesInUse(), (std::set<int>{0}));
+  for (int n = 0; n < 5; ++n) EXPECT_TRUE(answered({1, 2}));
+}
+
+TEST_F(ZoneLost, SilenceOfAllIsNoZonesFault) {
+  for (int n = 0; n < 30; ++n) ASSERT_TRUE(answered({}));
+  for (int n = 0; n < 10; ++n) answered({0, 1, 2});
+  EXPECT_FALSE(zonesInUse().empty());
+  EXPECT_GE(d.balancer.subset(d.now).size(), 6U) << "no more than single servers' evidence puts out";
+}
+
+TEST_F(ZoneLost, AZoneThatAnswersHasSilentServersNotSilence) {
+  for (int n = 0; n < 200; ++n) {
+    d.now += 100 * kMs;
+    d.request(++last, 4);
+    const std::string to = d.sentTo();
+    const bool bad = to == "server-001" || to == "server-004";
+    d.now += 20 * kMs;
+    d.outcome(last, 0, bad ? Result::ConnectFailed : Result::Ok, 20 * kMs);
+    if (bad) d.outcome(last, 1, Result::Ok, 20 * kMs);
+    EXPECT_FALSE(d.traced("ejected zone"));
+  }
+  EXPECT_EQ(zonesInUse().count(1), 1U);
+}
+
+// Probes say that its process runs; requests say that it does not serve.
+TEST_F(ZoneLost, OneThatAnswersOnlyProbesIsOutAgainAfterOneRequest) {
+  const auto failsAt = [&](const std::string& id) {
+    for (int n = 0; n < 400; ++n) {
+      d.now += 20 * kMs;
+      d.request(++last, 4);
+      if (d.sentTo() == id) {
+        d.now += 500 * kMs;
+        d.outcome(last, 0, Result::TimedOut, 500 * kMs);
+        return true;
+      }
+      for (const std::string& p : d.probed()) d.probe(p, true);
+      d.outcome(last, 0, Result::Ok, 5 * kMs);
+    }
+    return false;
+  };
+  const std::string bad = "server-000";
+  int before = 0;
+  for (; before < 5 && !d.traced("ejected"); ++before) ASSERT_TRUE(failsAt(bad));
+  EXPECT_EQ(before, 2) << "two in a row, the first time";
+  d.now += 2 * kSec;
+  d.request(++last, 4);
+  ASSERT_EQ(d.probed(), std::vector<std::string>{bad});
+  d.outcome(last, 0, Result::Ok, 5 * kMs);
+  d.probe(bad, true);
+  d.now += 10 * kSec;  // warm, and what it did is half forgotten
+  ASSERT_TRUE(failsAt(bad));
+  EXPECT_TRUE(d.traced("ejected"));
+}
+
 }  // namespace
 }  // namespace weldflow::test
