What may not run a second time is known by id and key, and handed over before the next process accepts

Need: only the ids of open requests were known, to one process. A client that repeated a charge that had run, or one that was open in the process before, had it run again; a keyed request ran again past its window under a new id.

Change: src/admission/repeats (no I/O, bounded in bytes) remembers what is open and what may have run, by id and Idempotency-Key; the front answers 409. At an upgrade the new process says Ready first, the old one stops accepting, tells all it has and then each end, and only then does the new one accept. A process one release older neither tells nor is waited for.

Found by the new test: an old process that got SIGTERM while connections were being handed on left although some still waited for the kernel to take them (Proxy's wait counted its own connections only): 1 in 2 of eight runs side by side lost a client's connection. It counts those now too.

--- a/src/daemon/serve.cpp
+++ b/src/daemon/serve.cpp
@@ -174,7 +174,8 @@
     state ? proxy_.start(*state) : proxy_.start();
   }
   handover::State state() override { return proxy_.state(); }
-  void give(std::function<bool(int)> give) override { proxy_.handOn(std::move(give)); }
+  void give(handover::Successor successor) override { proxy_.handOn(std::move(successor)); }
+  void triedThere(const std::vector<admission::Tried>& tried) override { proxy_.triedThere(tried); }
   void takeBack() override { proxy_.takeBack(); }
   void adopt(int descriptor) override { proxy_.adopt(descriptor); }
   std::size_t descriptorsHeld() override { return proxy_.descriptorsHeld(); }
--- a/src/front/proxy.cpp
+++ b/src/front/proxy.cpp
@@ -28,6 +28,7 @@
 constexpr std::size_t kLeastRetries = 64;
 constexpr std::size_t kRequestCost = 1024;       // bytes that an open request holds beside its head and body
 constexpr Time kLongestUpload = 3600 * kSecond;  // its pace is the server's to watch
+constexpr Time kLongestKept = 60 * kSecond;      // what may have run is remembered for, whatever classes say
 constexpr Time kSummary = 10 * kSecond;          // between two lines on what was turned away
 
 // A connection without an open request may be closed after this, says the protocol's later page.
@@ -94,6 +95,17 @@
   return limits;
 }
 
+// No client repeats later than its class's deadline, and no host drops repeats for longer than its window.
+admission::Repeats::Limits repeatLimits(const Config& config) {
+  admission::Repeats::Limits limits;
+  limits.kept = 0;
+  for (const weldflow::RequestClass& c : config.site.settings.classes)
+    limits.kept = std::max({limits.kept, c.deadline, c.effect == Effect::Keyed ? 2 * c.window : 0});
+  limits.kept = std::min(limits.kept, kLongestKept);
+  limits.bytes = config.memory_mb * kMegabyte / 128;
+  return limits;
+}
+
 Upstream::Limits upstreamLimits(const Config& config) {
   Upstream::Limits limits;
   limits.idle = config.site.idle;
@@ -182,6 +194,7 @@
       server_(io, timers_, descriptors_, log, *this, serverLimits(config_, descriptors_.limit())),
       pool_(io, timers_, descriptors_, log, config_.zones, *this,
             poolConfig(config_, known_.settings(config_))),
+      repeats_(repeatLimits(config_)),
       requests_(known_.limits(config_)),
       ledger_(known_.classes.size(), known_.tenants.size()) {
   // Clients that only stay are cheaper to lose than connections to hosts, which cost these work to open.
@@ -215,21 +228,28 @@
                 LogLevel::Warning);
     }
   }
+  repeats_.recall(clock_.now(), state.tried);
   pool_.start(std::move(known), state.servers);
   if (state.drained) drainClients();
   listen();
 }
 
 handover::State Proxy::state() const {
-  return {formatHostList(pool_.hosts(), config_.zones), pool_.remember(), drained()};
+  return {formatHostList(pool_.hosts(), config_.zones), pool_.remember(), drained(),
+          repeats_.remember(clock_.now())};
 }
 
-void Proxy::handOn(std::function<bool(int)> give) {
-  give_ = std::move(give);
+void Proxy::handOn(handover::Successor successor) {
+  successor_ = std::move(successor);
+  if (successor_.tell) {  // before any client can repeat something there
+    if (const auto tried = repeats_.remember(clock_.now()); !tried.empty()) successor_.tell(tried);
+    successor_.tell({});  // that was all
+  }
   live([this](lifecycle::Steps& steps) { life_.onHandOn(steps); });
 }
 
 void Proxy::takeBack() {
+  successor_ = {};
   live([this](lifecycle::Steps& steps) { life_.onTakeBack(steps); });
 }
 
@@ -255,13 +275,29 @@
   known_.tenants.use(ask.tenant);
 }
 
-// It is over, or was never let in: its id and its numbers are free.
-void Proxy::letGo(const ClientRequest& request, std::int32_t request_class, std::int32_t tenant) {
-  ids_.erase(request.head.correlation);
+// It is over, or was never let in: its numbers are free.
+void Proxy::letGo(const ClientRequest& request, std::int32_t request_class, std::int32_t tenant,
+                  bool may_have_run) {
+  over(request.head.correlation, may_have_run);
   known_.classes.release(request_class);
   known_.tenants.release(tenant);
 }
 
+void Proxy::over(const std::string& correlation, bool may_have_run) {
+  const admission::Tried tried = repeats_.end(clock_.now(), correlation, may_have_run);
+  if (successor_.tell && !tried.id.empty()) successor_.tell({tried});
+}
+
+admission::Tried Proxy::triedOf(const RequestHead& head, std::int32_t request_class) const {
+  const weldflow::RequestClass& c = known_.classes.at(request_class);
+  admission::Tried tried;
+  tried.id = head.correlation;
+  tried.safe = c.effect == Effect::Safe;
+  if (c.effect == Effect::Keyed) tried.key = head.key;
+  if (c.effect == Effect::Keyed && c.group == weldflow::Group::All) tried.window = c.window;
+  return tried;
+}
+
 std::optional<Answer> Proxy::onHead(const RequestHead& head, bool room) {
   if (pathOf(head.target) == "/healthz")
     return plainAnswer(head.method != "GET" ? 405 : drained() ? 503 : 200);
@@ -295,8 +331,11 @@
   if (left <= 0 || deadline <= clock_.now())
     return conclude(id, info->index, plainAnswer(504));  // over before it was read
   // Two open requests of one id: hosts could not tell them apart, nor could their answers be told apart. The
-  // first one's attempts count too, also after its answer. It would harm clients that reuse an id at once.
-  if (!ids_.insert(request.head.correlation).second) return conclude(id, info->index, plainAnswer(409));
+  // first one's attempts count too, also after its answer; and what may have run must not run again. It would
+  // harm clients that reuse an id, or a key for another request, within seconds.
+  const admission::Tried tried = triedOf(request.head, info->index);
+  if (repeats_.offer(clock_.now(), tried) != admission::Repeats::Verdict::New)
+    return conclude(id, info->index, plainAnswer(409));
   const std::size_t bytes = (request.body ? request.body->size() : 0) + request.head.forward.size();
   const admission::Ask ask = askOf(id, request.head, *info, bytes, deadline);
   if (request.rest) uploads_[id] = left;
@@ -313,7 +352,7 @@
       waiting_.emplace(id, Held{std::move(request), *info, ask});
       break;
     case admission::Entry::Refused:
-      ids_.erase(request.head.correlation);
+      over(request.head.correlation, false);
       uploads_.erase(id);
       conclude(id, info->index, refusal(ask, verdict.cause));
       break;
@@ -481,7 +520,7 @@
       return server_.closeIdle(step.rested);
     case Kind::GiveAway:
       pool_.keepConnections(false);
-      return server_.handOn(give_);
+      return server_.handOn(successor_.give);
     case Kind::TakeBack:
       pool_.keepConnections(true);
       return server_.keepAll();
@@ -499,7 +538,7 @@
   life_due_ = due;
   timers_.at(due, [this, due] {
     if (life_due_ == due) life_due_ = kNever;
-    live([this](lifecycle::Steps& steps) { life_.onTime(clock_.now(), server_.connections(), steps); });
+    live([this](lifecycle::Steps& steps) { life_.onTime(clock_.now(), clientsHere(), steps); });
   });
 }
 
@@ -573,7 +612,9 @@
   streamed_.erase(it);
 }
 
-void Proxy::onOver(const Taken& request) { letGo(request.request, request.request_class, request.tenant); }
+void Proxy::onOver(const Taken& request) {
+  letGo(request.request, request.request_class, request.tenant, request.may_have_run);
+}
 
 void Proxy::onClientGone(ExchangeId id) {
   uploads_.erase(id);
@@ -613,6 +654,7 @@
   pool_.reconfigure(std::move(settings), upstreamLimits(next));
   known_ = std::move(known);
   requests_.reconfigure(limits);
+  repeats_.reconfigure(repeatLimits(next));
   ledger_.grow(known_.classes.size(), known_.tenants.size());
   server_.reconfigure(serverLimits(next, descriptors_.limit()).connections);
   log_.setLevel(next.own.log_level);
--- a/src/front/proxy.h
+++ b/src/front/proxy.h
@@ -8,14 +8,15 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "admission/indices.h"
 #include "admission/ledger.h"
+#include "admission/repeats.h"
 #include "admission/requests.h"
 #include "figures/figures.h"
 #include "handover/state.h"
+#include "handover/successor.h"
 #include "lifecycle/lifecycle.h"
 #include "net/config.h"
 #include "net/server.h"
@@ -34,14 +35,16 @@
   void start(const handover::State& state);
   // What the process after this one is to know.
   handover::State state() const;
-  // That one serves now: nobody is accepted here, `give` gets each client's connection at rest.
-  void handOn(std::function<bool(int descriptor)> give);
+  // That one serves now: nobody is accepted here, and it gets each client's connection at rest.
+  void handOn(handover::Successor successor);
   // It has gone: serve as before.
   void takeBack();
   // A client's connection at rest, from the process before this one.
   void adopt(int descriptor) { server_.adopt(descriptor); }
+  // What may not run a second time here, from the process before this one.
+  void triedThere(const std::vector<admission::Tried>& tried) { repeats_.recall(clock_.now(), tried); }
   // Nothing is left here.
-  bool idle() const { return server_.connections() == 0 && pool_.openRequests() == 0; }
+  bool idle() const { return clientsHere() == 0 && pool_.openRequests() == 0; }
   // Of clients and hosts, and the process's own.
   std::size_t descriptorsHeld() const;
   // Another process holds so many of those that both may hold together.
@@ -125,6 +128,10 @@
   template <typename Event>
   void live(Event event);
   void carryOut(const lifecycle::Step& step);
+  // Connections that would be lost if this process left.
+  std::size_t clientsHere() const {
+    return server_.connections() + (successor_.waiting ? successor_.waiting() : 0);
+  }
   void awaitLife();
   Answer refusal(const admission::Ask& ask, admission::Cause cause);
   void refuseWaiting(const std::vector<admission::Refusal>& refused);
@@ -136,7 +143,10 @@
   std::optional<ClassInfo> classOf(std::string_view target) const;
   void open(const admission::Ask& ask, ClientRequest request, const ClassInfo& info);
   void use(const admission::Ask& ask);
-  void letGo(const ClientRequest& request, std::int32_t request_class, std::int32_t tenant);
+  void letGo(const ClientRequest& request, std::int32_t request_class, std::int32_t tenant,
+             bool may_have_run = false);
+  void over(const std::string& correlation, bool may_have_run);
+  admission::Tried triedOf(const RequestHead& head, std::int32_t request_class) const;
   static Pool::Config poolConfig(const Config& config, weldflow::Settings settings);
 
   boost::asio::io_context& io_;
@@ -149,7 +159,7 @@
   Server server_;
   Pool pool_;
 
-  std::unordered_set<std::string> ids_;  // X-Correlation-Id of each that waits or is not over
+  admission::Repeats repeats_;
   admission::RequestGate requests_;      // by exchange
   admission::Ledger ledger_;
   figures::Counts counts_;
@@ -160,7 +170,7 @@
   bool places_freed_ = false;                     // it will be asked in this turn of the loop
   lifecycle::Lifecycle life_;
   Time life_due_ = kNever;           // when it is asked again for sure
-  std::function<bool(int)> give_;    // while another process serves
+  handover::Successor successor_;    // while another process serves
   std::function<void()> done_;
 };
 
--- a/src/handover/channel.h
+++ b/src/handover/channel.h
@@ -49,6 +49,8 @@
   bool send(const Frame& frame, int descriptor);
   void close();
   bool open() const { return socket_.is_open(); }
+  // Messages that the kernel has not taken yet.
+  std::size_t waiting() const { return waiting_.size(); }
 
  private:
   struct Outgoing {
--- a/src/handover/frame.cpp
+++ b/src/handover/frame.cpp
@@ -24,7 +24,7 @@
 std::optional<Frame> decode(std::string_view message) {
   if (message.size() < kHead || static_cast<std::uint8_t>(message[0]) != kVersion) return std::nullopt;
   const auto type = static_cast<std::uint8_t>(message[1]);
-  if (type < static_cast<std::uint8_t>(Type::Hello) || type > static_cast<std::uint8_t>(Type::TakeClients))
+  if (type < static_cast<std::uint8_t>(Type::Hello) || type > static_cast<std::uint8_t>(Type::Tried))
     return std::nullopt;
   std::uint32_t length = 0;
   for (std::size_t i = 2; i < kHead; ++i) length = (length << 8) | static_cast<std::uint8_t>(message[i]);
--- a/src/handover/frame.h
+++ b/src/handover/frame.h
@@ -8,6 +8,9 @@
 
 namespace quinceline::handover {
 
+// What a new process says with Ready if it understands Tried; an older one says nothing and is not told.
+constexpr std::string_view kUnderstandsTried = "tried";
+
 // Both sides refuse a peer of another version: it then starts from nothing.
 constexpr std::uint8_t kVersion = 1;
 constexpr std::size_t kMostPayload = 32 * 1024;       // of one frame
@@ -23,7 +26,8 @@
   TakeOut,     // either: staff have taken this host out
   PutBack,     // either: staff have put this host back
   Drain,       // either: staff drain this proxy
-  TakeClients  // either: no more
+  TakeClients,  // either: no more
+  Tried         // the old one, to one that says so with Ready: requests that may not run a second time
 };
 
 struct Frame {
--- a/src/handover/link.cpp
+++ b/src/handover/link.cpp
@@ -54,7 +54,8 @@
       });
   loading_.expires_after(limits_.loading);
   loading_.async_wait([this, alive = alive_](error_code ec) {
-    if (!ec && *alive) carryOut(taker_.onTimeUp());
+    if (ec || !*alive) return;
+    state_ ? takePlace() : carryOut(taker_.onTimeUp());
   });
   old_->send({Type::Hello, name_});
 }
@@ -69,6 +70,8 @@
 void Link::onOldFrame(const Frame& frame, OwnedDescriptor descriptor) {
   const Taker::Step step = taker_.onFrame(frame);
   if (step != Taker::Step::Pass) return carryOut(step);
+  if (frame.type == Type::Tried) return onTried(frame.payload);
+  if (state_) takePlace();
   if (frame.type == Type::Client) {
     if (descriptor.valid()) holder_.adopt(descriptor.release());
   } else if (frame.type == Type::Holds) {
@@ -78,6 +81,26 @@
   }
 }
 
+void Link::onTried(const std::string& text) {
+  std::vector<admission::Tried> tried;
+  try {
+    tried = triedFromText(text);
+  } catch (const std::exception& e) {
+    holder_.log(e.what());
+  }
+  if (!state_) return holder_.triedThere(tried);
+  if (tried.empty()) return takePlace();
+  state_->tried.insert(state_->tried.end(), tried.begin(), tried.end());
+}
+
+// Whoever comes next finds this process, not the old one.
+void Link::takePlace() {
+  loading_.cancel();
+  holder_.begin(std::exchange(state_, std::nullopt));
+  listen();
+  holder_.log("took over from the process before this one");
+}
+
 void Link::carryOut(Taker::Step step) {
   switch (step) {
     case Taker::Step::None:
@@ -87,22 +110,23 @@
       holder_.log("the process before this one did not hand over: starting from nothing");
       return startFresh();
     case Taker::Step::Ended:
+      if (state_) takePlace();
       holder_.log("the process before this one has left");
       return holder_.otherHolds(0);
     case Taker::Step::Load:
       break;
   }
-  std::optional<State> state;
   try {
-    state = fromText(taker_.state());
+    state_ = fromText(taker_.state());
   } catch (const std::exception& e) {
     holder_.log(std::string("what the process before this one knew is not used: ") + e.what());
   }
-  loading_.cancel();
-  holder_.begin(std::move(state));
-  listen();  // whoever comes next finds this process, not the old one
-  old_->send({Type::Ready, {}});
-  holder_.log("took over from the process before this one");
+  // Accepting waits until the old one accepts nobody and has told what it took meanwhile: a request and its
+  // repeat must not be taken by two processes that do not know of each other's. The clients' socket is shared,
+  // so nobody is refused for that.
+  const bool waits = state_ && state_->tells_tried;
+  if (!waits) takePlace();
+  old_->send({Type::Ready, std::string(kUnderstandsTried)});
 }
 
 // ---- as the old process ----
@@ -173,7 +197,15 @@
   holder_.log("another process takes over: handing clients on");
   listener_.reset();  // the path is the other's
   given_at_ = std::chrono::steady_clock::now();
-  holder_.give([channel](int descriptor) { return channel->send({Type::Client, {}}, descriptor); });
+  Successor successor;
+  if (frame.payload == kUnderstandsTried) {
+    successor.tell = [channel](const std::vector<admission::Tried>& tried) {
+      for (std::string& text : triedToTexts(tried)) channel->send({Type::Tried, std::move(text)});
+    };
+  }
+  successor.give = [channel](int descriptor) { return channel->send({Type::Client, {}}, descriptor); };
+  successor.waiting = [channel] { return channel->open() ? channel->waiting() : 0; };
+  holder_.give(std::move(successor));
   look();
 }
 
--- a/src/handover/link.h
+++ b/src/handover/link.h
@@ -12,10 +12,12 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "channel.h"
 #include "roles.h"
 #include "state.h"
+#include "successor.h"
 
 namespace quinceline::handover {
 
@@ -26,13 +28,15 @@
   // Serve from now on: with what the old process knew, or from nothing.
   virtual void begin(std::optional<State> state) = 0;
   virtual State state() = 0;
-  // The new process serves: accept nobody, and give each client's connection at rest to `give`, which says
-  // whether it has been given.
-  virtual void give(std::function<bool(int descriptor)> give) = 0;
+  // The new process serves, or is about to: accept nobody, tell what was tried, and give each client's
+  // connection at rest.
+  virtual void give(Successor successor) = 0;
   // The new process has gone: serve as before.
   virtual void takeBack() = 0;
   // A client's connection at rest, from the old process.
   virtual void adopt(int descriptor) = 0;
+  // What may not run a second time here, from the old process.
+  virtual void triedThere(const std::vector<admission::Tried>& tried) = 0;
   virtual std::size_t descriptorsHeld() = 0;
   // The other process holds so many of the descriptors that both may hold together.
   virtual void otherHolds(std::size_t descriptors) = 0;
@@ -69,7 +73,9 @@
   using Shared = std::shared_ptr<Channel>;
 
   void startFresh();
+  void takePlace();
   void onOldFrame(const Frame& frame, OwnedDescriptor descriptor);
+  void onTried(const std::string& text);
   void carryOut(Taker::Step step);
   void listen();
   void accept();
@@ -85,6 +91,7 @@
   Giver giver_;
   Taker taker_;
   Shared old_;
+  std::optional<State> state_;  // waits for what the old process has tried since it told its state
   std::map<PeerId, Shared> peers_;
   PeerId next_peer_ = 1;
   std::optional<boost::asio::posix::stream_descriptor> listener_;
--- a/src/handover/roles.cpp
+++ b/src/handover/roles.cpp
@@ -49,7 +49,8 @@
 Taker::Step Taker::onFrame(const Frame& frame) {
   if (phase_ == Phase::Alone) return Step::None;
   if (phase_ == Phase::Taken) {
-    const bool ours = fromStaff(frame.type) || frame.type == Type::Client || frame.type == Type::Holds;
+    const bool ours = fromStaff(frame.type) || frame.type == Type::Client || frame.type == Type::Holds ||
+                      frame.type == Type::Tried;
     return ours ? Step::Pass : Step::None;
   }
   if (frame.type == Type::StatePart && state_.size() + frame.payload.size() <= kMostState) {
--- a/src/handover/state.cpp
+++ b/src/handover/state.cpp
@@ -3,10 +3,34 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "frame.h"
+
 namespace quinceline::handover {
 
 using nlohmann::json;
 
+namespace {
+
+// An id need not be UTF-8.
+std::string textOf(const json& doc) { return doc.dump(-1, ' ', false, json::error_handler_t::replace); }
+
+json toJson(const admission::Tried& t) {
+  return {{"id", t.id},       {"key", t.key},     {"safe", t.safe},          {"window", t.window},
+          {"began", t.began}, {"ended", t.ended}, {"never_ran", t.never_ran}};
+}
+
+std::vector<admission::Tried> triedOf(const json& list) {
+  std::vector<admission::Tried> out;
+  for (const json& t : list) {
+    out.push_back({t.at("id").get<std::string>(), t.at("key").get<std::string>(), t.at("safe").get<bool>(),
+                   t.at("window").get<admission::Time>(), t.at("began").get<admission::Time>(),
+                   t.at("ended").get<admission::Time>(), t.at("never_ran").get<bool>()});
+  }
+  return out;
+}
+
+}  // namespace
+
 std::string toText(const State& state) {
   json servers = json::array();
   for (const weldflow::Remembered& s : state.servers) {
@@ -22,9 +46,11 @@
                        {"cold_since", s.cold_since},
                        {"slowness", s.slowness}});
   }
-  const json doc = {{"hosts", state.hosts}, {"servers", servers}, {"drained", state.drained}};
-  // An id need not be UTF-8.
-  return doc.dump(-1, ' ', false, json::error_handler_t::replace);
+  json tried = json::array();
+  for (const admission::Tried& t : state.tried) tried.push_back(toJson(t));
+  json doc = {{"hosts", state.hosts}, {"servers", servers}, {"drained", state.drained}};
+  if (state.tells_tried) doc["tried"] = tried;  // a process one release older neither says nor reads this
+  return textOf(doc);
 }
 
 State fromText(std::string_view text) {
@@ -33,6 +59,8 @@
     State state;
     state.hosts = doc.at("hosts").get<std::string>();
     state.drained = doc.at("drained").get<bool>();
+    state.tells_tried = doc.contains("tried");
+    if (state.tells_tried) state.tried = triedOf(doc.at("tried"));
     for (const json& s : doc.at("servers")) {
       weldflow::Remembered r;
       r.id = s.at("id").get<std::string>();
@@ -54,4 +82,25 @@
   }
 }
 
+std::vector<std::string> triedToTexts(std::span<const admission::Tried> tried) {
+  std::vector<std::string> texts;
+  for (const admission::Tried& t : tried) {
+    const std::string one = textOf(toJson(t));
+    if (one.size() + 2 > kMostPayload) continue;
+    if (texts.empty() || texts.back().size() + one.size() + 2 > kMostPayload) texts.emplace_back();
+    texts.back() += (texts.back().empty() ? "[" : ",") + one;
+  }
+  for (std::string& text : texts) text += "]";
+  if (tried.empty()) texts.emplace_back("[]");
+  return texts;
+}
+
+std::vector<admission::Tried> triedFromText(std::string_view text) {
+  try {
+    return triedOf(json::parse(text));
+  } catch (const json::exception& e) {
+    throw std::runtime_error(std::string("what was tried is not whole: ") + e.what());
+  }
+}
+
 }  // namespace quinceline::handover
--- a/src/handover/state.h
+++ b/src/handover/state.h
@@ -1,10 +1,12 @@
 // What a process knows that the one in its place must know from its first request on. A value, and its text.
 #pragma once
 
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "admission/repeats.h"
 #include "weldflow/balancer.h"
 
 namespace quinceline::handover {
@@ -13,6 +15,8 @@
   std::string hosts;  // the list, in discovery's form; empty: none was known
   std::vector<weldflow::Remembered> servers;
   bool drained = false;
+  std::vector<admission::Tried> tried;
+  bool tells_tried = true;  // it will tell the rest when the new one is ready: all it has, then an empty list
   bool operator==(const State&) const = default;
 };
 
@@ -20,4 +24,9 @@
 // Throws std::runtime_error with what is wrong; nothing of a state that is not whole is used.
 State fromText(std::string_view text);
 
+// The same for what may not run a second time alone, in pieces of kMostPayload at most each. What would not fit
+// into one by itself is left out.
+std::vector<std::string> triedToTexts(std::span<const admission::Tried> tried);
+std::vector<admission::Tried> triedFromText(std::string_view text);
+
 }  // namespace quinceline::handover
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -132,7 +132,10 @@
     if (iequals(name_text, "X-Repeat")) head.repeat = value == "1";
     if (iequals(name_text, "X-Account")) head.account = view(value);
     if (iequals(name_text, "X-Weight-Hint")) head.weight_hint = view(value);
-    if (iequals(name_text, "Idempotency-Key")) once(head.keyed);
+    if (iequals(name_text, "Idempotency-Key")) {
+      once(head.keyed);
+      head.key = view(value);
+    }
   }
   head.forward.append(name_text.data(), name_text.size());
   head.forward += ": ";
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -39,6 +39,7 @@
   bool has_time_left = false;
   std::string weight_hint;
   bool keyed = false;   // has an Idempotency-Key
+  std::string key;      // it
   bool repeat = false;  // X-Repeat: 1: the client's own retry
   bool has_host = false;
   bool expects_continue = false;
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -327,6 +327,8 @@
   Attempt& a = r.attempts[static_cast<std::size_t>(attempt)];
   if (std::exchange(a.over, true)) return;
   --r.outstanding;
+  r.taken.may_have_run |= end.result != Result::NotSent && end.result != Result::Rejected &&
+                          end.result != Result::ConnectFailed && end.result != Result::CutShort;
   r.timed_out |= end.result == Result::TimedOut;
   if (!r.answered && end.result == Result::Ok) {
     r.answered = true;
--- a/src/pools/pool.h
+++ b/src/pools/pool.h
@@ -30,6 +30,7 @@
   weldflow::Effect effect = weldflow::Effect::Unsafe;
   Time deadline = 0;
   Time patience = 0;  // of a long one: how long its client waits after the last byte, at most
+  bool may_have_run = false;  // told by onOver(): an attempt of it may have
 };
 
 // What a pool tells. Calls back into it are allowed from each.
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -46,14 +46,18 @@
   return {id, n, n % 2 == 0, n % 3 == 0, n % 5 == 0, 10 * n, 20 * n, 0.5 * n, 30 * n, 40 * n, 1.0 + n};
 }
 
+admission::Tried tried(const std::string& id) {
+  return {.id = id, .key = "k-" + id, .safe = false, .window = 7, .began = 11, .ended = 13, .never_ran = true};
+}
+
 TEST(HandoverState, ItsTextReadsAsTheSame) {
-  State state{"{\"rev\":7}", {remembered("s-1", 0), remembered("s-\"2\"", 15)}, true};
+  State state{"{\"rev\":7}", {remembered("s-1", 0), remembered("s-\"2\"", 15)}, true, {tried("a"), tried("b")}};
   EXPECT_EQ(fromText(toText(state)), state);
   EXPECT_EQ(fromText(toText(State{})), State{});
 }
 
 TEST(HandoverState, OneThatIsNotWholeIsRefusedAsAWhole) {
-  const std::string text = toText({"x", {remembered("s-1", 1)}, false});
+  const std::string text = toText({"x", {remembered("s-1", 1)}, false, {tried("a")}});
   for (std::size_t cut = 0; cut < text.size(); ++cut)
     EXPECT_THROW(fromText(text.substr(0, cut)), std::runtime_error) << cut;
   EXPECT_THROW(fromText("[]"), std::runtime_error);
@@ -61,6 +65,28 @@
   EXPECT_THROW(fromText("{\"hosts\":\"\",\"servers\":[{}],\"drained\":false}"), std::runtime_error);
 }
 
+TEST(HandoverState, WhatWasTriedGoesInPiecesThatFit) {
+  std::vector<admission::Tried> many(500, tried(std::string(300, 'x')));
+  many.push_back(tried(std::string(kMostPayload, 'y')));  // fits nowhere
+  std::size_t read = 0;
+  for (const std::string& text : triedToTexts(many)) {
+    EXPECT_LE(text.size(), kMostPayload);
+    const auto piece = triedFromText(text);
+    EXPECT_EQ(piece.at(0), many[0]);
+    read += piece.size();
+  }
+  EXPECT_EQ(read, 500U);
+  EXPECT_EQ(triedToTexts({}), std::vector<std::string>{"[]"});
+  EXPECT_THROW(triedFromText("[{}]"), std::runtime_error);
+}
+
+// A process one release older neither says nor reads it.
+TEST(HandoverState, OneThatSaysNothingOfWhatWasTriedIsWholeToo) {
+  const State state = fromText("{\"hosts\":\"\",\"servers\":[],\"drained\":false}");
+  EXPECT_FALSE(state.tells_tried);
+  EXPECT_EQ(toText(state), "{\"drained\":false,\"hosts\":\"\",\"servers\":[]}");
+}
+
 // ---- roles ----
 
 using Give = Giver::Step;
@@ -148,12 +174,19 @@
 struct Side : Holder {
   void begin(std::optional<State> s) override { ++begun, got = std::move(s); }
   State state() override { return known; }
-  void give(std::function<bool(int)> g) override {
-    giving = std::move(g);
-    for (const int fd : clients) given += giving(fd) ? 1 : 0;
+  void give(Successor s) override {
+    successor = std::move(s);
+    if (successor.tell) {
+      if (!tried.empty()) successor.tell(tried);
+      successor.tell({});
+    }
+    for (const int fd : clients) given += successor.give(fd) ? 1 : 0;
   }
   void takeBack() override { ++taken_back; }
   void adopt(int descriptor) override { adopted.push_back(descriptor); }
+  void triedThere(const std::vector<admission::Tried>& t) override {
+    told_tried.insert(told_tried.end(), t.begin(), t.end());
+  }
   std::size_t descriptorsHeld() override { return held; }
   void otherHolds(std::size_t n) override { other.push_back(n); }
   void told(const Frame& call) override { calls.push_back(call); }
@@ -165,7 +198,8 @@
   }
   State known;
   std::optional<State> got;
-  std::function<bool(int)> giving;
+  Successor successor;
+  std::vector<admission::Tried> tried, told_tried;
   std::vector<int> clients, adopted;
   std::vector<std::size_t> other;
   std::vector<Frame> calls;
@@ -218,11 +252,14 @@
   int pair[2];
   ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM, 0, pair), 0);
   a.clients = {pair[0]};
-  a.known = {std::string(3 * kMostPayload, 'h'), {remembered("s-1", 4)}, true};
+  a.known = {std::string(3 * kMostPayload, 'h'), {remembered("s-1", 4)}, true, {tried("early")}};
+  a.tried = {tried("early"), tried("late")};
   a.held = 17;
   const auto first = link(a), second = link(b);
   ASSERT_TRUE(loop.until([&] { return b.begun == 1 && b.adopted.size() == 1; }));
-  EXPECT_EQ(b.got, a.known);
+  State all = a.known;  // and what was tried until nobody was accepted there any more
+  all.tried.insert(all.tried.end(), a.tried.begin(), a.tried.end());
+  EXPECT_EQ(b.got, all);
   EXPECT_EQ(a.given, 1);
   ::close(pair[0]);
   ASSERT_EQ(::write(b.adopted[0], "x", 1), 1);  // the same connection
@@ -231,6 +268,8 @@
   ::close(pair[1]);
   ASSERT_TRUE(loop.until([&] { return !b.other.empty(); }));
   EXPECT_EQ(b.other.back(), 17U);
+  a.successor.tell({tried("end")});
+  ASSERT_TRUE(loop.until([&] { return b.told_tried == std::vector{tried("end")}; }));
   first->tell({Type::TakeOut, "s-1"});
   second->tell({Type::PutBack, "s-2"});
   ASSERT_TRUE(loop.until([&] { return a.calls.size() == 1 && b.calls.size() == 1; }));
@@ -261,10 +300,10 @@
     fake->channel->close();
     loop.turn();
   }
-  EXPECT_FALSE(a.giving);
+  EXPECT_FALSE(a.successor.give);
   EXPECT_EQ(a.taken_back, 0);
   const auto second = link(b);
-  ASSERT_TRUE(loop.until([&] { return b.begun == 1 && a.giving; }));
+  ASSERT_TRUE(loop.until([&] { return b.begun == 1 && a.successor.give; }));
   EXPECT_TRUE(b.got);
 }
 
@@ -311,7 +350,7 @@
 
 TEST_F(HandoverLink, AStateThatCantBeReadIsNotUsedButThePlaceIsTaken) {
   struct Torn : Side {
-    State state() override { return {std::string("\xff\xfe"), {}, false}; }
+    State state() override { return {std::string("\xff\xfe"), {}, false, {}}; }
   } torn;
   const auto first = link(torn), second = link(b);
   ASSERT_TRUE(loop.until([&] { return b.begun == 1 && first->giving(); }));
--- a/tests/operator_reload_test.cpp
+++ b/tests/operator_reload_test.cpp
@@ -329,6 +329,8 @@
   std::shared_ptr<Peer> last;
   ASSERT_TRUE(serveUntil([&] {
     if (last == nullptr || last->heard("HTTP/1.1 404")) {
+      // Left open, they would take the proxy's descriptors from its hosts before the last reload is done.
+      if (last != nullptr) last->close();
       last = Peer::connect(loop, listen);
       last->say("GET /last-of-all/1 HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: last" + std::to_string(++turns) +
                 "\r\n\r\n");
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -144,6 +144,70 @@
   for (const auto& [id, times] : seen) EXPECT_EQ(times, 1) << id;
 }
 
+// A third of the charges is sent once more on a connection of its own, at once or later, while processes change:
+// whichever process gets it must know that it was tried.
+TEST_F(Upgrade, OfAThousandChargesWithRepeatsOverTwentyUpgradesNoneRunsTwice) {
+  startOne();
+  std::vector<std::shared_ptr<Peer>> clients(8), repeaters;
+  std::vector<int> asked_by(clients.size());
+  for (auto& c : clients) c = Peer::connect(loop, listener.local_endpoint());
+  int asked = 0;
+  // Which of the two comes first is the system's choice: one runs, the other is a conflict.
+  const auto answered = [](const Peer& p) { return answers(p, "200") + answers(p, "409"); };
+  const auto repeat = [&](int id) {
+    repeaters.push_back(Peer::connect(loop, listener.local_endpoint()));
+    repeaters.back()->say(charge("id-" + std::to_string(id)));
+  };
+  const auto step = [&](int most) {
+    serveHosts();
+    for (std::size_t c = 0; c < clients.size(); ++c) {
+      if (asked >= most || answered(*clients[c]) != asked_by[c]) continue;
+      ++asked_by[c];
+      clients[c]->say(charge("id-" + std::to_string(asked)));
+      if (asked % 6 == 0 && asked >= 8) repeat(asked - 8);  // likely answered by now
+      if (asked % 6 == 3) loop.turn(), repeat(asked);       // likely open
+      ++asked;
+    }
+  };
+  for (int n = 0; n < 20; ++n) {
+    ASSERT_TRUE(loop.until([&] { return step(50 * n + 25), asked >= 50 * n + 25; }));
+    startOne();
+    running.front().program->signal(SIGTERM);
+    bool left = false;
+    ASSERT_TRUE(loop.until([&] {
+      step(50 * (n + 1));
+      left = left || running.front().program->status() == 0;
+      return left && asked >= 50 * (n + 1);
+    }));
+    running.pop_front();
+  }
+  ASSERT_TRUE(loop.until([&] {
+    serveHosts();
+    for (const auto& r : repeaters) {
+      if (!r->heard("\r\n\r\n")) return false;
+    }
+    for (std::size_t c = 0; c < clients.size(); ++c) {
+      if (answered(*clients[c]) != asked_by[c]) return false;
+    }
+    return true;
+  })) << [&] {
+    std::string lost;
+    for (const auto& r : repeaters) {
+      if (!r->heard("\r\n\r\n")) lost += "repeat: " + r->got + (r->ended ? " ended\n" : "\n");
+    }
+    for (std::size_t c = 0; c < clients.size(); ++c) {
+      if (answered(*clients[c]) != asked_by[c])
+        lost += "client " + std::to_string(c) + (clients[c]->ended ? " ended: " : ": ") +
+                clients[c]->got.substr(clients[c]->got.size() - std::min<std::size_t>(clients[c]->got.size(), 150));
+    }
+    std::ifstream log(folder + "/log");
+    return lost + std::string(std::istreambuf_iterator<char>(log), {});
+  }();
+  EXPECT_GT(repeaters.size(), 300U);
+  EXPECT_EQ(seen.size(), 1000U) << "each ran";
+  for (const auto& [id, times] : seen) EXPECT_EQ(times, 1) << id;
+}
+
 TEST_F(Upgrade, ABanHoldsOverItAndMayBeCalledAtEitherAddress) {
   const tcp::endpoint old = startOne().console;
   EXPECT_EQ(call(old, "POST /hosts/s-1/maint").find("HTTP/1.1 200"), 0U);
