--- a/src/admission/repeats.cpp
+++ b/src/admission/repeats.cpp
@@ -66,15 +66,16 @@
 
 void Repeats::recall(Time now, std::span<const Tried> known) {
   expire(now);
-  for (const Tried& t : known) {
+  for (Tried t : known) {
     if (t.id.empty() || t.began > now || t.ended > now) continue;  // of another clock
+    t.window = std::clamp<Time>(t.window, 0, limits_.kept);
     const auto it = all_.find(t.id);
     if (it != all_.end() && it->second.until == 0) continue;  // open here: this process knows best
     if (it != all_.end()) forget(t.id);
     if (t.ended != 0 && (t.never_ran || t.safe)) continue;
     // One that is open there ends there, within the time that any request has; if that process is killed it
     // may have run.
-    keep(now, t, now + limits_.kept);
+    keep(now, std::move(t), now + limits_.kept);
   }
 }
 
--- a/src/admission/repeats.h
+++ b/src/admission/repeats.h
@@ -1,6 +1,6 @@
-// Which requests must not run a second time: those that are open, and those that may have run a short while ago.
-// One id or one Idempotency-Key, one verdict, also across processes: what is known here can be told to the
-// process that takes this one's place. Bounded in bytes. No I/O, no clock.
+// Which requests must not run a second time: those that are open, and those that may have run a short while
+// ago. One id or one Idempotency-Key, one verdict, also across processes: what is known here can be told to
+// the process that takes this one's place. Bounded in bytes. No I/O, no clock.
 #pragma once
 
 #include <cstddef>
@@ -22,7 +22,7 @@
   bool safe = false;    // it may run any number of times
   Time window = 0;      // of a keyed one whose repeats every host drops: for so long after `began`; 0: not so
   Time began = 0;
-  Time ended = 0;        // 0: it is open
+  Time ended = 0;          // 0: it is open
   bool never_ran = false;  // it has ended so: whoever repeats it does no harm
   bool operator==(const Tried&) const = default;
 };
@@ -30,8 +30,8 @@
 class Repeats {
  public:
   struct Limits {
-    Time kept = 5'000'000;               // after its end: no client repeats later, and no window is longer
-    std::size_t bytes = 512 * 1024;      // of all that has ended; the oldest is forgotten first
+    Time kept = 5'000'000;           // after its end: no client repeats later, and no window is longer
+    std::size_t bytes = 512 * 1024;  // of all that has ended; the oldest is forgotten first
   };
   enum class Verdict : std::uint8_t {
     New,         // it is open from now on
@@ -44,14 +44,14 @@
 
   // A request has come whole.
   Verdict offer(Time now, Tried request);
-  // Nothing of it is in flight any more. What there is to tell the other process; its id is empty where nothing
-  // of this id was open here.
+  // Nothing of it is in flight any more. What there is to tell the other process; its id is empty where
+  // nothing of this id was open here.
   Tried end(Time now, std::string_view id, bool may_have_run);
 
   // All that is open or remembered, the oldest first.
   std::vector<Tried> remember(Time now) const;
-  // What another process knows, or knows better by now: what is open there counts as open here until it is told
-  // to have ended, or could not be open any longer.
+  // What another process knows, or knows better by now: what is open there counts as open here until it is
+  // told to have ended, or could not be open any longer.
   void recall(Time now, std::span<const Tried> known);
 
   std::size_t size() const { return all_.size(); }
@@ -72,7 +72,7 @@
   static std::size_t cost(const Tried& t);
 
   Limits limits_;
-  Entries all_;                                           // by id
+  Entries all_;                                          // by id
   std::unordered_map<std::string, std::string> of_key_;  // the last id that had this key
   struct Due {
     Time until;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -350,7 +350,7 @@
       s.banned = k.out_of_use;
       if (std::isfinite(k.slowness) && k.slowness > 0) s.slowness = std::min(k.slowness, 8.0);
       if (std::isfinite(k.strikes) && k.strikes >= 0) s.strikes = k.strikes;
-      s.struck_at = std::min(k.struck_at, now);
+      s.struck_at = std::min(std::max<Time>(k.struck_at, 0), now);
       if (k.cold_since > 0 && k.cold_since <= now && now - k.cold_since < settings.cold_time)
         startCold(s, k.cold_since);
       if (s.cold_since != 0) s.cold_tokens = 0;
--- a/src/front/proxy.h
+++ b/src/front/proxy.h
@@ -160,17 +160,17 @@
   Pool pool_;
 
   admission::Repeats repeats_;
-  admission::RequestGate requests_;      // by exchange
+  admission::RequestGate requests_;  // by exchange
   admission::Ledger ledger_;
   figures::Counts counts_;
   std::unordered_map<ExchangeId, Held> waiting_;
-  std::unordered_map<ExchangeId, Time> uploads_;  // how long each client waits after its last byte
+  std::unordered_map<ExchangeId, Time> uploads_;           // how long each client waits after its last byte
   std::unordered_map<ExchangeId, std::int32_t> streamed_;  // classes of the long answers on their way
-  Time places_due_ = kNever;                      // when the gate is asked again for sure
-  bool places_freed_ = false;                     // it will be asked in this turn of the loop
+  Time places_due_ = kNever;                               // when the gate is asked again for sure
+  bool places_freed_ = false;                              // it will be asked in this turn of the loop
   lifecycle::Lifecycle life_;
-  Time life_due_ = kNever;           // when it is asked again for sure
-  handover::Successor successor_;    // while another process serves
+  Time life_due_ = kNever;         // when it is asked again for sure
+  handover::Successor successor_;  // while another process serves
   std::function<void()> done_;
 };
 
--- a/src/handover/link.cpp
+++ b/src/handover/link.cpp
@@ -122,8 +122,8 @@
     holder_.log(std::string("what the process before this one knew is not used: ") + e.what());
   }
   // Accepting waits until the old one accepts nobody and has told what it took meanwhile: a request and its
-  // repeat must not be taken by two processes that do not know of each other's. The clients' socket is shared,
-  // so nobody is refused for that.
+  // repeat must not be taken by two processes that do not know of each other's. The clients' socket is
+  // shared, so nobody is refused for that.
   const bool waits = state_ && state_->tells_tried;
   if (!waits) takePlace();
   old_->send({Type::Ready, std::string(kUnderstandsTried)});
--- a/src/handover/state.cpp
+++ b/src/handover/state.cpp
@@ -1,5 +1,7 @@
 #include "state.h"
 
+#include <cstdint>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -19,12 +21,24 @@
           {"began", t.began}, {"ended", t.ended}, {"never_ran", t.never_ran}};
 }
 
+// A number that is no whole one, or too large, has no meaning as a time or a slot, and converting it none at
+// all.
+template <typename T>
+T whole(const json& from, const char* key) {
+  const json& value = from.at(key);
+  const auto number = value.is_number_integer() ? value.get<std::int64_t>() : 0;
+  if (!value.is_number_integer() || number < std::numeric_limits<T>::min() ||
+      number > std::numeric_limits<T>::max())
+    throw std::runtime_error(std::string(key) + " is not a whole number: " + value.dump());
+  return static_cast<T>(number);
+}
+
 std::vector<admission::Tried> triedOf(const json& list) {
   std::vector<admission::Tried> out;
   for (const json& t : list) {
     out.push_back({t.at("id").get<std::string>(), t.at("key").get<std::string>(), t.at("safe").get<bool>(),
-                   t.at("window").get<admission::Time>(), t.at("began").get<admission::Time>(),
-                   t.at("ended").get<admission::Time>(), t.at("never_ran").get<bool>()});
+                   whole<admission::Time>(t, "window"), whole<admission::Time>(t, "began"),
+                   whole<admission::Time>(t, "ended"), t.at("never_ran").get<bool>()});
   }
   return out;
 }
@@ -64,15 +78,15 @@
     for (const json& s : doc.at("servers")) {
       weldflow::Remembered r;
       r.id = s.at("id").get<std::string>();
-      r.slot = s.at("slot").get<std::int32_t>();
+      r.slot = whole<std::int32_t>(s, "slot");
       r.out_of_use = s.at("out_of_use").get<bool>();
       r.ejected = s.at("ejected").get<bool>();
       r.silent = s.at("silent").get<bool>();
-      r.ejected_since = s.at("ejected_since").get<weldflow::Time>();
-      r.ejected_until = s.at("ejected_until").get<weldflow::Time>();
+      r.ejected_since = whole<weldflow::Time>(s, "ejected_since");
+      r.ejected_until = whole<weldflow::Time>(s, "ejected_until");
       r.strikes = s.at("strikes").get<double>();
-      r.struck_at = s.at("struck_at").get<weldflow::Time>();
-      r.cold_since = s.at("cold_since").get<weldflow::Time>();
+      r.struck_at = whole<weldflow::Time>(s, "struck_at");
+      r.cold_since = whole<weldflow::Time>(s, "cold_since");
       r.slowness = s.at("slowness").get<double>();
       state.servers.push_back(std::move(r));
     }
--- a/src/handover/state.h
+++ b/src/handover/state.h
@@ -24,8 +24,8 @@
 // Throws std::runtime_error with what is wrong; nothing of a state that is not whole is used.
 State fromText(std::string_view text);
 
-// The same for what may not run a second time alone, in pieces of kMostPayload at most each. What would not fit
-// into one by itself is left out.
+// The same for what may not run a second time alone, in pieces of kMostPayload at most each. What would not
+// fit into one by itself is left out.
 std::vector<std::string> triedToTexts(std::span<const admission::Tried> tried);
 std::vector<admission::Tried> triedFromText(std::string_view text);
 
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/verb.hpp>
 #include <cstdint>
@@ -86,7 +87,10 @@
  private:
   bool head_done_ = false;
   void on_request_impl(http::verb, Text, Text, int, boost::beast::error_code&) override {}
-  void on_response_impl(int code, Text, int, boost::beast::error_code&) override { status = code; }
+  void on_response_impl(int code, Text, int, boost::beast::error_code& ec) override {
+    status = code;
+    if (code < 100) ec = http::error::bad_status;  // RFC 9110, 15: there is none such
+  }
   void on_field_impl(http::field name, Text name_text, Text value, boost::beast::error_code&) override;
   void on_header_impl(boost::beast::error_code&) override { head_done_ = true; }
   void on_body_init_impl(const boost::optional<std::uint64_t>& length, boost::beast::error_code&) override;
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -47,11 +47,13 @@
 }
 
 admission::Tried tried(const std::string& id) {
-  return {.id = id, .key = "k-" + id, .safe = false, .window = 7, .began = 11, .ended = 13, .never_ran = true};
+  return {
+      .id = id, .key = "k-" + id, .safe = false, .window = 7, .began = 11, .ended = 13, .never_ran = true};
 }
 
 TEST(HandoverState, ItsTextReadsAsTheSame) {
-  State state{"{\"rev\":7}", {remembered("s-1", 0), remembered("s-\"2\"", 15)}, true, {tried("a"), tried("b")}};
+  State state{
+      "{\"rev\":7}", {remembered("s-1", 0), remembered("s-\"2\"", 15)}, true, {tried("a"), tried("b")}};
   EXPECT_EQ(fromText(toText(state)), state);
   EXPECT_EQ(fromText(toText(State{})), State{});
 }
@@ -63,6 +65,11 @@
   EXPECT_THROW(fromText("[]"), std::runtime_error);
   EXPECT_THROW(fromText("{\"hosts\":1,\"servers\":[],\"drained\":false}"), std::runtime_error);
   EXPECT_THROW(fromText("{\"hosts\":\"\",\"servers\":[{}],\"drained\":false}"), std::runtime_error);
+  // Numbers that no time or slot has: found by the fuzz target, undefined as conversions.
+  for (const char* bad : {"-9e102", "1.5", "3000000000", "true", "\"1\""}) {
+    const std::size_t at = text.find("\"slot\":1") + 7;
+    EXPECT_THROW(fromText(text.substr(0, at) + bad + text.substr(at + 1)), std::runtime_error) << bad;
+  }
 }
 
 TEST(HandoverState, WhatWasTriedGoesInPiecesThatFit) {
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -144,8 +144,8 @@
   for (const auto& [id, times] : seen) EXPECT_EQ(times, 1) << id;
 }
 
-// A third of the charges is sent once more on a connection of its own, at once or later, while processes change:
-// whichever process gets it must know that it was tried.
+// A third of the charges is sent once more on a connection of its own, at once or later, while processes
+// change: whichever process gets it must know that it was tried.
 TEST_F(Upgrade, OfAThousandChargesWithRepeatsOverTwentyUpgradesNoneRunsTwice) {
   startOne();
   std::vector<std::shared_ptr<Peer>> clients(8), repeaters;
@@ -190,19 +190,21 @@
       if (answered(*clients[c]) != asked_by[c]) return false;
     }
     return true;
-  })) << [&] {
-    std::string lost;
-    for (const auto& r : repeaters) {
-      if (!r->heard("\r\n\r\n")) lost += "repeat: " + r->got + (r->ended ? " ended\n" : "\n");
-    }
-    for (std::size_t c = 0; c < clients.size(); ++c) {
-      if (answered(*clients[c]) != asked_by[c])
-        lost += "client " + std::to_string(c) + (clients[c]->ended ? " ended: " : ": ") +
-                clients[c]->got.substr(clients[c]->got.size() - std::min<std::size_t>(clients[c]->got.size(), 150));
-    }
-    std::ifstream log(folder + "/log");
-    return lost + std::string(std::istreambuf_iterator<char>(log), {});
-  }();
+  })) <<
+      [&] {
+        std::string lost;
+        for (const auto& r : repeaters) {
+          if (!r->heard("\r\n\r\n")) lost += "repeat: " + r->got + (r->ended ? " ended\n" : "\n");
+        }
+        for (std::size_t c = 0; c < clients.size(); ++c) {
+          if (answered(*clients[c]) != asked_by[c])
+            lost += "client " + std::to_string(c) + (clients[c]->ended ? " ended: " : ": ") +
+                    clients[c]->got.substr(clients[c]->got.size() -
+                                           std::min<std::size_t>(clients[c]->got.size(), 150));
+        }
+        std::ifstream log(folder + "/log");
+        return lost + std::string(std::istreambuf_iterator<char>(log), {});
+      }();
   EXPECT_GT(repeaters.size(), 300U);
   EXPECT_EQ(seen.size(), 1000U) << "each ran";
   for (const auto& [id, times] : seen) EXPECT_EQ(times, 1) << id;
