A repeat of a key that never ran no longer hides the first that did

Line at fault: Repeats::of_key_ held the last id of a key only, and forget() of that one took the key with it, so the first was not found any more.

Change: all ids of a key are held, and the first that is remembered decides.

--- a/src/admission/repeats.cpp
+++ b/src/admission/repeats.cpp
@@ -16,7 +16,7 @@
   if (key.empty()) return nullptr;
   const auto it = of_key_.find(key);
   if (it == of_key_.end()) return nullptr;
-  const auto found = all_.find(it->second);
+  const auto found = all_.find(it->second.front());
   return found == all_.end() ? nullptr : &found->second.tried;
 }
 
@@ -82,7 +82,7 @@
 void Repeats::keep(Time now, Tried tried, Time until) {
   bytes_ += until != 0 ? cost(tried) : 0;
   const std::uint64_t order = next_order_++;
-  if (!tried.key.empty()) of_key_[tried.key] = tried.id;
+  if (!tried.key.empty()) of_key_[tried.key].push_back(tried.id);
   if (until != 0) due_.push_back({until, order, tried.id});
   const std::string id = tried.id;
   all_[id] = {std::move(tried), until, order};
@@ -94,7 +94,11 @@
   if (it == all_.end()) return;
   const Tried& t = it->second.tried;
   if (it->second.until != 0) bytes_ -= cost(t);
-  if (const auto k = of_key_.find(t.key); k != of_key_.end() && k->second == id) of_key_.erase(k);
+  // Others of this key stay: one that never ran takes nothing from one that may have.
+  if (const auto k = of_key_.find(t.key); k != of_key_.end()) {
+    std::erase(k->second, id);
+    if (k->second.empty()) of_key_.erase(k);
+  }
   all_.erase(it);
 }
 
--- a/src/admission/repeats.h
+++ b/src/admission/repeats.h
@@ -72,8 +72,9 @@
   static std::size_t cost(const Tried& t);
 
   Limits limits_;
-  Entries all_;                                          // by id
-  std::unordered_map<std::string, std::string> of_key_;  // the last id that had this key
+  Entries all_;  // by id
+  std::unordered_map<std::string, std::vector<std::string>>
+      of_key_;  // ids that have this key, the first first
   struct Due {
     Time until;
     std::uint64_t order;
--- a/tests/repeats_test.cpp
+++ b/tests/repeats_test.cpp
@@ -77,6 +77,14 @@
   }
 }
 
+TEST_F(RepeatsTest, ARepeatThatNeverRanTakesNothingFromTheFirstThatDid) {
+  ASSERT_EQ(r.offer(kStart, keyed("a", "k", kSec)), Verdict::New);
+  r.end(kStart + kMs, "a", true);
+  ASSERT_EQ(r.offer(kStart + 2 * kMs, keyed("b", "k", kSec)), Verdict::New);
+  r.end(kStart + 3 * kMs, "b", false);
+  EXPECT_EQ(r.offer(kStart + 2 * kSec, keyed("c", "k", kSec)), Verdict::MayHaveRun);
+}
+
 TEST_F(RepeatsTest, MemoryIsBoundedWhateverIdsClientsMakeUp) {
   for (int n = 0; n < 5000; ++n) {
     const std::string id = std::to_string(n) + std::string(n % 3 == 0 ? 3000 : 10, 'x');
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -91,6 +91,22 @@
     });
   }
 
+  // Fifty requests around each; `step` asks until so many have been asked, and counts them in `asked`.
+  void upgradeTwentyTimes(const int& asked, const std::function<void(int most)>& step) {
+    for (int n = 0; n < 20; ++n) {
+      ASSERT_TRUE(loop.until([&] { return step(50 * n + 25), asked >= 50 * n + 25; }));
+      startOne();
+      running.front().program->signal(SIGTERM);
+      bool left = false;
+      ASSERT_TRUE(loop.until([&] {
+        step(50 * (n + 1));
+        left = left || running.front().program->status() == 0;
+        return left && asked >= 50 * (n + 1);
+      }));
+      running.pop_front();
+    }
+  }
+
   Loop loop;
   Host host{loop}, other{loop}, discovery{loop};
   tcp::acceptor listener;
@@ -125,18 +141,7 @@
     }
     return true;
   };
-  for (int n = 0; n < 20; ++n) {
-    ASSERT_TRUE(loop.until([&] { return step(50 * n + 25), asked >= 50 * n + 25; }));
-    startOne();
-    running.front().program->signal(SIGTERM);
-    bool left = false;
-    ASSERT_TRUE(loop.until([&] {
-      step(50 * (n + 1));
-      left = left || running.front().program->status() == 0;
-      return left && asked >= 50 * (n + 1);
-    }));
-    running.pop_front();
-  }
+  ASSERT_NO_FATAL_FAILURE(upgradeTwentyTimes(asked, step));
   ASSERT_TRUE(loop.until([&] { return serveHosts(), allAnswered(); }));
   EXPECT_EQ(asked, 1000);
   for (const Client& c : clients) EXPECT_FALSE(c.peer->ended) << "a client lost its connection";
@@ -169,18 +174,7 @@
       ++asked;
     }
   };
-  for (int n = 0; n < 20; ++n) {
-    ASSERT_TRUE(loop.until([&] { return step(50 * n + 25), asked >= 50 * n + 25; }));
-    startOne();
-    running.front().program->signal(SIGTERM);
-    bool left = false;
-    ASSERT_TRUE(loop.until([&] {
-      step(50 * (n + 1));
-      left = left || running.front().program->status() == 0;
-      return left && asked >= 50 * (n + 1);
-    }));
-    running.pop_front();
-  }
+  ASSERT_NO_FATAL_FAILURE(upgradeTwentyTimes(asked, step));
   ASSERT_TRUE(loop.until([&] {
     serveHosts();
     for (const auto& r : repeaters) {
