The fleet's own view as a state machine: SWIM with suspicion, refutation and repair by digests

Need: a proxy knows nothing of the others, so nothing can be decided in common when parts fail. src/fleet takes datagrams and the time, and gives datagrams and news; it has no I/O and no clock, and is not wired yet.

--- /dev/null
+++ b/src/fleet/wire.cpp
@@ -0,0 +1,220 @@
+#include "wire.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <utility>
+
+#include "bytes.h"
+
+namespace quinceline::fleet {
+namespace {
+
+constexpr std::uint16_t kMagic = 0xB17D;
+constexpr std::size_t kChecked = 8;  // where the checksum's part begins
+
+enum Tag : std::uint8_t { kSubject = 1, kRumours, kRecord, kDigest, kBlock, kHeld };
+
+// No time of this century fills an incarnation's highest bits: they hold a rumour's state.
+constexpr unsigned kStateShift = 61;
+
+// Of all but its own four bytes: what stands before them goes into the seed.
+std::uint32_t checksumOf(std::string_view datagram, std::uint64_t fleet) {
+  const std::uint64_t seed = fleet ^ static_cast<std::uint64_t>(Reader(datagram).get<std::uint32_t>()) << 32;
+  const std::string_view rest = datagram.substr(kChecked);
+  return static_cast<std::uint32_t>(XXH3_64bits_withSeed(rest.data(), rest.size(), seed));
+}
+
+struct Encoder {
+  std::string& out;
+  std::uint8_t operator()(const Subject& s) const {
+    put(out, s.member);
+    return kSubject;
+  }
+  std::uint8_t operator()(const Rumour& r) const {
+    put(out, r.member);
+    put(out, r.standing.incarnation | static_cast<Incarnation>(r.standing.state) << kStateShift);
+    if (r.standing.state == State::Suspect) put(out, r.by);
+    return kRumours;
+  }
+  std::uint8_t operator()(const Record& r) const {
+    put(out, r.member);
+    put(out, r.version.incarnation);
+    put(out, r.version.sequence);
+    put(out, static_cast<std::uint8_t>(r.urgent));
+    out += r.facts;
+    return kRecord;
+  }
+  std::uint8_t operator()(const Digest& d) const {
+    put(out, d.first);
+    put(out, static_cast<std::uint8_t>(d.of));
+    for (const std::uint32_t hash : d.hashes) put(out, hash);
+    return kDigest;
+  }
+  std::uint8_t operator()(const Block& b) const {
+    put(out, b.block);
+    put(out, static_cast<std::uint8_t>(b.wants));
+    return kBlock;
+  }
+  std::uint8_t operator()(const Held& h) const {
+    put(out, h.member);
+    put(out, h.version.incarnation);
+    put(out, h.version.sequence);
+    put(out, static_cast<std::uint8_t>(h.wants));
+    return kHeld;
+  }
+};
+
+// False: malformed.
+bool readItem(std::uint8_t tag, std::string_view value, std::vector<Item>& items) {
+  Reader in(value);
+  switch (tag) {
+    case kSubject:
+      items.emplace_back(Subject{in.get<Number>()});
+      break;
+    case kRumours:
+      while (in.left() > 0) {
+        Rumour r;
+        r.member = in.get<Number>();
+        const auto packed = in.get<Incarnation>();
+        const Incarnation state = packed >> kStateShift;
+        if (state < static_cast<Incarnation>(State::Alive) || state > static_cast<Incarnation>(State::Left))
+          return false;
+        r.standing = {packed & ~(~Incarnation{0} << kStateShift), static_cast<State>(state)};
+        if (r.standing.state == State::Suspect) r.by = in.get<Number>();
+        if (!in.ok()) return false;
+        items.emplace_back(r);
+      }
+      break;
+    case kRecord: {
+      Record r;
+      r.member = in.get<Number>();
+      r.version.incarnation = in.get<Incarnation>();
+      r.version.sequence = in.get<std::uint32_t>();
+      r.urgent = in.get<std::uint8_t>() != 0;
+      r.facts = in.take(in.left());
+      items.emplace_back(std::move(r));
+      break;
+    }
+    case kDigest: {
+      Digest d;
+      d.first = in.get<std::uint16_t>();
+      const auto of = in.get<std::uint8_t>();
+      if (of > static_cast<std::uint8_t>(Digest::Of::Records)) return false;
+      d.of = static_cast<Digest::Of>(of);
+      while (in.left() > 0) d.hashes.push_back(in.get<std::uint32_t>());
+      items.emplace_back(std::move(d));
+      break;
+    }
+    case kBlock: {
+      const auto block = in.get<std::uint16_t>();
+      items.emplace_back(Block{block, in.get<std::uint8_t>() != 0});
+      break;
+    }
+    case kHeld: {
+      Held h;
+      h.member = in.get<Number>();
+      h.version.incarnation = in.get<Incarnation>();
+      h.version.sequence = in.get<std::uint32_t>();
+      h.wants = in.get<std::uint8_t>() != 0;
+      items.emplace_back(h);
+      break;
+    }
+    default:
+      return true;  // a later program's
+  }
+  return in.ok();
+}
+
+template <typename... Parts>
+std::uint64_t hashOfAll(const Parts&... parts) {
+  std::string bytes;
+  (put(bytes, parts), ...);
+  return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+}  // namespace
+
+Writer::Writer(const Header& h, std::uint64_t fleet) : fleet_(fleet) {
+  bytes_.reserve(kMostDatagram);
+  put(bytes_, kMagic);
+  put(bytes_, h.version);
+  put(bytes_, h.newest);
+  put(bytes_, std::uint32_t{0});
+  put(bytes_, static_cast<std::uint8_t>(h.kind));
+  put(bytes_, std::uint8_t{0});
+  put(bytes_, h.from);
+  put(bytes_, h.to);
+  put(bytes_, h.incarnation);
+  put(bytes_, h.sequence);
+  put(bytes_, h.view);
+}
+
+bool Writer::add(const Item& item) {
+  const std::size_t before = bytes_.size();
+  const bool goes_on = run_ != 0 && std::holds_alternative<Rumour>(item);
+  const std::size_t begin = goes_on ? run_ : before;
+  if (!goes_on) bytes_.append(2, '\0');
+  const std::uint8_t tag = std::visit(Encoder{bytes_}, item);
+  if (bytes_.size() > kMostDatagram) {
+    bytes_.resize(before);
+    return false;
+  }
+  bytes_[begin] = static_cast<char>(tag);
+  bytes_[begin + 1] = static_cast<char>(static_cast<std::uint8_t>(bytes_.size() - begin - 2));
+  run_ = std::holds_alternative<Rumour>(item) ? begin : 0;
+  return true;
+}
+
+std::string Writer::finish() { return sealed(std::move(bytes_), fleet_); }
+
+std::string sealed(std::string datagram, std::uint64_t fleet) {
+  std::string sum;
+  put(sum, checksumOf(datagram, fleet));
+  datagram.replace(4, 4, sum);
+  return datagram;
+}
+
+Decoded decode(std::string_view datagram, std::uint64_t fleet, std::uint8_t newest) {
+  if (datagram.size() < kHeader) return {Fault::Short};
+  if (datagram.size() > kMostDatagram) return {Fault::Long};
+  Reader in(datagram);
+  if (in.get<std::uint16_t>() != kMagic) return {Fault::Foreign};
+  Decoded out;
+  Header& h = out.message.header;
+  h.version = in.get<std::uint8_t>();
+  if (h.version < kOldestVersion || h.version > newest) return {Fault::Version};
+  h.newest = in.get<std::uint8_t>();
+  if (in.get<std::uint32_t>() != checksumOf(datagram, fleet)) return {Fault::Checksum};
+  const auto kind = in.get<std::uint8_t>();
+  in.get<std::uint8_t>();
+  if (kind < static_cast<std::uint8_t>(Kind::Ping) || kind > static_cast<std::uint8_t>(Kind::Talk))
+    return {Fault::Malformed};
+  h.kind = static_cast<Kind>(kind);
+  h.from = in.get<Number>();
+  h.to = in.get<Number>();
+  h.incarnation = in.get<Incarnation>();
+  h.sequence = in.get<std::uint32_t>();
+  h.view = in.get<std::uint32_t>();
+  while (in.left() > 0) {
+    const auto tag = in.get<std::uint8_t>();
+    const std::string_view value = in.take(in.get<std::uint8_t>());
+    if (!in.ok() || !readItem(tag, value, out.message.items)) return {Fault::Malformed};
+  }
+  return out;
+}
+
+std::uint64_t fleetSeed(std::string_view name) { return XXH3_64bits(name.data(), name.size()); }
+
+std::uint64_t hashOf(Number member, const Standing& s) {
+  // A suspect counts as alive: accusations come and go faster than views are compared.
+  if (s.state == State::Unheard) return 0;
+  const State state = s.state == State::Suspect ? State::Alive : s.state;
+  return hashOfAll(member, s.incarnation, static_cast<std::uint8_t>(state));
+}
+
+std::uint64_t hashOf(Number member, const RecordVersion& v) {
+  return v.incarnation == 0 ? 0 : hashOfAll(member, v.incarnation, v.sequence);
+}
+
+}  // namespace quinceline::fleet
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -1,7 +1,7 @@
 // A fleet in one process: decision modules as compiled into the daemon, against one model of hosts and of a
 // discovery that is overbooked. Time is a number and chance is seeded, so a run is the same every time. Hosts
-// queue first come first served, start cold, hold so many connections; what all clients together do to each of
-// them is counted by steps of 100 ms.
+// queue first come first served, start cold, hold so many connections; what all clients together do to each
+// of them is counted by steps of 100 ms.
 #pragma once
 
 #include <algorithm>
@@ -25,8 +25,8 @@
  public:
   struct Shape {
     std::uint32_t clients = 48, hosts = 40;
-    double rate = 10;                // requests a second of each client
-    Time work = 85 * kMs;            // mean, on one core of a warm host
+    double rate = 10;      // requests a second of each client
+    Time work = 85 * kMs;  // mean, on one core of a warm host
     int cores = 2;
     std::size_t connections = 1000;  // that a host holds
     std::size_t queue = 40;          // that wait at a host
@@ -110,7 +110,8 @@
     std::vector<Host> news;
     for (std::size_t i = 0; i < count; ++i) news.push_back(hosts_[addHost(now_)].listed);
     for (Client& c : clients_) {
-      if (c.watches) tell(c, [&](Actions& out) { c.balancer->onServers(now_, ListKind::Changes, news, out); });
+      if (c.watches)
+        tell(c, [&](Actions& out) { c.balancer->onServers(now_, ListKind::Changes, news, out); });
     }
   }
 
@@ -256,7 +257,8 @@
     const Time begins = std::max(now_ + shape_.network, core);
     if (begins - now_ > static_cast<Time>(shape_.queue) * shape_.work / shape_.cores)
       return later(c, now_ + round, [=, this, &c] { end(c, id, number, Result::Rejected, round); });
-    core = begins + static_cast<Time>(static_cast<double>(drawn(static_cast<double>(shape_.work))) / warmth(h));
+    core =
+        begins + static_cast<Time>(static_cast<double>(drawn(static_cast<double>(shape_.work))) / warmth(h));
     const Time taken = core - now_ + shape_.network;
     const bool in_time = taken <= limit;
     later(c, now_ + std::min(taken, limit), [=, this, &c] {
@@ -266,7 +268,8 @@
 
   double warmth(const Machine& h) const {
     if (h.listed.up_since == 0) return 1;
-    const double age = static_cast<double>(now_ - h.listed.up_since) / static_cast<double>(settings_.cold_time);
+    const double age =
+        static_cast<double>(now_ - h.listed.up_since) / static_cast<double>(settings_.cold_time);
     return std::min(1.0, settings_.cold_from + (1 - settings_.cold_from) * age);
   }
 
