The view of the fleet in the program: peers of the platform, `fleet` in the operator file, staff's page

Need: the state machine of the fleet's view had no socket, no settings and nobody to see it.

Change: src/talk owns the socket and the timer and is the one that the daemon deals with; a build without WELDFLOW_FLEET has an empty one. Peers come from peer_listen and peers where the settings say limits.peers, or from `fleet { listen, member, members-file }`; elsewhere the keys are not even read and nothing is opened. An upgrade hands incarnation and view on and is silent meanwhile. Staff: GET /fleet, quinceline ctl fleet, figures app_fleet_*. check, dump and the reference know the new keys; a members file is followed like a hosts file.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -109,12 +109,18 @@
   return conf::readHostsFile(files, c.model.pool->hosts_file);
 }
 
+conf::MembersFile membersOf(const conf::Configuration& c, conf::FileSource& files) {
+  if (!c.model.fleet || c.model.fleet->members_file.empty()) return {};
+  return conf::readMembersFile(files, c.model.fleet->members_file);
+}
+
 int check(const CheckOptions& options) {
   DiskSource files;
   conf::Configuration c = conf::readConfiguration(files, options.file);
   conf::HostsFile hosts = hostsOf(c, files);
+  conf::MembersFile members = membersOf(c, files);
   if (options.strict) {
-    for (auto* const found : {&c.found, &hosts.found}) {
+    for (auto* const found : {&c.found, &hosts.found, &members.found}) {
       for (conf::Diagnostic& d : *found) d.severity = conf::Severity::Error;
     }
   }
@@ -122,13 +128,15 @@
     nlohmann::json all = nlohmann::json::array();
     append(all, c.found, c.sources);
     append(all, hosts.found, hosts.sources);
+    append(all, members.found, members.sources);
     // A message may quote bytes that are no text.
     std::printf("%s\n", all.dump(2, ' ', false, nlohmann::json::error_handler_t::replace).c_str());
   } else {
     print(c.found, c.sources);
     print(hosts.found, hosts.sources);
+    print(members.found, members.sources);
   }
-  return c.ok() && hosts.ok() ? 0 : 1;
+  return c.ok() && hosts.ok() && members.ok() ? 0 : 1;
 }
 
 // Nothing, with what is wrong printed, if the file has an error.
@@ -257,14 +265,18 @@
   ctl_command->add_option("--console", ctl_options.console, "its address:port; else PROXY_CONSOLE");
   ctl_command->require_subcommand(1);
   const std::vector<std::pair<const char*, const char*>> ctl_calls = {
-      {"stats", "Print the figures"},      {"healthy", "Ask whether it can serve"},
-      {"ban", "Nothing more to a host"},   {"ready", "Use a host again"},
-      {"drain", "Send clients elsewhere"}, {"undrain", "Take clients again"}};
+      {"stats", "Print the figures"},
+      {"healthy", "Ask whether it can serve"},
+      {"ban", "Nothing more to a host"},
+      {"ready", "Use a host again"},
+      {"drain", "Send clients elsewhere"},
+      {"undrain", "Take clients again"},
+      {"fleet", "Print what it knows of the other proxies"}};
   for (const auto& [name, about] : ctl_calls) {
     CLI::App* const call = ctl_command->add_subcommand(name, about);
     call->callback([&ctl_options, name = name] { ctl_options.what = name; });
     const std::string_view which = name;
-    if (which == "stats") call->add_flag("--json", ctl_options.json, "as JSON");
+    if (which == "stats" || which == "fleet") call->add_flag("--json", ctl_options.json, "as JSON");
     if (which == "ban" || which == "ready")
       call->add_option("ID", ctl_options.host, "the host's id in the list")->required();
   }
--- a/src/cli/ctl.cpp
+++ b/src/cli/ctl.cpp
@@ -29,7 +29,7 @@
 using boost::system::error_code;
 
 constexpr std::chrono::seconds kTime{3};
-constexpr std::string_view kPrefix = "app_";
+constexpr std::string_view kPrefix = "app_", kFleet = "app_fleet_";
 
 struct Figure {
   std::string name, type;  // type: the class; empty: it has none
@@ -41,7 +41,8 @@
   std::vector<Figure> figures;
   std::istringstream lines(text);
   for (std::string line; std::getline(lines, line);) {
-    if (line.empty() || line.front() == '#') continue;
+    if (line.empty() || line.front() == '#' || line.rfind(kFleet, 0) == 0)
+      continue;  // `ctl fleet` shows these
     const std::size_t space = line.rfind(' ');
     if (space == std::string::npos) continue;
     Figure figure;
@@ -151,6 +152,38 @@
   return out + "\n" + single;
 }
 
+std::string fleetAsTable(const std::string& page) {
+  const auto doc = nlohmann::json::parse(page);
+  std::array<char, 200> line{};
+  const auto seconds = [](const nlohmann::json& member, const char* key) {
+    std::array<char, 32> text{};
+    if (!member.contains(key)) return std::string("-");
+    std::snprintf(text.data(), text.size(), "%.1f s", member.at(key).get<double>());
+    return std::string(text.data());
+  };
+  std::snprintf(line.data(), line.size(),
+                "member %d of %zu: %d live, %d suspect, %d dead, %d left, %d unheard; %s%s\n\n",
+                doc.at("number").get<int>(), doc.at("members").size(), doc.at("live").get<int>(),
+                doc.at("suspects").get<int>(), doc.at("dead").get<int>(), doc.at("left").get<int>(),
+                doc.at("unheard").get<int>(), doc.at("sure").get<bool>() ? "sure" : "not sure: ",
+                doc.at("sure").get<bool>() ? "" : doc.at("doubt").get<std::string>().c_str());
+  std::string out = line.data();
+  std::snprintf(line.data(), line.size(), "%6s  %-8s %10s %10s  %-14s %-14s %10s  %s\n", "member", "state",
+                "since", "heard", "zone", "region", "requests/s", "suspected by");
+  out += line.data();
+  for (const auto& m : doc.at("members")) {
+    std::string by;
+    for (const auto& n : m.value("suspected_by", nlohmann::json::array()))
+      by += (by.empty() ? "" : ", ") + n.dump();
+    std::snprintf(line.data(), line.size(), "%6d  %-8s %10s %10s  %-14s %-14s %10.1f  %s\n",
+                  m.at("number").get<int>(), m.at("state").get<std::string>().c_str(),
+                  seconds(m, "since_s").c_str(), seconds(m, "heard_s").c_str(), m.value("zone", "-").c_str(),
+                  m.value("region", "-").c_str(), m.at("traffic").get<double>(), by.c_str());
+    out += line.data();
+  }
+  return out;
+}
+
 int ctl(const CtlOptions& options) {
   std::string address = options.console;
   if (const char* const named = std::getenv("PROXY_CONSOLE"); address.empty() && named != nullptr)
@@ -167,6 +200,7 @@
       {"healthy", {http::verb::get, "/healthcheck"}},
       {"drain", {http::verb::post, "/healthcheck/fail"}},
       {"undrain", {http::verb::post, "/healthcheck/ok"}},
+      {"fleet", {http::verb::get, "/fleet"}},
       {"ban", {http::verb::post, "/hosts/" + escaped(options.host) + "/maint"}},
       {"ready", {http::verb::post, "/hosts/" + escaped(options.host) + "/ready"}}};
   const auto& [method, target] = calls.at(options.what);
@@ -175,6 +209,10 @@
   const bool yes = said.status / 100 == 2;
   if (yes && options.what == "stats") {
     std::fputs((options.json ? figuresAsJson(said.body) : figuresAsTable(said.body)).c_str(), stdout);
+  } else if (yes && options.what == "fleet" && !options.json) {
+    std::fputs(fleetAsTable(said.body).c_str(), stdout);
+  } else if (options.what == "fleet" && said.status == 404) {
+    return complain("this proxy keeps no view of a fleet (docs/fleet.md)") - 1;
   } else {
     std::fputs(
         said.body.empty() ? ("answered " + std::to_string(said.status) + "\n").c_str() : said.body.c_str(),
--- a/src/cli/ctl.h
+++ b/src/cli/ctl.h
@@ -7,9 +7,9 @@
 
 struct CtlOptions {
   std::string console;  // address:port; empty: $PROXY_CONSOLE
-  std::string what;     // stats, healthy, ban, ready, drain, undrain
+  std::string what;     // stats, healthy, ban, ready, drain, undrain, fleet
   std::string host;     // of ban and ready
-  bool json = false;    // of stats
+  bool json = false;    // of stats and fleet
 };
 
 // Prints what the console says. 0: yes; 1: it says no; 2: there is no address, or nobody answers there in 3
@@ -20,4 +20,7 @@
 std::string figuresAsTable(const std::string& text);
 std::string figuresAsJson(const std::string& text);
 
+// The console's page of the fleet as a table.
+std::string fleetAsTable(const std::string& page);
+
 }  // namespace quinceline
--- a/src/conf/model.cpp
+++ b/src/conf/model.cpp
@@ -1,6 +1,7 @@
 #include "model.h"
 
 #include <algorithm>
+#include <charconv>
 #include <map>
 #include <utility>
 
@@ -21,6 +22,8 @@
   return section != nullptr && section->has(key) ? holds<T>(section, key) : std::nullopt;
 }
 
+constexpr std::uint32_t kMostMember = 65'535;
+
 std::string textOf(const Section& section, std::string_view key) {
   const std::optional<Setting> s = section.find(key);
   return s ? s->text : std::string();
@@ -53,6 +56,37 @@
   return hosts;
 }
 
+std::vector<MemberModel> membersOf(const Section& section, const Sources& sources,
+                                   std::vector<Diagnostic>& found) {
+  std::vector<MemberModel> members;
+  std::map<std::pair<std::string, std::uint16_t>, const Section*> holders;
+  for (const Section& s : section.sections) {
+    if (s.kind != "member") continue;
+    MemberModel m;
+    std::uint32_t number = 0;
+    const char* const end = s.name.data() + s.name.size();
+    const auto r = std::from_chars(s.name.data(), end, number);
+    if (r.ec != std::errc{} || r.ptr != end || number > kMostMember || std::to_string(number) != s.name) {
+      found.push_back({Severity::Error, s.at, "'" + s.name + "' is no member's number",
+                       "write the `client` of that proxy, 0 to " + std::to_string(kMostMember)});
+      continue;
+    }
+    m.number = static_cast<std::uint16_t>(number);
+    m.address = readAddress(s.address).value_or(Address{});
+    m.at = s.at;
+    m.zone = textOf(s, "zone");
+    m.region = textOf(s, "region");
+    const auto [it, first] = holders.try_emplace({m.address.host, m.address.port}, &s);
+    if (!first)
+      found.push_back({Severity::Error, s.at,
+                       "'member " + s.name + "' has the address of 'member " + it->second->name + "' in " +
+                           sources.lineOf(it->second->at),
+                       "write its own: a member is known by where its datagrams come from"});
+    members.push_back(std::move(m));
+  }
+  return members;
+}
+
 class Builder {
  public:
   explicit Builder(Configuration& out) : out_(out), root_(out.root), m_(out.model) {}
@@ -71,6 +105,7 @@
     }
     if (alone_ && !root_.wasTried("class"))
       error(pool_at_, "no class of requests is there, so nothing would be served", "add class NAME { ... }");
+    if (const Section* const fleet = root_.section("fleet")) this->fleet(*fleet);
     together();
   }
 
@@ -239,6 +274,30 @@
     attempts_set_ = s.has("attempts");
   }
 
+  void fleet(const Section& s) {
+    FleetModel f;
+    f.at = s.at;
+    f.name = textOf(s, "name");
+    f.listen = readAddress(textOf(s, "listen")).value_or(Address{});
+    f.region = textOf(s, "region");
+    f.members = membersOf(s, out_.sources, out_.found);
+    if (s.has("members-file")) {
+      const Place at = placeOf(&s, "members-file");
+      f.members_file = pathFrom(out_.sources.name(at.file), textOf(s, "members-file"));
+      if (s.wasTried("member"))
+        error(at, "'fleet' has members of its own and a members file",
+              "keep one: which of the two would win is not to be guessed");
+    } else if (!s.wasTried("member")) {
+      error(s.at, "'fleet' has no member", "add member NUMBER ADDRESS:PORT for each, or members-file FILE");
+    } else if (alone_ && out_.ok() &&
+               std::none_of(f.members.begin(), f.members.end(),
+                            [&](const MemberModel& m) { return m.number == m_.client; })) {
+      error(s.at, "'fleet' lacks this instance, whose number is " + std::to_string(m_.client),
+            "add member " + std::to_string(m_.client) + " ADDRESS:PORT, or write its number as client");
+    }
+    m_.fleet = std::move(f);
+  }
+
   // What holds only in sight of one another.
   void together() {
     const Section* const a = root_.section("admission");
@@ -345,6 +404,21 @@
   return out;
 }
 
+bool MembersFile::ok() const { return noErrors(found); }
+
+MembersFile readMembersFile(FileSource& files, const std::string& path) {
+  Loaded loaded = load(files, path);
+  MembersFile out;
+  out.found = std::move(loaded.found);
+  const Section root = check(kMembersFile, loaded.statements, loaded.sources, out.found);
+  out.members = membersOf(root, loaded.sources, out.found);
+  if (out.members.empty() && out.ok())
+    out.found.push_back(
+        {Severity::Error, {0, 1, 1, 1}, "no member is there", "add member NUMBER ADDRESS:PORT"});
+  out.sources = std::move(loaded.sources);
+  return out;
+}
+
 std::string oneLine(const Diagnostic& diagnostic, const Sources& sources) {
   const std::string whole = render(diagnostic, sources);
   return whole.substr(0, whole.find('\n'));
--- a/src/conf/model.h
+++ b/src/conf/model.h
@@ -64,10 +64,27 @@
   double cold_from = 1, cold_multiple = 1;
 };
 
+struct MemberModel {
+  std::uint16_t number = 0;
+  Address address;
+  Place at;
+  std::string zone, region;  // empty: what it says itself
+};
+
+struct FleetModel {
+  std::string name;
+  Address listen;
+  std::string region;  // of this instance; empty: its own entry's
+  std::vector<MemberModel> members;
+  std::string members_file;  // relative to the working folder; empty: none
+  Place at;
+};
+
 // What is not set is not there: it follows from the platform or from other limits.
 struct Model {
   std::optional<PoolModel> pool;  // there: the file stands alone
-  Address listen;                 // this and what follows up to `classes`: of such a file
+  std::optional<FleetModel> fleet;
+  Address listen;  // this and what follows up to `classes`: of such a file
   std::string name, zone;
   std::uint32_t client = 0;
   std::vector<ClassModel> classes;
@@ -102,6 +119,15 @@
 };
 HostsFile readHostsFile(FileSource& files, const std::string& path);
 
+// A members file: nothing but `member` statements.
+struct MembersFile {
+  Sources sources;
+  std::vector<MemberModel> members;
+  std::vector<Diagnostic> found;
+  bool ok() const;
+};
+MembersFile readMembersFile(FileSource& files, const std::string& path);
+
 // "file:line:column: error: what is wrong; what to write instead", without the line and the caret.
 std::string oneLine(const Diagnostic& diagnostic, const Sources& sources);
 
--- a/src/conf/report.cpp
+++ b/src/conf/report.cpp
@@ -44,7 +44,10 @@
     const std::string name(key.name);
     if (key.kind == Kind::Block) {
       const bool there = section.section(key.name) != nullptr;
-      if (!there && !key.block->named) add(blockOf(emptySection(key), alone));
+      // One that can't do without a key is not the same empty as left out.
+      if (!there && !key.block->named && key.block->lacksNothing()) add(blockOf(emptySection(key), alone));
+      if (!there && !key.block->named && !key.block->lacksNothing())
+        comments.push_back("# " + name + ": not there; " + std::string(key.otherwise));
       for (const Section& inner : section.sections) {
         if (inner.kind == key.name) add(blockOf(inner, alone));
       }
--- a/src/conf/schema.cpp
+++ b/src/conf/schema.cpp
@@ -1,5 +1,6 @@
 #include "schema.h"
 
+#include <algorithm>
 #include <array>
 
 namespace quinceline::conf {
@@ -200,6 +201,54 @@
 };
 constexpr Block kPoolBlock = {.keys = kPool, .named = true};
 
+constexpr std::array kMember = {
+    Key{.name = "zone",
+        .kind = Kind::Name,
+        .about = "Where it stands, by the name that hosts of the same zone have.",
+        .otherwise = "what it says itself"},
+    Key{.name = "region",
+        .kind = Kind::Name,
+        .about = "The region of its zone.",
+        .otherwise = "what it says itself"},
+};
+constexpr Block kMemberBlock = {.keys = kMember, .named = true, .address = true};
+
+constexpr Key kMemberKey = {.name = "member",
+                            .kind = Kind::Block,
+                            .about =
+                                "A proxy of the fleet by its number (its `client`), and the address that its "
+                                "datagrams come from and go "
+                                "to.",
+                            .risk_down = "nothing that it says is heard any more",
+                            .block = &kMemberBlock};
+
+constexpr std::array kFleet = {
+    Key{.name = "name",
+        .kind = Kind::Name,
+        .about = "The fleet's name: datagrams of a fleet of another name are dropped.",
+        .fallback = "fleet",
+        .live = false,
+        .risk_up = "members that still go by the other name are not heard"},
+    Key{.name = "listen",
+        .kind = Kind::Address,
+        .about = "Where the others' datagrams come in (UDP).",
+        .required = true,
+        .live = false},
+    Key{.name = "region",
+        .kind = Kind::Name,
+        .about = "The region of this instance's zone, told to the others.",
+        .otherwise = "the region of its own entry among the members"},
+    kMemberKey,
+    Key{.name = "members-file",
+        .kind = Kind::Text,
+        .about = "A file of `member` statements, relative to the file that names it. It is looked at twice a "
+                 "second: "
+                 "a new version replaces the old, one with an error changes nothing.",
+        .otherwise = "none",
+        .risk_up = "the members are others"},
+};
+constexpr Block kFleetBlock = {.keys = kFleet};
+
 constexpr std::array kStatus = {
     Key{.name = "listen",
         .kind = Kind::Address,
@@ -416,15 +465,29 @@
         .block = &kAdmissionBlock},
     Key{.name = "limits", .kind = Kind::Block, .about = "What the process may use.", .block = &kLimitsBlock},
     Key{.name = "status", .kind = Kind::Block, .about = "The page for operators.", .block = &kStatusBlock},
+    Key{.name = "fleet",
+        .kind = Kind::Block,
+        .about = "The other proxies that use the same hosts: with it they keep a view of who is there "
+                 "(docs/fleet.md).",
+        .otherwise = "nothing is sent to other proxies",
+        .live = false,
+        .risk_down = "nothing is known of the others",
+        .block = &kFleetBlock},
     Key{.name = "log", .kind = Kind::Block, .about = "The log, on standard error.", .block = &kLogBlock},
 };
 
 constexpr std::array kHosts = {kHostKey};
+constexpr std::array kMembers = {kMemberKey};
 
 }  // namespace
 
 const Block kRoot = {.keys = kTop};
 const Block kHostsFile = {.keys = kHosts};
+const Block kMembersFile = {.keys = kMembers};
+
+bool Block::lacksNothing() const {
+  return std::none_of(keys.begin(), keys.end(), [](const Key& key) { return key.required; });
+}
 
 const Key* Block::find(std::string_view name) const {
   for (const Key& key : keys) {
--- a/src/conf/schema.h
+++ b/src/conf/schema.h
@@ -52,11 +52,14 @@
   bool named = false;    // takes a name, and may be there more than once
   bool address = false;  // takes an address behind its name; then its braces may be left out
   const Key* find(std::string_view name) const;
+  bool lacksNothing() const;  // where it is empty: no key is required
 };
 
 // Everything that a file may hold at its top.
 extern const Block kRoot;
 // What a hosts file may hold: `host` alone.
 extern const Block kHostsFile;
+// What a members file may hold: `member` alone.
+extern const Block kMembersFile;
 
 }  // namespace quinceline::conf
--- a/src/daemon/serve.cpp
+++ b/src/daemon/serve.cpp
@@ -10,6 +10,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <memory>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -21,6 +22,7 @@
 #include "handover/link.h"
 #include "net/config.h"
 #include "net/log.h"
+#include "talk/neighbours.h"
 #ifdef QUINCELINE_OPERATOR
 #include "files/disk_source.h"
 #include "operator/file_watch.h"
@@ -61,6 +63,7 @@
   Config read() { return operated_ ? operated_->read() : readConfig(variable); }
   Config reread(const Zones& zones) { return operated_ ? operated_->read(zones) : rereadConfig(variable); }
   HostList hosts(const std::string& path, Zones& zones) { return readHosts(files_, path, zones); }
+  std::vector<FleetPeer> members(const std::string& path) { return readMembers(files_, path); }
   // It is in force now: what there is to say of it.
   std::vector<std::string> taken() {
     if (!operated_) return {};
@@ -103,6 +106,7 @@
         status_at_(config.own.status),
         console_at_(config.console),
         hosts_file_(config.hosts_file),
+        fleet_(config.fleet),
         io_(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE),
         proxy_(io_, levelled(std::move(config)), log_, clock_),
         end_(io_, SIGTERM, SIGINT),
@@ -110,21 +114,27 @@
         console_(io_, *this)
 #ifdef QUINCELINE_OPERATOR
         ,
-        hosts_watch_(io_, kLook, [this] { takeHosts(); })
+        hosts_watch_(io_, kLook, [this] { takeHosts(); }),
+        members_watch_(io_, kLook, [this] { takeMembers(); })
 #endif
   {
+    if (fleet_)
+      others_ = talk::makeNeighbours(io_, clock_, log_, *fleet_, [this] { return proxy_.admitted(); });
   }
 
   void run() {
     for (const std::string& note : source_.taken()) log_.line(note, LogLevel::Warning);
     end_.async_wait([this](boost::system::error_code ec, int) {
-      if (!ec) proxy_.shutdown([this] { io_.stop(); });
+      if (ec) return;
+      if (others_) others_->leave();
+      proxy_.shutdown([this] { io_.stop(); });
     });
     awaitReload();
     if (!shared_at_.empty()) link_.emplace(io_, shared_at_, name_, static_cast<handover::Holder&>(*this));
     listenToStaff();
 #ifdef QUINCELINE_OPERATOR
     hosts_watch_.follow(hosts_file_);
+    members_watch_.follow(fleet_ ? fleet_->members_file : std::string());
 #endif
     link_ ? link_->begin() : begin(std::nullopt);
     io_.run();
@@ -132,7 +142,10 @@
 
  private:
   bool canServe() override { return proxy_.canServe(); }
-  std::string stats() override { return proxy_.stats(); }
+  std::string stats() override {
+    if (others_) return proxy_.stats() + others_->figures();
+    return proxy_.stats();
+  }
   bool takeOut(const std::string& host) override {
     return proxy_.takeOut(host) && tellOther({handover::Type::TakeOut, host});
   }
@@ -172,11 +185,22 @@
 
   void begin(std::optional<handover::State> state) override {
     state ? proxy_.start(*state) : proxy_.start();
+    if (others_) others_->start(state ? state->fleet : std::string());
+  }
+  handover::State state() override {
+    handover::State state = proxy_.state();
+    if (others_) state.fleet = others_->handOn();
+    return state;
+  }
+  void give(handover::Successor successor) override {
+    if (others_) others_->giveUp();
+    proxy_.handOn(std::move(successor));
   }
-  handover::State state() override { return proxy_.state(); }
-  void give(handover::Successor successor) override { proxy_.handOn(std::move(successor)); }
   void triedThere(const std::vector<admission::Tried>& tried) override { proxy_.triedThere(tried); }
-  void takeBack() override { proxy_.takeBack(); }
+  void takeBack() override {
+    if (others_) others_->goOn();
+    proxy_.takeBack();
+  }
   void adopt(int descriptor) override { proxy_.adopt(descriptor); }
   std::size_t descriptorsHeld() override { return proxy_.descriptorsHeld(); }
   void otherHolds(std::size_t descriptors) override { proxy_.otherHolds(descriptors); }
@@ -189,6 +213,7 @@
 
   void listenToStaff() {
     console_.page("/admission", [this] { return proxy_.admissionReport(); });
+    if (others_) console_.page("/fleet", [this] { return others_->page(); });
     if (console_at_) console_.listen(*console_at_);
     if (!status_at_) return;
     if (!status_at_->address().is_loopback())
@@ -218,7 +243,9 @@
   void takeConfiguration(Config config) {
     const std::string hosts_file = config.hosts_file;
     const bool operated = !config.own.file.empty();
+    const std::optional<FleetSettings> fleet = config.fleet;
     proxy_.reload(std::move(config));
+    takeFleet(fleet);
     const std::vector<std::string> notes = source_.taken();
     for (const std::string& note : notes) log_.line("configuration: " + note);
     if (operated) log_.line(notes.empty() ? "configuration read again: nothing new" : "configuration taken");
@@ -228,7 +255,30 @@
 #endif
   }
 
+  // Members alone: where and as whom this process listens is as at start, and so is whether it does.
+  void takeFleet(const std::optional<FleetSettings>& next) {
+    if (!fleet_ || !next) return;
+    fleet_->members_file = next->members_file;
+    try {
+      if (others_) others_->setMembers(next->members);
+    } catch (const std::exception& e) {
+      complain(log_, "fleet: members not taken: ", e);
+    }
+#ifdef QUINCELINE_OPERATOR
+    members_watch_.follow(fleet_->members_file);
+#endif
+  }
+
 #ifdef QUINCELINE_OPERATOR
+  void takeMembers() {
+    try {
+      const std::vector<FleetPeer> members = source_.members(fleet_->members_file);
+      if (others_) others_->setMembers(members);
+      log_.line("members file taken: " + std::to_string(members.size()) + " members");
+    } catch (const std::exception& e) {
+      complain(log_, "members file not taken: ", e);
+    }
+  }
   void takeHosts() {
     try {
       HostList list = source_.hosts(hosts_file_, proxy_.zones());
@@ -248,13 +298,15 @@
   std::string name_;
   std::optional<Endpoint> status_at_, console_at_;
   std::string hosts_file_;
+  std::optional<FleetSettings> fleet_;
   boost::asio::io_context io_;
   Proxy proxy_;
   boost::asio::signal_set end_, reload_;
   console::ConsoleServer console_;
   std::optional<handover::Link> link_;
+  std::unique_ptr<talk::Neighbours> others_;  // null: no word is sent to any
 #ifdef QUINCELINE_OPERATOR
-  FileWatch hosts_watch_;
+  FileWatch hosts_watch_, members_watch_;
 #endif
 };
 
--- a/src/figures/figures.cpp
+++ b/src/figures/figures.cpp
@@ -24,7 +24,20 @@
   return family;
 }
 
-MetricFamily gauge(const char* name, const char* help, std::size_t value) {
+MetricFamily rows(const char* name, const char* help, MetricType type, const char* label,
+                  const FleetPage::Rows& all) {
+  MetricFamily family{.name = name, .help = help, .type = type, .metric = {}};
+  for (const auto& [of, value] : all) {
+    ClientMetric metric;
+    metric.label.push_back({label, of});
+    (type == MetricType::Gauge ? metric.gauge.value : metric.counter.value) = static_cast<double>(value);
+    family.metric.push_back(std::move(metric));
+  }
+  return family;
+}
+
+template <typename T>
+MetricFamily gauge(const char* name, const char* help, T value) {
   ClientMetric metric;
   metric.gauge.value = static_cast<double>(value);
   return {.name = name, .help = help, .type = MetricType::Gauge, .metric = {metric}};
@@ -73,4 +86,17 @@
   });
 }
 
+std::string textOf(const FleetPage& page) {
+  constexpr auto kCounter = MetricType::Counter;
+  return prometheus::TextSerializer().Serialize({
+      rows("app_fleet_members", "Listed proxies, as this one sees them.", MetricType::Gauge, "state",
+           page.members),
+      rows("app_fleet_datagrams", "Datagrams between proxies.", kCounter, "way", page.datagrams),
+      rows("app_fleet_bytes", "Their bytes.", kCounter, "way", page.bytes),
+      rows("app_fleet_drops", "Datagrams that were not used.", kCounter, "cause", page.drops),
+      gauge("app_fleet_unchanged_seconds", "Since somebody came or went.", page.unchanged_seconds),
+      gauge("app_fleet_sure", "Whether the view is to be relied on.", page.sure ? 1 : 0),
+  });
+}
+
 }  // namespace quinceline::figures
--- a/src/figures/figures.h
+++ b/src/figures/figures.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace quinceline::figures {
@@ -52,4 +53,13 @@
 // In Prometheus' text format 0.0.4: app_success{type="C"} 812.
 std::string textOf(const Page& page);
 
+// Of the fleet's own view; by state, way or cause.
+struct FleetPage {
+  using Rows = std::vector<std::pair<std::string, std::uint64_t>>;
+  Rows members, datagrams, bytes, drops;
+  double unchanged_seconds = 0;
+  bool sure = false;
+};
+std::string textOf(const FleetPage& page);
+
 }  // namespace quinceline::figures
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -102,6 +102,7 @@
   talk_at_ = now + part(settings_.talk);
   records_at_ = now + part(kRecordsEvery);
   dead_tried_ = now - kJoinEvery;
+  roster_.at(self_).since = now;
   settle(now, self_, self().standing, 0, out);
   due_ = now;
   onTime(now, out);
--- a/src/fleet/view.h
+++ b/src/fleet/view.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -37,7 +38,7 @@
   Time since = 0;
   Time heard = kLongAgo;  // the last datagram of its own
   std::vector<Number> accusers;
-  std::string_view zone, region;  // the list's word, else its record's
+  std::string zone, region;  // the list's word, else its record's
   Facts facts;
 };
 
--- a/src/front/proxy.cpp
+++ b/src/front/proxy.cpp
@@ -235,8 +235,12 @@
 }
 
 handover::State Proxy::state() const {
-  return {formatHostList(pool_.hosts(), config_.zones), pool_.remember(), drained(),
-          repeats_.remember(clock_.now())};
+  handover::State state;
+  state.hosts = formatHostList(pool_.hosts(), config_.zones);
+  state.servers = pool_.remember();
+  state.drained = drained();
+  state.tried = repeats_.remember(clock_.now());
+  return state;
 }
 
 void Proxy::handOn(handover::Successor successor) {
--- a/src/front/proxy.h
+++ b/src/front/proxy.h
@@ -75,6 +75,8 @@
   bool drained() const { return life_.drained(); }
   // In Prometheus' text format.
   std::string stats() const;
+  // Requests that were let in since the start.
+  std::uint64_t admitted() const { return ledger_.total(admission::Cause::None); }
 
   Endpoint localEndpoint() const { return server_.localEndpoint(); }
   // What admission has decided and what it goes by, as JSON: docs/admission.md explains it.
--- a/src/handover/state.cpp
+++ b/src/handover/state.cpp
@@ -64,6 +64,7 @@
   for (const admission::Tried& t : state.tried) tried.push_back(toJson(t));
   json doc = {{"hosts", state.hosts}, {"servers", servers}, {"drained", state.drained}};
   if (state.tells_tried) doc["tried"] = tried;  // a process one release older neither says nor reads this
+  if (!state.fleet.empty()) doc["fleet"] = state.fleet;
   return textOf(doc);
 }
 
@@ -75,6 +76,7 @@
     state.drained = doc.at("drained").get<bool>();
     state.tells_tried = doc.contains("tried");
     if (state.tells_tried) state.tried = triedOf(doc.at("tried"));
+    if (doc.contains("fleet")) state.fleet = doc.at("fleet").get<std::string>();
     for (const json& s : doc.at("servers")) {
       weldflow::Remembered r;
       r.id = s.at("id").get<std::string>();
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -45,6 +45,32 @@
   }
 }
 
+boost::asio::ip::udp::endpoint datagramsAt(const Node& node) {
+  try {
+    const Endpoint at = parseEndpoint(node.text());
+    return {at.address(), at.port()};
+  } catch (const std::runtime_error& e) {
+    node.bad(e.what());
+  }
+}
+
+// Only where the settings allow talk between proxies: else the keys are not even read.
+std::optional<FleetSettings> fleetOf(const Node& root, const weldflow::platform::Site& site) {
+  if (!site.peers || !root.has("peer_listen") || !root.has("peers")) return std::nullopt;
+  FleetSettings fleet;
+  fleet.listen = datagramsAt(root.at("peer_listen"));
+  const Node peers = root.at("peers");
+  if (peers.size() > 65'536) peers.bad("names too many");
+  for (std::size_t i = 0; i < peers.size(); ++i)
+    fleet.members.push_back({static_cast<std::uint16_t>(i), datagramsAt(peers.at(i)), {}, {}});
+  if (site.settings.client >= peers.size())
+    peers.bad("lacks this client proxy, number " + std::to_string(site.settings.client));
+  fleet.number = static_cast<std::uint16_t>(site.settings.client);
+  const auto zone = static_cast<std::size_t>(site.settings.zone);
+  if (zone < site.zones.size()) fleet.zone = site.zones[zone];
+  return fleet;
+}
+
 int descriptorOf(const std::string& text) {
   int descriptor = -1;
   const auto r = std::from_chars(text.data(), text.data() + text.size(), descriptor);
@@ -95,6 +121,7 @@
     c.site = within("settings: ", [&] { return weldflow::platform::parseSite(doc.at("settings").dump()); });
     within("settings: ", [&] { weldflow::validate(c.site.settings); });
     c.zones = Zones(c.site.zones);
+    c.fleet = fleetOf(root, c.site);
     if (root.has("known")) {
       c.known = within("known: ", [&] { return parseHostList(doc.at("known").dump(), c.zones); });
     }
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "fleet_settings.h"
 #include "host_list.h"
 #include "operator_settings.h"
 #include "platform/settings.h"
@@ -31,6 +32,8 @@
   // not empty, is where a newer list comes from.
   bool alone = false;
   std::string hosts_file;
+  // Where peers may talk and are named; not set: no word is sent to any.
+  std::optional<FleetSettings> fleet;
 };
 
 // Reads the variables with `getenv` (null: not set) and the file that PROXY_CONFIG names. Variables win over
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -137,6 +137,35 @@
   return list;
 }
 
+boost::asio::ip::udp::endpoint datagramsAt(const conf::Address& a) {
+  return {boost::asio::ip::make_address(a.host), a.port};
+}
+
+std::vector<FleetPeer> peersOf(const std::vector<conf::MemberModel>& members) {
+  std::vector<FleetPeer> peers;
+  for (const conf::MemberModel& m : members)
+    peers.push_back({m.number, datagramsAt(m.address), m.zone, m.region});
+  return peers;
+}
+
+FleetSettings fleetOf(const conf::FleetModel& m, std::uint32_t client, const std::string& zone,
+                      conf::FileSource& files) {
+  FleetSettings f;
+  f.name = m.name;
+  f.number = static_cast<std::uint16_t>(client);
+  f.listen = datagramsAt(m.listen);
+  f.members_file = m.members_file;
+  f.members = m.members_file.empty() ? peersOf(m.members) : readMembers(files, m.members_file);
+  f.zone = zone;
+  f.region = m.region;
+  for (const FleetPeer& p : f.members) {
+    if (p.number != f.number) continue;
+    if (f.zone.empty()) f.zone = p.zone;
+    if (f.region.empty()) f.region = p.region;
+  }
+  return f;
+}
+
 // `zones`: as they are numbered already; nothing: at start.
 Config aloneConfig(const Model& m, conf::FileSource& files, const std::string& path,
                    const std::optional<Zones>& zones) {
@@ -158,6 +187,7 @@
     c.own.tenants.push_back(shareOf(t.share, std::max(t.part, 0.01)));
   }
   c.zones = zones ? *zones : Zones({m.zone});
+  if (m.fleet) c.fleet = fleetOf(*m.fleet, m.client, m.zone, files);
   c.hosts_file = m.pool->hosts_file;
   if (c.hosts_file.empty()) {
     c.known = listOf(m.pool->hosts, c.zones);
@@ -203,10 +233,23 @@
   if (m.memory) c.memory_mb = std::min(c.memory_mb, *m.memory / kMegabyte);
   c.own.classes = sharesOf(read, "class", m.classes, c.site.classes);
   c.own.tenants = sharesOf(read, "tenant", m.tenants, c.site.tenants);
+  if (m.fleet && !c.site.peers) {
+    read.found.push_back({conf::Severity::Error, m.fleet->at,
+                          "the platform does not allow talk between client proxies (limits.peers)",
+                          "delete the block"});
+  } else if (m.fleet) {
+    c.fleet = fleetOf(*m.fleet, c.site.settings.client, c.fleet ? c.fleet->zone : "", files_);
+  }
   if (!read.ok()) refuse(read.found, read.sources);
   return c;
 }
 
+std::vector<FleetPeer> readMembers(conf::FileSource& files, const std::string& path) {
+  const conf::MembersFile read = conf::readMembersFile(files, path);
+  if (!read.ok()) refuse(read.found, read.sources);
+  return peersOf(read.members);
+}
+
 HostList readHosts(conf::FileSource& files, const std::string& path, Zones& zones) {
   const conf::HostsFile read = conf::readHostsFile(files, path);
   if (!read.ok()) refuse(read.found, read.sources);
--- a/src/operator/operator_file.h
+++ b/src/operator/operator_file.h
@@ -54,4 +54,7 @@
 // The hosts of a hosts file, as a whole list. Throws ConfigurationRefused.
 HostList readHosts(conf::FileSource& files, const std::string& path, Zones& zones);
 
+// The members of a members file. Throws ConfigurationRefused.
+std::vector<FleetPeer> readMembers(conf::FileSource& files, const std::string& path);
+
 }  // namespace quinceline
--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -132,6 +132,7 @@
   site.idle = limits.timeOr("conn_idle_us", site.idle);
   site.connect_timeout = limits.timeOr("connect_timeout_us", site.connect_timeout);
   if (limits.has("max_open")) site.max_open = limits.at("max_open").whole(1);
+  site.peers = limits.flagOr("peers", false);
   site.reports = site.settings.reports != ReportSource::None;
   return site;
 }
--- a/src/platform/settings.h
+++ b/src/platform/settings.h
@@ -29,6 +29,7 @@
   Time connect_timeout = 250'000;
   std::int32_t max_open = 20'000;  // requests open at once
   bool reports = false;            // hosts report their load
+  bool peers = false;              // client proxies may send one another datagrams
 };
 Site parseSite(std::string_view json);
 
--- /dev/null
+++ b/src/talk/neighbours.h
@@ -0,0 +1,43 @@
+// The other proxies of the fleet, as the daemon deals with them. What stands behind it depends on the build.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/clock.h"
+#include "net/fleet_settings.h"
+#include "net/log.h"
+
+namespace quinceline::talk {
+
+class Neighbours {
+ public:
+  virtual ~Neighbours() = default;
+  // `remembered`: what the process before this one handed on; empty: there was none, and the address must be
+  // free. Throws std::runtime_error where it is not.
+  virtual void start(const std::string& remembered) = 0;
+  // What a next process goes on with. This one is still from then on, since the other one may speak already,
+  // until goOn() or some seconds have passed.
+  virtual std::string handOn() = 0;
+  // The next process has gone without taking over, or serves: then this one is silent for good.
+  virtual void goOn() = 0;
+  virtual void giveUp() = 0;
+  // Tells the others that it goes.
+  virtual void leave() = 0;
+  // Throws std::runtime_error, and all is as before.
+  virtual void setMembers(const std::vector<FleetPeer>& members) = 0;
+  virtual std::string page() const = 0;     // JSON: docs/fleet.md
+  virtual std::string figures() const = 0;  // Prometheus' text format
+};
+
+// Null where the program was built without them, which the log tells. `requests`: how many this proxy has let
+// in since its start. Throws std::runtime_error with what is wrong with the settings.
+std::unique_ptr<Neighbours> makeNeighbours(boost::asio::io_context& io, const Clock& clock, Log& log,
+                                           const FleetSettings& settings,
+                                           std::function<std::uint64_t()> requests);
+
+}  // namespace quinceline::talk
--- /dev/null
+++ b/src/talk/none.cpp
@@ -0,0 +1,11 @@
+#include "neighbours.h"
+
+namespace quinceline::talk {
+
+std::unique_ptr<Neighbours> makeNeighbours(boost::asio::io_context&, const Clock&, Log& log,
+                                           const FleetSettings&, std::function<std::uint64_t()>) {
+  log.line("fleet: this program was built without WELDFLOW_FLEET: no view of it is kept", LogLevel::Warning);
+  return nullptr;
+}
+
+}  // namespace quinceline::talk
--- /dev/null
+++ b/src/talk/remembered.cpp
@@ -0,0 +1,59 @@
+#include "remembered.h"
+
+#include <cstdint>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace quinceline::talk {
+namespace {
+
+using nlohmann::json;
+
+template <typename T>
+T whole(const json& value, std::uint64_t most = std::numeric_limits<T>::max()) {
+  if (!value.is_number_unsigned() || value.get<std::uint64_t>() > most)
+    throw std::runtime_error("the fleet's view: no such number: " + value.dump());
+  return value.get<T>();
+}
+
+}  // namespace
+
+std::string toText(const fleet::Remembered& remembered) {
+  json members = json::array();
+  for (const auto& m : remembered.members) {
+    json facts = json::array();  // bytes: they need not be text
+    for (const char c : m.facts) facts.push_back(static_cast<std::uint8_t>(c));
+    members.push_back({m.number, m.standing.incarnation, static_cast<unsigned>(m.standing.state),
+                       m.version.incarnation, m.version.sequence, facts});
+  }
+  return json{{"incarnation", remembered.incarnation}, {"record", remembered.record}, {"members", members}}
+      .dump();
+}
+
+fleet::Remembered rememberedFrom(std::string_view text) {
+  try {
+    const json doc = json::parse(text);
+    fleet::Remembered out;
+    out.incarnation = whole<fleet::Incarnation>(doc.at("incarnation"));
+    out.record = whole<std::uint32_t>(doc.at("record"));
+    for (const json& m : doc.at("members")) {
+      fleet::Remembered::Known known;
+      known.number = whole<fleet::Number>(m.at(0));
+      known.standing.incarnation = whole<fleet::Incarnation>(m.at(1));
+      known.standing.state =
+          static_cast<fleet::State>(whole<unsigned>(m.at(2), static_cast<unsigned>(fleet::State::Left)));
+      known.version.incarnation = whole<fleet::Incarnation>(m.at(3));
+      known.version.sequence = whole<std::uint32_t>(m.at(4));
+      for (const json& byte : m.at(5)) known.facts += static_cast<char>(whole<std::uint8_t>(byte));
+      if (known.facts.size() > fleet::kMostFacts)
+        throw std::runtime_error("the fleet's view: a record is too long");
+      out.members.push_back(std::move(known));
+    }
+    return out;
+  } catch (const json::exception& e) {
+    throw std::runtime_error(std::string("the fleet's view is not whole: ") + e.what());
+  }
+}
+
+}  // namespace quinceline::talk
--- /dev/null
+++ b/src/talk/remembered.h
@@ -0,0 +1,15 @@
+// What one process of a member hands to the next, as text: docs/on-call.md tells of upgrades.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "fleet/fleet.h"
+
+namespace quinceline::talk {
+
+std::string toText(const fleet::Remembered& remembered);
+// Throws std::runtime_error with what is wrong; nothing of a text that is not whole is used.
+fleet::Remembered rememberedFrom(std::string_view text);
+
+}  // namespace quinceline::talk
--- a/tests/conf_schema_test.cpp
+++ b/tests/conf_schema_test.cpp
@@ -98,7 +98,8 @@
 // ---- dump and diff ----
 
 TEST(ConfDump, ItIsTheSameConfigurationInItsFormWithEveryKey) {
-  const Configuration c = read(kAlone + "admission {\n  open 64\n}\n");
+  const Configuration c =
+      read(kAlone + "admission {\n  open 64\n}\nfleet {\n  listen 10.0.0.1:7000\n  member 0 10.0.0.1:7000\n}\n");
   const std::string text = dump(c.root);
   const Configuration again = read(text);
   ASSERT_TRUE(again.found.empty()) << messages(again);
@@ -114,6 +115,52 @@
   }
 }
 
+// A block that can't be empty is not made up.
+TEST(ConfDump, AFileWithoutAFleetIsDumpedWithoutOne) {
+  const std::string text = dump(read(kAlone).root);
+  EXPECT_NE(text.find("# fleet: not there; nothing is sent to other proxies"), std::string::npos) << text;
+  EXPECT_TRUE(read(text).ok());
+}
+
+TEST(ConfModel, MembersOfAFleetAreCheckedWithTheirPlace) {
+  const auto first = [](const std::string& fleet) {
+    const Configuration c = read(kAlone + "fleet {\n" + fleet + "}\n");
+    return c.found.empty() ? "" : oneLine(c.found.front(), c.sources);
+  };
+  const std::string listen = "  listen 10.0.0.1:7000\n";
+  EXPECT_EQ(first(listen + "  member 0 10.0.0.1:7000\n  member 1 10.0.0.2:7000 {\n    zone b\n  }\n"), "");
+  const auto ends = [](const std::string& text, const std::string& end) {
+    return text.size() >= end.size() && text.substr(text.size() - end.size()) == end;
+  };
+  const std::string twice = first(listen + "  member 0 10.0.0.1:7000\n  member 0 10.0.0.2:7000\n");
+  EXPECT_NE(twice.find("'member 0' is there twice"), std::string::npos) << twice;
+  const std::string shared = first(listen + "  member 0 10.0.0.1:7000\n  member 1 10.0.0.1:7000\n");
+  EXPECT_NE(shared.find("'member 1' has the address of 'member 0' in a.conf:"), std::string::npos) << shared;
+  const std::string name = first(listen + "  member 0 10.0.0.1:7000\n  member one 10.0.0.2:7000\n");
+  EXPECT_NE(name.find("'one' is no member's number"), std::string::npos) << name;
+  const std::string zeros = first(listen + "  member 0 10.0.0.1:7000\n  member 00 10.0.0.2:7000\n");
+  EXPECT_NE(zeros.find("'00' is no member's number"), std::string::npos) << zeros;
+  const std::string large = first(listen + "  member 0 10.0.0.1:7000\n  member 65536 10.0.0.2:7000\n");
+  EXPECT_NE(large.find("'65536' is no member's number"), std::string::npos) << large;
+  const std::string absent = first(listen + "  member 4 10.0.0.1:7000\n");
+  EXPECT_NE(absent.find("'fleet' lacks this instance, whose number is 0"), std::string::npos) << absent;
+  EXPECT_TRUE(ends(first(listen), "add member NUMBER ADDRESS:PORT for each, or members-file FILE"));
+  EXPECT_NE(first("  member 0 10.0.0.1:7000\n").find("'fleet' lacks listen"), std::string::npos);
+}
+
+TEST(ConfModel, AMembersFileHoldsMembersOnlyAndAtLeastOne) {
+  Memory memory;
+  memory.files["good"] = "member 3 10.0.0.1:80\nmember 40 10.0.0.2:80 {\n  region south\n}\n";
+  memory.files["cut"] = "";
+  memory.files["other"] = "host a 10.0.0.1:80\n";
+  EXPECT_EQ(readMembersFile(memory, "good").members.at(1).number, 40);
+  EXPECT_EQ(readMembersFile(memory, "good").members.at(1).region, "south");
+  const MembersFile cut = readMembersFile(memory, "cut");
+  EXPECT_EQ(oneLine(cut.found.at(0), cut.sources),
+            "cut:1:1: error: no member is there; add member NUMBER ADDRESS:PORT");
+  EXPECT_FALSE(readMembersFile(memory, "other").ok());
+}
+
 std::string difference(const std::string& before, const std::string& after) {
   const Configuration a = read(before), b = read(after);
   EXPECT_TRUE(a.ok()) << messages(a);
--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -102,6 +102,11 @@
     const auto& h = c.known.hosts[i];
     all << '|' << h.id << ',' << h.zone << ',' << h.cell << ',' << h.capacity << ',' << c.known.endpoints[i];
   }
+  if (c.fleet) {
+    const FleetSettings& f = *c.fleet;
+    all << '|' << f.name << ',' << f.number << ',' << f.listen << ',' << f.zone << ',' << f.region << ',' << f.members_file;
+    for (const FleetPeer& p : f.members) all << '|' << p.number << ',' << p.at << ',' << p.zone << ',' << p.region;
+  }
   return all.str();
 }
 
@@ -123,7 +128,7 @@
     case conf::Kind::Name:
       return "elsewhere";
     case conf::Kind::Text:
-      return "hosts.conf";
+      return key.name == "members-file" ? "members.conf" : "hosts.conf";
     case conf::Kind::Address:
       return "127.0.0.1:7777";
     case conf::Kind::Block:
@@ -135,6 +140,7 @@
 // The schema's rule: a key that nothing acts on is not accepted.
 TEST_F(OperatorFile, EveryKeyOfTheSchemaChangesWhatTheProxyGoesBy) {
   files.write("hosts.conf", "host h-1 10.1.0.1:80\n");
+  files.write("members.conf", "member 0 127.0.0.1:7100\nmember 97 127.0.0.1:7197\n");
   // One key at a time in a file that has nothing else that is not required.
   const auto text = [&](const std::string& block, const std::string& key, const std::string& value) {
     const auto line = [&](const std::string& in) { return in == block ? key + " " + value + "\n" : ""; };
@@ -148,6 +154,10 @@
     all += "pool p {\n" + line("pool");
     if (key != "hosts-file") all += "host s-1 10.0.0.1:80 {\n" + line("host") + "}\n";
     all += "}\n";
+    all += "fleet {\n" + line("fleet") + unless("fleet", "listen", "127.0.0.1:7000");
+    if (key != "members-file")
+      all += "member 0 127.0.0.1:7000 {\n" + line("member") + "}\nmember 97 127.0.0.1:7097\n";
+    all += "}\n";
     for (const char* const in : {"clients", "upstream", "admission", "limits", "status", "log"})
       all += std::string(in) + " {\n" + line(in) + "}\n";
     return all;
