A rig of many processes with a relay of datagrams between them; the fleet's view proven in it

Need: what members of a fleet do when parts fail must be shown with processes of the program, and the faults must lie between them.

Change: rig/ holds the child (the demonstration's, with an environment, signals and an inherited descriptor), a relay with one front socket a member that loses, delays, doubles, reorders and cuts, one way too, and a fleet of processes that are killed, frozen, ended, upgraded and asked for their page. Nine tests of twelve processes each, waiting on what the pages say: kills of one and of a third, SIGSTOP, eight against four with death, leave and return inside, three islands and a one-way cut, 20 % loss with doubling, garbage and strangers, a number used twice, upgrade of half, a rolling restart.

--- a/demo/main.cpp
+++ b/demo/main.cpp
@@ -16,9 +16,9 @@
 #include <stdexcept>
 #include <thread>
 
-#include "child.h"
 #include "conf/model.h"
 #include "files/disk_source.h"
+#include "rig/child.h"
 #include "station.h"
 
 namespace quinceline::demo {
@@ -27,6 +27,8 @@
 namespace http = boost::beast::http;
 using tcp = boost::asio::ip::tcp;
 
+using rig::Child;
+
 constexpr int kClients = 8, kEach = 40;  // requests of one client in one part
 
 tcp::endpoint endpointOf(const conf::Address& a) { return {boost::asio::ip::make_address(a.host), a.port}; }
--- a/demo/child.cpp
+++ b/rig/child.cpp
@@ -15,19 +15,30 @@
 
 extern char** environ;
 
-namespace quinceline::demo {
+namespace quinceline::rig {
 
-Child::Child(std::vector<std::string> arguments) {
+Child::Child(std::vector<std::string> arguments, const std::vector<std::string>* environment, int inherited) {
   std::array<int, 2> ends{};
   if (pipe2(ends.data(), O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, ends[1], 1);
   posix_spawn_file_actions_adddup2(&actions, ends[1], 2);
-  std::vector<char*> pointers;
-  for (std::string& a : arguments) pointers.push_back(a.data());
-  pointers.push_back(nullptr);
-  const int failed = posix_spawn(&pid_, arguments[0].c_str(), &actions, nullptr, pointers.data(), environ);
+  if (inherited >= 0) {
+    posix_spawn_file_actions_adddup2(&actions, inherited, 3);
+    posix_spawn_file_actions_addclosefrom_np(&actions, 4);
+  }
+  const auto pointersTo = [](std::vector<std::string>& texts) {
+    std::vector<char*> pointers;
+    for (std::string& t : texts) pointers.push_back(t.data());
+    pointers.push_back(nullptr);
+    return pointers;
+  };
+  std::vector<std::string> variables;
+  if (environment != nullptr) variables = *environment;
+  const std::vector<char*> given = pointersTo(variables);
+  const int failed = posix_spawn(&pid_, arguments[0].c_str(), &actions, nullptr, pointersTo(arguments).data(),
+                                 environment != nullptr ? given.data() : environ);
   posix_spawn_file_actions_destroy(&actions);
   ::close(ends[1]);
   if (failed != 0) {
@@ -61,6 +72,18 @@
   reader_.join();
 }
 
+void Child::signal(int number) const {
+  if (pid_ > 0) ::kill(pid_, number);
+}
+
+bool Child::runs() {
+  if (pid_ <= 0) return false;
+  if (waitpid(pid_, nullptr, WNOHANG) == 0) return true;
+  pid_ = -1;
+  reader_.join();
+  return false;
+}
+
 std::vector<std::string> Child::lines() const {
   const std::lock_guard lock(mutex_);
   return lines_;
@@ -76,4 +99,4 @@
   return there();
 }
 
-}  // namespace quinceline::demo
+}  // namespace quinceline::rig
--- /dev/null
+++ b/rig/fleet_rig.h
@@ -0,0 +1,80 @@
+// A fleet of real processes of the program, with a relay of datagrams between them: started, killed, frozen,
+// ended and upgraded one by one, and asked what they see. All end with it, on every path.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "child.h"
+#include "datagram_relay.h"
+
+namespace quinceline::rig {
+
+class FleetRig {
+ public:
+  using Number = DatagramRelay::Number;
+
+  FleetRig(std::string program, std::size_t members, std::uint64_t seed);
+  ~FleetRig();
+
+  std::size_t size() const { return members_.size(); }
+  DatagramRelay& relay() { return *relay_; }
+  // One more process of a member that runs takes its place: an upgrade. Else its first.
+  void start(std::size_t n);
+  void startAll();
+  void kill(std::size_t n);    // SIGKILL, all its processes
+  void freeze(std::size_t n);  // SIGSTOP
+  void thaw(std::size_t n);    // SIGCONT
+  // SIGTERM to the oldest process.
+  void end(std::size_t n);
+  // The oldest process has ended by itself; it is forgotten then.
+  bool ended(std::size_t n);
+  // One more process under this number at another address, which takes nobody's place.
+  void twin(Number number);
+  DatagramRelay::Endpoint listens(std::size_t n) const { return members_[n].listens; }
+  pid_t pid(std::size_t n) const { return members_[n].processes.back()->pid(); }
+
+  // GET /fleet of the newest process; null where it does not answer.
+  nlohmann::json page(std::size_t n) const;
+  nlohmann::json twinPage() const;
+  // The newest process's view of one member: "alive" ...; empty where it does not answer.
+  std::string sees(std::size_t n, std::size_t of) const;
+  // All of these answer, hold one view, and it has just them live.
+  bool agree(const std::set<std::size_t>& live) const;
+  std::set<std::size_t> all() const;
+  // Looks until it holds; false: not within 40 s, which only ends a test that has failed.
+  static bool until(const std::function<bool()>& holds);
+  std::string logs() const;
+
+ private:
+  using Tcp = boost::asio::ip::tcp;
+  struct Member {
+    std::vector<std::unique_ptr<Child>> processes;  // the oldest first
+    std::vector<Tcp::endpoint> consoles;            // of each
+    DatagramRelay::Endpoint listens;
+    std::unique_ptr<Tcp::acceptor> clients;  // the platform's listening socket
+  };
+
+  std::string configure(Number number, const std::string& name, const DatagramRelay::Endpoint& listens) const;
+  Tcp::endpoint freePort() const;
+  std::unique_ptr<Child> launch(Number number, const std::string& name,
+                                const DatagramRelay::Endpoint& listens, const Tcp::endpoint& console,
+                                int inherited) const;
+  static nlohmann::json pageAt(const Tcp::endpoint& console);
+
+  const std::string program_;
+  std::string folder_;
+  mutable boost::asio::io_context io_;
+  boost::asio::ip::address address_;
+  std::vector<Member> members_;
+  std::unique_ptr<DatagramRelay> relay_;
+  Member twin_;
+};
+
+}  // namespace quinceline::rig
--- /dev/null
+++ b/tests/fleet_processes_test.cpp
@@ -0,0 +1,154 @@
+// Twelve processes of the program with faults between them. Everything waits for what staff would see on
+// their pages; the limit only ends a test that has failed.
+#include <gtest/gtest.h>
+
+#include <boost/asio/ip/udp.hpp>
+
+#include "rig/fleet_rig.h"
+
+namespace quinceline::rig {
+namespace {
+
+constexpr std::size_t kMembers = 12;
+
+class Processes : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    rig.startAll();
+    ASSERT_TRUE(FleetRig::until([&] { return rig.agree(rig.all()); })) << rig.logs();
+  }
+  std::set<std::size_t> but(const std::set<std::size_t>& gone) const {
+    std::set<std::size_t> rest = rig.all();
+    for (const std::size_t n : gone) rest.erase(n);
+    return rest;
+  }
+  testing::AssertionResult agree(const std::set<std::size_t>& live) {
+    if (FleetRig::until([&] { return rig.agree(live); })) return testing::AssertionSuccess();
+    return testing::AssertionFailure() << rig.logs();
+  }
+  FleetRig rig{QUINCELINE, kMembers, 11};
+};
+
+TEST_F(Processes, OneIsKilledThenAThirdAndAllComeBack) {
+  rig.kill(5);
+  ASSERT_TRUE(agree(but({5})));
+  EXPECT_EQ(rig.sees(0, 5), "dead");
+  rig.start(5);
+  ASSERT_TRUE(agree(rig.all()));
+  for (const std::size_t n : {0U, 3U, 6U, 9U}) rig.kill(n);
+  ASSERT_TRUE(agree(but({0, 3, 6, 9})));
+  for (const std::size_t n : {0U, 3U, 6U, 9U}) rig.start(n);
+  ASSERT_TRUE(agree(rig.all()));
+  EXPECT_TRUE(FleetRig::until([&] { return rig.page(7).at("sure") == true; })) << rig.page(7);
+}
+
+TEST_F(Processes, AFrozenOneIsThoughtDeadAndSaysOtherwiseWhenItWakes) {
+  rig.freeze(4);
+  ASSERT_TRUE(agree(but({4})));
+  rig.thaw(4);
+  ASSERT_TRUE(agree(rig.all()));
+  EXPECT_GE(rig.page(4).at("refuted").get<int>(), 1);
+}
+
+TEST_F(Processes, EightAgainstFourWithDeathLeaveAndReturnOnBothSides) {
+  const std::set<std::size_t> many = {0, 1, 2, 3, 4, 5, 6, 7}, few = {8, 9, 10, 11};
+  rig.relay().setCut([](auto a, auto b) { return (a < 8) != (b < 8); });
+  ASSERT_TRUE(agree(many));
+  ASSERT_TRUE(agree(few));
+  EXPECT_EQ(rig.page(9).at("doubt"), "minority");
+  rig.kill(1);
+  rig.end(10);
+  ASSERT_TRUE(agree({0, 2, 3, 4, 5, 6, 7}));
+  ASSERT_TRUE(agree({8, 9, 11}));
+  EXPECT_EQ(rig.sees(8, 10), "left");
+  ASSERT_TRUE(FleetRig::until([&] { return rig.ended(10); }));
+  rig.start(10);
+  ASSERT_TRUE(agree(few));
+  rig.relay().setCut({});
+  ASSERT_TRUE(agree(but({1})));
+}
+
+TEST_F(Processes, ThreeIslandsAndAOneWayCut) {
+  rig.relay().setCut([](auto a, auto b) { return a % 3 != b % 3; });
+  ASSERT_TRUE(agree({0, 3, 6, 9}));
+  ASSERT_TRUE(agree({2, 5, 8, 11}));
+  // Before they have all healed, one can't be heard any more.
+  rig.relay().setCut([](auto a, auto) { return a == 7; });
+  ASSERT_TRUE(agree(but({7})));
+  rig.relay().setCut({});
+  ASSERT_TRUE(agree(rig.all()));
+}
+
+TEST_F(Processes, LossDelayAndDoublingKillNobodyAndADeathIsStillSeen) {
+  rig.relay().setLink({.loss = 0.2,
+                       .doubled = 0.1,
+                       .least = std::chrono::milliseconds(1),
+                       .most = std::chrono::milliseconds(40)});
+  rig.kill(2);
+  ASSERT_TRUE(FleetRig::until([&] {
+    for (const std::size_t n : but({2})) {
+      if (rig.sees(n, 2) != "dead") return false;
+    }
+    return true;
+  })) << rig.logs();
+  rig.relay().setLink({});
+  ASSERT_TRUE(agree(but({2})));
+}
+
+TEST_F(Processes, GarbageAndStrangersAreDroppedAndCounted) {
+  weldflow::Random random(3);
+  for (int i = 0; i < 20'000; ++i) {
+    std::string bytes(random.below(400), '\0');
+    for (char& c : bytes) c = static_cast<char>(random.next());
+    rig.relay().inject(1, 0, bytes);
+  }
+  boost::asio::io_context io;
+  boost::asio::ip::udp::socket stranger(io, boost::asio::ip::udp::v4());
+  const auto counted = [&](const char* cause) { return rig.page(0).at("drops").at(cause).get<int>(); };
+  ASSERT_TRUE(FleetRig::until([&] {
+    boost::system::error_code ignored;
+    stranger.send_to(boost::asio::buffer("hello", 5), rig.listens(0), 0, ignored);
+    return counted("stranger") > 0 && counted("short") > 0 && counted("long") > 0 && counted("foreign") > 0;
+  })) << rig.page(0);
+  ASSERT_TRUE(agree(rig.all()));
+}
+
+TEST_F(Processes, ANumberUsedTwiceIsToldOnBoth) {
+  rig.twin(6);
+  ASSERT_TRUE(FleetRig::until([&] {
+    const auto twin = rig.twinPage(), first = rig.page(6);
+    return !twin.is_null() && twin.at("doubt") == "twice" && first.at("doubt") == "twice";
+  })) << rig.logs();
+  EXPECT_NE(rig.logs().find("another process speaks as member 6"), std::string::npos);
+}
+
+// Half of them, one after the other: nobody sees anything of it.
+TEST_F(Processes, AnUpgradeIsNoNewMember) {
+  ASSERT_TRUE(FleetRig::until([&] { return rig.page(0).at("sure") == true; }));
+  for (std::size_t n = 0; n < kMembers; n += 2) {
+    const auto before = rig.page(n).at("members").at(n).at("incarnation");
+    rig.start(n);
+    ASSERT_TRUE(FleetRig::until([&] { return !rig.page(n).is_null() && rig.page(n).at("live") == kMembers; }))
+        << rig.logs();
+    rig.end(n);
+    ASSERT_TRUE(FleetRig::until([&] { return rig.ended(n); })) << rig.logs();
+    EXPECT_EQ(rig.page(n).at("members").at(n).at("incarnation"), before) << n;
+  }
+  ASSERT_TRUE(agree(rig.all()));
+  for (std::size_t n = 1; n < kMembers; n += 2) EXPECT_EQ(rig.page(n).at("dead"), 0);
+  EXPECT_EQ(rig.logs().find("is dead"), std::string::npos) << rig.logs();
+  EXPECT_EQ(rig.logs().find("is left"), std::string::npos) << rig.logs();
+}
+
+TEST_F(Processes, RollingRestartOfAllATenthAtATime) {
+  for (std::size_t n = 0; n < kMembers; ++n) {
+    rig.end(n);
+    ASSERT_TRUE(FleetRig::until([&] { return rig.sees((n + 1) % kMembers, n) == "left"; })) << rig.logs();
+    rig.kill(n);
+    rig.start(n);
+  }
+  ASSERT_TRUE(agree(rig.all()));
+}
+
+}  // namespace
+}  // namespace quinceline::rig
