--- a/rig/fleet_rig.cpp
+++ b/rig/fleet_rig.cpp
@@ -28,7 +28,7 @@
   return e.address().to_string() + ":" + std::to_string(e.port());
 }
 
-json settingsOf(std::size_t me, std::size_t members) {
+json settingsOf(std::size_t me, std::size_t members, bool allowed) {
   return {{"me", me},
           {"peers_total", members},
           {"discovery", "ask"},
@@ -40,7 +40,7 @@
              {"goal_time_us", 800000},
              {"deadline_us", 2500000},
              {"effect", "retryable"}}}},
-          {"limits", {{"max_attempts", 6}, {"peers", true}}},
+          {"limits", {{"max_attempts", 6}, {"peers", allowed}}},
           {"rules",
            {{"drain_grace_us", 2000000},
             {"cold_from", 0.3},
@@ -52,8 +52,8 @@
 
 }  // namespace
 
-FleetRig::FleetRig(std::string program, std::size_t members, std::uint64_t seed)
-    : program_(std::move(program)) {
+FleetRig::FleetRig(std::string program, std::size_t members, std::uint64_t seed, bool allowed)
+    : program_(std::move(program)), allowed_(allowed) {
   std::string name = "/tmp/quinceline-rig-XXXXXX";
   if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder for the rig");
   folder_ = name;
@@ -94,7 +94,7 @@
                     {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", 256}}},
                     {"peer_listen", textOf(listens)},
                     {"peers", peers},
-                    {"settings", settingsOf(number, members_.size())}};
+                    {"settings", settingsOf(number, members_.size(), allowed_)}};
   const std::string path = folder_ + "/" + name + ".json";
   std::ofstream(path, std::ios::trunc) << doc.dump();
   return path;
@@ -148,15 +148,24 @@
       launch(number, "twin", twin_.listens, twin_.consoles.back(), twin_.clients->native_handle()));
 }
 
-json FleetRig::pageAt(const Tcp::endpoint& console) {
+std::string FleetRig::getAt(const Tcp::endpoint& console, const std::string& path) {
   asio::io_context io;
   Tcp::socket socket(io);
   error_code ec;
   socket.connect(console, ec);
-  if (ec) return nullptr;
-  asio::write(socket, asio::buffer(std::string("GET /fleet HTTP/1.1\r\nHost: rig\r\n\r\n")), ec);
+  if (ec) return {};
+  asio::write(socket, asio::buffer("GET " + path + " HTTP/1.1\r\nHost: rig\r\n\r\n"), ec);
   std::string text;
   asio::read(socket, asio::dynamic_buffer(text), ec);  // one call a connection: to its end
+  return text;
+}
+
+std::string FleetRig::get(std::size_t n, const std::string& path) const {
+  return members_[n].consoles.empty() ? std::string() : getAt(members_[n].consoles.back(), path);
+}
+
+json FleetRig::pageAt(const Tcp::endpoint& console) {
+  const std::string text = getAt(console, "/fleet");
   const std::size_t body = text.find("\r\n\r\n");
   if (text.rfind("HTTP/1.1 200", 0) != 0 || body == std::string::npos) return nullptr;
   json page = json::parse(text.substr(body + 4), nullptr, false);
--- a/rig/fleet_rig.h
+++ b/rig/fleet_rig.h
@@ -20,7 +20,8 @@
  public:
   using Number = DatagramRelay::Number;
 
-  FleetRig(std::string program, std::size_t members, std::uint64_t seed);
+  // `allowed`: the settings permit talk between proxies.
+  FleetRig(std::string program, std::size_t members, std::uint64_t seed, bool allowed = true);
   ~FleetRig();
 
   std::size_t size() const { return members_.size(); }
@@ -43,6 +44,9 @@
   // GET /fleet of the newest process; null where it does not answer.
   nlohmann::json page(std::size_t n) const;
   nlohmann::json twinPage() const;
+  // Any GET on the newest process's console: all that was answered; empty where nobody does.
+  std::string get(std::size_t n, const std::string& path) const;
+  static std::string getAt(const boost::asio::ip::tcp::endpoint& console, const std::string& path);
   // The newest process's view of one member: "alive" ...; empty where it does not answer.
   std::string sees(std::size_t n, std::size_t of) const;
   // All of these answer, hold one view, and it has just them live.
@@ -69,6 +73,7 @@
   static nlohmann::json pageAt(const Tcp::endpoint& console);
 
   const std::string program_;
+  const bool allowed_;
   std::string folder_;
   mutable boost::asio::io_context io_;
   boost::asio::ip::address address_;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -134,8 +134,10 @@
 
 void Fleet::schedule(Time now) {
   Time due = std::min(tryDeadAt(now), records_at_);
-  due = std::min(due,
-                 probe_ ? (probe_->asked || probe_->answered ? probe_->end : probe_->timeout) : period_at_);
+  const Time probing = !probe_            ? period_at_
+                       : probe_->answered ? probe_->end
+                                          : std::min(probe_->again, probe_->end);
+  due = std::min(due, probing);
   if (untold_) due = std::min(due, told_at_ + recordsApart());
   if (!fresh_.empty() || urgent_) due = std::min(due, talk_at_);
   for (const auto& [sequence, relay] : relays_) due = std::min(due, relay.nack_at);
@@ -195,13 +197,18 @@
   Probe probe;
   probe.slot = *target;
   probe.sequence = ++sequence_;
-  probe.timeout = now + health_.stretched(settings_.timeout);
+  probe.timeout = probe.again = now + health_.stretched(settings_.timeout);
   probe.end = period_at_ = std::max(period_at_, probe.timeout + settings_.timeout);
   probe_ = probe;
   send(now, *target, Kind::Ping, probe.sequence, {}, out);
 }
 
 void Fleet::onProbeTime(Time now, Out& out) {
+  if (probe_ && !probe_->answered && now >= probe_->again) {
+    // It costs nothing where all is well, and most of what looks like death is one lost datagram.
+    probe_->again = now + settings_.timeout / 2;
+    send(now, probe_->slot, Kind::Ping, probe_->sequence, {}, out);
+  }
   if (probe_ && !probe_->answered && !probe_->asked && now >= probe_->timeout) {
     probe_->asked = true;
     for (const std::size_t helper : pick(settings_.helpers, probe_->slot)) {
@@ -331,7 +338,6 @@
 void Fleet::fill(Writer& writer, std::size_t to) {
   const Member& m = roster_.at(to);
   if (m.standing.state > State::Alive) writer.add(rumourOf(m));
-  if (!maySpend(0)) return;
   const auto passOn = [&](std::vector<std::size_t>& slots, int Member::*times, int wears, std::size_t least,
                           auto itemOf) {
     shuffle(slots);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -107,7 +107,7 @@
   struct Probe {
     std::size_t slot = 0;
     std::uint32_t sequence = 0;
-    Time sent = 0, timeout = 0, end = 0;  // when helpers are asked; when it has failed
+    Time timeout = 0, again = 0, end = 0;  // when helpers are asked; it is pinged anew; it has failed
     bool asked = false, answered = false;
     std::size_t helpers = 0, nacks = 0;
   };
--- a/tests/fleet_processes_test.cpp
+++ b/tests/fleet_processes_test.cpp
@@ -1,8 +1,13 @@
 // Twelve processes of the program with faults between them. Everything waits for what staff would see on
 // their pages; the limit only ends a test that has failed.
 #include <gtest/gtest.h>
+#include <stdlib.h>
+#include <unistd.h>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <filesystem>
+#include <fstream>
 
 #include "rig/fleet_rig.h"
 
@@ -150,5 +155,84 @@
   ASSERT_TRUE(agree(rig.all()));
 }
 
+// Addresses are named, and the settings do not allow it: no socket is opened, nothing is shown.
+TEST(FleetOff, NoSocketIsOpenedWhereTheSettingsDoNotAllowTalk) {
+  for (const bool allowed : {false, true}) {
+    FleetRig rig(QUINCELINE, 2, 5, allowed);
+    rig.startAll();
+    ASSERT_TRUE(FleetRig::until([&] {
+      return rig.get(0, "/stats").find("app_concurrent") != std::string::npos;
+    })) << rig.logs();
+    const std::string stats = rig.get(0, "/stats"), page = rig.get(0, "/fleet");
+    EXPECT_EQ(page.rfind(allowed ? "HTTP/1.1 200" : "HTTP/1.1 404", 0), 0U) << page;
+    EXPECT_EQ(stats.find("app_fleet_") != std::string::npos, allowed);
+    boost::asio::io_context io;
+    boost::asio::ip::udp::socket same(io, boost::asio::ip::udp::v4());
+    boost::system::error_code taken;
+    same.bind(rig.listens(0), taken);
+    EXPECT_EQ(taken.failed(), allowed);
+  }
+}
+
+// Proxies that stand alone, each from its operator file: a member joins by the list, while a file with a
+// mistake changes nothing.
+TEST(FleetFromFiles, AMembersFileIsFollowedAndABrokenOneIsNot) {
+  namespace fs = std::filesystem;
+  using Tcp = boost::asio::ip::tcp;
+  std::string folder = "/tmp/quinceline-members-XXXXXX";
+  ASSERT_NE(mkdtemp(folder.data()), nullptr);
+  boost::asio::io_context io;
+  const auto address =
+      boost::asio::ip::address_v4(0x7F'4F'00'00U | (static_cast<unsigned>(getpid()) & 0xFFFFU));
+  const auto textOf = [](const auto& e) { return e.address().to_string() + ":" + std::to_string(e.port()); };
+  const auto write = [&](const std::string& name, const std::string& text) {
+    std::ofstream(folder + "/new") << text;
+    fs::rename(folder + "/new", folder + "/" + name);
+    return folder + "/" + name;
+  };
+  std::vector<std::string> listens;
+  std::vector<Tcp::endpoint> consoles;
+  for (int n = 0; n < 3; ++n) {
+    listens.push_back(textOf(
+        boost::asio::ip::udp::socket(io, boost::asio::ip::udp::endpoint(address, 0)).local_endpoint()));
+    consoles.push_back(Tcp::acceptor(io, Tcp::endpoint(address, 0)).local_endpoint());
+  }
+  const auto members = [&](int most) {
+    std::string text;
+    for (int n = 0; n < most; ++n)
+      text += "member " + std::to_string(n) + " " + listens[n] + " {\n  zone z\n}\n";
+    return text;
+  };
+  write("members.conf", members(2));
+  std::vector<std::unique_ptr<Child>> children;
+  const auto run = [&](int n) {
+    const std::string file =
+        write(std::to_string(n) + ".conf", "listen 127.0.0.1:0\nclient " + std::to_string(n) +
+                                               "\nclass a {\n  effect safe\n  aim 1s\n  deadline 2s\n}\npool "
+                                               "p {\n  host h 127.0.0.1:1\n}\nstatus {\n  listen " +
+                                               textOf(consoles[n]) + "\n}\nfleet {\n  listen " + listens[n] +
+                                               "\n  members-file members.conf\n}\n");
+    children.push_back(
+        std::make_unique<Child>(std::vector<std::string>{QUINCELINE, "run", "--operator", file}));
+  };
+  const auto sees = [&](int n, const std::string& what) {
+    return FleetRig::getAt(consoles[n], "/fleet").find(what) != std::string::npos;
+  };
+  run(0);
+  run(1);
+  EXPECT_TRUE(FleetRig::until([&] { return sees(0, "\"live\": 2") && sees(1, "\"live\": 2"); }));
+  write("members.conf", "member nobody 10.0.0.1:1\n");
+  EXPECT_TRUE(children[0]->said("members file not taken"));
+  EXPECT_TRUE(sees(0, "\"live\": 2"));
+  write("members.conf", members(3));
+  EXPECT_TRUE(children[0]->said("members file taken: 3 members"));
+  EXPECT_TRUE(children[1]->said("members file taken: 3 members"));
+  run(2);
+  EXPECT_TRUE(FleetRig::until(
+      [&] { return sees(0, "\"live\": 3") && sees(1, "\"live\": 3") && sees(2, "\"live\": 3"); }));
+  children.clear();
+  fs::remove_all(folder);
+}
+
 }  // namespace
 }  // namespace quinceline::rig
