A process that takes its place back probes again; its timer was thought to be armed

Cause: giveUp() (src/talk/talker.cpp) cancelled the timer without forgetting when it was armed for; when the new process died after it had taken over, arm() found an earlier time than any due and armed nothing: the old process answered probes and sent none, and told no facts. Read, not seen in service.

Change: the time is forgotten with the timer, and facts are told again.

--- a/rig/fleet_rig.cpp
+++ b/rig/fleet_rig.cpp
@@ -127,6 +127,11 @@
   members_[n].consoles.clear();
 }
 
+void FleetRig::killNewest(std::size_t n) {
+  members_[n].processes.pop_back();
+  members_[n].consoles.pop_back();
+}
+
 void FleetRig::freeze(std::size_t n) { members_[n].processes.back()->signal(SIGSTOP); }
 void FleetRig::thaw(std::size_t n) { members_[n].processes.back()->signal(SIGCONT); }
 void FleetRig::end(std::size_t n) { members_[n].processes.front()->signal(SIGTERM); }
--- a/rig/fleet_rig.h
+++ b/rig/fleet_rig.h
@@ -30,6 +30,7 @@
   void start(std::size_t n);
   void startAll();
   void kill(std::size_t n);    // SIGKILL, all its processes
+  void killNewest(std::size_t n);
   void freeze(std::size_t n);  // SIGSTOP
   void thaw(std::size_t n);    // SIGCONT
   // SIGTERM to the oldest process.
--- a/src/talk/talker.cpp
+++ b/src/talk/talker.cpp
@@ -159,7 +159,7 @@
 
 void Talker::goOn() {
   if (!started_ || socket_.is_open()) return;
-  silent_ = false;
+  if (std::exchange(silent_, false)) tellFacts();
   fleet_->beQuiet(clock_.now(), clock_.now());
   try {
     open();
@@ -173,6 +173,7 @@
   silent_ = true;
   reopen_.cancel();
   due_.cancel();
+  armed_for_ = kNever;  // goOn() arms it anew
   facts_.cancel();
   error_code ignored;
   socket_.close(ignored);
--- a/tests/fleet_processes_test.cpp
+++ b/tests/fleet_processes_test.cpp
@@ -145,6 +145,23 @@
   EXPECT_EQ(rig.logs().find("is left"), std::string::npos) << rig.logs();
 }
 
+// The new process dies after it took over: the old one speaks and probes again.
+TEST_F(Processes, AnUpgradeThatDiesLeavesTheOldOneInItsPlace) {
+  rig.start(4);
+  ASSERT_TRUE(FleetRig::until([&] { return !rig.page(4).is_null() && rig.page(4).at("live") == kMembers; }))
+      << rig.logs();
+  ASSERT_TRUE(
+      FleetRig::until([&] { return rig.logs().find("another process takes over") != std::string::npos; }));
+  rig.killNewest(4);
+  rig.kill(7);
+  ASSERT_TRUE(agree(but({7})));
+  EXPECT_NE(rig.logs().find("the process that took over has gone"), std::string::npos);
+  rig.relay().setCut([](auto a, auto b) { return a == 4 || b == 4; });  // now it has nothing to answer
+  const auto sent = rig.page(4).at("datagrams").at("out").get<int>();
+  EXPECT_TRUE(FleetRig::until([&] { return rig.page(4).at("datagrams").at("out").get<int>() > sent + 20; }))
+      << "it probes";
+}
+
 TEST_F(Processes, RollingRestartOfAllATenthAtATime) {
   for (std::size_t n = 0; n < kMembers; ++n) {
     rig.end(n);
