The view's state machine without what could never act

Seen in a second reading: settling itself at the start changed nothing, as its standing is there already, and the condition for it in settle() was never true; an urgent record moved a time to a moment that was due anyway; changedAt() was not used. All are gone. Behaviour is as it was: 121 tests of the view and 12 with processes pass.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -103,7 +103,6 @@
   records_at_ = now + part(kRecordsEvery);
   dead_tried_ = now - kJoinEvery;
   roster_.at(self_).since = now;
-  settle(now, self_, self().standing, 0, out);
   due_ = now;
   onTime(now, out);
 }
@@ -484,7 +483,7 @@
         untold_ = self().facts;
         writeRecord(now, true);
       } else if (roster_.merge(*of, record->version, record->facts)) {
-        tellRecord(now, *of, record->urgent);
+        tellRecord(*of, record->urgent);
       }
     }
     if (const auto* const digest = std::get_if<Digest>(&item)) takeDigest(now, slot, *digest, out);
@@ -530,7 +529,7 @@
   Member& m = roster_.at(slot);
   const State was = m.standing.state;
   const bool changed = roster_.merge(slot, standing, now);
-  bool news = changed || (slot == self_ && m.tell_standing == 0 && !started_);
+  bool news = changed;
   if (m.standing == standing && standing.state == State::Suspect) {
     const bool known = std::find(m.accusers.begin(), m.accusers.end(), by) != m.accusers.end();
     if (!known && m.accusers.size() < kMostAccusers) m.accusers.push_back(by), news = true;
@@ -642,15 +641,14 @@
   roster_.merge(self_, RecordVersion{incarnation(), sequence}, *untold_);
   untold_.reset();
   told_at_ = now;
-  tellRecord(now, self_, urgent);
+  tellRecord(self_, urgent);
 }
 
-void Fleet::tellRecord(Time now, std::size_t slot, bool urgent) {
+void Fleet::tellRecord(std::size_t slot, bool urgent) {
   Member& m = roster_.at(slot);
   if (m.tell_record <= 0) records_.push_back(slot);
   m.tell_record = urgent ? sendsOfNews() : kSendsOfRecords;
   m.urgent = urgent;
-  if (urgent && !urgent_) talk_at_ = std::max(talk_at_, now);
   urgent_ = urgent_ || urgent;
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -100,7 +100,6 @@
   const Drops& drops() const { return drops_; }
   const LocalHealth& health() const { return health_; }
   std::uint64_t refuted() const { return refuted_; }  // accusations
-  Time changedAt() const { return changed_at_; }
   bool twice(Time now) const;
 
  private:
@@ -154,7 +153,7 @@
     for (std::size_t i = all.size(); i > 1; --i)
       std::swap(all[i - 1], all[random_.below(static_cast<std::uint32_t>(i))]);
   }
-  void tellRecord(Time now, std::size_t slot, bool urgent);
+  void tellRecord(std::size_t slot, bool urgent);
   void writeRecord(Time now, bool urgent);
   Time recordsApart() const;
   int sendsOfNews() const;
