--- a/rig/fleet_rig.cpp
+++ b/rig/fleet_rig.cpp
@@ -28,32 +28,61 @@
   return e.address().to_string() + ":" + std::to_string(e.port());
 }
 
-json settingsOf(std::size_t me, std::size_t members, bool allowed) {
+json settingsOf(std::size_t me, const Plan& plan, bool allowed) {
+  json zones = json::array(), classes = json::array();
+  for (const ZonePlan& z : plan.zones) zones.push_back(z.name);
+  for (const ClassPlan& c : plan.classes) {
+    classes.push_back({{"name", c.name},
+                       {"goal_time_us", c.aim.count()},
+                       {"deadline_us", c.deadline.count()},
+                       {"effect", c.effect == Effect::Safe ? "retryable" : "fragile"}});
+  }
   return {{"me", me},
-          {"peers_total", members},
+          {"peers_total", plan.proxies},
           {"discovery", "ask"},
-          {"my_zone", me % 3},
+          {"my_zone", plan.zoneOfProxy(me)},
           {"tick_us", 5000},
-          {"zones", {"a", "b", "c"}},
-          {"request_classes",
-           {{{"name", "slot-status"},
-             {"goal_time_us", 800000},
-             {"deadline_us", 2500000},
-             {"effect", "retryable"}}}},
-          {"limits", {{"max_attempts", 6}, {"peers", allowed}}},
+          {"zones", zones},
+          {"parties", {{{"name", "acme"}, {"fraction", 1.0}}}},
+          {"request_classes", classes},
+          {"limits",
+           {{"max_attempts", 6},
+            {"peers", allowed},
+            {"may_cancel", true},
+            {"retry_after", true},
+            {"max_retry_after_us", 1500000},
+            {"max_open", 1000},
+            {"conn_idle_us", 10000000},
+            {"connect_timeout_us", 250000}}},
           {"rules",
-           {{"drain_grace_us", 2000000},
-            {"cold_from", 0.3},
-            {"cold_us", 8000000},
+           {{"drain_grace_us", kDrainGrace.count()},
+            {"cold_from", kColdFrom},
+            {"cold_us", kColdFor.count()},
             {"tip_multiple", 3},
             {"fall_us", 2000000},
             {"ask_within_us", 10000000}}}};
 }
 
+Plan alone(std::size_t members, std::uint64_t seed) {
+  Plan plan;
+  plan.seed = seed;
+  plan.proxies = members;
+  plan.classes = {{.name = "slot-status"}};
+  for (const char* zone : {"a", "b", "c"}) plan.zones.push_back({.name = zone, .region = "", .hosts = 0});
+  return plan;
+}
+
 }  // namespace
 
 FleetRig::FleetRig(std::string program, std::size_t members, std::uint64_t seed, bool allowed)
-    : program_(std::move(program)), allowed_(allowed) {
+    : FleetRig(std::move(program), alone(members, seed), nullptr, allowed) {}
+
+FleetRig::FleetRig(std::string program, const Plan& plan, const Site& site, bool allowed)
+    : FleetRig(std::move(program), plan, &site, allowed) {}
+
+FleetRig::FleetRig(std::string program, Plan plan, const Site* site, bool allowed)
+    : program_(std::move(program)), plan_(std::move(plan)), site_(site), allowed_(allowed) {
+  const std::size_t members = plan_.proxies;
   std::string name = "/tmp/quinceline-rig-XXXXXX";
   if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder for the rig");
   folder_ = name;
@@ -65,7 +94,7 @@
     held.emplace_back(io_, DatagramRelay::Endpoint(address_, 0));
     listens.push_back(held.back().local_endpoint());
   }
-  relay_ = std::make_unique<DatagramRelay>(listens, seed);
+  relay_ = std::make_unique<DatagramRelay>(listens, plan_.seed);
   members_.resize(members);
   for (std::size_t n = 0; n < members; ++n) {
     members_[n].listens = listens[n];
@@ -88,13 +117,15 @@
                                 const DatagramRelay::Endpoint& listens) const {
   json peers = json::array();
   for (const auto& front : relay_->fronts()) peers.push_back(textOf(front));
-  const json doc = {{"name", name},
-                    {"listen", textOf(members_[number].clients->local_endpoint())},
-                    {"discovery", address_.to_string() + ":1"},  // nobody: this is about the proxies alone
-                    {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", 256}}},
-                    {"peer_listen", textOf(listens)},
-                    {"peers", peers},
-                    {"settings", settingsOf(number, members_.size(), allowed_)}};
+  json doc = {{"name", name},
+              {"listen", textOf(members_[number].clients->local_endpoint())},
+              {"discovery", site_ == nullptr ? address_.to_string() + ":1"  // nobody
+                                             : textOf(site_->discovery(plan_.zoneOfProxy(number)))},
+              {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", 1024}}},
+              {"peer_listen", textOf(listens)},
+              {"peers", peers},
+              {"settings", settingsOf(number, plan_, allowed_)}};
+  if (site_ != nullptr) doc["known"] = json::parse(site_->known(plan_.zoneOfProxy(number)));
   const std::string path = folder_ + "/" + name + ".json";
   std::ofstream(path, std::ios::trunc) << doc.dump();
   return path;
@@ -159,7 +190,8 @@
   error_code ec;
   socket.connect(console, ec);
   if (ec) return {};
-  asio::write(socket, asio::buffer("GET " + path + " HTTP/1.1\r\nHost: rig\r\n\r\n"), ec);
+  asio::write(socket, asio::buffer("GET " + path + " HTTP/1.1\r\nHost: rig\r\nConnection: close\r\n\r\n"),
+              ec);
   std::string text;
   asio::read(socket, asio::dynamic_buffer(text), ec);  // one call a connection: to its end
   return text;
--- a/rig/fleet_rig.h
+++ b/rig/fleet_rig.h
@@ -13,6 +13,8 @@
 
 #include "child.h"
 #include "datagram_relay.h"
+#include "plan.h"
+#include "site.h"
 
 namespace quinceline::rig {
 
@@ -20,8 +22,10 @@
  public:
   using Number = DatagramRelay::Number;
 
-  // `allowed`: the settings permit talk between proxies.
+  // Without hosts: about the proxies alone. `allowed`: the settings permit talk between proxies.
   FleetRig(std::string program, std::size_t members, std::uint64_t seed, bool allowed = true);
+  // Proxies of a plan before their stand-ins, which must outlive them.
+  FleetRig(std::string program, const Plan& plan, const Site& site, bool allowed = true);
   ~FleetRig();
 
   std::size_t size() const { return members_.size(); }
@@ -29,7 +33,7 @@
   // One more process of a member that runs takes its place: an upgrade. Else its first.
   void start(std::size_t n);
   void startAll();
-  void kill(std::size_t n);    // SIGKILL, all its processes
+  void kill(std::size_t n);  // SIGKILL, all its processes
   void killNewest(std::size_t n);
   void freeze(std::size_t n);  // SIGSTOP
   void thaw(std::size_t n);    // SIGCONT
@@ -40,6 +44,10 @@
   // One more process under this number at another address, which takes nobody's place.
   void twin(Number number);
   DatagramRelay::Endpoint listens(std::size_t n) const { return members_[n].listens; }
+  // Where its application calls a member; kept over its restarts.
+  boost::asio::ip::tcp::endpoint listensForCalls(std::size_t n) const {
+    return members_[n].clients->local_endpoint();
+  }
   pid_t pid(std::size_t n) const { return members_[n].processes.back()->pid(); }
 
   // GET /fleet of the newest process; null where it does not answer.
@@ -73,7 +81,11 @@
                                 int inherited) const;
   static nlohmann::json pageAt(const Tcp::endpoint& console);
 
+  FleetRig(std::string program, Plan plan, const Site* site, bool allowed);
+
   const std::string program_;
+  const Plan plan_;
+  const Site* const site_;  // null: none
   const bool allowed_;
   std::string folder_;
   mutable boost::asio::io_context io_;
--- /dev/null
+++ b/rig/plan.h
@@ -0,0 +1,86 @@
+// What a run consists of: proxies, the hosts behind them by zone, who calls, and which faults come when.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace quinceline::rig {
+
+using Span = std::chrono::microseconds;
+
+enum class Effect : std::uint8_t { Safe, Unsafe };
+
+struct ClassPlan {
+  std::string name;
+  Effect effect = Effect::Safe;
+  Span aim{800'000}, deadline{2'500'000};
+  double share = 1;  // of the calls, beside the other classes' shares
+};
+
+struct ZonePlan {
+  std::string name, region;
+  std::size_t hosts = 4, cores = 2, queue = 64;
+  Span work{10'000};  // of one request on one core, at the mean; falls by e as a rule (M/M/c)
+};
+
+struct CallersPlan {
+  double rate = 4;             // a second at each proxy, at the mean over all
+  std::size_t busy_every = 0;  // every so many-th proxy is called more often; 0: none
+  double busy_times = 5;       // so many times as often as the others
+};
+
+enum class Fault : std::uint8_t {
+  Kill,       // SIGKILL; then its start
+  Freeze,     // SIGSTOP; then SIGCONT
+  End,        // SIGTERM; then its start
+  Upgrade,    // one more process takes its place, and the old one is ended
+  Cut,        // a zone from all others, proxies, hosts and discovery; then healed
+  Deaf,       // datagrams from a proxy are lost, those to it are not; then healed
+  Loss,       // so many parts of one of all datagrams; then none
+  HostKill,   // a host ends with resets; then its cold start
+  HostLeave,  // a host drains; then it is active again
+  Discovery,  // discovery is down; then up
+};
+
+struct Step {
+  std::string name;
+  Fault fault = Fault::Kill;
+  std::size_t subject = 0;  // the proxy, zone or host
+  double part = 0;          // of a loss
+  Span at{0};
+  Span lasting{0};  // then it is undone; 0: it stays
+  std::size_t times = 1;
+  Span every{0};
+};
+
+struct Plan {
+  std::uint64_t seed = 1;
+  std::size_t proxies = 12;
+  Span lasting{10'000'000};  // how long callers call
+  CallersPlan callers;
+  std::vector<ClassPlan> classes;
+  std::vector<ZonePlan> zones;
+  std::vector<Step> steps;
+
+  std::size_t hosts() const {
+    std::size_t n = 0;
+    for (const ZonePlan& z : zones) n += z.hosts;
+    return n;
+  }
+  std::size_t zoneOfHost(std::size_t host) const {
+    std::size_t z = 0;
+    while (host >= zones[z].hosts) host -= zones[z++].hosts;
+    return z;
+  }
+  // Members of the fleet are spread over the zones in turn.
+  std::size_t zoneOfProxy(std::size_t proxy) const { return proxy % zones.size(); }
+};
+
+// Of a host that has just started; by the rules' own figures.
+constexpr double kColdFrom = 0.3;
+constexpr Span kColdFor{8'000'000};
+constexpr Span kDrainGrace{2'000'000};
+
+}  // namespace quinceline::rig
--- /dev/null
+++ b/rig/site.cpp
@@ -0,0 +1,444 @@
+#include "site.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <cmath>
+#include <deque>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+namespace quinceline::rig {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using nlohmann::json;
+using Tcp = asio::ip::tcp;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::chrono::seconds kEmptyLine{2};
+
+std::string textOf(const Tcp::endpoint& e) {
+  return e.address().to_string() + ":" + std::to_string(e.port());
+}
+
+// One connection of a proxy: requests are read one by one, and answered when `serve` says.
+class Session : public std::enable_shared_from_this<Session> {
+ public:
+  using Request = http::request<http::string_body>;
+  using Serve = std::function<void(const std::shared_ptr<Session>&, Request)>;
+  // `hold`: does what follows once the network lets it pass.
+  using Hold = std::function<void(std::function<void()>)>;
+
+  Session(Tcp::socket socket, Serve serve, Hold hold)
+      : socket_(std::move(socket)), serve_(std::move(serve)), hold_(std::move(hold)) {}
+
+  void read() {
+    parser_.emplace();
+    http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code ec, std::size_t) {
+      if (ec) return;
+      self->hold_([self] {
+        if (self->socket_.is_open()) self->serve_(self, self->parser_->release());
+      });
+    });
+  }
+  void answer(http::status status, std::string body, bool unprocessed = false) {
+    auto response = std::make_shared<http::response<http::string_body>>(status, 11);
+    if (unprocessed) response->set("X-Unprocessed", "1");
+    response->body() = std::move(body);
+    response->prepare_payload();
+    hold_([self = shared_from_this(), response] {
+      http::async_write(self->socket_, *response, [self, response](error_code ec, std::size_t) {
+        if (!ec) self->read();
+      });
+    });
+  }
+  void say(std::string text) {
+    hold_([self = shared_from_this(), text = std::move(text)]() mutable {
+      self->out_.push_back(std::move(text));
+      if (self->out_.size() == 1) self->write();
+    });
+  }
+  // Nothing more is read; the connection lasts until the other side ends it.
+  void stay() {
+    socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](error_code) {
+      error_code ignored;
+      self->socket_.close(ignored);
+    });
+  }
+  // With a reset, as of a process that dies.
+  void reset() {
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket_.close(ignored);
+  }
+
+ private:
+  void write() {
+    asio::async_write(socket_, asio::buffer(out_.front()),
+                      [self = shared_from_this()](error_code ec, std::size_t) {
+                        self->out_.pop_front();
+                        if (!ec && !self->out_.empty()) self->write();
+                      });
+  }
+  Tcp::socket socket_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  std::deque<std::string> out_;
+  Serve serve_;
+  Hold hold_;
+};
+
+using Sessions = std::set<std::weak_ptr<Session>, std::owner_less<std::weak_ptr<Session>>>;
+
+void resetAll(Sessions& sessions) {
+  for (const auto& s : sessions) {
+    if (const auto session = s.lock()) session->reset();
+  }
+  sessions.clear();
+}
+
+}  // namespace
+
+void Ways::set(std::size_t zone, bool cut) {
+  cut_[zone] = cut;
+  std::list<Waiting> waiting;
+  waiting.swap(waiting_);
+  for (Waiting& w : waiting) whenOpen(w.a, w.b, std::move(w.then));
+}
+
+void Ways::whenOpen(std::size_t a, std::size_t b, std::function<void()> then) {
+  if (open(a, b)) return then();
+  waiting_.push_back({a, b, std::move(then)});
+}
+
+Door::Door(asio::io_context& io, const asio::ip::address& address, Taken taken)
+    : io_(io), at_(address, 0), acceptor_(io), taken_(std::move(taken)) {
+  open();
+}
+
+void Door::open() {
+  if (!acceptor_.is_open()) {
+    acceptor_.open(at_.protocol());
+    acceptor_.set_option(Tcp::acceptor::reuse_address(true));
+    acceptor_.bind(at_);
+    at_ = acceptor_.local_endpoint();
+  }
+  acceptor_.listen();
+  fillers_.clear();
+  taking_ = true;
+  accept();
+}
+
+// The kernel leaves a first packet unanswered where the queue of those not yet accepted is full (listen(2)).
+void Door::block() {
+  if (!acceptor_.is_open()) return;
+  taking_ = false;
+  acceptor_.cancel();
+  acceptor_.listen(0);
+  for (int i = 0; i < 2; ++i) {
+    fillers_.emplace_back(io_);
+    fillers_.back().async_connect(at_, [](error_code) {});
+  }
+}
+
+void Door::close() {
+  taking_ = false;
+  acceptor_.close();
+  fillers_.clear();
+}
+
+void Door::accept() {
+  acceptor_.async_accept([this](error_code ec, Tcp::socket socket) {
+    if (ec) return;
+    socket.set_option(Tcp::no_delay(true));
+    taken_(std::move(socket));
+    if (taking_) accept();
+  });
+}
+
+// A machine with some cores and one queue before them. Cold, it works slowly.
+class Host {
+ public:
+  Host(asio::io_context& io, const asio::ip::address& address, Ways& ways, const Plan& plan,
+       std::size_t number, weldflow::Random& random, Record& record)
+      : io_(io),
+        ways_(ways),
+        zone_(plan.zoneOfHost(number)),
+        plan_(plan.zones[zone_]),
+        number_(number),
+        random_(random),
+        record_(record) {
+    for (std::size_t from = 0; from < plan.zones.size(); ++from) {
+      doors_.push_back(std::make_unique<Door>(io, address, [this, from](Tcp::socket socket) {
+        const auto session = std::make_shared<Session>(
+            std::move(socket), [this](const auto& s, auto request) { take(s, std::move(request)); },
+            [this, from](auto then) { ways_.whenOpen(from, zone_, std::move(then)); });
+        sessions_.insert(session);
+        session->read();
+      }));
+    }
+  }
+
+  const Tcp::endpoint& door(std::size_t from) const { return doors_[from]->at(); }
+  std::size_t zone() const { return zone_; }
+  std::size_t ran() const { return ran_; }
+  std::int64_t boot() const { return boot_; }
+  bool up() const { return up_; }
+
+  void settle() {
+    for (std::size_t from = 0; from < doors_.size(); ++from) {
+      Door& door = *doors_[from];
+      const bool open = ways_.open(from, zone_);
+      if (up_ && open && !door.taking()) door.open();
+      if (up_ && !open && door.taking()) door.block();
+    }
+  }
+  void crash() {
+    up_ = false;
+    ++life_;
+    for (const auto& door : doors_) door->close();
+    resetAll(sessions_);
+    waiting_.clear();
+    busy_ = 0;
+  }
+  void start() {
+    up_ = true;
+    started_ = Clock::now();
+    boot_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::system_clock::now().time_since_epoch())
+                .count();
+    settle();
+  }
+
+ private:
+  struct Job {
+    std::shared_ptr<Session> session;
+    Session::Request request;
+  };
+
+  void take(const std::shared_ptr<Session>& session, Session::Request request) {
+    if (request["X-Correlation-Id"].empty()) return session->answer(http::status::not_found, "");
+    if (busy_ < plan_.cores) return work({session, std::move(request)});
+    if (waiting_.size() >= plan_.queue) return session->answer(http::status::service_unavailable, "", true);
+    waiting_.push_back({session, std::move(request)});
+  }
+
+  void work(Job job) {
+    ++busy_;
+    ++ran_;
+    record_.add({.what = Event::What::Ran,
+                 .id = std::string(job.request["X-Correlation-Id"]),
+                 .host = static_cast<int>(number_)});
+    const double mean = std::chrono::duration<double>(plan_.work).count() / speed();
+    const std::chrono::duration<double> span(-std::log(1 - random_.unit()) * mean);
+    auto timer = std::make_shared<asio::steady_timer>(io_, std::chrono::duration_cast<Clock::duration>(span));
+    timer->async_wait([this, timer, job = std::move(job), life = life_](error_code) {
+      if (life != life_) return;
+      --busy_;
+      job.session->answer(http::status::ok, "host " + std::to_string(number_));
+      if (waiting_.empty()) return;
+      Job next = std::move(waiting_.front());
+      waiting_.pop_front();
+      work(std::move(next));
+    });
+  }
+
+  double speed() const {
+    if (!started_) return 1;
+    const double age = std::chrono::duration<double>(Clock::now() - *started_) / kColdFor;
+    return std::min(1.0, kColdFrom + (1 - kColdFrom) * age);
+  }
+
+  asio::io_context& io_;
+  Ways& ways_;
+  const std::size_t zone_;
+  const ZonePlan plan_;
+  const std::size_t number_;
+  weldflow::Random& random_;
+  Record& record_;
+  std::vector<std::unique_ptr<Door>> doors_;  // by the zone of who comes
+  Sessions sessions_;
+  std::deque<Job> waiting_;
+  std::size_t busy_ = 0, ran_ = 0;
+  std::uint64_t life_ = 0;
+  bool up_ = true;
+  std::optional<Clock::time_point> started_;  // nothing: long ago
+  std::int64_t boot_ = 0;                     // Unix milliseconds; 0: long ago
+};
+
+// Discovery: one list, told to all who watch.
+class Directory {
+ public:
+  Directory(asio::io_context& io, const asio::ip::address& address, Ways& ways, std::size_t zones,
+            const std::vector<std::unique_ptr<Host>>& hosts, const std::vector<ZonePlan>& names)
+      : ways_(ways), hosts_(hosts), names_(names), states_(hosts.size(), "active"), timer_(io) {
+    for (std::size_t from = 0; from < zones; ++from) {
+      watches_.emplace_back();
+      doors_.push_back(std::make_unique<Door>(io, address, [this, from](Tcp::socket socket) {
+        const auto session = std::make_shared<Session>(
+            std::move(socket), [this, from](const auto& s, auto request) { serve(from, s, request); },
+            [this, from](auto then) { ways_.whenOpen(from, ways_.outside(), std::move(then)); });
+        sessions_.insert(session);
+        session->read();
+      }));
+    }
+    beat();
+  }
+
+  const Tcp::endpoint& door(std::size_t from) const { return doors_[from]->at(); }
+  void settle() {
+    for (std::size_t from = 0; from < doors_.size(); ++from) {
+      Door& door = *doors_[from];
+      const bool open = ways_.open(from, ways_.outside());
+      if (up_ && open && !door.taking()) door.open();
+      if (up_ && !open && door.taking()) door.block();
+    }
+  }
+  void set(bool up) {
+    up_ = up;
+    if (up) return settle();
+    for (const auto& door : doors_) door->close();
+    for (auto& w : watches_) w.clear();
+    resetAll(sessions_);
+  }
+  void change(std::size_t host, const char* state) {
+    states_[host] = state;
+    ++revision_;
+    for (std::size_t from = 0; from < watches_.size(); ++from) tell(from, line(from, {host}, false));
+  }
+
+  std::string whole(std::size_t from) const {
+    std::vector<std::size_t> which;
+    for (std::size_t n = 0; n < hosts_.size(); ++n) {
+      if (states_[n] != "left") which.push_back(n);
+    }
+    return line(from, which, true);
+  }
+
+ private:
+  json entry(std::size_t from, std::size_t n) const {
+    return {{"uid", "h" + std::to_string(n)},
+            {"endpoint", textOf(hosts_[n]->door(from))},
+            {"az", names_[hosts_[n]->zone()].name},
+            {"state", states_[n]},
+            {"boot_ms", hosts_[n]->boot()}};
+  }
+  std::string line(std::size_t from, const std::vector<std::size_t>& which, bool all) const {
+    json targets = json::array();
+    for (const std::size_t n : which) targets.push_back(entry(from, n));
+    return json{{"rev", revision_}, {"all", all}, {"targets", targets}}.dump() + "\n";
+  }
+  static std::string chunk(const std::string& text) {
+    std::string size(16, '\0');
+    size.resize(static_cast<std::size_t>(std::snprintf(size.data(), size.size(), "%zx\r\n", text.size())));
+    return size + text + "\r\n";
+  }
+  void serve(std::size_t from, const std::shared_ptr<Session>& s, const Session::Request& request) {
+    if (request.target().find("watch=1") == boost::beast::string_view::npos)
+      return s->answer(http::status::ok, whole(from));
+    watches_[from].insert(s);
+    s->stay();
+    s->say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(whole(from)));
+  }
+  void tell(std::size_t from, const std::string& text) {
+    for (const auto& w : watches_[from]) {
+      if (const auto session = w.lock()) session->say(chunk(text));
+    }
+  }
+  void beat() {
+    timer_.expires_after(kEmptyLine);
+    timer_.async_wait([this](error_code ec) {
+      if (ec) return;
+      for (std::size_t from = 0; from < watches_.size(); ++from) tell(from, "\n");
+      beat();
+    });
+  }
+
+  Ways& ways_;
+  const std::vector<std::unique_ptr<Host>>& hosts_;
+  const std::vector<ZonePlan> names_;
+  std::vector<std::string> states_;
+  int revision_ = 1;
+  bool up_ = true;
+  std::vector<std::unique_ptr<Door>> doors_;
+  std::vector<Sessions> watches_;  // by zone
+  Sessions sessions_;
+  asio::steady_timer timer_;
+};
+
+Site::Site(const Plan& plan, Record& record)
+    : plan_(plan), record_(record), work_(io_.get_executor()), random_(plan.seed), ways_(plan.zones.size()) {
+  const asio::ip::address address =
+      asio::ip::address_v4(0x7F'50'00'00U | (static_cast<unsigned>(getpid()) & 0xFFFFU));
+  for (std::size_t n = 0; n < plan_.hosts(); ++n)
+    hosts_.push_back(std::make_unique<Host>(io_, address, ways_, plan_, n, random_, record_));
+  directory_ = std::make_unique<Directory>(io_, address, ways_, plan_.zones.size(), hosts_, plan_.zones);
+  thread_ = std::thread([this] { io_.run(); });
+}
+
+Site::~Site() {
+  io_.stop();
+  thread_.join();
+}
+
+Site::Endpoint Site::discovery(std::size_t zone) const { return directory_->door(zone); }
+
+// In the site's thread, and done when this returns.
+void Site::carryOut(const std::function<void()>& what) const {
+  std::promise<void> done;
+  asio::post(io_, [&] {
+    what();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+std::string Site::known(std::size_t zone) const {
+  std::string list;
+  carryOut([&] { list = directory_->whole(zone); });
+  return list;
+}
+
+std::vector<std::size_t> Site::ran() const {
+  std::vector<std::size_t> all;
+  carryOut([&] {
+    for (const auto& h : hosts_) all.push_back(h->ran());
+  });
+  return all;
+}
+
+void Site::cut(std::size_t zone, bool cut) {
+  carryOut([&] {
+    ways_.set(zone, cut);
+    for (const auto& h : hosts_) h->settle();
+    directory_->settle();
+  });
+}
+
+void Site::host(std::size_t n, bool up) {
+  carryOut([&] {
+    if (!up) return hosts_[n]->crash();
+    hosts_[n]->start();
+    directory_->change(n, "active");
+  });
+}
+
+void Site::leave(std::size_t n, bool leaving) {
+  carryOut([&] {
+    record_.add({.what = leaving ? Event::What::Left : Event::What::Back, .host = static_cast<int>(n)});
+    directory_->change(n, leaving ? "leaving" : "active");
+  });
+}
+
+void Site::discovery(bool up) {
+  carryOut([&] { directory_->set(up); });
+}
+
+}  // namespace quinceline::rig
--- a/tests/fleet_processes_test.cpp
+++ b/tests/fleet_processes_test.cpp
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 
+#include "fleet/wire.h"
 #include "rig/fleet_rig.h"
 
 namespace quinceline::rig {
@@ -100,6 +101,40 @@
   ASSERT_TRUE(agree(but({2})));
 }
 
+// A link that comes and goes by the second costs nobody its place for good.
+TEST_F(Processes, AFlappingLinkIsSettledWhenItStays) {
+  for (int i = 0; i < 6; ++i) {
+    rig.relay().setCut([](auto a, auto b) { return a == 4 || b == 4; });
+    ASSERT_TRUE(FleetRig::until([&] { return rig.sees(0, 4) != "alive"; }));
+    rig.relay().setCut({});
+    ASSERT_TRUE(FleetRig::until([&] { return rig.sees(0, 4) == "alive"; }));
+  }
+  ASSERT_TRUE(agree(rig.all()));
+}
+
+TEST_F(Processes, ADatagramOfALaterVersionIsCountedAndTheRestOfItsSendersAreRead) {
+  fleet::Header header;
+  header.from = 1;
+  header.version = fleet::kNewestVersion + 1;
+  header.newest = fleet::kNewestVersion + 1;
+  const std::uint64_t seed = fleet::fleetSeed("");
+  fleet::Writer writer(header, seed);
+  rig.relay().inject(1, 0, writer.finish());
+  ASSERT_TRUE(FleetRig::until([&] { return rig.page(0).at("drops").at("version").get<int>() > 0; }))
+      << rig.page(0);
+  ASSERT_TRUE(agree(rig.all()));
+}
+
+TEST(ProcessesAtStart, HalfOfTheListIsDead) {
+  FleetRig rig(QUINCELINE, kMembers, 12);
+  std::set<std::size_t> even;
+  for (std::size_t n = 0; n < kMembers; n += 2) even.insert(n);
+  for (const std::size_t n : even) rig.start(n);
+  ASSERT_TRUE(FleetRig::until([&] { return rig.agree(even); })) << rig.logs();
+  for (std::size_t n = 1; n < kMembers; n += 2) rig.start(n);
+  ASSERT_TRUE(FleetRig::until([&] { return rig.agree(rig.all()); })) << rig.logs();
+}
+
 TEST_F(Processes, GarbageAndStrangersAreDroppedAndCounted) {
   weldflow::Random random(3);
   for (int i = 0; i < 20'000; ++i) {
