Digests reach the blocks at the ends; members that all start at once save up by the list

Cause: where a list has more blocks than one digest holds (above 800 members), the digest's window began at any block, so the first and the last block were in one of eight windows at 900 members and one of 76 at 2,000. Seen in the simulation: of 900 that start at once the last stragglers lacked members 0, 3, 8, 9 and 899 alone, for up to 20 s. At 2,000 the 32 kB that may be saved up were spent when a member knew 1,540; that rumours said again stand in the way of repair was ruled out (fewer of them: 789 of 900 known after 10 s with 10 kB, 804 before).

Change: a digest covers one of the parts of the list, drawn evenly; 48 bytes a listed member may be saved up where that is more than 32 kB; records leave what repair needs.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -95,7 +95,7 @@
 void Fleet::start(Time now, Out& out) {
   started_ = true;
   started_at_ = changed_at_ = entered_ = now;
-  tokens_ = settings_.bytes_at_once;
+  tokens_ = mostSaved();
   // Members that start in the same instant are not to go on in step.
   const auto part = [&](Time t) { return static_cast<Time>(random_.unit() * static_cast<double>(t)); };
   period_at_ = now + part(settings_.period);
@@ -114,7 +114,7 @@
   if (gap > kPause) onPause(now, gap);
   const double seconds =
       static_cast<double>(std::max<Time>(0, now - entered_)) / static_cast<double>(kSecond);
-  tokens_ = std::min(settings_.bytes_at_once, tokens_ + seconds * settings_.bytes_per_second);
+  tokens_ = std::min(mostSaved(), tokens_ + seconds * settings_.bytes_per_second);
   entered_ = now;
 }
 
@@ -350,7 +350,7 @@
     std::erase_if(slots, [&](std::size_t slot) { return roster_.at(slot).*times <= 0; });
   };
   passOn(fresh_, &Member::tell_standing, wear(), 12, [](const Member& of) { return Item(rumourOf(of)); });
-  if (maySpend()) {
+  if (maySpend(kForRepair)) {
     passOn(records_, &Member::tell_record, 1, 19, [](const Member& of) {
       return Item(Record{of.listed.number, of.version, of.urgent, of.facts});
     });
@@ -371,9 +371,10 @@
   const std::uint16_t blocks = roster_.blocks();
   Digest digest;
   digest.of = of;
-  if (blocks > kMostDigest)
-    digest.first =
-        static_cast<std::uint16_t>(random_.below(static_cast<std::uint32_t>(blocks - kMostDigest + 1)));
+  // One part of the blocks after another by chance: in windows that begin anywhere those at the ends would be
+  // compared hardly ever.
+  const auto parts = static_cast<std::uint32_t>((blocks + kMostDigest - 1) / kMostDigest);
+  digest.first = static_cast<std::uint16_t>(random_.below(std::max(1U, parts)) * kMostDigest);
   for (std::uint16_t b = digest.first; b < blocks && digest.hashes.size() < kMostDigest; ++b)
     digest.hashes.push_back(of == Digest::Of::Standings ? roster_.standingsOf(b) : roster_.recordsOf(b));
   send(now, slot, Kind::Talk, 0, {digest}, out);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -3,6 +3,7 @@
 // Lifeguard's local health, and repair by digests. No I/O, no clock. docs/design-fleet.md says why it is so.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -31,7 +32,9 @@
   Time talk = 100 * kMillisecond;       // between two rounds of fresh news
   std::size_t talk_to = 3;
   Time try_dead = kSecond;  // one of them is tried so often, by all members together; kNever: none ever
-  double bytes_per_second = 1900, bytes_at_once = 32'000;  // probes and their answers are never held back
+  // Probes and their answers are never held back. What may be saved up lets a member learn of all others when
+  // all start at once: it grows with the list where that is long.
+  double bytes_per_second = 1900, bytes_at_once = 32'000, bytes_at_once_each = 48;
   std::uint8_t newest = kNewestVersion;
   bool refutes = true;  // false only where a test shows what incarnations are for
 };
@@ -147,6 +150,10 @@
   void send(Time now, std::size_t to, Kind kind, std::uint32_t sequence, const std::vector<Item>& items,
             Out& out);
   void fill(Writer& writer, std::size_t to);
+  double mostSaved() const {
+    return std::max(settings_.bytes_at_once,
+                    settings_.bytes_at_once_each * static_cast<double>(roster_.size()));
+  }
   bool maySpend(double bytes = kMostDatagram) const { return tokens_ >= bytes; }
   template <typename T>
   void shuffle(std::vector<T>& all) {
--- a/src/fleet/types.h
+++ b/src/fleet/types.h
@@ -23,6 +23,8 @@
 using Incarnation = std::uint64_t;
 
 constexpr unsigned kLifeBits = 16;
+// No process has a higher one: the three bits above it hold the state in a rumour.
+constexpr Incarnation kMostIncarnation = (Incarnation{1} << 61) - 1;
 constexpr Incarnation incarnationAt(std::int64_t unix_milliseconds, std::uint16_t life) {
   return (static_cast<Incarnation>(unix_milliseconds) << kLifeBits) | life;
 }
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -194,6 +194,7 @@
   h.from = in.get<Number>();
   h.to = in.get<Number>();
   h.incarnation = in.get<Incarnation>();
+  if (h.incarnation > kMostIncarnation) return {Fault::Malformed};
   h.sequence = in.get<std::uint32_t>();
   h.view = in.get<std::uint32_t>();
   while (in.left() > 0) {
--- a/src/talk/remembered.cpp
+++ b/src/talk/remembered.cpp
@@ -35,12 +35,12 @@
   try {
     const json doc = json::parse(text);
     fleet::Remembered out;
-    out.incarnation = whole<fleet::Incarnation>(doc.at("incarnation"));
+    out.incarnation = whole<fleet::Incarnation>(doc.at("incarnation"), fleet::kMostIncarnation);
     out.record = whole<std::uint32_t>(doc.at("record"));
     for (const json& m : doc.at("members")) {
       fleet::Remembered::Known known;
       known.number = whole<fleet::Number>(m.at(0));
-      known.standing.incarnation = whole<fleet::Incarnation>(m.at(1));
+      known.standing.incarnation = whole<fleet::Incarnation>(m.at(1), fleet::kMostIncarnation);
       known.standing.state =
           static_cast<fleet::State>(whole<unsigned>(m.at(2), static_cast<unsigned>(fleet::State::Left)));
       known.version.incarnation = whole<fleet::Incarnation>(m.at(3));
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -466,5 +466,14 @@
   EXPECT_NE(w.until(10 * kSecond, [&] { return w.settled(); }), kNever);
 }
 
+// More blocks than one digest holds: those at the ends are compared as often as the others. Where windows of
+// blocks began anywhere, block 0 of 900 members was in one of eight, and somebody lacked a member for 20 s.
+TEST(FleetLarge, NineHundredThatStartAtOnceAgree) {
+  World w(900, 1);
+  w.check = false;
+  w.startAll();
+  EXPECT_NE(w.until(10 * kSecond, [&] { return w.settled(); }), kNever);
+}
+
 }  // namespace
 }  // namespace quinceline::fleet
--- a/tests/fleet_wire_test.cpp
+++ b/tests/fleet_wire_test.cpp
@@ -29,6 +29,15 @@
   return writer.finish();
 }
 
+// The bits above it hold the state in rumours: nobody could read what was said of such a member.
+TEST(FleetWire, AnIncarnationThatNoProcessHasIsMalformed) {
+  Header h = header();
+  h.incarnation = kMostIncarnation + 1;
+  EXPECT_EQ(decode(Writer(h, kFleet).finish(), kFleet).fault, Fault::Malformed);
+  h.incarnation = kMostIncarnation;
+  EXPECT_EQ(decode(Writer(h, kFleet).finish(), kFleet).fault, Fault::None);
+}
+
 TEST(FleetWire, EveryItemComesBackAsItWas) {
   Writer writer(header(Kind::Talk), kFleet);
   ASSERT_TRUE(writer.add(Subject{12}));
