quinceline ctl zones: what the proxies hold of zones, as a table

Need: staff saw the verdicts on zones as JSON on the console only.

Change: ctl zones (--json), told plainly where no view is kept; the process test of a lost zone asks it.

Measured: 649 tests in 39 s; the pure tests of zones under address and undefined-behaviour sanitizers, 15 passed.

--- a/rig/fleet_rig.h
+++ b/rig/fleet_rig.h
@@ -50,6 +50,8 @@
   }
   pid_t pid(std::size_t n) const { return members_[n].processes.back()->pid(); }
 
+  // Where staff call its newest process.
+  boost::asio::ip::tcp::endpoint console(std::size_t n) const { return members_[n].consoles.back(); }
   // GET /fleet of the newest process; null where it does not answer.
   nlohmann::json page(std::size_t n) const;
   nlohmann::json twinPage() const;
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -271,12 +271,14 @@
       {"ready", "Use a host again"},
       {"drain", "Send clients elsewhere"},
       {"undrain", "Take clients again"},
-      {"fleet", "Print what it knows of the other proxies"}};
+      {"fleet", "Print what it knows of the other proxies"},
+      {"zones", "Print what the proxies hold of zones"}};
   for (const auto& [name, about] : ctl_calls) {
     CLI::App* const call = ctl_command->add_subcommand(name, about);
     call->callback([&ctl_options, name = name] { ctl_options.what = name; });
     const std::string_view which = name;
-    if (which == "stats" || which == "fleet") call->add_flag("--json", ctl_options.json, "as JSON");
+    if (which == "stats" || which == "fleet" || which == "zones")
+      call->add_flag("--json", ctl_options.json, "as JSON");
     if (which == "ban" || which == "ready")
       call->add_option("ID", ctl_options.host, "the host's id in the list")->required();
   }
--- a/src/cli/ctl.cpp
+++ b/src/cli/ctl.cpp
@@ -184,6 +184,25 @@
   return out;
 }
 
+std::string zonesAsTable(const std::string& page) {
+  const auto doc = nlohmann::json::parse(page);
+  std::array<char, 200> line{};
+  std::string out = doc.at("cut_off").get<bool>() ? "this proxy hears no other zone, and has no say\n\n" : "";
+  std::snprintf(line.data(), line.size(), "%-14s %-10s %6s  %-9s %10s %9s  %-6s %6s %10s\n", "zone", "state",
+                "epoch", "seen here", "silent to", "answers", "order", "flaps", "away for");
+  out += line.data();
+  for (const auto& z : doc.at("zones")) {
+    const std::string away = z.contains("away_for_s") ? z.at("away_for_s").dump() + " s" : "-";
+    const auto word = [&](const char* key) { return z.at(key).get<std::string>(); };
+    const auto count = [&](const char* key) { return z.at(key).get<int>(); };
+    std::snprintf(line.data(), line.size(), "%-14s %-10s %6d  %-9s %10d %9d  %-6s %6d %10s\n",
+                  word("zone").c_str(), word("state").c_str(), count("epoch"), word("seen_here").c_str(),
+                  count("silent_to"), count("answers"), word("order").c_str(), count("flaps"), away.c_str());
+    out += line.data();
+  }
+  return out;
+}
+
 int ctl(const CtlOptions& options) {
   std::string address = options.console;
   if (const char* const named = std::getenv("PROXY_CONSOLE"); address.empty() && named != nullptr)
@@ -201,6 +220,7 @@
       {"drain", {http::verb::post, "/healthcheck/fail"}},
       {"undrain", {http::verb::post, "/healthcheck/ok"}},
       {"fleet", {http::verb::get, "/fleet"}},
+      {"zones", {http::verb::get, "/zones"}},
       {"ban", {http::verb::post, "/hosts/" + escaped(options.host) + "/maint"}},
       {"ready", {http::verb::post, "/hosts/" + escaped(options.host) + "/ready"}}};
   const auto& [method, target] = calls.at(options.what);
@@ -211,7 +231,9 @@
     std::fputs((options.json ? figuresAsJson(said.body) : figuresAsTable(said.body)).c_str(), stdout);
   } else if (yes && options.what == "fleet" && !options.json) {
     std::fputs(fleetAsTable(said.body).c_str(), stdout);
-  } else if (options.what == "fleet" && said.status == 404) {
+  } else if (yes && options.what == "zones" && !options.json) {
+    std::fputs(zonesAsTable(said.body).c_str(), stdout);
+  } else if ((options.what == "fleet" || options.what == "zones") && said.status == 404) {
     return complain("this proxy keeps no view of a fleet (docs/fleet.md)") - 1;
   } else {
     std::fputs(
--- a/tests/zone_processes_test.cpp
+++ b/tests/zone_processes_test.cpp
@@ -74,6 +74,10 @@
   for (const std::size_t n : outside(1)) EXPECT_EQ(zone(n, 0).at("epoch"), 0) << fleet.logs();
   for (std::size_t n = 1; n < plan.proxies; n += 3)
     EXPECT_EQ(zone(n, 1).at("order"), "free") << "all that it has";
+  const auto at = fleet.console(0);
+  Child ctl(
+      {QUINCELINE, "ctl", "--console", at.address().to_string() + ":" + std::to_string(at.port()), "zones"});
+  EXPECT_TRUE(ctl.said("lost")) << "staff see it";
   const auto before = site.ran();
   ASSERT_TRUE(FleetRig::until([&] { return site.ran()[4] > before[4] + 20; })) << "from within";
   ASSERT_TRUE(FleetRig::until([&] { return site.ran()[0] > before[0] + 20; })) << "the others serve";
