Zones and the rig said once: one enum of what was seen, one walk of doors, one switch of faults

Need, found on reading the change again: locality::Seen repeated weldflow::ZoneSeen with a cast at each border; Court counted its witnesses twice a look; the rig's hosts and discovery settled their doors in twin loops, and a fault and its undoing repeated seven cases. Where a new zone was numbered, orders were forgotten without telling the decision module, which could have stayed away from a zone for good.

Change: Seen is ZoneSeen; count() takes all that enough() needs; settleAll(); Run::set() for what is round the processes; orders are taken back before zones are numbered anew.

--- a/rig/run.cpp
+++ b/rig/run.cpp
@@ -116,28 +116,8 @@
           throw std::runtime_error("the new process of proxy " + std::to_string(n) + " does not come up");
         fleet_.end(n);
         break;
-      case Fault::HostsCut:
-        site_.cut(n, true);
-        break;
-      case Fault::Cut:
-        cut_[n] = true;
-        site_.cut(n, true);
-        break;
-      case Fault::Deaf:
-        deaf_[n] = true;
-        break;
-      case Fault::Loss:
-        fleet_.relay().setLink({.loss = s.part});
-        break;
-      case Fault::HostKill:
-        site_.host(n, false);
-        break;
-      case Fault::HostLeave:
-        site_.leave(n, true);
-        break;
-      case Fault::Discovery:
-        site_.discovery(false);
-        break;
+      default:
+        set(s, true);
     }
   }
 
@@ -163,28 +143,33 @@
         break;
       case Fault::Upgrade:
         break;
-      case Fault::HostsCut:
-        site_.cut(n, false);
-        break;
+      default:
+        set(s, false);
+    }
+  }
+
+  // What is round the processes: broken, or whole again.
+  void set(const Step& s, bool broken) {
+    const std::size_t n = s.subject;
+    switch (s.fault) {
       case Fault::Cut:
-        cut_[n] = false;
-        site_.cut(n, false);
-        break;
+        cut_[n] = broken;
+        [[fallthrough]];
+      case Fault::HostsCut:
+        return site_.cut(n, broken);
       case Fault::Deaf:
-        deaf_[n] = false;
-        break;
+        deaf_[n] = broken;
+        return;
       case Fault::Loss:
-        fleet_.relay().setLink({});
-        break;
+        return fleet_.relay().setLink({.loss = broken ? s.part : 0});
       case Fault::HostKill:
-        site_.host(n, true);
-        break;
+        return site_.host(n, !broken);
       case Fault::HostLeave:
-        site_.leave(n, false);
-        break;
+        return site_.leave(n, broken);
       case Fault::Discovery:
-        site_.discovery(true);
-        break;
+        return site_.discovery(!broken);
+      default:
+        return;
     }
   }
 
--- a/rig/site.cpp
+++ b/rig/site.cpp
@@ -163,6 +163,19 @@
   });
 }
 
+namespace {
+
+// The doors to one place, by the zone of who comes: open where the way is, blocked where it is cut.
+void settleAll(const std::vector<std::unique_ptr<Door>>& doors, const Ways& ways, std::size_t place,
+               bool up) {
+  for (std::size_t from = 0; up && from < doors.size(); ++from) {
+    const bool open = ways.open(from, place);
+    if (open != doors[from]->taking()) open ? doors[from]->open() : doors[from]->block();
+  }
+}
+
+}  // namespace
+
 // A machine with some cores and one queue before them. Cold, it works slowly.
 class Host {
  public:
@@ -192,14 +205,7 @@
   std::int64_t boot() const { return boot_; }
   bool up() const { return up_; }
 
-  void settle() {
-    for (std::size_t from = 0; from < doors_.size(); ++from) {
-      Door& door = *doors_[from];
-      const bool open = ways_.open(from, zone_);
-      if (up_ && open && !door.taking()) door.open();
-      if (up_ && !open && door.taking()) door.block();
-    }
-  }
+  void settle() { settleAll(doors_, ways_, zone_, up_); }
   void crash() {
     up_ = false;
     ++life_;
@@ -293,14 +299,7 @@
   }
 
   const Tcp::endpoint& door(std::size_t from) const { return doors_[from]->at(); }
-  void settle() {
-    for (std::size_t from = 0; from < doors_.size(); ++from) {
-      Door& door = *doors_[from];
-      const bool open = ways_.open(from, ways_.outside());
-      if (up_ && open && !door.taking()) door.open();
-      if (up_ && !open && door.taking()) door.block();
-    }
-  }
+  void settle() { settleAll(doors_, ways_, ways_.outside(), up_); }
   void set(bool up) {
     up_ = up;
     if (up) return settle();
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1169,7 +1169,7 @@
   impl_->at(now).setZone(zone, order, out);
 }
 ZoneSeen Balancer::zoneSeen(Time now, std::int32_t zone) {
-  return static_cast<ZoneSeen>(impl_->at(now).sight.seen(zone, impl_->now));
+  return impl_->at(now).sight.seen(zone, impl_->now);
 }
 void Balancer::recall(Time now, std::span<const Remembered> servers, Actions& out) {
   impl_->at(now).recall(servers, out);
--- a/src/locality/sight.h
+++ b/src/locality/sight.h
@@ -8,9 +8,11 @@
 #include <string>
 #include <string_view>
 
+#include "weldflow/balancer.h"
+
 namespace quinceline::locality {
 
-enum class Seen : std::uint8_t { Nothing, Answers, Silence };
+using Seen = weldflow::ZoneSeen;
 
 class Sight {
  public:
--- a/src/locality/verdict.cpp
+++ b/src/locality/verdict.cpp
@@ -41,10 +41,12 @@
 // A member has no say on its own zone: from inside, a zone that is cut off looks well.
 void Court::count(std::size_t zone, const std::vector<Witness>& witnesses) {
   Zone& z = zones_[zone];
-  z.silent = z.answered = 0;
-  std::set<std::size_t> places;
+  z.silent = z.answered = z.could = 0;
+  std::set<std::size_t> places, others;
   for (const Witness& w : witnesses) {
     if (w.zone == zone) continue;
+    ++z.could;
+    others.insert(w.zone);
     if (w.seen[zone] == Seen::Silence) {
       ++z.silent;
       places.insert(w.zone);
@@ -53,20 +55,13 @@
     }
   }
   z.places = places.size();
+  z.others = others.size();
 }
 
 // Several, in at least two zones where there are two others; and few of those that can tell say otherwise.
-bool Court::enough(std::size_t zone, const std::vector<Witness>& witnesses) const {
-  const Zone& z = zones_[zone];
-  std::set<std::size_t> others;
-  std::size_t could = 0;
-  for (const Witness& w : witnesses) {
-    if (w.zone == zone) continue;
-    others.insert(w.zone);
-    ++could;
-  }
-  return z.silent >= std::min(rules_.least, could) && z.silent > 0 &&
-         z.places >= std::min<std::size_t>(2, others.size()) && z.silent > 2 * z.answered;
+bool Court::enough(const Zone& z) const {
+  return z.silent > 0 && z.silent >= std::min(rules_.least, z.could) &&
+         z.places >= std::min<std::size_t>(2, z.others) && z.silent > 2 * z.answered;
 }
 
 void Court::enter(Time now, Zone& zone, const Verdict& verdict) {
@@ -89,15 +84,14 @@
   enter(now, zone, {static_cast<std::uint16_t>(zone.verdict.epoch + 1), state});
 }
 
-void Court::step(Time now, std::size_t zone, const std::vector<Witness>& witnesses) {
-  Zone& z = zones_[zone];
+void Court::step(Time now, Zone& z) {
   const Time age = now - z.since;
   switch (z.verdict.state) {
     case State::Lost:
       if (now >= z.away_until && z.answered > z.silent) call(now, z, State::Returning);
       return;
     case State::Returning:
-      if (enough(zone, witnesses))
+      if (enough(z))
         call(now, z, State::Lost);
       else if (age >= rules_.stage * static_cast<Time>(std::size(kStages)))
         call(now, z, State::Up);
@@ -110,7 +104,7 @@
     if (doubt) z.up_for = age;
     z.doubtful = doubt;
     z.since = now;
-  } else if (doubt && age >= rules_.doubt && enough(zone, witnesses)) {
+  } else if (doubt && age >= rules_.doubt && enough(z)) {
     call(now, z, State::Lost);
   }
 }
@@ -124,7 +118,7 @@
       if (w.verdicts[zone].over(z.verdict)) enter(now, z, w.verdicts[zone]);
     }
     count(zone, witnesses);
-    if (sure && !cutOff()) step(now, zone, witnesses);
+    if (sure && !cutOff()) step(now, z);
     changed = changed || !(z.verdict == before);
   }
   return changed;
--- a/src/locality/verdict.h
+++ b/src/locality/verdict.h
@@ -99,13 +99,15 @@
     Time up_for = 0;  // before the doubt
     Time away_until = 0;
     std::uint32_t flaps = 0;
-    std::size_t silent = 0, answered = 0, places = 0;  // places: other zones that witnesses of silence are in
+    // By the last judge(), of members elsewhere: what they say, how many there are, and in how many zones
+    // those of silence and all are.
+    std::size_t silent = 0, answered = 0, could = 0, places = 0, others = 0;
   };
   void count(std::size_t zone, const std::vector<Witness>& witnesses);
-  bool enough(std::size_t zone, const std::vector<Witness>& witnesses) const;
+  bool enough(const Zone& zone) const;
   void call(Time now, Zone& zone, State state);
   void enter(Time now, Zone& zone, const Verdict& verdict);
-  void step(Time now, std::size_t zone, const std::vector<Witness>& witnesses);
+  void step(Time now, Zone& zone);
 
   const Rules rules_;
   const std::size_t own_;
--- a/src/talk/zone_watch.cpp
+++ b/src/talk/zone_watch.cpp
@@ -29,7 +29,10 @@
 
 void ZoneWatch::see(Time now) {
   if (std::vector<std::string> names = local_.zones(); names != names_ || !court_) {
-    // Zones are numbered anew: verdicts come back from what the others tell.
+    // Zones are numbered anew: verdicts come back from what the others tell, and orders with them.
+    for (std::size_t z = 0; z < names_.size(); ++z) {
+      if (orders_[z] != ZoneOrder::Free) local_.setZone(names_[z], ZoneOrder::Free);
+    }
     names_ = std::move(names);
     court_.emplace(names_.size(), indexOf(zone_));
     known_.clear();
@@ -37,8 +40,7 @@
     shown_.assign(names_.size(), State::Up);
     told_ = told();
   }
-  for (std::size_t z = 0; z < names_.size(); ++z)
-    court_->saw(z, static_cast<Seen>(local_.seen(names_[z], now)));
+  for (std::size_t z = 0; z < names_.size(); ++z) court_->saw(z, local_.seen(names_[z], now));
 }
 
 // False: nobody has told anything new.
