A block of the fleet's list is one range, walked in one place

Need: four loops looked up each of a block's sixteen numbers by itself, though members are kept by number.

Change: Roster::membersOf(block), a span found by two searches; hashes of blocks, digests and repair go over it.

Measured: the 177 tests of the fleet, zones and processes pass, none changed.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -561,10 +561,7 @@
   for (std::size_t i = 0; i < std::min(differ.size(), most) && maySpend(); ++i) {
     std::vector<Item> items;
     if (digest.of == Digest::Of::Standings) items.emplace_back(Block{differ[i], true});
-    for (Number n = 0; n < kBlock; ++n) {
-      const auto of = roster_.find(static_cast<Number>(differ[i] * kBlock + n));
-      if (!of) continue;
-      const Member& m = roster_.at(*of);
+    for (const Member& m : roster_.membersOf(differ[i])) {
       if (digest.of == Digest::Of::Records)
         items.emplace_back(Held{m.listed.number, m.version, true});
       else if (m.standing.state != State::Unheard)
@@ -587,10 +584,8 @@
     if (const auto* const rumour = std::get_if<Rumour>(&item)) theirs[rumour->member] = rumour->standing;
   }
   std::vector<Item> items = {Block{block.block, false}};
-  for (Number n = 0; n < kBlock; ++n) {
-    const auto of = roster_.find(static_cast<Number>(block.block * kBlock + n));
-    if (of && roster_.at(*of).standing > theirs[roster_.at(*of).listed.number])
-      items.emplace_back(rumourOf(roster_.at(*of)));
+  for (const Member& m : roster_.membersOf(block.block)) {
+    if (m.standing > theirs[m.listed.number]) items.emplace_back(rumourOf(m));
   }
   if (items.size() > 1 && maySpend()) send(now, slot, Kind::Talk, 0, items, out);
 }
--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -72,21 +72,24 @@
   return members_.empty() ? 0 : static_cast<std::uint16_t>(blockOf(members_.back().listed.number) + 1);
 }
 
+std::span<const Member> Roster::membersOf(std::uint16_t block) const {
+  const auto from = [&](std::uint32_t number) {
+    return std::lower_bound(members_.begin(), members_.end(), number,
+                            [](const Member& m, std::uint32_t n) { return m.listed.number < n; });
+  };
+  const std::uint32_t first = std::uint32_t{block} * kBlock;
+  return {from(first), from(first + kBlock)};
+}
+
 std::uint32_t Roster::standingsOf(std::uint16_t block) const {
   std::uint64_t hash = 0;
-  for (Number n = 0; n < kBlock; ++n) {
-    if (const auto slot = find(static_cast<Number>(block * kBlock + n)))
-      hash ^= hashOf(members_[*slot].listed.number, members_[*slot].standing);
-  }
+  for (const Member& m : membersOf(block)) hash ^= hashOf(m.listed.number, m.standing);
   return folded(hash);
 }
 
 std::uint32_t Roster::recordsOf(std::uint16_t block) const {
   std::uint64_t hash = 0;
-  for (Number n = 0; n < kBlock; ++n) {
-    if (const auto slot = find(static_cast<Number>(block * kBlock + n)))
-      hash ^= hashOf(members_[*slot].listed.number, members_[*slot].version);
-  }
+  for (const Member& m : membersOf(block)) hash ^= hashOf(m.listed.number, m.version);
   return folded(hash);
 }
 
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -65,6 +66,7 @@
 
   // Blocks from 0 to the last one that a listed member lies in.
   std::uint16_t blocks() const;
+  std::span<const Member> membersOf(std::uint16_t block) const;
   std::uint32_t standingsOf(std::uint16_t block) const;
   std::uint32_t recordsOf(std::uint16_t block) const;
 
