What a late connection carries is asked about again; all is answered before SIGKILL

Lost requests: a trial with lines in the log showed what was open when the process left, 3.6 s after SIGTERM: requests whose X-Time-Left was 8.1 and 9.9 s, waiting for hosts that hang. Ruled out: connections closed at rest, the queue of connections, answers being written. lifecycle.cpp left at a fixed 3.6 s, which was right only where clients wait for 3 s.

Window: mayRepeat() was asked when a host was chosen, but upstream.cpp wrote when the connection had come up, up to the connect limit later, and asked nobody. Balancer::mayBegin is asked there now, by the same gate: client gone, host draining, gone, moved or started anew (its cold share is spent then), deadline, window, zone. What may not begin is NotSent, and the connection is kept.

tests/late_connection_test.cpp holds a connection back a second by a full accept queue and lets each of these happen meanwhile; with mayBegin answering yes four of its eight fail, with the address not compared another one; the three of tests/shutdown_test.cpp on time to leave fail with the program before.

--- a/include/weldflow/balancer.h
+++ b/include/weldflow/balancer.h
@@ -97,11 +97,11 @@
 
 struct Request {
   RequestId id = 0;
-  Time time_left = 0;              // until the client gives this try up
-  Time expected_work = 0;          // on a standard core; 0: unknown
-  std::int32_t request_class = 0;  // index into Settings::classes
-  std::int32_t tenant = kUnset;    // index into Settings::tenants
-  std::int64_t key = kUnset;       // what the request is about
+  Time time_left = 0;               // until the client gives this try up
+  Time expected_work = 0;           // on a standard core; 0: unknown
+  std::int32_t request_class = 0;   // index into Settings::classes
+  std::int32_t tenant = kUnset;     // index into Settings::tenants
+  std::int64_t key = kUnset;        // what the request is about
   std::int32_t only_zone = kUnset;  // no server elsewhere may have it; kUnset: any may
 };
 
@@ -119,6 +119,11 @@
   CutShort,       // never ran: the connection broke before the server had all of it
 };
 
+// No server can have had the whole request.
+constexpr bool provesNotRun(Result r) {
+  return r == Result::Rejected || r == Result::ConnectFailed || r == Result::NotSent || r == Result::CutShort;
+}
+
 // What a server says about its own load; a negative value was not reported. Read from probes where
 // Settings::reports is Probe.
 struct LoadReport {
@@ -227,6 +232,13 @@
   void onServers(Time now, ListKind kind, std::span<const Host> hosts, Actions& out);
   // A client's request. It gets exactly one final answer: an Outcome with `final`, Refuse or Fail.
   void onRequest(Time now, const Request& request, Actions& out);
+  // For an attempt that could not be written at once, when its connection has come up: may its first byte go
+  // now? If not it ends as Result::NotSent. Since it was chosen its client may have left, its time or its
+  // key's window may be over, its server may drain, be gone or have started anew.
+  bool mayBegin(Time now, RequestId request, std::int32_t attempt);
+  // The process has to leave: all that is open is to have its answer by `last`. What comes later is to have
+  // no more time than that either.
+  void endBy(Time now, Time last, Actions& out);
   // An attempt has ended, also one whose request was answered long ago.
   void onOutcome(Time now, const Outcome& outcome, Actions& out);
   // The answer of a streamed class has begun: it belongs to the client now.
--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -64,7 +64,6 @@
       setTimer(out, now + static_cast<Time>(random.unit() * within), kDiscoveryTimer);
     } else {
       subscribed = true;
-      ask_backoff = decision::kSecond;
     }
   }
   void onTimer(std::uint64_t timer, Actions& out) {
@@ -83,25 +82,27 @@
     const bool restarted = s.listed && h.up_since > s.host.up_since;
     const bool changed = !s.listed || s.host.state != h.state || restarted;
     s.host = h;
-    if (h.up_since != 0 && (s.cold_since == 0 || h.up_since > s.cold_since) &&
-        now - h.up_since < settings.cold_time) {
-      startCold(s, h.up_since);
-    }
+    const bool news = s.cold_since == 0 || h.up_since > s.cold_since;
+    if (h.up_since != 0 && news && now - h.up_since < settings.cold_time) startCold(s, h.up_since);
     if (restarted) s.out = false, s.strikes = 0, s.slowness = 1;  // what the old process did says nothing
     if (!s.listed) newcomers.push_back(&s);
     s.listed = s.named = true;
     return changed;
   }
 
+  // Whatever was tried before, a change counts as told 6 s after discovery had it and could be reached
+  // (net/discovery.h adds it up): a watch that broke is asked for anew soon, and no call waits longer than 2
+  // s.
   void askLater(Actions& out) {
-    subscribed = false;
-    const double wait = static_cast<double>(ask_backoff) * (0.5 + random.unit());
+    const bool broke = std::exchange(subscribed, false);
+    const double wait = broke ? kSoon * random.unit() : ask_backoff * spreadOut();
     setTimer(out, now + static_cast<Time>(wait), kDiscoveryTimer);
-    ask_backoff = std::min<Time>(2 * ask_backoff, std::max<Time>(decision::kSecond, settings.ask_within / 2));
+    ask_backoff = broke ? kFirstBackoff : 2 * kFirstBackoff;
   }
 
   static constexpr std::uint64_t kDiscoveryTimer = 0;
-  Time ask_backoff = decision::kSecond;
+  static constexpr double kSoon = 0.7e6, kFirstBackoff = 0.8e6;
+  double ask_backoff = kFirstBackoff;
   bool subscribed = false, list_stale = false;
 
   void onServers(ListKind kind, std::span<const Host> hosts, Actions& out) {
@@ -198,6 +199,10 @@
 void Balancer::onOutcome(Time now, const Outcome& outcome, Actions& out) {
   impl_->at(now).onOutcome(outcome, out);
 }
+bool Balancer::mayBegin(Time now, RequestId request, std::int32_t attempt) {
+  return impl_->at(now).mayBegin(request, attempt);
+}
+void Balancer::endBy(Time now, Time last, Actions& out) { impl_->at(now).endBy(last, out); }
 void Balancer::onStreaming(Time now, RequestId request, std::int32_t attempt, Actions&) {
   impl_->at(now).onStreaming(request, attempt);
 }
--- a/src/decision/cold.h
+++ b/src/decision/cold.h
@@ -49,19 +49,15 @@
   // What warm servers of like size take: more than the average for a large one, less for a small one.
   double relativeSize(const Server& s) const {
     if (!settings.weighted || s.host.capacity <= 0) return 1;
-    double sum = 0;
-    int count = 0;
+    double sum = 0, count = 0;
     for (std::size_t i = 0; i < reach; ++i) {
       const Server& o = *order[i];
-      if (!o.usable() || o.host.capacity <= 0) continue;
-      sum += o.host.capacity;
-      ++count;
+      if (o.usable() && o.host.capacity > 0) sum += o.host.capacity, ++count;
     }
     return count == 0 ? 1 : std::clamp(s.host.capacity * count / sum, 0.5, 2.0);
   }
 
-  // A cold server that answers much faster than the others has room for the share that it may have at most:
-  // with many taken out by hand the others are full meanwhile.
+  // Much faster than the others, it has room for all it may have: they are full where many are out by hand.
   static bool atEase(const Server& s) { return s.in_flight <= 1 && s.slowness < kAtEase; }
 };
 
--- a/src/decision/health.h
+++ b/src/decision/health.h
@@ -13,8 +13,7 @@
 constexpr double kMaxUnreachable = 0.75;   // of those that can't be connected to, which are of no use at all
 
 struct Health : ColdStart {
-  // Evidence against a server. False if it is not ejected: too little, or many fail and it is not their
-  // fault.
+  // Evidence against a server. False if it is not ejected: too little, or too many fail for it to be theirs.
   bool strike(Server& s, bool silent, double evidence, Actions& out, double most_out = kMaxOut) {
     s.strikes = s.strikes * std::exp2(-static_cast<double>(now - s.struck_at) / kStrikeHalf) + evidence;
     s.struck_at = now;
@@ -37,8 +36,7 @@
   // An answer takes back less than a failure adds, so that part failures show.
   static void mend(Server& s) { s.strikes *= kAnswerMends; }
 
-  // `asked`: when it was asked what it has answered now. A silent one has perhaps restarted and is cold; an
-  // answer to what it had before it was ejected shows that it has not.
+  // `asked`: when it was asked what it answers now. A silent one may have restarted since it was ejected.
   void readmit(Server& s, Time asked, Actions& out) {
     if (!s.out) return;
     s.out = s.by_zone = false;
--- a/src/decision/picking.h
+++ b/src/decision/picking.h
@@ -36,10 +36,9 @@
     for (std::size_t i = from; i < to; ++i) {
       Server* s = order[i];
       ++looked_at;
-      if (best != nullptr && (busy(*s) > busy(*best) || (busy(*s) == busy(*best) && s->turn >= best->turn))) {
-        continue;
-      }
-      if (eligible(r, *s, last_resort)) best = s;
+      const bool better =
+          best == nullptr || std::pair(busy(*s), s->turn) < std::pair(busy(*best), best->turn);
+      if (better && eligible(r, *s, last_resort)) best = s;
     }
     return best;
   }
@@ -71,8 +70,7 @@
 
   // An ejected server whose time is over takes one request that may be repeated; a probe is cheaper.
   bool trialAllowed(const Server& s, const Live& r) const {
-    return s.out && s.listed && now >= s.out_until && s.in_flight == 0 && !settings.may_probe &&
-           fitForTrial(r);
+    return s.out && now >= s.out_until && s.in_flight == 0 && !settings.may_probe && fitForTrial(r);
   }
   // Requests in flight; at a server that has been slow for long each counts for more.
   static double busy(const Server& s) {
@@ -89,9 +87,8 @@
            !r.asking && r.outstanding == 0 && r.give_up - now > 4 * timeFor(r);
   }
 
-  // A client with few requests has ties only, which tell nothing of the others' load. Before it sends it asks
-  // some of the tied: first of its own zone, of them one by the key (warm keys are met again), the last from
-  // all.
+  // Ties tell nothing of the others' load. Some of the tied are asked first: of the own zone, of them one by
+  // the key (warm keys are met again), the last from all.
   bool ask(Live& r, Actions& out) {
     r.asked.clear();
     const Server* first = leastBusy(r, 0, reach);
--- a/src/decision/repeats.h
+++ b/src/decision/repeats.h
@@ -16,8 +16,8 @@
     return settings.classes[static_cast<std::size_t>(r.request_class)];
   }
   bool mayTryAgain(const Live& r) const {
-    const std::int32_t own = classOf(r).max_attempts;
-    return static_cast<std::int32_t>(r.attempts.size()) < (own > 0 ? own : settings.max_attempts);
+    const std::int32_t own = classOf(r).max_attempts, most = own > 0 ? own : settings.max_attempts;
+    return static_cast<std::int32_t>(r.attempts.size()) < most;
   }
   // A server that has failed is tried with what may be repeated, where there is any.
   bool fitForTrial(const Live& r) const { return classOf(r).effect != Effect::Unsafe || !some_repeatable; }
@@ -31,12 +31,13 @@
 
   // ---- the gate: rule 2 and the drain check, for every send and every refusal ----
 
-  // May this request be sent (to `s`), given what its attempts may have done? Without `s`: to anyone.
-  bool mayRepeat(const Live& r, const Server* s) const {
-    if (!mayTryAgain(r)) return false;
+  // May this request be sent (to `s`), given what its attempts may have done? Without `s`: to anyone. `self`:
+  // the attempt in question, chosen already.
+  bool mayRepeat(const Live& r, const Server* s, const Attempt* self = nullptr) const {
+    if (self == nullptr && !mayTryAgain(r)) return false;
     const RequestClass& c = classOf(r);
     for (const Attempt& a : r.attempts) {
-      if (a.run == Run::NeverRan) continue;
+      if (a.run == Run::NeverRan || &a == self) continue;
       if (a.run == Run::Outstanding) return false;  // never two at once
       if (c.effect == Effect::Unsafe) return false;
       if (c.effect == Effect::Safe) continue;
@@ -46,14 +47,13 @@
     }
     return true;
   }
-  bool gate(const Live& r, const Server& s) const {
-    return !r.ended && !r.streaming && s.inService() && now < r.deadline && mayRepeat(r, &s) &&
+  bool gate(const Live& r, const Server& s, const Attempt* self = nullptr) const {
+    return !r.ended && !r.streaming && s.inService() && now < r.deadline && mayRepeat(r, &s, self) &&
            (r.only_zone == kUnset || r.only_zone == s.host.zone);
   }
   bool mayRefuse(const Live& r) const {
     const RequestClass& c = classOf(r);
-    if (c.effect == Effect::Safe || (c.effect == Effect::Keyed && c.group == Group::All)) return true;
-    return neverRan(r);
+    return c.effect == Effect::Safe || (c.effect == Effect::Keyed && c.group == Group::All) || neverRan(r);
   }
 
   void earnRepeats() {
@@ -64,9 +64,8 @@
   // Its client gives it up before its answer would have lost its worth.
   bool impatient(const Live& r) const { return r.deadline - r.arrived < classOf(r).aim; }
   bool tooImpatient(const Live& r) const { return impatient(r) && futile < 1; }
-  // An attempt that its client gives up has cost its server as much as an answer. Clients that come again at
-  // once can keep a whole fleet busy with what nobody waits for, and then nobody is answered in time: what
-  // ends so is bounded like repeats. Where answers come in time again, they cost nothing here.
+  // What its client gives up has cost its server as much as an answer, and clients that come again at once
+  // can keep a whole fleet busy with it: it is bounded like repeats. Answers in time cost nothing here.
   void judgePatience(const Live& r, Result result) {
     if (impatient(r) && (result == Result::TimedOut || result == Result::Cancelled))
       futile = std::max(0.0, futile - 1);
--- a/src/decision/requests.h
+++ b/src/decision/requests.h
@@ -45,8 +45,7 @@
       if (mayAsk(r) && ask(r, out)) return;
       if (Server* s = leastReported(r)) return send(r, *s, out, true);
       if (Server* s = pick(r)) return send(r, *s, out);
-      // Nobody can take it now: a newly listed or recovered server may, a moment later. Not if staff have
-      // taken out all there are.
+      // A newly listed or recovered server may take it a moment later. Not if staff have taken out all.
       const bool hope =
           order.empty() || std::any_of(order.begin(), order.end(), [](auto* s) { return !s->banned; });
       if (hope && now - r.arrived < (r.give_up - r.arrived) / 4) {
@@ -66,25 +65,42 @@
     recent_turn = std::max(recent_turn, s.turn);
     takeTurn(s);
     spendCold(s);
-    r.attempts.push_back({&s, s.host.zone, s.host.cell, now, Run::Outstanding, by_report});
+    r.attempts.push_back({&s, s.host.zone, s.host.cell, now, Run::Outstanding, by_report, s.cold_since});
     out.push_back({.kind = ActionKind::Send, .request = r.id, .server = s.host.id, .time = r.give_up - now});
-    // The work is done where an answer is on its way: to end it saves nothing, and what can't be repeated is
-    // lost.
+    // Where an answer is on its way the work is done: to end it saves nothing, and may lose it.
     out.back().longest = r.deadline - now;
     out.back().reason = why;
   }
 
+  // Its connection is up: may its first byte still go? What it was chosen by may have changed meanwhile.
+  bool mayBegin(RequestId id, std::int32_t attempt) {
+    Live* const r = requests.find(id);
+    Attempt* const a = outstandingOf(r, attempt);
+    if (a == nullptr || !gate(*r, *a->server, a)) return false;
+    Server& s = *a->server;
+    if (s.cold_since == 0 || s.cold_since == a->cold_since) return true;
+    if (!coldAllows(s, false)) return false;  // it has restarted since
+    a->cold_since = s.cold_since;
+    spendCold(s);
+    return true;
+  }
+
+  // The process has to leave: what is open must be answered by then.
+  void endBy(Time last, Actions& out) {
+    requests.each([&](Live& r) {
+      r.deadline = std::min(r.deadline, last);
+      r.give_up = std::min(r.give_up, last);
+      setTimer(out, last, r.timer);
+    });
+  }
+
   void settle(Live& r, Actions& out) {
     if (r.ended) return;
     r.ended = true;
     stopAsking(r);
-    if (mayRefuse(r) && !r.faulty) {
-      const Time stay_away =
-          settings.retry_after ? std::min(settings.max_retry_after, classOf(r).aim / 8) : 0;
-      out.push_back({.kind = ActionKind::Refuse, .request = r.id, .time = stay_away});
-    } else {
-      out.push_back({.kind = ActionKind::Fail, .request = r.id});
-    }
+    if (!mayRefuse(r) || r.faulty) return out.push_back({.kind = ActionKind::Fail, .request = r.id});
+    const Time stay_away = settings.retry_after ? std::min(settings.max_retry_after, classOf(r).aim / 8) : 0;
+    out.push_back({.kind = ActionKind::Refuse, .request = r.id, .time = stay_away});
   }
 
   void onOutcome(const Outcome& o, Actions& out) {
@@ -92,8 +108,7 @@
     Attempt* const found = outstandingOf(r, o.attempt);
     if (found == nullptr) return;
     Attempt& a = *found;
-    const bool never_ran = o.result == Result::Rejected || o.result == Result::ConnectFailed ||
-                           o.result == Result::NotSent || o.result == Result::CutShort;
+    const bool never_ran = provesNotRun(o.result);
     a.run = never_ran ? Run::NeverRan : Run::MayHaveRun;
     r->faulty |= o.result == Result::BadRequest;
     Server& s = *a.server;
@@ -105,12 +120,8 @@
     judge(s, *r, a, o, out);
     r->ended |= o.final || o.result == Result::Ok;
     if (!r->ended && !r->streaming && r->outstanding == 0) {
-      const bool room = mayTryAgain(*r);
-      if (room && o.result != Result::BadRequest && (never_ran || spendRepeat())) {
-        dispatch(*r, out);
-      } else {
-        settle(*r, out);
-      }
+      const bool again = mayTryAgain(*r) && o.result != Result::BadRequest && (never_ran || spendRepeat());
+      again ? dispatch(*r, out) : settle(*r, out);
     }
     closeIfDone(*r);
   }
@@ -151,8 +162,7 @@
         if (silent_since) silence(s, a.sent, false, out);
         // One that answers probes only is found out at once the next time.
         if (silent_since && strike(s, true, s.unproven ? 1 : kTimeoutEvidence, out)) return;
-        // Not 1: an attempt that began late in its request's time had little of it.
-        late = shedding.lateness(classOf(r), o);
+        late = shedding.lateness(classOf(r), o);  // not 1: it may have begun late in its request's time
         break;
       case Result::ConnectFailed:
         silence(s, a.sent, true, out);
--- a/src/decision/servers.h
+++ b/src/decision/servers.h
@@ -22,8 +22,8 @@
     return it == table.end() ? nullptr : &it->second;
   }
 
-  // The subset is the shortest prefix of the order with `wanted` usable servers: the next in order stand in
-  // for the rest. Whoever joins starts where the members' turns stand, not with a burst of overdue ones.
+  // The subset is the shortest prefix of the order with `wanted` usable servers: the next in order stand in.
+  // Whoever joins starts where the members' turns stand, not with a burst of overdue ones.
   void measureReach() {
     double base = recent_turn;
     for (const Server* s : order) {
--- a/src/decision/shedding.h
+++ b/src/decision/shedding.h
@@ -67,14 +67,12 @@
   static constexpr double kFullLate = 0.35;  // a full server: overload once more than half are full
 
  private:
-  static constexpr double kRecent = 0.99;  // the mix of arrivals is taken over the last hundred
-  static constexpr double kShedGain =
-      0.05;  // shedding follows some twenty outcomes: faster than a queue fills
+  static constexpr double kRecent = 0.99;     // the mix of arrivals is taken over the last hundred
+  static constexpr double kShedGain = 0.05;   // follows some twenty outcomes: faster than a queue fills
   static constexpr double kLateFrom = 0.4;    // an answer after this part of its aim begins to count as late
   static constexpr double kLateTarget = 0.2;  // so much lateness on average is a full fleet; more is a queue
   static constexpr double kMostShed = 0.95;   // a few requests keep telling whether the overload is over
-  static constexpr double kShedNoted =
-      0.1;  // of arrivals: less is the noise of a busy hour, not worth a line
+  static constexpr double kShedNoted = 0.1;   // of arrivals: less is a busy hour's noise, not worth a line
 
   // By lot: the part of a tenant's requests that is beyond its share here.
   bool overShare(std::int32_t tenant) {
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -84,6 +84,7 @@
   Time sent = 0;
   Run run = Run::Outstanding;
   bool by_report = false;  // sent there because of the load it reported
+  Time cold_since = 0;     // the server's, when it was chosen
 };
 
 struct Live {  // a request that is unanswered or has attempts out
--- a/src/decision/zones.h
+++ b/src/decision/zones.h
@@ -7,14 +7,13 @@
 namespace weldflow::decision {
 
 struct Zones : Health {
-  // Silence of a zone is the zone's: it is lost, or cut off from here. Where most zones are beyond a cut no
-  // bound on the ejected would let all its servers go.
+  // Silence of a zone is the zone's: lost, or cut off from here; no bound on the ejected keeps its servers.
   void silence(const Server& s, Time sent, bool unreachable, Actions& out) {
     sight.note(s.host.zone, s.host.id, sent, now, unreachable);
     if (!sight.silent(s.host.zone, s.host.id, sent)) return;
     ejectZone(s.host.zone, soonBack(), out);
   }
-  // Somebody there answers again; the zone is back for others too only where it was not given up in common.
+  // Somebody there answers; the zone is back for others too only where it was not given up in common.
   void answered(Server& s, Time asked, Actions& out) {
     sight.answered(s.host.zone, asked, now);
     if (s.by_zone && !zone_orders.contains(s.host.zone)) takeZoneBack(s.host.zone, asked, out);
--- a/src/front/include/front/proxy.h
+++ b/src/front/include/front/proxy.h
@@ -162,6 +162,7 @@
     return server_.connections() + (successor_.waiting ? successor_.waiting() : 0);
   }
   void awaitLife();
+  void answerAll(Time by);
   Answer refusal(const admission::Ask& ask, admission::Cause cause);
   // By its service: nothing, or why it is refused at once.
   std::optional<Answer> barred(const RequestHead& head, const ClassInfo& info, const admission::Ask& ask,
@@ -202,6 +203,7 @@
   Time places_due_ = kNever;                               // when the gate is asked again for sure
   bool places_freed_ = false;                              // it will be asked in this turn of the loop
   lifecycle::Lifecycle life_;
+  Time last_ = kNever;             // nothing may be open longer: the process has to leave
   Time life_due_ = kNever;         // when it is asked again for sure
   handover::Successor successor_;  // while another process serves
   std::function<void()> done_;
--- a/src/front/proxy.cpp
+++ b/src/front/proxy.cpp
@@ -41,6 +41,12 @@
   return aim;
 }
 
+Time longestDeadline(const weldflow::Settings& settings) {
+  Time longest = 0;
+  for (const weldflow::RequestClass& c : settings.classes) longest = std::max(longest, c.deadline);
+  return longest;
+}
+
 Server::Limits serverLimits(const Config& config, std::size_t descriptors) {
   Server::Limits limits;
   limits.body_bytes = std::max<std::size_t>(config.memory_mb * kMegabyte / 4, kMostBody);
@@ -196,7 +202,8 @@
             poolConfig(config_, known_.settings(config_))),
       repeats_(repeatLimits(config_)),
       requests_(known_.limits(config_)),
-      ledger_(known_.classes.size(), known_.tenants.size()) {
+      ledger_(known_.classes.size(), known_.tenants.size()),
+      life_(longestDeadline(config_.site.settings)) {
   // Clients that only stay are cheaper to lose than connections to hosts, which cost these work to open.
   descriptors_.addReclaimer(Side::Clients, [this] { return server_.closeOneIdle(kMayBeClosed); });
   descriptors_.addReclaimer(Side::Hosts, [this] { return pool_.closeOneIdle(); });
@@ -331,7 +338,9 @@
       std::min(request.head.has_time_left ? parseSeconds(request.head.time_left).value_or(0) : info->deadline,
                info->deadline);
   // Of a long request only the beginning is here; its client's time runs from its last byte.
-  const Time deadline = request.received + (request.rest ? kLongestUpload : left);
+  const Time deadline = std::min(request.received + (request.rest ? kLongestUpload : left), last_);
+  if (left > 0 && clock_.now() >= last_)
+    return conclude(id, info->index, refusal(askOf(id, request.head, *info, 0, 0), Cause::Shutdown));
   if (left <= 0 || deadline <= clock_.now())
     return conclude(id, info->index, plainAnswer(504));  // over before it was read
   const std::size_t bytes = (request.body ? request.body->size() : 0) + request.head.forward.size();
@@ -554,11 +563,25 @@
       return server_.keepAll();
     case Kind::StopListening:
       return server_.stopListening();
+    case Kind::AnswerAll:
+      return answerAll(step.by);
     case Kind::Leave:
       return done_();
   }
 }
 
+// Whoever waits for a place by then does not get one any more.
+void Proxy::answerAll(Time by) {
+  last_ = by;
+  pool_.endBy(by);
+  timers_.at(by, [this] {
+    std::vector<admission::Refusal> left;
+    for (const auto& [id, held] : waiting_) left.push_back({id, Cause::Shutdown});
+    for (const admission::Refusal& r : left) requests_.release(clock_.now(), r.id);
+    refuseWaiting(left);
+  });
+}
+
 // As for places: a new timer only where something is due earlier than any that is set.
 void Proxy::awaitLife() {
   const Time due = life_.due();
@@ -620,7 +643,7 @@
 void Proxy::onUploaded(ExchangeId id, Time received) {
   const auto it = uploads_.find(id);
   if (it == uploads_.end()) return;
-  const Time deadline = received + it->second;
+  const Time deadline = std::min(received + it->second, last_);
   uploads_.erase(it);
   if (const auto held = waiting_.find(id); held != waiting_.end()) {
     held->second.ask.deadline = deadline;
@@ -690,6 +713,7 @@
   known_ = std::move(known);
   requests_.reconfigure(limits);
   repeats_.reconfigure(repeatLimits(next));
+  life_.setLongest(longestDeadline(next.site.settings));
   ledger_.grow(known_.classes.size(), known_.tenants.size());
   server_.reconfigure(serverLimits(next, descriptors_.limit()).connections);
   log_.setLevel(next.own.log_level);
--- a/src/lifecycle/include/lifecycle/lifecycle.h
+++ b/src/lifecycle/include/lifecycle/lifecycle.h
@@ -31,17 +31,23 @@
     CloseIdle,  // those that have rested for `rested` microseconds
     GiveAway,   // accept nobody; each connection at rest goes to the other process
     TakeBack,   // accept again, give nothing away
+    AnswerAll,  // whatever is open, or comes still, has its answer by `by`
     StopListening,
     Leave,  // the last step there is
   };
   Kind kind;
   Time rested = 0;
+  Time by = 0;
   bool operator==(const Step&) const = default;
 };
 using Steps = std::vector<Step>;  // to be carried out in order
 
 class Lifecycle {
  public:
+  // `longest`: what a client waits at most, by the settings.
+  explicit Lifecycle(Time longest) : longest_(longest) {}
+  void setLongest(Time longest) { longest_ = longest; }
+
   Phase phase() const { return phase_; }
   bool drained() const { return drained_; }
   bool serves() const { return phase_ != Phase::Starting && phase_ != Phase::Ended; }
@@ -66,6 +72,7 @@
   void finish(Time now, std::size_t connections, Steps& out);
   bool sendsAway() const { return drained_ || ending_; }
 
+  Time longest_;
   Phase phase_ = Phase::Starting;
   bool drained_ = false, ending_ = false;
   Time drained_at_ = 0, close_due_ = kNothingDue;  // of draining by hand
--- a/src/lifecycle/lifecycle.cpp
+++ b/src/lifecycle/lifecycle.cpp
@@ -16,10 +16,12 @@
 constexpr Time kRestedLong = 500 * kMillisecond;
 
 // After SIGTERM new connections go on coming for 0.4 s at most, and a request that crosses the closing of an
-// idle connection is sent once more on a new one. SIGKILL follows 3.7 s after it at the soonest.
+// idle connection is sent once more on a new one. SIGKILL follows the longest deadline, 3 s at most, and 0.7
+// s more after it at the soonest: by then all is answered, a little before the process has gone by itself.
 constexpr Time kIdleAfterTerm = 420 * kMillisecond;
 constexpr Time kListenAfterTerm = 600 * kMillisecond;
-constexpr Time kLastAfterTerm = 3600 * kMillisecond;
+constexpr Time kLongestCounted = 3000 * kMillisecond, kKillAfter = 700 * kMillisecond;
+constexpr Time kAnsweredBefore = 200 * kMillisecond, kGoneBefore = 100 * kMillisecond;
 constexpr Time kLook = 20 * kMillisecond;
 
 using Kind = Step::Kind;
@@ -57,7 +59,9 @@
 
 bool Lifecycle::onEnd(Time now, Steps& out) {
   if (std::exchange(ending_, true)) return false;
-  last_due_ = now + kLastAfterTerm;
+  const Time killed = now + std::min(longest_, kLongestCounted) + kKillAfter;
+  last_due_ = killed - kGoneBefore;
+  out.push_back({.kind = Kind::AnswerAll, .by = killed - kAnsweredBefore});
   if (phase_ == Phase::HandingOn) {
     look_due_ = now;  // the other process accepts: what is left is all there will be
     return true;
--- a/src/net/include/net/upstream.h
+++ b/src/net/include/net/upstream.h
@@ -53,6 +53,9 @@
  public:
   virtual ~AttemptSink() = default;
   virtual void onAttemptEnd(AttemptId id, AttemptEnd end) = 0;
+  // Its connection has come up later than it was started: may its first byte go now? If not it is NotSent.
+  // Must not call back.
+  virtual bool mayBegin(AttemptId id) = 0;
   // Its last byte is with the kernel: the host may have it whole. Once at most, before its end.
   virtual void onAttemptWritten(AttemptId id) = 0;
   // It is served, by a long answer. Once at most; its end follows when all has come, or broke off, or when
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -105,6 +105,7 @@
       self->connected_ = true;
       error_code ignored;
       self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+      if (!self->mayBegin()) return self->end(Result::NotSent);
       self->write();
     });
     up_.timers_.after(up_.limits_.connect_timeout, [weak = weak_from_this(), turn] {
@@ -119,6 +120,13 @@
     });
   }
 
+  // Asked when the connection has come up, which may have taken as long as it is given.
+  bool mayBegin() const {
+    const auto it = up_.pools_.find(uid_);
+    if (it == up_.pools_.end() || it->second.endpoint != endpoint_) return false;  // gone, or elsewhere now
+    return probe_ || up_.sink_.mayBegin(attempt_);
+  }
+
   // ---- writing ----
 
   std::size_t total() const { return request_.head.size() + (request_.body ? request_.body->size() : 0); }
@@ -355,7 +363,8 @@
       whole&& result == Result::Ok ? stream->finish() : stream->breakOff();
     }
     // Bytes behind a good answer take nothing from it, but the connection is out of step.
-    const bool reusable = whole && written() && parser_->keep_alive() && in_.size() == 0;
+    const bool unused = result == Result::NotSent && connected_ && sent_ == 0;
+    const bool reusable = unused || (whole && written() && parser_->keep_alive() && in_.size() == 0);
     if (whole) {
       report.load = probe_ && parser_->load.empty() ? parser_->body : std::move(parser_->load);
       if (result == Result::Rejected) report.term = std::move(parser_->term);
--- a/src/pools/include/pools/pool.h
+++ b/src/pools/include/pools/pool.h
@@ -86,6 +86,8 @@
   void open(Taken request);
   // The last byte of a long request came at `received`; its client waits until `deadline`.
   void uploaded(ExchangeId id, Time received, Time deadline);
+  // The process has to leave: every request has its answer by then, whatever time its client has.
+  void endBy(Time last);
   // Its client has gone: no answer is owed. False: none was, it is not here or has been answered.
   bool clientGone(ExchangeId id);
 
@@ -128,6 +130,7 @@
   };
 
   void onAttemptEnd(AttemptId id, AttemptEnd end) override;
+  bool mayBegin(AttemptId id) override;
   void onAttemptWritten(AttemptId id) override;
   void onAttemptAnswers(AttemptId id, LongAnswer answer) override;
   void onProbeEnd(const std::string& uid, bool ok, Time latency, const std::string& load) override;
@@ -177,6 +180,7 @@
   std::unordered_map<RequestId, Open> open_;
   std::map<std::string, Listed, std::less<>> listed_;  // the hosts that upstream knows
   std::deque<std::function<void(Time)>> events_;
+  Time last_ = kNever;  // no request may be open longer
   bool telling_ = false;
   weldflow::Actions actions_;
 };
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -48,7 +48,7 @@
       upstream_(io, timers, descriptors, *this, config_.upstream) {
   if (!config_.discovery) return;
   discovery_.emplace(io, timers, zones, static_cast<DiscoverySink&>(*this), *config_.discovery,
-                     config_.revision, Discovery::Limits{});
+                     config_.revision, pushed() ? Discovery::agentLimits() : Discovery::Limits{});
 }
 
 Pool::~Pool() = default;
@@ -87,7 +87,9 @@
 }
 
 // Where lists are pushed, the module waits for them; the agent beside us that has them still wants a watch.
-bool Pool::pushed() const { return discovery_ && config_.settings.discovery == weldflow::Discovery::Push; }
+bool Pool::pushed() const {
+  return config_.discovery && config_.settings.discovery == weldflow::Discovery::Push;
+}
 
 std::optional<Endpoint> Pool::discoveryEndpoint() const {
   return discovery_ ? std::optional(discovery_->endpoint()) : std::nullopt;
@@ -168,7 +170,7 @@
 
 void Pool::open(Taken taken) {
   const RequestId id = taken.exchange;
-  const Time deadline = taken.deadline;
+  const Time deadline = taken.deadline = std::min(taken.deadline, last_);
   weldflow::Request told;
   told.id = id;
   told.request_class = taken.request_class;
@@ -236,7 +238,7 @@
   if (it == open_.end()) return;
   Open& r = it->second;
   r.uploaded = received;
-  r.taken.deadline = deadline;
+  r.taken.deadline = deadline = std::min(deadline, last_);
   timers_.at(deadline, [this, id] { onDeadline(id); });
   for (std::size_t a = 0; a < r.attempts.size(); ++a) {
     if (!r.attempts[a].over) expectEnd(id, r, static_cast<std::int32_t>(a));
@@ -340,6 +342,16 @@
   tell([this, id](Time now) { balancer_.onClientGone(now, id, actions_); });
 }
 
+void Pool::endBy(Time last) {
+  last_ = last;
+  // The module's timers first: what it holds without an attempt is answered before we look for what is not.
+  tell([this, last](Time now) { balancer_.endBy(now, last, actions_); });
+  for (auto& [id, request] : open_) {
+    request.taken.deadline = std::min(request.taken.deadline, last);
+    timers_.at(last, [this, id = id] { onDeadline(id); });
+  }
+}
+
 bool Pool::clientGone(ExchangeId id) {
   const auto it = open_.find(id);
   if (it == open_.end() || std::exchange(it->second.answered, true)) return false;
@@ -356,6 +368,10 @@
   });
 }
 
+bool Pool::mayBegin(AttemptId id) {
+  return balancer_.mayBegin(clock_.now(), id / kMostAttempts, static_cast<std::int32_t>(id % kMostAttempts));
+}
+
 void Pool::outcome(Time now, RequestId id, std::int32_t attempt, AttemptEnd end) {
   const auto it = open_.find(id);
   if (it == open_.end()) return;
@@ -363,8 +379,7 @@
   Attempt& a = r.attempts[static_cast<std::size_t>(attempt)];
   if (std::exchange(a.over, true)) return;
   --r.outstanding;
-  r.taken.may_have_run |= end.result != Result::NotSent && end.result != Result::Rejected &&
-                          end.result != Result::ConnectFailed && end.result != Result::CutShort;
+  r.taken.may_have_run |= !weldflow::provesNotRun(end.result);
   r.timed_out |= end.result == Result::TimedOut;
   r.taken.ran_for = now - beganAt(r, a);
   if (r.taken.service && !end.term.empty()) {
@@ -529,7 +544,7 @@
 
 void Pool::onDiscoveryLost(const std::string& why) {
   log("discovery: " + why, LogLevel::Warning);
-  if (pushed()) timers_.after(kSecond, [this] { discovery_->subscribe(); });
+  if (pushed()) timers_.after(Discovery::kAgentAgain, [this] { discovery_->subscribe(); });
   tell([this](Time now) { balancer_.onServers(now, ListKind::Unavailable, {}, actions_); });
 }
 
--- a/src/tables/include/tables/ticketed.h
+++ b/src/tables/include/tables/ticketed.h
@@ -51,6 +51,13 @@
     unused_.push_back(it->second);
     index_.erase(it);
   }
+  // All that are open, in the order of their places, which follows from the calls alone.
+  template <typename Visit>
+  void each(Visit visit) {
+    for (Place& p : places_) {
+      if (p.used) visit(p.value);
+    }
+  }
   std::size_t size() const { return index_.size(); }
 
  private:
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -614,6 +614,37 @@
   EXPECT_GT(first.size(), 15U);
 }
 
+// A change counts as told 6 s after discovery had it and could be reached (net/discovery.h adds it up).
+TEST(Discovery, ABrokenWatchIsAskedForSoonAndNoFailureMakesTheNextCallWaitLong) {
+  Settings settings = makeSettings();
+  settings.discovery = Discovery::Ask;
+  settings.ask_within = 60 * kSec;  // whatever that allows
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    Driver d(settings, seed);
+    d.servers(ListKind::Restored, makeHosts(4));
+    const auto waits = [&] {
+      const Time due = d.actions.at(0).time, wait = due - d.now;
+      const std::uint64_t handle = d.actions.at(0).timer;
+      d.now = due;
+      d.timer(handle);
+      EXPECT_EQ(d.count(ActionKind::Subscribe), 1);
+      return wait;
+    };
+    waits();
+    for (int round = 0; round < 3; ++round) {
+      d.servers(ListKind::Changes, {});
+      d.servers(ListKind::Unavailable, {});
+      EXPECT_LE(waits(), 700 * kMs);
+      for (int failures = 0; failures < 8; ++failures) {
+        d.servers(ListKind::Unavailable, {});
+        const Time wait = waits();
+        EXPECT_LE(wait, 2 * kSec);
+        EXPECT_GE(wait, 500 * kMs) << "a crowd must not be there all the time";
+      }
+    }
+  }
+}
+
 TEST(Discovery, PushNeedsNoAsking) {
   Driver d(makeSettings());
   d.servers(ListKind::Restored, makeHosts(4));
--- /dev/null
+++ b/tests/late_connection_test.cpp
@@ -0,0 +1,251 @@
+// Between the choice of a host and the first byte of a request: its connection comes up late, and meanwhile
+// something happens. docs/crossings.md has the list.
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "net_support.h"
+#include "pools/pool.h"
+
+namespace quinceline::test {
+namespace {
+
+using weldflow::Effect;
+using weldflow::HostState;
+
+// Its queue of connections is full until open(): the system drops what would begin another, and the other
+// side tries again a second later. So a connection comes up late, and is never refused.
+class LateHost {
+ public:
+  explicit LateHost(Loop& loop) : loop_(loop), acceptor_(loop.io) {
+    acceptor_.open(tcp::v4());
+    acceptor_.bind(anyPort());
+    acceptor_.listen(0);
+    while (fill()) {
+    }
+  }
+  tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
+  void open() {
+    filled_ = std::exchange(fillers_, {}).size();
+    accept();
+  }
+  // All that was ever said here.
+  std::string heard() const {
+    std::string all;
+    for (const auto& p : peers_) all += p->got;
+    return all;
+  }
+  // Whoever did not come before open() to fill the queue.
+  std::size_t come() const { return peers_.size() - std::min(peers_.size(), filled_); }
+  void answer(const std::string& body) {
+    for (const auto& p : peers_) {
+      if (p->heard("\r\n\r\n")) p->say(answerOf(body));
+    }
+  }
+
+ private:
+  // Whether one more has come up, within the time that loopback never takes.
+  bool fill() {
+    auto socket = std::make_shared<tcp::socket>(loop_.io);
+    bool up = false;
+    socket->async_connect(endpoint(), [&up, socket](error_code ec) { up = !ec; });
+    loop_.io.restart();
+    loop_.io.run_for(std::chrono::milliseconds(100));
+    if (up) fillers_.push_back(socket);
+    if (!up) socket->close();
+    loop_.turn();
+    return up;
+  }
+  void accept() {
+    acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
+      if (ec) return;
+      peers_.push_back(std::make_shared<Peer>(std::move(socket)));
+      peers_.back()->listen();
+      accept();
+    });
+  }
+  Loop& loop_;
+  tcp::acceptor acceptor_;
+  std::vector<std::shared_ptr<tcp::socket>> fillers_;
+  std::vector<std::shared_ptr<Peer>> peers_;
+  std::size_t filled_ = 0;
+};
+
+struct Recorder : PoolSink {
+  void onDispatched(std::int32_t) override { ++dispatched; }
+  void onAnswer(const Taken& request, Answer answer) override {
+    ++answers;
+    last = std::move(answer);
+    static_cast<void>(request);
+  }
+  void onOver(const Taken&) override { ++over; }
+  int dispatched = 0, answers = 0, over = 0;
+  Answer last;
+};
+
+// Classes: 0 safe, 1 unsafe, 2 keyed with a short window.
+weldflow::Settings settings() {
+  weldflow::Settings s;
+  for (const Effect effect : {Effect::Safe, Effect::Unsafe, Effect::Keyed}) {
+    weldflow::RequestClass c;
+    c.aim = c.deadline = 3 * kSecond;
+    c.effect = effect;
+    c.window = 700 * kMillisecond;
+    s.classes.push_back(c);
+  }
+  s.max_attempts = 2;
+  s.may_cancel = false;  // what has begun goes on: it must not begin
+  s.cold_from = 0.3;
+  s.cold_time = 20 * kSecond;
+  s.cold_multiple = 3;
+  return s;
+}
+
+class LateConnection : public ::testing::Test {
+ protected:
+  LateConnection() {
+    Pool::Config config;
+    config.settings = settings();
+    // By it a host that has just started may get nothing at first: the module draws what may come to it at once.
+    config.seed = 3;
+    config.upstream.connect_timeout = 2500 * kMillisecond;
+    pool = std::make_unique<Pool>(loop.io, loop.timers, loop.descriptors, loop.log, zones, sink, config);
+  }
+  static void add(HostList& list, const std::string& id, const tcp::endpoint& at,
+                  HostState state = HostState::Healthy, Time up_since = 0) {
+    weldflow::Host host;
+    host.id = id;
+    host.state = state;
+    host.up_since = up_since;
+    list.hosts.push_back(host);
+    list.endpoints.push_back(at);
+  }
+  HostList onlyLate(HostState state = HostState::Healthy, Time up_since = 0) const {
+    HostList list;
+    add(list, "s-late", late.endpoint(), state, up_since);
+    return list;
+  }
+  void ask(std::int32_t request_class) {
+    Taken t;
+    t.exchange = 1;
+    t.request.head.method = request_class == 0 ? "GET" : "POST";
+    t.request.head.target = "/a/7";
+    t.request.head.forward = "X-Correlation-Id: x\r\n";
+    t.request_class = request_class;
+    t.effect = settings().classes[static_cast<std::size_t>(request_class)].effect;
+    t.deadline = loop.clock.now() + 3 * kSecond;
+    pool->open(std::move(t));
+    loop.turn();  // its connection is under way
+  }
+  // It has come up at last; then whatever would be written is written.
+  void comesUp() {
+    late.open();
+    ASSERT_TRUE(loop.until([&] { return late.come() > 0; }));
+    for (int i = 0; i < 20; ++i) loop.turn();
+  }
+  Loop loop;
+  LateHost late{loop};
+  Host other{loop};
+  Zones zones;
+  Recorder sink;
+  std::unique_ptr<Pool> pool;
+};
+
+TEST_F(LateConnection, NothingHappensMeanwhileAndItIsServed) {
+  pool->start(onlyLate());
+  ask(1);
+  comesUp();
+  ASSERT_TRUE(loop.until([&] { return late.heard().find("\r\n\r\n") != std::string::npos; }));
+  late.answer("served");
+  ASSERT_TRUE(loop.until([&] { return sink.over == 1; }));
+  EXPECT_EQ(sink.last.status, 200);
+}
+
+TEST_F(LateConnection, TheClientLeavesMeanwhileAndNothingIsSent) {
+  pool->start(onlyLate());
+  ask(1);
+  pool->clientGone(1);
+  comesUp();
+  ASSERT_TRUE(loop.until([&] { return sink.over == 1; }));
+  EXPECT_EQ(late.heard(), "");
+  EXPECT_EQ(sink.dispatched, 0);
+  EXPECT_EQ(sink.answers, 0);
+}
+
+TEST_F(LateConnection, TheHostDrainsMeanwhileAndGetsNothing) {
+  pool->start(onlyLate());
+  ask(1);
+  pool->setHosts(onlyLate(HostState::Draining));
+  comesUp();
+  ASSERT_TRUE(loop.until([&] { return sink.over == 1; }));
+  EXPECT_EQ(late.heard(), "");
+  EXPECT_EQ(sink.last.status, 503) << "it never ran: trying again is harmless";
+}
+
+TEST_F(LateConnection, TheHostIsTakenFromTheListMeanwhileAndGetsNothing) {
+  pool->start(onlyLate());
+  ask(1);
+  pool->setHosts({});
+  comesUp();
+  ASSERT_TRUE(loop.until([&] { return sink.over == 1; }));
+  EXPECT_EQ(late.heard(), "");
+  EXPECT_EQ(sink.last.status, 503);
+}
+
+TEST_F(LateConnection, TheHostHasMovedMeanwhileAndIsAskedWhereItIsNow) {
+  pool->start(onlyLate());
+  ask(1);
+  HostList moved;
+  add(moved, "s-late", other.endpoint());
+  pool->setHosts(std::move(moved));
+  comesUp();
+  ASSERT_TRUE(loop.until([&] { return !other.peers.empty() && other.peers[0]->heard("\r\n\r\n"); }));
+  EXPECT_EQ(late.heard(), "") << "whoever is at its old address is not it";
+  other.peers[0]->say(answerOf("moved"));
+  ASSERT_TRUE(loop.until([&] { return sink.over == 1; }));
+  EXPECT_EQ(sink.last.body, "moved");
+}
+
+TEST_F(LateConnection, TheHostStartsAnewMeanwhileAndIsNotSentWhatItsColdShareDoesNotHold) {
+  pool->start(onlyLate());
+  ask(1);
+  pool->setHosts(onlyLate(HostState::Healthy, loop.clock.now()));
+  comesUp();
+  for (int i = 0; i < 20; ++i) loop.turn();
+  EXPECT_EQ(late.heard(), "") << "its share was not spent when it was chosen";
+}
+
+TEST_F(LateConnection, TheWindowOfItsKeyPassesMeanwhileAndItIsNotRepeated) {
+  HostList both;
+  add(both, "s-a", other.endpoint());
+  pool->start(both);
+  ask(2);
+  ASSERT_TRUE(loop.until([&] { return !other.peers.empty() && other.peers[0]->heard("\r\n\r\n"); }));
+  pool->setHosts(onlyLate());
+  other.peers[0]->close();  // it may have run
+  loop.turn();
+  comesUp();  // a second after the first attempt, whose window was 0.7 s
+  ASSERT_TRUE(loop.until([&] { return sink.over == 1; }));
+  EXPECT_EQ(late.heard(), "");
+  EXPECT_EQ(sink.dispatched, 1);
+  EXPECT_NE(sink.last.status, 200);
+}
+
+TEST_F(LateConnection, TheProcessHasToLeaveMeanwhileAndTheRequestHasItsAnswerInTime) {
+  pool->start(onlyLate());
+  ask(1);
+  const Time last = loop.clock.now() + 300 * kMillisecond;
+  pool->endBy(last);
+  ASSERT_TRUE(loop.until([&] { return sink.answers == 1; }));
+  EXPECT_GE(loop.clock.now(), last);
+  late.open();
+  loop.until([&] { return sink.over == 1; });
+  EXPECT_EQ(late.heard(), "");
+  EXPECT_EQ(sink.dispatched, 0);
+}
+
+}  // namespace
+}  // namespace quinceline::test
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "net_support.h"
@@ -16,6 +17,7 @@
   void onAttemptEnd(AttemptId id, AttemptEnd end) override {
     EXPECT_TRUE(ends.emplace(id, std::move(end)).second) << "two reports of attempt " << id;
   }
+  bool mayBegin(AttemptId id) override { return begin_refused.count(id) == 0; }
   void onAttemptWritten(AttemptId id) override {
     EXPECT_EQ(ends.count(id), 0U) << "written after its end: " << id;
     ++written[id];
@@ -26,6 +28,7 @@
   }
   void onProbeEnd(const std::string&, bool, Time, const std::string&) override {}
   std::map<AttemptId, AttemptEnd> ends;
+  std::set<AttemptId> begin_refused;
   std::map<AttemptId, int> written;
   std::map<AttemptId, LongAnswer> begun;
 };
