One clock for the list: known within 6 s of discovery being reachable, older words passed over

Now: silence 4.3 s to the millisecond, then 0 to 0.7 s; a call that failed is made again after 0.6 to 2 s, whatever ask_within; an agent's call has 0.3 s and is made again after 0.05 s. The longest ways are added up in net/discovery.h and held by ListClock and Discovery tests. An older line of a watch is passed over; a new watch that begins with an older list is asked for all there is once, and that is taken.

tests/list_watch_test.cpp: reset just before a drain, unanswered calls, a head without a line, half a line, 503, older words; six of its tests fail with the old waits and without the look at revisions.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -99,7 +99,13 @@
         fail(std::string("a list is malformed: ") + e.what());
         return false;
       }
+      if (!isNews(list)) {
+        if (told_ || !list.full) continue;
+        fail("an older list than the one we have");
+        return false;
+      }
       told_ = true;
+      revision_ = list.revision;
       if (owner_->watch_.get() == this) {
         owner_->revision_ = list.revision;
         if (const auto former = std::exchange(owner_->former_, nullptr)) former->stop();
@@ -111,15 +117,24 @@
     return true;
   }
 
+  // An older word after a newer one is late, not news: a host that drains would be in use again. Where a new
+  // call begins so, discovery may have lost what it knew: then it is asked for all it has, and that is taken.
+  bool isNews(const HostList& list) {
+    if (list.revision >= std::max(revision_, owner_->watch_.get() == this ? owner_->revision_ : 0))
+      return true;
+    if (!told_ && list.full) owner_->revision_ = 0;
+    return false;
+  }
+
+  Time silentAt() const {
+    const Limits& limits = owner_->limits_;
+    return heard_ + (!connected_ ? limits.connect : told_ ? limits.silence : limits.first_line);
+  }
   void lookAfter() {
-    owner_->timers_.after(250 * kMillisecond, [weak = weak_from_this()] {
+    owner_->timers_.at(silentAt(), [weak = weak_from_this()] {
       const auto self = weak.lock();
       if (!self || self->owner_ == nullptr) return;
-      const Limits& limits = self->owner_->limits_;
-      const Time limit = !self->connected_ ? limits.connect
-                         : self->told_     ? limits.silence
-                                           : limits.first_line;
-      if (self->owner_->timers_.clock().now() - self->heard_ > limit) return self->fail("silent");
+      if (self->owner_->timers_.clock().now() >= self->silentAt()) return self->fail("silent");
       self->lookAfter();
     });
   }
@@ -144,9 +159,16 @@
   ReadBuffer in_;
   ResponseParser parser_{std::nullopt};
   Time heard_ = 0;
+  std::uint64_t revision_ = 0;  // of the last line
   bool connected_ = false, told_ = false;
 };
 
+Discovery::Limits Discovery::agentLimits() {
+  Limits limits;
+  limits.connect = limits.first_line = 300 * kMillisecond;
+  return limits;
+}
+
 Discovery::Discovery(asio::io_context& io, Timers& timers, Zones& zones, DiscoverySink& sink,
                      const Endpoint& endpoint, std::uint64_t revision, Limits limits)
     : io_(io),
--- a/src/net/include/net/discovery.h
+++ b/src/net/include/net/discovery.h
@@ -24,14 +24,22 @@
 
 class Discovery {
  public:
+  // One clock: a change counts as told 6 s after discovery had it and could be reached, whatever was tried
+  // before. The longest ways there, with the module's waits (decision/balancer.cpp):
+  //   a watch that falls silent      silence 4.3 + wait 0.7 + the answer to the next call, up to 1   = 6.0 s
+  //   a call that is never answered  first_line 2.5 + wait 2.0 + the answer, up to 1                 = 5.5 s
+  //   a connection that never comes  connect 1.0 + wait 2.0 + the answer, up to 1                    = 4.0 s
   struct Limits {
     Time connect = kSecond;
     // A call waits its turn at discovery, which ends it itself after a second or so; that is not silence.
     Time first_line = 2500 * kMillisecond;
-    // Two heartbeats (one every 2 s) that are missing, and a little more. What discovery has to tell counts
-    // as told 6 s later at the latest: by then the watch must have been given up and asked for again.
-    Time silence = 4500 * kMillisecond;
+    // Two heartbeats (one every 2 s) that are missing, and a little more.
+    Time silence = 4300 * kMillisecond;
   };
+  // Where lists are pushed an agent on our own machine answers at once and at no cost, and what it has counts
+  // as told though we have not asked: a call that it leaves unanswered is made again at once.
+  static Limits agentLimits();
+  static constexpr Time kAgentAgain = 50 * kMillisecond;
 
   Discovery(boost::asio::io_context& io, Timers& timers, Zones& zones, DiscoverySink& sink,
             const Endpoint& endpoint, std::uint64_t revision, Limits limits);
