A client that left before its request was read, or behind much that it sent, is noticed

Read line by line: server.cpp handed on each request it had read whole, though its client's end might be there already (a queue of connections, a process not scheduled for a while), and noticed a client that leaves only by reading, which stops at 4 KiB of what comes behind a waiting request. On a kept connection the attempt began in the same turn. It asks the socket (POLLRDHUP) before it hands on, and every 20 ms where nothing is read.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -1,6 +1,7 @@
 #include "net/server.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -31,6 +32,7 @@
 constexpr Time kHostMayRest = 10 * kSecond;       // between pieces of a long answer: the host's side ends it
 constexpr Time kSweep = 100 * kMillisecond;       // how often connections are looked at for what is overdue
 constexpr Time kAcceptAgain = 20 * kMillisecond;  // after the system or the budget had no descriptor
+constexpr Time kLookForEnd = 20 * kMillisecond;   // while nothing is read of what a waiting client sends
 constexpr int kAcceptBatch = 64;                  // connections taken before others have their turn
 
 std::string_view reasonOf(int status) {
@@ -75,6 +77,12 @@
   return static_cast<Time>(info.tcpi_last_data_recv) * kMillisecond;
 }
 
+// The other side has ended its sending, or all of it, whatever of what it sent is still unread.
+bool hungUp(int fd) {
+  pollfd p{.fd = fd, .events = POLLRDHUP, .revents = 0};
+  return ::poll(&p, 1, 0) == 1 && (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 admission::PeerAddress addressOf(const asio::ip::tcp::socket& socket) {
   error_code ec;
   const asio::ip::address address = socket.remote_endpoint(ec).address();
@@ -297,7 +305,17 @@
       return parse();
     }
     // A further request before this one's answer: it waits, and so do we beyond a bound.
-    if (in_.size() < kReadAhead) armRead();
+    in_.size() < kReadAhead ? armRead() : lookForEnd();
+  }
+
+  // Nothing more is read, yet a client that leaves is to be noticed.
+  void lookForEnd() {
+    if (state_ != State::Waiting) return;
+    if (hungUp(socket_.native_handle())) return onReadEnd(asio::error::eof);
+    server_.timers_.after(kLookForEnd, [weak = weak_from_this(), exchange = exchange_] {
+      const auto self = weak.lock();
+      if (self && self->exchange_ == exchange) self->lookForEnd();
+    });
   }
 
   void onReadEnd(error_code ec) {
@@ -466,7 +484,12 @@
     parser_.reset();
     exchange_ = server_.next_exchange_++;
     server_.exchanges_.emplace(exchange_, this);
-    armRead();  // the only way to see a client leave while it waits
+    // It may have left while its request stood in a queue of the system's: then nothing is sent for it.
+    if (hungUp(socket_.native_handle())) {
+      server_.exchanges_.erase(exchange_);
+      return refuse(503);
+    }
+    in_.size() < kReadAhead ? armRead() : lookForEnd();  // to see a client leave while it waits
     server_.sink_.onRequest(exchange_, std::move(request));
   }
 
