A connection at rest is ended by half-close and a bounded wait, not closed at once

Read line by line: overdue() and closeIdle() looked whether input waits and closed then; a request that came between the two met a reset, and an answer that its client had not read yet could go with it. Now our sending ends, what comes is read and forgotten for a second at most, then it closes (RFC 9112, 9.6). What must make room at once is closed as before, after the same look.

--- a/src/net/include/net/server.h
+++ b/src/net/include/net/server.h
@@ -96,7 +96,9 @@
   void acceptBatch();
   bool takePlace();
   template <typename Choose>
-  bool closeChosen(Choose choose, std::optional<Cause> why = std::nullopt);
+  std::shared_ptr<Connection> chosen(Choose choose, Cause* why = nullptr);
+  template <typename Choose>
+  bool closeChosen(Choose choose);
   std::shared_ptr<Connection> admit(Socket socket);
   void remove(ConnectionId connection, Cause cause);
   void sweep();
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -33,6 +33,7 @@
 constexpr Time kSweep = 100 * kMillisecond;       // how often connections are looked at for what is overdue
 constexpr Time kAcceptAgain = 20 * kMillisecond;  // after the system or the budget had no descriptor
 constexpr Time kLookForEnd = 20 * kMillisecond;   // while nothing is read of what a waiting client sends
+constexpr Time kRetired = kSecond;                // a client at rest has to close in turn
 constexpr int kAcceptBatch = 64;                  // connections taken before others have their turn
 
 std::string_view reasonOf(int status) {
@@ -205,6 +206,7 @@
   void overdue(Cause cause) {
     if (resting_ && inputWaits())
       return server_.gate_.notYet(server_.now(), id_);  // its reading is under way
+    if (resting_ && cause == Cause::IdleOverdue) return retire(cause);
     if (resting_ || state_ != State::Reading) return close(cause);
     abandonUpload();
     if (state_ == State::Closed) return;
@@ -212,6 +214,15 @@
     cause_ = waits_for_room_ ? Cause::BodyMemory : cause;
   }
 
+  // At rest and not wanted any more: its client hears of it by the end of our sending. To close now would
+  // reset the connection where a request is on its way, and what we sent last might go with it.
+  void retire(Cause cause) {
+    cause_ = cause;
+    resting_ = false;
+    linger();
+    if (state_ != State::Closed) server_.gate_.extend(id_, server_.now() + kRetired);
+  }
+
   // Gives its socket away where nothing has been read of a request. What waits in the kernel goes with it.
   void handOn() {
     if (!resting_ || state_ != State::Reading || in_.size() > 0) return;
@@ -731,18 +742,27 @@
   return closeChosen([&] { return gate_.makeRoom(now(), rested); });
 }
 
+// What is chosen but has input waiting is passed over: its reading is under way.
 template <typename Choose>
-bool Server::closeChosen(Choose choose, std::optional<Cause> why) {
+std::shared_ptr<Server::Connection> Server::chosen(Choose choose, Cause* why) {
   while (const auto victim = choose()) {
     const std::shared_ptr<Connection> connection = connections_.at(victim->id);
-    if (connection->inputWaits()) {
-      gate_.notYet(now(), victim->id);
-      continue;
+    if (!connection->inputWaits()) {
+      if (why != nullptr) *why = victim->cause;
+      return connection;
     }
-    connection->close(why.value_or(victim->cause));
-    return true;
+    gate_.notYet(now(), victim->id);
   }
-  return false;
+  return nullptr;
+}
+
+// At once: its place is wanted.
+template <typename Choose>
+bool Server::closeChosen(Choose choose) {
+  Cause why = Cause::None;
+  const auto connection = chosen(choose, &why);
+  if (connection) connection->close(why);
+  return connection != nullptr;
 }
 
 void Server::sweep() {
@@ -770,8 +790,8 @@
 void Server::drain(bool on) { draining_ = on; }
 
 void Server::closeIdle(Time rested) {
-  while (closeChosen([&] { return gate_.makeRoom(now(), rested); }, Cause::Shutdown)) {
-  }
+  while (const auto resting = chosen([&] { return gate_.makeRoom(now(), rested); }))
+    resting->retire(Cause::Shutdown);
 }
 
 void Server::stopListening() {
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -112,5 +112,27 @@
       [&] { return std::all_of(silent.begin(), silent.end(), [](const auto& s) { return s->ended; }); }));
 }
 
+// What it says in that moment is read and forgotten: it hears the end of our sending, no reset, and asks
+// again elsewhere. One that does not close in turn does not stay for long.
+TEST_F(ServerTest, AConnectionThatRestedTooLongIsEndedWithoutAReset) {
+  limits.connections.idle = 300 * kMillisecond;
+  serve();
+  const auto closes = client(), stays = client();
+  for (const auto& c : {closes, stays}) c->say("GET /a HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(loop.until([&] { return closes->heard("served") && stays->heard("served"); }));
+  ASSERT_TRUE(loop.until([&] { return closes->ended && stays->ended; }));
+  for (int n = 2; n <= 3; ++n) {
+    closes->say("GET /crossing HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(loop.until([&] { return closes->said + closes->failed == n; }));
+  }
+  EXPECT_EQ(closes->failed, 0);
+  EXPECT_FALSE(closes->reset);
+  EXPECT_EQ(server->connections(), 2U);
+  closes->close();
+  ASSERT_TRUE(loop.until([&] { return server->connections() == 1; }));
+  ASSERT_TRUE(loop.until([&] { return server->connections() == 0; }));
+  EXPECT_EQ(taken.requests, (std::vector<std::string>{"/a", "/a"}));
+}
+
 }  // namespace
 }  // namespace quinceline::test
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -112,8 +112,13 @@
   terminate();
   ASSERT_TRUE(loop.until([&] { return resting->ended; }));
   EXPECT_FALSE(resting->reset);
-  // It has not noticed yet: this crosses the end.
-  resting->say(request("crossing"));
+  // It has not noticed yet: this crosses the end. A reset would come between the two.
+  for (const char* id : {"crossing", "crossing-too"}) {
+    resting->say(request(id));
+    ASSERT_TRUE(loop.until([&] { return resting->said + resting->failed == (id[8] == 0 ? 2 : 3); }));
+  }
+  EXPECT_EQ(resting->failed, 0);
+  resting->close();
   ASSERT_TRUE(ended());
   EXPECT_EQ(status, 0);
   for (const auto& p : host.peers) EXPECT_FALSE(p->heard("crossing"));
