--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -45,6 +45,7 @@
   struct Shape {
     std::uint32_t clients = 48, hosts = 40;
     double rate = 10;      // requests a second of each client
+    double hot = 1;        // times that, of every tenth client
     Time work = 85 * kMs;  // mean, on one core of a warm host
     int cores = 2;
     std::size_t connections = 1000;  // that a host holds
@@ -247,7 +248,8 @@
   }
 
   void arrive(std::uint32_t number) {
-    at(now_ + drawn(1e6 / shape_.rate), [this, number] {
+    const double rate = shape_.rate * (number % 10 == 0 ? shape_.hot : 1);
+    at(now_ + drawn(1e6 / rate), [this, number] {
       Client& c = clients_[number];
       Request r;
       r.id = ++asked_;
--- a/tests/herd_test.cpp
+++ b/tests/herd_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <cmath>
+#include <ostream>
 
 #include "fleet_model.h"
 
@@ -99,5 +100,69 @@
 INSTANTIATE_TEST_SUITE_P(Fleets, Herd, ::testing::Values(shapeOf(48, 40, 10), shapeOf(300, 190, 7.5)),
                          [](const auto& p) { return "Of" + std::to_string(p.param.clients); });
 
+// Whatever a cold host gets beyond the calls that its budget holds, all but 2 x their root + 2 is no chance.
+// The budget follows from the settings alone, and so does the bound: each client lets its own ordinary share
+// of a cold host's capacity through, and what it may save up is drawn evenly from one call's worth at the
+// start, so that many clients begin as a stream and not with a burst.
+struct ColdFleet {
+  std::uint32_t clients, hosts;
+  double load, hot;            // of what all hosts can do; times the ordinary rate, of every tenth client
+  double cold_from, multiple;  // as the settings say
+  Time cold_time, window;
+};
+
+void PrintTo(const ColdFleet& f, std::ostream* out) {
+  *out << f.clients << " clients, " << f.hosts << " hosts";
+}
+
+class ColdHosts : public ::testing::TestWithParam<ColdFleet> {};
+
+TEST_P(ColdHosts, AreSentNoMoreThanTheirBudgetAndChanceByAllClientsTogether) {
+  const ColdFleet& f = GetParam();
+  Settings s = fleetSettings();
+  s.cold_from = f.cold_from, s.cold_multiple = f.multiple, s.cold_time = f.cold_time,
+  s.cold_window = f.window;
+  std::uint32_t sent = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    FleetModel::Shape shape;
+    shape.clients = f.clients, shape.hosts = f.hosts, shape.hot = f.hot;
+    const double every = f.load * f.hosts * shape.cores / (static_cast<double>(shape.work) / 1e6);
+    shape.rate = every / (f.clients * (0.9 + 0.1 * f.hot));
+    FleetModel fleet(shape, s, seed);
+    const Time start = fleet.now();
+    fleet.runFor(15 * kSec);
+    const Time cold = fleet.now() - start;
+    fleet.addColdHosts(2);
+    fleet.runFor(f.window);
+    fleet.restartClients(0.3);  // some begin anew meanwhile, and know what has just started
+    fleet.runFor(3 * f.window);
+    for (std::size_t h = f.hosts; h < fleet.hosts().size(); ++h) {
+      const auto& host = fleet.hosts()[h];
+      sent += host.sends.all();
+      for (int w = 0; w < 4; ++w) {
+        const double age = static_cast<double>(w * f.window) / static_cast<double>(f.cold_time);
+        const double part = f.cold_from + (1 - f.cold_from) * std::min(1.0, age);
+        const double budget = f.multiple * part * fleet.capacity(f.window);
+        EXPECT_LE(host.sends.between(cold + w * f.window, cold + (w + 1) * f.window),
+                  budget + 2 * std::sqrt(budget) + 2)
+            << "seed " << seed << ", " << host.listed.id << ", window " << w;
+      }
+    }
+  }
+  EXPECT_GT(sent, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, ColdHosts,
+                         ::testing::Values(ColdFleet{20, 8, 0.7, 1, 0.32, 3, 8900 * kMs, 2 * kSec},
+                                           ColdFleet{24, 10, 0.9, 8, 0.32, 3, 8900 * kMs, 2 * kSec},
+                                           ColdFleet{30, 12, 0.9, 1, 0.12, 4, 22 * kSec, 2 * kSec},
+                                           ColdFleet{30, 6, 0.8, 5, 0.1, 2, 25 * kSec, 3 * kSec},
+                                           ColdFleet{28, 20, 0.95, 3, 0.25, 2.5, 12 * kSec, 1500 * kMs},
+                                           ColdFleet{300, 40, 0.9, 4, 0.32, 3, 8900 * kMs, 2 * kSec}),
+                         [](const auto& p) {
+                           return "Of" + std::to_string(p.param.clients) + "At" +
+                                  std::to_string(p.param.hosts);
+                         });
+
 }  // namespace
 }  // namespace weldflow::test
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -100,6 +100,30 @@
   EXPECT_EQ(status, 0);
 }
 
+// Two in one breath: the answer to the first closes the connection, and the second was never taken.
+TEST_F(Shutdown, WhatStandsBehindARequestThatIsAnsweredAfterSigtermIsNeverSentOn) {
+  start(2 * kSecond);
+  const auto c = Peer::connect(loop, listen);
+  c->say(request("first") + request("behind"));
+  ASSERT_TRUE(loop.until([&] { return host.peers.size() == 1 && host.peers[0]->heard("first"); }));
+  terminate();
+  // The signal is taken before the answer: it is at work on what comes after it.
+  const auto late = Peer::connect(loop, listen);
+  late->say(request("late"));
+  ASSERT_TRUE(loop.until([&] { return host.peers.size() == 2 && host.peers[1]->heard("late"); }));
+  host.peers[1]->say(answerOf("two"));
+  ASSERT_TRUE(loop.until([&] { return late->ended; }));
+  host.peers[0]->say(answerOf("one"));
+  ASSERT_TRUE(loop.until([&] { return c->ended; }));
+  EXPECT_TRUE(c->heard("one") && c->heard("Connection: close"));
+  EXPECT_FALSE(c->reset);
+  c->close();
+  late->close();
+  ASSERT_TRUE(ended());
+  EXPECT_EQ(status, 0);
+  for (const auto& p : host.peers) EXPECT_FALSE(p->heard("behind"));
+}
+
 // Whoever rests is told so by the end of our sending, never by a reset, and what it says then reaches no
 // host.
 TEST_F(Shutdown, AConnectionAtRestIsEndedAndWhatComesInThatMomentIsNeverSentOn) {
