--- a/src/front/proxy.cpp
+++ b/src/front/proxy.cpp
@@ -2,12 +2,11 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
 #include <utility>
 
-#include "console/console_server.h"
+#include "limits.h"
 #include "net/head_rules.h"
 
 namespace quinceline {
@@ -17,167 +16,15 @@
 using admission::Cause;
 using weldflow::Effect;
 
-// Descriptors that are neither a client's nor a host's: standard streams, the loop's own, the listener,
-// signals, discovery, and some to spare.
-constexpr std::size_t kOwnDescriptors = 24;
-// The console's: its connections, its listener, and one that is about to make room for another.
-constexpr std::size_t kConsoleDescriptors = console::ConsoleServer::kMostConnections + 2;
-constexpr std::size_t kMegabyte = 1024 * 1024;
-
-// Clients' own repeats that may be open whatever else is: what a few failing hosts lead to.
-constexpr std::size_t kLeastRetries = 64;
 constexpr std::size_t kRequestCost = 1024;       // bytes that an open request holds beside its head and body
 constexpr Time kLongestUpload = 3600 * kSecond;  // its pace is the server's to watch
-constexpr Time kLongestKept = 60 * kSecond;      // what may have run is remembered for, whatever classes say
 constexpr Time kSummary = 10 * kSecond;          // between two lines on what was turned away
 
 // A connection without an open request may be closed after this, says the protocol's later page.
 constexpr Time kMayBeClosed = 2 * kSecond;
 
-// Never more than a second.
-Time shortestAim(const weldflow::Settings& settings) {
-  Time aim = kSecond;
-  for (const weldflow::RequestClass& c : settings.classes) aim = std::min(aim, c.aim);
-  return aim;
-}
-
-Time longestDeadline(const weldflow::Settings& settings) {
-  Time longest = 0;
-  for (const weldflow::RequestClass& c : settings.classes) longest = std::max(longest, c.deadline);
-  return longest;
-}
-
-Server::Limits serverLimits(const Config& config, std::size_t descriptors) {
-  Server::Limits limits;
-  limits.body_bytes = std::max<std::size_t>(config.memory_mb * kMegabyte / 4, kMostBody);
-  limits.connections.most = descriptors;  // fewer where hosts use their share
-  limits.connections.overflow = std::max<std::size_t>(descriptors / 16, 4);
-  limits.connections.kept = config.own.idle_kept.value_or(std::max<std::size_t>(descriptors / 24, 8));
-  limits.connections.most = config.own.connections.value_or(limits.connections.most);
-  limits.connections.per_peer = config.own.connections_per_address.value_or(0);
-  limits.connections.silent = config.own.first_byte.value_or(limits.connections.silent);
-  limits.connections.request = config.own.request.value_or(limits.connections.request);
-  limits.connections.idle = config.own.idle.value_or(limits.connections.idle);
-  limits.connections.write = config.own.write.value_or(limits.connections.write);
-  limits.connections.linger = config.own.linger.value_or(limits.connections.linger);
-  return limits;
-}
-
-// Shares by name, in the order of `names`; `shares` are in the order of `of`.
-std::vector<admission::RequestGate::Share> sharesOf(
-    const std::vector<std::string>& names, const std::vector<std::string>& of,
-    const std::vector<admission::RequestGate::Share>& shares) {
-  std::vector<admission::RequestGate::Share> out;
-  if (shares.empty()) return out;
-  for (const std::string& name : names) {
-    const auto it = std::find(of.begin(), of.end(), name);
-    out.push_back(it == of.end() ? admission::RequestGate::Share{}
-                                 : shares[static_cast<std::size_t>(it - of.begin())]);
-  }
-  return out;
-}
-
-// Classes and tenants in the configuration's order.
-admission::RequestGate::Limits requestLimits(const Config& config) {
-  const OperatorSettings& own = config.own;
-  const weldflow::Settings& settings = config.site.settings;
-  admission::RequestGate::Limits limits;
-  limits.open = own.open.value_or(static_cast<std::size_t>(config.site.max_open));
-  limits.bytes = std::max<std::size_t>(config.memory_mb * kMegabyte / 2, kMostBody);
-  limits.waiting = own.waiting.value_or(limits.open / 8);
-  limits.classes = own.classes;
-  limits.classes.resize(settings.classes.size());
-  limits.tenants = own.tenants;
-  if (limits.tenants.empty()) {
-    for (const weldflow::Tenant& t : settings.tenants)
-      limits.tenants.push_back({.weight = std::max(t.fraction, 0.01)});
-  }
-  limits.retries_least = own.retries_least.value_or(kLeastRetries);
-  limits.retries_part = own.retries_part.value_or(1);
-  if (settings.retry_after) {
-    limits.advice_least = shortestAim(settings) / 8;
-    limits.advice_most = settings.max_retry_after;
-  }
-  return limits;
-}
-
-// No client repeats later than its class's deadline, and no host drops repeats for longer than its window.
-admission::Repeats::Limits repeatLimits(const Config& config) {
-  admission::Repeats::Limits limits;
-  limits.kept = 0;
-  for (const weldflow::RequestClass& c : config.site.settings.classes)
-    limits.kept = std::max({limits.kept, c.deadline, c.effect == Effect::Keyed ? 2 * c.window : 0});
-  limits.kept = std::min(limits.kept, kLongestKept);
-  limits.bytes = config.memory_mb * kMegabyte / 128;
-  return limits;
-}
-
-Upstream::Limits upstreamLimits(const Config& config) {
-  Upstream::Limits limits;
-  limits.idle = config.site.idle;
-  limits.probe_load = config.site.reports;
-  // Answers are small and written at once; what stops half-way is worth a part of the aim at most.
-  const Time aim = shortestAim(config.site.settings);
-  limits.answer_whole = std::max(aim / 4, 20 * kMillisecond);
-  // A machine that has vanished must leave time for another; hosts are never far away.
-  limits.connect_timeout = std::min(config.site.connect_timeout, std::max(aim / 4, 20 * kMillisecond));
-  limits.idle = config.own.upstream_idle.value_or(limits.idle);
-  limits.probe_timeout = config.own.probe_timeout.value_or(limits.probe_timeout);
-  limits.answer_whole = config.own.answer.value_or(limits.answer_whole);
-  limits.connect_timeout = config.own.connect.value_or(limits.connect_timeout);
-  return limits;
-}
-
-std::size_t budgetOf(const Config& config) {
-  const std::size_t own = kOwnDescriptors + (config.console ? kConsoleDescriptors : 0);
-  return config.sockets > 2 * own ? config.sockets - own : own;
-}
-
 }  // namespace
 
-void Proxy::Known::assign(const Config& config) {
-  const weldflow::Settings& settings = config.site.settings;
-  admission::Indices<weldflow::RequestClass>::Named classes_now;
-  for (std::size_t i = 0; i < config.site.classes.size(); ++i) {
-    classes_now.emplace_back(config.site.classes[i], settings.classes[i]);
-    // As many attempts as when it came, also after a reload that says otherwise.
-    std::int32_t& attempts = classes_now.back().second.max_attempts;
-    if (attempts == 0) attempts = settings.max_attempts;
-  }
-  classes.assign(classes_now);
-  admission::Indices<TenantInfo>::Named tenants_now;
-  for (const std::string& name : config.site.tenants) tenants_now.emplace_back(name, TenantInfo{});
-  tenants.assign(tenants_now);
-}
-
-// By number. One that no name means any more is what it was, for the requests that came under it.
-weldflow::Settings Proxy::Known::settings(const Config& config) const {
-  weldflow::Settings s = config.site.settings;
-  s.classes.clear();
-  for (std::size_t i = 0; i < classes.size(); ++i)
-    s.classes.push_back(classes.at(static_cast<std::int32_t>(i)));
-  s.tenants.assign(tenants.size(), {});
-  for (std::size_t i = 0; i < config.site.tenants.size(); ++i) {
-    if (const auto number = tenants.find(config.site.tenants[i]))
-      s.tenants[static_cast<std::size_t>(*number)] = config.site.settings.tenants[i];
-  }
-  return s;
-}
-
-admission::RequestGate::Limits Proxy::Known::limits(const Config& config) const {
-  admission::RequestGate::Limits limits = requestLimits(config);
-  const auto byNumber = [](const auto& indices, const std::vector<std::string>& names, const auto& shares) {
-    std::vector<admission::RequestGate::Share> out(indices.size());
-    for (std::size_t i = 0; i < std::min(names.size(), shares.size()); ++i) {
-      if (const auto number = indices.find(names[i])) out[static_cast<std::size_t>(*number)] = shares[i];
-    }
-    return out;
-  };
-  limits.classes = byNumber(classes, config.site.classes, limits.classes);
-  limits.tenants = byNumber(tenants, config.site.tenants, limits.tenants);
-  return limits;
-}
-
 Pool::Config Proxy::poolConfig(const Config& config, weldflow::Settings settings) {
   Pool::Config pool;
   pool.settings = std::move(settings);
@@ -223,47 +70,6 @@
   pool_.start(std::exchange(config_.known, {}));
 }
 
-// ---- one process after another ----
-
-void Proxy::start(const handover::State& state) {
-  HostList known = std::exchange(config_.known, {});
-  if (!state.hosts.empty()) {
-    try {
-      known = parseHostList(state.hosts, config_.zones, BadEntry::PassOver);
-    } catch (const std::runtime_error& e) {
-      log_.line(std::string("the list of the process before this one is not used: ") + e.what(),
-                LogLevel::Warning);
-    }
-  }
-  repeats_.recall(clock_.now(), state.tried);
-  pool_.start(std::move(known), state.servers);
-  if (state.drained) drainClients();
-  listen();
-}
-
-handover::State Proxy::state() const {
-  handover::State state;
-  state.hosts = formatHostList(pool_.hosts(), config_.zones);
-  state.servers = pool_.remember();
-  state.drained = drained();
-  state.tried = repeats_.remember(clock_.now());
-  return state;
-}
-
-void Proxy::handOn(handover::Successor successor) {
-  successor_ = std::move(successor);
-  if (successor_.tell) {  // before any client can repeat something there
-    if (const auto tried = repeats_.remember(clock_.now()); !tried.empty()) successor_.tell(tried);
-    successor_.tell({});  // that was all
-  }
-  live([this](lifecycle::Steps& steps) { life_.onHandOn(steps); });
-}
-
-void Proxy::takeBack() {
-  successor_ = {};
-  live([this](lifecycle::Steps& steps) { life_.onTakeBack(steps); });
-}
-
 std::size_t Proxy::descriptorsHeld() const { return descriptors_.used() + kOwnDescriptors; }
 
 void Proxy::otherHolds(std::size_t descriptors) {
@@ -472,147 +278,6 @@
   timers_.after(kSummary, [this] { summarize(); });
 }
 
-std::string Proxy::admissionReport() {
-  using nlohmann::json;
-  const admission::ConnectionGate& c = server_.gate();
-  const auto bound = [](std::size_t n) { return n == admission::kNoBound ? json() : json(n); };
-  json closed = json::object(), refused = json::object();
-  const auto named = [](const auto& indices, std::size_t i) {
-    return i < indices.size() ? indices.name(i) : "other";
-  };
-  for (std::size_t i = 1; i < admission::kCauses; ++i) {
-    const auto cause = static_cast<Cause>(i);
-    const std::string name(admission::nameOf(cause));
-    if (c.closed()[i] > 0) closed[name] = c.closed()[i];
-    for (std::size_t k = 0; k < ledger_.classes(); ++k) {
-      for (std::size_t t = 0; t < ledger_.tenants(); ++t) {
-        const auto n = ledger_.count(cause, k, t);
-        if (n == 0) continue;
-        json& cell = refused[name][named(known_.classes, k)][named(known_.tenants, t)];
-        cell = n + (cell.is_number() ? cell.get<std::uint64_t>() : 0);  // a name may have had several numbers
-      }
-    }
-  }
-  const auto side = [&](Side s) {
-    return json{{"used", descriptors_.used(s)}, {"most", descriptors_.most(s)}};
-  };
-  const auto& limits = requests_.limits();
-  const json report = {
-      {"name", config_.name},
-      {"connections",
-       {{"open", c.connections()},
-        {"silent", c.silent()},
-        {"idle", c.idle()},
-        {"busy", c.busy()},
-        {"addresses", c.peers()},
-        {"most", c.limits().most},
-        {"accepted", c.accepted()},
-        {"reused_part", c.reuse().reusedPart()},
-        {"kept_sparingly", c.reuse().frugal()},
-        {"closed", closed}}},
-      {"descriptors",
-       {{"all", descriptors_.limit()}, {"clients", side(Side::Clients)}, {"hosts", side(Side::Hosts)}}},
-      {"requests",
-       {{"open", requests_.open()},
-        {"waiting", requests_.waiting()},
-        {"bytes", requests_.bytes()},
-        {"repeats", requests_.retries()},
-        {"most_open", bound(limits.open)},
-        {"most_waiting", bound(limits.waiting)},
-        {"most_bytes", bound(limits.bytes)},
-        {"admitted", ledger_.total(Cause::None)},
-        {"refused", refused}}}};
-  return report.dump(2);
-}
-
-std::string Proxy::stats() const {
-  figures::Page page;
-  for (std::size_t i = 0; i < known_.classes.size(); ++i)
-    page.classes.push_back({known_.classes.name(i), counts_.of(i)});
-  const weldflow::Standing hosts = pool_.standing();
-  page.concurrent = server_.openRequests();
-  page.targets = hosts.listed;
-  page.targets_disabled = hosts.avoided;
-  return figures::textOf(page);
-}
-
-// ---- the life cycle ----
-
-template <typename Event>
-void Proxy::live(Event event) {
-  lifecycle::Steps steps;
-  event(steps);
-  for (const lifecycle::Step& step : steps) carryOut(step);
-  awaitLife();
-}
-
-void Proxy::carryOut(const lifecycle::Step& step) {
-  using Kind = lifecycle::Step::Kind;
-  switch (step.kind) {
-    case Kind::SendAway:
-      return server_.drain(true);
-    case Kind::Keep:
-      return server_.drain(false);
-    case Kind::CloseIdle:
-      return server_.closeIdle(step.rested);
-    case Kind::GiveAway:
-      pool_.keepConnections(false);
-      return server_.handOn(successor_.give);
-    case Kind::TakeBack:
-      pool_.keepConnections(true);
-      return server_.keepAll();
-    case Kind::StopListening:
-      return server_.stopListening();
-    case Kind::AnswerAll:
-      return answerAll(step.by);
-    case Kind::Leave:
-      return done_();
-  }
-}
-
-// Whoever waits for a place by then does not get one any more.
-void Proxy::answerAll(Time by) {
-  last_ = by;
-  pool_.endBy(by);
-  timers_.at(by, [this] {
-    std::vector<admission::Refusal> left;
-    for (const auto& [id, held] : waiting_) left.push_back({id, Cause::Shutdown});
-    for (const admission::Refusal& r : left) requests_.release(clock_.now(), r.id);
-    refuseWaiting(left);
-  });
-}
-
-// As for places: a new timer only where something is due earlier than any that is set.
-void Proxy::awaitLife() {
-  const Time due = life_.due();
-  if (due >= life_due_) return;
-  life_due_ = due;
-  timers_.at(due, [this, due] {
-    if (life_due_ == due) life_due_ = kNever;
-    live([this](lifecycle::Steps& steps) { life_.onTime(clock_.now(), clientsHere(), steps); });
-  });
-}
-
-void Proxy::drainClients() {
-  live([this](lifecycle::Steps& steps) {
-    if (life_.onDrain(clock_.now(), steps)) log_.line("draining clients, by hand");
-  });
-}
-
-void Proxy::takeClients() {
-  live([this](lifecycle::Steps& steps) {
-    if (life_.onUndrain(steps)) log_.line("taking clients again, by hand");
-  });
-}
-
-void Proxy::shutdown(std::function<void()> done) {
-  live([&](lifecycle::Steps& steps) {
-    if (!life_.onEnd(clock_.now(), steps)) return;
-    done_ = std::move(done);
-    log_.line("shutting down");
-  });
-}
-
 // ---- requests that were let in ----
 
 void Proxy::open(const admission::Ask& ask, ClientRequest request, const ClassInfo& info,
--- /dev/null
+++ b/src/front/proxy_life.cpp
@@ -0,0 +1,127 @@
+// The front's life: it begins, drains, is handed on, ends. src/lifecycle says when.
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "front/proxy.h"
+
+namespace quinceline {
+
+using admission::Cause;
+
+template <typename Event>
+void Proxy::live(Event event) {
+  lifecycle::Steps steps;
+  event(steps);
+  for (const lifecycle::Step& step : steps) carryOut(step);
+  awaitLife();
+}
+
+void Proxy::start(const handover::State& state) {
+  HostList known = std::exchange(config_.known, {});
+  if (!state.hosts.empty()) {
+    try {
+      known = parseHostList(state.hosts, config_.zones, BadEntry::PassOver);
+    } catch (const std::runtime_error& e) {
+      log_.line(std::string("the list of the process before this one is not used: ") + e.what(),
+                LogLevel::Warning);
+    }
+  }
+  repeats_.recall(clock_.now(), state.tried);
+  pool_.start(std::move(known), state.servers);
+  if (state.drained) drainClients();
+  listen();
+}
+
+handover::State Proxy::state() const {
+  handover::State state;
+  state.hosts = formatHostList(pool_.hosts(), config_.zones);
+  state.servers = pool_.remember();
+  state.drained = drained();
+  state.tried = repeats_.remember(clock_.now());
+  return state;
+}
+
+void Proxy::handOn(handover::Successor successor) {
+  successor_ = std::move(successor);
+  if (successor_.tell) {  // before any client can repeat something there
+    if (const auto tried = repeats_.remember(clock_.now()); !tried.empty()) successor_.tell(tried);
+    successor_.tell({});  // that was all
+  }
+  live([this](lifecycle::Steps& steps) { life_.onHandOn(steps); });
+}
+
+void Proxy::takeBack() {
+  successor_ = {};
+  live([this](lifecycle::Steps& steps) { life_.onTakeBack(steps); });
+}
+
+void Proxy::carryOut(const lifecycle::Step& step) {
+  using Kind = lifecycle::Step::Kind;
+  switch (step.kind) {
+    case Kind::SendAway:
+      return server_.drain(true);
+    case Kind::Keep:
+      return server_.drain(false);
+    case Kind::CloseIdle:
+      return server_.closeIdle(step.rested);
+    case Kind::GiveAway:
+      pool_.keepConnections(false);
+      return server_.handOn(successor_.give);
+    case Kind::TakeBack:
+      pool_.keepConnections(true);
+      return server_.keepAll();
+    case Kind::StopListening:
+      return server_.stopListening();
+    case Kind::AnswerAll:
+      return answerAll(step.by);
+    case Kind::Leave:
+      return done_();
+  }
+}
+
+// As for places: a new timer only where something is due earlier than any that is set.
+void Proxy::awaitLife() {
+  const Time due = life_.due();
+  if (due >= life_due_) return;
+  life_due_ = due;
+  timers_.at(due, [this, due] {
+    if (life_due_ == due) life_due_ = kNever;
+    live([this](lifecycle::Steps& steps) { life_.onTime(clock_.now(), clientsHere(), steps); });
+  });
+}
+
+// Whoever waits for a place by then does not get one any more.
+void Proxy::answerAll(Time by) {
+  last_ = by;
+  pool_.endBy(by);
+  timers_.at(by, [this] {
+    std::vector<admission::Refusal> left;
+    for (const auto& [id, held] : waiting_) left.push_back({id, Cause::Shutdown});
+    for (const admission::Refusal& r : left) requests_.release(clock_.now(), r.id);
+    refuseWaiting(left);
+  });
+}
+
+void Proxy::drainClients() {
+  live([this](lifecycle::Steps& steps) {
+    if (life_.onDrain(clock_.now(), steps)) log_.line("draining clients, by hand");
+  });
+}
+
+void Proxy::takeClients() {
+  live([this](lifecycle::Steps& steps) {
+    if (life_.onUndrain(steps)) log_.line("taking clients again, by hand");
+  });
+}
+
+void Proxy::shutdown(std::function<void()> done) {
+  live([&](lifecycle::Steps& steps) {
+    if (!life_.onEnd(clock_.now(), steps)) return;
+    done_ = std::move(done);
+    log_.line("shutting down");
+  });
+}
+
+}  // namespace quinceline
--- /dev/null
+++ b/src/front/proxy_report.cpp
@@ -0,0 +1,75 @@
+// What the front tells staff.
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "front/proxy.h"
+
+namespace quinceline {
+
+using admission::Cause;
+
+std::string Proxy::admissionReport() {
+  using nlohmann::json;
+  const admission::ConnectionGate& c = server_.gate();
+  const auto bound = [](std::size_t n) { return n == admission::kNoBound ? json() : json(n); };
+  json closed = json::object(), refused = json::object();
+  const auto named = [](const auto& indices, std::size_t i) {
+    return i < indices.size() ? indices.name(i) : "other";
+  };
+  for (std::size_t i = 1; i < admission::kCauses; ++i) {
+    const auto cause = static_cast<Cause>(i);
+    const std::string name(admission::nameOf(cause));
+    if (c.closed()[i] > 0) closed[name] = c.closed()[i];
+    for (std::size_t k = 0; k < ledger_.classes(); ++k) {
+      for (std::size_t t = 0; t < ledger_.tenants(); ++t) {
+        const auto n = ledger_.count(cause, k, t);
+        if (n == 0) continue;
+        json& cell = refused[name][named(known_.classes, k)][named(known_.tenants, t)];
+        cell = n + (cell.is_number() ? cell.get<std::uint64_t>() : 0);  // a name may have had several numbers
+      }
+    }
+  }
+  const auto side = [&](Side s) {
+    return json{{"used", descriptors_.used(s)}, {"most", descriptors_.most(s)}};
+  };
+  const auto& limits = requests_.limits();
+  const json report = {
+      {"name", config_.name},
+      {"connections",
+       {{"open", c.connections()},
+        {"silent", c.silent()},
+        {"idle", c.idle()},
+        {"busy", c.busy()},
+        {"addresses", c.peers()},
+        {"most", c.limits().most},
+        {"accepted", c.accepted()},
+        {"reused_part", c.reuse().reusedPart()},
+        {"kept_sparingly", c.reuse().frugal()},
+        {"closed", closed}}},
+      {"descriptors",
+       {{"all", descriptors_.limit()}, {"clients", side(Side::Clients)}, {"hosts", side(Side::Hosts)}}},
+      {"requests",
+       {{"open", requests_.open()},
+        {"waiting", requests_.waiting()},
+        {"bytes", requests_.bytes()},
+        {"repeats", requests_.retries()},
+        {"most_open", bound(limits.open)},
+        {"most_waiting", bound(limits.waiting)},
+        {"most_bytes", bound(limits.bytes)},
+        {"admitted", ledger_.total(Cause::None)},
+        {"refused", refused}}}};
+  return report.dump(2);
+}
+
+std::string Proxy::stats() const {
+  figures::Page page;
+  for (std::size_t i = 0; i < known_.classes.size(); ++i)
+    page.classes.push_back({known_.classes.name(i), counts_.of(i)});
+  const weldflow::Standing hosts = pool_.standing();
+  page.concurrent = server_.openRequests();
+  page.targets = hosts.listed;
+  page.targets_disabled = hosts.avoided;
+  return figures::textOf(page);
+}
+
+}  // namespace quinceline
--- /dev/null
+++ b/src/net/client_connection.h
@@ -0,0 +1,136 @@
+// One client's connection: private to the package.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "admission/upload_clock.h"
+#include "net/server.h"
+
+namespace quinceline {
+
+// One client's connection. It lives as long as the server lists it or an operation of its socket is out.
+class Server::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(Server& server, ConnectionId id, Socket socket)
+      : server_(server), id_(id), socket_(std::move(socket)) {}
+
+  // It has been at rest elsewhere.
+  void rest();
+
+  void start();
+
+  // Something has come that was not read yet: the connection is not really idle.
+  bool inputWaits();
+
+  void answer(Answer answer);
+
+  // Its answer waits for the host, or the host's next piece is here.
+  void passOn();
+
+  void bodyMayGrow();
+
+  // The limits of time. None is renewed by a byte more or less: whoever trickles gets no longer than whoever
+  // is silent. They would harm clients on slow lines; the protocol's are on the same machine.
+  void overdue(Cause cause);
+
+  // At rest and not wanted any more: its client hears of it by the end of our sending. To close now would
+  // reset the connection where a request is on its way, and what we sent last might go with it.
+  void retire(Cause cause);
+
+  // Gives its socket away where nothing has been read of a request. What waits in the kernel goes with it.
+  void handOn();
+
+  void close(Cause cause);
+
+ private:
+  enum class State { Reading, Waiting, Answering, Lingering, Closed };
+
+  void close() { close(cause_); }
+
+  // Its request has.
+  void ended() { server_.open_requests_ -= std::exchange(taken_, false) ? 1U : 0U; }
+
+  void tellStreamed(bool whole);
+
+  void nextRequest();
+
+  // A request's first byte is here.
+  void begin();
+
+  // ---- reading ----
+
+  // Waiting comes first and reading after it, so that connections on which nothing comes hold no buffer.
+  void armRead();
+
+  void onReadable(boost::system::error_code ec);
+
+  // Nothing more is read, yet a client that leaves is to be noticed.
+  void lookForEnd();
+
+  void onReadEnd(boost::system::error_code ec);
+
+  // What was begun to be passed on will never be whole.
+  void abandonUpload();
+
+  void parse();
+
+  // False: the request was answered by its head alone.
+  bool acceptHead();
+
+  void readOn();
+
+  // The host's side has taken what waited for it.
+  void uploadMayGoOn();
+
+  // More than is held: from here on it is passed on as it comes.
+  void beginLong();
+
+  void completeLong();
+
+  ClientRequest takeRequest();
+
+  void complete();
+
+  void refuse(int status);
+
+  // ---- writing ----
+
+  void write();
+
+  void onWritten(boost::system::error_code ec);
+
+  void onAnswered();
+
+  // Closing now could reset the connection and destroy the answer while it is under way: end the sending,
+  // then take what the client still sends, and forget it, until it has closed too or the time is up.
+  void linger();
+
+  void discard();
+
+  Server& server_;
+  const ConnectionId id_;
+  Socket socket_;
+  State state_ = State::Reading;
+  Cause cause_ = Cause::None;  // of its end, where that was decided here
+  bool resting_ = true;        // no request is open here
+  ReadBuffer in_;
+  std::unique_ptr<RequestParser> parser_;        // only while a request comes: it is large
+  std::shared_ptr<BodyShare> share_;             // of the body that is being read
+  std::string out_;                              // the answer
+  std::shared_ptr<BodyPipe> pipe_;               // of the long body that is being read
+  std::shared_ptr<BodyPipe> rest_;               // of the long answer that is being written
+  std::optional<admission::UploadClock> clock_;  // of the body that is being read
+  ExchangeId exchange_ = 0;
+  ExchangeId streamed_ = 0;  // whose long answer is being written; 0: none
+  bool head_seen_ = false;
+  bool taken_ = false;  // its request is whole and has not ended
+  bool old_version_ = false, close_ = false;
+  bool uploading_ = false;  // a long body: its request is with the sink already
+  bool writing_ = false, chunked_ = false;
+  bool reading_ = false, waits_for_room_ = false;
+};
+
+}  // namespace quinceline
--- /dev/null
+++ b/src/net/client_reading.cpp
@@ -0,0 +1,285 @@
+// A client's connection: its requests, as they come.
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "client_connection.h"
+
+namespace quinceline {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr std::size_t kReadAhead = 4 * 1024;  // of a next request that comes before the answer
+constexpr std::size_t kBodyRead = 32 * 1024;  // at a time
+constexpr std::size_t kLongRead = 16 * 1024;  // of a long one, which may fill its window and one read
+constexpr std::size_t kHeadRead = 1024;
+constexpr Time kLookForEnd = 20 * kMillisecond;  // while nothing is read of what a waiting client sends
+
+int statusOf(error_code ec) {
+  if (ec == http::error::body_limit) return 413;
+  if (ec == http::error::header_limit || ec == http::error::buffer_overflow) return 431;
+  return 400;
+}
+
+// How long the bytes read last have waited in the kernel. A process that was not scheduled, or is behind with
+// its work, would otherwise give a client more time than it has.
+Time ageOfInput(int fd) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0;
+  return static_cast<Time>(info.tcpi_last_data_recv) * kMillisecond;
+}
+
+// The other side has ended its sending, or all of it, whatever of what it sent is still unread.
+bool hungUp(int fd) {
+  pollfd p{.fd = fd, .events = POLLRDHUP, .revents = 0};
+  return ::poll(&p, 1, 0) == 1 && (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+}  // namespace
+
+void Server::Connection::bodyMayGrow() {
+  if (!std::exchange(waits_for_room_, false) || state_ != State::Reading) return;
+  clock_->resume(server_.now());
+  server_.gate_.extend(id_, clock_->due());
+  readOn();
+}
+
+void Server::Connection::begin() {
+  resting_ = false;
+  parser_ = std::make_unique<RequestParser>();
+  server_.gate_.onFirstByte(server_.now(), id_);
+}
+
+void Server::Connection::armRead() {
+  if (reading_ || state_ == State::Closed) return;
+  reading_ = true;
+  socket_.async_wait(Socket::wait_read, [self = shared_from_this()](error_code ec) { self->onReadable(ec); });
+}
+
+void Server::Connection::onReadable(error_code ec) {
+  reading_ = false;
+  if (state_ == State::Closed) return;
+  if (ec) return onReadEnd(ec);
+  if (state_ == State::Lingering) return discard();
+  const bool body = state_ == State::Reading && head_seen_;
+  const std::size_t n = socket_.read_some(in_.space(uploading_ ? kLongRead
+                                                    : body     ? kBodyRead
+                                                               : kHeadRead),
+                                          ec);
+  if (ec == asio::error::would_block) return armRead();
+  if (ec) return onReadEnd(ec);
+  in_.commit(n);
+  if (state_ == State::Reading) {
+    if (resting_) begin();
+    if (clock_) {
+      clock_->onBytes(server_.now(), n);
+      server_.gate_.extend(id_, clock_->due());
+    }
+    return parse();
+  }
+  // A further request before this one's answer: it waits, and so do we beyond a bound.
+  in_.size() < kReadAhead ? armRead() : lookForEnd();
+}
+
+void Server::Connection::lookForEnd() {
+  if (state_ != State::Waiting) return;
+  if (hungUp(socket_.native_handle())) return onReadEnd(asio::error::eof);
+  server_.timers_.after(kLookForEnd, [weak = weak_from_this(), exchange = exchange_] {
+    const auto self = weak.lock();
+    if (self && self->exchange_ == exchange) self->lookForEnd();
+  });
+}
+
+void Server::Connection::onReadEnd(error_code ec) {
+  switch (state_) {
+    case State::Waiting: {
+      const ExchangeId exchange = exchange_;
+      server_.exchanges_.erase(exchange);
+      close_ = true;
+      server_.sink_.onClientGone(exchange);
+      if (state_ == State::Closed) return;
+      // A client that ended only its sending still hears that nothing came of it.
+      if (ec == asio::error::eof)
+        return answer({.status = 502, .body = {}, .content_type = {}, .retry_after = {}});
+      return close();
+    }
+    case State::Answering:
+      close_ = true;
+      if (ec != asio::error::eof) close();
+      return;
+    default:
+      abandonUpload();
+      return close();
+  }
+}
+
+void Server::Connection::abandonUpload() {
+  if (!std::exchange(uploading_, false)) return;
+  const ExchangeId exchange = exchange_;
+  server_.exchanges_.erase(exchange);
+  std::exchange(pipe_, nullptr)->breakOff();
+  server_.sink_.onClientGone(exchange);
+}
+
+void Server::Connection::parse() {
+  error_code ec;
+  while (!parser_->is_done()) {
+    if (in_.size() == 0) return readOn();
+    const std::size_t used = parser_->put(in_.data(), ec);
+    in_.consume(used);
+    if (ec == http::error::need_more) {
+      if (in_.size() <= kMostHead) return readOn();
+      ec = http::error::buffer_overflow;
+    }
+    if (ec) {
+      abandonUpload();
+      return refuse(statusOf(ec));
+    }
+    if (parser_->is_header_done() && !head_seen_ && !acceptHead()) return;
+    if (!uploading_ && parser_->body.size() > kMostBody) beginLong();
+    if (state_ != State::Reading) return;  // answered already
+    if (uploading_) pipe_->put(std::exchange(parser_->body, {}));
+    if (state_ != State::Reading) return;
+  }
+  uploading_ ? completeLong() : complete();
+}
+
+bool Server::Connection::acceptHead() {
+  head_seen_ = true;
+  old_version_ = parser_->head.old_version;
+  close_ = !parser_->keep_alive();
+  if (std::optional<Answer> early = server_.sink_.onHead(parser_->head, !server_.gate_.refuses(id_))) {
+    if (!parser_->is_done()) close_ = true;  // its body is not waited for
+    answer(std::move(*early));
+    return false;
+  }
+  if (parser_->is_done()) return true;
+  clock_.emplace(server_.now());
+  server_.gate_.extend(id_, clock_->due());
+  share_ = std::make_shared<BodyShare>(server_.bodies_, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->bodyMayGrow();
+  });
+  parser_->eager(true);
+  if (parser_->head.expects_continue && !old_version_ && in_.size() == 0) {
+    error_code ignored;  // a few bytes on a connection that has nothing else to send
+    socket_.write_some(asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ignored);
+  }
+  return true;
+}
+
+void Server::Connection::readOn() {
+  if (uploading_ && !pipe_->hasRoom()) {
+    clock_->pause(server_.now());  // the host's side is slow: not the client's fault
+    in_.release();
+    server_.gate_.extend(id_, 0);
+    return;
+  }
+  if (share_ && !uploading_ && !share_->mayGrow(parser_->body.size())) {
+    waits_for_room_ = true;  // backpressure: the kernel's buffer fills, then the client's
+    clock_->pause(server_.now());
+    server_.gate_.extend(id_, server_.now() + server_.limits_.connections.request);
+    return;
+  }
+  armRead();
+}
+
+void Server::Connection::uploadMayGoOn() {
+  if (!uploading_ || state_ != State::Reading) return;
+  clock_->resume(server_.now());
+  server_.gate_.extend(id_, clock_->due());
+  armRead();
+}
+
+void Server::Connection::beginLong() {
+  const auto length = parser_->content_length();
+  pipe_ = std::make_shared<BodyPipe>(length ? std::optional<std::uint64_t>(*length) : std::nullopt);
+  pipe_->onRoom([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->uploadMayGoOn();
+  });
+  uploading_ = true;
+  // What it may hold of the budget it may go on holding, for its window, when the beginning is let go.
+  const auto share = share_;
+  ClientRequest request = takeRequest();
+  share_ = share;
+  request.rest = pipe_;
+  exchange_ = server_.next_exchange_++;
+  server_.exchanges_.emplace(exchange_, this);
+  server_.sink_.onRequest(exchange_, std::move(request));
+}
+
+void Server::Connection::completeLong() {
+  uploading_ = false;
+  share_.reset();
+  clock_.reset();
+  state_ = State::Waiting;
+  taken_ = true;
+  ++server_.open_requests_;
+  server_.gate_.onRequest(id_);
+  const Time received = server_.now() - ageOfInput(socket_.native_handle());
+  const ExchangeId exchange = exchange_;
+  parser_.reset();
+  armRead();
+  const auto pipe = pipe_;
+  pipe->finish();
+  if (state_ == State::Waiting) server_.sink_.onUploaded(exchange, received);
+}
+
+ClientRequest Server::Connection::takeRequest() {
+  ClientRequest request;
+  request.received = server_.now() - ageOfInput(socket_.native_handle());
+  request.head = std::move(parser_->head);
+  // The body and its share of the budget go together, whoever holds them longest.
+  if (share_) {
+    struct Held {
+      std::shared_ptr<BodyShare> share;
+      std::string bytes;
+    };
+    auto held = std::make_shared<Held>(Held{std::move(share_), std::move(parser_->body)});
+    request.body = std::shared_ptr<const std::string>(held, &held->bytes);
+    share_.reset();
+    parser_->body = std::string();
+  }
+  return request;
+}
+
+void Server::Connection::complete() {
+  ClientRequest request = takeRequest();
+  clock_.reset();
+  state_ = State::Waiting;
+  taken_ = true;
+  ++server_.open_requests_;
+  server_.gate_.onRequest(id_);  // its deadline is the sink's to keep
+  parser_.reset();
+  exchange_ = server_.next_exchange_++;
+  server_.exchanges_.emplace(exchange_, this);
+  // It may have left while its request stood in a queue of the system's: then nothing is sent for it.
+  if (hungUp(socket_.native_handle())) {
+    server_.exchanges_.erase(exchange_);
+    return refuse(503);
+  }
+  in_.size() < kReadAhead ? armRead() : lookForEnd();  // to see a client leave while it waits
+  server_.sink_.onRequest(exchange_, std::move(request));
+}
+
+void Server::Connection::refuse(int status) {
+  close_ = true;
+  answer({.status = status, .body = {}, .content_type = {}, .retry_after = {}});
+}
+
+void Server::Connection::discard() {
+  error_code ec;
+  socket_.read_some(asio::buffer(server_.discarded_), ec);
+  if (ec && ec != asio::error::would_block) return close();
+  armRead();
+}
+
+}  // namespace quinceline
--- /dev/null
+++ b/src/net/host_connection.cpp
@@ -0,0 +1,220 @@
+// A connection to a host: its attempts from the first byte to their one end.
+#include "host_connection.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace quinceline {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using weldflow::Result;
+
+constexpr Time kLook = 250 * kMillisecond;  // between two looks whether a long body moves
+
+}  // namespace
+
+void Upstream::Connection::startAttempt(AttemptId id, AttemptRequest request) {
+  attempt_ = id;
+  probe_ = false;
+  begin(std::move(request));
+}
+
+void Upstream::Connection::startProbe(AttemptRequest request) {
+  probe_ = true;
+  attempt_ = 0;
+  begin(std::move(request));
+  const std::uint64_t turn = turn_;
+  up_.timers_.after(up_.limits_.probe_timeout, [weak = weak_from_this(), turn] {
+    const auto self = weak.lock();
+    if (self && self->busy_ && self->turn_ == turn) self->end(Result::TimedOut);
+  });
+}
+
+bool Upstream::Connection::stale() {
+  char byte;
+  const ssize_t n = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void Upstream::Connection::close() {
+  if (closed_) return;
+  closed_ = true;
+  error_code ignored;
+  socket_.close(ignored);
+  up_.forget(*this);
+  up_.descriptors_.release(Side::Hosts);
+  up_.connections_.erase(id_);  // the last thing: it may destroy this
+}
+
+void Upstream::Connection::begin(AttemptRequest request) {
+  request_ = std::move(request);
+  busy_ = true;
+  up_.countBusy(uid_, true);
+  ++turn_;
+  started_ = up_.timers_.clock().now();
+  sent_ = 0;
+  answer_begun_ = interims_ = 0;
+  come_ = 0;
+  rest_done_ = waits_for_client_ = false;
+  parser_.emplace();
+  if (request_.rest) watchLong();
+  connected_ ? write() : connect();
+}
+
+void Upstream::Connection::connect() {
+  error_code ec;
+  socket_.open(endpoint_.protocol(), ec);
+  if (!ec) socket_.non_blocking(true, ec);
+  if (ec) return later(Result::NotSent);  // no descriptor: nothing was tried
+  const std::uint64_t turn = turn_;
+  socket_.async_connect(endpoint_, [self = shared_from_this(), turn](error_code e) {
+    if (self->closed_ || self->turn_ != turn) return;
+    if (e) return self->end(Result::ConnectFailed);
+    self->connected_ = true;
+    error_code ignored;
+    self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    if (!self->mayBegin()) return self->end(Result::NotSent);
+    self->write();
+  });
+  up_.timers_.after(up_.limits_.connect_timeout, [weak = weak_from_this(), turn] {
+    const auto self = weak.lock();
+    if (self && self->busy_ && self->turn_ == turn && !self->connected_) self->end(Result::ConnectFailed);
+  });
+}
+
+void Upstream::Connection::later(Result result) {
+  asio::post(up_.io_, [self = shared_from_this(), turn = turn_, result] {
+    if (self->busy_ && self->turn_ == turn) self->end(result);
+  });
+}
+
+bool Upstream::Connection::mayBegin() const {
+  const auto it = up_.pools_.find(uid_);
+  if (it == up_.pools_.end() || it->second.endpoint != endpoint_) return false;  // gone, or elsewhere now
+  return probe_ || up_.sink_.mayBegin(attempt_);
+}
+
+std::array<asio::const_buffer, 2> Upstream::Connection::unsent() const {
+  const asio::const_buffer head = asio::buffer(request_.head);
+  const asio::const_buffer body = request_.body ? asio::buffer(*request_.body) : asio::const_buffer{};
+  return {head + sent_, body + (sent_ > head.size() ? sent_ - head.size() : 0)};
+}
+
+void Upstream::Connection::write() {
+  if (written()) return;
+  error_code ec;
+  do {
+    while (!ec && sent_ < total()) sent_ += socket_.write_some(unsent(), ec);
+  } while (!ec && request_.rest && !rest_done_ && refill());
+  moved_ = up_.timers_.clock().now();
+  if (written() && attempt_ != 0) up_.sink_.onAttemptWritten(attempt_);
+  if (ec == asio::error::would_block) {
+    socket_.async_wait(Socket::wait_write, [self = shared_from_this(), turn = turn_](error_code e) {
+      if (!e && self->busy_ && self->turn_ == turn) self->write();
+    });
+  }
+  // Where the writing broke, what the host said before it may still wait to be read; then its end follows.
+  armRead();
+}
+
+bool Upstream::Connection::refill() {
+  BodyPipe& rest = *request_.rest;
+  const std::string piece = rest.take();
+  waits_for_client_ = piece.empty() && rest.end() == BodyPipe::End::Open;
+  if (waits_for_client_) {
+    rest.onMore([weak = weak_from_this(), turn = turn_] {
+      const auto self = weak.lock();
+      if (self && self->busy_ && self->turn_ == turn && self->waits_for_client_) self->write();
+    });
+    return false;
+  }
+  if (rest.end() == BodyPipe::End::Broken) {
+    later(Result::CutShort);  // its client has gone: the host never gets all of it
+    return false;
+  }
+  const bool chunked = !rest.length();
+  request_.body.reset();
+  request_.head.clear();
+  sent_ = 0;
+  if (!piece.empty()) {
+    if (chunked) request_.head += "\r\n" + chunkLine(piece.size());
+    request_.head += piece;
+  }
+  rest_done_ = rest.end() == BodyPipe::End::Whole;
+  if (rest_done_ && chunked) request_.head += "\r\n0\r\n\r\n";
+  return true;
+}
+
+void Upstream::Connection::watchLong() {
+  moved_ = up_.timers_.clock().now();
+  lookAfterLong();
+}
+
+void Upstream::Connection::lookAfterLong() {
+  up_.timers_.after(kLook, [weak = weak_from_this(), turn = turn_] {
+    const auto self = weak.lock();
+    if (!self || !self->busy_ || self->turn_ != turn) return;
+    const Time now = self->up_.timers_.clock().now();
+    const bool sending = self->request_.rest && !self->written();
+    if (!sending && !self->stream_) return;  // others look after the answer
+    if (!self->connected_ || self->waits_for_client_) self->moved_ = now;
+    if (now - self->moved_ > self->up_.limits_.long_still) return self->broken();
+    self->lookAfterLong();
+  });
+}
+
+void Upstream::Connection::end(Result result) {
+  if (!busy_) return;
+  busy_ = false;
+  up_.countBusy(uid_, false);
+  AttemptEnd report;
+  report.result = result;
+  report.begun = answer_begun_;
+  const bool whole = parser_->is_done() && result != Result::Spoilt;
+  if (const auto stream = std::exchange(stream_, nullptr)) {
+    whole&& result == Result::Ok ? stream->finish() : stream->breakOff();
+  }
+  // Bytes behind a good answer take nothing from it, but the connection is out of step.
+  const bool unused = result == Result::NotSent && connected_ && sent_ == 0;
+  const bool reusable = unused || (whole && written() && parser_->keep_alive() && in_.size() == 0);
+  if (whole) {
+    report.load = probe_ && parser_->load.empty() ? parser_->body : std::move(parser_->load);
+    if (result == Result::Rejected) report.term = std::move(parser_->term);
+    report.body = std::move(parser_->body);
+    report.content_type = std::move(parser_->content_type);
+  }
+  if (turn_ > 1 && (whole || result == Result::Reset || result == Result::CutShort)) {
+    up_.noteReuse(uid_, !whole && !parser_->got_some());
+  }
+  const bool probe = std::exchange(probe_, false);
+  const AttemptId attempt = std::exchange(attempt_, 0);
+  const Time latency = up_.timers_.clock().now() - started_;
+  const bool ok = result == Result::Ok;
+  const std::string uid = uid_;
+  Upstream& up = up_;
+  parser_.reset();
+  request_ = {};
+  sent_ = 0;
+  const auto self = shared_from_this();
+  if (!probe) up.attempts_.erase(attempt);
+  // The connection is idle or closed before anyone hears of it: a next attempt may want it at once.
+  if (reusable) {
+    idle_since_ = up.timers_.clock().now();
+    in_.release();
+    armRead();
+    up.keep(*this);
+  } else {
+    close();
+  }
+  if (probe) {
+    up.sink_.onProbeEnd(uid, ok, latency, report.load);
+  } else {
+    up.sink_.onAttemptEnd(attempt, std::move(report));
+  }
+}
+
+}  // namespace quinceline
--- /dev/null
+++ b/src/net/host_connection.h
@@ -0,0 +1,138 @@
+// One connection to a host: private to the package.
+#pragma once
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "net/upstream.h"
+
+namespace quinceline {
+
+class Upstream::Connection : public std::enable_shared_from_this<Connection> {
+  using Socket = boost::asio::ip::tcp::socket;
+  using Result = weldflow::Result;
+  static constexpr int kMostInterims = 16;
+
+ public:
+  Connection(Upstream& up, std::uint64_t id, std::string uid, const Endpoint& endpoint)
+      : up_(up), id_(id), uid_(std::move(uid)), endpoint_(endpoint), socket_(up.io_) {}
+
+  std::uint64_t id() const { return id_; }
+  const std::string& uid() const { return uid_; }
+  const Endpoint& endpoint() const { return endpoint_; }
+  Time idleSince() const { return idle_since_; }
+
+  void startAttempt(AttemptId id, AttemptRequest request);
+
+  void startProbe(AttemptRequest request);
+
+  void giveUp(Result as) { end(as); }
+  bool answering() const { return busy_ && parser_->is_header_done() && parser_->status == 200; }
+
+  // An idle connection that the host has closed, or on which something lies that nobody asked for (a second
+  // copy of the last answer, say): the next request must not take that for its answer. Nothing is read while
+  // a connection is idle, so whatever has come is still to be seen here.
+  bool stale();
+
+  void close();
+
+ private:
+  void begin(AttemptRequest request);
+
+  void connect();
+
+  void later(Result result);
+
+  // Asked when the connection has come up, which may have taken as long as it is given.
+  bool mayBegin() const;
+
+  // ---- writing ----
+
+  std::size_t total() const { return request_.head.size() + (request_.body ? request_.body->size() : 0); }
+  // All of the request is with the kernel: from here on it may run.
+  bool written() const { return sent_ == total() && (!request_.rest || rest_done_); }
+
+  std::array<boost::asio::const_buffer, 2> unsent() const;
+
+  // The kernel is handed the bytes here and not by a composed operation, whose count comes with its handler:
+  // a break that is noticed between the two would pass a request that may run for one that never can.
+  void write();
+
+  // The next piece of a long body. False: there is none now.
+  bool refill();
+
+  // A long body must move, unless it is the client that does not: it may neither send nor take.
+  void watchLong();
+  void lookAfterLong();
+
+  // ---- reading ----
+
+  void armRead();
+
+  void onReadable(boost::system::error_code ec);
+
+  void onReadEnd(boost::system::error_code ec);
+
+  // It may have run once the host can have the whole request.
+  void broken() { end(written() ? Result::Reset : Result::CutShort); }
+
+  // What came is no answer to this request. Guards against noise, heads that can't be read or don't end,
+  // lengths that contradict one another or exceed what the protocol has, and 1xx without end. It should catch
+  // whatever else a host may say out of turn; it would harm if hosts sent answers beyond the protocol's 64
+  // KiB.
+  void spoilt() { end(written() ? Result::Spoilt : Result::CutShort); }
+
+  // An answer that has begun must come to its end: it may not stand still, nor come slower than a least pace,
+  // so that an endless trickle is no way round it. Guards against lengths that promise more than comes; it
+  // would harm hosts that write an answer while they work on it.
+  void watchAnswer();
+  Time answerDue() const;
+  void lookAfterAnswer();
+
+  // More than is held, or the head says that there will be: it belongs to the client from here on.
+  bool becomesLong() const;
+
+  void beginLong();
+  void abandoned() { later(Result::Cancelled); }
+
+  void readOn();
+
+  // So far as it has come, what a head of HTTP/1 begins with: noise need not hold a line's end.
+  bool beginsLikeAnswer() const;
+
+  void parse();
+
+  void complete();
+
+  Result resultOf() const;
+
+  // The one place where an attempt or probe ends.
+  void end(Result result);
+
+  Upstream& up_;
+  const std::uint64_t id_;
+  const std::string uid_;
+  const Endpoint endpoint_;
+  Socket socket_;
+  ReadBuffer in_;
+  std::optional<ResponseParser> parser_;
+  AttemptRequest request_;
+  std::shared_ptr<BodyPipe> stream_;  // of a long answer that is coming
+  std::size_t sent_ = 0;    // bytes of the request, of a long one of this piece, that the kernel has taken
+  std::uint64_t come_ = 0;  // bytes of the answer
+  Time moved_ = 0;          // when a byte went or came last
+  AttemptId attempt_ = 0;
+  std::uint64_t turn_ = 0;  // attempts and probes so far: tells late callbacks of earlier ones
+  Time started_ = 0, answer_begun_ = 0, idle_since_ = 0;
+  int interims_ = 0;
+  bool rest_done_ = false;         // the last piece of a long request is in request_
+  bool waits_for_client_ = false;  // to send more of its request, or to take more of its answer
+  bool connected_ = false, busy_ = false, probe_ = false, closed_ = false, reading_ = false;
+};
+
+}  // namespace quinceline
--- /dev/null
+++ b/src/net/host_reading.cpp
@@ -0,0 +1,150 @@
+// A connection to a host: what comes back.
+#include <algorithm>
+#include <boost/beast/http/error.hpp>
+#include <string_view>
+#include <utility>
+
+#include "host_connection.h"
+
+namespace quinceline {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using weldflow::Result;
+
+constexpr std::size_t kRead = 4 * 1024, kLongRead = 16 * 1024;
+constexpr double kLeastPace = 32 * 1024;  // bytes a second, of an answer that is held
+
+}  // namespace
+
+void Upstream::Connection::armRead() {
+  if (reading_ || closed_) return;
+  reading_ = true;
+  socket_.async_wait(Socket::wait_read, [self = shared_from_this()](error_code ec) { self->onReadable(ec); });
+}
+
+void Upstream::Connection::onReadable(error_code ec) {
+  reading_ = false;
+  if (closed_) return;
+  if (!busy_) return close();  // idle: the host has closed it, or says something that nobody asked
+  if (ec) return broken();
+  const std::size_t n = socket_.read_some(in_.space(stream_ ? kLongRead : kRead), ec);
+  if (ec == asio::error::would_block) return armRead();
+  if (ec) return onReadEnd(ec);
+  in_.commit(n);
+  come_ += n;
+  moved_ = up_.timers_.clock().now();
+  if (answer_begun_ == 0) watchAnswer();
+  parse();
+}
+
+void Upstream::Connection::onReadEnd(error_code ec) {
+  if (ec == asio::error::eof && parser_->says_close && parser_->is_header_done() && !parser_->is_done()) {
+    error_code bad;
+    parser_->put_eof(bad);  // an answer without a length ends with its connection, if it says so
+    if (!bad && parser_->is_done()) return complete();
+  }
+  broken();
+}
+
+void Upstream::Connection::watchAnswer() {
+  answer_begun_ = moved_;
+  lookAfterAnswer();
+}
+
+Time Upstream::Connection::answerDue() const {
+  const Time still = up_.limits_.answer_whole;
+  const auto earned = static_cast<Time>(static_cast<double>(come_) / kLeastPace * 1e6);
+  return std::min(moved_ + still, answer_begun_ + still + earned);
+}
+
+void Upstream::Connection::lookAfterAnswer() {
+  up_.timers_.at(answerDue(), [weak = weak_from_this(), turn = turn_] {
+    const auto self = weak.lock();
+    if (!self || !self->busy_ || self->turn_ != turn || self->stream_) return;
+    if (self->up_.timers_.clock().now() >= self->answerDue()) return self->spoilt();
+    self->lookAfterAnswer();
+  });
+}
+
+bool Upstream::Connection::becomesLong() const {
+  if (stream_ || probe_ || parser_->status != 200 || parser_->body.empty()) return false;
+  const auto length = parser_->content_length();
+  return parser_->body.size() > kMostBody || (length && *length > kMostBody);
+}
+
+void Upstream::Connection::beginLong() {
+  const auto length = parser_->content_length();
+  stream_ = std::make_shared<BodyPipe>(length ? std::optional<std::uint64_t>(*length) : std::nullopt);
+  const auto guarded = [this](void (Connection::*then)()) {
+    return [weak = weak_from_this(), turn = turn_, then] {
+      const auto self = weak.lock();
+      if (self && self->busy_ && self->turn_ == turn) (self.get()->*then)();
+    };
+  };
+  stream_->onRoom(guarded(&Connection::readOn));
+  stream_->onAbandoned(guarded(&Connection::abandoned));
+  watchLong();
+  up_.sink_.onAttemptAnswers(attempt_,
+                             {std::exchange(parser_->body, {}), std::move(parser_->content_type), stream_});
+}
+
+void Upstream::Connection::readOn() {
+  waits_for_client_ = stream_ && !stream_->hasRoom();
+  if (!waits_for_client_) armRead();
+}
+
+bool Upstream::Connection::beginsLikeAnswer() const {
+  static constexpr std::string_view kBegin = "HTTP/1.";
+  const std::string_view come(static_cast<const char*>(in_.data().data()),
+                              std::min(in_.size(), kBegin.size()));
+  return kBegin.substr(0, come.size()) == come;
+}
+
+void Upstream::Connection::parse() {
+  if (!parser_->got_some() && !beginsLikeAnswer()) return spoilt();
+  error_code ec;
+  while (!parser_->is_done() && in_.size() > 0) {
+    const std::size_t used = parser_->put(in_.data(), ec);
+    in_.consume(used);
+    if (ec == http::error::need_more && in_.size() <= kMostHead) break;
+    if (ec) return spoilt();
+    if (!parser_->is_header_done()) continue;
+    if (parser_->status / 100 == 1) {
+      if (parser_->status == 101 || ++interims_ > kMostInterims) return spoilt();
+      parser_.emplace();  // an interim answer; the real one follows
+      if (in_.size() > 0 && !beginsLikeAnswer()) return spoilt();
+      continue;
+    }
+    parser_->eager(true);
+  }
+  if (parser_->is_header_done() && parser_->body.size() > kMostBody) {
+    if (parser_->status != 200) return end(resultOf());  // why it failed does not matter that much
+    if (probe_ || !written()) return spoilt();
+  }
+  if (parser_->is_header_done() && written() && becomesLong()) {
+    const std::uint64_t turn = turn_;
+    beginLong();
+    if (!busy_ || turn_ != turn) return;
+  }
+  if (stream_) stream_->put(std::exchange(parser_->body, {}));
+  if (parser_->is_done()) return complete();
+  readOn();
+}
+
+void Upstream::Connection::complete() {
+  // Nobody can serve what has not been sent to them whole; a refusal may come early.
+  if (parser_->status == 200 && !written()) return spoilt();
+  end(resultOf());
+}
+
+Result Upstream::Connection::resultOf() const {
+  if (parser_->status == 200) return Result::Ok;
+  if ((parser_->status == 503 || parser_->status == 504) && parser_->unprocessed) return Result::Rejected;
+  if (!written()) return Result::CutShort;                            // the host cannot have the last byte
+  const bool own = parser_->status == 408 || parser_->status == 429;  // about the host, not the request
+  return parser_->status / 100 == 4 && !own ? Result::BadRequest : Result::Error;
+}
+
+}  // namespace quinceline
--- a/src/pools/include/pools/pool.h
+++ b/src/pools/include/pools/pool.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "net/discovery.h"
@@ -185,4 +186,22 @@
   weldflow::Actions actions_;
 };
 
+template <typename Event>
+void Pool::tell(Event event) {
+  if (telling_) {
+    events_.emplace_back(std::move(event));
+    return;
+  }
+  telling_ = true;
+  event(clock_.now());
+  carryOut();
+  while (!events_.empty()) {
+    const std::function<void(Time)> next = std::move(events_.front());
+    events_.pop_front();
+    next(clock_.now());
+    carryOut();
+  }
+  telling_ = false;
+}
+
 }  // namespace quinceline
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -1,7 +1,6 @@
 #include "pools/pool.h"
 
 #include <algorithm>
-#include <cctype>
 #include <charconv>
 #include <utility>
 
@@ -76,16 +75,6 @@
   if (pushed()) discovery_->subscribe();
 }
 
-HostList Pool::hosts() const {
-  HostList list;
-  list.full = true;
-  for (const auto& [uid, known] : listed_) {
-    list.hosts.push_back(known.host);
-    list.endpoints.push_back(known.endpoint);
-  }
-  return list;
-}
-
 // Where lists are pushed, the module waits for them; the agent beside us that has them still wants a watch.
 bool Pool::pushed() const {
   return config_.discovery && config_.settings.discovery == weldflow::Discovery::Push;
@@ -95,40 +84,13 @@
   return discovery_ ? std::optional(discovery_->endpoint()) : std::nullopt;
 }
 
-void Pool::setHosts(HostList list) {
-  list.full = true;
-  applyList(std::move(list), ListKind::Full);
-}
-
 void Pool::reconfigure(weldflow::Settings settings, const Upstream::Limits& upstream) {
   balancer_.reconfigure(std::move(settings));
   upstream_.reconfigure(upstream);
 }
 
-void Pool::moveDiscovery(const Endpoint& to) {
-  if (discovery_) discovery_->moveTo(to);
-}
-
 // ---- events for the module ----
 
-template <typename Event>
-void Pool::tell(Event event) {
-  if (telling_) {
-    events_.emplace_back(std::move(event));
-    return;
-  }
-  telling_ = true;
-  event(clock_.now());
-  carryOut();
-  while (!events_.empty()) {
-    const std::function<void(Time)> next = std::move(events_.front());
-    events_.pop_front();
-    next(clock_.now());
-    carryOut();
-  }
-  telling_ = false;
-}
-
 void Pool::carryOut() {
   // Acting adds no actions: what it leads to is told afterwards.
   for (const Action& action : actions_) act(action);
@@ -245,59 +207,6 @@
   }
 }
 
-namespace {
-
-// A client has no say in it.
-std::string withoutTerm(const std::string& lines) {
-  constexpr std::string_view kName = "x-service-term:";
-  std::string kept;
-  for (std::size_t at = 0; at < lines.size();) {
-    const std::size_t end = std::min(lines.find("\r\n", at), lines.size() - 2) + 2;
-    const std::string_view line = std::string_view(lines).substr(at, end - at);
-    const bool named = line.size() >= kName.size() &&
-                       std::equal(kName.begin(), kName.end(), line.begin(), [](char a, char b) {
-                         return a == std::tolower(static_cast<unsigned char>(b));
-                       });
-    if (!named) kept += line;
-    at = end;
-  }
-  return kept;
-}
-
-}  // namespace
-
-std::string Pool::headFor(const Open& r, Time time_left, std::uint32_t term) const {
-  const RequestHead& from = r.taken.request.head;
-  std::string head;
-  head.reserve(from.method.size() + from.target.size() + from.forward.size() + 128);
-  head += from.method;
-  head += ' ';
-  head += from.target;
-  head += " HTTP/1.1\r\n";
-  head += term == 0 ? from.forward : withoutTerm(from.forward);
-  if (!from.has_host) head += "Host: api.internal\r\n";
-  if (term != 0) head += "X-Service-Term: " + std::to_string(term) + "\r\n";
-  head += "X-Time-Left: ";
-  head += formatSeconds(time_left);
-  head += "\r\n";
-  const std::shared_ptr<BodyPipe>& rest = r.taken.request.rest;
-  if (rest && !rest->length()) {
-    head += "Transfer-Encoding: chunked\r\n\r\n";
-    return head += chunkLine(r.taken.request.body->size());
-  }
-  if (rest) {
-    head += "Content-Length: ";
-    head += std::to_string(*rest->length());
-    head += "\r\n";
-  } else if (from.method != "GET" || r.taken.request.body) {
-    head += "Content-Length: ";
-    head += std::to_string(r.taken.request.body ? r.taken.request.body->size() : 0);
-    head += "\r\n";
-  }
-  head += "\r\n";
-  return head;
-}
-
 void Pool::finish(RequestId id, Answer answer) {
   const auto it = open_.find(id);
   if (it == open_.end() || it->second.answered) return;
@@ -457,95 +366,4 @@
   return report;
 }
 
-// ---- hosts ----
-
-bool Pool::maintain(const std::string& host, bool out_of_use) {
-  if (!balancer_.setMaintenance(clock_.now(), host, out_of_use)) return false;
-  if (out_of_use) upstream_.closeIdleTo(host);
-  log("host " + host + (out_of_use ? " is out of use, by hand" : " is in use again, by hand"));
-  return true;
-}
-
-void Pool::setZone(std::int32_t zone, weldflow::ZoneOrder order) {
-  tell([this, zone, order](Time now) { balancer_.setZone(now, zone, order, actions_); });
-}
-
-// What the list means together with what is known. An entry that could not be read leaves its host as it was.
-// An address has one host, the one that started last: a machine that has been replaced may still be listed
-// beside the new one, and what is sent to it then would come on top of what the new, cold one can take. This
-// would harm a fleet in which hosts share an address, which the protocol does not have.
-HostList Pool::completed(HostList list) const {
-  for (const std::string& uid : list.unread) {
-    const auto known = listed_.find(uid);
-    if (known == listed_.end()) continue;
-    list.hosts.push_back(known->second.host);
-    list.endpoints.push_back(known->second.endpoint);
-  }
-  std::map<std::string_view, std::size_t> named;
-  for (std::size_t i = 0; i < list.hosts.size(); ++i) named[list.hosts[i].id] = i;
-  std::map<Endpoint, weldflow::Host> holders;
-  const auto claim = [&](const Endpoint& at, const weldflow::Host& host) {
-    if (host.state == weldflow::HostState::Gone) return;
-    const auto [it, first] = holders.emplace(at, host);
-    if (!first && host.up_since >= it->second.up_since) it->second = host;
-  };
-  if (!list.full) {
-    for (const auto& [uid, known] : listed_) {
-      if (!named.count(uid)) claim(known.endpoint, known.host);
-    }
-  }
-  for (std::size_t i = 0; i < list.hosts.size(); ++i) claim(list.endpoints[i], list.hosts[i]);
-  const auto lost = [&](const Endpoint& at, const std::string& uid) { return holders.at(at).id != uid; };
-  for (std::size_t i = 0; i < list.hosts.size(); ++i) {
-    weldflow::Host& host = list.hosts[i];
-    if (host.state != weldflow::HostState::Gone && lost(list.endpoints[i], host.id)) {
-      host.state = weldflow::HostState::Gone;
-    }
-  }
-  std::vector<weldflow::Host> replaced;
-  for (const auto& [uid, known] : listed_) {
-    if (!list.full && !named.count(uid) && lost(known.endpoint, uid)) replaced.push_back(known.host);
-  }
-  for (weldflow::Host& host : replaced) {
-    host.state = weldflow::HostState::Gone;
-    list.hosts.push_back(std::move(host));
-    list.endpoints.emplace_back();
-  }
-  return list;
-}
-
-void Pool::applyHosts(const HostList& list) {
-  std::map<std::string, Listed, std::less<>> left;
-  if (list.full) left.swap(listed_);
-  for (std::size_t i = 0; i < list.hosts.size(); ++i) {
-    const weldflow::Host& host = list.hosts[i];
-    left.erase(host.id);
-    if (host.state == weldflow::HostState::Gone) {
-      upstream_.removeHost(host.id);
-      listed_.erase(host.id);
-    } else {
-      upstream_.setHost(host.id, list.endpoints[i]);
-      listed_[host.id] = {host, list.endpoints[i]};
-    }
-  }
-  for (const auto& [uid, known] : left) upstream_.removeHost(uid);
-}
-
-void Pool::onHostList(const HostList& news) {
-  if (!news.unread.empty()) log("discovery: an entry is passed over: " + news.complaint, LogLevel::Warning);
-  applyList(news, news.full ? ListKind::Full : ListKind::Changes);
-}
-
-void Pool::applyList(HostList news, ListKind kind) {
-  const HostList list = completed(std::move(news));
-  applyHosts(list);
-  tell([this, list, kind](Time now) { balancer_.onServers(now, kind, list.hosts, actions_); });
-}
-
-void Pool::onDiscoveryLost(const std::string& why) {
-  log("discovery: " + why, LogLevel::Warning);
-  if (pushed()) timers_.after(Discovery::kAgentAgain, [this] { discovery_->subscribe(); });
-  tell([this](Time now) { balancer_.onServers(now, ListKind::Unavailable, {}, actions_); });
-}
-
 }  // namespace quinceline
