The tests of SIGTERM stand on one fixture, in one file

Read again: proxy_test.cpp set up the same program by hand, twice, for two tests of what comes after SIGTERM, and shutdown_test.cpp had a fixture that does just that. Nothing else changed, no source of the program among it.

--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -31,6 +31,51 @@
   int status = -1;
 };
 
+TEST_F(Shutdown, AfterSigtermItTakesWhatStillComesAndAnswersAllItHasTaken) {
+  start(3 * kSecond);
+  const auto held = Peer::connect(loop, listen);
+  held->say(request("held"));
+  ASSERT_TRUE(loop.until([&] { return host.peers.size() == 1 && host.peers[0]->heard("held"); }));
+  terminate();
+  const auto late = Peer::connect(loop, listen);
+  late->say(request("late"));
+  ASSERT_TRUE(loop.until([&] { return host.peers.size() == 2 && host.peers[1]->heard("late"); }));
+  host.peers[0]->say(answerOf("first"));
+  host.peers[1]->say(answerOf("second"));
+  ASSERT_TRUE(loop.until([&] { return held->ended && late->ended; }));
+  EXPECT_TRUE(held->heard("first") && held->heard("Connection: close"));
+  EXPECT_TRUE(late->heard("second"));
+  held->close();
+  late->close();
+  ASSERT_TRUE(ended());
+  EXPECT_EQ(status, 0);
+}
+
+// Clients send on every connection that stays open, up to SIGKILL.
+TEST_F(Shutdown, AfterSigtermWhatComesOnAConnectionThatStaysOpenIsAnswered) {
+  start(3 * kSecond);
+  const auto kept = Peer::connect(loop, listen);
+  kept->say(request("first"));
+  ASSERT_TRUE(loop.until([&] { return host.peers.size() == 1 && host.peers[0]->heard("first"); }));
+  terminate();
+  host.peers[0]->say(answerOf("one"));
+  ASSERT_TRUE(loop.until([&] { return kept->heard("one"); }));
+  // Whether it said that it closes or not: as long as it has not, what comes is answered.
+  if (!kept->heard("Connection: close")) {
+    kept->say(request("second"));
+    ASSERT_TRUE(loop.until([&] {
+      for (const auto& p : host.peers) {
+        if (p->heard("second")) p->say(answerOf("two"));
+      }
+      return kept->heard("two") || kept->ended;
+    }));
+    EXPECT_TRUE(kept->heard("two"));
+  }
+  kept->close();
+  ASSERT_TRUE(ended());
+  EXPECT_EQ(status, 0);
+}
+
 // SIGKILL comes 3.7 s after SIGTERM at the soonest, though a client would wait for 9 s.
 TEST_F(Shutdown, ARequestWhoseClientWaitsLongerThanTheProcessLivesHasItsAnswerBefore) {
   start(9 * kSecond);
