--- a/fuzz/fleet_property.cpp
+++ b/fuzz/fleet_property.cpp
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "fleet/fleet.h"
-#include "talk/remembered.h"
+#include "fleet_transport/remembered.h"
 
 namespace quinceline::fuzz {
 namespace {
@@ -80,12 +80,13 @@
 std::string brokenView(std::string_view bytes) {
   Remembered view;
   try {
-    view = talk::rememberedFrom(bytes);
+    view = fleet_transport::rememberedFrom(bytes);
   } catch (const std::runtime_error& e) {
     return *e.what() == '\0' ? "refused without words" : "";
   }
-  const std::string text = talk::toText(view);
-  if (talk::toText(talk::rememberedFrom(text)) != text) return "a view does not survive its own text";
+  const std::string text = fleet_transport::toText(view);
+  if (fleet_transport::toText(fleet_transport::rememberedFrom(text)) != text)
+    return "a view does not survive its own text";
   Fleet one = member();
   Out out;
   one.recall(view, kStart);
--- a/src/admission/include/admission/cause.h
+++ b/src/admission/include/admission/cause.h
@@ -44,7 +44,7 @@
   Displaced,        // it waited, and gave its place to a class or tenant that has fewer waiting
   RetryBudget,      // a client's marked retry beyond the budget for retries
   BodyMemory,       // no memory for its body in time
-  NoDeed,           // one site alone may run it, and which is not proven just now (docs/deeds.md)
+  NoDeed,           // one site alone may run it, and which is not proven just now (docs/ownership.md)
   ComingBack,       // the proxy comes back from a power cut, and may not serve it yet (docs/recovery.md)
 };
 constexpr std::size_t kCauses = static_cast<std::size_t>(Cause::ComingBack) + 1;
--- a/src/cli/ctl.cpp
+++ b/src/cli/ctl.cpp
@@ -290,7 +290,7 @@
   } else if (yes && options.what == "recovery" && !options.json) {
     std::fputs(recoveryAsTable(said.body).c_str(), stdout);
   } else if ((options.what == "deeds" || options.what == "recovery") && said.status == 404) {
-    return complain("this proxy has no services (docs/deeds.md)") - 1;
+    return complain("this proxy has no services (docs/ownership.md)") - 1;
   } else if ((options.what == "fleet" || options.what == "zones") && said.status == 404) {
     return complain("this proxy keeps no view of a fleet (docs/fleet.md)") - 1;
   } else {
--- a/src/daemon/serve.cpp
+++ b/src/daemon/serve.cpp
@@ -18,13 +18,13 @@
 #include <vector>
 
 #include "console/console_server.h"
+#include "fleet_transport/neighbours.h"
 #include "front/proxy.h"
 #include "handover/link.h"
 #include "net/config.h"
 #include "net/log.h"
-#include "talk/neighbours.h"
-#ifdef QUINCELINE_OWNERS
-#include "owners/owners.h"
+#ifdef QUINCELINE_OWNERSHIP
+#include "ownership/ownership_service.h"
 #endif
 #ifdef QUINCELINE_OPERATOR
 #include "files/disk_source.h"
@@ -103,7 +103,7 @@
 }
 
 // What runs until a signal ends it.
-class Daemon final : private console::Actor, private handover::Holder, private talk::Local {
+class Daemon final : private console::Actor, private handover::Holder, private fleet_transport::Local {
  public:
   Daemon(Source& source, Config config)
       : source_(source),
@@ -130,8 +130,10 @@
         members_watch_(io_, kLook, [this] { takeMembers(); })
 #endif
   {
-    if (fleet_) others_ = talk::makeNeighbours(io_, clock_, log_, *fleet_, static_cast<talk::Local&>(*this));
-    makeOwners();
+    if (fleet_)
+      others_ = fleet_transport::makeNeighbours(io_, clock_, log_, *fleet_,
+                                                static_cast<fleet_transport::Local&>(*this));
+    makeOwnershipService();
   }
 
   void run() {
@@ -139,8 +141,8 @@
     end_.async_wait([this](boost::system::error_code ec, int) {
       if (ec) return;
       if (others_) others_->leave();
-#ifdef QUINCELINE_OWNERS
-      if (owners_) owners_->end();
+#ifdef QUINCELINE_OWNERSHIP
+      if (ownership_) ownership_->end();
 #endif
       proxy_.shutdown([this] { io_.stop(); });
     });
@@ -208,8 +210,8 @@
   void begin(std::optional<handover::State> state) override {
     state ? proxy_.start(*state) : proxy_.start();
     if (others_) others_->start(state ? state->fleet : std::string());
-#ifdef QUINCELINE_OWNERS
-    if (owners_) owners_->start(state.has_value());
+#ifdef QUINCELINE_OWNERSHIP
+    if (ownership_) ownership_->start(state.has_value());
 #endif
   }
   handover::State state() override {
@@ -219,16 +221,16 @@
   }
   void give(handover::Successor successor) override {
     if (others_) others_->giveUp();
-#ifdef QUINCELINE_OWNERS
-    if (owners_) owners_->giveUp();
+#ifdef QUINCELINE_OWNERSHIP
+    if (ownership_) ownership_->giveUp();
 #endif
     proxy_.handOn(std::move(successor));
   }
   void triedThere(const std::vector<admission::Tried>& tried) override { proxy_.triedThere(tried); }
   void takeBack() override {
     if (others_) others_->goOn();
-#ifdef QUINCELINE_OWNERS
-    if (owners_) owners_->goOn();
+#ifdef QUINCELINE_OWNERSHIP
+    if (ownership_) ownership_->goOn();
 #endif
     proxy_.takeBack();
   }
@@ -246,10 +248,10 @@
     console_.page("/admission", [this] { return proxy_.admissionReport(); });
     if (others_) console_.page("/fleet", [this] { return others_->page(); });
     if (others_) console_.page("/fleet/brief", [this] { return others_->brief(); });
-#ifdef QUINCELINE_OWNERS
-    if (owners_) console_.page("/deeds", [this] { return owners_->page(); });
-    if (owners_) console_.page("/rehearsal", [this] { return owners_->rehearsalPage(); });
-    if (owners_) console_.page("/recovery", [this] { return owners_->recoveryPage(); });
+#ifdef QUINCELINE_OWNERSHIP
+    if (ownership_) console_.page("/deeds", [this] { return ownership_->page(); });
+    if (ownership_) console_.page("/rehearsal", [this] { return ownership_->rehearsalPage(); });
+    if (ownership_) console_.page("/recovery", [this] { return ownership_->recoveryPage(); });
 #endif
     if (others_) console_.page("/zones", [this] { return others_->zones(); });
     if (console_at_) console_.listen(*console_at_);
@@ -260,11 +262,11 @@
   }
 
   // Where services are, requests of theirs pass it.
-  void makeOwners() {
+  void makeOwnershipService() {
     if (!services_) return;
-#ifdef QUINCELINE_OWNERS
+#ifdef QUINCELINE_OWNERSHIP
     if (!others_) throw std::runtime_error("services: this instance has no fleet to ask");
-    owners::Owners::Settings s;
+    ownership::OwnershipService::Settings s;
     s.own = *services_;
     s.fleet = fleet_->name;
     s.number = fleet_->number;
@@ -276,23 +278,23 @@
     }
     s.pending = [this] { return source_.pendingServices(); };
     s.rooms = [this] { return proxy_.zoneRooms(); };
-    owners_ = std::make_unique<owners::Owners>(io_, clock_, log_, std::move(s), *others_,
-                                               [this] { return proxy_.canServe(); });
-    proxy_.setGate(owners_.get());
+    ownership_ = std::make_unique<ownership::OwnershipService>(io_, clock_, log_, std::move(s), *others_,
+                                                               [this] { return proxy_.canServe(); });
+    proxy_.setGate(ownership_.get());
 #else
     throw std::runtime_error("services: this program was built without WELDFLOW_FLEET");
 #endif
   }
   bool rehearse(std::string& said) override {
-#ifdef QUINCELINE_OWNERS
-    if (owners_) return (said = owners_->rehearse()).empty();
+#ifdef QUINCELINE_OWNERSHIP
+    if (ownership_) return (said = ownership_->rehearse()).empty();
 #endif
     said = "there are no services";
     return false;
   }
   bool give(const std::string& service, const std::string& zone, std::string& said) override {
-#ifdef QUINCELINE_OWNERS
-    if (owners_) return owners_->give(service, zone, said);
+#ifdef QUINCELINE_OWNERSHIP
+    if (ownership_) return ownership_->give(service, zone, said);
 #endif
     static_cast<void>(service), static_cast<void>(zone), static_cast<void>(said);
     return false;
@@ -384,9 +386,9 @@
   boost::asio::signal_set end_, reload_;
   console::ConsoleServer console_;
   std::optional<handover::Link> link_;
-  std::unique_ptr<talk::Neighbours> others_;  // null: no word is sent to any
-#ifdef QUINCELINE_OWNERS
-  std::unique_ptr<owners::Owners> owners_;  // null: there are no services
+  std::unique_ptr<fleet_transport::Neighbours> others_;  // null: no word is sent to any
+#ifdef QUINCELINE_OWNERSHIP
+  std::unique_ptr<ownership::OwnershipService> ownership_;  // null: there are no services
 #endif
 #ifdef QUINCELINE_OPERATOR
   FileWatch hosts_watch_, members_watch_;
--- a/src/talk/include/talk/neighbours.h
+++ b/src/fleet_transport/include/fleet_transport/neighbours.h
@@ -14,7 +14,7 @@
 #include "net/log.h"
 #include "weldflow/balancer.h"
 
-namespace quinceline::talk {
+namespace quinceline::fleet_transport {
 
 // This proxy, as what is talked about has to do with it.
 class Local {
@@ -65,4 +65,4 @@
 std::unique_ptr<Neighbours> makeNeighbours(boost::asio::io_context& io, const Clock& clock, Log& log,
                                            const FleetSettings& settings, Local& local);
 
-}  // namespace quinceline::talk
+}  // namespace quinceline::fleet_transport
--- a/src/talk/include/talk/talker.h
+++ b/src/fleet_transport/include/fleet_transport/udp_transport.h
@@ -14,21 +14,22 @@
 #include <vector>
 
 #include "fleet/fleet.h"
+#include "fleet_transport/neighbours.h"
+#include "fleet_transport/zone_watch.h"
 #include "net/clock.h"
 #include "net/fleet_settings.h"
 #include "net/log.h"
-#include "talk/neighbours.h"
-#include "talk/zone_watch.h"
 
-namespace quinceline::talk {
+namespace quinceline::fleet_transport {
 
-class Talker final : public Neighbours {
+class UdpTransport final : public Neighbours {
  public:
   using Endpoint = boost::asio::ip::udp::endpoint;
 
   // As makeNeighbours().
-  Talker(boost::asio::io_context& io, const Clock& clock, Log& log, FleetSettings settings, Local& local);
-  ~Talker() override;
+  UdpTransport(boost::asio::io_context& io, const Clock& clock, Log& log, FleetSettings settings,
+               Local& local);
+  ~UdpTransport() override;
 
   void start(const std::string& remembered) override;
   std::string handOn() override;
@@ -86,4 +87,4 @@
   std::function<void(Number, std::string_view)> take_;
 };
 
-}  // namespace quinceline::talk
+}  // namespace quinceline::fleet_transport
--- a/src/talk/include/talk/zone_watch.h
+++ b/src/fleet_transport/include/fleet_transport/zone_watch.h
@@ -8,12 +8,12 @@
 #include <vector>
 
 #include "fleet/roster.h"
+#include "fleet_transport/neighbours.h"
 #include "locality/notes.h"
 #include "locality/verdict.h"
 #include "net/log.h"
-#include "talk/neighbours.h"
 
-namespace quinceline::talk {
+namespace quinceline::fleet_transport {
 
 class ZoneWatch {
  public:
@@ -61,4 +61,4 @@
   locality::Told told_;
 };
 
-}  // namespace quinceline::talk
+}  // namespace quinceline::fleet_transport
--- a/src/talk/none.cpp
+++ b/src/fleet_transport/none.cpp
@@ -1,6 +1,6 @@
-#include "talk/neighbours.h"
+#include "fleet_transport/neighbours.h"
 
-namespace quinceline::talk {
+namespace quinceline::fleet_transport {
 
 std::unique_ptr<Neighbours> makeNeighbours(boost::asio::io_context&, const Clock&, Log& log,
                                            const FleetSettings&, Local&) {
@@ -8,4 +8,4 @@
   return nullptr;
 }
 
-}  // namespace quinceline::talk
+}  // namespace quinceline::fleet_transport
--- a/src/talk/remembered.cpp
+++ b/src/fleet_transport/remembered.cpp
@@ -1,11 +1,11 @@
-#include "talk/remembered.h"
+#include "fleet_transport/remembered.h"
 
 #include <cstdint>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
-namespace quinceline::talk {
+namespace quinceline::fleet_transport {
 namespace {
 
 using nlohmann::json;
@@ -56,4 +56,4 @@
   }
 }
 
-}  // namespace quinceline::talk
+}  // namespace quinceline::fleet_transport
--- a/src/talk/talker.cpp
+++ b/src/fleet_transport/udp_transport.cpp
@@ -1,4 +1,4 @@
-#include "talk/talker.h"
+#include "fleet_transport/udp_transport.h"
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
@@ -9,9 +9,9 @@
 #include <utility>
 
 #include "figures/figures.h"
-#include "talk/remembered.h"
+#include "fleet_transport/remembered.h"
 
-namespace quinceline::talk {
+namespace quinceline::fleet_transport {
 namespace {
 
 namespace asio = boost::asio;
@@ -41,13 +41,14 @@
   return s;
 }
 
-std::string textOf(const Talker::Endpoint& at) {
+std::string textOf(const UdpTransport::Endpoint& at) {
   return at.address().to_string() + ":" + std::to_string(at.port());
 }
 
 }  // namespace
 
-Talker::Talker(asio::io_context& io, const Clock& clock, Log& log, FleetSettings settings, Local& local)
+UdpTransport::UdpTransport(asio::io_context& io, const Clock& clock, Log& log, FleetSettings settings,
+                           Local& local)
     : io_(io),
       clock_(clock),
       log_(log),
@@ -68,15 +69,15 @@
   know(settings_.members);
 }
 
-Talker::~Talker() = default;
+UdpTransport::~UdpTransport() = default;
 
-std::vector<fleet::Listed> Talker::listed(const std::vector<FleetPeer>& members) {
+std::vector<fleet::Listed> UdpTransport::listed(const std::vector<FleetPeer>& members) {
   std::vector<fleet::Listed> out;
   for (const FleetPeer& p : members) out.push_back({p.number, p.zone, p.region});
   return out;
 }
 
-void Talker::know(const std::vector<FleetPeer>& members) {
+void UdpTransport::know(const std::vector<FleetPeer>& members) {
   numbers_.clear();
   addresses_.clear();
   for (const FleetPeer& p : members) {
@@ -85,7 +86,7 @@
   }
 }
 
-void Talker::setMembers(const std::vector<FleetPeer>& members) {
+void UdpTransport::setMembers(const std::vector<FleetPeer>& members) {
   try {
     fleet_->list(clock_.now(), listed(members));
   } catch (const std::invalid_argument& e) {
@@ -97,7 +98,7 @@
 
 // ---- its life ----
 
-void Talker::start(const std::string& remembered) {
+void UdpTransport::start(const std::string& remembered) {
   if (!remembered.empty()) {
     try {
       fleet_->recall(rememberedFrom(remembered), clock_.now());
@@ -123,7 +124,7 @@
   lookAtZones();
 }
 
-void Talker::open() {
+void UdpTransport::open() {
   asio::ip::udp::socket socket(io_);
   socket.open(settings_.listen.protocol());
   socket.bind(settings_.listen);
@@ -133,7 +134,7 @@
   listen();
 }
 
-void Talker::openLater(const std::string& why) {
+void UdpTransport::openLater(const std::string& why) {
   if (!std::exchange(waiting_told_, true)) log_.line(why + "; trying again", LogLevel::Warning);
   reopen_.expires_after(kReopen);
   reopen_.async_wait([this](error_code ec) {
@@ -146,7 +147,7 @@
   });
 }
 
-std::string Talker::handOn() {
+std::string UdpTransport::handOn() {
   const std::string text = toText(fleet_->remember());
   const Time until = clock_.now() + kStill;
   fleet_->beQuiet(clock_.now(), until);
@@ -160,7 +161,7 @@
   return text;
 }
 
-void Talker::goOn() {
+void UdpTransport::goOn() {
   if (!started_ || socket_.is_open()) return;
   if (std::exchange(silent_, false)) tellFacts();
   fleet_->beQuiet(clock_.now(), clock_.now());
@@ -172,7 +173,7 @@
   arm();
 }
 
-void Talker::giveUp() {
+void UdpTransport::giveUp() {
   silent_ = true;
   reopen_.cancel();
   due_.cancel();
@@ -182,7 +183,7 @@
   socket_.close(ignored);
 }
 
-void Talker::leave() {
+void UdpTransport::leave() {
   if (!started_ || silent_) return;
   Steps out;
   fleet_->leave(clock_.now(), out);
@@ -191,7 +192,7 @@
 
 // ---- datagrams ----
 
-void Talker::listen() {
+void UdpTransport::listen() {
   socket_.async_wait(asio::ip::udp::socket::wait_read, [this](error_code ec) {
     if (ec || !socket_.is_open()) return;
     readWaiting();
@@ -199,7 +200,7 @@
   });
 }
 
-void Talker::readWaiting() {
+void UdpTransport::readWaiting() {
   for (std::size_t n = 0; n < kAtOnce && socket_.is_open(); ++n) {
     error_code failed;
     const std::size_t size = socket_.receive_from(asio::buffer(bytes_), from_, 0, failed);
@@ -209,7 +210,7 @@
   }
 }
 
-void Talker::take(std::size_t size) {
+void UdpTransport::take(std::size_t size) {
   ++in_;
   bytes_in_ += size;
   const auto known = numbers_.find(from_);
@@ -227,7 +228,7 @@
   carryOut(out);
 }
 
-void Talker::carryOut(const Steps& out) {
+void UdpTransport::carryOut(const Steps& out) {
   for (const fleet::Datagram& d : out.datagrams) {
     const auto to = addresses_.find(d.to);
     if (to == addresses_.end() || !socket_.is_open()) continue;
@@ -255,14 +256,14 @@
   arm();
 }
 
-void Talker::send(Number to, std::string bytes) {
+void UdpTransport::send(Number to, std::string bytes) {
   if (!started_ || silent_) return;
   Steps out;
   fleet_->sendParcel(clock_.now(), to, std::move(bytes), out);
   carryOut(out);
 }
 
-std::vector<Neighbours::Member> Talker::members() const {
+std::vector<Neighbours::Member> UdpTransport::members() const {
   std::vector<Member> all;
   for (const fleet::Member& m : fleet_->roster().all()) {
     Member one{m.listed.number, m.listed.zone, fleet::isLive(m.standing.state)};
@@ -275,7 +276,7 @@
   return all;
 }
 
-void Talker::arm() {
+void UdpTransport::arm() {
   const Time due = silent_ ? kNever : fleet_->due();
   if (due == kNever || due >= armed_for_) return;
   armed_for_ = due;
@@ -292,7 +293,7 @@
   });
 }
 
-void Talker::tellFacts() {
+void UdpTransport::tellFacts() {
   const Time now = clock_.now();
   const std::uint64_t requests = local_.admitted();
   const double seconds = static_cast<double>(now - facts_at_) / static_cast<double>(kSecond);
@@ -311,7 +312,7 @@
 
 // ---- what staff see ----
 
-void Talker::tell(bool urgent) {
+void UdpTransport::tell(bool urgent) {
   fleet::Facts facts;
   facts.version = kProgram;
   facts.zone = settings_.zone;
@@ -322,7 +323,7 @@
   arm();
 }
 
-void Talker::lookAtZones() {
+void UdpTransport::lookAtZones() {
   const Time now = clock_.now();
   if (const auto note = zones_.look(now, fleet_->roster(), fleet_->doubt(now) == fleet::Doubt::None))
     tell(note->urgent);
@@ -332,13 +333,13 @@
   });
 }
 
-std::string Talker::brief() const {
+std::string UdpTransport::brief() const {
   const fleet::View v = view();
   return nlohmann::ordered_json{{"number", v.self}, {"sure", v.sure()}, {"live", v.live}, {"hash", v.hash}}
       .dump();
 }
 
-std::string Talker::page() const {
+std::string UdpTransport::page() const {
   using nlohmann::ordered_json;
   const Time now = clock_.now();
   const fleet::View v = view();
@@ -388,7 +389,7 @@
       .dump(2, ' ', false, ordered_json::error_handler_t::replace);  // a name is what some member wrote
 }
 
-std::string Talker::figures() const {
+std::string UdpTransport::figures() const {
   const fleet::View v = view();
   const fleet::Drops& d = fleet_->drops();
   figures::FleetPage page;
@@ -409,7 +410,7 @@
 
 std::unique_ptr<Neighbours> makeNeighbours(asio::io_context& io, const Clock& clock, Log& log,
                                            const FleetSettings& settings, Local& local) {
-  return std::make_unique<Talker>(io, clock, log, settings, local);
+  return std::make_unique<UdpTransport>(io, clock, log, settings, local);
 }
 
-}  // namespace quinceline::talk
+}  // namespace quinceline::fleet_transport
--- a/src/talk/zone_watch.cpp
+++ b/src/fleet_transport/zone_watch.cpp
@@ -1,4 +1,4 @@
-#include "talk/zone_watch.h"
+#include "fleet_transport/zone_watch.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -6,7 +6,7 @@
 
 #include "fleet/facts.h"
 
-namespace quinceline::talk {
+namespace quinceline::fleet_transport {
 namespace {
 
 using locality::Seen;
@@ -174,4 +174,4 @@
       2, ' ', false, ordered_json::error_handler_t::replace);
 }
 
-}  // namespace quinceline::talk
+}  // namespace quinceline::fleet_transport
--- a/src/handover/include/handover/state.h
+++ b/src/handover/include/handover/state.h
@@ -17,7 +17,7 @@
   bool drained = false;
   std::vector<admission::Tried> tried;
   bool tells_tried = true;  // it will tell the rest when the new one is ready: all it has, then an empty list
-  std::string fleet{};      // what it knows of the other proxies (src/talk); empty: it does not talk
+  std::string fleet{};  // what it knows of the other proxies (src/fleet_transport); empty: it does not talk
   bool operator==(const State&) const = default;
 };
 
--- a/src/deeds/findings.cpp
+++ b/src/leases/findings.cpp
@@ -1,9 +1,9 @@
-#include "deeds/findings.h"
+#include "leases/findings.h"
 
 #include <algorithm>
 #include <array>
 
-namespace quinceline::deeds {
+namespace quinceline::leases {
 
 const Remedy& remedyOf(Wrong kind) {
   static constexpr std::array<Remedy, 7> kAll = {{
@@ -50,4 +50,4 @@
       std::count_if(all_.begin(), all_.end(), [&](const Finding& f) { return f.kind == kind; }));
 }
 
-}  // namespace quinceline::deeds
+}  // namespace quinceline::leases
--- a/src/deeds/include/deeds/electorate.h
+++ b/src/leases/include/leases/electorate.h
@@ -7,9 +7,9 @@
 #include <utility>
 #include <vector>
 
-#include "deeds/types.h"
+#include "leases/types.h"
 
-namespace quinceline::deeds {
+namespace quinceline::leases {
 
 // What a member sees of the others just now.
 struct Outlook {
@@ -91,4 +91,4 @@
   std::vector<SiteId> sites_;
 };
 
-}  // namespace quinceline::deeds
+}  // namespace quinceline::leases
--- a/src/deeds/include/deeds/findings.h
+++ b/src/leases/include/leases/findings.h
@@ -5,9 +5,9 @@
 #include <string_view>
 #include <vector>
 
-#include "deeds/types.h"
+#include "leases/types.h"
 
-namespace quinceline::deeds {
+namespace quinceline::leases {
 
 enum class Wrong : std::uint8_t {
   Stale,         // a memory from before a cut, or an older copy of it
@@ -56,4 +56,4 @@
   std::vector<Finding> all_;
 };
 
-}  // namespace quinceline::deeds
+}  // namespace quinceline::leases
--- a/src/deeds/include/deeds/keeper.h
+++ b/src/leases/include/leases/keeper.h
@@ -6,10 +6,10 @@
 #include <map>
 #include <vector>
 
-#include "deeds/electorate.h"
-#include "deeds/wire.h"
+#include "leases/electorate.h"
+#include "leases/wire.h"
 
-namespace quinceline::deeds {
+namespace quinceline::leases {
 
 struct Holding {
   Deed deed;
@@ -68,4 +68,4 @@
   std::uint32_t last_ = 0;
 };
 
-}  // namespace quinceline::deeds
+}  // namespace quinceline::leases
--- a/src/deeds/include/deeds/member.h
+++ b/src/leases/include/leases/member.h
@@ -1,5 +1,5 @@
 // One member's part in who owns what: messages and the time in; messages, what must be on disk first, and
-// lines for staff out. No I/O, no clock. docs/design-deeds.md says why it is so.
+// lines for staff out. No I/O, no clock. docs/design-ownership.md says why it is so.
 #pragma once
 
 #include <functional>
@@ -9,13 +9,13 @@
 #include <string>
 #include <vector>
 
-#include "deeds/findings.h"
-#include "deeds/keeper.h"
-#include "deeds/permits.h"
-#include "deeds/voter.h"
+#include "leases/findings.h"
+#include "leases/keeper.h"
+#include "leases/permits.h"
+#include "leases/voter.h"
 #include "random/random.h"
 
-namespace quinceline::deeds {
+namespace quinceline::leases {
 
 struct Parcel {
   Number to = 0;
@@ -133,4 +133,4 @@
   Time hello_at_ = 0, renew_at_ = 0, claim_at_ = 0, ask_at_ = 0, due_ = fleet::kNever;
 };
 
-}  // namespace quinceline::deeds
+}  // namespace quinceline::leases
--- a/src/deeds/include/deeds/permits.h
+++ b/src/leases/include/leases/permits.h
@@ -5,9 +5,9 @@
 #include <map>
 #include <string_view>
 
-#include "deeds/wire.h"
+#include "leases/wire.h"
 
-namespace quinceline::deeds {
+namespace quinceline::leases {
 
 // Why not. All are refusals before anything ran.
 enum class Bar : std::uint8_t {
@@ -64,4 +64,4 @@
   std::uint32_t last_ = 0;
 };
 
-}  // namespace quinceline::deeds
+}  // namespace quinceline::leases
--- a/src/deeds/include/deeds/types.h
+++ b/src/leases/include/leases/types.h
@@ -1,4 +1,5 @@
-// The words of ownership: docs/deeds.md says what they mean together, docs/design-deeds.md why it is so.
+// The words of ownership: docs/ownership.md says what they mean together, docs/design-ownership.md why it is
+// so.
 //
 // A *service* is a set of routes whose unsafe and keyed requests only one *site* (a zone of hosts) may run. A
 // *deed* says which, by a *term* that only grows. A site holds a deed as long as a majority of the listed
@@ -12,7 +13,7 @@
 
 #include "fleet/types.h"
 
-namespace quinceline::deeds {
+namespace quinceline::leases {
 
 using fleet::Number;
 using fleet::Time;
@@ -81,4 +82,4 @@
   bool operator==(const Kept&) const = default;
 };
 
-}  // namespace quinceline::deeds
+}  // namespace quinceline::leases
--- a/src/deeds/include/deeds/voter.h
+++ b/src/leases/include/leases/voter.h
@@ -5,10 +5,10 @@
 #include <optional>
 #include <vector>
 
-#include "deeds/electorate.h"
-#include "deeds/wire.h"
+#include "leases/electorate.h"
+#include "leases/wire.h"
 
-namespace quinceline::deeds {
+namespace quinceline::leases {
 
 class Voter {
  public:
@@ -76,4 +76,4 @@
   std::optional<Time> informed_at_;
 };
 
-}  // namespace quinceline::deeds
+}  // namespace quinceline::leases
--- a/src/deeds/include/deeds/wire.h
+++ b/src/leases/include/leases/wire.h
@@ -7,9 +7,9 @@
 #include <string_view>
 #include <vector>
 
-#include "deeds/types.h"
+#include "leases/types.h"
 
-namespace quinceline::deeds {
+namespace quinceline::leases {
 
 enum class Kind : std::uint8_t {
   Hello = 1,  // who has just started asks what others know
@@ -55,4 +55,4 @@
 // Of deeds in any order.
 std::uint32_t digestOf(const std::vector<Kept>& deeds);
 
-}  // namespace quinceline::deeds
+}  // namespace quinceline::leases
--- a/src/deeds/keeper.cpp
+++ b/src/leases/keeper.cpp
@@ -1,9 +1,9 @@
-#include "deeds/keeper.h"
+#include "leases/keeper.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace quinceline::deeds {
+namespace quinceline::leases {
 
 void Keeper::recall(ServiceId service, const Deed& deed, bool ready) {
   Holding& h = holdings_[service];
@@ -108,4 +108,4 @@
   return all;
 }
 
-}  // namespace quinceline::deeds
+}  // namespace quinceline::leases
--- a/src/deeds/member.cpp
+++ b/src/leases/member.cpp
@@ -1,10 +1,10 @@
-#include "deeds/member.h"
+#include "leases/member.h"
 
 #include <algorithm>
 #include <stdexcept>
 #include <utility>
 
-namespace quinceline::deeds {
+namespace quinceline::leases {
 namespace {
 
 using fleet::kMillisecond;
@@ -535,4 +535,4 @@
   return p;
 }
 
-}  // namespace quinceline::deeds
+}  // namespace quinceline::leases
--- a/src/deeds/permits.cpp
+++ b/src/leases/permits.cpp
@@ -1,8 +1,8 @@
-#include "deeds/permits.h"
+#include "leases/permits.h"
 
 #include <algorithm>
 
-namespace quinceline::deeds {
+namespace quinceline::leases {
 namespace {
 
 constexpr std::size_t kRounds = 8;  // that may still be answered
@@ -60,4 +60,4 @@
   return it == known_.end() || !(it->second.deed == deed) ? fleet::kNever : it->second.ready_at;
 }
 
-}  // namespace quinceline::deeds
+}  // namespace quinceline::leases
--- a/src/deeds/voter.cpp
+++ b/src/leases/voter.cpp
@@ -1,8 +1,8 @@
-#include "deeds/voter.h"
+#include "leases/voter.h"
 
 #include <algorithm>
 
-namespace quinceline::deeds {
+namespace quinceline::leases {
 namespace {
 
 std::uint16_t millisecondsOf(Time t) {
@@ -188,4 +188,4 @@
   }
 }
 
-}  // namespace quinceline::deeds
+}  // namespace quinceline::leases
--- a/src/deeds/wire.cpp
+++ b/src/leases/wire.cpp
@@ -1,4 +1,4 @@
-#include "deeds/wire.h"
+#include "leases/wire.h"
 
 #include <algorithm>
 
@@ -6,7 +6,7 @@
 #include "random/fnv.h"
 #include "random/random.h"
 
-namespace quinceline::deeds {
+namespace quinceline::leases {
 namespace {
 
 constexpr std::uint8_t kYes = 0x80, kUnknown = 0x40, kGround = 0x0F;
@@ -98,4 +98,4 @@
   return static_cast<std::uint32_t>(all ^ (all >> 32));
 }
 
-}  // namespace quinceline::deeds
+}  // namespace quinceline::leases
--- a/src/owners/include/owners/owners.h
+++ b/src/ownership/include/ownership/ownership_service.h
@@ -10,19 +10,19 @@
 #include <string>
 #include <string_view>
 
-#include "deeds/member.h"
-#include "keep/keep.h"
+#include "fleet_transport/neighbours.h"
+#include "leases/member.h"
 #include "net/clock.h"
 #include "net/log.h"
 #include "net/service_gate.h"
-#include "owners/rehearsing.h"
-#include "owners/services.h"
+#include "ownership/rehearsing.h"
+#include "ownership/services.h"
 #include "recovery/recovery.h"
-#include "talk/neighbours.h"
+#include "storage/async_store.h"
 
-namespace quinceline::owners {
+namespace quinceline::ownership {
 
-class Owners final : public ServiceGate {
+class OwnershipService final : public ServiceGate {
  public:
   struct Settings {
     ServiceSettings own;
@@ -34,9 +34,9 @@
     std::function<std::map<std::string, double>()> rooms;  // by zone
   };
   // Throws std::runtime_error with what is wrong with the settings. `talk` must outlive it.
-  Owners(boost::asio::io_context& io, const Clock& clock, Log& log, Settings settings, talk::Neighbours& talk,
-         std::function<bool()> listed);
-  ~Owners() override;
+  OwnershipService(boost::asio::io_context& io, const Clock& clock, Log& log, Settings settings,
+                   fleet_transport::Neighbours& talk, std::function<bool()> listed);
+  ~OwnershipService() override;
 
   // `handed_on`: the process before this one has told what it knew.
   void start(bool handed_on);
@@ -53,7 +53,7 @@
   void turnedAway(Service service, std::uint32_t term) override;
   void ended(const Ended& request) override { rehearsing_->note(request, clock_.now()); }
 
-  // JSON: docs/deeds.md, docs/recovery.md.
+  // JSON: docs/ownership.md, docs/recovery.md.
   std::string page() const;
   std::string recoveryPage() const;
   // What the pending file would do to recorded traffic: begins it over the fleet; what is wrong with the
@@ -65,22 +65,22 @@
 
  private:
   void look();
-  void carryOut(deeds::Out& out);
+  void carryOut(leases::Out& out);
   void wake();
-  void remember(const deeds::Kept& kept);
+  void remember(const leases::Kept& kept);
   recovery::Facts facts() const;
-  std::string zoneOf(deeds::SiteId site) const;
+  std::string zoneOf(leases::SiteId site) const;
 
   const Clock& clock_;
   Log& log_;
   const Settings settings_;
-  talk::Neighbours& talk_;
+  fleet_transport::Neighbours& talk_;
   const std::function<bool()> listed_;
   const Services services_;
-  std::map<deeds::SiteId, std::string> zones_;
-  deeds::Rules rules_;
-  std::unique_ptr<keep::Keep> keep_;  // null: no memory
-  std::unique_ptr<deeds::Member> member_;
+  std::map<leases::SiteId, std::string> zones_;
+  leases::Rules rules_;
+  std::unique_ptr<storage::AsyncStore> keep_;  // null: no memory
+  std::unique_ptr<leases::Member> member_;
   std::unique_ptr<Rehearsing> rehearsing_;
   recovery::Recovery recovery_;
   recovery::Stage stage_ = recovery::Stage::Dark;
@@ -90,4 +90,4 @@
   bool slow_told_ = false, silent_ = false;
 };
 
-}  // namespace quinceline::owners
+}  // namespace quinceline::ownership
--- a/src/owners/include/owners/rehearsing.h
+++ b/src/ownership/include/ownership/rehearsing.h
@@ -9,13 +9,13 @@
 #include <string_view>
 #include <vector>
 
-#include "deeds/types.h"
+#include "leases/types.h"
 #include "net/service_gate.h"
-#include "owners/services.h"
+#include "ownership/services.h"
 #include "record/record.h"
 #include "rehearsal/rehearsal.h"
 
-namespace quinceline::owners {
+namespace quinceline::ownership {
 
 // In pieces that fit a parcel; whatever is lost of them is asked for again.
 std::vector<std::string> piecesOf(const rehearsal::Tally& tally, std::size_t most);
@@ -25,8 +25,8 @@
  public:
   using Number = std::uint16_t;
   struct World {
-    std::function<deeds::Deed(deeds::ServiceId)> known;
-    std::function<std::string(deeds::SiteId)> zone_of;
+    std::function<leases::Deed(leases::ServiceId)> known;
+    std::function<std::string(leases::SiteId)> zone_of;
     std::function<ServiceSettings()> pending;  // throws std::exception: it can't be read
     std::function<std::vector<Number>()> live;
     std::function<std::map<std::string, double>()> rooms;
@@ -75,4 +75,4 @@
   rehearsal::Grounds grounds_;
 };
 
-}  // namespace quinceline::owners
+}  // namespace quinceline::ownership
--- a/src/owners/owners.cpp
+++ b/src/ownership/ownership_service.cpp
@@ -1,4 +1,4 @@
-#include "owners/owners.h"
+#include "ownership/ownership_service.h"
 
 #include <algorithm>
 #include <chrono>
@@ -7,7 +7,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace quinceline::owners {
+namespace quinceline::ownership {
 namespace {
 
 using boost::system::error_code;
@@ -24,8 +24,9 @@
 
 }  // namespace
 
-Owners::Owners(boost::asio::io_context& io, const Clock& clock, Log& log, Settings settings,
-               talk::Neighbours& talk, std::function<bool()> listed)
+OwnershipService::OwnershipService(boost::asio::io_context& io, const Clock& clock, Log& log,
+                                   Settings settings, fleet_transport::Neighbours& talk,
+                                   std::function<bool()> listed)
     : clock_(clock),
       log_(log),
       settings_(std::move(settings)),
@@ -38,27 +39,27 @@
   rules_.lease = settings_.own.lease;
   rules_.owed = settings_.longest_deadline + settings_.longest_window;
   rules_.file = services_.hash();
-  std::vector<deeds::Listed> listed_members;
-  for (const talk::Neighbours::Member& m : talk_.members()) {
-    const deeds::SiteId site = deeds::siteId(m.zone);
+  std::vector<leases::Listed> listed_members;
+  for (const fleet_transport::Neighbours::Member& m : talk_.members()) {
+    const leases::SiteId site = leases::siteId(m.zone);
     listed_members.push_back({m.number, site});
     zones_[site] = m.zone;
   }
   for (const ServiceSetting& s : settings_.own.services) {
     for (const std::string& zone : {s.home, s.stand_by}) {
-      if (!zone.empty()) zones_[deeds::siteId(zone)] = zone;
+      if (!zone.empty()) zones_[leases::siteId(zone)] = zone;
     }
   }
   std::random_device random;
   try {
-    member_ = std::make_unique<deeds::Member>(rules_, services_.deeds(), listed_members, settings_.number,
-                                              random());
+    member_ = std::make_unique<leases::Member>(rules_, services_.deeds(), listed_members, settings_.number,
+                                               random());
   } catch (const std::invalid_argument& e) {
     throw std::runtime_error(std::string("services: ") + e.what());
   }
   Rehearsing::World world;
-  world.known = [this](deeds::ServiceId id) { return member_->known(id); };
-  world.zone_of = [this](deeds::SiteId site) { return zoneOf(site); };
+  world.known = [this](leases::ServiceId id) { return member_->known(id); };
+  world.zone_of = [this](leases::SiteId site) { return zoneOf(site); };
   world.pending = settings_.pending;
   world.rooms = settings_.rooms;
   world.live = [this] { return member_->outlook().live; };
@@ -66,11 +67,11 @@
   rehearsing_ =
       std::make_unique<Rehearsing>(services_, settings_.own.services, settings_.number, std::move(world));
   if (settings_.own.memory.empty()) return;
-  keep::Keep::Words words;
-  words.written = [this](const keep::Change& change, bool ok) {
-    const auto* const kept = std::get_if<deeds::Kept>(&change);
+  storage::AsyncStore::Words words;
+  words.written = [this](const storage::Change& change, bool ok) {
+    const auto* const kept = std::get_if<leases::Kept>(&change);
     if (kept == nullptr) return;
-    deeds::Out out;
+    leases::Out out;
     member_->written(clock_.now(), *kept, ok, out);
     carryOut(out);
   };
@@ -79,29 +80,29 @@
     log_.line(fault.empty() ? "memory: written again" : "memory: not written: " + fault,
               fault.empty() ? LogLevel::Info : LogLevel::Error);
   };
-  keep_ = std::make_unique<keep::Keep>(
-      io, settings_.own.memory, keep::Store::Owner{settings_.fleet, settings_.number}, std::move(words));
+  keep_ = std::make_unique<storage::AsyncStore>(
+      io, settings_.own.memory, storage::Store::Owner{settings_.fleet, settings_.number}, std::move(words));
   trouble_ = keep_->fault();
   if (!trouble_.empty()) log_.line("memory: not used, nothing is remembered: " + trouble_, LogLevel::Error);
 }
 
-Owners::~Owners() = default;
+OwnershipService::~OwnershipService() = default;
 
-void Owners::start(bool handed_on) {
+void OwnershipService::start(bool handed_on) {
   const Time now = clock_.now();
   started_ = now;
   recovery::Before before = recovery::Before::Unknown;
-  std::vector<deeds::Kept> remembered;
+  std::vector<leases::Kept> remembered;
   std::uint32_t installation = 0;
   if (keep_ && keep_->memory()) {
-    const keep::Memory& m = *keep_->memory();
+    const storage::Memory& m = *keep_->memory();
     before = m.fresh ? recovery::Before::Nothing : recovery::Before::Ended;
-    for (const keep::Note& n : m.notes) {
+    for (const storage::Note& n : m.notes) {
       if (n.name == kRunning && n.bytes == "1") before = recovery::Before::CutShort;
     }
     remembered = m.deeds;
     installation = m.installation;
-    keep_->write(keep::Note{kRunning, "1"});
+    keep_->write(storage::Note{kRunning, "1"});
     log_.line("memory: " + std::to_string(remembered.size()) + " deeds remembered; the process before: " +
               std::string(recovery::nameOf(handed_on ? recovery::Before::Ended : before)));
   }
@@ -110,61 +111,61 @@
   talk_.onParcel([this](std::uint16_t from, std::string_view bytes) {
     if (silent_) return;
     if (Rehearsing::isMine(bytes)) return rehearsing_->receive(clock_.now(), from, bytes);
-    deeds::Out out;
+    leases::Out out;
     member_->receive(clock_.now(), from, bytes, out);
     carryOut(out);
   });
   look();
 }
 
-void Owners::end() {
-  if (keep_) keep_->write(keep::Note{kRunning, "0"});
+void OwnershipService::end() {
+  if (keep_) keep_->write(storage::Note{kRunning, "0"});
 }
 
-void Owners::giveUp() { silent_ = true; }
-void Owners::goOn() {
+void OwnershipService::giveUp() { silent_ = true; }
+void OwnershipService::goOn() {
   if (std::exchange(silent_, false)) wake();
 }
 
 // ---- what the front asks ----
 
-ServiceGate::Match Owners::serviceOf(const RequestHead& head, std::string_view request_class,
-                                     weldflow::Effect effect) const {
+ServiceGate::Match OwnershipService::serviceOf(const RequestHead& head, std::string_view request_class,
+                                               weldflow::Effect effect) const {
   const Services::Match m = services_.find(head.target, head.method, request_class);
   if (m.malformed) return {std::nullopt, true};
   if (!m.service || effect == weldflow::Effect::Safe) return {};
   return {services_.deeds()[*m.service].id, false};
 }
 
-ServiceGate::Leave Owners::leave(Service service) const {
-  const deeds::Permit p = member_->permit(service, clock_.now());
+ServiceGate::Leave OwnershipService::leave(Service service) const {
+  const leases::Permit p = member_->permit(service, clock_.now());
   if (!p.ok()) return {false, {}, 0, p.wait > 0 ? p.wait : rules_.ask_every};
   return {true, zoneOf(p.site), p.term, 0};
 }
 
-std::optional<Time> Owners::heldBack(const weldflow::RequestClass& of, bool served) const {
+std::optional<Time> OwnershipService::heldBack(const weldflow::RequestClass& of, bool served) const {
   return recovery_.heldBack(clock_.now(), of, served);
 }
 
-void Owners::turnedAway(Service service, std::uint32_t term) {
-  deeds::Out out;
+void OwnershipService::turnedAway(Service service, std::uint32_t term) {
+  leases::Out out;
   member_->onHostTerm(clock_.now(), service, term, out);
   carryOut(out);
 }
 
-std::string Owners::zoneOf(deeds::SiteId site) const {
+std::string OwnershipService::zoneOf(leases::SiteId site) const {
   const auto it = zones_.find(site);
   return it == zones_.end() ? std::string() : it->second;
 }
 
 // ---- time, words, disk ----
 
-void Owners::look() {
-  deeds::Outlook outlook;
-  for (const talk::Neighbours::Member& m : talk_.members()) {
+void OwnershipService::look() {
+  leases::Outlook outlook;
+  for (const fleet_transport::Neighbours::Member& m : talk_.members()) {
     if (m.live || m.number == settings_.number) outlook.live.push_back(m.number);
   }
-  for (const std::string& zone : talk_.lostZones()) outlook.lost.push_back(deeds::siteId(zone));
+  for (const std::string& zone : talk_.lostZones()) outlook.lost.push_back(leases::siteId(zone));
   member_->look(clock_.now(), std::move(outlook));
   const recovery::Stage stage = recovery_.stage(clock_.now(), facts());
   if (std::exchange(stage_, stage) != stage) log_.line("recovery: " + std::string(recovery::nameOf(stage)));
@@ -184,7 +185,7 @@
   });
 }
 
-void Owners::wake() {
+void OwnershipService::wake() {
   const Time due = silent_ ? kNever : member_->due();
   if (due == kNever || due >= armed_for_) return;
   armed_for_ = due;
@@ -193,14 +194,14 @@
     if (ec) return;
     armed_for_ = kNever;
     if (silent_) return;
-    deeds::Out out;
+    leases::Out out;
     member_->onTime(clock_.now(), out);
     carryOut(out);
   });
 }
 
-void Owners::remember(const deeds::Kept& kept) {
-  deeds::Out out;
+void OwnershipService::remember(const leases::Kept& kept) {
+  leases::Out out;
   if (!keep_) {
     member_->written(clock_.now(), kept, true, out);  // there is no memory: it lasts as long as this process
   } else if (!keep_->write(kept)) {
@@ -209,17 +210,17 @@
   if (!out.parcels.empty() || !out.lines.empty() || !out.writes.empty()) carryOut(out);
 }
 
-void Owners::carryOut(deeds::Out& out) {
-  for (const deeds::Parcel& p : out.parcels) talk_.send(p.to, p.bytes);
+void OwnershipService::carryOut(leases::Out& out) {
+  for (const leases::Parcel& p : out.parcels) talk_.send(p.to, p.bytes);
   for (const std::string& line : out.lines) log_.line(line);
   if (out.renounce && keep_) keep_->renounce();
-  for (const deeds::Kept& k : out.writes) remember(k);
+  for (const leases::Kept& k : out.writes) remember(k);
   wake();
 }
 
 // ---- staff ----
 
-recovery::Facts Owners::facts() const {
+recovery::Facts OwnershipService::facts() const {
   const Time now = clock_.now();
   recovery::Facts f;
   f.listed = listed_();
@@ -232,27 +233,27 @@
       if (const auto it = settings_.worth.find(r.request_class); it != settings_.worth.end())
         worth = std::max(worth, it->second);
     }
-    f.services.push_back({s.name, member_->permit(deeds::serviceId(s.name), now), worth});
+    f.services.push_back({s.name, member_->permit(leases::serviceId(s.name), now), worth});
   }
   return f;
 }
 
-std::string Owners::page() const {
+std::string OwnershipService::page() const {
   const Time now = clock_.now();
   ordered_json services = ordered_json::array();
-  for (const deeds::Service& s : services_.deeds()) {
-    const deeds::Deed known = member_->known(s.id);
-    const deeds::Permit p = member_->permit(s.id, now);
+  for (const leases::Service& s : services_.deeds()) {
+    const leases::Deed known = member_->known(s.id);
+    const leases::Permit p = member_->permit(s.id, now);
     ordered_json one = {{"service", s.name},
                         {"home", zoneOf(s.home)},
                         {"stand_by", zoneOf(s.stand_by)},
                         {"owner", zoneOf(known.site)},
                         {"term", known.term},
-                        {"ground", known.term == 0 ? "" : std::string(deeds::nameOf(known.ground))},
-                        {"sent", deeds::nameOf(p.bar)},
+                        {"ground", known.term == 0 ? "" : std::string(leases::nameOf(known.ground))},
+                        {"sent", leases::nameOf(p.bar)},
                         {"disputed", member_->disputed(s.id)}};
     if (p.wait > 0) one["wait_s"] = seconds(p.wait);
-    if (const deeds::Holding* const h = member_->holding(s.id)) {
+    if (const leases::Holding* const h = member_->holding(s.id)) {
       one["held_here"] = {{"confirmed", h->confirmed},
                           {"for_s", seconds(std::max<Time>(0, h->until - now))},
                           {"ready", h->ready}};
@@ -260,12 +261,12 @@
     services.push_back(std::move(one));
   }
   ordered_json wrong = ordered_json::array();
-  for (const deeds::Finding& f : member_->findings().all()) {
-    const deeds::Remedy& r = deeds::remedyOf(f.kind);
+  for (const leases::Finding& f : member_->findings().all()) {
+    const leases::Remedy& r = leases::remedyOf(f.kind);
     std::string service;
-    for (const deeds::Service& s : services_.deeds()) service = s.id == f.service ? s.name : service;
-    ordered_json one = {{"kind", deeds::nameOf(f.kind)}, {"service", service}, {"claimant", f.claimant}};
-    if (f.kind == deeds::Wrong::Copied) one["same_as"] = f.other;
+    for (const leases::Service& s : services_.deeds()) service = s.id == f.service ? s.name : service;
+    ordered_json one = {{"kind", leases::nameOf(f.kind)}, {"service", service}, {"claimant", f.claimant}};
+    if (f.kind == leases::Wrong::Copied) one["same_as"] = f.other;
     if (f.claim.term > 0) {
       one["claimed"] = {{"zone", zoneOf(f.claim.site)}, {"term", f.claim.term}};
       one["known"] = {{"zone", zoneOf(f.against.site)}, {"term", f.against.term}};
@@ -286,7 +287,7 @@
                  {"wrong_claims", wrong}});
 }
 
-std::string Owners::recoveryPage() const {
+std::string OwnershipService::recoveryPage() const {
   const Time now = clock_.now();
   const recovery::Facts f = facts();
   ordered_json waits = ordered_json::array();
@@ -307,17 +308,17 @@
                  {"waits", waits}});
 }
 
-bool Owners::give(const std::string& service, const std::string& zone, std::string& said) {
-  const deeds::ServiceId id = deeds::serviceId(service);
-  const deeds::SiteId site = deeds::siteId(zone);
+bool OwnershipService::give(const std::string& service, const std::string& zone, std::string& said) {
+  const leases::ServiceId id = leases::serviceId(service);
+  const leases::SiteId site = leases::siteId(zone);
   const auto& all = services_.deeds();
-  if (std::none_of(all.begin(), all.end(), [&](const deeds::Service& s) { return s.id == id; }) ||
+  if (std::none_of(all.begin(), all.end(), [&](const leases::Service& s) { return s.id == id; }) ||
       !zones_.contains(site))
     return false;
-  deeds::Out out;
+  leases::Out out;
   said = member_->decree(clock_.now(), id, site, out);
   carryOut(out);
   return true;
 }
 
-}  // namespace quinceline::owners
+}  // namespace quinceline::ownership
--- a/src/owners/rehearsing.cpp
+++ b/src/ownership/rehearsing.cpp
@@ -1,4 +1,4 @@
-#include "owners/rehearsing.h"
+#include "ownership/rehearsing.h"
 
 #include <algorithm>
 #include <bit>
@@ -7,7 +7,7 @@
 #include "fleet/bytes.h"
 #include "routing/target.h"
 
-namespace quinceline::owners {
+namespace quinceline::ownership {
 namespace {
 
 using nlohmann::ordered_json;
@@ -18,7 +18,8 @@
 constexpr Time kSpan = 1800 * kSecond, kAskEvery = 300 * kMillisecond, kWait = 5 * kSecond;
 
 std::uint64_t hashOf(std::string_view text) {
-  return std::uint64_t{deeds::serviceId(text)} << 32 | deeds::serviceId(std::string("#") + std::string(text));
+  return std::uint64_t{leases::serviceId(text)} << 32 |
+         leases::serviceId(std::string("#") + std::string(text));
 }
 
 // In the order of the wire.
@@ -125,7 +126,7 @@
     for (const ServiceSetting& v : settings) {
       const auto before =
           std::find_if(settings_.begin(), settings_.end(), [&](auto& o) { return o.name == v.name; });
-      const deeds::Deed held = world_.known(deeds::serviceId(v.name));
+      const leases::Deed held = world_.known(leases::serviceId(v.name));
       const bool stays = held.term > 0 && before != settings_.end() && before->home == v.home;
       zones.push_back(stays ? world_.zone_of(held.site) : v.home);
       for (const ServiceRoute& r : v.routes) s.routes.push_back(v.name + "/" + r.name);
@@ -152,11 +153,11 @@
   g.file = now_.hash();
   g.pending = pending_;
   std::uint32_t deeds = 0, members = 0;
-  for (const deeds::Service& s : now_.deeds()) {
-    const deeds::Deed d = world_.known(s.id);
-    deeds ^= deeds::serviceId(s.name + "/" + std::to_string(d.term) + "/" + std::to_string(d.site));
+  for (const leases::Service& s : now_.deeds()) {
+    const leases::Deed d = world_.known(s.id);
+    deeds ^= leases::serviceId(s.name + "/" + std::to_string(d.term) + "/" + std::to_string(d.site));
   }
-  for (const Number n : world_.live()) members ^= deeds::serviceId("member " + std::to_string(n));
+  for (const Number n : world_.live()) members ^= leases::serviceId("member " + std::to_string(n));
   g.deeds = deeds;
   g.members = members;
   return g;
@@ -285,4 +286,4 @@
   return page.dump(2, ' ', false, ordered_json::error_handler_t::replace);
 }
 
-}  // namespace quinceline::owners
+}  // namespace quinceline::ownership
--- a/src/owners/services.cpp
+++ b/src/ownership/services.cpp
@@ -1,16 +1,16 @@
-#include "owners/services.h"
+#include "ownership/services.h"
 
 #include <map>
 #include <stdexcept>
 
 #include "routing/target.h"
 
-namespace quinceline::owners {
+namespace quinceline::ownership {
 
 Services::Services(const std::vector<ServiceSetting>& settings) {
   std::vector<routing::Rule> rules;
-  std::map<deeds::ServiceId, std::string> ids;
-  std::map<deeds::SiteId, std::string> sites;
+  std::map<leases::ServiceId, std::string> ids;
+  std::map<leases::SiteId, std::string> sites;
   const auto distinct = [](auto& known, auto id, const std::string& name) {
     const auto [it, first] = known.emplace(id, name);
     if (!first && it->second != name)
@@ -19,7 +19,7 @@
   };
   for (std::size_t n = 0; n < settings.size(); ++n) {
     const ServiceSetting& s = settings[n];
-    deeds_.push_back({s.name, deeds::serviceId(s.name), deeds::siteId(s.home), deeds::siteId(s.stand_by)});
+    deeds_.push_back({s.name, leases::serviceId(s.name), leases::siteId(s.home), leases::siteId(s.stand_by)});
     distinct(ids, deeds_.back().id, s.name);
     distinct(sites, deeds_.back().home, s.home);
     if (!s.stand_by.empty()) distinct(sites, deeds_.back().stand_by, s.stand_by);
@@ -32,7 +32,7 @@
       service_of_.push_back(n);
       all += "|" + r.path + " " + r.method + " " + r.request_class;
     }
-    hash_ ^= deeds::serviceId(all);  // whichever comes first
+    hash_ ^= leases::serviceId(all);  // whichever comes first
   }
   try {
     routes_.emplace(rules);
@@ -54,4 +54,4 @@
   return {service_of_[*route], false, *route};
 }
 
-}  // namespace quinceline::owners
+}  // namespace quinceline::ownership
--- a/src/recovery/include/recovery/recovery.h
+++ b/src/recovery/include/recovery/recovery.h
@@ -9,12 +9,12 @@
 #include <string_view>
 #include <vector>
 
-#include "deeds/permits.h"
+#include "leases/permits.h"
 #include "weldflow/balancer.h"
 
 namespace quinceline::recovery {
 
-using deeds::Time;
+using leases::Time;
 
 // In the order of return. Each holds what the ones before it hold.
 enum class Stage : std::uint8_t {
@@ -49,7 +49,7 @@
   std::size_t heard_of = 0, majority = 0;
   struct Service {
     std::string name;
-    deeds::Permit permit;
+    leases::Permit permit;
     double worth = 0;  // of its classes, at most
   };
   std::vector<Service> services;
--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -46,12 +46,12 @@
   std::stable_sort(order.begin(), order.end(), [](auto* a, auto* b) { return a->worth > b->worth; });
   for (const Facts::Service* s : order) {
     switch (s->permit.bar) {
-      case deeds::Bar::None:
+      case leases::Bar::None:
         break;
-      case deeds::Bar::Owed:
+      case leases::Bar::Owed:
         all.push_back({s->name, "the end of what the owner before may have under way", s->permit.wait});
         break;
-      case deeds::Bar::Unproven:
+      case leases::Bar::Unproven:
         all.push_back({s->name, "its owner's word that a majority has promised it anew"});
         break;
       default:
--- a/src/keep/keep.cpp
+++ b/src/storage/async_store.cpp
@@ -1,4 +1,4 @@
-#include "keep/keep.h"
+#include "storage/async_store.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -6,11 +6,12 @@
 #include <filesystem>
 #include <utility>
 
-namespace quinceline::keep {
+namespace quinceline::storage {
 
 namespace asio = boost::asio;
 
-Keep::Keep(asio::io_context& home, const std::string& folder, const Store::Owner& owner, Words words)
+AsyncStore::AsyncStore(asio::io_context& home, const std::string& folder, const Store::Owner& owner,
+                       Words words)
     : home_(home), words_(std::move(words)) {
   try {
     std::error_code ignored;
@@ -27,21 +28,21 @@
   asio::co_spawn(loop_->io(), work(), asio::detached);
 }
 
-Keep::~Keep() {
+AsyncStore::~AsyncStore() {
   *alive_ = false;
   if (!loop_) return;
   if (!orders_->post(End{})) orders_->close();  // full: what waits is given up, nobody was told of it
   loop_->end();
 }
 
-bool Keep::write(Change change) { return orders_ && orders_->post(std::move(change)); }
+bool AsyncStore::write(Change change) { return orders_ && orders_->post(std::move(change)); }
 
-void Keep::renounce() {
+void AsyncStore::renounce() {
   if (orders_) orders_->post(Renounce{});
 }
 
 // What waits when the disk is free goes there together: one sync for all.
-asio::awaitable<void> Keep::work() {
+asio::awaitable<void> AsyncStore::work() {
   while (auto order = co_await orders_->take()) {
     std::vector<Order> orders;
     orders.push_back(std::move(*order));
@@ -54,7 +55,7 @@
   }
 }
 
-bool Keep::carryOut(std::vector<Order>& orders) {
+bool AsyncStore::carryOut(std::vector<Order>& orders) {
   std::vector<Change> changes;
   const auto flush = [&] {
     if (changes.empty()) return;
@@ -84,7 +85,7 @@
   return true;
 }
 
-void Keep::tell(std::vector<Change> changes, bool ok, std::string fault) {
+void AsyncStore::tell(std::vector<Change> changes, bool ok, std::string fault) {
   const bool news = std::exchange(told_, fault) != fault;
   asio::post(home_, [this, alive = alive_, changes = std::move(changes), ok, fault = std::move(fault), news] {
     if (!*alive) return;
@@ -93,4 +94,4 @@
   });
 }
 
-}  // namespace quinceline::keep
+}  // namespace quinceline::storage
--- a/src/keep/include/keep/keep.h
+++ b/src/storage/include/storage/async_store.h
@@ -8,13 +8,13 @@
 #include <optional>
 #include <string>
 
-#include "keep/store.h"
+#include "storage/store.h"
 #include "tasks/loop.h"
 #include "tasks/mailbox.h"
 
-namespace quinceline::keep {
+namespace quinceline::storage {
 
-class Keep {
+class AsyncStore {
  public:
   // What it says of itself; called on the loop that it was given.
   struct Words {
@@ -26,8 +26,9 @@
 
   // Opens the memory and reads it, on this thread. A memory that can't be used leaves memory() empty and
   // fault() says why: nothing is written then, and the member is one without.
-  Keep(boost::asio::io_context& home, const std::string& folder, const Store::Owner& owner, Words words);
-  ~Keep();
+  AsyncStore(boost::asio::io_context& home, const std::string& folder, const Store::Owner& owner,
+             Words words);
+  ~AsyncStore();
 
   const std::optional<Memory>& memory() const { return memory_; }
   const std::string& fault() const { return fault_; }
@@ -64,4 +65,4 @@
   std::unique_ptr<tasks::Mailbox<Order>> orders_;
 };
 
-}  // namespace quinceline::keep
+}  // namespace quinceline::storage
--- a/src/keep/include/keep/store.h
+++ b/src/storage/include/storage/store.h
@@ -10,22 +10,22 @@
 #include <variant>
 #include <vector>
 
-#include "deeds/types.h"
+#include "leases/types.h"
 
 struct sqlite3;
 
-namespace quinceline::keep {
+namespace quinceline::storage {
 
 // What is written.
 struct Note {  // under a name, in place of what was there
   std::string name, bytes;
 };
-using Change = std::variant<deeds::Kept, Note>;
+using Change = std::variant<leases::Kept, Note>;
 
 struct Memory {
   std::uint32_t installation = 0;  // drawn when the memory was begun; never 0
   bool fresh = false;              // it was begun just now
-  std::vector<deeds::Kept> deeds;
+  std::vector<leases::Kept> deeds;
   std::vector<Note> notes;
 };
 
@@ -73,7 +73,7 @@
   class Statement;
   void run(const char* sql);
   void begin();
-  void put(const deeds::Kept& kept);
+  void put(const leases::Kept& kept);
   void put(const Note& note);
   [[noreturn]] void fail(int code, const std::string& at) const;
 
@@ -83,4 +83,4 @@
   bool fresh_ = false;
 };
 
-}  // namespace quinceline::keep
+}  // namespace quinceline::storage
--- a/src/keep/store.cpp
+++ b/src/storage/store.cpp
@@ -1,4 +1,4 @@
-#include "keep/store.h"
+#include "storage/store.h"
 
 #include <sqlite3.h>
 
@@ -7,13 +7,13 @@
 
 #include "random/fnv.h"
 
-namespace quinceline::keep {
+namespace quinceline::storage {
 namespace {
 
 constexpr std::int64_t kLayout = 1;
 constexpr int kNever = 0;  // a lock is nobody's to wait for: one process has one memory
 
-std::int64_t checksumOf(const deeds::Kept& k) {
+std::int64_t checksumOf(const leases::Kept& k) {
   return static_cast<std::int64_t>(weldflow::fnv64(
       std::to_string(k.service) + "/" + std::to_string(k.deed.term) + "/" + std::to_string(k.deed.site) +
       "/" + std::to_string(static_cast<int>(k.deed.ground)) + (k.ready ? "r" : "")));
@@ -157,13 +157,13 @@
   };
   Statement deeds(*this, "SELECT service, term, site, ground, ready, checksum FROM deeds");
   while (deeds.step()) {
-    deeds::Kept k;
-    k.service = static_cast<deeds::ServiceId>(deeds.number(0));
-    k.deed.term = static_cast<deeds::Term>(deeds.number(1));
-    k.deed.site = static_cast<deeds::SiteId>(deeds.number(2));
+    leases::Kept k;
+    k.service = static_cast<leases::ServiceId>(deeds.number(0));
+    k.deed.term = static_cast<leases::Term>(deeds.number(1));
+    k.deed.site = static_cast<leases::SiteId>(deeds.number(2));
     const std::int64_t ground = deeds.number(3);
     k.ready = deeds.number(4) != 0;
-    k.deed.ground = static_cast<deeds::Ground>(ground & 3);
+    k.deed.ground = static_cast<leases::Ground>(ground & 3);
     sound(deeds.number(5), checksumOf(k));
     m.deeds.push_back(k);
   }
@@ -176,7 +176,7 @@
   return m;
 }
 
-void Store::put(const deeds::Kept& k) {
+void Store::put(const leases::Kept& k) {
   Statement put(
       *this,
       "INSERT INTO deeds VALUES (?1, ?2, ?3, ?4, ?5, ?6) ON CONFLICT (service) DO UPDATE SET term = ?2, "
@@ -217,4 +217,4 @@
   run("COMMIT");
 }
 
-}  // namespace quinceline::keep
+}  // namespace quinceline::storage
--- a/tests/deeds_sim.h
+++ b/tests/leases_sim.h
@@ -13,16 +13,16 @@
 #include <string>
 #include <vector>
 
-#include "deeds/member.h"
+#include "leases/member.h"
 
-namespace quinceline::deeds::test {
+namespace quinceline::leases::test {
 
 using fleet::kMillisecond;
 using fleet::kSecond;
 
 constexpr Time kStep = 10 * kMillisecond;
 
-class DeedsFleet {
+class LeasesFleet {
  public:
   struct Shape {
     std::size_t members = 12, sites = 3;
@@ -39,7 +39,7 @@
     return {name, serviceId(name), site(home), stand_by ? site(*stand_by) : kNowhere};
   }
 
-  DeedsFleet(const Shape& shape, std::uint64_t seed) : shape_(shape), random_(seed) {
+  LeasesFleet(const Shape& shape, std::uint64_t seed) : shape_(shape), random_(seed) {
     shape_.rules.owed = 2 * kSecond;
     for (std::size_t n = 0; n < shape.members; ++n)
       listed_.push_back({static_cast<Number>(n), site(n % shape.sites)});
@@ -138,8 +138,9 @@
       if (!up(n)) continue;
       const Deed d = nodes_[n].member->known(s);
       const Permit p = permit(n, s);
-      all += std::to_string(n) + ": knows term " + std::to_string(d.term) + " at " + std::to_string(d.site) + ", " +
-             std::string(nameOf(p.bar)) + (nodes_[n].member->heard(local(n)) ? "" : ", has not heard") +
+      all += std::to_string(n) + ": knows term " + std::to_string(d.term) + " at " + std::to_string(d.site) +
+             ", " + std::string(nameOf(p.bar)) +
+             (nodes_[n].member->heard(local(n)) ? "" : ", has not heard") +
              (nodes_[n].member->disputed(s) ? ", disputed" : "") +
              (nodes_[n].member->keeps() ? ", keeper" : "") + "\n";
     }
@@ -284,4 +285,4 @@
   std::string log_;
 };
 
-}  // namespace quinceline::deeds::test
+}  // namespace quinceline::leases::test
--- a/tests/deeds_test.cpp
+++ b/tests/leases_test.cpp
@@ -1,22 +1,22 @@
 // Who owns a service, simulated: granted, lost, disputed and settled, and never two at once in true time.
 #include <gtest/gtest.h>
 
-#include "deeds_sim.h"
+#include "leases_sim.h"
 
-namespace quinceline::deeds::test {
+namespace quinceline::leases::test {
 namespace {
 
 const ServiceId kCharge = serviceId("swap-charge"), kHold = serviceId("reservation");
 
-DeedsFleet::Shape shape() {
-  DeedsFleet::Shape s;
-  s.services = {DeedsFleet::service("swap-charge", 0, 1), DeedsFleet::service("reservation", 1, 2)};
+LeasesFleet::Shape shape() {
+  LeasesFleet::Shape s;
+  s.services = {LeasesFleet::service("swap-charge", 0, 1), LeasesFleet::service("reservation", 1, 2)};
   return s;
 }
 
-class Deeds : public ::testing::Test {
+class Leases : public ::testing::Test {
  protected:
-  explicit Deeds(const DeedsFleet::Shape& s = shape(), std::uint64_t seed = 3) : fleet(s, seed) {}
+  explicit Leases(const LeasesFleet::Shape& s = shape(), std::uint64_t seed = 3) : fleet(s, seed) {}
   void TearDown() override {
     for (const std::string& b : fleet.broken()) ADD_FAILURE() << b << "\n" << fleet.log();
   }
@@ -30,40 +30,40 @@
   }
   bool sends(std::size_t from, ServiceId s, std::size_t to) const {
     const Permit p = fleet.permit(from, s);
-    return p.ok() && p.site == DeedsFleet::site(to);
+    return p.ok() && p.site == LeasesFleet::site(to);
   }
   const std::set<std::size_t> kA = {0, 3, 6, 9};
-  DeedsFleet fleet;
+  LeasesFleet fleet;
 };
 
-TEST_F(Deeds, ANewFleetGrantsEachServiceToItsHome) {
+TEST_F(Leases, ANewFleetGrantsEachServiceToItsHome) {
   settle();
   EXPECT_EQ(fleet.member(5).known(kCharge).term, 1U);
   EXPECT_EQ(fleet.found(Wrong::Stale) + fleet.found(Wrong::PastLease) + fleet.found(Wrong::Unwitnessed), 0U);
 }
 
-TEST_F(Deeds, AnOwnerCutOffStopsByItselfAndTheStandByServesAfterWhatIsOwed) {
+TEST_F(Leases, AnOwnerCutOffStopsByItselfAndTheStandByServesAfterWhatIsOwed) {
   settle();
   fleet.cut = without(kA);
   ASSERT_TRUE(fleet.runUntil([&] { return !fleet.permit(0, kCharge).ok(); }, 4 * kSecond));
   ASSERT_TRUE(fleet.runUntil([&] { return sends(1, kCharge, 1); }, 15 * kSecond)) << fleet.log();
-  EXPECT_EQ(fleet.permit(1, kCharge).site, DeedsFleet::site(1));
+  EXPECT_EQ(fleet.permit(1, kCharge).site, LeasesFleet::site(1));
   EXPECT_FALSE(fleet.permit(0, kCharge).ok());
   fleet.cut = [](auto, auto) { return false; };
   ASSERT_TRUE(fleet.runUntil([&] { return fleet.served(kCharge, 1); }, 10 * kSecond)) << fleet.log();
   EXPECT_GT(fleet.found(Wrong::PastLease), 0U) << "the old owner said it once more, and was told";
 }
 
-TEST_F(Deeds, HostsThatAreLostTakeTheDeedWithThem) {
+TEST_F(Leases, HostsThatAreLostTakeTheDeedWithThem) {
   settle();
-  fleet.lost = {DeedsFleet::site(0)};
+  fleet.lost = {LeasesFleet::site(0)};
   ASSERT_TRUE(fleet.runUntil([&] { return fleet.served(kCharge, 1); }, 15 * kSecond)) << fleet.log();
   fleet.lost.clear();
   fleet.runFor(10 * kSecond);
   EXPECT_TRUE(fleet.served(kCharge, 1)) << "it is not handed back by itself";
 }
 
-TEST_F(Deeds, AFrozenOwnerThatThawsSendsNothingAnyMore) {
+TEST_F(Leases, AFrozenOwnerThatThawsSendsNothingAnyMore) {
   settle();
   for (const std::size_t n : kA) fleet.freeze(n, true);
   ASSERT_TRUE(fleet.runUntil([&] { return sends(1, kCharge, 1); }, 15 * kSecond)) << fleet.log();
@@ -72,7 +72,7 @@
   ASSERT_TRUE(fleet.runUntil([&] { return fleet.served(kCharge, 1); }, 10 * kSecond)) << fleet.log();
 }
 
-TEST_F(Deeds, APowerCutOfAllEndsWithTheSameOwnersAndTerms) {
+TEST_F(Leases, APowerCutOfAllEndsWithTheSameOwnersAndTerms) {
   settle();
   for (std::size_t n = 0; n < 12; ++n) fleet.crash(n);
   fleet.runFor(2 * kSecond);
@@ -84,7 +84,7 @@
   EXPECT_EQ(fleet.member(5).known(kCharge).term, 1U);
 }
 
-TEST_F(Deeds, WithTooFewBackNobodyServesUntilAnOperatorSays) {
+TEST_F(Leases, WithTooFewBackNobodyServesUntilAnOperatorSays) {
   settle();
   for (std::size_t n = 0; n < 12; ++n) fleet.crash(n);
   for (const std::size_t n : {0U, 1U, 3U, 4U}) fleet.begin(n);
@@ -95,7 +95,7 @@
   EXPECT_NE(said.find("8 of 12 members"), std::string::npos) << said;
 }
 
-TEST_F(Deeds, ALostDiskPromisesNothingBeforeItHasHeardAMajority) {
+TEST_F(Leases, ALostDiskPromisesNothingBeforeItHasHeardAMajority) {
   settle();
   fleet.crash(4);
   fleet.disk(4).clear();
@@ -110,11 +110,11 @@
   EXPECT_EQ(fleet.member(4).known(kCharge).term, 1U);
 }
 
-TEST_F(Deeds, AnOlderCopyOfAMemoryIsStaleAndItsSiteStandsDown) {
+TEST_F(Leases, AnOlderCopyOfAMemoryIsStaleAndItsSiteStandsDown) {
   settle();
   std::map<std::size_t, std::map<ServiceId, Kept>> last_week;
   for (const std::size_t n : kA) last_week[n] = fleet.disk(n);
-  fleet.lost = {DeedsFleet::site(0)};
+  fleet.lost = {LeasesFleet::site(0)};
   ASSERT_TRUE(fleet.runUntil([&] { return fleet.served(kCharge, 1); }, 15 * kSecond)) << fleet.log();
   for (const std::size_t n : kA) {
     fleet.crash(n);
@@ -127,7 +127,7 @@
   ASSERT_TRUE(fleet.runUntil([&] { return fleet.served(kCharge, 1); }, 10 * kSecond)) << fleet.log();
 }
 
-TEST_F(Deeds, ACopiedMemoryIsGivenUpByTheHigherNumber) {
+TEST_F(Leases, ACopiedMemoryIsGivenUpByTheHigherNumber) {
   settle();
   fleet.crash(7);
   fleet.disk(7) = fleet.disk(4);
@@ -139,10 +139,10 @@
   settle();
 }
 
-TEST_F(Deeds, ATermThatNobodyRemembersIsUnwitnessedAndClaimedAnew) {
+TEST_F(Leases, ATermThatNobodyRemembersIsUnwitnessedAndClaimedAnew) {
   settle();
   fleet.crash(0);
-  fleet.disk(0)[kCharge] = {kCharge, {5, DeedsFleet::site(0), Ground::Vacant}, true};
+  fleet.disk(0)[kCharge] = {kCharge, {5, LeasesFleet::site(0), Ground::Vacant}, true};
   fleet.runFor(500 * kMillisecond);
   fleet.begin(0);
   ASSERT_TRUE(fleet.runUntil([&] { return fleet.found(Wrong::Unwitnessed) > 0; }, 10 * kSecond))
@@ -152,10 +152,10 @@
       << fleet.log();
 }
 
-TEST_F(Deeds, AnotherSitesUnwitnessedTermTakesNothingAway) {
+TEST_F(Leases, AnotherSitesUnwitnessedTermTakesNothingAway) {
   settle();
   fleet.crash(1);
-  fleet.disk(1)[kCharge] = {kCharge, {5, DeedsFleet::site(1), Ground::Vacant}, true};
+  fleet.disk(1)[kCharge] = {kCharge, {5, LeasesFleet::site(1), Ground::Vacant}, true};
   fleet.begin(1);
   ASSERT_TRUE(fleet.runUntil([&] { return fleet.found(Wrong::Unwitnessed) > 0; }, 10 * kSecond))
       << fleet.log();
@@ -163,7 +163,7 @@
   EXPECT_EQ(fleet.member(5).known(kCharge).term, 1U);
 }
 
-TEST_F(Deeds, WithMostMemoriesLostNothingIsRuledWithoutADecree) {
+TEST_F(Leases, WithMostMemoriesLostNothingIsRuledWithoutADecree) {
   settle();
   for (std::size_t n = 0; n < 12; ++n) fleet.crash(n);
   for (std::size_t n = 0; n < 12; ++n) {
@@ -174,7 +174,7 @@
   EXPECT_FALSE(fleet.servedBySome(kCharge)) << "the few that remember may remember too little";
 }
 
-TEST_F(Deeds, HostsThatKnowANewerTermAreBelieved) {
+TEST_F(Leases, HostsThatKnowANewerTermAreBelieved) {
   settle();
   fleet.hostTerm(0, kCharge, 7);
   EXPECT_FALSE(fleet.permit(0, kCharge).ok()) << "at once";
@@ -183,7 +183,7 @@
   EXPECT_GT(fleet.member(5).known(kCharge).term, 7U);
 }
 
-TEST_F(Deeds, TwoDecreesOnTwoSidesOfASplitAreBothGivenUpForTheHome) {
+TEST_F(Leases, TwoDecreesOnTwoSidesOfASplitAreBothGivenUpForTheHome) {
   settle();
   fleet.cut = without({1, 4, 7, 10});
   fleet.runFor(200 * kMillisecond);
@@ -195,7 +195,7 @@
   ASSERT_TRUE(fleet.runUntil([&] { return fleet.served(kCharge, 0); }, 30 * kSecond)) << fleet.log();
 }
 
-TEST_F(Deeds, ADecreeMovesAServiceThatIsHeldAndWaitsForWhatIsOwed) {
+TEST_F(Leases, ADecreeMovesAServiceThatIsHeldAndWaitsForWhatIsOwed) {
   settle();
   const Time asked = fleet.now;
   fleet.decree(5, kCharge, 2);
@@ -204,11 +204,12 @@
 }
 
 // Files that differ: the few that name another home get no majority for it.
-TEST(DeedsFiles, WithUnlikeHomesTheMajoritysFileHolds) {
-  DeedsFleet fleet(shape(), 5);
+TEST(LeasesFiles, WithUnlikeHomesTheMajoritysFileHolds) {
+  LeasesFleet fleet(shape(), 5);
   for (const std::size_t n : {2U, 5U, 8U}) {
     fleet.crash(n);
-    fleet.setFile(n, 2, {DeedsFleet::service("swap-charge", 2, 1), DeedsFleet::service("reservation", 1, 2)});
+    fleet.setFile(n, 2,
+                  {LeasesFleet::service("swap-charge", 2, 1), LeasesFleet::service("reservation", 1, 2)});
     fleet.begin(n);
   }
   ASSERT_TRUE(fleet.runUntil([&] { return fleet.served(kCharge, 0); }, 20 * kSecond)) << fleet.log();
@@ -216,10 +217,10 @@
   EXPECT_TRUE(fleet.broken().empty()) << fleet.broken()[0];
 }
 
-TEST(DeedsWithoutMemory, ANewFleetStillServesAndOneThatRestartsHearsTheOthers) {
-  DeedsFleet::Shape s = shape();
+TEST(LeasesWithoutMemory, ANewFleetStillServesAndOneThatRestartsHearsTheOthers) {
+  LeasesFleet::Shape s = shape();
   s.memory = false;
-  DeedsFleet fleet(s, 4);
+  LeasesFleet fleet(s, 4);
   ASSERT_TRUE(fleet.runUntil([&] { return fleet.served(kCharge, 0); }, 15 * kSecond)) << fleet.log();
   fleet.crash(6);
   fleet.runFor(kSecond);
@@ -230,15 +231,15 @@
 }
 
 // Any faults: nobody breaks what must hold, and once they end each service has one owner again.
-class DeedsStorm : public ::testing::TestWithParam<std::uint64_t> {};
+class LeasesStorm : public ::testing::TestWithParam<std::uint64_t> {};
 
-TEST_P(DeedsStorm, NothingBreaksAndAllEndsWithOneOwner) {
+TEST_P(LeasesStorm, NothingBreaksAndAllEndsWithOneOwner) {
   weldflow::Random random(GetParam() * 77);
-  DeedsFleet::Shape s = shape();
+  LeasesFleet::Shape s = shape();
   s.loss = 0.2;
   s.delay = 150 * kMillisecond;
   s.sync = static_cast<Time>(random.unit() * 500) * kMillisecond;
-  DeedsFleet fleet(s, GetParam());
+  LeasesFleet fleet(s, GetParam());
   fleet.runFor(8 * kSecond);
   for (int fault = 0; fault < 12; ++fault) {
     const std::size_t n = random.below(12);
@@ -262,7 +263,7 @@
         break;
       }
       case 3:
-        fleet.lost = {DeedsFleet::site(random.below(3))};
+        fleet.lost = {LeasesFleet::site(random.below(3))};
         fleet.runFor(static_cast<Time>(random.unit() * 10e6));
         fleet.lost.clear();
         break;
@@ -286,9 +287,9 @@
   for (const std::string& b : fleet.broken()) ADD_FAILURE() << b << "\n" << fleet.log();
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, DeedsStorm, ::testing::Range<std::uint64_t>(1, 61));
+INSTANTIATE_TEST_SUITE_P(Seeds, LeasesStorm, ::testing::Range<std::uint64_t>(1, 61));
 
-TEST(DeedsWire, ComesBackAsItWasAndWhatIsMalformedIsNot) {
+TEST(LeasesWire, ComesBackAsItWasAndWhatIsMalformedIsNot) {
   Message m;
   m.kind = Kind::Vow;
   m.round = 77, m.installation = 5, m.file = 6, m.digest = 2, m.site = 9, m.informed = true;
@@ -321,4 +322,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::deeds::test
+}  // namespace quinceline::leases::test
--- a/tests/rehearsing_test.cpp
+++ b/tests/rehearsing_test.cpp
@@ -1,11 +1,11 @@
 // What members tell of a rehearsal in pieces comes together as it was, or not at all.
-#include "owners/rehearsing.h"
+#include "ownership/rehearsing.h"
 
 #include <gtest/gtest.h>
 
 #include "random/random.h"
 
-namespace quinceline::owners {
+namespace quinceline::ownership {
 namespace {
 
 TEST(RehearsingPieces, ComeTogetherAsTheyWereAndWhatIsMalformedDoesNot) {
@@ -35,4 +35,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::owners
+}  // namespace quinceline::ownership
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -1,9 +1,9 @@
 // Services by route: one spelling, then the route, then the service.
-#include "owners/services.h"
+#include "ownership/services.h"
 
 #include <gtest/gtest.h>
 
-namespace quinceline::owners {
+namespace quinceline::ownership {
 namespace {
 
 ServiceSetting service(const std::string& name, const std::string& home, std::vector<ServiceRoute> routes) {
@@ -44,4 +44,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::owners
+}  // namespace quinceline::ownership
--- a/tests/keep_test.cpp
+++ b/tests/storage_test.cpp
@@ -1,6 +1,4 @@
 // The memory on disk: comes back as it was, and whatever is wrong with it is named and never used.
-#include "keep/keep.h"
-
 #include <gtest/gtest.h>
 #include <stdlib.h>
 #include <unistd.h>
@@ -10,13 +8,15 @@
 #include <filesystem>
 #include <fstream>
 
-namespace quinceline::keep {
+#include "storage/async_store.h"
+
+namespace quinceline::storage {
 namespace {
 
 namespace fs = std::filesystem;
-using deeds::Deed;
-using deeds::Ground;
-using deeds::Kept;
+using leases::Deed;
+using leases::Ground;
+using leases::Kept;
 
 class KeepTest : public ::testing::Test {
  protected:
@@ -84,7 +84,7 @@
   {
     Store s(file(), kOwner);
     std::vector<Change> all;
-    for (deeds::ServiceId i = 0; i < 300; ++i) all.push_back(Kept{i, {i + 1, 77, Ground::Home}, false});
+    for (leases::ServiceId i = 0; i < 300; ++i) all.push_back(Kept{i, {i + 1, 77, Ground::Home}, false});
     s.write(all);
   }
   const std::string whole = file() + ".whole";
@@ -113,7 +113,7 @@
 TEST_F(KeepTest, AFolderThatIsAFileIsNamed) {
   std::ofstream(folder + "/taken") << "x";
   boost::asio::io_context io;
-  Keep keep(io, folder + "/taken", kOwner, {});
+  AsyncStore keep(io, folder + "/taken", kOwner, {});
   EXPECT_FALSE(keep.memory().has_value());
   EXPECT_EQ(keep.fault().rfind("read-only: ", 0), 0U) << keep.fault();
   EXPECT_FALSE(keep.write(Note{"a", "b"})) << "and nothing is promised by it";
@@ -122,32 +122,33 @@
 TEST_F(KeepTest, TheTaskTellsInOrderWhatIsOnDiskAndSyncsManyAtOnce) {
   boost::asio::io_context io;
   const auto work = boost::asio::make_work_guard(io);
-  std::vector<deeds::ServiceId> told;
+  std::vector<leases::ServiceId> told;
   {
-    Keep keep(io, folder, kOwner,
-              {.written =
-                   [&](const Change& c, bool ok) {
-                     EXPECT_TRUE(ok);
-                     told.push_back(std::get<Kept>(c).service);
-                   },
-               .troubled = [](const std::string& fault) { EXPECT_EQ(fault, ""); }});
+    AsyncStore keep(io, folder, kOwner,
+                    {.written =
+                         [&](const Change& c, bool ok) {
+                           EXPECT_TRUE(ok);
+                           told.push_back(std::get<Kept>(c).service);
+                         },
+                     .troubled = [](const std::string& fault) { EXPECT_EQ(fault, ""); }});
     ASSERT_TRUE(keep.memory().has_value());
-    for (deeds::ServiceId i = 0; i < 500; ++i) ASSERT_TRUE(keep.write(Kept{i, {1, 77, Ground::Home}, false}));
+    for (leases::ServiceId i = 0; i < 500; ++i)
+      ASSERT_TRUE(keep.write(Kept{i, {1, 77, Ground::Home}, false}));
     for (int tries = 0; told.size() < 500 && tries < 1000; ++tries) {
       io.run_for(std::chrono::milliseconds(20));
     }
     ASSERT_EQ(told.size(), 500U);
     EXPECT_LT(keep.syncs(), 250U);
   }
-  for (deeds::ServiceId i = 0; i < 500; ++i) EXPECT_EQ(told[i], i);
+  for (leases::ServiceId i = 0; i < 500; ++i) EXPECT_EQ(told[i], i);
   EXPECT_EQ(Store(file(), kOwner).load().deeds.size(), 500U);
 }
 
 TEST_F(KeepTest, WhatIsPostedBeforeTheEndIsWritten) {
   boost::asio::io_context io;
   {
-    Keep keep(io, folder, kOwner,
-              {.written = [](const Change&, bool) {}, .troubled = [](const std::string&) {}});
+    AsyncStore keep(io, folder, kOwner,
+                    {.written = [](const Change&, bool) {}, .troubled = [](const std::string&) {}});
     for (int i = 0; i < 50; ++i) ASSERT_TRUE(keep.write(Note{"n" + std::to_string(i), "x"}));
   }
   EXPECT_EQ(Store(file(), kOwner).load().notes.size(), 50U);
@@ -157,8 +158,8 @@
   boost::asio::io_context io;
   std::uint32_t before = 0;
   {
-    Keep keep(io, folder, kOwner,
-              {.written = [](const Change&, bool) {}, .troubled = [](const std::string&) {}});
+    AsyncStore keep(io, folder, kOwner,
+                    {.written = [](const Change&, bool) {}, .troubled = [](const std::string&) {}});
     before = keep.memory()->installation;
     keep.write(kCharge);
     keep.renounce();
@@ -188,4 +189,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::keep
+}  // namespace quinceline::storage
