Formatting: the six files that clang-format found different

Need: ./lint is to hold src, tests, demo and fuzz to .clang-format. Long lines of six files differed; nothing else changes.

--- a/fuzz/wire_property.cpp
+++ b/fuzz/wire_property.cpp
@@ -60,7 +60,8 @@
     if (colon == 0 || colon == std::string_view::npos) return "a line has no name";
     std::string name(line.substr(0, colon));
     for (char& c : name) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-    if (name == "content-length" || name == "transfer-encoding" || name == "connection" || name == "x-time-left")
+    if (name == "content-length" || name == "transfer-encoding" || name == "connection" ||
+        name == "x-time-left")
       return "a line of this hop goes on: " + name;
     lines.remove_prefix(end + 2);
   }
@@ -75,7 +76,8 @@
   for (const std::size_t piece : {std::size_t{1}, std::size_t{7}}) {
     RequestParser pieces;
     const Verdict other = read(pieces, bytes, piece);
-    // What is wrong with a message may show sooner in one than in the other, but it is taken by both or by none.
+    // What is wrong with a message may show sooner in one than in the other, but it is taken by both or by
+    // none.
     if (other.done != verdict.done) return "pieces make another verdict";
     if (!verdict.done) continue;
     if (other.left != verdict.left) return "pieces end elsewhere";
@@ -104,7 +106,8 @@
   for (const std::size_t piece : {std::size_t{1}, std::size_t{7}}) {
     ResponseParser pieces;
     const Verdict other = read(pieces, bytes, piece);
-    // What is wrong with a message may show sooner in one than in the other, but it is taken by both or by none.
+    // What is wrong with a message may show sooner in one than in the other, but it is taken by both or by
+    // none.
     if (other.done != verdict.done) return "pieces make another verdict";
     if (verdict.done && (other.left != verdict.left || pieces.status != whole.status ||
                          pieces.body != whole.body || pieces.load != whole.load))
--- a/fuzz/wire_property.h
+++ b/fuzz/wire_property.h
@@ -11,14 +11,15 @@
 // Empty: it holds. Else what does not.
 using Property = std::string (*)(std::string_view bytes);
 
-// A request read as it comes in, whatever the pieces: the same head, body or fault; what goes on to a host says
-// the same once, and hides no second request.
+// A request read as it comes in, whatever the pieces: the same head, body or fault; what goes on to a host
+// says the same once, and hides no second request.
 std::string brokenRequest(std::string_view bytes);
 // A host's answer read in pieces or at once is the same; no more of a body is given than it says.
 std::string brokenAnswer(std::string_view bytes);
 // A frame of the hand-over that can be read is the one that was written.
 std::string brokenFrame(std::string_view bytes);
-// A state of the hand-over is refused or survives its own text, and no state harms the module that recalls it.
+// A state of the hand-over is refused or survives its own text, and no state harms the module that recalls
+// it.
 std::string brokenState(std::string_view bytes);
 // A call of staff (method, space, target) means one thing; an id holds nothing that no id has.
 std::string brokenCall(std::string_view bytes);
--- a/src/conf/include/conf/model.h
+++ b/src/conf/include/conf/model.h
@@ -100,7 +100,7 @@
   std::optional<FleetModel> fleet;
   std::vector<ServiceModel> services;
   std::string memory_folder;  // what is remembered over a power cut; empty: nothing is
-  Address listen;      // this and what follows up to `classes`: of such a file
+  Address listen;             // this and what follows up to `classes`: of such a file
   std::string name, zone;
   std::uint32_t client = 0;
   std::vector<ClassModel> classes;
--- a/tests/late_connection_test.cpp
+++ b/tests/late_connection_test.cpp
@@ -109,7 +109,8 @@
   LateConnection() {
     Pool::Config config;
     config.settings = settings();
-    // By it a host that has just started may get nothing at first: the module draws what may come to it at once.
+    // By it a host that has just started may get nothing at first: the module draws what may come to it at
+    // once.
     config.seed = 3;
     config.upstream.connect_timeout = 2500 * kMillisecond;
     pool = std::make_unique<Pool>(loop.io, loop.timers, loop.descriptors, loop.log, zones, sink, config);
--- a/tests/operator_reload_test.cpp
+++ b/tests/operator_reload_test.cpp
@@ -315,7 +315,8 @@
   most = 4000;
   std::size_t turns = 0;
   int reloads = 0;
-  // Each changes what a class is (its aim, long enough for a machine that is busy); every third is broken. Signals that come together are one.
+  // Each changes what a class is (its aim, long enough for a machine that is busy); every third is broken.
+  // Signals that come together are one.
   ASSERT_TRUE(serveUntil([&] {
     if (++turns % 20 != 0 || reloads >= 100) return reloads >= 100;
     const std::string aim = "aim " + std::to_string(2000 + reloads) + (reloads % 3 == 1 ? "" : "ms");
--- a/tests/wire_corpus_test.cpp
+++ b/tests/wire_corpus_test.cpp
@@ -24,7 +24,8 @@
     const std::string bytes = text.str();
     ASSERT_EQ(target.broken(bytes), "") << entry.path();
     for (std::size_t cut = 0; cut < bytes.size(); cut += 1 + bytes.size() / 200)
-      ASSERT_EQ(target.broken(std::string_view(bytes).substr(0, cut)), "") << entry.path() << " cut at " << cut;
+      ASSERT_EQ(target.broken(std::string_view(bytes).substr(0, cut)), "")
+          << entry.path() << " cut at " << cut;
     for (std::size_t at = 0; at < bytes.size(); at += 1 + bytes.size() / 200) {
       for (const char other : {'\0', '\n', ' ', '9', static_cast<char>(bytes[at] ^ 0x20)}) {
         std::string changed = bytes;
