Verdicts: objections have time from when the other zones have answered

Cause: a witness had met one unreachable host, the dead one, and late answers of full ones (sight: two servers silent, one of them unreachable). Members that are answered object only with what was sent after the doubt; at that load an answer takes 0.5 to 0.9 s, and the verdict came 1.0 s after the doubt.

Change: the time for objections begins when every other zone that is up and in no doubt has answered this member something that was sent since the doubt, after 2 s at the latest. The test plays 400 seeds at each load in place of 25; two tests more, which fail without the change.

--- a/src/locality/include/locality/verdict.h
+++ b/src/locality/include/locality/verdict.h
@@ -54,6 +54,9 @@
   // In which others may object: as long as their words need to go round, which grows with each doubling of
   // the members.
   Time doubt = 500 * fleet::kMillisecond, doubt_each = 100 * fleet::kMillisecond;
+  // That time begins when the other zones have answered what was sent since the doubt: where they are slow,
+  // so is the answer that objects. It begins after this at the latest, for a zone may have nobody to answer.
+  Time longest_comparison = 2 * fleet::kSecond;
   // After a verdict on any zone: what is seen of the others meanwhile may come from the load that it moved.
   Time settle = 10 * fleet::kSecond;
   Time first_away = 2 * fleet::kSecond;  // after a loss; doubled with each flap
@@ -70,13 +73,9 @@
 
   // This member's own sight of a zone, when it changes.
   void saw(std::size_t zone, Seen seen) { own_seen_[zone] = seen; }
-  // What was sent before says nothing: of answers since somebody began to hear nothing from there, of both
-  // since the last verdict.
-  weldflow::ZoneSince since(std::size_t zone) const {
-    const Zone& z = zones_[zone];
-    if (z.verdict.state != State::Up) return {z.since, z.since};
-    return {z.silent > 0 ? z.silent_since : fleet::kLongAgo, fleet::kLongAgo};
-  }
+  // What was sent before says nothing: of answers since somebody began to hear nothing from there, or from
+  // the zone that they are compared with; of both since the last verdict.
+  weldflow::ZoneSince since(std::size_t zone) const;
   Seen sight(std::size_t zone) const { return own_seen_[zone]; }
   // Every zone but its own is silent: then it is itself that is cut off, and it has no say.
   bool cutOff() const;
@@ -114,8 +113,10 @@
     Time since = 0;                 // of the state
     Time called = fleet::kLongAgo;  // of the last verdict
     Time silent_since = 0;          // somebody tells silence
-    Seen told = Seen::Nothing;      // by this member
-    Time up_for = 0;                // before the doubt
+    bool compared = false;          // since then the other zones have answered, or had time enough
+    Time compared_at = 0;
+    Seen told = Seen::Nothing;  // by this member
+    Time up_for = 0;            // before the doubt
     Time away_until = 0;
     std::uint32_t flaps = 0;
     // By the last judge(), of members elsewhere: what they say, how many there are, and in how many zones
@@ -123,6 +124,10 @@
     std::size_t silent = 0, answered = 0, could = 0, places = 0, others = 0;
   };
   void count(Time now, std::size_t zone, const std::vector<Witness>& witnesses);
+  void beginComparison(Time now, std::size_t zone);
+  void compare(Time now, std::size_t zone);
+  bool othersAnswer(std::size_t zone) const;
+  static bool suspected(const Zone& zone) { return zone.verdict.state == State::Up && zone.silent > 0; }
   std::size_t needed(const Zone& zone) const;
   bool unopposed(const Zone& zone) const;
   bool enough(const Zone& zone) const;
--- a/src/locality/verdict.cpp
+++ b/src/locality/verdict.cpp
@@ -29,6 +29,17 @@
 Court::Court(std::size_t zones, std::size_t own, const Rules& rules)
     : rules_(rules), own_(own), own_seen_(zones, Seen::Nothing), zones_(zones) {}
 
+weldflow::ZoneSince Court::since(std::size_t zone) const {
+  const Zone& asked = zones_[zone];
+  if (asked.verdict.state != State::Up) return {asked.since, asked.since};
+  if (suspected(asked)) return {asked.silent_since, fleet::kLongAgo};
+  Time latest = fleet::kLongAgo;
+  for (const Zone& z : zones_) {
+    if (suspected(z)) latest = std::max(latest, z.silent_since);
+  }
+  return {latest, fleet::kLongAgo};
+}
+
 bool Court::cutOff() const {
   std::size_t others = 0;
   for (std::size_t z = 0; z < zones_.size(); ++z) {
@@ -60,10 +71,36 @@
   }
   z.places = places.size();
   z.others = others.size();
-  if (z.silent > 0 && !before) {
-    z.silent_since = now;
-    if (own_seen_[zone] == Seen::Answers) own_seen_[zone] = Seen::Nothing;  // that was before
+  if (z.silent > 0 && !before) beginComparison(now, zone);
+}
+
+// Answers that this member has seen until now were to what was sent before.
+void Court::beginComparison(Time now, std::size_t zone) {
+  Zone& z = zones_[zone];
+  z.silent_since = now;
+  z.compared = false;
+  for (std::size_t other = 0; other < zones_.size(); ++other) {
+    const bool of_another_doubt = other != zone && suspected(zones_[other]);
+    if (!of_another_doubt && own_seen_[other] == Seen::Answers) own_seen_[other] = Seen::Nothing;
+  }
+}
+
+void Court::compare(Time now, std::size_t zone) {
+  Zone& z = zones_[zone];
+  if (z.compared || !suspected(z)) return;
+  if (!othersAnswer(zone) && now - z.silent_since < rules_.longest_comparison) return;
+  z.compared = true;
+  z.compared_at = now;
+}
+
+// All that are up and in no doubt; so a second zone that is lost holds up nothing.
+bool Court::othersAnswer(std::size_t zone) const {
+  for (std::size_t other = 0; other < zones_.size(); ++other) {
+    const Zone& z = zones_[other];
+    const bool sound = other != zone && z.verdict.state == State::Up && !suspected(z);
+    if (sound && own_seen_[other] != Seen::Answers) return false;
   }
+  return true;
 }
 
 std::size_t Court::needed(const Zone& z) const {
@@ -104,7 +141,8 @@
     zone.away_until = now + std::min(rules_.longest_away, rules_.first_away << doubled);
   }
   zone.doubtful = false;
-  zone.since = now;
+  zone.since = zone.silent_since = now;
+  zone.compared = false;
 }
 
 void Court::call(Time now, Zone& zone, State state) {
@@ -133,7 +171,8 @@
     if (doubt) z.up_for = age;
     z.doubtful = doubt;
     z.since = now;
-  } else if (doubt && age >= wait && enough(z) && settled(now, z)) {
+  } else if (doubt && age >= wait && z.compared && now - z.compared_at >= wait && enough(z) &&
+             settled(now, z)) {
     call(now, z, State::Lost);
   }
 }
@@ -147,6 +186,7 @@
       if (w.verdicts[zone].over(z.verdict)) enter(now, z, w.verdicts[zone]);
     }
     count(now, zone, witnesses);
+    compare(now, zone);
     if (sure && !cutOff()) step(now, z);
     if (z.verdict.state != before.state) own_seen_[zone] = Seen::Nothing;  // what was seen before it
     changed = changed || !(z.verdict == before);
--- a/tests/locality_test.cpp
+++ b/tests/locality_test.cpp
@@ -345,6 +345,31 @@
   EXPECT_EQ(c.verdict(1).state, State::Returning);
 }
 
+// ---- a loss is told from slowness: the other zones' answers are what its own are compared with ----
+
+// Four hear nothing from zone 1, where a host is dead; all zones take longer to answer than words go round.
+TEST(Verdicts, AZoneIsNotLostBeforeTheOthersHaveAnsweredWhatWasSentSince) {
+  Members m(30);
+  const Time began = m.now;
+  m.sees = [&](auto who, auto z) {
+    if (z == 1 && who % 5 == 0) return Seen::Silence;
+    return m.now - began >= 1500 * kMillisecond ? Seen::Answers : Seen::Nothing;
+  };
+  m.runFor(6 * kSecond);
+  EXPECT_EQ(m.most(), 0);
+}
+
+TEST(Verdicts, AZoneIsLostInTheEndThoughNoOtherAnswers) {
+  Members m(30);
+  const Time began = m.now;
+  m.sees = [](auto, auto z) { return z == 1 ? Seen::Silence : Seen::Nothing; };
+  m.runFor(2 * kSecond);
+  EXPECT_EQ(m.most(), 0);
+  EXPECT_GE(m.courts[0].since(2).answers, began) << "an answer to what was sent before says nothing of now";
+  m.runFor(2 * kSecond);
+  EXPECT_EQ(m.holding(1, State::Lost), 30U);
+}
+
 // Each finds it out by its own requests, one after the other.
 TEST(Verdicts, WordsOnADoubtStayFewWhateverTheFleet) {
   Members m(300);
--- a/tests/verdict_days_test.cpp
+++ b/tests/verdict_days_test.cpp
@@ -11,7 +11,7 @@
 
 // Nothing fails but one host; all are as busy as that.
 TEST_P(VerdictDays, ABusyDayWithOneDeadHostEndsWithoutAVerdict) {
-  for (std::uint64_t seed = 1; seed <= 25; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 400; ++seed) {
     VerdictDay day({.clients = 24, .hosts = 12, .load = GetParam(), .loss = 0.3}, seed);
     day.runFor(3 * kSec);
     day.fleet().stopHost(seed % 12);
