Hollow members, and bench_capacity: what control costs by size

Change: rig/ has hollow members: the program's own packages for membership, leases and the watch on discovery, each member on a socket of its own, many on one event loop (quinceline_hollow). rig/mixed_fleet puts them and processes of the program into one fleet, in two regions of five zones; only what passes between regions goes through the relay, with a delay. bench_capacity prints a table by size with a line through each row and how far off it is, compares hollow with real, traces bytes from the start, and injects faults. One seam in the program: Neighbours::traffic(), counters without building a page. FleetRig takes an address of its own for each rig of a process, since ports that one has let go for a moment could be the other's.

Ruled out: stand-ins that imitate traffic (they drift from the program); one process a member; all datagrams through the relay at 730.

Tests: 12 hollow and 12 real members are one fleet and send alike within 25 %; CapacitySlopes holds 20, 40 and 80 hollow members against the budgets.

--- /dev/null
+++ b/bench/capacity_table.h
@@ -0,0 +1,49 @@
+// Measured quantities by fleet size, each with a straight line through them and how far off it is.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace quinceline::capacity {
+
+// base + slope * size, by least squares.
+struct Fit {
+  double base = 0, slope = 0;
+  double worst_residual = 0;  // of all points, as a part of the measured value
+  // A quantity that is further off than this is not called straight, and nothing is reckoned from its line.
+  static constexpr double kStraight = 0.20;
+  bool straight() const { return worst_residual <= kStraight; }
+  double at(double size) const { return base + slope * size; }
+};
+// Nothing: fewer than two sizes.
+std::optional<Fit> fitLine(const std::map<std::size_t, double>& values);
+
+struct Quantity {
+  std::string name, unit;
+  std::optional<double> budget;          // the most that is allowed
+  std::map<std::size_t, double> values;  // by size
+  std::optional<Fit> fit() const { return fitLine(values); }
+  // The size at which the line reaches the budget; nothing: never, or the line is not straight.
+  std::optional<double> spentAt() const;
+};
+
+class Table {
+ public:
+  // The order of the first words of a quantity is the order of rows.
+  void set(const std::string& name, const std::string& unit, std::size_t size, double value,
+           std::optional<double> budget = std::nullopt);
+  const std::vector<Quantity>& quantities() const { return quantities_; }
+  const Quantity* find(const std::string& name) const;
+  std::string text() const;
+  nlohmann::ordered_json json() const;
+
+ private:
+  std::vector<Quantity> quantities_;
+};
+
+}  // namespace quinceline::capacity
--- a/rig/datagram_relay.cpp
+++ b/rig/datagram_relay.cpp
@@ -34,6 +34,11 @@
   link_ = link;
 }
 
+void DatagramRelay::setLinkOf(std::function<Link(Number, Number)> link_of) {
+  const std::lock_guard lock(mutex_);
+  link_of_ = std::move(link_of);
+}
+
 void DatagramRelay::setCut(std::function<bool(Number, Number)> cut) {
   const std::lock_guard lock(mutex_);
   cut_ = std::move(cut);
@@ -73,15 +78,16 @@
     ++lost_;
     return;
   }
-  const int copies = random_.unit() < link_.doubled ? 2 : 1;
+  const Link link = link_of_ ? link_of_(from, to) : link_;
+  const int copies = random_.unit() < link.doubled ? 2 : 1;
   for (int c = 0; c < copies; ++c) {
-    if (random_.unit() < link_.loss) {
+    if (random_.unit() < link.loss) {
       ++lost_;
       continue;
     }
     const auto delay =
-        link_.least + std::chrono::microseconds(static_cast<std::int64_t>(
-                          random_.unit() * static_cast<double>((link_.most - link_.least).count())));
+        link.least + std::chrono::microseconds(static_cast<std::int64_t>(
+                         random_.unit() * static_cast<double>((link.most - link.least).count())));
     if (delay.count() == 0) {
       asio::post(io_, [this, from, to, bytes] { deliver(from, to, bytes); });
       continue;
--- a/rig/datagram_relay.h
+++ b/rig/datagram_relay.h
@@ -38,6 +38,8 @@
   // Where the others find a member, by number.
   const std::vector<Endpoint>& fronts() const { return at_; }
   void setLink(const Link& link);
+  // Instead of setLink(), for each pair. Called in the relay's thread.
+  void setLinkOf(std::function<Link(Number from, Number to)> link_of);
   // True: nothing goes this way. Called in the relay's thread.
   void setCut(std::function<bool(Number from, Number to)> cut);
   // Another process of this number: what is for the number reaches both.
@@ -67,6 +69,7 @@
   std::vector<std::vector<Endpoint>> members_;
   std::map<Endpoint, Number> senders_;
   Link link_;
+  std::function<Link(Number, Number)> link_of_;  // empty: link_ for all
   std::function<bool(Number, Number)> cut_;
   weldflow::Random random_;
   std::atomic<std::uint64_t> passed_{0}, lost_{0};
--- a/rig/fleet_rig.cpp
+++ b/rig/fleet_rig.cpp
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -67,6 +68,15 @@
             {"ask_within_us", 10000000}}}};
 }
 
+// An address that no other run uses, nor another rig of this one: what is free here is free until it is
+// taken.
+asio::ip::address ownAddress() {
+  constexpr unsigned kFirst = 0x7F'60'00'00U, kRigs = 16;
+  static std::atomic<unsigned> rigs{0};
+  return asio::ip::address_v4(kFirst + ((rigs++ % kRigs) << 16) +
+                              (static_cast<unsigned>(getpid()) & 0xFFFFU));
+}
+
 Plan alone(std::size_t members, std::uint64_t seed) {
   Plan plan;
   plan.seed = seed;
@@ -84,16 +94,19 @@
 FleetRig::FleetRig(std::string program, const Plan& plan, const Site& site, bool allowed)
     : FleetRig(std::move(program), plan, &site, allowed) {}
 
+std::unique_ptr<FleetRig> FleetRig::withoutSite(std::string program, Plan plan) {
+  return std::unique_ptr<FleetRig>(new FleetRig(std::move(program), std::move(plan), nullptr, true));
+}
+
 FleetRig::FleetRig(std::string program, Plan plan, const Site* site, bool allowed)
     : program_(std::move(program)), plan_(std::move(plan)), site_(site), allowed_(allowed) {
   const std::size_t members = plan_.proxies;
   std::string name = "/tmp/quinceline-rig-XXXXXX";
   if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder for the rig");
   folder_ = name;
-  // An address that no other run uses: what is free here is free until it is taken.
-  address_ = asio::ip::address_v4(0x7F'4E'00'00U | (static_cast<unsigned>(getpid()) & 0xFFFFU));
+  address_ = ownAddress();
   std::vector<DatagramRelay::Endpoint> listens;
-  std::vector<asio::ip::udp::socket> held;
+  std::vector<asio::ip::udp::socket> held;  // until all have an address of their own
   for (std::size_t n = 0; n < members; ++n) {
     held.emplace_back(io_, DatagramRelay::Endpoint(address_, 0));
     listens.push_back(held.back().local_endpoint());
@@ -102,7 +115,8 @@
   members_.resize(members);
   for (std::size_t n = 0; n < members; ++n) {
     members_[n].listens = listens[n];
-    members_[n].clients = std::make_unique<Tcp::acceptor>(io_, Tcp::endpoint(address_, 0));
+    if (n >= plan_.hollow)
+      members_[n].clients = std::make_unique<Tcp::acceptor>(io_, Tcp::endpoint(address_, 0));
   }
 }
 
@@ -121,14 +135,28 @@
   }
 }
 
+std::vector<DatagramRelay::Endpoint> FleetRig::peersOf(std::size_t n) const {
+  std::vector<DatagramRelay::Endpoint> peers = relay_->fronts();
+  if (plan_.relay_all) return peers;
+  const std::string& region = plan_.zones[plan_.zoneOfProxy(n)].region;
+  for (std::size_t other = 0; other < peers.size(); ++other) {
+    if (plan_.zones[plan_.zoneOfProxy(other)].region == region) peers[other] = members_[other].listens;
+  }
+  return peers;
+}
+
+std::string FleetRig::discoveryOf(Number number) const {
+  if (site_ != nullptr) return textOf(site_->discovery(plan_.zoneOfProxy(number)));
+  return plan_.discovery.empty() ? address_.to_string() + ":1" : plan_.discovery;  // 1: nobody
+}
+
 std::string FleetRig::configure(Number number, const std::string& name,
                                 const DatagramRelay::Endpoint& listens) const {
   json peers = json::array();
-  for (const auto& front : relay_->fronts()) peers.push_back(textOf(front));
+  for (const auto& peer : peersOf(number)) peers.push_back(textOf(peer));
   json doc = {{"name", name},
               {"listen", textOf(members_[number].clients->local_endpoint())},
-              {"discovery", site_ == nullptr ? address_.to_string() + ":1"  // nobody
-                                             : textOf(site_->discovery(plan_.zoneOfProxy(number)))},
+              {"discovery", discoveryOf(number)},
               {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", 1024}}},
               {"peer_listen", textOf(listens)},
               {"peers", peers},
@@ -143,14 +171,19 @@
 std::string FleetRig::operatorText(Number number, const DatagramRelay::Endpoint& listens,
                                    const std::vector<ServicePlan>& services) const {
   std::string text = "fleet {\n  name rig\n  listen " + textOf(listens) + "\n";
-  for (std::size_t n = 0; n < relay_->fronts().size(); ++n)
-    text += "  member " + std::to_string(n) + " " + textOf(relay_->fronts()[n]) + " {\n    zone " +
-            plan_.zones[plan_.zoneOfProxy(n)].name + "\n  }\n";
+  const std::vector<DatagramRelay::Endpoint> peers = peersOf(number);
+  for (std::size_t n = 0; n < peers.size(); ++n) {
+    const ZonePlan& zone = plan_.zones[plan_.zoneOfProxy(n)];
+    text += "  member " + std::to_string(n) + " " + textOf(peers[n]) + " {\n    zone " + zone.name + "\n";
+    if (!zone.region.empty()) text += "    region " + zone.region + "\n";
+    text += "  }\n";
+  }
   text += "}\n";
   for (const ServicePlan& s : services)
     text += "service " + s.name + " {\n  home " + plan_.zones[s.home].name + "\n  stand-by " +
             plan_.zones[s.stand_by].name + "\n  lease " + std::to_string(plan_.lease.count() / 1000) +
-            "ms\n  route all {\n    class " + s.request_class + "\n  }\n}\n";
+            "ms\n  route all {\n" + (s.path.empty() ? "" : "    path " + s.path + "\n") +
+            (s.request_class.empty() ? "" : "    class " + s.request_class + "\n") + "  }\n}\n";
   if (plan_.memory) text += "memory {\n  folder \"" + memory(number) + "\"\n}\n";
   return text;
 }
@@ -175,7 +208,8 @@
   std::vector<std::string> environment = {"PROXY_CONFIG=" + configure(number, name, listens),
                                           "PROXY_CONSOLE=" + textOf(console), "TMPDIR=" + shared,
                                           "PROXY_INHERITED_FD=3"};
-  if (!plan_.services.empty()) environment.push_back("PROXY_OPERATOR=" + operatorFile(number, name, listens));
+  if (!plan_.services.empty() || plan_.operator_file)
+    environment.push_back("PROXY_OPERATOR=" + operatorFile(number, name, listens));
   return std::make_unique<Child>(std::vector<std::string>{program_}, &environment, inherited);
 }
 
@@ -187,7 +221,7 @@
 }
 
 void FleetRig::startAll() {
-  for (std::size_t n = 0; n < members_.size(); ++n) start(n);
+  for (std::size_t n = plan_.hollow; n < members_.size(); ++n) start(n);
 }
 
 void FleetRig::kill(std::size_t n) {
--- a/rig/fleet_rig.h
+++ b/rig/fleet_rig.h
@@ -26,6 +26,8 @@
   FleetRig(std::string program, std::size_t members, std::uint64_t seed, bool allowed = true);
   // Proxies of a plan before their stand-ins, which must outlive them.
   FleetRig(std::string program, const Plan& plan, const Site& site, bool allowed = true);
+  // Proxies of a plan without stand-ins, which ask discovery where the plan says.
+  static std::unique_ptr<FleetRig> withoutSite(std::string program, Plan plan);
   ~FleetRig();
 
   std::size_t size() const { return members_.size(); }
@@ -44,6 +46,10 @@
   // One more process under this number at another address, which takes nobody's place.
   void twin(Number number);
   DatagramRelay::Endpoint listens(std::size_t n) const { return members_[n].listens; }
+  // Where a member finds each member, by number.
+  std::vector<DatagramRelay::Endpoint> peersOf(std::size_t n) const;
+  const std::string& folder() const { return folder_; }
+  const boost::asio::ip::address& address() const { return address_; }
   // Where its application calls a member; kept over its restarts.
   boost::asio::ip::tcp::endpoint listensForCalls(std::size_t n) const {
     return members_[n].clients->local_endpoint();
@@ -84,6 +90,7 @@
     std::unique_ptr<Tcp::acceptor> clients;  // the platform's listening socket
   };
 
+  std::string discoveryOf(Number number) const;
   std::string configure(Number number, const std::string& name, const DatagramRelay::Endpoint& listens) const;
   std::string operatorText(Number number, const DatagramRelay::Endpoint& listens,
                            const std::vector<ServicePlan>& services) const;
--- a/rig/plan.h
+++ b/rig/plan.h
@@ -61,6 +61,7 @@
 struct ServicePlan {
   std::string name, request_class;
   std::size_t home = 0, stand_by = 0;
+  std::string path{};  // of its route; empty: any
 };
 
 struct Plan {
@@ -75,6 +76,12 @@
   Span lease{1'000'000};
   bool memory = true;  // where there are services: the proxies remember over a kill
 
+  // Of fleets that are partly hollow (rig/mixed_fleet.h).
+  std::size_t hollow = 0;      // the first members are no processes of the program
+  bool operator_file = false;  // each process gets one, also where there are no services
+  bool relay_all = true;       // false: members of one region reach one another without the relay
+  std::string discovery{};     // "address:port" for all proxies where there is no site; empty: nobody
+
   std::size_t hosts() const {
     std::size_t n = 0;
     for (const ZonePlan& z : zones) n += z.hosts;
--- a/src/fleet_transport/include/fleet_transport/udp_transport.h
+++ b/src/fleet_transport/include/fleet_transport/udp_transport.h
@@ -40,6 +40,7 @@
   std::string page() const override;
   std::string brief() const override;
   void send(Number to, std::string bytes) override;
+  Traffic traffic() const override;
   void onParcel(std::function<void(Number, std::string_view)> take) override { take_ = std::move(take); }
   std::vector<Member> members() const override;
   std::vector<std::string> lostZones() const override { return zones_.lost(); }
@@ -80,6 +81,7 @@
   bool started_ = false, silent_ = false, twice_told_ = false, waiting_told_ = false;
 
   std::uint64_t in_ = 0, out_ = 0, bytes_in_ = 0, bytes_out_ = 0, strangers_ = 0, unsent_ = 0;
+  std::uint64_t parcels_in_ = 0, parcels_out_ = 0, parcel_bytes_in_ = 0, parcel_bytes_out_ = 0;
   std::uint64_t requests_before_ = 0;
   Time facts_at_ = 0;
   double traffic_ = 0;
--- a/src/fleet_transport/udp_transport.cpp
+++ b/src/fleet_transport/udp_transport.cpp
@@ -225,6 +225,7 @@
   }
   Steps out;
   fleet_->receive(clock_.now(), known->second, datagram, out);
+  if (!out.parcels.empty()) ++parcels_in_, parcel_bytes_in_ += size;
   carryOut(out);
 }
 
@@ -260,7 +261,21 @@
   if (!started_ || silent_) return;
   Steps out;
   fleet_->sendParcel(clock_.now(), to, std::move(bytes), out);
+  const std::uint64_t datagrams_before = out_, bytes_before = bytes_out_;
   carryOut(out);
+  parcels_out_ += out_ - datagrams_before;
+  parcel_bytes_out_ += bytes_out_ - bytes_before;
+}
+
+Neighbours::Traffic UdpTransport::traffic() const {
+  return {.datagrams_in = in_,
+          .datagrams_out = out_,
+          .bytes_in = bytes_in_,
+          .bytes_out = bytes_out_,
+          .parcels_in = parcels_in_,
+          .parcels_out = parcels_out_,
+          .parcel_bytes_in = parcel_bytes_in_,
+          .parcel_bytes_out = parcel_bytes_out_};
 }
 
 std::vector<Neighbours::Member> UdpTransport::members() const {
