--- a/src/fleet_transport/udp_transport.cpp
+++ b/src/fleet_transport/udp_transport.cpp
@@ -41,6 +41,12 @@
   return s;
 }
 
+// Whole milliseconds, in seconds.
+double secondsOf(Time time) {
+  const Time milliseconds = time / kMillisecond;
+  return static_cast<double>(milliseconds) / 1000;
+}
+
 std::string textOf(const UdpTransport::Endpoint& at) {
   return at.address().to_string() + ":" + std::to_string(at.port());
 }
@@ -73,6 +79,7 @@
 
 std::vector<fleet::Listed> UdpTransport::listed(const std::vector<FleetPeer>& members) {
   std::vector<fleet::Listed> out;
+  out.reserve(members.size());
   for (const FleetPeer& p : members) out.push_back({p.number, p.zone, p.region});
   return out;
 }
@@ -148,7 +155,7 @@
 }
 
 std::string UdpTransport::handOn() {
-  const std::string text = toText(fleet_->remember());
+  std::string text = toText(fleet_->remember());
   const Time until = clock_.now() + kStill;
   fleet_->beQuiet(clock_.now(), until);
   error_code ignored;
@@ -358,7 +365,7 @@
   using nlohmann::ordered_json;
   const Time now = clock_.now();
   const fleet::View v = view();
-  const auto ago = [&](Time t) { return static_cast<double>((now - t) / kMillisecond) / 1000; };
+  const auto ago = [&](Time t) { return secondsOf(now - t); };
   ordered_json members = ordered_json::array();
   for (const fleet::ViewedMember& m : v.members) {
     ordered_json one = {{"number", m.number}, {"state", fleet::nameOf(m.state)}};
@@ -385,7 +392,7 @@
       {"left", v.left},
       {"unheard", v.unheard},
       {"rank", v.rank},
-      {"unchanged_s", static_cast<double>(v.unchanged / kMillisecond) / 1000},
+      {"unchanged_s", secondsOf(v.unchanged)},
       {"hash", v.hash},
       {"refuted", fleet_->refuted()},
       {"health", fleet_->health().score()},
--- a/src/leases/findings.cpp
+++ b/src/leases/findings.cpp
@@ -37,7 +37,7 @@
   if (all_.size() >= kMost) all_.erase(all_.begin());
   f.first = f.last = now;
   f.times = 1;
-  all_.push_back(std::move(f));
+  all_.push_back(f);
   return true;
 }
 
--- a/src/leases/include/leases/member.h
+++ b/src/leases/include/leases/member.h
@@ -87,7 +87,7 @@
   void onTold(Time now, const Message& m, Out& out);
   void learn(Time now, ServiceId service, const Deed& deed, Out& out);
   void judgeClaim(Time now, Number from, const Entry& e, std::uint32_t file, Out& out);
-  void find(Time now, Finding finding, Out& out);
+  void find(Time now, const Finding& finding, Out& out);
   void watchMemory(Time now, Number from, std::uint32_t installation, Out& out);
   std::string named(ServiceId service) const;
 
--- a/src/leases/member.cpp
+++ b/src/leases/member.cpp
@@ -340,12 +340,12 @@
   }
 }
 
-void Member::find(Time now, Finding f, Out& out) {
+void Member::find(Time now, const Finding& f, Out& out) {
   const std::string service = f.service == 0 ? "" : " of " + named(f.service);
   const std::string claim = f.claim.term == 0 ? "" : ", " + textOf(f.claim) + " against " + textOf(f.against);
   const std::string line = "deeds: " + std::string(nameOf(f.kind)) + " claim" + service + " by member " +
                            std::to_string(f.claimant) + claim;
-  if (findings_.note(now, std::move(f))) out.lines.push_back(line);
+  if (findings_.note(now, f)) out.lines.push_back(line);
 }
 
 // A claim that this member knows better than: what kind of wrong it is.
@@ -365,7 +365,7 @@
   } else {
     return;
   }
-  find(now, std::move(f), out);
+  find(now, f, out);
 }
 
 void Member::onRenew(Time now, Number from, const Message& m, Out& out) {
--- a/src/ownership/ownership_service.cpp
+++ b/src/ownership/ownership_service.cpp
@@ -20,7 +20,11 @@
 std::string dumped(const ordered_json& page) {
   return page.dump(2, ' ', false, ordered_json::error_handler_t::replace);
 }
-double seconds(Time t) { return static_cast<double>(t / kMillisecond) / 1000; }
+// Whole milliseconds, in seconds.
+double seconds(Time time) {
+  const Time milliseconds = time / kMillisecond;
+  return static_cast<double>(milliseconds) / 1000;
+}
 
 }  // namespace
 
