The membership protocol is split by subject, each file with one job

Ruled out: one class each for probing and anti-entropy, which share the roster, the budget and the sending; their interfaces would be as wide as the class.

Private functions and comments use the field's words; the public interface keeps its names.

--- /dev/null
+++ b/src/fleet/anti_entropy.cpp
@@ -0,0 +1,140 @@
+// Repair of what gossip has missed: views are compared by digests over blocks of members, and what differs is
+// exchanged.
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "fleet/fleet.h"
+#include "fleet/shuffle.h"
+
+namespace quinceline::fleet {
+namespace {
+
+constexpr Time kCompareAfter = 400 * kMillisecond;        // nobody has held the same view for so long
+constexpr Time kCompareEvery = 300 * kMillisecond;        // standings
+constexpr Time kCompareRecordsSoon = 500 * kMillisecond;  // after records were found to differ
+constexpr std::size_t kMostBlocks = 8;                    // sent in answer to one digest
+constexpr std::size_t kMostDigest = 50;                   // hashes in one
+constexpr std::size_t kMostHeld = 12;                     // versions that fit a datagram
+constexpr std::size_t kRecordOverhead = 17;               // bytes of a record beside its facts
+
+}  // namespace
+
+// Anti-entropy of standings starts only once nobody has held the same view for some time: until then gossip
+// is expected to make the views equal.
+void Fleet::compareStandings(Time now, std::size_t slot, std::uint32_t their_view, Out& out) {
+  if (their_view == roster_.hash() || now - agreed_at_ <= kCompareAfter || now < compare_standings_at_)
+    return;
+  if (!maySpend(2 * kMostDatagram) || leaving_) return;
+  compare_standings_at_ = now + kCompareEvery;
+  sendDigest(now, slot, Digest::Of::Standings, out);
+}
+
+// Compares records with one member by chance, also where nothing is known to differ.
+void Fleet::compareRecords(Time now, Out& out) {
+  compare_records_at_ = now + kCompareRecordsEvery;
+  if (!maySpend()) return;
+  for (const std::size_t to : pick(1, self_)) sendDigest(now, to, Digest::Of::Records, out);
+}
+
+void Fleet::sendDigest(Time now, std::size_t slot, Digest::Of of, Out& out) {
+  const std::uint16_t blocks = roster_.blocks();
+  Digest digest;
+  digest.of = of;
+  // Fixed windows, one by chance: with windows that may begin anywhere, blocks at the ends would hardly ever
+  // be compared.
+  const auto parts = static_cast<std::uint32_t>((blocks + kMostDigest - 1) / kMostDigest);
+  digest.first = static_cast<std::uint16_t>(random_.below(std::max(1U, parts)) * kMostDigest);
+  for (std::uint16_t b = digest.first; b < blocks && digest.hashes.size() < kMostDigest; ++b)
+    digest.hashes.push_back(of == Digest::Of::Standings ? roster_.standingsOf(b) : roster_.recordsOf(b));
+  send(now, slot, Kind::Talk, 0, {digest}, out);
+}
+
+void Fleet::answerDigest(Time now, std::size_t slot, const Digest& digest, Out& out) {
+  const bool records = digest.of == Digest::Of::Records;
+  std::vector<std::uint16_t> differing;
+  for (std::size_t i = 0; i < digest.hashes.size(); ++i) {
+    const auto block = static_cast<std::uint16_t>(digest.first + i);
+    const std::uint32_t ours = records ? roster_.recordsOf(block) : roster_.standingsOf(block);
+    if (ours != digest.hashes[i]) differing.push_back(block);
+  }
+  if (records && !differing.empty())
+    compare_records_at_ = std::min(compare_records_at_, now + kCompareRecordsSoon);
+  shuffle(differing, random_);
+  const std::size_t answered = std::min(differing.size(), records ? 1 : kMostBlocks);
+  for (std::size_t i = 0; i < answered && maySpend(); ++i) {
+    if (records)
+      sendHeld(now, slot, differing[i], out);
+    else
+      sendBlock(now, slot, differing[i], out);
+  }
+}
+
+void Fleet::sendBlock(Time now, std::size_t slot, std::uint16_t block, Out& out) {
+  std::vector<Item> items = {Block{block, true}};
+  for (const Member& m : roster_.membersOf(block)) {
+    if (m.standing.state != State::Unheard) items.emplace_back(rumourOf(m));
+  }
+  send(now, slot, Kind::Talk, 0, items, out);
+}
+
+// The versions of the records that this member holds of a block, in as many datagrams as it takes.
+void Fleet::sendHeld(Time now, std::size_t slot, std::uint16_t block, Out& out) {
+  std::vector<Item> items;
+  for (const Member& m : roster_.membersOf(block)) {
+    items.emplace_back(Held{m.listed.number, m.version, true});
+    if (items.size() < kMostHeld) continue;
+    send(now, slot, Kind::Talk, 0, items, out);
+    items.clear();
+  }
+  if (!items.empty()) send(now, slot, Kind::Talk, 0, items, out);
+}
+
+// The block's rumours have been applied already; what this member knows better goes back.
+void Fleet::answerBlock(Time now, std::size_t slot, const Block& block, const Message& message, Out& out) {
+  if (!block.wants) return;
+  std::map<Number, Standing> theirs;
+  for (const Item& item : message.items) {
+    if (const auto* const rumour = std::get_if<Rumour>(&item)) theirs[rumour->member] = rumour->standing;
+  }
+  std::vector<Item> items = {Block{block.block, false}};
+  for (const Member& m : roster_.membersOf(block.block)) {
+    if (m.standing > theirs[m.listed.number]) items.emplace_back(rumourOf(m));
+  }
+  if (items.size() > 1 && maySpend()) send(now, slot, Kind::Talk, 0, items, out);
+}
+
+// Sends the records of which this member holds a newer version, and asks for those of which it holds an
+// older.
+void Fleet::answerHeld(Time now, std::size_t slot, const Message& message, Out& out) {
+  std::vector<Item> records, asked;
+  for (const Item& item : message.items) {
+    const auto* const held = std::get_if<Held>(&item);
+    const auto of = held != nullptr ? roster_.find(held->member) : std::nullopt;
+    if (!of) continue;
+    const Member& m = roster_.at(*of);
+    if (m.version > held->version && held->wants)
+      records.emplace_back(Record{held->member, m.version, false, m.facts});
+    if (m.version < held->version && *of != self_) asked.emplace_back(Held{held->member, m.version, true});
+  }
+  if (!asked.empty() && maySpend()) send(now, slot, Kind::Talk, 0, asked, out);
+  sendRecords(now, slot, std::move(records), out);
+}
+
+// As many records to a datagram as fit, and as many datagrams as the budget allows.
+void Fleet::sendRecords(Time now, std::size_t slot, std::vector<Item> records, Out& out) {
+  while (!records.empty() && maySpend()) {
+    std::vector<Item> fitting;
+    std::size_t bytes = kHeader;
+    while (!records.empty()) {
+      bytes += kRecordOverhead + std::get<Record>(records.back()).facts.size();
+      if (bytes > kMostDatagram) break;
+      fitting.push_back(std::move(records.back()));
+      records.pop_back();
+    }
+    send(now, slot, Kind::Talk, 0, fitting, out);
+  }
+}
+
+}  // namespace quinceline::fleet
--- /dev/null
+++ b/src/fleet/gossip_queue.cpp
@@ -0,0 +1,90 @@
+#include "fleet/gossip_queue.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "fleet/shuffle.h"
+
+namespace quinceline::fleet {
+namespace {
+
+constexpr std::size_t kBacklog = 44;                           // standings: more than two datagrams hold
+constexpr int kSendsOfRecords = 3;                             // that are not urgent
+constexpr std::size_t kLeastStanding = 12, kLeastRecord = 19;  // bytes that an item takes at least
+
+// Moves as many items into the datagram as fit, those to be sent most often first, equal ones by chance.
+template <typename ItemOf>
+void passOn(Writer& writer, Roster& roster, std::size_t to, std::vector<std::size_t>& slots,
+            int Member::*sends_left, int cost, std::size_t least_room, weldflow::Random& random,
+            ItemOf itemOf) {
+  shuffle(slots, random);
+  std::stable_sort(slots.begin(), slots.end(), [&](std::size_t a, std::size_t b) {
+    return roster.at(a).*sends_left > roster.at(b).*sends_left;
+  });
+  for (const std::size_t slot : slots) {
+    if (writer.room() < least_room) break;
+    if (slot != to && writer.add(itemOf(roster.at(slot)))) roster.at(slot).*sends_left -= cost;
+  }
+  std::erase_if(slots, [&](std::size_t slot) { return roster.at(slot).*sends_left <= 0; });
+}
+
+}  // namespace
+
+Rumour rumourOf(const Member& member) {
+  return {member.listed.number, member.standing,
+          member.accusers.empty() ? Number{0} : member.accusers.back()};
+}
+
+void GossipQueue::rebuild(const Roster& roster) {
+  standings_.clear();
+  records_.clear();
+  for (std::size_t slot = 0; slot < roster.size(); ++slot) {
+    if (roster.at(slot).tell_standing > 0) standings_.push_back(slot);
+    if (roster.at(slot).tell_record > 0) records_.push_back(slot);
+  }
+}
+
+int GossipQueue::sendsOfNews(const Roster& roster) {
+  return 4 * static_cast<int>(std::ceil(std::log10(static_cast<double>(roster.live() + 1))));
+}
+
+// Where much is new at once, each piece is sent less often: what some miss is found by digests, and costs
+// less that way.
+int GossipQueue::sendCost() const { return standings_.size() > kBacklog ? 3 : 1; }
+
+void GossipQueue::addStanding(Roster& roster, std::size_t slot) {
+  Member& member = roster.at(slot);
+  if (member.tell_standing <= 0) standings_.push_back(slot);
+  member.tell_standing = sendsOfNews(roster);
+}
+
+void GossipQueue::addRecord(Roster& roster, std::size_t slot, bool urgent) {
+  Member& member = roster.at(slot);
+  if (member.tell_record <= 0) records_.push_back(slot);
+  member.tell_record = urgent ? sendsOfNews(roster) : kSendsOfRecords;
+  member.urgent = urgent;
+  urgent_ = urgent_ || urgent;
+}
+
+void GossipQueue::heardAgain(Member& member) const {
+  if (member.tell_standing > 1) member.tell_standing = std::max(1, member.tell_standing - sendCost());
+}
+
+void GossipQueue::roundEnded(const Roster& roster) {
+  urgent_ =
+      std::any_of(records_.begin(), records_.end(), [&](std::size_t slot) { return roster.at(slot).urgent; });
+}
+
+void GossipQueue::fill(Writer& writer, Roster& roster, std::size_t to, bool with_records,
+                       weldflow::Random& random) {
+  const Member& receiver = roster.at(to);
+  if (receiver.standing.state > State::Alive) writer.add(rumourOf(receiver));
+  passOn(writer, roster, to, standings_, &Member::tell_standing, sendCost(), kLeastStanding, random,
+         [](const Member& of) { return Item(rumourOf(of)); });
+  if (!with_records) return;
+  passOn(writer, roster, to, records_, &Member::tell_record, 1, kLeastRecord, random, [](const Member& of) {
+    return Item(Record{of.listed.number, of.version, of.urgent, of.facts});
+  });
+}
+
+}  // namespace quinceline::fleet
--- /dev/null
+++ b/src/fleet/include/fleet/probe_order.h
@@ -0,0 +1,30 @@
+// Which member is probed next: round robin over a shuffled list, as in SWIM. No I/O, no clock.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "fleet/roster.h"
+#include "fleet/types.h"
+#include "random/random.h"
+
+namespace quinceline::fleet {
+
+// Every live member is probed once before any is probed again, so a failure is found within a bounded number
+// of periods.
+class ProbeOrder {
+ public:
+  // Slot of the next live member; nothing if no other member is live.
+  std::optional<std::size_t> next(const Roster& roster, Number self, weldflow::Random& random);
+  // Begins a new round: the list of members has changed.
+  void reset() { order_.clear(); }
+
+ private:
+  void begin(const Roster& roster, Number self, weldflow::Random& random);
+
+  std::vector<Number> order_;
+  std::size_t position_ = 0;
+};
+
+}  // namespace quinceline::fleet
--- /dev/null
+++ b/src/fleet/include/fleet/shuffle.h
@@ -0,0 +1,19 @@
+// Fisher-Yates shuffle with the project's own generator, so that a seed gives the same order everywhere.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#include "random/random.h"
+
+namespace quinceline::fleet {
+
+template <typename T>
+void shuffle(std::vector<T>& all, weldflow::Random& random) {
+  for (std::size_t i = all.size(); i > 1; --i)
+    std::swap(all[i - 1], all[random.below(static_cast<std::uint32_t>(i))]);
+}
+
+}  // namespace quinceline::fleet
