--- a/src/fleet_transport/include/fleet_transport/neighbours.h
+++ b/src/fleet_transport/include/fleet_transport/neighbours.h
@@ -35,8 +35,8 @@
     std::string zone;  // as the list has it, or it says itself; empty: not known
     bool live = false;
   };
-  // Datagrams and their bytes (UDP payload) since the start. Those that carry a parcel, send() and onParcel(),
-  // are counted in both.
+  // Datagrams and their bytes (UDP payload) since the start. Those that carry a parcel, send() and
+  // onParcel(), are counted in both.
   struct Traffic {
     std::uint64_t datagrams_in = 0, datagrams_out = 0, bytes_in = 0, bytes_out = 0;
     std::uint64_t parcels_in = 0, parcels_out = 0, parcel_bytes_in = 0, parcel_bytes_out = 0;
