Consensus among the replicas: one decision for each version, without a leader

Publishes are decided slot by slot (single-decree Paxos, quorum 3 of 4); a replica votes only in the slot behind its newest chosen change, so one vote is all it has to keep.

--- /dev/null
+++ b/src/consensus/include/consensus/proposal.h
@@ -0,0 +1,40 @@
+// One try of a replica to have a change chosen in a slot, under one ballot.
+#pragma once
+
+#include <set>
+
+#include "consensus/messages.h"
+
+namespace quinceline::consensus {
+
+class Proposal {
+ public:
+  /// `own`: what is proposed where nobody has accepted anything yet.
+  Proposal(Version slot, Ballot ballot, Change own, std::size_t quorum);
+
+  /// True: a quorum has promised, and accept() is what to ask for now.
+  bool onPromise(ReplicaId from, const Promise& promise);
+  /// True: a quorum has accepted; value() is chosen.
+  bool onAccepted(ReplicaId from, const Accepted& accepted);
+
+  bool preparing() const { return !accepting_; }
+  Version slot() const { return slot_; }
+  const Ballot& ballot() const { return ballot_; }
+  Prepare prepare() const { return {slot_, ballot_}; }
+  Accept accept() const { return {slot_, ballot_, value_}; }
+  const Change& value() const { return value_; }
+  /// Whether this replica has answered in the phase that runs.
+  bool answered(ReplicaId replica) const;
+  std::size_t answers() const { return (accepting_ ? accepted_ : promised_).size(); }
+
+ private:
+  Version slot_;
+  Ballot ballot_;
+  Change value_;
+  std::size_t quorum_;
+  bool accepting_ = false;
+  Ballot highest_accepted_;  // of what the promises tell
+  std::set<ReplicaId> promised_, accepted_;
+};
+
+}  // namespace quinceline::consensus
