A loop ends though its timer was due before it was told to

Loop::end() cancels its timer from a handler; a timer that was due before has its handler in the queue already, is not cancelled, and armed itself again for ever: the join hung (seen on a machine with a load of 25, in the destructor of the replica's disk task; the storage task has the same call). A flag of the loop's own thread ends it. LoopTest.EndsThoughItsTimerWasDueBefore hangs without it.

--- a/src/tasks/include/tasks/loop.h
+++ b/src/tasks/include/tasks/loop.h
@@ -39,6 +39,7 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
   boost::asio::steady_timer timer_;
   std::atomic<Clock::rep> beat_;
+  bool ended_ = false;  // the loop's own thread's
   std::thread thread_;
 };
 
--- a/src/tasks/loop.cpp
+++ b/src/tasks/loop.cpp
@@ -22,7 +22,7 @@
   beat_ = Clock::now().time_since_epoch().count();
   timer_.expires_after(kBeat);
   timer_.async_wait([this](boost::system::error_code ec) {
-    if (!ec) beat();
+    if (!ec && !ended_) beat();
   });
 }
 
@@ -35,6 +35,7 @@
 void Loop::end() {
   if (!thread_.joinable()) return;
   boost::asio::post(io_, [this] {
+    ended_ = true;  // a beat that was due before this call is not cancelled any more
     timer_.cancel();
     work_.reset();
   });
