Operator file: configuration { file; region; replica }, and the shared file in its place

Need: a file that operators publish once for all proxies is a part of each instance's configuration, so that `check`, `explain`, `diff` and SIGHUP see it without a second way of reading. The block names it; the loader includes it behind the block, once, and never from within itself. A dump, which holds what the file says, names the block in comments: read again, it would double all statements.

Errors name file, line and key: no replica, one twice, an address twice, the instance's own address, a pattern in place of a file, a file that is not there, a shared file that says where it comes from.

Ruled out: an include that the daemon fills in later. A proxy would start without what was in force before. The new tests do not compile or hold without the change.

--- a/src/conf/include/conf/model.h
+++ b/src/conf/include/conf/model.h
@@ -94,11 +94,27 @@
   std::vector<RouteModel> routes;
 };
 
+struct ReplicaModel {
+  std::uint16_t number = 0;
+  Address address;
+  Place at;
+  std::string region;  // empty: not said
+};
+
+// Where the shared configuration comes from.
+struct ConfigurationModel {
+  std::string file;    // relative to the working folder
+  std::string region;  // of this instance; empty: not said
+  std::vector<ReplicaModel> replicas;
+  Place at;
+};
+
 // What is not set is not there: it follows from the platform or from other limits.
 struct Model {
   std::optional<PoolModel> pool;  // there: the file stands alone
   std::optional<FleetModel> fleet;
   std::vector<ServiceModel> services;
+  std::optional<ConfigurationModel> configuration;
   std::string memory_folder;  // what is remembered over a power cut; empty: nothing is
   Address listen;             // this and what follows up to `classes`: of such a file
   std::string name, zone;
--- a/src/conf/include/conf/schema.h
+++ b/src/conf/include/conf/schema.h
@@ -52,7 +52,8 @@
   bool named = false;    // takes a name, and may be there more than once
   bool address = false;  // takes an address behind its name; then its braces may be left out
   const Key* find(std::string_view name) const;
-  bool lacksNothing() const;  // where it is empty: no key is required
+  bool includes_file = false;  // names a file that is read in its place
+  bool lacksNothing() const;   // where it is empty: no key is required
 };
 
 // Everything that a file may hold at its top.
--- a/src/conf/loader.cpp
+++ b/src/conf/loader.cpp
@@ -11,28 +11,6 @@
 
 constexpr std::size_t kLongestValue = 4096;
 
-// "a/./b/../c" is "a/c", so that a loop is seen whatever way a file is named. A ".." at the front stays.
-std::string normal(const std::string& path) {
-  std::vector<std::string> parts;
-  for (std::size_t from = 0; from <= path.size();) {
-    const std::size_t to = std::min(path.find('/', from), path.size());
-    std::string part = path.substr(from, to - from);
-    from = to + 1;
-    if (part.empty() || part == ".") continue;
-    if (part == ".." && !parts.empty() && parts.back() != "..") {
-      parts.pop_back();
-    } else {
-      parts.push_back(std::move(part));
-    }
-  }
-  std::string out = !path.empty() && path.front() == '/' ? "/" : "";
-  for (std::size_t i = 0; i < parts.size(); ++i) {
-    if (i > 0) out += '/';
-    out += parts[i];
-  }
-  return out;
-}
-
 bool isPattern(const std::string& path) { return path.find_first_of("*?[") != std::string::npos; }
 
 bool isNamePart(char c) {
@@ -44,7 +22,7 @@
   explicit Loader(FileSource& files) : files_(files) {}
 
   Loaded run(const std::string& path) {
-    const std::string main = normal(path);
+    const std::string main = normalPath(path);
     std::optional<std::string> text = files_.read(main);
     if (text) {
       out_.statements = fileOf(main, std::move(*text));
@@ -92,20 +70,58 @@
       } else if (s.name().text == "define") {
         define(s);
       } else {
-        if (s.block) s.children = expand(std::move(s.children));
+        if (s.block) s.children = expandBlock(std::move(s.children));
+        std::vector<Statement> shared;
+        if (depth_ == 0 && s.name().text == "configuration" && s.block) {
+          if (!mayShare(s)) continue;
+          shared = includeShared(s);
+        }
         out.push_back(std::move(s));
+        for (Statement& included : shared) out.push_back(std::move(included));
       }
     }
     return out;
   }
 
+  std::vector<Statement> expandBlock(std::vector<Statement> statements) {
+    ++depth_;
+    std::vector<Statement> out = expand(std::move(statements));
+    --depth_;
+    return out;
+  }
+
+  bool mayShare(const Statement& s) {
+    if (!in_shared_file_) return true;
+    error(s.name().at, "a shared file can't say where it comes from",
+          "delete it; it belongs in the file of each instance");
+    return false;
+  }
+
+  // The file that a `configuration` block names. What is wrong with the block itself, the schema tells.
+  std::vector<Statement> includeShared(const Statement& s) {
+    const auto file = std::find_if(s.children.begin(), s.children.end(),
+                                   [](const Statement& child) { return child.name().text == "file"; });
+    if (!out_.shared_file.empty() || file == s.children.end() || file->words.size() != 2 || file->block)
+      return {};
+    const Word& word = file->words[1];
+    if (isPattern(word.text) || word.text.find('$') != std::string::npos) {
+      error(word.at, "'" + word.text + "' is not the name of one file", "write it without *, ?, [ and $");
+      return {};
+    }
+    out_.shared_file = normalPath(pathFrom(chain_.back(), word.text));
+    in_shared_file_ = true;
+    std::vector<Statement> included = includeOne(out_.shared_file, word);
+    in_shared_file_ = false;
+    return included;
+  }
+
   std::vector<Statement> include(const Statement& s) {
     if (s.words.size() != 2 || s.block) {
       error(s.name().at, "include takes one path", "write include \"FILE.conf\"");
       return {};
     }
     const Word& word = s.words[1];
-    const std::string path = normal(pathFrom(chain_.back(), word.text));
+    const std::string path = normalPath(pathFrom(chain_.back(), word.text));
     std::vector<std::string> paths = {path};
     if (isPattern(path)) {
       paths = files_.match(path);
@@ -113,7 +129,7 @@
     }
     std::vector<Statement> all;
     for (const std::string& p : paths) {
-      for (Statement& one : includeOne(normal(p), word)) all.push_back(std::move(one));
+      for (Statement& one : includeOne(normalPath(p), word)) all.push_back(std::move(one));
     }
     return all;
   }
@@ -231,11 +247,34 @@
   Loaded out_;
   std::vector<std::string> chain_;  // files being read, each included by the one before
   std::map<std::string, Definition> definitions_;
+  std::size_t depth_ = 0;  // of blocks
+  bool in_shared_file_ = false;
   bool too_many_ = false;
 };
 
 }  // namespace
 
+std::string normalPath(const std::string& path) {
+  std::vector<std::string> parts;
+  for (std::size_t from = 0; from <= path.size();) {
+    const std::size_t to = std::min(path.find('/', from), path.size());
+    std::string part = path.substr(from, to - from);
+    from = to + 1;
+    if (part.empty() || part == ".") continue;
+    if (part == ".." && !parts.empty() && parts.back() != "..") {
+      parts.pop_back();
+    } else {
+      parts.push_back(std::move(part));
+    }
+  }
+  std::string out = !path.empty() && path.front() == '/' ? "/" : "";
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    if (i > 0) out += '/';
+    out += parts[i];
+  }
+  return out;
+}
+
 bool Loaded::ok() const { return noErrors(found); }
 
 std::string pathFrom(const std::string& file, const std::string& path) {
--- a/src/conf/model.cpp
+++ b/src/conf/model.cpp
@@ -56,6 +56,16 @@
   return hosts;
 }
 
+// A member's or a replica's, from the name of its block; nothing: it is none, and 07 is not 7.
+std::optional<std::uint16_t> numberOf(const std::string& name) {
+  std::uint32_t number = 0;
+  const char* const end = name.data() + name.size();
+  const auto r = std::from_chars(name.data(), end, number);
+  if (r.ec != std::errc{} || r.ptr != end || number > kMostMember || std::to_string(number) != name)
+    return std::nullopt;
+  return static_cast<std::uint16_t>(number);
+}
+
 std::vector<MemberModel> membersOf(const Section& section, const Sources& sources,
                                    std::vector<Diagnostic>& found) {
   std::vector<MemberModel> members;
@@ -63,15 +73,13 @@
   for (const Section& s : section.sections) {
     if (s.kind != "member") continue;
     MemberModel m;
-    std::uint32_t number = 0;
-    const char* const end = s.name.data() + s.name.size();
-    const auto r = std::from_chars(s.name.data(), end, number);
-    if (r.ec != std::errc{} || r.ptr != end || number > kMostMember || std::to_string(number) != s.name) {
+    const std::optional<std::uint16_t> number = numberOf(s.name);
+    if (!number) {
       found.push_back({Severity::Error, s.at, "'" + s.name + "' is no member's number",
                        "write the `client` of that proxy, 0 to " + std::to_string(kMostMember)});
       continue;
     }
-    m.number = static_cast<std::uint16_t>(number);
+    m.number = *number;
     m.address = readAddress(s.address).value_or(Address{});
     m.at = s.at;
     m.zone = textOf(s, "zone");
@@ -89,7 +97,8 @@
 
 class Builder {
  public:
-  explicit Builder(Configuration& out) : out_(out), root_(out.root), m_(out.model) {}
+  Builder(Configuration& out, std::string shared_file)
+      : out_(out), root_(out.root), m_(out.model), shared_file_(std::move(shared_file)) {}
 
   void run() {
     alone_ = root_.wasTried("pool");
@@ -107,6 +116,7 @@
       error(pool_at_, "no class of requests is there, so nothing would be served", "add class NAME { ... }");
     if (const Section* const fleet = root_.section("fleet")) this->fleet(*fleet);
     services();
+    if (const Section* const shared = root_.section("configuration")) configuration(*shared);
     together();
   }
 
@@ -299,6 +309,44 @@
     m_.fleet = std::move(f);
   }
 
+  void configuration(const Section& s) {
+    ConfigurationModel c;
+    c.at = s.at;
+    c.file = shared_file_;
+    c.region = textOf(s, "region");
+    if (c.region.empty() && m_.fleet) c.region = m_.fleet->region;
+    std::map<std::pair<std::string, std::uint16_t>, const Section*> holders;
+    for (const Section& r : s.sections) {
+      if (const std::optional<ReplicaModel> replica = replicaOf(r)) c.replicas.push_back(*replica);
+      const Address address = readAddress(r.address).value_or(Address{});
+      const auto [it, first] = holders.try_emplace({address.host, address.port}, &r);
+      if (!first)
+        error(r.at,
+              "'" + r.title() + "' has the address of '" + it->second->title() + "' in " +
+                  out_.sources.lineOf(it->second->at),
+              "write its own");
+    }
+    if (!s.wasTried("replica"))
+      error(s.at, "'configuration' has no replica", "add replica NUMBER ADDRESS:PORT for each");
+    m_.configuration = std::move(c);
+  }
+
+  std::optional<ReplicaModel> replicaOf(const Section& s) {
+    const std::optional<std::uint16_t> number = numberOf(s.name);
+    if (!number || *number == 0) {
+      error(s.at, "'" + s.name + "' is no replica's number", "write 1 to " + std::to_string(kMostMember));
+      return std::nullopt;
+    }
+    const Address address = readAddress(s.address).value_or(Address{});
+    const bool clients = alone_ && address == m_.listen, operators = m_.status && address == *m_.status;
+    if (clients || operators)
+      error(s.at,
+            "'" + s.title() + "' has this instance's own address, where " +
+                (clients ? "clients are served" : "the status page is"),
+            "write the replica's");
+    return ReplicaModel{*number, address, s.at, textOf(s, "region")};
+  }
+
   void services() {
     for (const Section& s : root_.sections) {
       if (s.kind == "service") m_.services.push_back(serviceOf(s));
@@ -409,6 +457,7 @@
   Configuration& out_;
   const Section& root_;
   Model& m_;
+  const std::string shared_file_;  // that is included, in its one form
   bool alone_ = false, attempts_set_ = false;
   Place pool_at_, attempts_at_;
 };
@@ -424,7 +473,7 @@
   out.sources = std::move(loaded.sources);
   out.found = std::move(loaded.found);
   out.root = check(kRoot, loaded.statements, out.sources, out.found);
-  Builder(out).run();
+  Builder(out, std::move(loaded.shared_file)).run();
   return out;
 }
 
--- a/src/conf/report.cpp
+++ b/src/conf/report.cpp
@@ -20,6 +20,16 @@
 
 // ---- dump ----
 
+// A file that is read in the place of its block is in the dump already, and would be read twice.
+void addAsComments(const Statement& block, std::vector<std::string>& comments) {
+  const std::string text = format({{block}, {}});
+  for (std::size_t from = 0; from < text.size();) {
+    const std::size_t end = text.find('\n', from);
+    comments.push_back("# " + text.substr(from, end - from));
+    from = end + 1;
+  }
+}
+
 // `rest`: comments that no statement follows.
 std::vector<Statement> statementsOf(const Section& section, bool alone, std::vector<std::string>& rest);
 
@@ -49,7 +59,9 @@
       if (!there && !key.block->named && !key.block->lacksNothing())
         comments.push_back("# " + name + ": not there; " + std::string(key.otherwise));
       for (const Section& inner : section.sections) {
-        if (inner.kind == key.name) add(blockOf(inner, alone));
+        if (inner.kind != key.name) continue;
+        key.block->includes_file ? addAsComments(blockOf(inner, alone), comments)
+                                 : add(blockOf(inner, alone));
       }
     } else if (const std::optional<Setting> value = section.find(key.name)) {
       Statement s;
--- a/src/conf/schema.cpp
+++ b/src/conf/schema.cpp
@@ -296,6 +296,36 @@
 };
 constexpr Block kMemoryBlock = {.keys = kMemory};
 
+constexpr std::array kReplica = {
+    Key{.name = "region",
+        .kind = Kind::Name,
+        .about = "Where it stands.",
+        .otherwise = "not said",
+        .live = false},
+};
+constexpr Block kReplicaBlock = {.keys = kReplica, .named = true, .address = true};
+
+constexpr std::array kConfiguration = {
+    Key{.name = "file",
+        .kind = Kind::Text,
+        .about = "The file that is replaced by each version, relative to the file that names it. It is "
+                 "included here like "
+                 "any other, so it has to be there at start; an empty one will do.",
+        .required = true,
+        .live = false},
+    Key{.name = "region",
+        .kind = Kind::Name,
+        .about = "The region of this instance: replicas of the same one are asked first.",
+        .otherwise = "the region of its fleet",
+        .live = false},
+    Key{.name = "replica",
+        .kind = Kind::Block,
+        .about = "A replica by its number, from 1, and the address of its calls.",
+        .live = false,
+        .block = &kReplicaBlock},
+};
+constexpr Block kConfigurationBlock = {.keys = kConfiguration, .includes_file = true};
+
 constexpr std::array kStatus = {
     Key{.name = "listen",
         .kind = Kind::Address,
@@ -534,6 +564,14 @@
         .live = false,
         .risk_down = "after a power cut of the whole fleet it begins without what was promised",
         .block = &kMemoryBlock},
+    Key{.name = "configuration",
+        .kind = Kind::Block,
+        .about = "A file that operators publish once for all proxies, and the replicas that have it "
+                 "(docs/configuration.md).",
+        .otherwise = "no replica is asked",
+        .live = false,
+        .risk_down = "what operators publish is no longer taken",
+        .block = &kConfigurationBlock},
     Key{.name = "log", .kind = Kind::Block, .about = "The log, on standard error.", .block = &kLogBlock},
 };
 
--- a/tests/conf_schema_test.cpp
+++ b/tests/conf_schema_test.cpp
@@ -95,6 +95,74 @@
   EXPECT_EQ(c.found.size(), 4U) << messages(c);
 }
 
+// ---- the shared configuration ----
+
+Configuration readShared(const std::string& block, const std::string& shared) {
+  Memory memory;
+  memory.files["etc/a.conf"] = kAlone + "status {\n  listen 127.0.0.1:9000\n}\n" + block;
+  memory.files["etc/shared.conf"] = shared;
+  return readConfiguration(memory, "etc/a.conf");
+}
+
+TEST(ConfShared, TheFileIsIncludedInThePlaceOfItsBlock) {
+  const Configuration c = readShared(
+      "configuration {\n  file ./shared.conf\n  region south\n  replica 2 10.0.0.2:7950 {\n    region "
+      "north\n  "
+      "}\n  replica 1 10.0.0.1:7950\n}\n",
+      "admission {\n  open 96\n}\n");
+  ASSERT_TRUE(c.found.empty()) << messages(c);
+  EXPECT_EQ(c.model.open, 96U);
+  ASSERT_TRUE(c.model.configuration);
+  EXPECT_EQ(c.model.configuration->file, "etc/shared.conf");
+  EXPECT_EQ(c.model.configuration->region, "south");
+  ASSERT_EQ(c.model.configuration->replicas.size(), 2U);
+  EXPECT_EQ(c.model.configuration->replicas[0].number, 2);
+  EXPECT_EQ(c.model.configuration->replicas[0].region, "north");
+  EXPECT_EQ(c.model.configuration->replicas[1].address.port, 7950);
+  // A dump holds what the file says: it does not read it a second time.
+  const Configuration again = read(dump(c.root));
+  EXPECT_TRUE(again.found.empty()) << messages(again);
+  EXPECT_EQ(again.model.open, 96U);
+}
+
+TEST(ConfShared, WhatIsWrongIsToldWithItsPlace) {
+  const auto first = [](const std::string& lines, const std::string& shared = "") {
+    const Configuration c = readShared("configuration {\n" + lines + "}\n", shared);
+    return c.found.empty() ? "" : oneLine(c.found.front(), c.sources);
+  };
+  const std::string file = "  file shared.conf\n", one = "  replica 1 10.0.0.1:7950\n";
+  EXPECT_EQ(first(file + one), "");
+  const std::vector<std::pair<std::string, std::string>> wrong = {
+      {one, "etc/a.conf:28:1: error: 'configuration' lacks file; add file VALUE"},
+      {file,
+       "etc/a.conf:28:1: error: 'configuration' has no replica; add replica NUMBER ADDRESS:PORT for each"},
+      {"  file absent.conf\n" + one,
+       "etc/a.conf:29:8: error: 'etc/absent.conf' can't be read; check its path and its rights"},
+      {"  file *.conf\n" + one,
+       "etc/a.conf:29:8: error: '*.conf' is not the name of one file; write it without *, ?, [ and $"},
+      {file + one + one,
+       "etc/a.conf:31:11: error: 'replica 1' is there twice; it is in etc/a.conf:30 already"},
+      {file + one + "  replica 2 10.0.0.1:7950\n",
+       "etc/a.conf:31:3: error: 'replica 2' has the address of 'replica 1' in etc/a.conf:30; write its own"},
+      {file + "  replica 0 10.0.0.1:7950\n",
+       "etc/a.conf:30:3: error: '0' is no replica's number; write 1 to 65535"},
+      {file + "  replica 1 127.0.0.1:8080\n",
+       "etc/a.conf:30:3: error: 'replica 1' has this instance's own address, where clients are served; write "
+       "the "
+       "replica's"},
+      {file + "  replica 1 127.0.0.1:9000\n",
+       "etc/a.conf:30:3: error: 'replica 1' has this instance's own address, where the status page is; write "
+       "the "
+       "replica's"}};
+  for (const auto& [lines, message] : wrong) EXPECT_EQ(first(lines), message);
+  EXPECT_EQ(first(file + one, "admission {\n  opn 96\n}\n"),
+            "etc/shared.conf:2:3: error: 'opn' is not known here; did you mean open?");
+  EXPECT_EQ(
+      first(file + one, "configuration {\n  file b.conf\n}\n"),
+      "etc/shared.conf:1:1: error: a shared file can't say where it comes from; delete it; it belongs in "
+      "the file of each instance");
+}
+
 // ---- dump and diff ----
 
 TEST(ConfDump, ItIsTheSameConfigurationInItsFormWithEveryKey) {
