--- a/src/subscription/subscription.cpp
+++ b/src/subscription/subscription.cpp
@@ -185,7 +185,6 @@
   }
   current_->deadline = now + settings_.silence;
   if (quorum != nullptr) onQuorum(quorum->quorum, now);
-  if (std::holds_alternative<distribution::Heartbeat>(line)) onQuorum(true, now);
   if (const auto* const notice = std::get_if<ChangeNotice>(&line)) onNotice(*notice, now, actions);
   return actions;
 }
--- a/tests/subscription_test.cpp
+++ b/tests/subscription_test.cpp
@@ -341,8 +341,9 @@
 TEST(Subscription, WithoutAQuorumOthersAreTriedAtLeisureAndTheWatchStaysWhereNoneIsBetter) {
   Watching w;
   int tried = 0;
+  w.hear(QuorumNotice{1, false});  // told once; heartbeats go on
   for (const Time end = w.now + 60 * kMinute; w.now < end;) {
-    w.hear(QuorumNotice{1, false});
+    w.hear(Heartbeat{});
     w.now += kSecond;
     for (const OpenWatch& candidate : all<OpenWatch>(w.subscription.due(w.now))) {
       ++tried;
@@ -358,7 +359,7 @@
   // One that has a quorum takes its place.
   std::vector<OpenWatch> candidate;
   while (candidate.empty()) {
-    w.hear(QuorumNotice{1, false});
+    w.hear(Heartbeat{});
     w.now += kSecond;
     candidate = all<OpenWatch>(w.subscription.due(w.now));
   }
@@ -367,6 +368,18 @@
   EXPECT_EQ(w.subscription.watchedReplica(), candidate[0].replica);
 }
 
+TEST(Subscription, OnceAQuorumIsHeardAgainNoOtherReplicaIsTried) {
+  Watching w;
+  w.hear(QuorumNotice{1, false});
+  EXPECT_TRUE(w.subscription.withoutQuorum());
+  w.hear(QuorumNotice{1, true});
+  EXPECT_FALSE(w.subscription.withoutQuorum());
+  for (int i = 0; i < 60; ++i) {
+    w.hear(Heartbeat{});
+    EXPECT_TRUE(all<OpenWatch>(w.until(w.now + kSecond)).empty());
+  }
+}
+
 // ---- a fleet ----
 
 // All subscribers, and replicas that answer at once while they are up and beat every 2 s.
