Daemon: the shared configuration is followed, checked, written, put in force and acknowledged

Need: a change that is published once reaches each proxy without a hand on its machine. A candidate is checked with all files of the proxy through an overlay over the file source, so that exactly what would be written is read; then it is written; then it is put in force as SIGHUP does; then acknowledged. What does not check comes back with file, line and column, and nothing has changed.

In a hand-over the old process closes its watch and ends what it writes before the new one is told to begin; the new one reads the file again if it has changed since its start. SIGTERM closes the watch. After SIGHUP what is on disk counts. Figures app_configuration_*, the page /configuration, `ctl configuration`. Without the statement there is neither socket, thread, file, page nor figure.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -274,6 +274,7 @@
       {"fleet", "Print what it knows of the other proxies"},
       {"zones", "Print what the proxies hold of zones"},
       {"deeds", "Print who owns which service, and wrong claims"},
+      {"configuration", "Print which version of the shared configuration is in force"},
       {"recovery", "Print what is not served yet after a power cut, and what it waits for"},
       {"rehearse", "Try the file beside the operator file, by its name and .next, on recorded traffic"},
       {"rehearsal", "Print what came of it, as JSON"},
--- a/src/cli/ctl.cpp
+++ b/src/cli/ctl.cpp
@@ -270,6 +270,7 @@
       {"zones", {http::verb::get, "/zones"}},
       {"deeds", {http::verb::get, "/deeds"}},
       {"recovery", {http::verb::get, "/recovery"}},
+      {"configuration", {http::verb::get, "/configuration"}},
       {"rehearse", {http::verb::post, "/rehearsal"}},
       {"rehearsal", {http::verb::get, "/rehearsal"}},
       {"give", {http::verb::post, "/deeds/" + escaped(options.host) + "/give/" + escaped(options.zone)}},
@@ -291,6 +292,8 @@
     std::fputs(recoveryAsTable(said.body).c_str(), stdout);
   } else if ((options.what == "deeds" || options.what == "recovery") && said.status == 404) {
     return complain("this proxy has no services (docs/ownership.md)") - 1;
+  } else if (options.what == "configuration" && said.status == 404) {
+    return complain("this proxy follows no shared configuration (docs/configuration.md)") - 1;
   } else if ((options.what == "fleet" || options.what == "zones") && said.status == 404) {
     return complain("this proxy keeps no view of a fleet (docs/fleet.md)") - 1;
   } else {
--- a/src/conf/model.cpp
+++ b/src/conf/model.cpp
@@ -314,7 +314,6 @@
     c.at = s.at;
     c.file = shared_file_;
     c.region = textOf(s, "region");
-    if (c.region.empty() && m_.fleet) c.region = m_.fleet->region;
     std::map<std::pair<std::string, std::uint16_t>, const Section*> holders;
     for (const Section& r : s.sections) {
       if (const std::optional<ReplicaModel> replica = replicaOf(r)) c.replicas.push_back(*replica);
--- a/src/daemon/serve.cpp
+++ b/src/daemon/serve.cpp
@@ -28,9 +28,13 @@
 #endif
 #ifdef QUINCELINE_OPERATOR
 #include "files/disk_source.h"
+#include "files/overlay_source.h"
 #include "operator/file_watch.h"
 #include "operator/operator_file.h"
 #endif
+#ifdef QUINCELINE_SUBSCRIPTION
+#include "daemon/shared_configuration.h"
+#endif
 
 namespace quinceline {
 namespace {
@@ -65,6 +69,19 @@
 #ifdef QUINCELINE_OPERATOR
   Config read() { return operated_ ? operated_->read() : readConfig(variable); }
   Config reread(const Zones& zones) { return operated_ ? operated_->read(zones) : rereadConfig(variable); }
+  // As reread(), if the file at `path` had this content.
+  Config readWith(const std::string& path, const std::string& content, const Zones& zones) {
+    files_.put(path, content);
+    try {
+      Config config = reread(zones);
+      files_.clear();
+      return config;
+    } catch (...) {
+      files_.clear();
+      throw;
+    }
+  }
+  bool restartNeeded() const { return operated_ && operated_->restartNeeded(); }
   HostList hosts(const std::string& path, Zones& zones) { return readHosts(files_, path, zones); }
   std::vector<FleetPeer> members(const std::string& path) { return readMembers(files_, path); }
   // Of the file that is to take the place of this one: beside it, by its name and '.next'.
@@ -80,7 +97,8 @@
   }
 
  private:
-  DiskSource files_;
+  DiskSource disk_;
+  OverlaySource files_{disk_};
   std::optional<OperatorSource> operated_;
 #else
   Config read() { return readConfig(variable); }
@@ -117,6 +135,7 @@
         hosts_file_(config.hosts_file),
         fleet_(config.fleet),
         services_(config.services),
+        subscription_(config.subscription),
         settings_(config.site.settings),
         class_names_(config.site.classes),
         io_(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE),
@@ -134,6 +153,7 @@
       others_ = fleet_transport::makeNeighbours(io_, clock_, log_, *fleet_,
                                                 static_cast<fleet_transport::Local&>(*this));
     makeOwnershipService();
+    makeSharedConfiguration();
   }
 
   void run() {
@@ -143,6 +163,9 @@
       if (others_) others_->leave();
 #ifdef QUINCELINE_OWNERSHIP
       if (ownership_) ownership_->end();
+#endif
+#ifdef QUINCELINE_SUBSCRIPTION
+      if (shared_) shared_->stop();
 #endif
       proxy_.shutdown([this] { io_.stop(); });
     });
@@ -160,8 +183,12 @@
  private:
   bool canServe() override { return proxy_.canServe(); }
   std::string stats() override {
-    if (others_) return proxy_.stats() + others_->figures();
-    return proxy_.stats();
+    std::string figures = proxy_.stats();
+    if (others_) figures += others_->figures();
+#ifdef QUINCELINE_SUBSCRIPTION
+    if (shared_) figures += shared_->figures();
+#endif
+    return figures;
   }
   bool takeOut(const std::string& host) override {
     return proxy_.takeOut(host) && tellOther({handover::Type::TakeOut, host});
@@ -212,6 +239,9 @@
     if (others_) others_->start(state ? state->fleet : std::string());
 #ifdef QUINCELINE_OWNERSHIP
     if (ownership_) ownership_->start(state.has_value());
+#endif
+#ifdef QUINCELINE_SUBSCRIPTION
+    if (shared_) shared_->start();
 #endif
   }
   handover::State state() override {
@@ -223,6 +253,9 @@
     if (others_) others_->giveUp();
 #ifdef QUINCELINE_OWNERSHIP
     if (ownership_) ownership_->giveUp();
+#endif
+#ifdef QUINCELINE_SUBSCRIPTION
+    if (shared_) shared_->stop();
 #endif
     proxy_.handOn(std::move(successor));
   }
@@ -233,6 +266,9 @@
     if (ownership_) ownership_->goOn();
 #endif
     proxy_.takeBack();
+#ifdef QUINCELINE_SUBSCRIPTION
+    if (shared_) shared_->start();
+#endif
   }
   void adopt(int descriptor) override { proxy_.adopt(descriptor); }
   std::size_t descriptorsHeld() override { return proxy_.descriptorsHeld(); }
@@ -252,6 +288,9 @@
     if (ownership_) console_.page("/deeds", [this] { return ownership_->page(); });
     if (ownership_) console_.page("/rehearsal", [this] { return ownership_->rehearsalPage(); });
     if (ownership_) console_.page("/recovery", [this] { return ownership_->recoveryPage(); });
+#endif
+#ifdef QUINCELINE_SUBSCRIPTION
+    if (shared_) console_.page("/configuration", [this] { return shared_->page(); });
 #endif
     if (others_) console_.page("/zones", [this] { return others_->zones(); });
     if (console_at_) console_.listen(*console_at_);
@@ -285,6 +324,28 @@
     throw std::runtime_error("services: this program was built without WELDFLOW_FLEET");
 #endif
   }
+  void makeSharedConfiguration() {
+    if (!subscription_) return;
+#ifdef QUINCELINE_SUBSCRIPTION
+    SharedConfiguration::Daemon daemon;
+    daemon.check = [this](const std::string& content) { checkShared(content); };
+    daemon.take = [this] { takeConfiguration(source_.reread(proxy_.zones())); };
+    daemon.restart_needed = [this] { return source_.restartNeeded(); };
+    daemon.lines_of = linesOf;
+    shared_ = std::make_unique<SharedConfiguration>(io_, clock_, log_, *subscription_, settings_.client,
+                                                    std::move(daemon));
+#else
+    throw std::runtime_error("configuration: this program was built without WELDFLOW_FLEET");
+#endif
+  }
+#ifdef QUINCELINE_SUBSCRIPTION
+  void checkShared(const std::string& content) {
+    const Config config = source_.readWith(subscription_->file, content, proxy_.zones());
+    if (!config.subscription || config.subscription->file != subscription_->file)
+      throw std::runtime_error("the operator file does not include " + subscription_->file +
+                               " any more: restart");
+  }
+#endif
   bool rehearse(std::string& said) override {
 #ifdef QUINCELINE_OWNERSHIP
     if (ownership_) return (said = ownership_->rehearse()).empty();
@@ -312,6 +373,9 @@
       if (ec) return;
       try {
         takeConfiguration(source_.reread(proxy_.zones()));
+#ifdef QUINCELINE_SUBSCRIPTION
+        if (shared_) shared_->reread();
+#endif
       } catch (const std::exception& e) {
         complain(log_, "configuration not taken: ", e);
       }
@@ -379,6 +443,7 @@
   std::string hosts_file_;
   std::optional<FleetSettings> fleet_;
   std::optional<ServiceSettings> services_;
+  std::optional<SubscriptionSettings> subscription_;
   weldflow::Settings settings_;  // as at start
   std::vector<std::string> class_names_;
   boost::asio::io_context io_;
@@ -393,6 +458,9 @@
 #ifdef QUINCELINE_OPERATOR
   FileWatch hosts_watch_, members_watch_;
 #endif
+#ifdef QUINCELINE_SUBSCRIPTION
+  std::unique_ptr<SharedConfiguration> shared_;  // null: no replica is asked
+#endif
 };
 
 }  // namespace
--- a/src/net/include/net/config.h
+++ b/src/net/include/net/config.h
@@ -10,6 +10,7 @@
 #include "net/host_list.h"
 #include "net/operator_settings.h"
 #include "net/service_settings.h"
+#include "net/subscription_settings.h"
 #include "platform/settings.h"
 
 namespace quinceline {
@@ -37,6 +38,8 @@
   std::optional<FleetSettings> fleet;
   // Services that one site alone may run; not set: there are none.
   std::optional<ServiceSettings> services;
+  // The shared configuration; not set: no replica is asked.
+  std::optional<SubscriptionSettings> subscription;
 };
 
 // Reads the variables with `getenv` (null: not set) and the file that PROXY_CONFIG names. Variables win over
--- a/src/operator/include/operator/operator_file.h
+++ b/src/operator/include/operator/operator_file.h
@@ -37,6 +37,8 @@
   // Of the last read(): what differs from what is in force, with its risk and whether it takes effect at a
   // restart only; then warnings. A line each.
   const std::vector<std::string>& notes() const { return notes_; }
+  // Something of what is in force takes effect at the next start only.
+  bool restartNeeded() const;
   const std::string& path() const { return path_; }
 
  private:
@@ -46,6 +48,7 @@
   std::string path_;
   Environment getenv_;
   std::optional<conf::Configuration> in_force_, read_;
+  std::optional<conf::Section> at_start_;
   std::vector<std::string> notes_;
 };
 
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -181,6 +181,22 @@
   return s;
 }
 
+std::optional<SubscriptionSettings> subscriptionOf(const Model& m) {
+  if (!m.configuration) return std::nullopt;
+  SubscriptionSettings s;
+  s.file = m.configuration->file;
+  s.region = m.configuration->region;
+  for (const conf::ReplicaModel& r : m.configuration->replicas)
+    s.replicas.push_back({r.number, endpointOf(r.address), r.region});
+  return s;
+}
+
+// The region of its fleet where its own is not said.
+void setSubscription(const Model& m, Config& c) {
+  c.subscription = subscriptionOf(m);
+  if (c.subscription && c.subscription->region.empty() && c.fleet) c.subscription->region = c.fleet->region;
+}
+
 // `zones`: as they are numbered already; nothing: at start.
 Config aloneConfig(const Model& m, conf::FileSource& files, const std::string& path,
                    const std::optional<Zones>& zones) {
@@ -204,6 +220,7 @@
   c.zones = zones ? *zones : Zones({m.zone});
   if (m.fleet) c.fleet = fleetOf(*m.fleet, m.client, m.zone, files);
   c.services = servicesOf(m);
+  setSubscription(m, c);
   c.hosts_file = m.pool->hosts_file;
   if (c.hosts_file.empty()) {
     c.known = listOf(m.pool->hosts, c.zones);
@@ -238,7 +255,16 @@
   return c;
 }
 
-void OperatorSource::taken() { in_force_ = std::exchange(read_, std::nullopt); }
+void OperatorSource::taken() {
+  in_force_ = std::exchange(read_, std::nullopt);
+  if (!at_start_ && in_force_) at_start_ = in_force_->root;
+}
+
+bool OperatorSource::restartNeeded() const {
+  if (!at_start_ || !in_force_) return false;
+  const std::vector<conf::Change> changes = conf::compare(*at_start_, in_force_->root);
+  return std::any_of(changes.begin(), changes.end(), [](const conf::Change& c) { return c.restart; });
+}
 
 Config OperatorSource::configOf(conf::Configuration& read, const std::optional<Zones>& zones) {
   const Model& m = read.model;
@@ -257,6 +283,7 @@
     c.fleet = fleetOf(*m.fleet, c.site.settings.client, c.fleet ? c.fleet->zone : "", files_);
   }
   c.services = servicesOf(m);
+  setSubscription(m, c);
   if (!read.ok()) refuse(read.found, read.sources);
   return c;
 }
