Tests of the subscription: bounded loops, and two that let a break through

The test without a quorum looped without end where heartbeats were read as a quorum: it is bounded now, and seen to fail so. The refused text must never have been on disk (the file's time), which a second check behind the write had hidden; and after SIGTERM the watch must close while a request is still in flight, not with the process.

--- a/tests/subscription_proxy_test.cpp
+++ b/tests/subscription_proxy_test.cpp
@@ -193,12 +193,14 @@
   startWatching();
   replica.tell(distribution::noticeOf(changeOf(1, kFirst)));
   ASSERT_TRUE(acknowledged(1)) << log();
+  const auto written = fs::last_write_time(files.path("shared/shared.conf"));
   replica.tell(distribution::noticeOf(changeOf(2, "admission {\n  opn 96\n}\n")));
   ASSERT_TRUE(refused(2)) << log();
   EXPECT_EQ(replica.last()->version, 1U);
   EXPECT_EQ(replica.last()->refused->error,
             files.path("shared/shared.conf") + ":2:3: error: 'opn' is not known here; did you mean open?");
   EXPECT_EQ(contentOf("shared/shared.conf"), subscription::formatSharedFile(changeOf(1, kFirst)));
+  EXPECT_EQ(fs::last_write_time(files.path("shared/shared.conf")), written) << "never on disk";
   EXPECT_TRUE(serves());
   // It checks by itself, but not with the operator file that includes it.
   replica.tell(distribution::noticeOf(changeOf(3, "status {\n  listen 127.0.0.1:1\n}\n")));
@@ -238,8 +240,15 @@
   EXPECT_GT(after, std::chrono::milliseconds(4300 - 1100)) << "a heartbeat came up to a second before";
   EXPECT_TRUE(replica.watches()[0]->ended);
   EXPECT_NE(get(status, "/stats").find("app_configuration_reconnects_total 1\n"), std::string::npos);
+  // Before requests in flight have ended, not with the process.
+  const auto client = Peer::connect(loop, listen);
+  client->say(request("in-flight"));
+  ASSERT_TRUE(until([&] { return !host.peers.empty() && host.peers.back()->heard("\r\n\r\n"); }));
   program->signal(SIGTERM);
-  EXPECT_TRUE(until([&] { return second.watches()[0]->ended; }));
+  ASSERT_TRUE(until([&] { return second.watches()[0]->ended; }));
+  EXPECT_FALSE(client->ended);
+  host.peers.back()->say(answerOf("done"));
+  EXPECT_TRUE(until([&] { return client->heard("done"); }));
 }
 
 TEST_F(SubscriptionProxyTest, WhatCanNotBeWrittenIsToldNotTakenAndTriedAgain) {
--- a/tests/subscription_test.cpp
+++ b/tests/subscription_test.cpp
@@ -358,11 +358,12 @@
   EXPECT_LE(tried, 30);
   // One that has a quorum takes its place.
   std::vector<OpenWatch> candidate;
-  while (candidate.empty()) {
+  for (const Time end = w.now + 60 * kMinute; candidate.empty() && w.now < end;) {
     w.hear(Heartbeat{});
     w.now += kSecond;
     candidate = all<OpenWatch>(w.subscription.due(w.now));
   }
+  ASSERT_FALSE(candidate.empty());
   const Actions moved = w.subscription.heard(candidate[0].watch, Heartbeat{}, w.now);
   EXPECT_EQ(all<CloseWatch>(moved).at(0).watch, w.watch.watch);
   EXPECT_EQ(w.subscription.watchedReplica(), candidate[0].replica);
