Commands that publish, show and revert the shared configuration

Needed: operators publish a change once and are told how many proxies hold it, who does not and why. quinceline configuration publish, status and revert speak to the replicas' HTTP calls: one id for all tries of a publish, replicas asked in turn until one has decided; member tables of all replicas merged by newest acknowledgement; exit status 0 held by all, 1 not published, 3 published and not held by all in time. What is printed is a module without I/O.

The checking of files is a module of its own, as the dry run needs what check does, and ctl and the new commands share one HTTP call.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -7,13 +7,16 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "cli/check.h"
+#ifdef QUINCELINE_CONFIGURATION
+#include "cli/configuration_commands.h"
+#endif
 #include "cli/ctl.h"
 #include "conf/report.h"
 #include "conf/syntax.h"
@@ -35,10 +38,6 @@
   return false;
 }
 
-void print(const std::vector<conf::Diagnostic>& found, const conf::Sources& sources) {
-  for (const conf::Diagnostic& d : found) std::fputs(conf::render(d, sources).c_str(), stderr);
-}
-
 // A file is replaced as a whole or not at all: whoever reads it meanwhile, or after a crash, sees the old or
 // the new.
 bool replaceFile(const std::string& file, const std::string& text) {
@@ -91,52 +90,16 @@
   bool strict = false, json = false;
 };
 
-void append(nlohmann::json& all, const std::vector<conf::Diagnostic>& found, const conf::Sources& sources) {
-  for (const conf::Diagnostic& d : found) {
-    all.push_back({{"file", sources.name(d.at.file)},
-                   {"line", d.at.line},
-                   {"column", d.at.column},
-                   {"length", d.at.length},
-                   {"severity", d.severity == conf::Severity::Error ? "error" : "warning"},
-                   {"message", d.message},
-                   {"hint", d.hint}});
-  }
-}
-
-// What is wrong with the hosts that a pool's file lists belongs to the whole.
-conf::HostsFile hostsOf(const conf::Configuration& c, conf::FileSource& files) {
-  if (!c.model.pool || c.model.pool->hosts_file.empty()) return {};
-  return conf::readHostsFile(files, c.model.pool->hosts_file);
-}
-
-conf::MembersFile membersOf(const conf::Configuration& c, conf::FileSource& files) {
-  if (!c.model.fleet || c.model.fleet->members_file.empty()) return {};
-  return conf::readMembersFile(files, c.model.fleet->members_file);
-}
-
 int check(const CheckOptions& options) {
   DiskSource files;
-  conf::Configuration c = conf::readConfiguration(files, options.file);
-  conf::HostsFile hosts = hostsOf(c, files);
-  conf::MembersFile members = membersOf(c, files);
-  if (options.strict) {
-    for (auto* const found : {&c.found, &hosts.found, &members.found}) {
-      for (conf::Diagnostic& d : *found) d.severity = conf::Severity::Error;
-    }
-  }
+  CheckedFiles checked = checkFiles(files, options.file);
+  if (options.strict) checked.makeWarningsErrors();
   if (options.json) {
-    nlohmann::json all = nlohmann::json::array();
-    append(all, c.found, c.sources);
-    append(all, hosts.found, hosts.sources);
-    append(all, members.found, members.sources);
-    // A message may quote bytes that are no text.
-    std::printf("%s\n", all.dump(2, ' ', false, nlohmann::json::error_handler_t::replace).c_str());
+    std::printf("%s\n", checked.asJson().c_str());
   } else {
-    print(c.found, c.sources);
-    print(hosts.found, hosts.sources);
-    print(members.found, members.sources);
+    checked.print();
   }
-  return c.ok() && hosts.ok() && members.ok() ? 0 : 1;
+  return checked.ok() ? 0 : 1;
 }
 
 // Nothing, with what is wrong printed, if the file has an error.
@@ -295,6 +258,9 @@
 
   CLI::App* const reference_command =
       app.add_subcommand("reference", "Print the reference of all keys (Markdown)");
+#ifdef QUINCELINE_CONFIGURATION
+  const configuration::Commands configuration_commands(app);
+#endif
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
@@ -307,6 +273,9 @@
   if (explain_command->parsed()) return explain(explain_options);
   if (ctl_command->parsed()) return ctl(ctl_options);
   if (dump_command->parsed()) return dump(dumped);
+#ifdef QUINCELINE_CONFIGURATION
+  if (configuration_commands.parsed()) return configuration_commands.run();
+#endif
   if (reference_command->parsed()) std::fputs(conf::reference().c_str(), stdout);
   return 0;
 }
--- /dev/null
+++ b/src/cli/configuration_candidate.cpp
@@ -0,0 +1,44 @@
+#include "cli/configuration_candidate.h"
+
+#include <filesystem>
+#include <utility>
+
+#include "conf/syntax.h"
+
+namespace quinceline::configuration {
+namespace {
+
+std::string absolute(const std::string& path) {
+  std::error_code ec;
+  const auto whole = std::filesystem::weakly_canonical(path, ec);
+  return ec ? path : whole.string();
+}
+
+}  // namespace
+
+CandidateSource::CandidateSource(conf::FileSource& files, std::string replaced_path, std::string text)
+    : files_(files), replaced_path_(absolute(replaced_path)), text_(std::move(text)) {}
+
+std::optional<std::string> CandidateSource::read(const std::string& path) {
+  return absolute(path) == replaced_path_ ? text_ : files_.read(path);
+}
+
+std::vector<std::string> CandidateSource::match(const std::string& pattern) { return files_.match(pattern); }
+
+CheckedFiles checkSyntax(const std::string& name, const std::string& text) {
+  CheckedFiles checked;
+  conf::Configuration& configuration = checked.configuration;
+  conf::parse(configuration.sources, configuration.sources.add(name, text), configuration.found);
+  return checked;
+}
+
+std::set<distribution::MemberId> membersOf(const CheckedFiles& checked) {
+  std::set<distribution::MemberId> numbers;
+  if (!checked.configuration.model.fleet) return numbers;
+  for (const conf::MemberModel& member : checked.configuration.model.fleet->members)
+    numbers.insert(member.number);
+  for (const conf::MemberModel& member : checked.members.members) numbers.insert(member.number);
+  return numbers;
+}
+
+}  // namespace quinceline::configuration
--- /dev/null
+++ b/src/cli/configuration_commands.cpp
@@ -0,0 +1,279 @@
+#include "cli/configuration_commands.h"
+
+#include <CLI/Option.hpp>
+#include <array>
+#include <cstdio>
+#include <random>
+#include <stdexcept>
+#include <thread>
+
+#include "cli/configuration_candidate.h"
+#include "cli/configuration_client.h"
+#include "cli/configuration_progress.h"
+#include "cli/configuration_report.h"
+#include "conf/units.h"
+#include "distribution/codec.h"
+#include "files/disk_source.h"
+
+namespace quinceline::configuration {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using nlohmann::ordered_json;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLook{200};  // between two looks at who holds a version
+
+// A command line that can't be carried out.
+struct WrongUsage : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+int complain(const std::string& what, int status) {
+  std::fprintf(stderr, "quinceline configuration: %s\n", what.c_str());
+  return status;
+}
+
+void printJson(const ordered_json& value) {
+  // A refusal may quote bytes that are no text.
+  std::printf("%s\n", value.dump(2, ' ', false, nlohmann::json::error_handler_t::replace).c_str());
+}
+
+std::string drawId() {
+  std::random_device random;
+  std::array<char, 33> digits{};
+  for (std::size_t i = 0; i < 32; i += 8) std::snprintf(&digits[i], 9, "%08x", random());
+  return digits.data();
+}
+
+Endpoint endpointOf(const std::string& text) {
+  try {
+    return parseEndpoint(text);
+  } catch (const std::runtime_error& e) {
+    throw WrongUsage("the replica " + std::string(e.what()));
+  }
+}
+
+ReplicaClient clientOf(const ClientOptions& options) {
+  std::vector<Endpoint> replicas;
+  for (const std::string& address : options.replicas) replicas.push_back(endpointOf(address));
+  return ReplicaClient(std::move(replicas));
+}
+
+milliseconds waitOf(const ClientOptions& options) {
+  const auto read = conf::readDuration(options.wait);
+  if (!read.ok()) throw WrongUsage("--wait: " + read.message + "; " + read.hint);
+  return milliseconds(read.value / 1000);
+}
+
+CheckedFiles dryRun(const ClientOptions&, const std::string& name, const std::string& text) {
+  return checkSyntax(name, text);
+}
+
+std::set<distribution::MemberId> expectedMembers(const ClientOptions& options) {
+  if (options.operator_file.empty()) return {};
+  DiskSource files;
+  return membersOf(checkFiles(files, options.operator_file));
+}
+
+std::vector<distribution::Status> answered(const std::vector<ReplicaAnswer>& replicas) {
+  std::vector<distribution::Status> statuses;
+  for (const ReplicaAnswer& replica : replicas) {
+    if (replica.status) statuses.push_back(*replica.status);
+  }
+  return statuses;
+}
+
+distribution::Version newestVersion(const std::vector<distribution::Status>& replicas) {
+  distribution::Version newest = 0;
+  for (const distribution::Status& replica : replicas) newest = std::max(newest, replica.version);
+  return newest;
+}
+
+Progress progressNow(const ReplicaClient& client, distribution::Version version,
+                     const std::set<distribution::MemberId>& expected) {
+  return progressOf(version, mergeMembers(answered(client.statuses())), expected);
+}
+
+// Until nothing can change by waiting, or the time has passed.
+Progress waitForMembers(const ReplicaClient& client, distribution::Version version,
+                        const std::set<distribution::MemberId>& expected, milliseconds time_limit) {
+  const Clock::time_point end = Clock::now() + time_limit;
+  for (;;) {
+    Progress progress = progressNow(client, version, expected);
+    if (!progress.mayRise() || Clock::now() >= end) return progress;
+    std::this_thread::sleep_for(kLook);
+  }
+}
+
+struct Publication {
+  std::string name;  // of the file, for messages
+  std::string text;
+};
+
+distribution::PublishRequest requestOf(const ClientOptions& options, const ReplicaClient& client,
+                                       const std::string& text) {
+  distribution::PublishRequest request;
+  request.id = options.id.empty() ? drawId() : options.id;
+  request.author = options.author;
+  request.base = options.base ? *options.base : newestVersion(answered(client.statuses()));
+  request.text = text;
+  return request;
+}
+
+int notPublished(const ClientOptions& options, const distribution::PublishRequest& request,
+                 const PublishOutcome& outcome) {
+  if (options.json)
+    printJson({{"result", nameOf(outcome.result)}, {"id", request.id}, {"detail", outcome.detail}});
+  switch (outcome.result) {
+    case PublishResult::Conflict:
+      return complain("conflict: " + outcome.detail + "; nothing of this text is in force anywhere",
+                      kNotPublished);
+    case PublishResult::Refused:
+      return complain("refused: " + outcome.detail, kNotPublished);
+    case PublishResult::Undecided:
+    case PublishResult::Published:
+      break;
+  }
+  return complain("not decided: " + outcome.detail + "; it may yet be chosen: publish again with --id " +
+                      request.id + " --base " + std::to_string(request.base),
+                  kNotPublished);
+}
+
+int report(const ClientOptions& options, const distribution::PublishRequest& request,
+           const Progress& progress) {
+  if (options.json) {
+    printJson({{"result", nameOf(PublishResult::Published)},
+               {"id", request.id},
+               {"version", progress.version},
+               {"progress", asJson(progress)}});
+  } else {
+    std::fputs(asText(progress).c_str(), stdout);
+  }
+  return progress.heldByAll() ? kHeldByAll : kNotHeldByAll;
+}
+
+int publishChecked(const ClientOptions& options, const ReplicaClient& client, const Publication& publication,
+                   const std::set<distribution::MemberId>& expected) {
+  const milliseconds time_limit = waitOf(options);
+  const distribution::PublishRequest request = requestOf(options, client, publication.text);
+  const PublishOutcome outcome = client.publish(request, time_limit);
+  if (outcome.result != PublishResult::Published) return notPublished(options, request, outcome);
+  if (!options.json) {
+    std::printf("published version %llu by %s, id %s\n", static_cast<unsigned long long>(outcome.version),
+                request.author.c_str(), request.id.c_str());
+    std::fflush(stdout);
+  }
+  return report(options, request, waitForMembers(client, outcome.version, expected, time_limit));
+}
+
+int publish(const ClientOptions& options, const Publication& publication) {
+  const ReplicaClient client = clientOf(options);
+  const CheckedFiles checked = dryRun(options, publication.name, publication.text);
+  checked.print();
+  if (!checked.ok()) return complain(publication.name + " has an error; nothing was sent", kNotPublished);
+  return publishChecked(options, client, publication, expectedMembers(options));
+}
+
+int publishFile(const ClientOptions& options, const std::string& file) {
+  std::optional<std::string> text = DiskSource().read(file);
+  if (!text) return complain(file + " can't be read", kNotPublished);
+  return publish(options, {file, std::move(*text)});
+}
+
+int revert(const ClientOptions& options, distribution::Version version) {
+  const std::optional<distribution::Change> change = clientOf(options).change(version);
+  if (!change)
+    return complain("no replica that answers has version " + std::to_string(version), kNotPublished);
+  return publish(options, {"version " + std::to_string(version), change->text});
+}
+
+int status(const ClientOptions& options) {
+  const ReplicaClient client = clientOf(options);
+  const std::vector<ReplicaAnswer> replicas = client.statuses();
+  const std::vector<distribution::Status> statuses = answered(replicas);
+  const Progress progress =
+      progressOf(newestVersion(statuses), mergeMembers(statuses), expectedMembers(options));
+  if (options.json) {
+    printJson({{"replicas", asJson(replicas)}, {"progress", asJson(progress)}});
+  } else {
+    std::fputs((asText(replicas) + asText(progress)).c_str(), stdout);
+  }
+  if (statuses.empty()) return complain("no replica answers", kNotPublished);
+  return progress.heldByAll() ? kHeldByAll : kNotHeldByAll;
+}
+
+}  // namespace
+
+Commands::Commands(CLI::App& app)
+    : command_(app.add_subcommand("configuration", "Publish the shared configuration, see who holds it")) {
+  command_->require_subcommand(1);
+  addPublish();
+  addStatus();
+  addRevert();
+}
+
+void Commands::addReplica() {
+  replica_ =
+      command_->add_subcommand("replica", "Keep the shared configuration on this machine; until SIGTERM");
+  replica_->add_option("--id", replica_options_.id, "its number in the list")->required();
+  replica_->add_option("--listen", replica_options_.listen, "address:port")->required();
+  replica_->add_option("--folder", replica_options_.folder, "where its database lies")->required();
+  replica_
+      ->add_option("--replica", replica_options_.replicas,
+                   "NUMBER=ADDRESS:PORT of each replica, this one too; repeated")
+      ->required()
+      ->allow_extra_args(false);
+  replica_->add_option("--region", replica_options_.region, "where it stands");
+}
+
+void Commands::addClientOptions(CLI::App& command) {
+  command.add_option("--replica", client_options_.replicas, "address:port of a replica; repeated")
+      ->required()
+      ->allow_extra_args(false);
+  command.add_option(
+      "--operator-file", client_options_.operator_file,
+      "a proxy's operator file: the text is checked with it, and its fleet's members are expected");
+  command.add_flag("--json", client_options_.json, "as JSON");
+}
+
+void Commands::addPublish() {
+  publish_ = command_->add_subcommand(
+      "publish",
+      "Check a file, publish it, wait until all proxies hold it; exit 1 if it is not published, 3 if not all "
+      "hold it in time");
+  addClientOptions(*publish_);
+  publish_->add_option("--author", client_options_.author, "who publishes")->required();
+  publish_->add_option("--base", client_options_.base, "the version it was made from; else the newest");
+  publish_->add_option("--id", client_options_.id, "of a publish that was not decided, to ask again");
+  publish_->add_option("--wait", client_options_.wait, "how long to wait")->capture_default_str();
+  publish_->add_option("FILE", file_, "the shared configuration file")->required();
+}
+
+void Commands::addStatus() {
+  status_ = command_->add_subcommand(
+      "status", "Print what the replicas hold and which proxies hold the newest version; exit 3 if not all");
+  addClientOptions(*status_);
+}
+
+void Commands::addRevert() {
+  revert_ = command_->add_subcommand("revert", "Publish the text of an earlier version as a new one");
+  addClientOptions(*revert_);
+  revert_->add_option("--author", client_options_.author, "who publishes")->required();
+  revert_->add_option("--wait", client_options_.wait, "how long to wait")->capture_default_str();
+  revert_->add_option("VERSION", version_, "the earlier version")->required();
+}
+
+int Commands::run() const {
+  try {
+    if (publish_->parsed()) return publishFile(client_options_, file_);
+    if (status_->parsed()) return status(client_options_);
+    return revert(client_options_, version_);
+  } catch (const WrongUsage& e) {
+    return complain(e.what(), kWrongUsage);
+  } catch (const distribution::CodecError& e) {
+    return complain(e.what(), kNotPublished);
+  }
+}
+
+}  // namespace quinceline::configuration
--- a/src/cli/ctl.cpp
+++ b/src/cli/ctl.cpp
@@ -2,14 +2,7 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/io_context.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
-#include <chrono>
+#include <boost/beast/http/verb.hpp>
 #include <cstdio>
 #include <cstdlib>
 #include <map>
@@ -19,16 +12,14 @@
 #include <string_view>
 #include <vector>
 
+#include "cli/http_call.h"
 #include "net/host_list.h"
 
 namespace quinceline {
 namespace {
 
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
-using boost::system::error_code;
 
-constexpr std::chrono::seconds kTime{3};
 constexpr std::string_view kPrefix = "app_", kFleet = "app_fleet_";
 
 struct Figure {
@@ -56,37 +47,6 @@
   return figures;
 }
 
-struct Said {
-  error_code ec;
-  unsigned status = 0;
-  std::string body;
-};
-
-Said call(const Endpoint& at, http::verb method, const std::string& target) {
-  boost::asio::io_context io;
-  beast::tcp_stream stream(io);
-  http::request<http::empty_body> request(method, target, 11);
-  request.set(http::field::host, at.address().to_string());
-  request.prepare_payload();
-  beast::flat_buffer buffer;
-  http::response<http::string_body> response;
-  Said said;
-  stream.expires_after(kTime);
-  stream.async_connect(at, [&](error_code connected) {
-    if ((said.ec = connected)) return;
-    http::async_write(stream, request, [&](error_code written, std::size_t) {
-      if ((said.ec = written)) return;
-      http::async_read(stream, buffer, response, [&](error_code read, std::size_t) {
-        said.ec = read;
-        said.status = response.result_int();
-        said.body = std::move(response.body());
-      });
-    });
-  });
-  io.run();
-  return said;
-}
-
 // An id may hold what a path may not (RFC 3986, 2.1).
 std::string escaped(const std::string& id) {
   std::string out;
@@ -277,9 +237,9 @@
       {"ban", {http::verb::post, "/hosts/" + escaped(options.host) + "/maint"}},
       {"ready", {http::verb::post, "/hosts/" + escaped(options.host) + "/ready"}}};
   const auto& [method, target] = calls.at(options.what);
-  const Said said = call(at, method, target);
-  if (said.ec) return complain("nobody answers at " + address + ": " + said.ec.message());
-  const bool yes = said.status / 100 == 2;
+  const HttpAnswer said = callOnce(at, {.method = method, .target = target, .body = {}});
+  if (said.error) return complain("nobody answers at " + address + ": " + said.error.message());
+  const bool yes = said.ok();
   if (yes && options.what == "stats") {
     std::fputs((options.json ? figuresAsJson(said.body) : figuresAsTable(said.body)).c_str(), stdout);
   } else if (yes && options.what == "fleet" && !options.json) {
--- /dev/null
+++ b/src/cli/include/cli/configuration_candidate.h
@@ -0,0 +1,32 @@
+// The dry run before a publish: an operator file is checked as if the shared file that it names had the
+// candidate's text already.
+#pragma once
+
+#include <set>
+#include <string>
+
+#include "cli/check.h"
+#include "distribution/types.h"
+
+namespace quinceline::configuration {
+
+// Files on disk, but one of them with another text.
+class CandidateSource final : public conf::FileSource {
+ public:
+  // `files` must live as long as this.
+  CandidateSource(conf::FileSource& files, std::string replaced_path, std::string text);
+  std::optional<std::string> read(const std::string& path) override;
+  std::vector<std::string> match(const std::string& pattern) override;
+
+ private:
+  conf::FileSource& files_;
+  const std::string replaced_path_, text_;
+};
+
+// Only what shows without an operator file: whether the candidate can be read as statements.
+CheckedFiles checkSyntax(const std::string& name, const std::string& text);
+
+// The numbers of the members that the operator file's fleet lists; empty: it has none.
+std::set<distribution::MemberId> membersOf(const CheckedFiles& checked);
+
+}  // namespace quinceline::configuration
