Publishing checks the candidate in the place of the operator file's shared file

Needed: an error that check would find must not reach a fleet. The members that the file's fleet lists are the expected ones. Only the path of the shared file is taken from the operator file as it is: the text on the operator's machine may be broken or missing.

--- a/src/cli/configuration_candidate.cpp
+++ b/src/cli/configuration_candidate.cpp
@@ -25,6 +25,23 @@
 
 std::vector<std::string> CandidateSource::match(const std::string& pattern) { return files_.match(pattern); }
 
+CheckedFiles checkCandidate(conf::FileSource& files, const std::string& operator_file,
+                            const std::string& candidate_text) {
+  // The shared file itself may be broken or missing here: only its path is needed.
+  const std::string shared_file = conf::load(files, operator_file).shared_file;
+  if (!shared_file.empty()) {
+    CandidateSource with_candidate(files, shared_file, candidate_text);
+    return checkFiles(with_candidate, operator_file);
+  }
+  CheckedFiles checked = checkFiles(files, operator_file);
+  if (checked.ok())
+    checked.configuration.found.push_back({conf::Severity::Error,
+                                           {},
+                                           "there is no 'configuration' here that names a shared file",
+                                           "add configuration { file FILE ... }"});
+  return checked;
+}
+
 CheckedFiles checkSyntax(const std::string& name, const std::string& text) {
   CheckedFiles checked;
   conf::Configuration& configuration = checked.configuration;
--- a/src/cli/configuration_commands.cpp
+++ b/src/cli/configuration_commands.cpp
@@ -66,8 +66,10 @@
   return milliseconds(read.value / 1000);
 }
 
-CheckedFiles dryRun(const ClientOptions&, const std::string& name, const std::string& text) {
-  return checkSyntax(name, text);
+CheckedFiles dryRun(const ClientOptions& options, const std::string& name, const std::string& text) {
+  if (options.operator_file.empty()) return checkSyntax(name, text);
+  DiskSource files;
+  return checkCandidate(files, options.operator_file, text);
 }
 
 std::set<distribution::MemberId> expectedMembers(const ClientOptions& options) {
@@ -172,7 +174,7 @@
   const CheckedFiles checked = dryRun(options, publication.name, publication.text);
   checked.print();
   if (!checked.ok()) return complain(publication.name + " has an error; nothing was sent", kNotPublished);
-  return publishChecked(options, client, publication, expectedMembers(options));
+  return publishChecked(options, client, publication, membersOf(checked));
 }
 
 int publishFile(const ClientOptions& options, const std::string& file) {
--- a/src/cli/include/cli/configuration_candidate.h
+++ b/src/cli/include/cli/configuration_candidate.h
@@ -23,6 +23,11 @@
   const std::string replaced_path_, text_;
 };
 
+// What `quinceline check` would say of the operator file once the candidate is in force. An operator file
+// that names no shared file is an error of its own.
+CheckedFiles checkCandidate(conf::FileSource& files, const std::string& operator_file,
+                            const std::string& candidate_text);
+
 // Only what shows without an operator file: whether the candidate can be read as statements.
 CheckedFiles checkSyntax(const std::string& name, const std::string& text);
 
--- a/tests/configuration_commands_test.cpp
+++ b/tests/configuration_commands_test.cpp
@@ -255,6 +255,29 @@
   EXPECT_TRUE(replica.calls("/v1/publish").empty());
 }
 
+const char* const kOperatorFile =
+    "listen 127.0.0.1:8080\nclass own {\n  effect safe\n  aim 1s\n  deadline 2s\n}\n"
+    "pool p {\n  host h 127.0.0.1:1\n}\n"
+    "configuration {\n  file shared.conf\n  replica 1 127.0.0.1:1\n}\n"
+    "fleet {\n  listen 127.0.0.1:2\n  member 0 127.0.0.1:2\n  member 7 127.0.0.1:3\n}\n";
+
+TEST_F(ConfigurationCommands, TheCandidateIsCheckedInThePlaceOfTheSharedFileAndTheFleetIsExpected) {
+  ReplicaModel model;
+  StandIn replica(std::ref(model));
+  const std::vector<std::string> with = {"--operator-file", file("proxy.conf", kOperatorFile), "--wait",
+                                         "300ms"};
+  const std::string candidate = file("candidate.conf", "class own {\n  effect safe\n}\n");
+  EXPECT_EQ(publish({replica.address()}, candidate, with), 1) << "with no shared.conf at hand";
+  EXPECT_NE(errors.find("shared.conf:1:7: error: "), std::string::npos) << errors;
+  EXPECT_TRUE(model.texts.empty());
+  file("shared.conf", "what is there is broken {{{");
+  file("candidate.conf", "class shared {\n  effect safe\n  aim 1s\n  deadline 2s\n}\n");
+  EXPECT_EQ(publish({replica.address()}, candidate, with), 3) << errors;
+  EXPECT_NE(out.find("held by 1 of 2\n  member 0: not heard"), std::string::npos) << out;
+  const std::string without = file("other.conf", "class a {\n  aim 1s\n}\n");
+  EXPECT_EQ(publish({replica.address()}, candidate, {"--operator-file", without}), 1);
+}
+
 TEST_F(ConfigurationCommands, AReplicaThatHasNotDecidedIsFollowedByTheNextWithTheSameId) {
   ReplicaModel model;
   StandIn without_quorum([](const auto& call) {
@@ -304,7 +327,7 @@
 
 TEST_F(ConfigurationCommands, ARefusalIsShownWithoutWaitingForTheRestOfTheTime) {
   ReplicaModel model;
-  model.refuses = "shared.conf:1:1: error: 'class a' is there already";
+  model.refuses = "shared.conf:1:7: error: 'class a' is there already";
   StandIn replica(std::ref(model));
   EXPECT_EQ(publish({replica.address()}, file("shared.conf", kText), {"--wait", "1h"}), 3);
   EXPECT_NE(out.find("  member 7: refused: " + model.refuses + "\n"), std::string::npos) << out;
