Command that runs a replica, and another text under one number is no holding

Its list of replicas is held against itself: a number or an address that is there twice, or its own that is missing, is an error of the command line.

A proxy that has another text under the number that was published does not hold it: it is named as such (seen where all four disks are lost). The JSON says after how many milliseconds a publish was decided. The candidate is overlaid with the source of files that the proxy uses too.

--- a/src/cli/configuration_candidate.cpp
+++ b/src/cli/configuration_candidate.cpp
@@ -1,36 +1,16 @@
 #include "cli/configuration_candidate.h"
 
-#include <filesystem>
-#include <utility>
-
 #include "conf/syntax.h"
+#include "files/overlay_source.h"
 
 namespace quinceline::configuration {
-namespace {
-
-std::string absolute(const std::string& path) {
-  std::error_code ec;
-  const auto whole = std::filesystem::weakly_canonical(path, ec);
-  return ec ? path : whole.string();
-}
-
-}  // namespace
-
-CandidateSource::CandidateSource(conf::FileSource& files, std::string replaced_path, std::string text)
-    : files_(files), replaced_path_(absolute(replaced_path)), text_(std::move(text)) {}
-
-std::optional<std::string> CandidateSource::read(const std::string& path) {
-  return absolute(path) == replaced_path_ ? text_ : files_.read(path);
-}
-
-std::vector<std::string> CandidateSource::match(const std::string& pattern) { return files_.match(pattern); }
-
 CheckedFiles checkCandidate(conf::FileSource& files, const std::string& operator_file,
                             const std::string& candidate_text) {
   // The shared file itself may be broken or missing here: only its path is needed.
   const std::string shared_file = conf::load(files, operator_file).shared_file;
   if (!shared_file.empty()) {
-    CandidateSource with_candidate(files, shared_file, candidate_text);
+    OverlaySource with_candidate(files);
+    with_candidate.put(shared_file, candidate_text);
     return checkFiles(with_candidate, operator_file);
   }
   CheckedFiles checked = checkFiles(files, operator_file);
--- a/src/cli/configuration_client.cpp
+++ b/src/cli/configuration_client.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <future>
+#include <stdexcept>
 #include <thread>
 
 #include "cli/http_call.h"
+#include "cli/usage_error.h"
 #include "distribution/codec.h"
 
 namespace quinceline::configuration {
@@ -62,6 +64,14 @@
 
 }  // namespace
 
+Endpoint endpointOf(const std::string& text) {
+  try {
+    return parseEndpoint(text);
+  } catch (const std::runtime_error& e) {
+    throw UsageError("the replica " + std::string(e.what()));
+  }
+}
+
 std::vector<ReplicaAnswer> ReplicaClient::statuses() const {
   std::vector<std::future<std::optional<distribution::Status>>> asked;
   for (const Endpoint& replica : replicas_)
--- a/src/cli/configuration_commands.cpp
+++ b/src/cli/configuration_commands.cpp
@@ -4,15 +4,16 @@
 #include <array>
 #include <cstdio>
 #include <random>
-#include <stdexcept>
 #include <thread>
 
 #include "cli/configuration_candidate.h"
 #include "cli/configuration_client.h"
 #include "cli/configuration_progress.h"
 #include "cli/configuration_report.h"
+#include "cli/usage_error.h"
 #include "conf/units.h"
 #include "distribution/codec.h"
+#include "distribution/digest.h"
 #include "files/disk_source.h"
 
 namespace quinceline::configuration {
@@ -24,11 +25,6 @@
 
 constexpr milliseconds kLook{200};  // between two looks at who holds a version
 
-// A command line that can't be carried out.
-struct WrongUsage : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
 int complain(const std::string& what, int status) {
   std::fprintf(stderr, "quinceline configuration: %s\n", what.c_str());
   return status;
@@ -46,14 +42,6 @@
   return digits.data();
 }
 
-Endpoint endpointOf(const std::string& text) {
-  try {
-    return parseEndpoint(text);
-  } catch (const std::runtime_error& e) {
-    throw WrongUsage("the replica " + std::string(e.what()));
-  }
-}
-
 ReplicaClient clientOf(const ClientOptions& options) {
   std::vector<Endpoint> replicas;
   for (const std::string& address : options.replicas) replicas.push_back(endpointOf(address));
@@ -62,7 +50,7 @@
 
 milliseconds waitOf(const ClientOptions& options) {
   const auto read = conf::readDuration(options.wait);
-  if (!read.ok()) throw WrongUsage("--wait: " + read.message + "; " + read.hint);
+  if (!read.ok()) throw UsageError("--wait: " + read.message + "; " + read.hint);
   return milliseconds(read.value / 1000);
 }
 
@@ -86,23 +74,21 @@
   return statuses;
 }
 
-distribution::Version newestVersion(const std::vector<distribution::Status>& replicas) {
-  distribution::Version newest = 0;
-  for (const distribution::Status& replica : replicas) newest = std::max(newest, replica.version);
+// Version 0 if none answers.
+distribution::Status newestOf(const std::vector<distribution::Status>& replicas) {
+  distribution::Status newest;
+  for (const distribution::Status& replica : replicas) {
+    if (replica.version >= newest.version) newest = replica;
+  }
   return newest;
 }
 
-Progress progressNow(const ReplicaClient& client, distribution::Version version,
-                     const std::set<distribution::MemberId>& expected) {
-  return progressOf(version, mergeMembers(answered(client.statuses())), expected);
-}
-
 // Until nothing can change by waiting, or the time has passed.
-Progress waitForMembers(const ReplicaClient& client, distribution::Version version,
+Progress waitForMembers(const ReplicaClient& client, distribution::Version version, const std::string& digest,
                         const std::set<distribution::MemberId>& expected, milliseconds time_limit) {
   const Clock::time_point end = Clock::now() + time_limit;
   for (;;) {
-    Progress progress = progressNow(client, version, expected);
+    Progress progress = progressOf(version, digest, mergeMembers(answered(client.statuses())), expected);
     if (!progress.mayRise() || Clock::now() >= end) return progress;
     std::this_thread::sleep_for(kLook);
   }
@@ -113,12 +99,23 @@
   std::string text;
 };
 
-distribution::PublishRequest requestOf(const ClientOptions& options, const ReplicaClient& client,
+// The newest version that any replica shows; nothing: none answers in time.
+std::optional<distribution::Version> newestBase(const ReplicaClient& client, milliseconds time_limit) {
+  const Clock::time_point end = Clock::now() + time_limit;
+  for (;;) {
+    const std::vector<distribution::Status> statuses = answered(client.statuses());
+    if (!statuses.empty()) return newestOf(statuses).version;
+    if (Clock::now() >= end) return std::nullopt;
+    std::this_thread::sleep_for(kLook);
+  }
+}
+
+distribution::PublishRequest requestOf(const ClientOptions& options, distribution::Version base,
                                        const std::string& text) {
   distribution::PublishRequest request;
   request.id = options.id.empty() ? drawId() : options.id;
   request.author = options.author;
-  request.base = options.base ? *options.base : newestVersion(answered(client.statuses()));
+  request.base = base;
   request.text = text;
   return request;
 }
@@ -142,12 +139,17 @@
                   kNotPublished);
 }
 
-int report(const ClientOptions& options, const distribution::PublishRequest& request,
-           const Progress& progress) {
+struct Decided {
+  const distribution::PublishRequest& request;
+  milliseconds in;  // from the first replica that was asked to the answer
+};
+
+int report(const ClientOptions& options, const Decided& decided, const Progress& progress) {
   if (options.json) {
     printJson({{"result", nameOf(PublishResult::Published)},
-               {"id", request.id},
+               {"id", decided.request.id},
                {"version", progress.version},
+               {"decided_in_ms", decided.in.count()},
                {"progress", asJson(progress)}});
   } else {
     std::fputs(asText(progress).c_str(), stdout);
@@ -158,15 +160,21 @@
 int publishChecked(const ClientOptions& options, const ReplicaClient& client, const Publication& publication,
                    const std::set<distribution::MemberId>& expected) {
   const milliseconds time_limit = waitOf(options);
-  const distribution::PublishRequest request = requestOf(options, client, publication.text);
+  const auto base = options.base ? options.base : newestBase(client, time_limit);
+  if (!base) return complain("no replica answers; nothing was sent", kNotPublished);
+  const distribution::PublishRequest request = requestOf(options, *base, publication.text);
+  const Clock::time_point asked = Clock::now();
   const PublishOutcome outcome = client.publish(request, time_limit);
+  const auto decided_in = std::chrono::duration_cast<milliseconds>(Clock::now() - asked);
   if (outcome.result != PublishResult::Published) return notPublished(options, request, outcome);
   if (!options.json) {
     std::printf("published version %llu by %s, id %s\n", static_cast<unsigned long long>(outcome.version),
                 request.author.c_str(), request.id.c_str());
     std::fflush(stdout);
   }
-  return report(options, request, waitForMembers(client, outcome.version, expected, time_limit));
+  const std::string digest = distribution::digestOf(request.text);
+  return report(options, {request, decided_in},
+                waitForMembers(client, outcome.version, digest, expected, time_limit));
 }
 
 int publish(const ClientOptions& options, const Publication& publication) {
@@ -194,8 +202,9 @@
   const ReplicaClient client = clientOf(options);
   const std::vector<ReplicaAnswer> replicas = client.statuses();
   const std::vector<distribution::Status> statuses = answered(replicas);
+  const distribution::Status newest = newestOf(statuses);
   const Progress progress =
-      progressOf(newestVersion(statuses), mergeMembers(statuses), expectedMembers(options));
+      progressOf(newest.version, newest.digest, mergeMembers(statuses), expectedMembers(options));
   if (options.json) {
     printJson({{"replicas", asJson(replicas)}, {"progress", asJson(progress)}});
   } else {
@@ -210,6 +219,7 @@
 Commands::Commands(CLI::App& app)
     : command_(app.add_subcommand("configuration", "Publish the shared configuration, see who holds it")) {
   command_->require_subcommand(1);
+  addReplica();
   addPublish();
   addStatus();
   addRevert();
@@ -268,10 +278,11 @@
 
 int Commands::run() const {
   try {
+    if (replica_->parsed()) return runReplica(replica_options_);
     if (publish_->parsed()) return publishFile(client_options_, file_);
     if (status_->parsed()) return status(client_options_);
     return revert(client_options_, version_);
-  } catch (const WrongUsage& e) {
+  } catch (const UsageError& e) {
     return complain(e.what(), kWrongUsage);
   } catch (const distribution::CodecError& e) {
     return complain(e.what(), kNotPublished);
--- a/src/cli/configuration_progress.cpp
+++ b/src/cli/configuration_progress.cpp
@@ -12,16 +12,17 @@
 using distribution::Status;
 using distribution::Version;
 
-Holding holdingOf(Version version, const MemberStatus& member) {
+Holding holdingOf(Version version, const std::string& digest, const MemberStatus& member) {
+  if (member.version == version && member.digest != digest) return Holding::OtherText;
   if (member.version >= version) return member.restart_needed ? Holding::RestartNeeded : Holding::Holds;
   if (member.refused && member.refused->version >= version) return Holding::Refused;
   return member.connected ? Holding::Behind : Holding::NotHeard;
 }
 
-MemberProgress progressOfOne(Version version, const MemberStatus& member) {
+MemberProgress progressOfOne(Version version, const std::string& digest, const MemberStatus& member) {
   MemberProgress progress;
   progress.member = member.member;
-  progress.holding = holdingOf(version, member);
+  progress.holding = holdingOf(version, digest, member);
   progress.version = member.version;
   if (progress.holding == Holding::Refused) progress.detail = member.refused->error;
   return progress;
@@ -39,6 +40,8 @@
       return "refused";
     case Holding::Behind:
       return "connected but behind";
+    case Holding::OtherText:
+      return "another text under this number";
     case Holding::NotHeard:
       return "not heard";
   }
@@ -66,13 +69,13 @@
   return members;
 }
 
-Progress progressOf(Version version, const std::vector<MemberStatus>& members,
+Progress progressOf(Version version, const std::string& digest, const std::vector<MemberStatus>& members,
                     const std::set<MemberId>& expected) {
   std::map<MemberId, MemberProgress> all;
   for (const MemberId number : expected) all[number].member = number;
   for (const MemberStatus& member : members) {
     if (expected.empty() || expected.count(member.member) > 0)
-      all[member.member] = progressOfOne(version, member);
+      all[member.member] = progressOfOne(version, digest, member);
   }
   Progress progress;
   progress.version = version;
--- a/src/cli/include/cli/configuration_candidate.h
+++ b/src/cli/include/cli/configuration_candidate.h
@@ -10,19 +10,6 @@
 
 namespace quinceline::configuration {
 
-// Files on disk, but one of them with another text.
-class CandidateSource final : public conf::FileSource {
- public:
-  // `files` must live as long as this.
-  CandidateSource(conf::FileSource& files, std::string replaced_path, std::string text);
-  std::optional<std::string> read(const std::string& path) override;
-  std::vector<std::string> match(const std::string& pattern) override;
-
- private:
-  conf::FileSource& files_;
-  const std::string replaced_path_, text_;
-};
-
 // What `quinceline check` would say of the operator file once the candidate is in force. An operator file
 // that names no shared file is an error of its own.
 CheckedFiles checkCandidate(conf::FileSource& files, const std::string& operator_file,
--- a/src/cli/include/cli/configuration_client.h
+++ b/src/cli/include/cli/configuration_client.h
@@ -14,6 +14,9 @@
 
 namespace quinceline::configuration {
 
+// A replica's address as the command line has it; throws UsageError.
+Endpoint endpointOf(const std::string& text);
+
 enum class PublishResult : std::uint8_t {
   Published,  // durable on a quorum of the replicas
   Conflict,   // another change was published on the same base: nothing of this one is in force anywhere
--- a/src/cli/include/cli/configuration_commands.h
+++ b/src/cli/include/cli/configuration_commands.h
@@ -9,15 +9,9 @@
 #include <string>
 #include <vector>
 
-namespace quinceline::configuration {
+#include "cli/configuration_replica.h"
 
-struct ReplicaOptions {
-  std::uint32_t id = 0;
-  std::string listen;                 // address:port
-  std::string folder;                 // of its database
-  std::vector<std::string> replicas;  // all of them, itself too: "1=10.0.0.1:7950"
-  std::string region;
-};
+namespace quinceline::configuration {
 
 struct ClientOptions {
   std::vector<std::string> replicas;  // address:port
--- a/src/cli/include/cli/configuration_progress.h
+++ b/src/cli/include/cli/configuration_progress.h
@@ -18,6 +18,7 @@
   RestartNeeded,  // taken, but part of it takes effect only when the proxy restarts
   Refused,        // its own check found an error in it
   Behind,         // connected to a replica, has not acknowledged the version yet
+  OtherText,      // it has another text under this number: the replicas have lost their history
   NotHeard,       // connected to no replica that answered, or never heard of
 };
 
@@ -45,8 +46,10 @@
 // counts as connected if any replica says so.
 std::vector<distribution::MemberStatus> mergeMembers(const std::vector<distribution::Status>& replicas);
 
-// `expected`: the members of the fleet's list; empty: all that a replica has ever heard.
-Progress progressOf(distribution::Version version, const std::vector<distribution::MemberStatus>& members,
+// `digest`: of the version's text. `expected`: the members of the fleet's list; empty: all that a replica has
+// ever heard.
+Progress progressOf(distribution::Version version, const std::string& digest,
+                    const std::vector<distribution::MemberStatus>& members,
                     const std::set<distribution::MemberId>& expected);
 
 }  // namespace quinceline::configuration
--- a/tests/configuration_commands_test.cpp
+++ b/tests/configuration_commands_test.cpp
@@ -16,7 +16,9 @@
 
 #include "cli/commands.h"
 #include "cli/configuration_progress.h"
+#include "cli/configuration_replica.h"
 #include "cli/configuration_report.h"
+#include "cli/usage_error.h"
 #include "distribution/codec.h"
 #include "distribution/digest.h"
 
@@ -29,12 +31,14 @@
 using distribution::Status;
 using Tcp = boost::asio::ip::tcp;
 
+const std::string kDigest = distribution::digestOf("");
+
 MemberStatus member(distribution::MemberId number, distribution::Version version) {
   MemberStatus status;
   status.member = number;
   status.connected = true;
   status.version = version;
-  status.digest = distribution::digestOf("");
+  status.digest = kDigest;
   return status;
 }
 
@@ -58,8 +62,8 @@
   refused.refused = Refusal{5, distribution::digestOf("x"), "shared.conf:3:7: error: no"};
   restart.restart_needed = true;
   gone.connected = false;
-  const Progress progress =
-      progressOf(5, {member(1, 6), refused, restart, member(4, 4), gone, member(9, 5)}, {1, 2, 3, 4, 5, 6});
+  const Progress progress = progressOf(
+      5, kDigest, {member(1, 6), refused, restart, member(4, 4), gone, member(9, 5)}, {1, 2, 3, 4, 5, 6});
   EXPECT_EQ(asText(progress),
             "version 5: held by 1 of 6\n"
             "  member 2: refused: shared.conf:3:7: error: no\n"
@@ -69,14 +73,22 @@
             "  member 6: not heard, last acknowledged version 0\n");
   EXPECT_FALSE(progress.heldByAll());
   EXPECT_TRUE(progress.mayRise());
-  EXPECT_FALSE(progressOf(5, {member(1, 5), refused}, {}).mayRise()) << "waiting changes nothing";
-  EXPECT_TRUE(progressOf(5, {member(1, 5), member(9, 5)}, {}).heldByAll());
+  EXPECT_FALSE(progressOf(5, kDigest, {member(1, 5), refused}, {}).mayRise()) << "waiting changes nothing";
+  EXPECT_TRUE(progressOf(5, kDigest, {member(1, 5), member(9, 5)}, {}).heldByAll());
+}
+
+TEST(ConfigurationProgress, AnotherTextUnderTheSameNumberIsNotHeld) {
+  MemberStatus other = member(2, 5);
+  other.digest = distribution::digestOf("x");
+  EXPECT_EQ(progressOf(5, kDigest, {member(1, 5), other}, {}).count(Holding::OtherText), 1U);
+  EXPECT_EQ(progressOf(4, distribution::digestOf("y"), {other}, {}).count(Holding::Holds), 1U)
+      << "a later version has its own text";
 }
 
 TEST(ConfigurationProgress, ARefusalOfAnEarlierVersionIsNoAnswer) {
   MemberStatus behind = member(2, 3);
   behind.refused = Refusal{4, distribution::digestOf("x"), "shared.conf:3:7: error: no"};
-  EXPECT_EQ(progressOf(5, {behind}, {}).count(Holding::Behind), 1U);
+  EXPECT_EQ(progressOf(5, kDigest, {behind}, {}).count(Holding::Behind), 1U);
 }
 
 // Answers each call as the test says, one connection after the other.
@@ -190,6 +202,7 @@
     s.digest = distribution::digestOf(texts.empty() ? "" : texts.back());
     s.quorum = true;
     s.members = {member(7, follows ? texts.size() : 0)};
+    if (follows) s.members[0].digest = s.digest;
     if (!refuses.empty()) {
       s.members[0].version = 0;
       s.members[0].refused = Refusal{texts.size(), s.digest, refuses};
@@ -301,6 +314,11 @@
   EXPECT_NE(errors.find(" --base 4"), std::string::npos) << errors;
 }
 
+TEST_F(ConfigurationCommands, WithNoReplicaThereNoBaseIsKnownAndNothingIsSent) {
+  EXPECT_EQ(publish({kNobody}, file("shared.conf", kText), {"--wait", "300ms"}), 1);
+  EXPECT_NE(errors.find("no replica answers; nothing was sent"), std::string::npos) << errors;
+}
+
 TEST_F(ConfigurationCommands, AConflictNamesTheNewestAndItsAuthor) {
   ReplicaModel model;
   model.texts = {"a", "b"};
@@ -351,5 +369,25 @@
   EXPECT_NE(errors.find("--wait"), std::string::npos) << errors;
 }
 
+TEST(ConfigurationReplica, ItsListHoldsItselfAndTheOthersOnce) {
+  ReplicaOptions options;
+  options.id = 2;
+  options.listen = "0.0.0.0:7950";
+  options.folder = "data";
+  options.replicas = {"1=10.0.0.1:7950", "2=10.0.0.2:7950", "3=10.1.0.1:7950"};
+  const replica::Settings settings = settingsOf(options);
+  ASSERT_EQ(settings.peers.size(), 2U);
+  EXPECT_EQ(settings.peers[1].id, 3);
+  EXPECT_EQ(nameOf(settings.peers[1].endpoint), "10.1.0.1:7950");
+  for (const char* const wrong : {"3=10.1.0.2:7950", "4=10.1.0.1:7950", "10.1.0.2:7950", "0=10.1.0.2:7950",
+                                  "x=10.1.0.2:7950", "4=nowhere"}) {
+    ReplicaOptions bad = options;
+    bad.replicas.emplace_back(wrong);
+    EXPECT_THROW(settingsOf(bad), UsageError) << wrong;
+  }
+  options.id = 9;
+  EXPECT_THROW(settingsOf(options), UsageError);
+}
+
 }  // namespace
 }  // namespace quinceline::configuration
