--- a/tests/distribution_checker.h
+++ b/tests/distribution_checker.h
@@ -18,7 +18,9 @@
 
 // A publisher was told that its text has this version.
 struct PublishRecord {
-  HistoryTime asked{0}, told{0};
+  HistoryTime asked{0};
+  HistoryTime decided{0};  // at the latest; it may be in force before the publisher is told
+  HistoryTime told{0};
   std::string id;
   std::uint64_t version = 0;
   std::string digest;
@@ -141,7 +143,7 @@
   void inForceInTime() {
     for (const PublishRecord& p : history_.publishes) {
       for (const std::uint32_t member : history_.members) {
-        const HistoryTime due = dueAt(member, p.told);
+        const HistoryTime due = dueAt(member, p.decided);
         if (due <= history_.end && !answeredBy(member, p.version, due))
           breach("version " + std::to_string(p.version) + " was not in force at member " +
                  std::to_string(member) + " within " + std::to_string(kInForceWithin.count() / 1000) + " s");
@@ -150,16 +152,16 @@
   }
 
   // An outage puts it off until so long after its end.
-  HistoryTime dueAt(std::uint32_t member, HistoryTime told) const {
+  HistoryTime dueAt(std::uint32_t member, HistoryTime decided) const {
     std::vector<OutageRecord> outages;
     for (const OutageRecord& outage : history_.outages) {
       if (outage.member == member) outages.push_back(outage);
     }
     std::sort(outages.begin(), outages.end(),
               [](const OutageRecord& a, const OutageRecord& b) { return a.from < b.from; });
-    HistoryTime due = told + kInForceWithin;
+    HistoryTime due = decided + kInForceWithin;
     for (const OutageRecord& outage : outages) {
-      if (outage.from <= due && outage.to > told) due = std::max(due, outage.to + kInForceWithin);
+      if (outage.from <= due && outage.to > decided) due = std::max(due, outage.to + kInForceWithin);
     }
     return due;
   }
--- a/tests/distribution_checker_test.cpp
+++ b/tests/distribution_checker_test.cpp
@@ -12,8 +12,8 @@
 History goodHistory() {
   History h;
   h.members = {1, 2};
-  h.publishes = {{milliseconds(0), milliseconds(100), "a", 1, "first"},
-                 {milliseconds(20'000), milliseconds(20'100), "b", 2, "second"}};
+  h.publishes = {{milliseconds(0), milliseconds(100), milliseconds(150), "a", 1, "first"},
+                 {milliseconds(20'000), milliseconds(20'100), milliseconds(20'150), "b", 2, "second"}};
   h.holdings = {
       {milliseconds(50), 1, "disk", 0, "local"},      {milliseconds(400), 1, "disk", 1, "first"},
       {milliseconds(900), 2, "disk", 1, "first"},     {milliseconds(20'300), 1, "disk", 2, "second"},
@@ -60,13 +60,13 @@
 
 TEST(DistributionChecker, ALaterPublishWithALowerNumberIsSeen) {
   History h = goodHistory();
-  h.publishes.push_back({milliseconds(30'000), milliseconds(30'100), "c", 1, "first"});
+  h.publishes.push_back({milliseconds(30'000), milliseconds(30'100), milliseconds(30'150), "c", 1, "first"});
   EXPECT_NE(breachesOf(h).find("publish c got version 1 after publish b had got 2\n"), std::string::npos);
 }
 
 TEST(DistributionChecker, AChangeThatIsNotInForceInTimeIsSeen) {
   History h = goodHistory();
-  h.holdings[1].at = milliseconds(12'101);  // told at 0.1 s
+  h.holdings[1].at = milliseconds(12'101);  // decided at 0.1 s
   EXPECT_EQ(breachesOf(h), "version 1 was not in force at member 1 within 12 s\n");
   h.refusals = {{milliseconds(500), 1, 1}};
   EXPECT_EQ(breachesOf(h), "") << "a refusal is an answer";
