A replica whose disk is emptied under it tells no older version

A replica that found its disk full, and then an empty one in its place, learned all changes again from its peers and told the first of them to subscribers: its status went back from version 3 to 2. What is not newer than what was told is not told again. ReplicaTest.ADiskReplacedUnderAFailingReplicaIsNoStepBack failed without it.

--- a/src/replica/engine.cpp
+++ b/src/replica/engine.cpp
@@ -149,6 +149,8 @@
 void Engine::carryOut(consensus::Output output) {
   for (const std::string& line : output.lines) reports_.log(line);
   for (const Change& change : output.chosen) {
+    // An emptied disk learns again what was told before: no step back.
+    if (newest() != nullptr && change.version <= newest()->version) continue;
     keep(change);
     reports_.chosen(change);
   }
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -383,6 +383,29 @@
   EXPECT_FALSE(hasFault(2, "old disk: "));
 }
 
+TEST_F(ReplicaTest, ADiskReplacedUnderAFailingReplicaIsNoStepBack) {
+  startAll();
+  for (distribution::Version version = 0; version < 3; ++version)
+    ASSERT_EQ(publish(1, version, "text " + std::to_string(version)).status, 200U);
+  ASSERT_TRUE(allHave(3));
+  const auto subscriber = subscribe(2, "&from=0");
+  server(2).limitPagesForTests(1);
+  ASSERT_EQ(publish(2, 3, std::string(200'000, 'x'), "key").status, 507U);
+  fs::remove_all(folderOf(2));
+  server(2).limitPagesForTests(0);
+  ASSERT_TRUE(runUntil([&] {
+    EXPECT_GE(server(2).status().version, 3U);
+    return server(2).status().quorum;
+  }));
+  ASSERT_EQ(publish(1, 3, "four").status, 200U);
+  ASSERT_TRUE(runUntil([&] { return subscriber->lastChange() && subscriber->lastChange()->version == 4; }));
+  distribution::Version last = 0;
+  for (const ChangeNotice& change : subscriber->changes) {
+    EXPECT_GT(change.version, last);
+    last = change.version;
+  }
+}
+
 TEST_F(ReplicaTest, ABrokenDatabaseIsNamedStaysAndIsNotVotedWith) {
   startAll();
   ASSERT_EQ(publish(1, 0, std::string(20'000, 'x')).status, 200U);
