Test: a hand-over with a shared configuration, beside a platform's configuration

The old process closes its watch, the new one begins from the file, its acknowledgements count for newer. Seen to fail where the old process keeps its watch.

--- a/tests/subscription_proxy_test.cpp
+++ b/tests/subscription_proxy_test.cpp
@@ -280,6 +280,37 @@
   ASSERT_TRUE(until([&] { return log().find("admission: open 65 -> 64") != std::string::npos; })) << log();
 }
 
+// Beside a platform's configuration, where one process takes another's place.
+TEST_F(SubscriptionProxyTest, InAHandOverTheOldProcessClosesItsWatchAndTheNewOneBeginsFromTheFile) {
+  Host discovery{loop};
+  const ConfigFile platform(json::array({entry("s-1", host.endpoint())}), discovery.endpoint());
+  tcp::acceptor listener(loop.io, anyPort());
+  listener.listen();
+  const std::string operator_file =
+      files.write("op.conf", "configuration {\n  file shared/shared.conf\n  replica 1 " +
+                                 textOf(replica.endpoint()) + "\n}\n");
+  const auto startOne = [&] {
+    return std::make_unique<Program>(
+        std::vector<std::string>{},
+        std::vector<std::string>{"PROXY_CONFIG=" + platform.path, "PROXY_OPERATOR=" + operator_file,
+                                 "PROXY_DISCOVERY=" + textOf(discovery.endpoint()), "PROXY_INHERITED_FD=3",
+                                 "TMPDIR=" + files.path("")},
+        files.path("log"), listener.native_handle());
+  };
+  const auto old = startOne();
+  ASSERT_TRUE(until([&] { return !replica.watches().empty(); })) << log();
+  replica.tell(distribution::noticeOf(changeOf(1, kFirst)));
+  ASSERT_TRUE(acknowledged(1)) << log();
+  const std::uint64_t sequence = replica.last()->sequence;
+  const auto next = startOne();
+  ASSERT_TRUE(until([&] { return replica.watches().size() == 2 && replica.watches()[0]->ended; })) << log();
+  EXPECT_TRUE(replica.watches()[1]->heard("&from=1&digest=" + distribution::digestOf(kFirst)));
+  replica.tell(distribution::noticeOf(changeOf(2, kSecond)));
+  ASSERT_TRUE(acknowledged(2)) << log();
+  EXPECT_GT(replica.last()->sequence, sequence);
+  EXPECT_EQ(replica.watches().size(), 2U) << "the old process asks no more";
+}
+
 TEST_F(SubscriptionProxyTest, WithoutTheStatementNothingOfItExists) {
   start("");
   EXPECT_NE(get(status, "/configuration").find("HTTP/1.1 404"), std::string::npos);
