--- /dev/null
+++ b/src/leases/claims.cpp
@@ -0,0 +1,136 @@
+// New grants: when this member's site claims a service, and how voters answer claims.
+#include <algorithm>
+#include <utility>
+
+#include "leases/member.h"
+
+namespace quinceline::leases {
+namespace {
+
+constexpr Time kRenewSoon = 50 * fleet::kMillisecond;  // after the promise of a claim of our own
+
+}  // namespace
+
+// Why this member's site may claim a service now, if it may.
+std::optional<ClaimReason> Member::reasonToClaim(Time now, const Service& service) {
+  const Grant held = voter_.known(service.id);
+  const bool is_home = site_ == service.home;
+  const bool is_stand_by = service.stand_by != kNoSite && site_ == service.stand_by;
+  if (!is_home && !is_stand_by) return std::nullopt;
+  if (voter_.disputed(service.id)) return is_home ? std::optional(ClaimReason::Reclaim) : std::nullopt;
+  if (held.term == 0) return is_home ? std::optional(ClaimReason::Home) : std::nullopt;
+  if (held.site == site_)
+    return voter_.nextTerm(service.id) > held.term + 1 ? std::optional(ClaimReason::Reclaim) : std::nullopt;
+  if (!voters_.isGone(held.site, liveness_)) {
+    gone_since_.erase(held.site);
+    return std::nullopt;
+  }
+  const Time since = gone_since_.try_emplace(held.site, now).first->second;
+  // The home site goes first where both could.
+  const Time wait = is_home ? settings_.takeover_after : 2 * settings_.takeover_after;
+  return now - since >= wait ? std::optional(ClaimReason::Takeover) : std::nullopt;
+}
+
+void Member::claimServices(Time now, Output& out) {
+  const auto jitter = static_cast<Time>(random_.unit() * static_cast<double>(kClaimInterval) / 2);
+  claim_at_ = now + kClaimInterval + jitter;
+  repeatOverrides(now, out);
+  if (!isSiteLeader() || !voter_.mayPromise(now)) return;
+  for (const Service& s : services_) {
+    const Grant held = voter_.known(s.id);
+    if (const auto reason = reasonToClaim(now, s)) {
+      Time& last = claimed_at_.try_emplace(s.id, fleet::kLongAgo).first->second;
+      if (now - last < settings_.lease / 3) continue;
+      last = now;
+      claim(now, s.id, {voter_.nextTerm(s.id), site_, *reason}, out);
+    } else if (held.site == site_ && !voter_.disputed(s.id) &&
+               (missing_votes_.contains(s.id) || !voter_.promised(s.id, held))) {
+      claim(now, s.id, held, out);
+    }
+  }
+  missing_votes_.clear();
+}
+
+void Member::repeatOverrides(Time now, Output& out) {
+  for (const Override& o : overrides_) claim(now, o.service, o.grant, out);
+  std::erase_if(overrides_, [&](const Override& o) {
+    return now >= o.until || voter_.nextTerm(o.service) > o.grant.term + 1;
+  });
+}
+
+// This member votes first, like any other voter; the others hear of the claim once its own promise is on
+// disk.
+void Member::claim(Time now, ServiceId service, const Grant& grant, Output& out) {
+  const Voter::Answer own = voter_.claim(now, {service, grant}, liveness_);
+  if (own.entry.yes && own.store) {
+    pending_votes_.add({{service, grant}, self_, 0, own.entry});
+    out.writes.push_back({service, grant});
+    return;
+  }
+  // An override is passed on by whoever was given it, also while a promise to another site binds this member.
+  if (!own.entry.yes && grant.reason != ClaimReason::Override) return;
+  broadcastClaim(service, grant, out);
+}
+
+void Member::broadcastClaim(ServiceId service, const Grant& grant, Output& out) const {
+  Message request = message(Kind::Claim, 0);
+  request.entries = {{service, grant}};
+  sendToOthers(request, out);
+}
+
+void Member::onClaim(Time now, Number from, const Message& request, Output& out) {
+  Message vote = message(Kind::Vote, request.round);
+  vote.digest = static_cast<std::uint32_t>(VoteForm::Listed);
+  for (const Entry& e : request.entries) {
+    // Whoever holds the service has to stop at once.
+    if (e.grant.reason == ClaimReason::Override) learn(now, e.service, e.grant, out);
+    const Voter::Answer answer = voter_.claim(now, e, liveness_);
+    if (!answer.entry.yes) checkClaim(now, from, e, request.config_hash, out);
+    if (!answer.entry.yes || !answer.store) {
+      vote.entries.push_back(answer.entry);
+    } else if (pending_votes_.add({{e.service, e.grant}, from, request.round, answer.entry})) {
+      out.writes.push_back({e.service, e.grant});
+    }
+  }
+  if (!vote.entries.empty()) send(from, vote, out);
+}
+
+void Member::onStored(Time now, const StoredGrant& stored, bool ok, Output& out) {
+  voter_.onStored(stored, ok);
+  const std::vector<PendingVotes::Vote> votes = pending_votes_.take(stored);
+  if (!ok) return;
+  bool own = false;
+  for (const PendingVotes::Vote& v : votes) {
+    own = own || v.to == self_;
+    if (v.to == self_) continue;
+    Message vote = message(Kind::Vote, v.round);
+    vote.digest = static_cast<std::uint32_t>(VoteForm::Listed);
+    vote.entries = {v.entry};
+    send(v.to, vote, out);
+  }
+  if (votes.empty()) return;
+  out.log_lines.push_back("deeds: " + nameOfService(stored.service) + " is promised, " +
+                          describe(stored.grant));
+  if (stored.grant.site != site_) invalidate(stored.service);
+  if (!own) return;
+  broadcastClaim(stored.service, stored.grant, out);
+  renew_at_ = std::min(renew_at_, now + kRenewSoon);
+  due_ = std::min(due_, renew_at_);
+}
+
+std::string Member::overrideOwner(Time now, ServiceId service, SiteId site, Output& out) {
+  const Grant held = voter_.known(service);
+  const Grant grant{voter_.nextTerm(service), site, ClaimReason::Override};
+  std::string overrides = "overrides " + std::to_string(voters_.size() - liveness_.live.size()) + " of " +
+                          std::to_string(voters_.size()) + " members, who are not heard";
+  if (held.term > 0) overrides += ", and the deed of term " + std::to_string(held.term);
+  // Repeated until the promises to the present owner have run out.
+  overrides_.push_back({service, grant, now + 3 * settings_.lease});
+  learn(now, service, grant, out);
+  claim(now, service, grant, out);
+  out.log_lines.push_back("deeds: decree on " + nameOfService(service) + ", " + describe(grant) + "; " +
+                          overrides);
+  return overrides;
+}
+
+}  // namespace quinceline::leases
--- a/src/leases/findings.cpp
+++ b/src/leases/conflicts.cpp
@@ -1,12 +1,12 @@
-#include "leases/findings.h"
+#include "leases/conflicts.h"
 
 #include <algorithm>
 #include <array>
 
 namespace quinceline::leases {
 
-const Remedy& remedyOf(Wrong kind) {
-  static constexpr std::array<Remedy, 7> kAll = {{
+const Resolution& resolutionOf(ConflictKind kind) {
+  static constexpr std::array<Resolution, 7> kAll = {{
       {"the claimant: its term is below one that was granted", "the newer deed",
        "the claimant takes the newer deed over"},
       {"the one with the higher number: it gives up that memory and starts without",
@@ -23,8 +23,8 @@
   return kAll[static_cast<std::size_t>(kind)];
 }
 
-bool Findings::note(Time now, Finding f) {
-  const auto same = std::find_if(all_.begin(), all_.end(), [&](const Finding& o) {
+bool ConflictLog::note(Time now, Conflict f) {
+  const auto same = std::find_if(all_.begin(), all_.end(), [&](const Conflict& o) {
     return o.kind == f.kind && o.service == f.service && o.claimant == f.claimant && o.claim == f.claim;
   });
   if (same != all_.end()) {
@@ -41,13 +41,13 @@
   return true;
 }
 
-void Findings::settle(Time now) {
-  for (Finding& f : all_) f.settled = f.settled || now - f.last >= kSettled;
+void ConflictLog::settle(Time now) {
+  for (Conflict& f : all_) f.settled = f.settled || now - f.last >= kSettled;
 }
 
-std::size_t Findings::count(Wrong kind) const {
+std::size_t ConflictLog::count(ConflictKind kind) const {
   return static_cast<std::size_t>(
-      std::count_if(all_.begin(), all_.end(), [&](const Finding& f) { return f.kind == kind; }));
+      std::count_if(all_.begin(), all_.end(), [&](const Conflict& f) { return f.kind == kind; }));
 }
 
 }  // namespace quinceline::leases
--- a/src/leases/include/leases/member.h
+++ b/src/leases/include/leases/member.h
@@ -1,5 +1,9 @@
-// One member's part in who owns what: messages and the time in; messages, what must be on disk first, and
-// lines for staff out. No I/O, no clock. docs/design-ownership.md says why it is so.
+// One member's part in service ownership: messages and the time in; messages, writes that have to be on disk
+// first, and log lines out. No I/O, no clock. Why it is safe: docs/design-ownership.md.
+//
+// The class is implemented by subject: member.cpp (timers, dispatch), synchronization.cpp (what others know),
+// renewal.cpp (leases of this site), claims.cpp (new grants), queries.cpp (leases of other sites),
+// conflict_detection.cpp.
 #pragma once
 
 #include <functional>
@@ -9,128 +13,144 @@
 #include <string>
 #include <vector>
 
-#include "leases/findings.h"
-#include "leases/keeper.h"
-#include "leases/permits.h"
+#include "leases/conflicts.h"
+#include "leases/lease_cache.h"
+#include "leases/lease_holder.h"
+#include "leases/pending_votes.h"
+#include "leases/state_sync.h"
 #include "leases/voter.h"
 #include "random/random.h"
 
 namespace quinceline::leases {
 
-struct Parcel {
+struct OutgoingMessage {
   Number to = 0;
   std::string bytes;
 };
 
-struct Out {
-  std::vector<Parcel> parcels;
-  std::vector<Kept> writes;        // each to be answered by Member::written()
-  std::vector<std::string> lines;  // for staff
-  bool renounce = false;           // this memory is another's too: a new one is to be begun
+struct Output {
+  std::vector<OutgoingMessage> messages;
+  std::vector<StoredGrant> writes;     // each to be answered by Member::onStored()
+  std::vector<std::string> log_lines;  // for operators
+  bool discard_storage = false;        // another member uses a copy of it: begin a new one
 };
 
 class Member {
  public:
-  // `self` is among `listed`. `seed`: for the times between tries.
-  Member(const Rules& rules, std::vector<Service> services, std::vector<Listed> listed, Number self,
+  // `self` is among `listed`, or std::invalid_argument is thrown. `seed`: for the times between tries.
+  Member(const Settings& settings, std::vector<Service> services, std::vector<Listed> listed, Number self,
          std::uint64_t seed);
 
-  // `installation`: whose memory this is; 0: there is none, and nothing is remembered.
-  void start(Time now, const std::vector<Kept>& remembered, std::uint32_t installation);
-  void look(Time now, Outlook outlook) { outlook_ = std::move(outlook), looked_ = now; }
-  void receive(Time now, Number from, std::string_view parcel, Out& out);
+  // `installation`: identifies the storage that `stored` comes from; 0: there is none.
+  void start(Time now, const std::vector<StoredGrant>& stored, std::uint32_t installation);
+  // What this member sees of the others, to be refreshed several times a second.
+  void observe(Time now, LivenessView liveness) { liveness_ = std::move(liveness), observed_at_ = now; }
+  void receive(Time now, Number from, std::string_view bytes, Output& out);
   // Wanted at due().
-  void onTime(Time now, Out& out);
+  void onTime(Time now, Output& out);
   Time due() const { return due_; }
-  void written(Time now, const Kept& kept, bool ok, Out& out);
-  // A host has turned a request away: it has seen this term.
-  void onHostTerm(Time now, ServiceId service, Term term, Out& out);
-  // An operator gives a service to a site, whoever holds it. What it overrides, or why it can't be.
-  std::string decree(Time now, ServiceId service, SiteId site, Out& out);
-
+  // A write has ended; `ok` is false if it is not on disk and never will be.
+  void onStored(Time now, const StoredGrant& stored, bool ok, Output& out);
+  // A host has turned a request away because it had seen this term.
+  void onHostTerm(Time now, ServiceId service, Term term, Output& out);
+  // An operator gives a service to a site, whoever holds it. Returns what that overrides.
+  std::string overrideOwner(Time now, ServiceId service, SiteId site, Output& out);
+
+  // Whether a request of the service may be sent now, and where. To be asked at each sending.
   Permit permit(ServiceId service, Time now) const;
-  // A majority has been heard, and what was promised before is over.
-  bool heard(Time now) const { return voter_.mayPromise(now); }
-  std::size_t heardOf() const { return informed_.count() + uninformed_.count(); }
+  // A majority has told what it knows, and promises from before the start have run out.
+  bool synchronized(Time now) const { return voter_.mayPromise(now); }
+  std::size_t synchronizedMembers() const { return state_sync_.count(); }
 
   const std::vector<Service>& services() const { return services_; }
-  const Electorate& electorate() const { return electorate_; }
-  const Outlook& outlook() const { return outlook_; }
-  Deed known(ServiceId service) const { return voter_.known(service); }
+  const VoterList& voters() const { return voters_; }
+  const LivenessView& liveness() const { return liveness_; }
+  Grant known(ServiceId service) const { return voter_.known(service); }
   bool disputed(ServiceId service) const { return voter_.disputed(service); }
-  const Holding* holding(ServiceId service) const { return keeper_.holding(service); }
-  const Findings& findings() const { return findings_; }
-  bool keeps() const;  // it speaks for its site
+  const Lease* lease(ServiceId service) const { return lease_holder_.lease(service); }
+  const ConflictLog& conflicts() const { return conflicts_; }
+  // This member asks for its site's promises.
+  bool isSiteLeader() const;
 
  private:
+  // member.cpp
   Message message(Kind kind, std::uint32_t round) const;
-  void send(Number to, const Message& m, Out& out) const;
-  void sendAll(const Message& m, Out& out) const;
-  void forOthers(const std::function<void(Number)>& what) const;
-
-  void hello(Time now, Out& out);
-  void inform(Time now, Out& out);
-  void renew(Time now, Out& out);
-  void claims(Time now, Out& out);
-  void ask(Time now, Out& out);
-  void publish();
-  std::optional<Ground> groundFor(Time now, const Service& service);
-  void claim(Time now, ServiceId service, const Deed& deed, Out& out);
-  void promise(Time now, Number to, std::uint32_t round, const Voter::Answer& answer, Message& vow, Out& out);
-
-  void onHello(Number from, const Message& m, Out& out);
-  void onKnown(Time now, Number from, const Message& m, Out& out);
-  void onRenew(Time now, Number from, const Message& m, Out& out);
-  void onClaim(Time now, Number from, const Message& m, Out& out);
-  void onVow(Time now, Number from, const Message& m, Out& out);
-  void onAsk(Time now, Number from, const Message& m, Out& out);
-  void onTold(Time now, const Message& m, Out& out);
-  void learn(Time now, ServiceId service, const Deed& deed, Out& out);
-  void judgeClaim(Time now, Number from, const Entry& e, std::uint32_t file, Out& out);
-  void find(Time now, const Finding& finding, Out& out);
-  void watchMemory(Time now, Number from, std::uint32_t installation, Out& out);
-  std::string named(ServiceId service) const;
-
-  const Rules rules_;
+  void send(Number to, const Message& message, Output& out) const;
+  void sendParts(Number to, const Message& message, Output& out) const;
+  void sendToOthers(const Message& message, Output& out) const;
+  void forOthers(const std::function<void(Number)>& visit) const;
+  std::string nameOfService(ServiceId service) const;
+  // Nothing is sent under a lease of this service until a newer one is known.
+  void invalidate(ServiceId service);
+
+  // synchronization.cpp
+  void requestSync(Time now, Output& out);
+  void onSyncRequest(Number from, const Message& request, Output& out);
+  void onSyncReply(Time now, Number from, const Message& reply, Output& out);
+  void synchronize(Time now, Output& out);
+  void learn(Time now, ServiceId service, const Grant& grant, Output& out);
+  void onDispute(Time now, ServiceId service, const Grant& before, const Grant& grant, Output& out);
+
+  // renewal.cpp
+  void renew(Time now, Output& out);
+  void onRenew(Time now, Number from, const Message& request, Output& out);
+  void onVote(Time now, Number from, const Message& vote, Output& out);
+  void sendGrantList(Number to, std::uint32_t round, Output& out) const;
+  void onRefusal(Time now, std::uint32_t round, const Entry& entry, const Grant& mine, Output& out);
+
+  // claims.cpp
+  void claimServices(Time now, Output& out);
+  void repeatOverrides(Time now, Output& out);
+  std::optional<ClaimReason> reasonToClaim(Time now, const Service& service);
+  void claim(Time now, ServiceId service, const Grant& grant, Output& out);
+  void broadcastClaim(ServiceId service, const Grant& grant, Output& out) const;
+  void onClaim(Time now, Number from, const Message& request, Output& out);
+
+  // queries.cpp
+  void queryLeases(Time now, Output& out);
+  void onLeaseQuery(Time now, Number from, const Message& query, Output& out);
+  void onLeaseReply(Time now, const Message& reply, Output& out);
+  void publishOwnLeases();
+
+  // conflict_detection.cpp
+  void checkInstallation(Time now, Number from, std::uint32_t installation, Output& out);
+  void checkClaim(Time now, Number from, const Entry& entry, std::uint32_t config_hash, Output& out);
+  void report(Time now, const Conflict& conflict, Output& out);
+
+  static constexpr Time kClaimInterval = 300 * fleet::kMillisecond;
+
+  const Settings settings_;
   const std::vector<Service> services_;
-  const Electorate electorate_;
+  const VoterList voters_;
   const Number self_;
   const SiteId site_;
   weldflow::Random random_;
   Voter voter_;
-  Keeper keeper_;
-  Permits permits_;
-  Findings findings_;
-  Outlook outlook_;
-  Time looked_ = fleet::kLongAgo;
+  LeaseHolder lease_holder_;
+  LeaseCache lease_cache_;
+  StateSync state_sync_;
+  PendingVotes pending_votes_;
+  ConflictLog conflicts_;
+  LivenessView liveness_;
+  Time observed_at_ = fleet::kLongAgo;
   std::uint32_t installation_ = 0;
-  bool remembers_ = false;  // something from before this process
-
-  // Who has told all that it knows, since the start.
-  std::uint32_t hello_ = 0;
-  std::map<Number, std::set<ServiceId>> heard_;
-  Votes informed_, uninformed_;
-  bool anything_ = false;  // any of them knows of any deed
+  bool has_storage_ = false;  // grants from before this process
 
-  std::map<Number, std::uint32_t> installations_;
+  std::map<Number, std::uint32_t> installations_;  // of other members
   std::map<SiteId, Time> gone_since_;
   std::map<ServiceId, Time> claimed_at_;
-  struct Waiting {  // a vow that waits for the disk
-    Kept kept;
-    Number to;
-    std::uint32_t round;
-    Entry entry;
-  };
-  std::vector<Waiting> waiting_;
-  struct Decreed {  // told again until its site's keeper has it
+  struct Override {  // repeated until the leader of its site has it
     ServiceId service;
-    Deed deed;
+    Grant grant;
     Time until;
   };
-  std::vector<Decreed> decreed_;
-  std::map<ServiceId, Term> disputes_told_;
-  std::set<ServiceId> missed_;  // by some member, in the last round
-  Time hello_at_ = 0, renew_at_ = 0, claim_at_ = 0, ask_at_ = 0, due_ = fleet::kNever;
+  std::vector<Override> overrides_;
+  std::map<ServiceId, Term> disputes_broadcast_;
+  std::set<ServiceId> missing_votes_;  // some member had not promised them in the last round
+  Time sync_at_ = 0, renew_at_ = 0, claim_at_ = 0, query_at_ = 0, due_ = fleet::kNever;
 };
 
+// "term 5 (home)", for log lines.
+std::string describe(const Grant& grant);
+
 }  // namespace quinceline::leases
--- a/src/leases/include/leases/voter.h
+++ b/src/leases/include/leases/voter.h
@@ -1,79 +1,80 @@
-// What one member has promised, and what it may promise next. No I/O, no clock.
+// A member as a voter: what it has promised, and what it may promise next. No I/O, no clock.
 #pragma once
 
 #include <map>
 #include <optional>
 #include <vector>
 
-#include "leases/electorate.h"
+#include "leases/voters.h"
 #include "leases/wire.h"
 
 namespace quinceline::leases {
 
 class Voter {
  public:
-  Voter(const Rules& rules, const Electorate& electorate, const std::vector<Service>& services)
-      : rules_(rules), electorate_(electorate), services_(services) {}
+  Voter(const Settings& settings, const VoterList& voters, const std::vector<Service>& services)
+      : settings_(settings), voters_(voters), services_(services) {}
 
-  // What this process goes on with. It may have promised a moment before it ended, so it is bound by all of
-  // it for a lease; and what it promises anew waits until it has heard what a majority knows: its memory may
-  // be an older copy, another's, or gone.
-  void start(Time now, const std::vector<Kept>& remembered);
-  // A majority of the others has been heard. What this member remembers promising, and none of them has ever
-  // heard of, was never granted to anybody: it is taken back. Which those are.
-  std::vector<Kept> inform(Time now);
-  bool mayPromise(Time now) const { return informed_at_.has_value() && now >= quarantined_until_; }
+  // `stored`: promises from disk. The process before may have made them a moment ago, so all of them bind for
+  // a full promise duration. New promises wait until synchronize(), since this storage may be an older copy,
+  // another member's, or lost.
+  void start(Time now, const std::vector<StoredGrant>& stored);
+  // A majority of the others has told what it knows. A promise of which none of them has ever heard was never
+  // granted to anybody and is retracted. Returns those.
+  std::vector<StoredGrant> synchronize(Time now);
+  bool mayPromise(Time now) const { return synchronized_at_.has_value() && now >= quarantined_until_; }
 
-  // Somebody says that there is such a deed. True: it is higher than what was known.
-  bool learn(ServiceId service, const Deed& deed);
-  // What this member remembers promising nobody has ever heard of: it takes it back, but for the term.
-  void disown(ServiceId service);
-  // The hosts have seen this term.
-  void raise(ServiceId service, Term term);
-  // The highest of what was promised and heard of; term 0: nothing.
-  Deed known(ServiceId service) const;
-  // No claim may have a term below.
+  // Another member says that this grant exists. True if it is newer than what was known.
+  bool learn(ServiceId service, const Grant& grant);
+  // Takes back a promise that nobody has heard of. Its term is not used again.
+  void retract(ServiceId service);
+  // Hosts have seen this term: claims have to be above it.
+  void raiseTermFloor(ServiceId service, Term term);
+  // The newest grant that was promised or heard of; term 0 if there is none.
+  Grant known(ServiceId service) const;
+  // The lowest term that a new claim may have.
   Term nextTerm(ServiceId service) const;
-  // Two deeds of the highest known term are there.
+  // Two different grants of the newest known term exist.
   bool disputed(ServiceId service) const;
-  std::vector<Kept> allKnown() const;
-  // Durable promises to a site that nothing newer is known of.
-  std::vector<Kept> promisedTo(SiteId site) const;
-  bool promised(ServiceId service, const Deed& deed) const;
+  std::vector<StoredGrant> allKnown() const;
+  // Durable promises to a site, but for those that a newer grant has overtaken.
+  std::vector<StoredGrant> promisesTo(SiteId site) const;
+  bool promised(ServiceId service, const Grant& grant) const;
 
   struct Answer {
     Entry entry;
-    bool write = false;  // it has to be on disk before it is said
+    bool store = false;  // has to be on disk before it is sent
   };
-  // Bound anew to a deed that was promised already.
-  Answer renew(Time now, const Entry& asked, const Outlook& outlook);
-  Answer claim(Time now, const Entry& asked, const Outlook& outlook);
-  // `ok`: it is on disk now. Else it was not promised.
-  void written(const Kept& kept, bool ok);
+  // Extends a promise that was made already.
+  Answer renew(Time now, const Entry& asked, const LivenessView& liveness);
+  // Promises a new grant, if nothing stands against it.
+  Answer claim(Time now, const Entry& asked, const LivenessView& liveness);
+  // The promise is on disk, or (`ok` is false) never will be: then it was not made.
+  void onStored(const StoredGrant& stored, bool ok);
 
  private:
   struct Promise {
-    Deed deed;
+    Grant grant;
     bool durable = false;
-    Time until = fleet::kLongAgo;  // bound
+    Time binds_until = fleet::kLongAgo;
   };
   struct Heard {
-    Deed deed;
+    Grant grant;
     bool disputed = false;
-    Term floor = 0;  // of the hosts
-    Term best = 0;   // that others know of
+    Term floor = 0;  // seen by hosts
+    Term best = 0;   // the newest that other members know of
   };
-  const Service* serviceOf(ServiceId id) const;
-  Answer no(Time now, const Entry& asked) const;
-  bool grounded(Time now, const Entry& asked, const Outlook& outlook) const;
+  const Service* findService(ServiceId id) const;
+  Answer refusal(Time now, const Entry& asked) const;
+  bool isJustified(Time now, const Entry& asked, const LivenessView& liveness) const;
 
-  const Rules& rules_;
-  const Electorate& electorate_;
+  const Settings& settings_;
+  const VoterList& voters_;
   const std::vector<Service>& services_;
   std::map<ServiceId, Promise> promises_;
   std::map<ServiceId, Heard> heard_;
   Time quarantined_until_ = 0;
-  std::optional<Time> informed_at_;
+  std::optional<Time> synchronized_at_;
 };
 
 }  // namespace quinceline::leases
--- a/src/leases/include/leases/electorate.h
+++ b/src/leases/include/leases/voters.h
@@ -1,4 +1,4 @@
-// The listed members, and when so many of them have said a thing that it is ruled. No I/O, no clock.
+// The listed members as voters, and when enough of them agree. No I/O, no clock.
 #pragma once
 
 #include <algorithm>
@@ -11,16 +11,16 @@
 
 namespace quinceline::leases {
 
-// What a member sees of the others just now.
-struct Outlook {
-  std::vector<Number> live;  // by number; itself among them
-  std::vector<SiteId> lost;  // whose hosts answer nobody
+// What a member sees of the others at the moment.
+struct LivenessView {
+  std::vector<Number> live;  // by number, with the member itself
+  std::vector<SiteId> lost;  // sites whose hosts answer nobody
   bool isLost(SiteId site) const { return std::find(lost.begin(), lost.end(), site) != lost.end(); }
 };
 
-class Electorate {
+class VoterList {
  public:
-  explicit Electorate(std::vector<Listed> members) : members_(std::move(members)) {
+  explicit VoterList(std::vector<Listed> members) : members_(std::move(members)) {
     std::sort(members_.begin(), members_.end(), [](auto& a, auto& b) { return a.number < b.number; });
     for (const Listed& m : members_) {
       if (std::find(sites_.begin(), sites_.end(), m.site) == sites_.end()) sites_.push_back(m.site);
@@ -38,18 +38,18 @@
   }
   SiteId siteOf(Number number) const {
     const auto at = find(number);
-    return at ? members_[*at].site : kNowhere;
+    return at ? members_[*at].site : kNoSite;
   }
-  // Who speaks for a site: its live member with the lowest number. Nothing: none is live.
-  std::optional<Number> keeperOf(SiteId site, const Outlook& outlook) const {
-    for (const Number n : outlook.live) {
+  // A site's leader: its live member with the lowest number. Nothing if none is live.
+  std::optional<Number> leaderOf(SiteId site, const LivenessView& liveness) const {
+    for (const Number n : liveness.live) {
       if (siteOf(n) == site) return n;
     }
     return std::nullopt;
   }
-  // Nothing of it serves: none of its members is live, or its hosts are silent to all.
-  bool gone(SiteId site, const Outlook& outlook) const {
-    return outlook.isLost(site) || !keeperOf(site, outlook);
+  // The site can serve nothing: none of its members is live, or its hosts are lost.
+  bool isGone(SiteId site, const LivenessView& liveness) const {
+    return liveness.isLost(site) || !leaderOf(site, liveness);
   }
 
  private:
@@ -57,32 +57,32 @@
   std::vector<SiteId> sites_;
 };
 
-// Members that have said the same thing.
-class Votes {
+// Members that have voted for the same thing, each counted once.
+class VoteSet {
  public:
-  void add(const Electorate& electorate, Number number) {
-    const auto at = electorate.find(number);
+  void add(const VoterList& voters, Number number) {
+    const auto at = voters.find(number);
     if (!at) return;
-    from_.resize(electorate.size());
+    from_.resize(voters.size());
     if (from_[*at]) return;
     from_[*at] = true;
     ++count_;
-    const SiteId site = electorate.members()[*at].site;
+    const SiteId site = voters.members()[*at].site;
     if (std::find(sites_.begin(), sites_.end(), site) == sites_.end()) sites_.push_back(site);
   }
-  void add(const Electorate& electorate, const Votes& others) {
+  void add(const VoterList& voters, const VoteSet& others) {
     for (std::size_t at = 0; at < others.from_.size(); ++at) {
-      if (others.from_[at]) add(electorate, electorate.members()[at].number);
+      if (others.from_[at]) add(voters, voters.members()[at].number);
     }
   }
-  bool has(const Electorate& electorate, Number number) const {
-    const auto at = electorate.find(number);
+  bool has(const VoterList& voters, Number number) const {
+    const auto at = voters.find(number);
     return at && *at < from_.size() && from_[*at];
   }
   std::size_t count() const { return count_; }
-  // A majority of the listed ones, from two sites where there are two.
-  bool rules(const Electorate& electorate) const {
-    return count_ >= electorate.majority() && sites_.size() >= std::min<std::size_t>(2, electorate.sites());
+  // A majority of the listed members, from at least two sites where there are two.
+  bool isQuorum(const VoterList& voters) const {
+    return count_ >= voters.majority() && sites_.size() >= std::min<std::size_t>(2, voters.sites());
   }
 
  private:
--- /dev/null
+++ b/src/leases/state_sync.cpp
@@ -0,0 +1,28 @@
+#include "leases/state_sync.h"
+
+#include <algorithm>
+
+namespace quinceline::leases {
+
+void StateSync::restart(bool has_storage) {
+  ++round_;
+  told_.clear();
+  synchronized_ = unsynchronized_ = {};
+  any_grant_ = has_storage;
+}
+
+bool StateSync::onReply(Number from, const Message& message) {
+  std::set<ServiceId>& told = told_[from];
+  for (const Entry& e : message.entries) {
+    told.insert(e.service);
+    any_grant_ = any_grant_ || e.grant.term > 0;
+  }
+  if (told.size() < message.digest) return false;
+  (message.synchronized ? synchronized_ : unsynchronized_).add(voters_, from);
+  VoteSet counted = synchronized_;
+  if (!any_grant_) counted.add(voters_, unsynchronized_);
+  // This member's own storage is among those that may be wrong: it does not count.
+  return counted.count() >= std::min(voters_.majority(), voters_.size() - 1);
+}
+
+}  // namespace quinceline::leases
--- a/src/leases/wire.cpp
+++ b/src/leases/wire.cpp
@@ -9,35 +9,35 @@
 namespace quinceline::leases {
 namespace {
 
-constexpr std::uint8_t kYes = 0x80, kUnknown = 0x40, kGround = 0x0F;
+constexpr std::uint8_t kYes = 0x80, kUnknown = 0x40, kReasonMask = 0x0F;
 
 }  // namespace
 
 ServiceId serviceId(std::string_view name) { return weldflow::fnv32(name); }
 
 SiteId siteId(std::string_view zone) {
-  if (zone.empty()) return kNowhere;
+  if (zone.empty()) return kNoSite;
   const SiteId id = weldflow::folded(weldflow::fnv32(zone));
-  return id == kNowhere ? 1 : id;
+  return id == kNoSite ? 1 : id;
 }
 
 std::string encode(const Message& m) {
   using fleet::put;
   std::string out;
-  put(out, static_cast<std::uint8_t>(static_cast<unsigned>(m.kind) | (m.informed ? kYes : 0U)));
+  put(out, static_cast<std::uint8_t>(static_cast<unsigned>(m.kind) | (m.synchronized ? kYes : 0U)));
   put(out, m.round);
   put(out, m.installation);
-  put(out, m.file);
+  put(out, m.config_hash);
   put(out, m.digest);
   put(out, m.site);
   for (const Entry& e : m.entries) {
     put(out, e.service);
-    put(out, e.deed.term);
-    put(out, e.deed.site);
-    put(out, static_cast<std::uint8_t>(static_cast<unsigned>(e.deed.ground) | (e.yes ? kYes : 0U) |
+    put(out, e.grant.term);
+    put(out, e.grant.site);
+    put(out, static_cast<std::uint8_t>(static_cast<unsigned>(e.grant.reason) | (e.yes ? kYes : 0U) |
                                        (e.unknown ? kUnknown : 0U)));
-    put(out, e.first);
-    put(out, e.second);
+    put(out, e.valid_ms);
+    put(out, e.wait_ms);
   }
   return out;
 }
@@ -46,27 +46,29 @@
   fleet::Reader in(bytes);
   Message m;
   const auto first = in.get<std::uint8_t>();
-  const std::uint8_t kind = first & kGround;
-  if (kind < static_cast<std::uint8_t>(Kind::Hello) || kind > static_cast<std::uint8_t>(Kind::Told))
+  const std::uint8_t kind = first & kReasonMask;
+  if (kind < static_cast<std::uint8_t>(Kind::SyncRequest) ||
+      kind > static_cast<std::uint8_t>(Kind::LeaseReply))
     return std::nullopt;
   m.kind = static_cast<Kind>(kind);
-  m.informed = (first & kYes) != 0;
+  m.synchronized = (first & kYes) != 0;
   m.round = in.get<std::uint32_t>();
   m.installation = in.get<std::uint32_t>();
-  m.file = in.get<std::uint32_t>();
+  m.config_hash = in.get<std::uint32_t>();
   m.digest = in.get<std::uint32_t>();
   m.site = in.get<SiteId>();
   if (!in.ok()) return std::nullopt;
   while (in.left() > 0) {
     Entry e;
     e.service = in.get<ServiceId>();
-    e.deed.term = in.get<Term>();
-    e.deed.site = in.get<SiteId>();
+    e.grant.term = in.get<Term>();
+    e.grant.site = in.get<SiteId>();
     const auto flags = in.get<std::uint8_t>();
-    e.first = in.get<std::uint16_t>();
-    e.second = in.get<std::uint16_t>();
-    if (!in.ok() || (flags & kGround) > static_cast<std::uint8_t>(Ground::Decree)) return std::nullopt;
-    e.deed.ground = static_cast<Ground>(flags & kGround);
+    e.valid_ms = in.get<std::uint16_t>();
+    e.wait_ms = in.get<std::uint16_t>();
+    if (!in.ok() || (flags & kReasonMask) > static_cast<std::uint8_t>(ClaimReason::Override))
+      return std::nullopt;
+    e.grant.reason = static_cast<ClaimReason>(flags & kReasonMask);
     e.yes = (flags & kYes) != 0;
     e.unknown = (flags & kUnknown) != 0;
     m.entries.push_back(e);
@@ -89,11 +91,11 @@
   return parts;
 }
 
-std::uint32_t digestOf(const std::vector<Kept>& deeds) {
-  std::uint64_t all = deeds.size();
-  for (const Kept& k : deeds) {
-    const std::uint64_t one = std::uint64_t{k.service} << 32 | k.deed.term;
-    all += weldflow::Random(one ^ std::uint64_t{k.deed.site} << 16).next();
+std::uint32_t digestOf(const std::vector<StoredGrant>& grants) {
+  std::uint64_t all = grants.size();
+  for (const StoredGrant& k : grants) {
+    const std::uint64_t one = std::uint64_t{k.service} << 32 | k.grant.term;
+    all += weldflow::Random(one ^ std::uint64_t{k.grant.site} << 16).next();
   }
   return static_cast<std::uint32_t>(all ^ (all >> 32));
 }
--- a/src/ownership/include/ownership/ownership_service.h
+++ b/src/ownership/include/ownership/ownership_service.h
@@ -65,9 +65,9 @@
 
  private:
   void look();
-  void carryOut(leases::Out& out);
+  void carryOut(leases::Output& out);
   void wake();
-  void remember(const leases::Kept& kept);
+  void remember(const leases::StoredGrant& kept);
   recovery::Facts facts() const;
   std::string zoneOf(leases::SiteId site) const;
 
@@ -78,7 +78,7 @@
   const std::function<bool()> listed_;
   const Services services_;
   std::map<leases::SiteId, std::string> zones_;
-  leases::Rules rules_;
+  leases::Settings lease_settings_;
   std::unique_ptr<storage::AsyncStore> keep_;  // null: no memory
   std::unique_ptr<leases::Member> member_;
   std::unique_ptr<Rehearsing> rehearsing_;
--- a/src/ownership/include/ownership/rehearsing.h
+++ b/src/ownership/include/ownership/rehearsing.h
@@ -25,7 +25,7 @@
  public:
   using Number = std::uint16_t;
   struct World {
-    std::function<leases::Deed(leases::ServiceId)> known;
+    std::function<leases::Grant(leases::ServiceId)> known;
     std::function<std::string(leases::SiteId)> zone_of;
     std::function<ServiceSettings()> pending;  // throws std::exception: it can't be read
     std::function<std::vector<Number>()> live;
--- a/src/ownership/ownership_service.cpp
+++ b/src/ownership/ownership_service.cpp
@@ -40,9 +40,9 @@
       recovery_(std::max(settings_.longest_deadline, 2 * settings_.longest_window)),
       look_timer_(io),
       due_timer_(io) {
-  rules_.lease = settings_.own.lease;
-  rules_.owed = settings_.longest_deadline + settings_.longest_window;
-  rules_.file = services_.hash();
+  lease_settings_.lease = settings_.own.lease;
+  lease_settings_.drain = settings_.longest_deadline + settings_.longest_window;
+  lease_settings_.config_hash = services_.hash();
   std::vector<leases::Listed> listed_members;
   for (const fleet_transport::Neighbours::Member& m : talk_.members()) {
     const leases::SiteId site = leases::siteId(m.zone);
@@ -56,8 +56,8 @@
   }
   std::random_device random;
   try {
-    member_ = std::make_unique<leases::Member>(rules_, services_.deeds(), listed_members, settings_.number,
-                                               random());
+    member_ = std::make_unique<leases::Member>(lease_settings_, services_.deeds(), listed_members,
+                                               settings_.number, random());
   } catch (const std::invalid_argument& e) {
     throw std::runtime_error(std::string("services: ") + e.what());
   }
@@ -66,17 +66,17 @@
   world.zone_of = [this](leases::SiteId site) { return zoneOf(site); };
   world.pending = settings_.pending;
   world.rooms = settings_.rooms;
-  world.live = [this] { return member_->outlook().live; };
+  world.live = [this] { return member_->liveness().live; };
   world.send = [this](std::uint16_t to, std::string bytes) { talk_.send(to, std::move(bytes)); };
   rehearsing_ =
       std::make_unique<Rehearsing>(services_, settings_.own.services, settings_.number, std::move(world));
   if (settings_.own.memory.empty()) return;
   storage::AsyncStore::Words words;
   words.written = [this](const storage::Change& change, bool ok) {
-    const auto* const kept = std::get_if<leases::Kept>(&change);
+    const auto* const kept = std::get_if<leases::StoredGrant>(&change);
     if (kept == nullptr) return;
-    leases::Out out;
-    member_->written(clock_.now(), *kept, ok, out);
+    leases::Output out;
+    member_->onStored(clock_.now(), *kept, ok, out);
     carryOut(out);
   };
   words.troubled = [this](const std::string& fault) {
@@ -96,7 +96,7 @@
   const Time now = clock_.now();
   started_ = now;
   recovery::Before before = recovery::Before::Unknown;
-  std::vector<leases::Kept> remembered;
+  std::vector<leases::StoredGrant> remembered;
   std::uint32_t installation = 0;
   if (keep_ && keep_->memory()) {
     const storage::Memory& m = *keep_->memory();
@@ -104,7 +104,7 @@
     for (const storage::Note& n : m.notes) {
       if (n.name == kRunning && n.bytes == "1") before = recovery::Before::CutShort;
     }
-    remembered = m.deeds;
+    remembered = m.grants;
     installation = m.installation;
     keep_->write(storage::Note{kRunning, "1"});
     log_.line("memory: " + std::to_string(remembered.size()) + " deeds remembered; the process before: " +
@@ -115,7 +115,7 @@
   talk_.onParcel([this](std::uint16_t from, std::string_view bytes) {
     if (silent_) return;
     if (Rehearsing::isMine(bytes)) return rehearsing_->receive(clock_.now(), from, bytes);
-    leases::Out out;
+    leases::Output out;
     member_->receive(clock_.now(), from, bytes, out);
     carryOut(out);
   });
@@ -143,7 +143,7 @@
 
 ServiceGate::Leave OwnershipService::leave(Service service) const {
   const leases::Permit p = member_->permit(service, clock_.now());
-  if (!p.ok()) return {false, {}, 0, p.wait > 0 ? p.wait : rules_.ask_every};
+  if (!p.ok()) return {false, {}, 0, p.wait > 0 ? p.wait : lease_settings_.query_interval};
   return {true, zoneOf(p.site), p.term, 0};
 }
 
@@ -152,7 +152,7 @@
 }
 
 void OwnershipService::turnedAway(Service service, std::uint32_t term) {
-  leases::Out out;
+  leases::Output out;
   member_->onHostTerm(clock_.now(), service, term, out);
   carryOut(out);
 }
@@ -165,12 +165,12 @@
 // ---- time, words, disk ----
 
 void OwnershipService::look() {
-  leases::Outlook outlook;
+  leases::LivenessView outlook;
   for (const fleet_transport::Neighbours::Member& m : talk_.members()) {
     if (m.live || m.number == settings_.number) outlook.live.push_back(m.number);
   }
   for (const std::string& zone : talk_.lostZones()) outlook.lost.push_back(leases::siteId(zone));
-  member_->look(clock_.now(), std::move(outlook));
+  member_->observe(clock_.now(), std::move(outlook));
   const recovery::Stage stage = recovery_.stage(clock_.now(), facts());
   if (std::exchange(stage_, stage) != stage) log_.line("recovery: " + std::string(recovery::nameOf(stage)));
   if (keep_) {
@@ -198,27 +198,27 @@
     if (ec) return;
     armed_for_ = kNever;
     if (silent_) return;
-    leases::Out out;
+    leases::Output out;
     member_->onTime(clock_.now(), out);
     carryOut(out);
   });
 }
 
-void OwnershipService::remember(const leases::Kept& kept) {
-  leases::Out out;
+void OwnershipService::remember(const leases::StoredGrant& kept) {
+  leases::Output out;
   if (!keep_) {
-    member_->written(clock_.now(), kept, true, out);  // there is no memory: it lasts as long as this process
+    member_->onStored(clock_.now(), kept, true, out);  // there is no memory: it lasts as long as this process
   } else if (!keep_->write(kept)) {
-    member_->written(clock_.now(), kept, false, out);
+    member_->onStored(clock_.now(), kept, false, out);
   }
-  if (!out.parcels.empty() || !out.lines.empty() || !out.writes.empty()) carryOut(out);
+  if (!out.messages.empty() || !out.log_lines.empty() || !out.writes.empty()) carryOut(out);
 }
 
-void OwnershipService::carryOut(leases::Out& out) {
-  for (const leases::Parcel& p : out.parcels) talk_.send(p.to, p.bytes);
-  for (const std::string& line : out.lines) log_.line(line);
-  if (out.renounce && keep_) keep_->renounce();
-  for (const leases::Kept& k : out.writes) remember(k);
+void OwnershipService::carryOut(leases::Output& out) {
+  for (const leases::OutgoingMessage& p : out.messages) talk_.send(p.to, p.bytes);
+  for (const std::string& line : out.log_lines) log_.line(line);
+  if (out.discard_storage && keep_) keep_->renounce();
+  for (const leases::StoredGrant& k : out.writes) remember(k);
   wake();
 }
 
@@ -228,9 +228,9 @@
   const Time now = clock_.now();
   recovery::Facts f;
   f.listed = listed_();
-  f.heard = member_->heard(now);
-  f.heard_of = member_->heardOf();
-  f.majority = member_->electorate().majority();
+  f.heard = member_->synchronized(now);
+  f.heard_of = member_->synchronizedMembers();
+  f.majority = member_->voters().majority();
   for (const ServiceSetting& s : settings_.own.services) {
     double worth = 0;
     for (const ServiceRoute& r : s.routes) {
@@ -246,31 +246,31 @@
   const Time now = clock_.now();
   ordered_json services = ordered_json::array();
   for (const leases::Service& s : services_.deeds()) {
-    const leases::Deed known = member_->known(s.id);
+    const leases::Grant known = member_->known(s.id);
     const leases::Permit p = member_->permit(s.id, now);
     ordered_json one = {{"service", s.name},
                         {"home", zoneOf(s.home)},
                         {"stand_by", zoneOf(s.stand_by)},
                         {"owner", zoneOf(known.site)},
                         {"term", known.term},
-                        {"ground", known.term == 0 ? "" : std::string(leases::nameOf(known.ground))},
-                        {"sent", leases::nameOf(p.bar)},
+                        {"ground", known.term == 0 ? "" : std::string(leases::nameOf(known.reason))},
+                        {"sent", leases::nameOf(p.denial)},
                         {"disputed", member_->disputed(s.id)}};
     if (p.wait > 0) one["wait_s"] = seconds(p.wait);
-    if (const leases::Holding* const h = member_->holding(s.id)) {
-      one["held_here"] = {{"confirmed", h->confirmed},
-                          {"for_s", seconds(std::max<Time>(0, h->until - now))},
-                          {"ready", h->ready}};
+    if (const leases::Lease* const lease = member_->lease(s.id)) {
+      one["held_here"] = {{"confirmed", lease->confirmed},
+                          {"for_s", seconds(std::max<Time>(0, lease->expires_at - now))},
+                          {"ready", lease->ready}};
     }
     services.push_back(std::move(one));
   }
   ordered_json wrong = ordered_json::array();
-  for (const leases::Finding& f : member_->findings().all()) {
-    const leases::Remedy& r = leases::remedyOf(f.kind);
+  for (const leases::Conflict& f : member_->conflicts().all()) {
+    const leases::Resolution& r = leases::resolutionOf(f.kind);
     std::string service;
     for (const leases::Service& s : services_.deeds()) service = s.id == f.service ? s.name : service;
     ordered_json one = {{"kind", leases::nameOf(f.kind)}, {"service", service}, {"claimant", f.claimant}};
-    if (f.kind == leases::Wrong::Copied) one["same_as"] = f.other;
+    if (f.kind == leases::ConflictKind::CopiedStorage) one["same_as"] = f.other;
     if (f.claim.term > 0) {
       one["claimed"] = {{"zone", zoneOf(f.claim.site)}, {"term", f.claim.term}};
       one["known"] = {{"zone", zoneOf(f.against.site)}, {"term", f.against.term}};
@@ -284,9 +284,9 @@
     wrong.push_back(std::move(one));
   }
   return dumped({{"member", settings_.number},
-                 {"keeps", member_->keeps()},
-                 {"lease_s", seconds(rules_.lease)},
-                 {"owed_s", seconds(rules_.owes())},
+                 {"keeps", member_->isSiteLeader()},
+                 {"lease_s", seconds(lease_settings_.lease)},
+                 {"owed_s", seconds(lease_settings_.drainTime())},
                  {"services", services},
                  {"wrong_claims", wrong}});
 }
@@ -319,8 +319,8 @@
   if (std::none_of(all.begin(), all.end(), [&](const leases::Service& s) { return s.id == id; }) ||
       !zones_.contains(site))
     return false;
-  leases::Out out;
-  said = member_->decree(clock_.now(), id, site, out);
+  leases::Output out;
+  said = member_->overrideOwner(clock_.now(), id, site, out);
   carryOut(out);
   return true;
 }
--- a/src/ownership/rehearsing.cpp
+++ b/src/ownership/rehearsing.cpp
@@ -118,7 +118,7 @@
   }
 }
 
-// The deed that holds stays with its service, unless the file gives it another home.
+// The grant that holds stays with its service, unless the file gives it another home.
 Tally Rehearsing::replay(const Pending& pending, Time now) const {
   const auto side = [&](const Services& services, const std::vector<ServiceSetting>& settings) {
     rehearsal::Side s;
@@ -126,7 +126,7 @@
     for (const ServiceSetting& v : settings) {
       const auto before =
           std::find_if(settings_.begin(), settings_.end(), [&](auto& o) { return o.name == v.name; });
-      const leases::Deed held = world_.known(leases::serviceId(v.name));
+      const leases::Grant held = world_.known(leases::serviceId(v.name));
       const bool stays = held.term > 0 && before != settings_.end() && before->home == v.home;
       zones.push_back(stays ? world_.zone_of(held.site) : v.home);
       for (const ServiceRoute& r : v.routes) s.routes.push_back(v.name + "/" + r.name);
@@ -154,7 +154,7 @@
   g.pending = pending_;
   std::uint32_t deeds = 0, members = 0;
   for (const leases::Service& s : now_.deeds()) {
-    const leases::Deed d = world_.known(s.id);
+    const leases::Grant d = world_.known(s.id);
     deeds ^= leases::serviceId(s.name + "/" + std::to_string(d.term) + "/" + std::to_string(d.site));
   }
   for (const Number n : world_.live()) members ^= leases::serviceId("member " + std::to_string(n));
--- a/src/recovery/include/recovery/recovery.h
+++ b/src/recovery/include/recovery/recovery.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-#include "leases/permits.h"
+#include "leases/lease_cache.h"
 #include "weldflow/balancer.h"
 
 namespace quinceline::recovery {
--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -45,13 +45,13 @@
   for (const Facts::Service& s : f.services) order.push_back(&s);
   std::stable_sort(order.begin(), order.end(), [](auto* a, auto* b) { return a->worth > b->worth; });
   for (const Facts::Service* s : order) {
-    switch (s->permit.bar) {
-      case leases::Bar::None:
+    switch (s->permit.denial) {
+      case leases::Denial::None:
         break;
-      case leases::Bar::Owed:
+      case leases::Denial::Draining:
         all.push_back({s->name, "the end of what the owner before may have under way", s->permit.wait});
         break;
-      case leases::Bar::Unproven:
+      case leases::Denial::LeaseExpired:
         all.push_back({s->name, "its owner's word that a majority has promised it anew"});
         break;
       default:
--- a/src/storage/include/storage/store.h
+++ b/src/storage/include/storage/store.h
@@ -20,12 +20,12 @@
 struct Note {  // under a name, in place of what was there
   std::string name, bytes;
 };
-using Change = std::variant<leases::Kept, Note>;
+using Change = std::variant<leases::StoredGrant, Note>;
 
 struct Memory {
   std::uint32_t installation = 0;  // drawn when the memory was begun; never 0
   bool fresh = false;              // it was begun just now
-  std::vector<leases::Kept> deeds;
+  std::vector<leases::StoredGrant> grants;
   std::vector<Note> notes;
 };
 
@@ -62,7 +62,7 @@
 
   // All that is remembered; each row is held against its own checksum.
   Memory load();
-  // All of these or none. A deed of a lower term than what is there changes nothing.
+  // All of these or none. A grant of a lower term than what is there changes nothing.
   void write(std::span<const Change> changes);
   // For tests: the file may have so many pages at most, as where a disk is full.
   void limitPages(int most);
@@ -73,7 +73,7 @@
   class Statement;
   void run(const char* sql);
   void begin();
-  void put(const leases::Kept& kept);
+  void put(const leases::StoredGrant& kept);
   void put(const Note& note);
   [[noreturn]] void fail(int code, const std::string& at) const;
 
--- a/src/storage/store.cpp
+++ b/src/storage/store.cpp
@@ -13,10 +13,10 @@
 constexpr std::int64_t kLayout = 1;
 constexpr int kNever = 0;  // a lock is nobody's to wait for: one process has one memory
 
-std::int64_t checksumOf(const leases::Kept& k) {
+std::int64_t checksumOf(const leases::StoredGrant& k) {
   return static_cast<std::int64_t>(weldflow::fnv64(
-      std::to_string(k.service) + "/" + std::to_string(k.deed.term) + "/" + std::to_string(k.deed.site) +
-      "/" + std::to_string(static_cast<int>(k.deed.ground)) + (k.ready ? "r" : "")));
+      std::to_string(k.service) + "/" + std::to_string(k.grant.term) + "/" + std::to_string(k.grant.site) +
+      "/" + std::to_string(static_cast<int>(k.grant.reason)) + (k.ready ? "r" : "")));
 }
 std::int64_t checksumOf(const Note& n) {
   return static_cast<std::int64_t>(weldflow::fnv64(n.name + "=" + n.bytes));
@@ -155,17 +155,17 @@
   const auto sound = [&](std::int64_t is, std::int64_t should) {
     if (is != should) throw StoreFault(Fault::Broken, file_ + ": a row is not as it was written");
   };
-  Statement deeds(*this, "SELECT service, term, site, ground, ready, checksum FROM deeds");
-  while (deeds.step()) {
-    leases::Kept k;
-    k.service = static_cast<leases::ServiceId>(deeds.number(0));
-    k.deed.term = static_cast<leases::Term>(deeds.number(1));
-    k.deed.site = static_cast<leases::SiteId>(deeds.number(2));
-    const std::int64_t ground = deeds.number(3);
-    k.ready = deeds.number(4) != 0;
-    k.deed.ground = static_cast<leases::Ground>(ground & 3);
-    sound(deeds.number(5), checksumOf(k));
-    m.deeds.push_back(k);
+  Statement grants(*this, "SELECT service, term, site, ground, ready, checksum FROM deeds");
+  while (grants.step()) {
+    leases::StoredGrant k;
+    k.service = static_cast<leases::ServiceId>(grants.number(0));
+    k.grant.term = static_cast<leases::Term>(grants.number(1));
+    k.grant.site = static_cast<leases::SiteId>(grants.number(2));
+    const std::int64_t reason = grants.number(3);
+    k.ready = grants.number(4) != 0;
+    k.grant.reason = static_cast<leases::ClaimReason>(reason & 3);
+    sound(grants.number(5), checksumOf(k));
+    m.grants.push_back(k);
   }
   Statement notes(*this, "SELECT name, bytes, checksum FROM notes");
   while (notes.step()) {
@@ -176,15 +176,15 @@
   return m;
 }
 
-void Store::put(const leases::Kept& k) {
+void Store::put(const leases::StoredGrant& k) {
   Statement put(
       *this,
       "INSERT INTO deeds VALUES (?1, ?2, ?3, ?4, ?5, ?6) ON CONFLICT (service) DO UPDATE SET term = ?2, "
       "site = ?3, ground = ?4, ready = ?5, checksum = ?6 WHERE ?2 >= term");
   put.bind(k.service)
-      .bind(k.deed.term)
-      .bind(k.deed.site)
-      .bind(static_cast<std::int64_t>(k.deed.ground))
+      .bind(k.grant.term)
+      .bind(k.grant.site)
+      .bind(static_cast<std::int64_t>(k.grant.reason))
       .bind(k.ready ? 1 : 0)
       .bind(checksumOf(k))
       .step();
--- a/tests/leases_sim.h
+++ b/tests/leases_sim.h
@@ -31,21 +31,21 @@
     Time delay = 20 * kMillisecond;  // at most, of one message
     Time sync = 5 * kMillisecond;    // of the disk
     bool memory = true;
-    Rules rules{};
+    Settings settings{};
   };
   static std::string zone(std::size_t n) { return std::string(1, static_cast<char>('a' + n)); }
   static SiteId site(std::size_t n) { return siteId(zone(n)); }
   static Service service(const std::string& name, std::size_t home, std::optional<std::size_t> stand_by) {
-    return {name, serviceId(name), site(home), stand_by ? site(*stand_by) : kNowhere};
+    return {name, serviceId(name), site(home), stand_by ? site(*stand_by) : kNoSite};
   }
 
   LeasesFleet(const Shape& shape, std::uint64_t seed) : shape_(shape), random_(seed) {
-    shape_.rules.owed = 2 * kSecond;
+    shape_.settings.drain = 2 * kSecond;
     for (std::size_t n = 0; n < shape.members; ++n)
       listed_.push_back({static_cast<Number>(n), site(n % shape.sites)});
     nodes_.resize(shape.members);
     for (std::size_t n = 0; n < shape.members; ++n) {
-      nodes_[n].rate = 1 + (random_.unit() - 0.5) * 2 * shape_.rules.drift * 0.98;
+      nodes_[n].rate = 1 + (random_.unit() - 0.5) * 2 * shape_.settings.drift * 0.98;
       nodes_[n].offset = static_cast<Time>(random_.unit() * 1e9);
       nodes_[n].services = shape.services;
       nodes_[n].installation = static_cast<std::uint32_t>(1000 + n);
@@ -61,33 +61,33 @@
   void begin(std::size_t n) {
     Node& node = nodes_[n];
     ++node.life;
-    Rules rules = shape_.rules;
-    rules.file = node.file;
+    Settings settings = shape_.settings;
+    settings.config_hash = node.file;
     node.member =
-        std::make_unique<Member>(rules, node.services, listed_, static_cast<Number>(n), random_.next());
-    std::vector<Kept> remembered;
+        std::make_unique<Member>(settings, node.services, listed_, static_cast<Number>(n), random_.next());
+    std::vector<StoredGrant> remembered;
     for (const auto& [id, k] : node.disk) remembered.push_back(k);
-    node.member->start(local(n), shape_.memory ? remembered : std::vector<Kept>(),
+    node.member->start(local(n), shape_.memory ? remembered : std::vector<StoredGrant>(),
                        shape_.memory ? node.installation : 0);
-    Out out;
+    Output out;
     node.member->onTime(local(n), out);
     carryOut(n, out);
   }
   void freeze(std::size_t n, bool frozen) { nodes_[n].frozen = frozen; }
-  std::map<ServiceId, Kept>& disk(std::size_t n) { return nodes_[n].disk; }
+  std::map<ServiceId, StoredGrant>& disk(std::size_t n) { return nodes_[n].disk; }
   void setInstallation(std::size_t n, std::uint32_t installation) { nodes_[n].installation = installation; }
   void setFile(std::size_t n, std::uint32_t file, std::vector<Service> services) {
     nodes_[n].file = file;
     nodes_[n].services = std::move(services);
   }
   std::string decree(std::size_t n, ServiceId s, std::size_t to) {
-    Out out;
-    const std::string said = nodes_[n].member->decree(local(n), s, site(to), out);
+    Output out;
+    const std::string said = nodes_[n].member->overrideOwner(local(n), s, site(to), out);
     carryOut(n, out);
     return said;
   }
   void hostTerm(std::size_t n, ServiceId s, Term term) {
-    Out out;
+    Output out;
     nodes_[n].member->onHostTerm(local(n), s, term, out);
     carryOut(n, out);
   }
@@ -126,9 +126,9 @@
     }
     return false;
   }
-  std::size_t found(Wrong kind) const {
+  std::size_t found(ConflictKind kind) const {
     std::size_t all = 0;
-    for (const Node& node : nodes_) all += node.member ? node.member->findings().count(kind) : 0;
+    for (const Node& node : nodes_) all += node.member ? node.member->conflicts().count(kind) : 0;
     return all;
   }
   // What each holds of a service, for messages.
@@ -136,13 +136,13 @@
     std::string all;
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
       if (!up(n)) continue;
-      const Deed d = nodes_[n].member->known(s);
+      const Grant d = nodes_[n].member->known(s);
       const Permit p = permit(n, s);
       all += std::to_string(n) + ": knows term " + std::to_string(d.term) + " at " + std::to_string(d.site) +
-             ", " + std::string(nameOf(p.bar)) +
-             (nodes_[n].member->heard(local(n)) ? "" : ", has not heard") +
+             ", " + std::string(nameOf(p.denial)) +
+             (nodes_[n].member->synchronized(local(n)) ? "" : ", has not heard") +
              (nodes_[n].member->disputed(s) ? ", disputed" : "") +
-             (nodes_[n].member->keeps() ? ", keeper" : "") + "\n";
+             (nodes_[n].member->isSiteLeader() ? ", keeper" : "") + "\n";
     }
     return all;
   }
@@ -157,7 +157,7 @@
     double rate = 1;
     Time offset = 0;
     bool frozen = false;
-    std::map<ServiceId, Kept> disk;
+    std::map<ServiceId, StoredGrant> disk;
     std::uint32_t installation = 0, file = 1;
     std::vector<Service> services;
   };
@@ -171,43 +171,44 @@
   Time local(std::size_t n) const {
     return nodes_[n].offset + static_cast<Time>(static_cast<double>(now) * nodes_[n].rate);
   }
-  void later(std::size_t n, Time when, std::function<void(Member&, Out&)> what) {
+  void later(std::size_t n, Time when, std::function<void(Member&, Output&)> what) {
     events_.push({when, order_++, [this, n, life = nodes_[n].life, what = std::move(what)] {
                     Node& node = nodes_[n];
                     if (node.life != life || !node.member) return;
                     if (node.frozen) return later(n, now + kStep, what);  // it waits in the socket
-                    Out out;
+                    Output out;
                     what(*node.member, out);
                     carryOut(n, out);
                   }});
   }
 
-  void carryOut(std::size_t n, Out& out) {
-    for (const std::string& line : out.lines)
+  void carryOut(std::size_t n, Output& out) {
+    for (const std::string& line : out.log_lines)
       log_ += std::to_string(static_cast<double>(now) / 1e6).substr(0, 6) + " " + std::to_string(n) + " " +
               line + "\n";
-    if (out.renounce) nodes_[n].disk.clear(), nodes_[n].installation += 100'000;
-    for (const Kept& k : out.writes) {
+    if (out.discard_storage) nodes_[n].disk.clear(), nodes_[n].installation += 100'000;
+    for (const StoredGrant& k : out.writes) {
       events_.push({now + shape_.sync, order_++, [this, n, k, life = nodes_[n].life] {
                       Node& node = nodes_[n];
                       if (node.life != life || !node.member) return;  // the cut came before the sync
                       if (shape_.memory) {
-                        Kept& kept = node.disk[k.service];
-                        if (k.deed.term >= kept.deed.term) kept = k;
+                        StoredGrant& kept = node.disk[k.service];
+                        if (k.grant.term >= kept.grant.term) kept = k;
                       }
                       if (node.frozen)
-                        return later(n, now + kStep,
-                                     [this, n, k](Member& m, Out& o) { m.written(local(n), k, true, o); });
-                      Out more;
-                      node.member->written(local(n), k, true, more);
+                        return later(n, now + kStep, [this, n, k](Member& m, Output& o) {
+                          m.onStored(local(n), k, true, o);
+                        });
+                      Output more;
+                      node.member->onStored(local(n), k, true, more);
                       carryOut(n, more);
                     }});
     }
-    for (const Parcel& p : out.parcels) {
+    for (const OutgoingMessage& p : out.messages) {
       ++messages_;
       if (random_.unit() < shape_.loss || cut(n, p.to)) continue;
       const Time at = now + 1 + static_cast<Time>(random_.unit() * static_cast<double>(shape_.delay));
-      later(p.to, at, [this, n, p](Member& m, Out& o) {
+      later(p.to, at, [this, n, p](Member& m, Output& o) {
         if (!cut(n, p.to)) m.receive(local(p.to), static_cast<Number>(n), p.bytes, o);
       });
     }
@@ -227,7 +228,7 @@
     }
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
       if (!up(n) || nodes_[n].member->due() > local(n)) continue;
-      Out out;
+      Output out;
       nodes_[n].member->onTime(local(n), out);
       carryOut(n, out);
     }
@@ -236,14 +237,14 @@
 
   // Who is there: by links as they are, a second late.
   void look(std::size_t n, const std::vector<SiteId>& known_lost) {
-    Outlook outlook;
+    LivenessView outlook;
     for (std::size_t o = 0; o < nodes_.size(); ++o) {
       Time& seen = seen_[{n, o}];
       if (o == n || (up(o) && !cut(n, o) && !cut(o, n))) seen = now;
       if (o == n || (seen != 0 && now - seen < kSecond)) outlook.live.push_back(static_cast<Number>(o));
     }
     outlook.lost = known_lost;
-    nodes_[n].member->look(local(n), std::move(outlook));
+    nodes_[n].member->observe(local(n), std::move(outlook));
   }
 
   // In true time no two sites may be sent work, and the later one only once nothing of the earlier can be
@@ -255,7 +256,7 @@
         const Permit p = permit(n, s.id);
         if (!p.ok()) continue;
         for (const auto& [other, last] : last_[s.id]) {
-          if (other != p.site && now - last < shape_.rules.owed)
+          if (other != p.site && now - last < shape_.settings.drain)
             say(n, s, "sent while another site's may run");
         }
         Term& term = terms_[s.id];
--- a/tests/leases_test.cpp
+++ b/tests/leases_test.cpp
@@ -39,7 +39,9 @@
 TEST_F(Leases, ANewFleetGrantsEachServiceToItsHome) {
   settle();
   EXPECT_EQ(fleet.member(5).known(kCharge).term, 1U);
-  EXPECT_EQ(fleet.found(Wrong::Stale) + fleet.found(Wrong::PastLease) + fleet.found(Wrong::Unwitnessed), 0U);
+  EXPECT_EQ(fleet.found(ConflictKind::Stale) + fleet.found(ConflictKind::ExpiredLease) +
+                fleet.found(ConflictKind::Unwitnessed),
+            0U);
 }
 
 TEST_F(Leases, AnOwnerCutOffStopsByItselfAndTheStandByServesAfterWhatIsOwed) {
@@ -51,7 +53,7 @@
   EXPECT_FALSE(fleet.permit(0, kCharge).ok());
   fleet.cut = [](auto, auto) { return false; };
   ASSERT_TRUE(fleet.runUntil([&] { return fleet.served(kCharge, 1); }, 10 * kSecond)) << fleet.log();
-  EXPECT_GT(fleet.found(Wrong::PastLease), 0U) << "the old owner said it once more, and was told";
+  EXPECT_GT(fleet.found(ConflictKind::ExpiredLease), 0U) << "the old owner said it once more, and was told";
 }
 
 TEST_F(Leases, HostsThatAreLostTakeTheDeedWithThem) {
@@ -90,7 +92,7 @@
   for (const std::size_t n : {0U, 1U, 3U, 4U}) fleet.begin(n);
   fleet.runFor(20 * kSecond);
   EXPECT_FALSE(fleet.servedBySome(kCharge));
-  EXPECT_FALSE(fleet.member(1).heard(0));
+  EXPECT_FALSE(fleet.member(1).synchronized(0));
   const std::string said = fleet.decree(1, kCharge, 1);
   EXPECT_NE(said.find("8 of 12 members"), std::string::npos) << said;
 }
@@ -104,7 +106,7 @@
   fleet.begin(4);
   fleet.runFor(10 * kSecond);
   EXPECT_EQ(fleet.member(4).known(kCharge).term, 0U);
-  EXPECT_FALSE(fleet.member(4).heard(1LL << 60));
+  EXPECT_FALSE(fleet.member(4).synchronized(1LL << 60));
   fleet.cut = [](auto, auto) { return false; };
   settle();
   EXPECT_EQ(fleet.member(4).known(kCharge).term, 1U);
@@ -112,7 +114,7 @@
 
 TEST_F(Leases, AnOlderCopyOfAMemoryIsStaleAndItsSiteStandsDown) {
   settle();
-  std::map<std::size_t, std::map<ServiceId, Kept>> last_week;
+  std::map<std::size_t, std::map<ServiceId, StoredGrant>> last_week;
   for (const std::size_t n : kA) last_week[n] = fleet.disk(n);
   fleet.lost = {LeasesFleet::site(0)};
   ASSERT_TRUE(fleet.runUntil([&] { return fleet.served(kCharge, 1); }, 15 * kSecond)) << fleet.log();
@@ -123,7 +125,8 @@
   fleet.lost.clear();
   fleet.runFor(2 * kSecond);
   for (const std::size_t n : kA) fleet.begin(n);
-  ASSERT_TRUE(fleet.runUntil([&] { return fleet.found(Wrong::Stale) > 0; }, 5 * kSecond)) << fleet.log();
+  ASSERT_TRUE(fleet.runUntil([&] { return fleet.found(ConflictKind::Stale) > 0; }, 5 * kSecond))
+      << fleet.log();
   ASSERT_TRUE(fleet.runUntil([&] { return fleet.served(kCharge, 1); }, 10 * kSecond)) << fleet.log();
 }
 
@@ -133,8 +136,9 @@
   fleet.disk(7) = fleet.disk(4);
   fleet.setInstallation(7, 1004);
   fleet.begin(7);
-  ASSERT_TRUE(fleet.runUntil([&] { return fleet.found(Wrong::Copied) > 0; }, 5 * kSecond)) << fleet.log();
-  EXPECT_TRUE(fleet.runUntil([&] { return fleet.member(7).heard(1LL << 60); }, 5 * kSecond))
+  ASSERT_TRUE(fleet.runUntil([&] { return fleet.found(ConflictKind::CopiedStorage) > 0; }, 5 * kSecond))
+      << fleet.log();
+  EXPECT_TRUE(fleet.runUntil([&] { return fleet.member(7).synchronized(1LL << 60); }, 5 * kSecond))
       << "it hears the others instead";
   settle();
 }
@@ -142,10 +146,10 @@
 TEST_F(Leases, ATermThatNobodyRemembersIsUnwitnessedAndClaimedAnew) {
   settle();
   fleet.crash(0);
-  fleet.disk(0)[kCharge] = {kCharge, {5, LeasesFleet::site(0), Ground::Vacant}, true};
+  fleet.disk(0)[kCharge] = {kCharge, {5, LeasesFleet::site(0), ClaimReason::Takeover}, true};
   fleet.runFor(500 * kMillisecond);
   fleet.begin(0);
-  ASSERT_TRUE(fleet.runUntil([&] { return fleet.found(Wrong::Unwitnessed) > 0; }, 10 * kSecond))
+  ASSERT_TRUE(fleet.runUntil([&] { return fleet.found(ConflictKind::Unwitnessed) > 0; }, 10 * kSecond))
       << fleet.log();
   ASSERT_TRUE(fleet.runUntil(
       [&] { return fleet.served(kCharge, 0) && fleet.member(5).known(kCharge).term == 6; }, 20 * kSecond))
@@ -155,9 +159,9 @@
 TEST_F(Leases, AnotherSitesUnwitnessedTermTakesNothingAway) {
   settle();
   fleet.crash(1);
-  fleet.disk(1)[kCharge] = {kCharge, {5, LeasesFleet::site(1), Ground::Vacant}, true};
+  fleet.disk(1)[kCharge] = {kCharge, {5, LeasesFleet::site(1), ClaimReason::Takeover}, true};
   fleet.begin(1);
-  ASSERT_TRUE(fleet.runUntil([&] { return fleet.found(Wrong::Unwitnessed) > 0; }, 10 * kSecond))
+  ASSERT_TRUE(fleet.runUntil([&] { return fleet.found(ConflictKind::Unwitnessed) > 0; }, 10 * kSecond))
       << fleet.log();
   ASSERT_TRUE(fleet.runUntil([&] { return fleet.served(kCharge, 0); }, 10 * kSecond)) << fleet.log();
   EXPECT_EQ(fleet.member(5).known(kCharge).term, 1U);
@@ -178,7 +182,7 @@
   settle();
   fleet.hostTerm(0, kCharge, 7);
   EXPECT_FALSE(fleet.permit(0, kCharge).ok()) << "at once";
-  EXPECT_EQ(fleet.found(Wrong::Contradicted), 1U);
+  EXPECT_EQ(fleet.found(ConflictKind::HostsSawNewerTerm), 1U);
   ASSERT_TRUE(fleet.runUntil([&] { return fleet.served(kCharge, 0); }, 15 * kSecond)) << fleet.log();
   EXPECT_GT(fleet.member(5).known(kCharge).term, 7U);
 }
@@ -191,7 +195,9 @@
   fleet.decree(2, kCharge, 2);
   fleet.runFor(kSecond);
   fleet.cut = [](auto, auto) { return false; };
-  ASSERT_TRUE(fleet.runUntil([&] { return fleet.found(Wrong::Forced) > 0; }, 10 * kSecond)) << fleet.log();
+  ASSERT_TRUE(
+      fleet.runUntil([&] { return fleet.found(ConflictKind::ConflictingOverrides) > 0; }, 10 * kSecond))
+      << fleet.log();
   ASSERT_TRUE(fleet.runUntil([&] { return fleet.served(kCharge, 0); }, 30 * kSecond)) << fleet.log();
 }
 
@@ -213,7 +219,7 @@
     fleet.begin(n);
   }
   ASSERT_TRUE(fleet.runUntil([&] { return fleet.served(kCharge, 0); }, 20 * kSecond)) << fleet.log();
-  EXPECT_GT(fleet.found(Wrong::Written), 0U) << fleet.log();
+  EXPECT_GT(fleet.found(ConflictKind::ConfigMismatch), 0U) << fleet.log();
   EXPECT_TRUE(fleet.broken().empty()) << fleet.broken()[0];
 }
 
@@ -225,8 +231,8 @@
   fleet.crash(6);
   fleet.runFor(kSecond);
   fleet.begin(6);
-  ASSERT_TRUE(fleet.runUntil([&] { return fleet.served(kCharge, 0) && fleet.member(6).heard(1LL << 60); },
-                             10 * kSecond));
+  ASSERT_TRUE(fleet.runUntil(
+      [&] { return fleet.served(kCharge, 0) && fleet.member(6).synchronized(1LL << 60); }, 10 * kSecond));
   EXPECT_TRUE(fleet.broken().empty()) << fleet.broken()[0];
 }
 
@@ -291,10 +297,10 @@
 
 TEST(LeasesWire, ComesBackAsItWasAndWhatIsMalformedIsNot) {
   Message m;
-  m.kind = Kind::Vow;
-  m.round = 77, m.installation = 5, m.file = 6, m.digest = 2, m.site = 9, m.informed = true;
+  m.kind = Kind::Vote;
+  m.round = 77, m.installation = 5, m.config_hash = 6, m.digest = 2, m.site = 9, m.synchronized = true;
   for (ServiceId i = 0; i < 30; ++i)
-    m.entries.push_back({i, {i + 1, 4, Ground::Decree}, i % 2 == 0, i % 3 == 0, 1000, 65'535});
+    m.entries.push_back({i, {i + 1, 4, ClaimReason::Override}, i % 2 == 0, i % 3 == 0, 1000, 65'535});
   const auto parts = inParts(m);
   ASSERT_EQ(parts.size(), 3U);
   const std::string bytes = encode(parts[2]);
@@ -303,9 +309,9 @@
   ASSERT_TRUE(read.has_value());
   EXPECT_EQ(read->entries.size(), 6U);
   EXPECT_EQ(read->entries[1].service, 25U);
-  EXPECT_EQ(read->entries[1].deed, (Deed{26, 4, Ground::Decree}));
+  EXPECT_EQ(read->entries[1].grant, (Grant{26, 4, ClaimReason::Override}));
   EXPECT_EQ(read->round, 77U);
-  EXPECT_TRUE(read->informed);
+  EXPECT_TRUE(read->synchronized);
   for (std::size_t cut = 1; cut < bytes.size(); ++cut) {
     const auto less = decode(bytes.substr(0, cut));
     EXPECT_TRUE(!less || less->entries.size() < 6) << cut;
@@ -317,8 +323,8 @@
     const auto some = decode(any);
     EXPECT_TRUE(!some || some->entries.size() <= kMostEntries);
   }
-  EXPECT_NE(siteId("a"), kNowhere);
-  EXPECT_EQ(siteId(""), kNowhere);
+  EXPECT_NE(siteId("a"), kNoSite);
+  EXPECT_EQ(siteId(""), kNoSite);
 }
 
 }  // namespace
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -17,11 +17,11 @@
   c.group = group;
   return c;
 }
-Facts facts(leases::Bar bar) {
+Facts facts(leases::Denial bar) {
   Facts f;
   f.listed = f.heard = true;
-  f.services = {{"charges", {bar, 1, 1, bar == leases::Bar::Owed ? kSecond : 0}, 2},
-                {"reservations", {leases::Bar::None, 1, 1, 0}, 5}};
+  f.services = {{"charges", {bar, 1, 1, bar == leases::Denial::Draining ? kSecond : 0}, 2},
+                {"reservations", {leases::Denial::None, 1, 1, 0}, 5}};
   return f;
 }
 
@@ -36,7 +36,7 @@
   EXPECT_EQ(r.stage(late, f), Stage::Alone) << "however long it has been there";
   f.heard = true;
   EXPECT_EQ(r.stage(late, f), Stage::Heard);
-  f.services[0].permit.bar = leases::Bar::None;
+  f.services[0].permit.denial = leases::Denial::None;
   EXPECT_EQ(r.stage(kSecond, f), Stage::Keyed);
   EXPECT_EQ(r.stage(3 * kSecond, f), Stage::Whole);
 }
@@ -60,16 +60,16 @@
     Recovery r(3 * kSecond);
     r.start(0, before);
     EXPECT_EQ(r.heldBack(0, of(Effect::Unsafe), false), std::nullopt) << nameOf(before);
-    EXPECT_EQ(r.stage(0, facts(leases::Bar::None)), Stage::Whole);
-    EXPECT_TRUE(r.waits(0, facts(leases::Bar::None)).empty());
+    EXPECT_EQ(r.stage(0, facts(leases::Denial::None)), Stage::Whole);
+    EXPECT_TRUE(r.waits(0, facts(leases::Denial::None)).empty());
   }
 }
 
 TEST(Recovery, EveryWaitNamesWhatItWaitsForTheWorthiestFirst) {
   Recovery r(3 * kSecond);
   r.start(0, Before::CutShort);
-  Facts f = facts(leases::Bar::Owed);
-  f.services[1].permit.bar = leases::Bar::Unproven;
+  Facts f = facts(leases::Denial::Draining);
+  f.services[1].permit.denial = leases::Denial::LeaseExpired;
   f.heard = false;
   f.heard_of = 2, f.majority = 7;
   const std::vector<Wait> waits = r.waits(kSecond, f);
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -14,9 +14,9 @@
 namespace {
 
 namespace fs = std::filesystem;
-using leases::Deed;
-using leases::Ground;
-using leases::Kept;
+using leases::ClaimReason;
+using leases::Grant;
+using leases::StoredGrant;
 
 class KeepTest : public ::testing::Test {
  protected:
@@ -46,7 +46,7 @@
     f << with;
   }
   const Store::Owner kOwner{"fleet", 7};
-  const Kept kCharge{1, {5, 77, Ground::Vacant}, true};
+  const StoredGrant kCharge{1, {5, 77, ClaimReason::Takeover}, true};
   std::string folder;
 };
 
@@ -59,16 +59,16 @@
     EXPECT_NE(m.installation, 0U);
     installation = m.installation;
     const std::vector<Change> all = {kCharge, Note{"list", std::string("a\0b", 3)},
-                                     Kept{2, {1, 9, Ground::Home}, false}};
+                                     StoredGrant{2, {1, 9, ClaimReason::Home}, false}};
     s.write(all);
-    const std::vector<Change> older = {Kept{1, {4, 12, Ground::Decree}, false}};
+    const std::vector<Change> older = {StoredGrant{1, {4, 12, ClaimReason::Override}, false}};
     s.write(older);
   }
   const Memory m = Store(file(), kOwner).load();
   EXPECT_FALSE(m.fresh);
   EXPECT_EQ(m.installation, installation);
-  ASSERT_EQ(m.deeds.size(), 2U);
-  EXPECT_EQ(m.deeds[0], kCharge);
+  ASSERT_EQ(m.grants.size(), 2U);
+  EXPECT_EQ(m.grants[0], kCharge);
   ASSERT_EQ(m.notes.size(), 1U);
   EXPECT_EQ(m.notes[0].bytes, std::string("a\0b", 3));
 }
@@ -84,7 +84,8 @@
   {
     Store s(file(), kOwner);
     std::vector<Change> all;
-    for (leases::ServiceId i = 0; i < 300; ++i) all.push_back(Kept{i, {i + 1, 77, Ground::Home}, false});
+    for (leases::ServiceId i = 0; i < 300; ++i)
+      all.push_back(StoredGrant{i, {i + 1, 77, ClaimReason::Home}, false});
     s.write(all);
   }
   const std::string whole = file() + ".whole";
@@ -96,8 +97,9 @@
     damage(at, "XXXXXXXXXXXXXXXX");
     try {
       const Memory m = Store(file(), kOwner).load();
-      EXPECT_EQ(m.deeds.size(), 300U) << at;
-      for (const Kept& k : m.deeds) EXPECT_EQ(k.deed, (Deed{k.service + 1, 77, Ground::Home})) << at;
+      EXPECT_EQ(m.grants.size(), 300U) << at;
+      for (const StoredGrant& k : m.grants)
+        EXPECT_EQ(k.grant, (Grant{k.service + 1, 77, ClaimReason::Home})) << at;
     } catch (const StoreFault& e) {
       EXPECT_TRUE(e.fault == Fault::Broken || e.fault == Fault::Other || e.fault == Fault::Foreign)
           << e.what();
@@ -128,12 +130,12 @@
                     {.written =
                          [&](const Change& c, bool ok) {
                            EXPECT_TRUE(ok);
-                           told.push_back(std::get<Kept>(c).service);
+                           told.push_back(std::get<StoredGrant>(c).service);
                          },
                      .troubled = [](const std::string& fault) { EXPECT_EQ(fault, ""); }});
     ASSERT_TRUE(keep.memory().has_value());
     for (leases::ServiceId i = 0; i < 500; ++i)
-      ASSERT_TRUE(keep.write(Kept{i, {1, 77, Ground::Home}, false}));
+      ASSERT_TRUE(keep.write(StoredGrant{i, {1, 77, ClaimReason::Home}, false}));
     for (int tries = 0; told.size() < 500 && tries < 1000; ++tries) {
       io.run_for(std::chrono::milliseconds(20));
     }
@@ -141,7 +143,7 @@
     EXPECT_LT(keep.syncs(), 250U);
   }
   for (leases::ServiceId i = 0; i < 500; ++i) EXPECT_EQ(told[i], i);
-  EXPECT_EQ(Store(file(), kOwner).load().deeds.size(), 500U);
+  EXPECT_EQ(Store(file(), kOwner).load().grants.size(), 500U);
 }
 
 TEST_F(KeepTest, WhatIsPostedBeforeTheEndIsWritten) {
@@ -166,7 +168,7 @@
   }
   const Memory m = Store(file(), kOwner).load();
   EXPECT_NE(m.installation, before);
-  EXPECT_TRUE(m.deeds.empty());
+  EXPECT_TRUE(m.grants.empty());
 }
 
 // The disk is full: nothing is told as written, and the next one is once there is room.
@@ -185,7 +187,7 @@
   EXPECT_TRUE(s.load().notes.empty()) << "all or nothing";
   const std::vector<Change> one = {kCharge};
   s.write(one);
-  EXPECT_EQ(s.load().deeds.size(), 1U);
+  EXPECT_EQ(s.load().grants.size(), 1U);
 }
 
 }  // namespace
