Storage and ownership: callbacks, contents, discard; comments say what happens

Need: words, memory, silence, renounce, look, wake and carry out were names of this repository's own in the two packages that serve the leases.

Change: storage::Contents, AsyncStore::Callbacks, busyFor(), discard(), requests in place of orders; in OwnershipService observe(), perform(), armTimer(), store(). Doc comments give errors, units and threads. The operators' keyword memory, pages and the file on disk stay as they are.

--- a/src/ownership/include/ownership/ownership_service.h
+++ b/src/ownership/include/ownership/ownership_service.h
@@ -1,5 +1,5 @@
-// The one owner of the deeds in a process: their timer, what is said of them, their memory on disk; and what
-// the front asks before a request of a service is sent.
+// Service ownership in a process: runs leases::Member with a timer, messages and storage, and is the gate
+// that the front asks before it sends a request of a service.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -38,11 +38,11 @@
                    fleet_transport::Neighbours& talk, std::function<bool()> listed);
   ~OwnershipService() override;
 
-  // `handed_on`: the process before this one has told what it knew.
+  // `handed_on`: the process before this one has passed on its state in an upgrade.
   void start(bool handed_on);
-  // In order: nothing that this process has sent can be asked for again unknown to whoever comes next.
+  // An orderly end, recorded in storage: the next process need not wait for requests that were cut short.
   void end();
-  // Nothing is said any more: another process of this member says it.
+  // Sends nothing any more, since another process of this member has taken over, until goOn().
   void giveUp();
   void goOn();
 
@@ -56,18 +56,18 @@
   // JSON: docs/ownership.md, docs/recovery.md.
   std::string page() const;
   std::string recoveryPage() const;
-  // What the pending file would do to recorded traffic: begins it over the fleet; what is wrong with the
-  // file.
+  // Starts a rehearsal on all members: what the pending operator file would do to recorded traffic. Returns
+  // what is wrong with that file; empty if nothing is.
   std::string rehearse() { return rehearsing_->begin(clock_.now()); }
   std::string rehearsalPage() const { return rehearsing_->page(clock_.now()); }
-  // An operator gives a service to a zone: what that overrides. False: no such service or zone.
+  // An operator gives a service to a zone; `said` is what that overrides. False: no such service or zone.
   bool give(const std::string& service, const std::string& zone, std::string& said);
 
  private:
-  void look();
-  void carryOut(leases::Output& out);
-  void wake();
-  void remember(const leases::StoredGrant& kept);
+  void observe();
+  void perform(leases::Output& out);
+  void armTimer();
+  void store(const leases::StoredGrant& grant);
   recovery::Facts facts() const;
   std::string zoneOf(leases::SiteId site) const;
 
@@ -79,15 +79,15 @@
   const Services services_;
   std::map<leases::SiteId, std::string> zones_;
   leases::Settings lease_settings_;
-  std::unique_ptr<storage::AsyncStore> keep_;  // null: no memory
+  std::unique_ptr<storage::AsyncStore> store_;  // null: nothing is stored
   std::unique_ptr<leases::Member> member_;
   std::unique_ptr<Rehearsing> rehearsing_;
   recovery::Recovery recovery_;
   recovery::Stage stage_ = recovery::Stage::Dark;
-  boost::asio::steady_timer look_timer_, due_timer_;
+  boost::asio::steady_timer observe_timer_, due_timer_;
   Time armed_for_ = kNever, started_ = 0;
-  std::string trouble_;  // of the memory
-  bool slow_told_ = false, silent_ = false;
+  std::string storage_fault_;
+  bool slow_logged_ = false, silent_ = false;
 };
 
 }  // namespace quinceline::ownership
--- a/src/ownership/ownership_service.cpp
+++ b/src/ownership/ownership_service.cpp
@@ -13,8 +13,8 @@
 using boost::system::error_code;
 using nlohmann::ordered_json;
 
-constexpr std::chrono::milliseconds kLook{100};
-constexpr std::chrono::milliseconds kSlow{400};  // a disk that has been at one thing for so long
+constexpr std::chrono::milliseconds kObserveInterval{100};
+constexpr std::chrono::milliseconds kSlow{400};  // of one write to disk
 constexpr const char* kRunning = "running";
 
 std::string dumped(const ordered_json& page) {
@@ -38,7 +38,7 @@
       listed_(std::move(listed)),
       services_(settings_.own.services),
       recovery_(std::max(settings_.longest_deadline, 2 * settings_.longest_window)),
-      look_timer_(io),
+      observe_timer_(io),
       due_timer_(io) {
   lease_settings_.lease = settings_.own.lease;
   lease_settings_.drain = settings_.longest_deadline + settings_.longest_window;
@@ -71,23 +71,25 @@
   rehearsing_ =
       std::make_unique<Rehearsing>(services_, settings_.own.services, settings_.number, std::move(world));
   if (settings_.own.memory.empty()) return;
-  storage::AsyncStore::Words words;
-  words.written = [this](const storage::Change& change, bool ok) {
+  storage::AsyncStore::Callbacks callbacks;
+  callbacks.written = [this](const storage::Change& change, bool ok) {
     const auto* const kept = std::get_if<leases::StoredGrant>(&change);
     if (kept == nullptr) return;
     leases::Output out;
     member_->onStored(clock_.now(), *kept, ok, out);
-    carryOut(out);
+    perform(out);
   };
-  words.troubled = [this](const std::string& fault) {
-    trouble_ = fault;
+  callbacks.fault_changed = [this](const std::string& fault) {
+    storage_fault_ = fault;
     log_.line(fault.empty() ? "memory: written again" : "memory: not written: " + fault,
               fault.empty() ? LogLevel::Info : LogLevel::Error);
   };
-  keep_ = std::make_unique<storage::AsyncStore>(
-      io, settings_.own.memory, storage::Store::Owner{settings_.fleet, settings_.number}, std::move(words));
-  trouble_ = keep_->fault();
-  if (!trouble_.empty()) log_.line("memory: not used, nothing is remembered: " + trouble_, LogLevel::Error);
+  store_ = std::make_unique<storage::AsyncStore>(io, settings_.own.memory,
+                                                 storage::Store::Owner{settings_.fleet, settings_.number},
+                                                 std::move(callbacks));
+  storage_fault_ = store_->fault();
+  if (!storage_fault_.empty())
+    log_.line("memory: not used, nothing is remembered: " + storage_fault_, LogLevel::Error);
 }
 
 OwnershipService::~OwnershipService() = default;
@@ -98,15 +100,15 @@
   recovery::Before before = recovery::Before::Unknown;
   std::vector<leases::StoredGrant> remembered;
   std::uint32_t installation = 0;
-  if (keep_ && keep_->memory()) {
-    const storage::Memory& m = *keep_->memory();
+  if (store_ && store_->contents()) {
+    const storage::Contents& m = *store_->contents();
     before = m.fresh ? recovery::Before::Nothing : recovery::Before::Ended;
     for (const storage::Note& n : m.notes) {
       if (n.name == kRunning && n.bytes == "1") before = recovery::Before::CutShort;
     }
     remembered = m.grants;
     installation = m.installation;
-    keep_->write(storage::Note{kRunning, "1"});
+    store_->write(storage::Note{kRunning, "1"});
     log_.line("memory: " + std::to_string(remembered.size()) + " deeds remembered; the process before: " +
               std::string(recovery::nameOf(handed_on ? recovery::Before::Ended : before)));
   }
@@ -117,18 +119,18 @@
     if (Rehearsing::isMine(bytes)) return rehearsing_->receive(clock_.now(), from, bytes);
     leases::Output out;
     member_->receive(clock_.now(), from, bytes, out);
-    carryOut(out);
+    perform(out);
   });
-  look();
+  observe();
 }
 
 void OwnershipService::end() {
-  if (keep_) keep_->write(storage::Note{kRunning, "0"});
+  if (store_) store_->write(storage::Note{kRunning, "0"});
 }
 
 void OwnershipService::giveUp() { silent_ = true; }
 void OwnershipService::goOn() {
-  if (std::exchange(silent_, false)) wake();
+  if (std::exchange(silent_, false)) armTimer();
 }
 
 // ---- what the front asks ----
@@ -154,7 +156,7 @@
 void OwnershipService::turnedAway(Service service, std::uint32_t term) {
   leases::Output out;
   member_->onHostTerm(clock_.now(), service, term, out);
-  carryOut(out);
+  perform(out);
 }
 
 std::string OwnershipService::zoneOf(leases::SiteId site) const {
@@ -162,9 +164,9 @@
   return it == zones_.end() ? std::string() : it->second;
 }
 
-// ---- time, words, disk ----
+// ---- timers, messages, storage ----
 
-void OwnershipService::look() {
+void OwnershipService::observe() {
   leases::LivenessView outlook;
   for (const fleet_transport::Neighbours::Member& m : talk_.members()) {
     if (m.live || m.number == settings_.number) outlook.live.push_back(m.number);
@@ -173,23 +175,23 @@
   member_->observe(clock_.now(), std::move(outlook));
   const recovery::Stage stage = recovery_.stage(clock_.now(), facts());
   if (std::exchange(stage_, stage) != stage) log_.line("recovery: " + std::string(recovery::nameOf(stage)));
-  if (keep_) {
-    const bool slow = keep_->silence() >= kSlow;
-    if (std::exchange(slow_told_, slow) != slow)
+  if (store_) {
+    const bool slow = store_->busyFor() >= kSlow;
+    if (std::exchange(slow_logged_, slow) != slow)
       log_.line(slow ? "memory: the disk has been at one thing for " +
-                           std::to_string(keep_->silence().count()) + " ms"
+                           std::to_string(store_->busyFor().count()) + " ms"
                      : "memory: the disk goes on",
                 LogLevel::Warning);
   }
   rehearsing_->onTime(clock_.now());
-  wake();
-  look_timer_.expires_after(kLook);
-  look_timer_.async_wait([this](error_code ec) {
-    if (!ec) look();
+  armTimer();
+  observe_timer_.expires_after(kObserveInterval);
+  observe_timer_.async_wait([this](error_code ec) {
+    if (!ec) observe();
   });
 }
 
-void OwnershipService::wake() {
+void OwnershipService::armTimer() {
   const Time due = silent_ ? kNever : member_->due();
   if (due == kNever || due >= armed_for_) return;
   armed_for_ = due;
@@ -200,29 +202,29 @@
     if (silent_) return;
     leases::Output out;
     member_->onTime(clock_.now(), out);
-    carryOut(out);
+    perform(out);
   });
 }
 
-void OwnershipService::remember(const leases::StoredGrant& kept) {
+void OwnershipService::store(const leases::StoredGrant& grant) {
   leases::Output out;
-  if (!keep_) {
-    member_->onStored(clock_.now(), kept, true, out);  // there is no memory: it lasts as long as this process
-  } else if (!keep_->write(kept)) {
-    member_->onStored(clock_.now(), kept, false, out);
+  if (!store_) {
+    member_->onStored(clock_.now(), grant, true, out);  // nothing is stored: it lasts as long as this process
+  } else if (!store_->write(grant)) {
+    member_->onStored(clock_.now(), grant, false, out);
   }
-  if (!out.messages.empty() || !out.log_lines.empty() || !out.writes.empty()) carryOut(out);
+  if (!out.messages.empty() || !out.log_lines.empty() || !out.writes.empty()) perform(out);
 }
 
-void OwnershipService::carryOut(leases::Output& out) {
+void OwnershipService::perform(leases::Output& out) {
   for (const leases::OutgoingMessage& p : out.messages) talk_.send(p.to, p.bytes);
   for (const std::string& line : out.log_lines) log_.line(line);
-  if (out.discard_storage && keep_) keep_->renounce();
-  for (const leases::StoredGrant& k : out.writes) remember(k);
-  wake();
+  if (out.discard_storage && store_) store_->discard();
+  for (const leases::StoredGrant& grant : out.writes) store(grant);
+  armTimer();
 }
 
-// ---- staff ----
+// ---- operators ----
 
 recovery::Facts OwnershipService::facts() const {
   const Time now = clock_.now();
@@ -300,8 +302,8 @@
     if (w.time > 0) one["s"] = seconds(w.time);
     waits.push_back(std::move(one));
   }
-  ordered_json memory = {{"used", keep_ && keep_->memory().has_value()}, {"fault", trouble_}};
-  if (keep_) memory["syncs"] = keep_->syncs();
+  ordered_json memory = {{"used", store_ && store_->contents().has_value()}, {"fault", storage_fault_}};
+  if (store_) memory["syncs"] = store_->syncs();
   return dumped({{"stage", recovery::nameOf(recovery_.stage(now, f))},
                  {"process_before", recovery::nameOf(recovery_.before())},
                  {"for_s", seconds(now - started_)},
@@ -321,7 +323,7 @@
     return false;
   leases::Output out;
   said = member_->overrideOwner(clock_.now(), id, site, out);
-  carryOut(out);
+  perform(out);
   return true;
 }
 
--- a/src/storage/async_store.cpp
+++ b/src/storage/async_store.cpp
@@ -11,51 +11,52 @@
 namespace asio = boost::asio;
 
 AsyncStore::AsyncStore(asio::io_context& home, const std::string& folder, const Store::Owner& owner,
-                       Words words)
-    : home_(home), words_(std::move(words)) {
+                       Callbacks callbacks)
+    : home_(home), callbacks_(std::move(callbacks)) {
   try {
     std::error_code ignored;
     std::filesystem::create_directories(folder, ignored);
     store_ = std::make_unique<Store>(folder + "/memory.db", owner);
-    memory_ = store_->load();
+    contents_ = store_->load();
   } catch (const StoreFault& e) {
     store_.reset();
     fault_ = std::string(nameOf(e.fault)) + ": " + e.what();
     return;
   }
   loop_ = std::make_unique<tasks::Loop>("memory");
-  orders_ = std::make_unique<tasks::Mailbox<Order>>(loop_->io(), kMostWaiting);
+  requests_ = std::make_unique<tasks::Mailbox<Request>>(loop_->io(), kMostWaiting);
   asio::co_spawn(loop_->io(), work(), asio::detached);
 }
 
 AsyncStore::~AsyncStore() {
   *alive_ = false;
   if (!loop_) return;
-  if (!orders_->post(End{})) orders_->close();  // full: what waits is given up, nobody was told of it
+  if (!requests_->post(End{}))
+    requests_->close();  // full: pending changes are dropped, nobody was told that they are on disk
   loop_->end();
 }
 
-bool AsyncStore::write(Change change) { return orders_ && orders_->post(std::move(change)); }
+bool AsyncStore::write(Change change) { return requests_ && requests_->post(std::move(change)); }
 
-void AsyncStore::renounce() {
-  if (orders_) orders_->post(Renounce{});
+void AsyncStore::discard() {
+  if (requests_) requests_->post(Discard{});
 }
 
-// What waits when the disk is free goes there together: one sync for all.
+// Everything that is queued when the disk becomes free is written together, with one sync.
 asio::awaitable<void> AsyncStore::work() {
-  while (auto order = co_await orders_->take()) {
-    std::vector<Order> orders;
-    orders.push_back(std::move(*order));
-    while (orders.size() < kAtOnce) {
-      auto more = orders_->takeNow();
+  while (auto request = co_await requests_->take()) {
+    std::vector<Request> requests;
+    requests.push_back(std::move(*request));
+    while (requests.size() < kAtOnce) {
+      auto more = requests_->takeNow();
       if (!more) break;
-      orders.push_back(std::move(*more));
+      requests.push_back(std::move(*more));
     }
-    if (!carryOut(orders)) co_return;
+    if (!process(requests)) co_return;
   }
 }
 
-bool AsyncStore::carryOut(std::vector<Order>& orders) {
+bool AsyncStore::process(std::vector<Request>& requests) {
   std::vector<Change> changes;
   const auto flush = [&] {
     if (changes.empty()) return;
@@ -67,15 +68,15 @@
       tell(std::exchange(changes, {}), false, std::string(nameOf(e.fault)) + ": " + e.what());
     }
   };
-  for (Order& order : orders) {
-    if (Change* const change = std::get_if<Change>(&order)) {
+  for (Request& request : requests) {
+    if (Change* const change = std::get_if<Change>(&request)) {
       changes.push_back(std::move(*change));
       continue;
     }
     flush();
-    if (std::holds_alternative<End>(order)) return false;
+    if (std::holds_alternative<End>(request)) return false;
     try {
-      store_->renounce();
+      store_->discard();
       ++syncs_;
     } catch (const StoreFault& e) {
       tell({}, false, std::string(nameOf(e.fault)) + ": " + e.what());
@@ -86,11 +87,11 @@
 }
 
 void AsyncStore::tell(std::vector<Change> changes, bool ok, std::string fault) {
-  const bool news = std::exchange(told_, fault) != fault;
+  const bool news = std::exchange(reported_fault_, fault) != fault;
   asio::post(home_, [this, alive = alive_, changes = std::move(changes), ok, fault = std::move(fault), news] {
     if (!*alive) return;
-    if (news) words_.troubled(fault);
-    for (const Change& c : changes) words_.written(c, ok);
+    if (news) callbacks_.fault_changed(fault);
+    for (const Change& c : changes) callbacks_.written(c, ok);
   });
 }
 
--- a/src/storage/include/storage/async_store.h
+++ b/src/storage/include/storage/async_store.h
@@ -1,4 +1,4 @@
-// The task that owns a proxy's memory on disk: changes in, words that they are on disk out.
+// Durable storage as a task with a thread of its own: changes go in, callbacks tell when they are on disk.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -16,28 +16,29 @@
 
 class AsyncStore {
  public:
-  // What it says of itself; called on the loop that it was given.
-  struct Words {
-    // Each change that was taken, in order. Not ok: it is not on disk, and never will be.
+  // Called on the io_context that was passed in.
+  struct Callbacks {
+    // For each accepted change, in order. `ok` is false if it is not on disk and never will be.
     std::function<void(const Change&, bool ok)> written;
-    // The memory is of no use any more, or is again. Empty: it is.
-    std::function<void(const std::string& fault)> troubled;
+    // Writing has begun to fail, for this reason; or works again, with an empty reason.
+    std::function<void(const std::string& fault)> fault_changed;
   };
 
-  // Opens the memory and reads it, on this thread. A memory that can't be used leaves memory() empty and
-  // fault() says why: nothing is written then, and the member is one without.
+  // Opens the file in `folder` and loads it, on the calling thread. If that fails, contents() is empty,
+  // fault() gives the reason, and write() accepts nothing.
   AsyncStore(boost::asio::io_context& home, const std::string& folder, const Store::Owner& owner,
-             Words words);
+             Callbacks words);
   ~AsyncStore();
 
-  const std::optional<Memory>& memory() const { return memory_; }
+  const std::optional<Contents>& contents() const { return contents_; }
   const std::string& fault() const { return fault_; }
-  // False: so much waits for the disk already that this is not taken: whoever asks must not say it.
+  // Queues a change. False if it was not accepted, since kMostWaiting others wait: the caller must not act as
+  // if it were stored.
   bool write(Change change);
-  // Forgets everything: it is another member's.
-  void renounce();
-  // How long the disk has been at one thing.
-  std::chrono::milliseconds silence() const {
+  // Queues the removal of all contents, which are another member's; a new installation begins.
+  void discard();
+  // How long the task has been busy with one write; zero below 200 ms, the resolution of the measurement.
+  std::chrono::milliseconds busyFor() const {
     return loop_ ? loop_->silence() : std::chrono::milliseconds(0);
   }
   std::uint64_t syncs() const { return syncs_; }
@@ -45,24 +46,24 @@
   static constexpr std::size_t kMostWaiting = 1024, kAtOnce = 128;
 
  private:
-  struct Renounce {};
-  struct End {};  // behind all that was posted before it
-  using Order = std::variant<Change, Renounce, End>;
+  struct Discard {};
+  struct End {};  // processed after all that was queued before it
+  using Request = std::variant<Change, Discard, End>;
   boost::asio::awaitable<void> work();
-  // False: the end was among them.
-  bool carryOut(std::vector<Order>& orders);
+  // False if End was among them.
+  bool process(std::vector<Request>& requests);
   void tell(std::vector<Change> changes, bool ok, std::string fault);
 
   boost::asio::io_context& home_;
-  const Words words_;
-  std::optional<Memory> memory_;
+  const Callbacks callbacks_;
+  std::optional<Contents> contents_;
   std::string fault_;
-  std::unique_ptr<Store> store_;  // the task's, once it runs
-  std::string told_;              // the task's: the fault that was told last
+  std::unique_ptr<Store> store_;  // used by the task alone, once it runs
+  std::string reported_fault_;    // used by the task alone
   std::atomic<std::uint64_t> syncs_ = 0;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // home's
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // used on home_ alone
   std::unique_ptr<tasks::Loop> loop_;
-  std::unique_ptr<tasks::Mailbox<Order>> orders_;
+  std::unique_ptr<tasks::Mailbox<Request>> requests_;
 };
 
 }  // namespace quinceline::storage
--- a/src/storage/include/storage/store.h
+++ b/src/storage/include/storage/store.h
@@ -1,4 +1,4 @@
-// The memory's file: SQLite (sqlite.org), every change on disk before write() returns. Blocks.
+// The storage file: SQLite (sqlite.org); every change is on disk before write() returns. All calls block.
 #pragma once
 
 #include <cstdint>
@@ -16,20 +16,20 @@
 
 namespace quinceline::storage {
 
-// What is written.
-struct Note {  // under a name, in place of what was there
+// A named value; writing it replaces the one before.
+struct Note {
   std::string name, bytes;
 };
 using Change = std::variant<leases::StoredGrant, Note>;
 
-struct Memory {
-  std::uint32_t installation = 0;  // drawn when the memory was begun; never 0
-  bool fresh = false;              // it was begun just now
+struct Contents {
+  std::uint32_t installation = 0;  // drawn by chance when the file was created; never 0
+  bool fresh = false;              // the file was created just now
   std::vector<leases::StoredGrant> grants;
   std::vector<Note> notes;
 };
 
-// Why a memory is not used, or not written any more.
+// Why storage is not used, or not written any more.
 enum class Fault : std::uint8_t {
   Broken,    // not as it was written
   Foreign,   // another member's, or of another fleet
@@ -49,25 +49,25 @@
 
 class Store {
  public:
-  // Whose memory it is.
+  // Whose storage it is.
   struct Owner {
     std::string fleet;
     std::uint16_t member = 0;
   };
-  // Opens the file, or begins one. Throws StoreFault; a file that is broken stays where it is.
+  // Opens the file, or creates it. Throws StoreFault; a broken file is left as it is.
   Store(const std::string& file, const Owner& owner);
   ~Store();
   Store(const Store&) = delete;
   Store& operator=(const Store&) = delete;
 
-  // All that is remembered; each row is held against its own checksum.
-  Memory load();
-  // All of these or none. A grant of a lower term than what is there changes nothing.
+  // Everything stored; each row is verified by its checksum. Throws StoreFault.
+  Contents load();
+  // All of these or none. A grant of a lower term than the stored one changes nothing. Throws StoreFault.
   void write(std::span<const Change> changes);
-  // For tests: the file may have so many pages at most, as where a disk is full.
+  // For tests: limits the size of the file, in pages, as a full disk would.
   void limitPages(int most);
-  // Forgets everything and begins anew, as another installation.
-  void renounce();
+  // Removes everything and begins anew as another installation. Throws StoreFault.
+  void discard();
 
  private:
   class Statement;
--- a/src/storage/store.cpp
+++ b/src/storage/store.cpp
@@ -137,8 +137,8 @@
   fresh_ = true;
 }
 
-Memory Store::load() {
-  Memory m;
+Contents Store::load() {
+  Contents m;
   m.fresh = fresh_;
   const auto meta = [&](const char* name) {
     Statement get(*this, "SELECT value FROM meta WHERE name = ?");
@@ -208,7 +208,7 @@
 
 void Store::limitPages(int most) { run(("PRAGMA max_page_count=" + std::to_string(most)).c_str()); }
 
-void Store::renounce() {
+void Store::discard() {
   run("BEGIN IMMEDIATE");
   run("DELETE FROM deeds");
   run("DELETE FROM notes");
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -54,7 +54,7 @@
   std::uint32_t installation = 0;
   {
     Store s(file(), kOwner);
-    const Memory m = s.load();
+    const Contents m = s.load();
     EXPECT_TRUE(m.fresh);
     EXPECT_NE(m.installation, 0U);
     installation = m.installation;
@@ -64,7 +64,7 @@
     const std::vector<Change> older = {StoredGrant{1, {4, 12, ClaimReason::Override}, false}};
     s.write(older);
   }
-  const Memory m = Store(file(), kOwner).load();
+  const Contents m = Store(file(), kOwner).load();
   EXPECT_FALSE(m.fresh);
   EXPECT_EQ(m.installation, installation);
   ASSERT_EQ(m.grants.size(), 2U);
@@ -96,7 +96,7 @@
     fs::copy_file(whole, file(), fs::copy_options::overwrite_existing);
     damage(at, "XXXXXXXXXXXXXXXX");
     try {
-      const Memory m = Store(file(), kOwner).load();
+      const Contents m = Store(file(), kOwner).load();
       EXPECT_EQ(m.grants.size(), 300U) << at;
       for (const StoredGrant& k : m.grants)
         EXPECT_EQ(k.grant, (Grant{k.service + 1, 77, ClaimReason::Home})) << at;
@@ -116,7 +116,7 @@
   std::ofstream(folder + "/taken") << "x";
   boost::asio::io_context io;
   AsyncStore keep(io, folder + "/taken", kOwner, {});
-  EXPECT_FALSE(keep.memory().has_value());
+  EXPECT_FALSE(keep.contents().has_value());
   EXPECT_EQ(keep.fault().rfind("read-only: ", 0), 0U) << keep.fault();
   EXPECT_FALSE(keep.write(Note{"a", "b"})) << "and nothing is promised by it";
 }
@@ -132,8 +132,8 @@
                            EXPECT_TRUE(ok);
                            told.push_back(std::get<StoredGrant>(c).service);
                          },
-                     .troubled = [](const std::string& fault) { EXPECT_EQ(fault, ""); }});
-    ASSERT_TRUE(keep.memory().has_value());
+                     .fault_changed = [](const std::string& fault) { EXPECT_EQ(fault, ""); }});
+    ASSERT_TRUE(keep.contents().has_value());
     for (leases::ServiceId i = 0; i < 500; ++i)
       ASSERT_TRUE(keep.write(StoredGrant{i, {1, 77, ClaimReason::Home}, false}));
     for (int tries = 0; told.size() < 500 && tries < 1000; ++tries) {
@@ -150,7 +150,7 @@
   boost::asio::io_context io;
   {
     AsyncStore keep(io, folder, kOwner,
-                    {.written = [](const Change&, bool) {}, .troubled = [](const std::string&) {}});
+                    {.written = [](const Change&, bool) {}, .fault_changed = [](const std::string&) {}});
     for (int i = 0; i < 50; ++i) ASSERT_TRUE(keep.write(Note{"n" + std::to_string(i), "x"}));
   }
   EXPECT_EQ(Store(file(), kOwner).load().notes.size(), 50U);
@@ -161,12 +161,12 @@
   std::uint32_t before = 0;
   {
     AsyncStore keep(io, folder, kOwner,
-                    {.written = [](const Change&, bool) {}, .troubled = [](const std::string&) {}});
-    before = keep.memory()->installation;
+                    {.written = [](const Change&, bool) {}, .fault_changed = [](const std::string&) {}});
+    before = keep.contents()->installation;
     keep.write(kCharge);
-    keep.renounce();
+    keep.discard();
   }
-  const Memory m = Store(file(), kOwner).load();
+  const Contents m = Store(file(), kOwner).load();
   EXPECT_NE(m.installation, before);
   EXPECT_TRUE(m.grants.empty());
 }
