conf: files of hosts and of members are read by one function

Need: readHostsFile and readMembersFile were twins, and readConfiguration began alike.

Behaviour is unchanged.

--- a/src/conf/model.cpp
+++ b/src/conf/model.cpp
@@ -461,6 +461,21 @@
   Place pool_at_, attempts_at_;
 };
 
+// Reads a file with all that it includes, and checks it by `block`. Its text and what was found go to `out`.
+template <typename File>
+Section readChecked(FileSource& files, const std::string& path, const Block& block, File& out) {
+  Loaded loaded = load(files, path);
+  out.sources = std::move(loaded.sources);
+  out.found = std::move(loaded.found);
+  return check(block, loaded.statements, out.sources, out.found);
+}
+
+// A file that was cut short would take all its entries away, so one without any is an error.
+template <typename File>
+void requireEntries(bool none, const char* problem, const char* advice, File& out) {
+  if (none && out.ok()) out.found.push_back({Severity::Error, {0, 1, 1, 1}, problem, advice});
+}
+
 }  // namespace
 
 bool Configuration::ok() const { return noErrors(found); }
@@ -477,30 +492,20 @@
 }
 
 HostsFile readHostsFile(FileSource& files, const std::string& path) {
-  Loaded loaded = load(files, path);
   HostsFile out;
-  out.found = std::move(loaded.found);
-  const Section root = check(kHostsFile, loaded.statements, loaded.sources, out.found);
-  out.hosts = hostsOf(root, loaded.sources, out.found);
-  // A file that was cut short would take all hosts away.
-  if (out.hosts.empty() && out.ok())
-    out.found.push_back({Severity::Error, {0, 1, 1, 1}, "no host is there", "add host NAME ADDRESS:PORT"});
-  out.sources = std::move(loaded.sources);
+  const Section root = readChecked(files, path, kHostsFile, out);
+  out.hosts = hostsOf(root, out.sources, out.found);
+  requireEntries(out.hosts.empty(), "no host is there", "add host NAME ADDRESS:PORT", out);
   return out;
 }
 
 bool MembersFile::ok() const { return noErrors(found); }
 
 MembersFile readMembersFile(FileSource& files, const std::string& path) {
-  Loaded loaded = load(files, path);
   MembersFile out;
-  out.found = std::move(loaded.found);
-  const Section root = check(kMembersFile, loaded.statements, loaded.sources, out.found);
-  out.members = membersOf(root, loaded.sources, out.found);
-  if (out.members.empty() && out.ok())
-    out.found.push_back(
-        {Severity::Error, {0, 1, 1, 1}, "no member is there", "add member NUMBER ADDRESS:PORT"});
-  out.sources = std::move(loaded.sources);
+  const Section root = readChecked(files, path, kMembersFile, out);
+  out.members = membersOf(root, out.sources, out.found);
+  requireEntries(out.members.empty(), "no member is there", "add member NUMBER ADDRESS:PORT", out);
   return out;
 }
 
