net: reading on or only looking for the end is chosen in one place

Need: client_reading.cpp wrote the same choice twice, after bytes of a further request and when a request begins to wait.

Change: Connection::awaitMoreOrEnd(). Behaviour is unchanged.

--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -67,6 +67,9 @@
 
   void onReadable(boost::system::error_code ec);
 
+  // While the answer is awaited: reads ahead up to a bound, and then only looks whether the client has left.
+  void awaitMoreOrEnd();
+
   // Nothing more is read, yet a client that leaves is to be noticed.
   void lookForEnd();
 
--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -87,9 +87,11 @@
     return parse();
   }
   // A further request before this one's answer: it waits, and so do we beyond a bound.
-  in_.size() < kReadAhead ? armRead() : lookForEnd();
+  awaitMoreOrEnd();
 }
 
+void Server::Connection::awaitMoreOrEnd() { in_.size() < kReadAhead ? armRead() : lookForEnd(); }
+
 void Server::Connection::lookForEnd() {
   if (state_ != State::Waiting) return;
   if (hungUp(socket_.native_handle())) return onReadEnd(asio::error::eof);
@@ -266,7 +268,7 @@
     server_.exchanges_.erase(exchange_);
     return refuse(503);
   }
-  in_.size() < kReadAhead ? armRead() : lookForEnd();  // to see a client leave while it waits
+  awaitMoreOrEnd();  // to see a client leave while it waits
   server_.sink_.onRequest(exchange_, std::move(request));
 }
 
