--- a/bench/capacity_faults.cpp
+++ b/bench/capacity_faults.cpp
@@ -81,8 +81,9 @@
     }
     note(while_ + ", worst second out of any hollow", static_cast<double>(out), "B/s", kMostBytesASecond);
     note(while_ + ", worst second in of any hollow", static_cast<double>(in), "B/s", kMostBytesASecond);
-    note(while_ + ", worst second out of a keeper", static_cast<double>(keeper_out), "B/s",
-         kMostBytesASecond);
+    if (fleet_.plan().services > 0)
+      note(while_ + ", worst second out of a keeper", static_cast<double>(keeper_out), "B/s",
+           kMostBytesASecond);
     fleet_.resetWorstSeconds();
   }
 
--- a/bench/capacity_run.h
+++ b/bench/capacity_run.h
@@ -49,9 +49,12 @@
 std::chrono::milliseconds lookEvery(std::size_t members);
 
 // Starts a fleet of this plan, measures it, and adds a column to the table. Throws std::runtime_error where
-// the fleet does not agree.
+// the fleet does not agree, with what its members hold.
 void measureSize(const Programs& programs, const rig::MixedPlan& plan, const Phases& phases, Table& table);
 
+// The same for the leases alone: what a keeper and others send and get when services are on.
+void measureLeases(const Programs& programs, const rig::MixedPlan& plan, Table& table);
+
 // Prints, once in `step`, what a member sent on average since the last line, for so long from the start.
 void traceSize(const Programs& programs, const rig::MixedPlan& plan, std::chrono::seconds lasting,
                std::chrono::seconds step);
--- a/bench/capacity_table.cpp
+++ b/bench/capacity_table.cpp
@@ -73,6 +73,12 @@
   q->values[size] = value;
 }
 
+void Table::add(const Table& other) {
+  for (const Quantity& q : other.quantities()) {
+    for (const auto& [size, value] : q.values) set(q.name, q.unit, size, value, q.budget);
+  }
+}
+
 const Quantity* Table::find(const std::string& name) const {
   const auto q = std::find_if(quantities_.begin(), quantities_.end(),
                               [&](const Quantity& of) { return of.name == name; });
--- a/bench/capacity_table.h
+++ b/bench/capacity_table.h
@@ -37,6 +37,7 @@
   // The order of the first words of a quantity is the order of rows.
   void set(const std::string& name, const std::string& unit, std::size_t size, double value,
            std::optional<double> budget = std::nullopt);
+  void add(const Table& other);  // its columns
   const std::vector<Quantity>& quantities() const { return quantities_; }
   const Quantity* find(const std::string& name) const;
   std::string text() const;
--- a/rig/mixed_fleet.cpp
+++ b/rig/mixed_fleet.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
@@ -199,6 +200,17 @@
   return eachView(members, [&](const View& view) { return view.live == live; });
 }
 
+std::string MixedFleet::viewsOfHollow() {
+  std::map<std::size_t, std::size_t> holders;
+  for (const json& answer : command("views", all())) {
+    for (const json& v : answer.at("views")) holders[v.at("live")] += v.at("members").get<std::size_t>();
+  }
+  std::string text;
+  for (const auto& [live, members] : holders)
+    text += (text.empty() ? "" : ", ") + std::to_string(live) + ": " + std::to_string(members);
+  return text;
+}
+
 double MixedFleet::until(const std::function<bool()>& holds, std::chrono::milliseconds look,
                          std::chrono::seconds limit) {
   const auto began = std::chrono::steady_clock::now();
--- a/rig/mixed_fleet.h
+++ b/rig/mixed_fleet.h
@@ -63,6 +63,8 @@
   bool agree(const Numbers& members, std::size_t live);
   // All these have just so many live; what they hold of suspects may differ.
   bool count(const Numbers& members, std::size_t live);
+  // How many live members are held by how many of the hollow ones, as text.
+  std::string viewsOfHollow();
   // Seconds until it holds, looked at every `look`; negative: not within `limit`.
   static double until(const std::function<bool()>& holds, std::chrono::milliseconds look,
                       std::chrono::seconds limit);
