bench_slopes by members listed, bench_latency with 730 hosts in the list

Need: the file that an operator publishes names every member, so its size, the memory and a reload grow with the members; and a reload at the planned size reads a list of 730 hosts too, which the measured calls are to meet.

A test of the fit passed with one break (a value of 0 counted as met by any line): its points were not straight for another reason too.

--- a/bench/latency.cpp
+++ b/bench/latency.cpp
@@ -1,7 +1,8 @@
 // What the proxy adds to a call: the same call to the same host stand-in, in turn directly and through the
 // proxy, at a steady rate.
 //
-//     bench_latency [--seconds 15] [--repetitions 3] [--rates 67,335] [--members 10] [--services 84] [--json]
+//     bench_latency [--seconds 15] [--repetitions 3] [--rates 67,335] [--members 10] [--services 84]
+//                   [--hosts 730] [--json]
 //
 // Each repetition runs with control off (one proxy with the platform's configuration alone) and with control
 // on: the proxy is one of `members` processes with a view of the fleet and `services` services held by
@@ -56,7 +57,6 @@
 constexpr int kChainLength = 23;              // calls that follow from one another (the same)
 constexpr int kChains = 200'000;              // drawn to reckon the sum over a chain
 constexpr std::size_t kZones = 5;
-constexpr std::size_t kHostsInZone = 2;
 constexpr std::size_t kHostQueue = 1024;
 constexpr std::chrono::seconds kLease{3};
 constexpr std::chrono::seconds kReady{40};        // for the proxy to serve, leases and all
@@ -72,6 +72,7 @@
   std::vector<double> rates = {67, 335};
   std::size_t members = 10;
   std::size_t services = 84;
+  std::size_t hosts = 730;  // in the list; each has a socket for each zone
   bool as_json = false;
 };
 
@@ -152,7 +153,7 @@
   for (std::size_t z = 0; z < kZones; ++z)
     plan.zones.push_back({.name = "zone-" + std::to_string(z),
                           .region = "",
-                          .hosts = kHostsInZone,
+                          .hosts = options.hosts / kZones,
                           .cores = kHostQueue,
                           .queue = kHostQueue,
                           .work = quinceline::rig::Span(0)});
@@ -424,6 +425,7 @@
               {"seconds", options.seconds},
               {"members", options.members},
               {"services", options.services},
+              {"hosts", options.hosts},
               {"chain_length", kChainLength},
               {"chain_any_beyond_p99", anyBeyondP99()},
               {"cells", json::array()}};
@@ -468,8 +470,8 @@
 void print(const Options& options, const std::vector<Cell>& cells) {
   std::printf("us: p50, p90, p99, p99.9 of all repetitions (least..most of one); budget: added p99 %.0f\n",
               kBudgetMicroseconds);
-  std::printf("control on: %zu members, %zu services, a lease of %lld s\n", options.members, options.services,
-              static_cast<long long>(kLease.count()));
+  std::printf("%zu hosts listed; control on: %zu members, %zu services, a lease of %lld s\n", options.hosts,
+              options.members, options.services, static_cast<long long>(kLease.count()));
   for (const Cell& cell : cells) print(cell);
   std::printf("\nat least one of a chain of %d is beyond the p99 of one call: %.1f %% (1 - 0.99^%d)\n",
               kChainLength, 100 * anyBeyondP99(), kChainLength);
@@ -495,7 +497,7 @@
 [[noreturn]] void usage() {
   std::fprintf(stderr,
                "bench_latency [--seconds S] [--repetitions N] [--rates R,R] [--members N] [--services N] "
-               "[--json]\n");
+               "[--hosts N] [--json]\n");
   std::exit(64);
 }
 
@@ -517,6 +519,8 @@
       options.members = static_cast<std::size_t>(std::atoi(value.c_str()));
     } else if (name == "--services") {
       options.services = static_cast<std::size_t>(std::atoi(value.c_str()));
+    } else if (name == "--hosts") {
+      options.hosts = static_cast<std::size_t>(std::atoi(value.c_str()));
     } else if (name == "--rates") {
       options.rates.clear();
       std::istringstream list(value);
@@ -527,7 +531,8 @@
   }
   const bool rates = std::all_of(options.rates.begin(), options.rates.end(), [](double r) { return r > 0; });
   if (!rates || options.seconds <= 0 || options.repetitions < 1 || options.members < 3 ||
-      options.members > 200 || options.services < 1 || options.services > 1000)
+      options.members > 200 || options.services < 1 || options.services > 1000 || options.hosts < kZones ||
+      options.hosts > 2000)
     usage();
   return options;
 }
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -3,7 +3,7 @@
 //
 //     bench_slopes [--only NAME,NAME] [--repetitions 3] [--quick] [--json]
 //
-// NAME is one of: hosts, services, requests, watchers, decision, leases. --quick: one
+// NAME is one of: hosts, services, members, requests, watchers, decision, leases. --quick: one
 // repetition, for a look. Everything is on loopback addresses and ends with this process.
 #include <malloc.h>
 #include <signal.h>
@@ -48,7 +48,8 @@
 constexpr std::chrono::seconds kWithin{20};  // for anything that a measurement waits for
 constexpr std::chrono::milliseconds kLook{2};
 constexpr std::chrono::milliseconds kSettle{700};  // after a start or a change, before it is looked at
-constexpr std::size_t kMembers = 10;               // listed where services need a fleet; nobody is there
+constexpr std::size_t kFewMembers = 10;            // listed where services need a fleet; nobody is there
+constexpr std::size_t kAllServices = 84;           // of the operators' plan
 
 const std::vector<double> kHostSizes = {60, 150, 300, 730};
 const std::vector<double> kServiceSizes = {10, 21, 42, 84};
@@ -105,16 +106,16 @@
   return options;
 }
 
-// ---- memory and one reload, by services ----
+// ---- memory and one reload, by services and by members listed ----
 
 // A fleet whose other members are absent, and services held by leases, each with a class and a route of its
 // own.
-std::string operatorText(std::size_t services) {
+std::string operatorText(std::size_t services, std::size_t members) {
   // The relay of no rig is here: an address of this process alone.
   const unsigned process = static_cast<unsigned>(getpid()) & 0xFFFFU;
   const std::string address = boost::asio::ip::address_v4(0x7F'61'00'00U | process).to_string();
   std::string text = "fleet {\n  listen " + address + ":7946\n";
-  for (std::size_t n = 0; n < kMembers; ++n)
+  for (std::size_t n = 0; n < members; ++n)
     text += "  member " + std::to_string(n) + " " + address + ":" + std::to_string(7946 + n) +
             " {\n    zone zone-" + std::to_string(n % 2) + "\n  }\n";
   text += "}\n";
@@ -124,18 +125,18 @@
   return text;
 }
 
-ProxyOptions serving(const DiscoveryStandIn& discovery, std::size_t services) {
+ProxyOptions serving(const DiscoveryStandIn& discovery, std::size_t services, std::size_t members) {
   ProxyOptions options = listing(discovery);
   options.classes = services;
   options.fleet_allowed = true;
-  options.operator_text = operatorText(services);
+  options.operator_text = operatorText(services, members);
   return options;
 }
 
-std::vector<double> measureServices(std::size_t services) {
+std::vector<double> measureReload(std::size_t services, std::size_t members) {
   constexpr int kReloads = 10;
   DiscoveryStandIn discovery(absentHosts(730));
-  const ProxyOptions options = serving(discovery, services);
+  const ProxyOptions options = serving(discovery, services, members);
   ProxyProcess proxy(QUINCELINE, options);
   waitFor([&] { return discovery.watchers() == 1; }, "the proxy's watch");
   std::this_thread::sleep_for(kSettle);
@@ -158,6 +159,9 @@
           static_cast<double>(options.operator_text.size())};
 }
 
+std::vector<double> measureServices(std::size_t services) { return measureReload(services, kFewMembers); }
+std::vector<double> measureMembers(std::size_t members) { return measureReload(kAllServices, members); }
+
 // ---- memory by open requests ----
 
 std::vector<double> measureRequests(std::size_t requests) {
@@ -378,13 +382,12 @@
 
 Plan planOfLeases(std::size_t members) {
   constexpr std::size_t kZones = 5;
-  constexpr std::size_t kServices = 84;
   Plan plan;
   plan.proxies = members;
   plan.lease = std::chrono::seconds(3);
   for (std::size_t z = 0; z < kZones; ++z)
     plan.zones.push_back({.name = "zone-" + std::to_string(z), .region = "", .hosts = 1});
-  for (std::size_t s = 0; s < kServices; ++s) {
+  for (std::size_t s = 0; s < kAllServices; ++s) {
     const std::string of = "class-" + std::to_string(s);
     plan.classes.push_back({.name = of, .effect = Effect::Unsafe});
     plan.services.push_back({"service-" + std::to_string(s), of, s % kZones, (s + 1) % kZones});
@@ -438,6 +441,14 @@
         {"reload: from SIGHUP until in force", "ms"},
         {"the file", "B"}},
        measureServices},
+      {"members",
+       "members listed, none of them there; 84 services, 730 hosts",
+       kHostSizes,
+       {{"resident memory of the proxy", "kB"},
+        {"reload: CPU of the proxy", "ms/reload"},
+        {"reload: from SIGHUP until in force", "ms"},
+        {"the file", "B"}},
+       measureMembers},
       {"requests",
        "requests open at once",
        kRequestSizes,
--- a/tests/bench_run_test.cpp
+++ b/tests/bench_run_test.cpp
@@ -37,7 +37,7 @@
 
 TEST(BenchLatency, PairsCallsWithControlOffAndOn) {
   const Ran ran =
-      run(BENCH_LATENCY " --seconds 2 --repetitions 1 --rates 67 --members 5 --services 5 --json");
+      run(BENCH_LATENCY " --seconds 2 --repetitions 1 --rates 67 --members 5 --services 5 --hosts 10 --json");
   ASSERT_EQ(ran.status, 0) << ran.output;
   const json found = json::parse(ran.output);
   ASSERT_EQ(found.at("cells").size(), 2U);
--- a/tests/fit_test.cpp
+++ b/tests/fit_test.cpp
@@ -49,8 +49,9 @@
   EXPECT_FALSE(fit.straight());
 }
 
+// The other two residuals are 3 % and 1 % of their values.
 TEST(Fit, AValueOfZeroOffTheLineIsNotStraight) {
-  EXPECT_FALSE(leastSquares(std::vector<Point>{{1, 0}, {2, 2}, {3, 2}}).straight());
+  EXPECT_FALSE(leastSquares(std::vector<Point>{{1, 0}, {2, 100}, {3, 190}}).straight());
 }
 
 TEST(Fit, RefusesWhatNoLineCanBeFittedTo) {
