After the loss of all four disks: what staff do is played in a test

The page says how proxies take the numbers of a new history: the last line of the shared file is deleted and SIGHUP sent.

--- a/tests/distribution_processes_test.cpp
+++ b/tests/distribution_processes_test.cpp
@@ -296,6 +296,17 @@
   EXPECT_TRUE(seen("version 1 is one text for publisher "));
   EXPECT_TRUE(seen(" is lost at replica 1\n"));
   EXPECT_TRUE(seen(" got version 1 after publish "));
+  // What the page for staff says to do: each forgets the number, and takes the new ones.
+  for (std::size_t n = 0; n < DistributionRig::kProxies; ++n) {
+    rig.replaceShared(n, textOf(1));
+    rig.rereadProxy(n);
+  }
+  EXPECT_TRUE(rig.until([&] {
+    for (std::size_t n = 0; n < DistributionRig::kProxies; ++n) {
+      if (rig.sharedText(n).rfind(textOf(2), 0) != 0 || rig.versionOf(n) != 1) return false;
+    }
+    return true;
+  })) << rig.logs();
 }
 
 TEST_F(DistributionBroken, AProxyThatStandsStillIsNamedAndSeenToBeLate) {
--- a/tests/distribution_rig.h
+++ b/tests/distribution_rig.h
@@ -122,6 +122,7 @@
         std::make_unique<Child>(std::vector<std::string>{program_, "run", "--operator", operatorFile(n)});
   }
   void freezeProxy(std::size_t n) { proxies_[n].child->signal(SIGSTOP); }
+  void rereadProxy(std::size_t n) { proxies_[n].child->signal(SIGHUP); }
   void killProxy(std::size_t n) { proxies_[n].child.reset(); }
   const Child& proxy(std::size_t n) const { return *proxies_[n].child; }
   const Child& replica(std::size_t r) const { return *replicas_[r].child; }
