--- a/bench/capacity_faults.cpp
+++ b/bench/capacity_faults.cpp
@@ -1,6 +1,7 @@
 #include "capacity_faults.h"
 
 #include <algorithm>
+#include <cstdio>
 #include <stdexcept>
 #include <thread>
 
@@ -61,8 +62,10 @@
   }
   void note(const std::string& what, double value, const char* unit = "s",
             std::optional<double> budget = std::nullopt) {
-    table_.set("fault " + std::string(kFaultNames[static_cast<std::size_t>(fault_)]) + ": " + what, unit,
-               fleet_.plan().members, value, budget);
+    const std::string name =
+        "fault " + std::string(kFaultNames[static_cast<std::size_t>(fault_)]) + ": " + what;
+    std::fprintf(stderr, "%s %.2f %s\n", name.c_str(), value, unit);  // a run that is cut short tells so far
+    table_.set(name, unit, fleet_.plan().members, value, budget);
   }
   // -1 in the table: not within the limit.
   double agreeAgain(const Numbers& live) {
--- a/bench/capacity_table.cpp
+++ b/bench/capacity_table.cpp
@@ -86,7 +86,7 @@
 }
 
 std::string Table::text() const {
-  constexpr std::size_t kName = 46, kUnit = 8, kValue = 10;
+  constexpr std::size_t kName = 60, kUnit = 8, kValue = 10;
   std::set<std::size_t> sizes;
   for (const Quantity& q : quantities_) {
     for (const auto& [size, value] : q.values) sizes.insert(size);
