--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -1,11 +1,13 @@
 // What membership, leases and the watch on discovery cost at the sizes that are planned for, with processes
 // of the program and hollow members (docs/rig.md).
 //
-//     bench_capacity SIZE ... [--real N] [--services N] [--json FILE]    the table, with a line through each
-//     row bench_capacity SIZE ... --fault rack|zone|region|restarts72|discovery|loss [...] bench_capacity
-//     --compare SIZE      all real, then all hollow; 1 where they differ by more than is allowed
-//     bench_capacity SIZE --trace SECONDS    bytes a member, second by second, until all records have gone
-//     round
+//     bench_capacity SIZE ... [--real N] [--lease-sizes SIZE ...] [--services N] [--json FILE]
+//     bench_capacity SIZE ... --fault rack|zone|region|restarts72|discovery|loss ...
+//     bench_capacity --compare SIZE
+//     bench_capacity SIZE --trace SECONDS
+//
+// The table, with a line through each row; faults; all real against all hollow, 1 where they differ by more
+// than is allowed; bytes a member from the start.
 //
 // Membership and the watch on discovery are measured without services; sizes of up to 300 side by side,
 // larger ones alone. Leases are measured apart, at small sizes: what all members ask of all at a start grows
