--- a/bench/stand_ins.h
+++ b/bench/stand_ins.h
@@ -67,7 +67,8 @@
   void serve(const std::shared_ptr<Watcher>& watcher);
   nlohmann::json entry(std::size_t host) const;
   void beat();
-  void sayAll(const std::string& text);
+  std::shared_ptr<const std::string> wholeList();
+  void sayAll(const std::shared_ptr<const std::string>& text);
   void say(const std::shared_ptr<Watcher>& watcher, std::shared_ptr<const std::string> text);
   void write(const std::shared_ptr<Watcher>& watcher);
 
@@ -79,6 +80,7 @@
   Loop loop_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer timer_;
+  std::shared_ptr<const std::string> whole_list_;  // as it is told; none: something has changed since
   std::set<std::shared_ptr<Watcher>> watchers_;
 };
 
