Overload ends with its cause: an adaptive limit on own requests in flight in place of a shed part

Cause: the part of arrivals that is refused followed lateness, which is seen a second after the queue has grown (`Shedding::follow`), and retries pass it by: of three tries one gets through at a part of 0.6. So the hosts filled and slowed down, and what was still let through was as much as slowed hosts can bear: they never had rest.

Change: `measures::ConcurrencyLimit`, led by the same lateness. Slow answers fill it at once, retries add nothing to what it lets through, and where hosts take longer the rate sinks with them.

--- a/src/decision/requests.h
+++ b/src/decision/requests.h
@@ -8,7 +8,6 @@
 
 struct Serving : Asking {
   Shedding shedding{*this};
-  std::int32_t in_flight = 0;
 
   void onRequest(const Request& q, Actions& out) {
     if (requests.find(q.id) != nullptr) return;
--- a/src/decision/servers.h
+++ b/src/decision/servers.h
@@ -15,7 +15,6 @@
 struct Servers : Context {
   std::map<std::string, Server, std::less<>> table;  // sorted: no decision hangs on a hash
   double recent_turn = 0;
-  double demand = 0;  // own requests in flight, averaged
 
   Server* find(std::string_view id) {
     const auto it = table.find(id);
--- a/src/decision/shedding.h
+++ b/src/decision/shedding.h
@@ -1,8 +1,7 @@
 // How much of what arrives is refused at once under overload, and of whom; what answers usually take.
 #pragma once
 
-#include <cmath>
-
+#include "measures/concurrency_limit.h"
 #include "state.h"
 
 namespace weldflow::decision {
@@ -35,22 +34,21 @@
   // What an attempt's lateness says of the load of all.
   void follow(double late, const Server& s, Actions& out) {
     late /= std::max(1.0, s.slowness);  // a slow server's lateness is its own, not the fleet's
-    // While much is shed few answers come: each good one then counts for those that were not asked for.
-    const double step = late < kLateTarget ? 1 / std::sqrt(1 - part_) : 1;
-    part_ = std::clamp(part_ + kShedGain * step * (late - kLateTarget), 0.0, kMostShed);
-    const bool noted = part_ > (noted_ ? 0.0 : kShedNoted);
+    limit_.adapt(kLimitGain * (kLateTarget - late), c_.demand);
+    const bool noted = limit_.refused() > (noted_ ? kShedNoted / 2 : kShedNoted);
     if (noted != noted_) c_.trace(out, Context::Line::Shedding, noted ? "shedding begun" : "shedding ended");
     noted_ = noted;
   }
 
-  // Under overload a part is refused before it costs anything: first what is beyond a tenant's share, then
+  // Beyond the limit a part is refused before it costs anything: first what is beyond a tenant's share, then
   // half of it by worth for the time it takes, half from all alike, so that no class starves.
   bool shed(const Request& q) {
     const bool over = overShare(q.tenant);
     for (double& l : level_recent_) l *= kRecent;
     const auto level = 2 * static_cast<std::size_t>(q.request_class) + (over ? 1U : 0U);
     level_recent_[level] += 1;
-    if (part_ <= 0) return false;
+    const double part = limit_.onArrival(c_.in_flight);
+    if (part <= 0) return false;
     const bool by_worth = c_.random.unit() < 0.5;
     double lower = 0, same = 0, all = 0;
     for (std::size_t l = 0; l < level_recent_.size(); ++l) {
@@ -61,17 +59,16 @@
         same += level_recent_[l];
       }
     }
-    return lower + c_.random.unit() * same < part_ * all;
+    return lower + c_.random.unit() * same < part * all;
   }
 
   static constexpr double kFullLate = 0.35;  // a full server: overload once more than half are full
 
  private:
   static constexpr double kRecent = 0.99;     // the mix of arrivals is taken over the last hundred
-  static constexpr double kShedGain = 0.05;   // follows some twenty outcomes: faster than a queue fills
+  static constexpr double kLimitGain = 0.1;   // follows some ten outcomes: faster than a queue fills
   static constexpr double kLateFrom = 0.4;    // an answer after this part of its aim begins to count as late
   static constexpr double kLateTarget = 0.2;  // so much lateness on average is a full fleet; more is a queue
-  static constexpr double kMostShed = 0.95;   // a few requests keep telling whether the overload is over
   static constexpr double kShedNoted = 0.1;   // of arrivals: less is a busy hour's noise, not worth a line
 
   // By lot: the part of a tenant's requests that is beyond its share here.
@@ -97,7 +94,7 @@
   std::vector<double> latency_;                       // by class, mean of answers; 0: none yet
   std::vector<double> tenant_recent_, level_recent_;  // arrivals; by class, within and beyond the share
   double tenant_total_ = 0;
-  double part_ = 0;  // of the arrivals, refused on arrival
+  quinceline::measures::ConcurrencyLimit limit_;  // on own requests in flight
   bool noted_ = false;
 };
 
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -20,6 +20,8 @@
   Settings settings;
   Random random{0};
   Time now = 0;
+  std::int32_t in_flight = 0;  // own attempts that have no outcome yet
+  double demand = 0;           // the same, averaged over arrivals
 
   // A clock may start anywhere; later, a time that runs backwards is no time at all. True: this is the start.
   bool begin(Time t) {
--- /dev/null
+++ b/src/measures/include/measures/concurrency_limit.h
@@ -0,0 +1,54 @@
+// An adaptive limit on requests in flight, led by how late answers come. No I/O, no clock.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+
+namespace quinceline::measures {
+
+// Slower answers fill a limit on requests in flight at once, before any of them has come, and retries do not
+// add to what it lets through; a fixed part of arrivals, refused, does neither. Below one request in flight
+// it acts by chance, so that many clients with little traffic can hold back as well.
+class ConcurrencyLimit {
+ public:
+  // Of arrivals, refused at most: some have to go on, to find out whether the overload is over.
+  static constexpr double kMostRefused = 0.95;
+
+  // An answer has come. `step`: the part by which the limit is to grow, or to shrink if it is below 0.
+  // `mean_in_flight`: requests in flight that an arrival met of late, itself among them.
+  void adapt(double step, double mean_in_flight) {
+    const double used = std::max(1.0, mean_in_flight);
+    mean_step_ += kMeanGain * (step - mean_step_);
+    // Late on average: what is used is too much. A single late answer is no overload.
+    if (mean_step_ < 0) limit_ = std::min(limit_, used);
+    // A limit that is not used proves nothing: it grows no further than chance makes use of it.
+    if (step > 0 && limit_ >= used + kChance * std::sqrt(used)) return;
+    // While much is refused few answers come: each then counts for those that were not asked for.
+    if (step > 0) step /= std::sqrt(1 - refused_);
+    limit_ = std::max(limit_ + step * std::max(1.0, limit_), 1 - kMostRefused * kLeastRamp);
+  }
+
+  // A request arrives while so many are in flight: the chance by which to refuse it, from none at the limit
+  // to nearly all at half as much again.
+  double onArrival(double in_flight) {
+    const double ramp = std::max(kLeastRamp, limit_ / 2);
+    const double part = std::clamp((in_flight + 1 - limit_) / ramp, 0.0, kMostRefused);
+    refused_ += kRefusedGain * (part - refused_);
+    return part;
+  }
+  // The same, averaged over the last arrivals.
+  double refused() const { return refused_; }
+
+ private:
+  static constexpr double kUnlimited = 1e6;  // until answers come late
+  static constexpr double kChance = 2;       // deviations of a Poisson number: one arrival in 40 meets more
+  static constexpr double kMeanGain = 0.1;   // over some ten answers
+  static constexpr double kLeastRamp = 2;    // requests: at a limit of one, two at once may be chance
+  static constexpr double kRefusedGain = 0.05;  // over some twenty arrivals
+
+  double limit_ = kUnlimited;
+  double mean_step_ = 0;
+  double refused_ = 0;
+};
+
+}  // namespace quinceline::measures
