Late answers alone give up no zone: a probe tells load from loss; the limit's cut is to what is used

Where probes are not permitted it is as it was. The limit on requests in flight is cut only while answers are late on average, and to what is used: a single late answer is no overload.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -1,6 +1,5 @@
-// The interface of the module: include/weldflow/balancer.h has the types, events and actions. The ordinary
-// path is Rocksteadier subsetting and least in flight, ties by turn; each exception says beside it under
-// which condition it acts.
+// The interface of the module: include/weldflow/balancer.h has the types. The ordinary path is Rocksteadier
+// subsetting and least in flight, ties by turn; each exception says beside it when it acts.
 #include "requests.h"
 
 namespace weldflow {
@@ -30,8 +29,6 @@
     return *this;
   }
 
-  // ---- the server list's news, and when discovery is asked for them ----
-
   // True: who is listed, or may be used, is not who it was.
   bool takeList(ListKind kind, std::span<const Host> hosts, Actions& out) {
     if (kind == ListKind::Unavailable) {
@@ -90,9 +87,8 @@
     return changed;
   }
 
-  // Whatever was tried before, a change counts as told 6 s after discovery had it and could be reached
-  // (net/discovery.h adds it up): a watch that broke is asked for anew soon, and no call waits longer than 2
-  // s.
+  // A change counts as told 6 s after discovery had it and could be reached (net/discovery.h adds it up): a
+  // watch that broke is asked for anew soon, and no call waits longer than 2 s.
   void askLater(Actions& out) {
     const bool broke = std::exchange(subscribed, false);
     const double wait = broke ? kSoon * random.unit() : ask_backoff * spreadOut();
@@ -120,6 +116,8 @@
       s.reported_at = now;
     }
     if (!s.out) {
+      if (ok) sight.answered(s.host.zone, now - latency, now);
+      if (!ok && sight.suspected(s.host.zone)) silence(s, now - latency, true, out);
       for (const RequestId waiting : heard(s, ok)) goOn(*requests.find(waiting), out);
     } else if (s.listed && ok) {
       s.unproven = true;
--- a/src/decision/health.h
+++ b/src/decision/health.h
@@ -58,12 +58,14 @@
       }
       if (now < s->out_until) {
         returnAt(s->out_until);
-      } else if (settings.may_probe && !s->probing && s->inService()) {
-        s->probing = true;
-        out.push_back({.kind = ActionKind::Probe, .server = s->host.id});
+      } else if (settings.may_probe && s->inService()) {
+        probe(*s, out);
       }
     }
   }
+  static void probe(Server& s, Actions& out) {
+    if (!std::exchange(s.probing, true)) out.push_back({.kind = ActionKind::Probe, .server = s.host.id});
+  }
 
   // As another Balancer has left it.
   void recallOne(Server& s, const Remembered& k) {
--- a/src/decision/picking.h
+++ b/src/decision/picking.h
@@ -107,9 +107,7 @@
       r.asked.push_back(*best);
       tied.erase(best);
     }
-    for (Server* s : r.asked) {
-      if (!std::exchange(s->probing, true)) out.push_back({.kind = ActionKind::Probe, .server = s->host.id});
-    }
+    for (Server* s : r.asked) probe(*s, out);
     r.asking = true;
     r.asking_since = now;
     asking.push_back(r.id);
--- a/src/decision/shedding.h
+++ b/src/decision/shedding.h
@@ -34,7 +34,7 @@
   // What an attempt's lateness says of the load of all.
   void follow(double late, const Server& s, Actions& out) {
     late /= std::max(1.0, s.slowness);  // a slow server's lateness is its own, not the fleet's
-    limit_.adapt(kLimitGain * (kLateTarget - late), c_.demand);
+    limit_.adapt((kLateTarget - late) / kLateTarget, c_.demand);
     const bool noted = limit_.refused() > (noted_ ? kShedNoted / 2 : kShedNoted);
     if (noted != noted_) c_.trace(out, Context::Line::Shedding, noted ? "shedding begun" : "shedding ended");
     noted_ = noted;
@@ -66,7 +66,6 @@
 
  private:
   static constexpr double kRecent = 0.99;     // the mix of arrivals is taken over the last hundred
-  static constexpr double kLimitGain = 0.1;   // follows some ten outcomes: faster than a queue fills
   static constexpr double kLateFrom = 0.4;    // an answer after this part of its aim begins to count as late
   static constexpr double kLateTarget = 0.2;  // so much lateness on average is a full fleet; more is a queue
   static constexpr double kShedNoted = 0.1;   // of arrivals: less is a busy hour's noise, not worth a line
--- a/src/decision/zones.h
+++ b/src/decision/zones.h
@@ -8,9 +8,11 @@
 
 struct Zones : Health {
   // Silence of a zone is the zone's: lost, or cut off from here; no bound on the ejected keeps its servers.
-  void silence(const Server& s, Time sent, bool unreachable, Actions& out) {
+  // Late answers are load as well: a probe tells.
+  void silence(Server& s, Time sent, bool unreachable, Actions& out) {
     sight.note(s.host.zone, s.host.id, sent, now, unreachable);
     if (!sight.silent(s.host.zone, s.host.id, sent)) return;
+    if (settings.may_probe && !unreachable) return probe(s, out);
     ejectZone(s.host.zone, soonBack(), out);
   }
   // Somebody there answers; the zone is back for others too only where it was not given up in common.
--- a/src/sight/include/sight/sight.h
+++ b/src/sight/include/sight/sight.h
@@ -28,6 +28,8 @@
   // there, with no answer from the zone but some from elsewhere since this one was sent. To find it out of
   // each server by itself would cost every client some requests for each.
   bool silent(std::int32_t zone, std::string_view server, Time sent);
+  // One server there was, and none has answered since.
+  bool suspected(std::int32_t zone) const;
   // The same as it is told to others. `unreachable`: a connection did not come up, or a probe was not
   // answered, which is no late answer: a machine's kernel takes connections, and a server answers probes,
   // however busy it is.
@@ -71,6 +73,11 @@
   return z.silent != server;
 }
 
+inline bool Sight::suspected(std::int32_t zone) const {
+  const auto it = zones_.find(zone);
+  return it != zones_.end() && !it->second.silent.empty();
+}
+
 inline void Sight::note(std::int32_t zone, std::string_view server, Time sent, Time now, bool unreachable) {
   Zone& z = zones_[zone];
   if (z.last_answer >= sent) return;
