--- a/src/measures/include/measures/concurrency_limit.h
+++ b/src/decision/concurrency_limit.h
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace quinceline::measures {
+namespace weldflow::decision {
 
 // Slower answers fill a limit on requests in flight at once, before any of them has come, and retries do not
 // add to what it lets through; a fixed part of arrivals, refused, does neither. Below one request in flight
@@ -53,4 +53,4 @@
   double refused_ = 0;
 };
 
-}  // namespace quinceline::measures
+}  // namespace weldflow::decision
--- a/src/decision/shedding.h
+++ b/src/decision/shedding.h
@@ -1,7 +1,7 @@
 // How much of what arrives is refused at once under overload, and of whom; what answers usually take.
 #pragma once
 
-#include "measures/concurrency_limit.h"
+#include "concurrency_limit.h"
 #include "state.h"
 
 namespace weldflow::decision {
@@ -93,7 +93,7 @@
   std::vector<double> latency_;                       // by class, mean of answers; 0: none yet
   std::vector<double> tenant_recent_, level_recent_;  // arrivals; by class, within and beyond the share
   double tenant_total_ = 0;
-  quinceline::measures::ConcurrencyLimit limit_;  // on own requests in flight
+  ConcurrencyLimit limit_;  // on own requests in flight
   bool noted_ = false;
 };
 
