The limit on requests in flight is cut to half a deviation above what is used

Change: half a deviation of a Poisson number is left; what is used is an average, and arrivals come in bunches.

--- a/rig/hollow_clients.cpp
+++ b/rig/hollow_clients.cpp
@@ -45,7 +45,7 @@
 };
 
 // The watch on discovery. When it is asked for again the decision module says in the program; here the same
-// waits are drawn (decision/balancer.cpp, askLater()).
+// waits are drawn (decision/balancer_impl.h, askLater()).
 class DiscoveryClient final : public HollowClient, private DiscoverySink {
  public:
   explicit DiscoveryClient(const HollowContext& context)
--- a/src/decision/concurrency_limit.h
+++ b/src/decision/concurrency_limit.h
@@ -21,7 +21,7 @@
     const double used = std::max(1.0, mean_in_flight);
     mean_slack_ += kMeanGain * (slack - mean_slack_);
     // Late on average: what is used is too much. A single late answer is no overload.
-    if (mean_slack_ < 0) limit_ = std::min(limit_, used);
+    if (mean_slack_ < 0) limit_ = std::min(limit_, used + kCutSpare * std::sqrt(used));
     // A limit that is not used proves nothing: it grows no further than chance makes use of it.
     if (slack > 0 && limit_ >= used + kSpare * std::sqrt(used)) return;
     // While much is refused few answers come: each then counts for those that were not asked for.
@@ -44,8 +44,9 @@
   static constexpr double kUnlimited = 1e6;  // until answers come late
   static constexpr double kStep = 0.02;  // of the limit, for a prompt answer; four times that for the latest
   static constexpr double kSpare = 2;    // deviations of a Poisson number: one arrival in forty meets more
-  static constexpr double kMeanGain = 0.1;      // over some ten answers
-  static constexpr double kLeastRamp = 2;       // requests: at a limit of one, two at once may be chance
+  static constexpr double kCutSpare = 0.5;  // the same: what is used is an average, arrivals come in bunches
+  static constexpr double kMeanGain = 0.1;  // over some ten answers
+  static constexpr double kLeastRamp = 2;   // requests: at a limit of one, two at once may be chance
   static constexpr double kRefusedGain = 0.05;  // over some twenty arrivals
 
   double limit_ = kUnlimited;
--- a/src/net/include/net/discovery.h
+++ b/src/net/include/net/discovery.h
@@ -25,7 +25,7 @@
 class Discovery {
  public:
   // One clock: a change counts as told 6 s after discovery had it and could be reached, whatever was tried
-  // before. The longest ways there, with the module's waits (decision/balancer.cpp):
+  // before. The longest ways there, with the module's waits (decision/balancer_impl.h):
   //   a watch that falls silent      silence 4.3 + wait 0.7 + the answer to the next call, up to 1   = 6.0 s
   //   a call that is never answered  first_line 2.5 + wait 2.0 + the answer, up to 1                 = 5.5 s
   //   a connection that never comes  connect 1.0 + wait 2.0 + the answer, up to 1                    = 4.0 s
--- a/tests/list_watch_test.cpp
+++ b/tests/list_watch_test.cpp
@@ -6,7 +6,7 @@
 namespace quinceline::test {
 namespace {
 
-// The module's longest waits before it asks again (decision/balancer.cpp): after a watch that broke, and
+// The module's longest waits before it asks again (decision/balancer_impl.h): after a watch that broke, and
 // after calls that failed.
 constexpr Time kAfterBreak = 700 * kMillisecond, kAfterFailure = 2 * kSecond;
 constexpr Time kAnswered = kSecond;  // discovery works through calls in turn, or turns them away by then
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -233,7 +233,7 @@
   for (int s = 15; s < 25; ++s) afterwards += fleet.served(s) / 10;
   EXPECT_GT(before, 0.88);
   EXPECT_GT(during, 0.55) << "of one and a tenth of what the hosts can do";
-  EXPECT_GT(afterwards, 0.6) << "two seconds after the burst";
+  EXPECT_GT(afterwards, 0.7) << "two seconds after the burst";
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, Overload, ::testing::Range<std::uint64_t>(1, 6));
