Test: the keys of the shared configuration change what the proxy goes by

Need: the schema has keys of `configuration`, and the test that each key has an effect did not look at the settings that they fill, so it failed for three of them.

Change: its fingerprint holds file, region and replicas, and the base file has the block. No other key is looked at less.

--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -118,6 +118,11 @@
         all << ',' << r.name << ',' << r.path << ',' << r.method << ',' << r.request_class;
     }
   }
+  if (c.subscription) {
+    all << '|' << c.subscription->file << ',' << c.subscription->region;
+    for (const ReplicaSetting& r : c.subscription->replicas)
+      all << ',' << r.number << ',' << r.at << ',' << r.region;
+  }
   return all.str();
 }
 
@@ -139,6 +144,7 @@
     case conf::Kind::Name:
       return "elsewhere";
     case conf::Kind::Text:
+      if (key.name == "file") return "other.conf";
       return key.name == "members-file" ? "members.conf" : "hosts.conf";
     case conf::Kind::Address:
       return "127.0.0.1:7777";
@@ -152,6 +158,8 @@
 TEST_F(OperatorFile, EveryKeyOfTheSchemaChangesWhatTheProxyGoesBy) {
   files.write("hosts.conf", "host h-1 10.1.0.1:80\n");
   files.write("members.conf", "member 0 127.0.0.1:7100\nmember 97 127.0.0.1:7197\n");
+  files.write("shared.conf", "");
+  files.write("other.conf", "");
   // One key at a time in a file that has nothing else that is not required.
   const auto text = [&](const std::string& block, const std::string& key, const std::string& value) {
     const auto line = [&](const std::string& in) { return in == block ? key + " " + value + "\n" : ""; };
@@ -173,6 +181,8 @@
     all += "service v {\n" + line("service") + unless("service", "home", "z0") + "route r {\n" +
            line("route") + unless("route", "class", "a") + "}\n}\n";
     all += "memory {\n" + line("memory") + unless("memory", "folder", "m") + "}\n";
+    all += "configuration {\n" + line("configuration") + unless("configuration", "file", "shared.conf") +
+           "replica 1 127.0.0.1:7950 {\n" + line("replica") + "}\n}\n";
     for (const char* const in : {"clients", "upstream", "admission", "limits", "status", "log"})
       all += std::string(in) + " {\n" + line(in) + "}\n";
     return all;
