Test rig: proxies' own listeners lie on another address than the ports given out

Cause: a proxy that listened on port 0 of the rig's address could be given a port that the rig had chosen for another proxy's status page and that was not bound yet (seen: 'can't listen at ...: Address already in use', one of 1,045 tests).

Change: requests' listeners are on 127.0.0.1, which the processes choose for themselves.

--- a/tests/distribution_rig.h
+++ b/tests/distribution_rig.h
@@ -273,7 +273,7 @@
   }
 
   std::string operatorText(std::size_t n) const {
-    std::string text = "listen " + address_.to_string() + ":0\nclient " + std::to_string(n) +
+    std::string text = "listen 127.0.0.1:0\nclient " + std::to_string(n) +
                        "\nclass own {\n  effect safe\n  aim 1s\n  deadline 2s\n}\npool p {\n  host h " +
                        address_.to_string() + ":1\n}\nstatus {\n  listen " +
                        configuration::nameOf(proxies_[n].console) +
