Verdicts: an answer objects to a silence by when it came, not by when it was asked for

That an answer from before a loss counts: it is here within milliseconds of being written, a doubt comes a time-out later, and a silent zone's answers wait.

Change: Sight::seen takes answers that came at since.answers or later; answered_sent is gone.

--- a/include/weldflow/balancer.h
+++ b/include/weldflow/balancer.h
@@ -258,7 +258,7 @@
   // What the clients together hold of a zone: nothing goes there but where nobody else is left. A verdict on
   // a zone where this client sends nothing to be answered never makes it send.
   void setZone(Time now, std::int32_t zone, ZoneOrder order, Actions& out);
-  // What this client has seen of a zone's servers of late; only from what was sent at these times or later.
+  // What this client has seen of a zone's servers: answers since one time, silence on sends since the other.
   ZoneSeen zoneSeen(Time now, std::int32_t zone, const ZoneSince& since);
   // All that is known of servers, by id.
   std::vector<Remembered> remember() const;
--- a/src/sight/include/sight/sight.h
+++ b/src/sight/include/sight/sight.h
@@ -34,9 +34,10 @@
   // answered, which is no late answer: a machine's kernel takes connections, and a server answers probes,
   // however busy it is.
   void note(std::int32_t zone, std::string_view server, Time sent, Time now, bool unreachable);
-  // What is told to others, of what was sent at `since` or later. Answers: of late. Silence: of
-  // two servers there, one of them unreachable, and no answer from the zone to what was sent since the first
-  // of them was tried. Lateness alone is never silence here: where many are full at once all would see it.
+  // What is told to others. Answers: of late, come at `since` or later. Silence on what was sent at `since`
+  // or later: of two servers there, one of them unreachable, and no answer from the zone to what was sent
+  // since the first of them was tried. Lateness alone is never silence here: where many are full at once all
+  // would see it.
   Seen seen(std::int32_t zone, Time now, const weldflow::ZoneSince& since) const;
   // The others say that it is back: what was seen before says nothing any more.
   void forget(std::int32_t zone) { zones_.erase(zone); }
@@ -44,7 +45,7 @@
  private:
   static constexpr Time kNever = std::numeric_limits<Time>::min() / 2;
   struct Zone {
-    Time last_answer = kNever, answered_sent = kNever;
+    Time last_answer = kNever;
     std::string silent;  // the server there that was silent first, with no answer from the zone since
     // As it is told to others: the first, when that one was tried, and the last silence.
     std::string first;
@@ -59,7 +60,6 @@
   last_answer_ = now;
   Zone& z = zones_[zone];
   z.last_answer = now;
-  z.answered_sent = std::max(z.answered_sent, sent);
   z.silent.clear();
   if (sent < z.first_sent) return;  // it says nothing against it
   z.first.clear();
@@ -99,7 +99,7 @@
     const bool counts = now - z.silent_at < kSilenceLasts && z.first_sent >= since.silence;
     return counts ? Seen::Silence : Seen::Nothing;
   }
-  return now - z.last_answer < kFresh && z.answered_sent >= since.answers ? Seen::Answers : Seen::Nothing;
+  return now - z.last_answer < kFresh && z.last_answer >= since.answers ? Seen::Answers : Seen::Nothing;
 }
 
 }  // namespace quinceline::locality
