conf: the operator file is checked by the function that checks hosts' and members' files

Need: readConfiguration repeated the three lines of readChecked, since it also wants the path of the shared file.

Change: the function takes what was loaded and checks it; its three callers load. No behaviour changed.

Measured: the tests of conf, of the commands and of publishing pass (among 78 of 78 run).

--- a/src/conf/model.cpp
+++ b/src/conf/model.cpp
@@ -461,10 +461,9 @@
   Place pool_at_, attempts_at_;
 };
 
-// Reads a file with all that it includes, and checks it by `block`. Its text and what was found go to `out`.
+// Checks by `block` what was loaded. Its text and what was found go to `out`.
 template <typename File>
-Section readChecked(FileSource& files, const std::string& path, const Block& block, File& out) {
-  Loaded loaded = load(files, path);
+Section checked(Loaded& loaded, const Block& block, File& out) {
   out.sources = std::move(loaded.sources);
   out.found = std::move(loaded.found);
   return check(block, loaded.statements, out.sources, out.found);
@@ -484,16 +483,15 @@
 Configuration readConfiguration(FileSource& files, const std::string& path) {
   Configuration out;
   Loaded loaded = load(files, path);
-  out.sources = std::move(loaded.sources);
-  out.found = std::move(loaded.found);
-  out.root = check(kRoot, loaded.statements, out.sources, out.found);
+  out.root = checked(loaded, kRoot, out);
   Builder(out, std::move(loaded.shared_file)).run();
   return out;
 }
 
 HostsFile readHostsFile(FileSource& files, const std::string& path) {
   HostsFile out;
-  const Section root = readChecked(files, path, kHostsFile, out);
+  Loaded loaded = load(files, path);
+  const Section root = checked(loaded, kHostsFile, out);
   out.hosts = hostsOf(root, out.sources, out.found);
   requireEntries(out.hosts.empty(), "no host is there", "add host NAME ADDRESS:PORT", out);
   return out;
@@ -503,7 +501,8 @@
 
 MembersFile readMembersFile(FileSource& files, const std::string& path) {
   MembersFile out;
-  const Section root = readChecked(files, path, kMembersFile, out);
+  Loaded loaded = load(files, path);
+  const Section root = checked(loaded, kMembersFile, out);
   out.members = membersOf(root, out.sources, out.found);
   requireEntries(out.members.empty(), "no member is there", "add member NUMBER ADDRESS:PORT", out);
   return out;
