bench_capacity fits its lines with bench/fit

Need: capacity_table.cpp had a least-squares fit of its own beside bench/fit, with the same bound on what is straight, and asked for three sizes in three places.

Change: fitLine hands the points to leastSquares and gives nothing for fewer than three sizes; no table drew a line through two. The tests' assertions and bounds are as before; a line that is not straight is still drawn to the planned size there, so that a budget has to hold for it too.

--- a/bench/capacity_table.cpp
+++ b/bench/capacity_table.cpp
@@ -27,10 +27,10 @@
 
 std::string fitText(const Quantity& q) {
   const auto fit = q.fit();
-  if (!fit || q.values.size() < 3) return "";
-  std::string text = shortly(fit->base) + (fit->slope < 0 ? " - " : " + ") +
+  if (!fit) return "";
+  std::string text = shortly(fit->intercept) + (fit->slope < 0 ? " - " : " + ") +
                      shortly(std::abs(fit->slope) * 100) + "/100 members, off by " +
-                     printed("%.0f %%", fit->worst_residual * 100);
+                     printed("%.0f %%", fit->largest_relative_residual * 100);
   if (!fit->straight()) text += ": not straight";
   if (const auto size = q.spentAt()) text += "; budget spent at " + printed("%.0f", *size);
   return text;
@@ -38,31 +38,19 @@
 
 }  // namespace
 
-std::optional<Fit> fitLine(const std::map<std::size_t, double>& values) {
-  if (values.size() < 2) return std::nullopt;
-  const auto n = static_cast<double>(values.size());
-  double x_mean = 0, y_mean = 0;
-  for (const auto& [size, value] : values) x_mean += static_cast<double>(size) / n, y_mean += value / n;
-  double xx = 0, xy = 0;
-  for (const auto& [size, value] : values) {
-    const double x = static_cast<double>(size) - x_mean;
-    xx += x * x;
-    xy += x * (value - y_mean);
-  }
-  Fit fit;
-  fit.slope = xy / xx;
-  fit.base = y_mean - fit.slope * x_mean;
-  for (const auto& [size, value] : values) {
-    const double off = std::abs(fit.at(static_cast<double>(size)) - value);
-    if (off > 0) fit.worst_residual = std::max(fit.worst_residual, value == 0 ? 1.0 : off / std::abs(value));
-  }
-  return fit;
+std::optional<bench::Fit> fitLine(const std::map<std::size_t, double>& values) {
+  constexpr std::size_t kFewestSizes = 3;  // two always lie on a line
+  if (values.size() < kFewestSizes) return std::nullopt;
+  std::vector<bench::Point> points;
+  points.reserve(values.size());
+  for (const auto& [size, value] : values) points.push_back({static_cast<double>(size), value});
+  return bench::leastSquares(points);
 }
 
 std::optional<double> Quantity::spentAt() const {
   const auto line = fit();
-  if (!budget || !line || !line->straight() || line->slope <= 0 || values.size() < 3) return std::nullopt;
-  return (*budget - line->base) / line->slope;
+  if (!budget || !line || !line->straight() || line->slope <= 0) return std::nullopt;
+  return (*budget - line->intercept) / line->slope;
 }
 
 void Table::set(const std::string& name, const std::string& unit, std::size_t size, double value,
@@ -115,10 +103,10 @@
     for (const auto& [size, value] : q.values) values[std::to_string(size)] = value;
     ordered_json one = {{"quantity", q.name}, {"unit", q.unit}, {"values", values}};
     if (q.budget) one["budget"] = *q.budget;
-    if (const auto fit = q.fit(); fit && q.values.size() >= 3) {
-      one["fit"] = {{"base", fit->base},
+    if (const auto fit = q.fit()) {
+      one["fit"] = {{"base", fit->intercept},
                     {"slope", fit->slope},
-                    {"worst_residual", fit->worst_residual},
+                    {"worst_residual", fit->largest_relative_residual},
                     {"straight", fit->straight()}};
       if (const auto size = q.spentAt()) one["budget_spent_at"] = *size;
     }
--- a/bench/capacity_table.h
+++ b/bench/capacity_table.h
@@ -9,25 +9,18 @@
 #include <utility>
 #include <vector>
 
+#include "fit.h"
+
 namespace quinceline::capacity {
 
-// base + slope * size, by least squares.
-struct Fit {
-  double base = 0, slope = 0;
-  double worst_residual = 0;  // of all points, as a part of the measured value
-  // A quantity that is further off than this is not called straight, and nothing is reckoned from its line.
-  static constexpr double kStraight = 0.20;
-  bool straight() const { return worst_residual <= kStraight; }
-  double at(double size) const { return base + slope * size; }
-};
-// Nothing: fewer than two sizes.
-std::optional<Fit> fitLine(const std::map<std::size_t, double>& values);
+// Nothing: fewer than three sizes.
+std::optional<bench::Fit> fitLine(const std::map<std::size_t, double>& values);
 
 struct Quantity {
   std::string name, unit;
   std::optional<double> budget;          // the most that is allowed
   std::map<std::size_t, double> values;  // by size
-  std::optional<Fit> fit() const { return fitLine(values); }
+  std::optional<bench::Fit> fit() const { return fitLine(values); }
   // The size at which the line reaches the budget; nothing: never, or the line is not straight.
   std::optional<double> spentAt() const;
 };
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -17,7 +17,7 @@
 TEST(CapacityFit, FindsALineAndSaysHowFarOffItIs) {
   const auto straight = fitLine({{60, 160}, {150, 250}, {300, 400}, {730, 830}});
   ASSERT_TRUE(straight);
-  EXPECT_NEAR(straight->base, 100, 1e-6);
+  EXPECT_NEAR(straight->intercept, 100, 1e-6);
   EXPECT_NEAR(straight->slope, 1, 1e-9);
   EXPECT_TRUE(straight->straight());
   const auto square = fitLine({{60, 3600}, {150, 22'500}, {300, 90'000}, {730, 532'900}});
@@ -79,7 +79,11 @@
   static double value(const std::string& name, std::size_t size) {
     return measured.find(name)->values.at(size);
   }
-  static double atPlannedSize(const std::string& name) { return measured.find(name)->fit()->at(kPlanned); }
+  // Also where the line is not straight: a budget has to hold all the same.
+  static double atPlannedSize(const std::string& name) {
+    const bench::Fit fit = measured.find(name)->fit().value();
+    return fit.intercept + fit.slope * kPlanned;
+  }
 
   static inline Table measured;
 };
