--- a/bench/admission.cpp
+++ b/bench/admission.cpp
@@ -21,8 +21,8 @@
 
 namespace {
 
-using namespace quinceline;
-using namespace quinceline::admission;
+using namespace client_proxy;
+using namespace client_proxy::admission;
 
 PeerAddress peer(std::uint32_t n) {
   PeerAddress a{};
--- a/bench/bulk.cpp
+++ b/bench/bulk.cpp
@@ -178,17 +178,17 @@
   const auto textOf = [](const tcp::endpoint& e) {
     return e.address().to_string() + ":" + std::to_string(e.port());
   };
-  char file[] = "/tmp/quinceline-bulk-XXXXXX";
+  char file[] = "/tmp/client-proxy-bulk-XXXXXX";
   ::close(mkstemp(file));
   std::ofstream(file) << "listen " << textOf(listen)
                       << "\nname bulk\nlimits {\n  memory 48MB\n  sockets 1024\n}\n"
                       << "class bulk {\n  effect safe\n  aim 20s\n  deadline 30s\n}\n"
                       << "class upload {\n  effect unsafe\n  aim 20s\n  deadline 30s\n}\n"
                       << "tenant acme {\n  share 100%\n}\npool p {\n  host s-1 " << textOf(direct) << "\n}\n";
-  std::string program = QUINCELINE, run = "run", option = "--operator", path = file;
+  std::string program = CLIENT_PROXY_PROGRAM, run = "run", option = "--operator", path = file;
   std::array<char*, 5> arguments = {program.data(), run.data(), option.data(), path.data(), nullptr};
   pid_t pid = -1;
-  if (posix_spawn(&pid, QUINCELINE, nullptr, nullptr, arguments.data(), environ) != 0) return 1;
+  if (posix_spawn(&pid, CLIENT_PROXY_PROGRAM, nullptr, nullptr, arguments.data(), environ) != 0) return 1;
   bool up = false;
   for (int n = 0; n < 100 && !(up = transfer(listen, false, 1, n)); ++n)
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -34,8 +34,8 @@
 
 namespace {
 
-using namespace quinceline::capacity;
-using quinceline::rig::MixedPlan;
+using namespace client_proxy::capacity;
+using client_proxy::rig::MixedPlan;
 
 constexpr std::size_t kMostMembers = 2000, kMostReal = 200, kSizeOfMostReal = 730;
 
@@ -211,7 +211,7 @@
 }
 
 int run(const Options& o) {
-  const Programs programs{QUINCELINE, QUINCELINE_HOLLOW};
+  const Programs programs{CLIENT_PROXY_PROGRAM, CLIENT_PROXY_HOLLOW};
   if (o.compare) return compare(programs, o) ? 0 : 1;
   const auto began = std::chrono::steady_clock::now();
   Table table;
--- a/bench/capacity_faults.cpp
+++ b/bench/capacity_faults.cpp
@@ -5,7 +5,7 @@
 #include <stdexcept>
 #include <thread>
 
-namespace quinceline::capacity {
+namespace client_proxy::capacity {
 namespace {
 
 using rig::MixedFleet;
@@ -20,7 +20,7 @@
 class FaultRun {
  public:
   FaultRun(const Programs& programs, const rig::MixedPlan& plan, Table& table)
-      : fleet_(programs.quinceline, programs.hollow, plan), table_(table) {}
+      : fleet_(programs.proxy, programs.hollow, plan), table_(table) {}
 
   // Until what follows a start is over, so that a fault is seen by itself.
   void start() {
@@ -193,4 +193,4 @@
   run(lossy, on_its_own);
 }
 
-}  // namespace quinceline::capacity
+}  // namespace client_proxy::capacity
--- a/bench/capacity_faults.h
+++ b/bench/capacity_faults.h
@@ -7,7 +7,7 @@
 
 #include "capacity_run.h"
 
-namespace quinceline::capacity {
+namespace client_proxy::capacity {
 
 enum class FaultKind : std::uint8_t {
   Rack,        // 18 members of one zone crash at once, and return
@@ -28,4 +28,4 @@
 void measureFaults(const Programs& programs, const rig::MixedPlan& plan, const std::vector<FaultKind>& faults,
                    Table& table);
 
-}  // namespace quinceline::capacity
+}  // namespace client_proxy::capacity
--- a/bench/capacity_run.cpp
+++ b/bench/capacity_run.cpp
@@ -7,7 +7,7 @@
 #include <stdexcept>
 #include <thread>
 
-namespace quinceline::capacity {
+namespace client_proxy::capacity {
 namespace {
 
 using rig::MemberTraffic;
@@ -176,7 +176,7 @@
 
 void measureSize(const Programs& programs, const rig::MixedPlan& plan, const Phases& phases, Table& table) {
   const std::size_t members = plan.members;
-  MixedFleet fleet(programs.quinceline, programs.hollow, plan);
+  MixedFleet fleet(programs.proxy, programs.hollow, plan);
   const auto began = Clock::now();
   fleet.startAll();
   table.set("processes started", "s", members, secondsSince(began));
@@ -211,7 +211,7 @@
 void measureLeases(const Programs& programs, const rig::MixedPlan& plan, Table& table) {
   constexpr std::chrono::seconds kSettles{20}, kMeasured{12};
   const std::size_t members = plan.members;
-  MixedFleet fleet(programs.quinceline, programs.hollow, plan);
+  MixedFleet fleet(programs.proxy, programs.hollow, plan);
   const auto began = Clock::now();
   fleet.startAll();
   agreed(
@@ -237,7 +237,7 @@
 
 void traceSize(const Programs& programs, const rig::MixedPlan& plan, std::chrono::seconds lasting,
                std::chrono::seconds step) {
-  MixedFleet fleet(programs.quinceline, programs.hollow, plan);
+  MixedFleet fleet(programs.proxy, programs.hollow, plan);
   const auto began = Clock::now();
   fleet.startAll();
   auto before = fleet.traffic();
@@ -257,4 +257,4 @@
   }
 }
 
-}  // namespace quinceline::capacity
+}  // namespace client_proxy::capacity
--- a/bench/capacity_run.h
+++ b/bench/capacity_run.h
@@ -9,13 +9,13 @@
 #include "capacity_table.h"
 #include "rig/mixed_fleet.h"
 
-namespace quinceline::capacity {
+namespace client_proxy::capacity {
 
 // The operators' limits for what a proxy spends on control.
 constexpr double kMostBytesASecond = 8000, kMostCpuMillisecondsASecond = 19, kMostMegabytes = 32;
 
 struct Programs {
-  std::string quinceline, hollow;
+  std::string proxy, hollow;
 };
 
 struct Phases {
@@ -59,4 +59,4 @@
 void traceSize(const Programs& programs, const rig::MixedPlan& plan, std::chrono::seconds lasting,
                std::chrono::seconds step);
 
-}  // namespace quinceline::capacity
+}  // namespace client_proxy::capacity
--- a/bench/capacity_table.cpp
+++ b/bench/capacity_table.cpp
@@ -5,7 +5,7 @@
 #include <cstdio>
 #include <set>
 
-namespace quinceline::capacity {
+namespace client_proxy::capacity {
 namespace {
 
 std::string printed(const char* format, double value) {
@@ -115,4 +115,4 @@
   return all;
 }
 
-}  // namespace quinceline::capacity
+}  // namespace client_proxy::capacity
--- a/bench/capacity_table.h
+++ b/bench/capacity_table.h
@@ -11,7 +11,7 @@
 
 #include "fit.h"
 
-namespace quinceline::capacity {
+namespace client_proxy::capacity {
 
 // Nothing: fewer than three sizes.
 std::optional<bench::Fit> fitLine(const std::map<std::size_t, double>& values);
@@ -40,4 +40,4 @@
   std::vector<Quantity> quantities_;
 };
 
-}  // namespace quinceline::capacity
+}  // namespace client_proxy::capacity
--- a/bench/conf.cpp
+++ b/bench/conf.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-using namespace quinceline::conf;
+using namespace client_proxy::conf;
 
 std::string routes(std::int64_t count) {
   std::string text = "# routes of a site\n";
--- a/bench/distribution.cpp
+++ b/bench/distribution.cpp
@@ -35,13 +35,13 @@
 namespace {
 
 using namespace std::chrono_literals;
-using quinceline::Endpoint;
-using quinceline::configuration::PublishResult;
-using quinceline::configuration::ReplicaClient;
-using quinceline::distribution::Change;
-using quinceline::distribution::Version;
-using quinceline::rig::Child;
-using quinceline::subscription::SubscriptionTask;
+using client_proxy::Endpoint;
+using client_proxy::configuration::PublishResult;
+using client_proxy::configuration::ReplicaClient;
+using client_proxy::distribution::Change;
+using client_proxy::distribution::Version;
+using client_proxy::rig::Child;
+using client_proxy::subscription::SubscriptionTask;
 using Clock = std::chrono::steady_clock;
 using nlohmann::ordered_json;
 
@@ -105,14 +105,14 @@
   std::string text;
   for (std::size_t i = 0; text.size() < kTextBytes; ++i)
     text +=
-        "# " + quinceline::distribution::digestOf(std::to_string(version) + "/" + std::to_string(i)) + "\n";
+        "# " + client_proxy::distribution::digestOf(std::to_string(version) + "/" + std::to_string(i)) + "\n";
   return text;
 }
 
 class Replicas {
  public:
   Replicas() {
-    std::string name = "/tmp/quinceline-bench-distribution-XXXXXX";
+    std::string name = "/tmp/client-proxy-bench-distribution-XXXXXX";
     if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder");
     folder_ = name;
     for (std::size_t r = 0; r < kReplicas; ++r) listens.push_back(freePort());
@@ -128,20 +128,21 @@
 
   void start(std::size_t r) {
     std::filesystem::create_directories(folder_ + "/" + std::to_string(r));
-    std::vector<std::string> arguments = {QUINCELINE,
+    std::vector<std::string> arguments = {CLIENT_PROXY_PROGRAM,
                                           "configuration",
                                           "replica",
                                           "--id",
                                           std::to_string(r + 1),
                                           "--listen",
-                                          quinceline::configuration::nameOf(listens[r]),
+                                          client_proxy::configuration::nameOf(listens[r]),
                                           "--folder",
                                           folder_ + "/" + std::to_string(r),
                                           "--region",
                                           r < 2 ? "north" : "south"};
     for (std::size_t other = 0; other < kReplicas; ++other)
-      arguments.insert(arguments.end(), {"--replica", std::to_string(other + 1) + "=" +
-                                                          quinceline::configuration::nameOf(listens[other])});
+      arguments.insert(arguments.end(),
+                       {"--replica", std::to_string(other + 1) + "=" +
+                                         client_proxy::configuration::nameOf(listens[other])});
     children_.resize(kReplicas);
     children_[r] = std::make_unique<Child>(arguments);
   }
@@ -165,8 +166,8 @@
   }
   // The new version; 0: not published.
   Version publish(const std::string& text) {
-    quinceline::distribution::PublishRequest request;
-    request.id = quinceline::distribution::digestOf("bench " + std::to_string(++published_));
+    client_proxy::distribution::PublishRequest request;
+    request.id = client_proxy::distribution::digestOf("bench " + std::to_string(++published_));
     request.author = "bench";
     request.base = newest_;
     request.text = text;
@@ -202,7 +203,7 @@
  public:
   Subscribers(std::size_t count, const std::vector<Endpoint>& replicas) : held_(count), taken_(count) {
     for (std::size_t l = 0; l < kLoops; ++l)
-      loops_.push_back(std::make_unique<quinceline::tasks::Loop>("subscribers"));
+      loops_.push_back(std::make_unique<client_proxy::tasks::Loop>("subscribers"));
     for (std::size_t n = 0; n < count; ++n) {
       SubscriptionTask::Settings settings;
       settings.member = static_cast<std::uint32_t>(n);
@@ -216,7 +217,7 @@
           [this, n](const Change& change, const SubscriptionTask::Done& done) {
             held_[n] = change.version;
             taken_[n] = Clock::now().time_since_epoch().count();
-            done({.outcome = quinceline::subscription::Outcome::Taken});
+            done({.outcome = client_proxy::subscription::Outcome::Taken});
           },
           [](const std::string&, bool) {}));
     }
@@ -232,8 +233,8 @@
   void startAll() {
     for (std::size_t n = 0; n < tasks_.size(); ++n) {
       onLoop(n, [this, n] {
-        quinceline::subscription::InForce nothing;
-        nothing.digest = quinceline::distribution::digestOf("");
+        client_proxy::subscription::InForce nothing;
+        nothing.digest = client_proxy::distribution::digestOf("");
         tasks_[n]->start(nothing);
       });
     }
@@ -275,7 +276,7 @@
  private:
   static constexpr std::size_t kLoops = 2;
 
-  quinceline::tasks::Loop& loopOf(std::size_t n) { return *loops_[n % kLoops]; }
+  client_proxy::tasks::Loop& loopOf(std::size_t n) { return *loops_[n % kLoops]; }
   // Runs it there and waits for its end.
   void onLoop(std::size_t n, const std::function<void()>& what) {
     std::promise<void> done;
@@ -286,8 +287,8 @@
     done.get_future().wait();
   }
 
-  const quinceline::Clock clock_;
-  std::vector<std::unique_ptr<quinceline::tasks::Loop>> loops_;
+  const client_proxy::Clock clock_;
+  std::vector<std::unique_ptr<client_proxy::tasks::Loop>> loops_;
   std::vector<std::unique_ptr<SubscriptionTask>> tasks_;
   std::vector<std::atomic<Version>> held_;
   std::vector<std::atomic<Clock::rep>> taken_;
--- a/bench/fit.cpp
+++ b/bench/fit.cpp
@@ -7,7 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
-namespace quinceline::bench {
+namespace client_proxy::bench {
 namespace {
 
 constexpr std::size_t kFewestPoints = 3;
@@ -83,4 +83,4 @@
           {"straight", fit.straight()}};
 }
 
-}  // namespace quinceline::bench
+}  // namespace client_proxy::bench
--- a/bench/fit.h
+++ b/bench/fit.h
@@ -7,7 +7,7 @@
 #include <span>
 #include <string>
 
-namespace quinceline::bench {
+namespace client_proxy::bench {
 
 // One measured value at one size (members, hosts, services, ...).
 struct Point {
@@ -40,4 +40,4 @@
 // The points, the line, its residuals and the verdict.
 nlohmann::json toJson(std::span<const Point> points, const Fit& fit, const std::string& unit);
 
-}  // namespace quinceline::bench
+}  // namespace client_proxy::bench
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -19,14 +19,14 @@
 
 namespace {
 
-using quinceline::fleet::isLive;
-using quinceline::fleet::kNever;
-using quinceline::fleet::kSecond;
-using quinceline::fleet::Number;
-using quinceline::fleet::State;
-using quinceline::fleet::Time;
-using quinceline::fleet::sim::World;
-using quinceline::rig::FleetRig;
+using client_proxy::fleet::isLive;
+using client_proxy::fleet::kNever;
+using client_proxy::fleet::kSecond;
+using client_proxy::fleet::Number;
+using client_proxy::fleet::State;
+using client_proxy::fleet::Time;
+using client_proxy::fleet::sim::World;
+using client_proxy::rig::FleetRig;
 
 void row(const char* what, std::vector<double> seconds) {
   std::sort(seconds.begin(), seconds.end());
@@ -61,7 +61,7 @@
 void simulated(std::size_t members, std::uint64_t seed) {
   World w(members, seed);
   w.check = false;
-  weldflow::Random random(seed);
+  load_balancer::Random random(seed);
   const auto settled = [&] { return w.settled(); };
   w.startAll();
   row("all start at once, until all agree", {inSeconds(w.until(60 * kSecond, settled))});
@@ -127,7 +127,7 @@
 }
 
 void processes(std::size_t members) {
-  FleetRig rig(QUINCELINE, members, 1);
+  FleetRig rig(CLIENT_PROXY_PROGRAM, members, 1);
   rig.startAll();
   row("all start, until all agree", {timeUntil([&] { return rig.agree(rig.all()); })});
   std::this_thread::sleep_for(std::chrono::seconds(10));
--- a/bench/handover.cpp
+++ b/bench/handover.cpp
@@ -57,7 +57,7 @@
   std::vector<char*> variables;
   for (std::string& v : environment) variables.push_back(v.data());
   variables.push_back(nullptr);
-  std::string name = QUINCELINE;
+  std::string name = CLIENT_PROXY_PROGRAM;
   std::array<char*, 2> arguments = {name.data(), nullptr};
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
@@ -65,7 +65,8 @@
   posix_spawn_file_actions_addclosefrom_np(&actions, 4);
   posix_spawn_file_actions_addopen(&actions, 2, "/dev/null", O_WRONLY, 0);
   pid_t pid = -1;
-  if (posix_spawn(&pid, QUINCELINE, &actions, nullptr, arguments.data(), variables.data()) != 0) pid = -1;
+  if (posix_spawn(&pid, CLIENT_PROXY_PROGRAM, &actions, nullptr, arguments.data(), variables.data()) != 0)
+    pid = -1;
   posix_spawn_file_actions_destroy(&actions);
   return pid;
 }
@@ -79,7 +80,7 @@
   const auto loopback = [](const char* at) { return tcp::endpoint(asio::ip::make_address(at), 0); };
   tcp::acceptor listener(io, loopback("127.0.0.1")), discovery(io, loopback("127.0.0.1"));
   listener.listen(1024);
-  char folder[] = "/tmp/quinceline-handover-XXXXXX";
+  char folder[] = "/tmp/client-proxy-handover-XXXXXX";
   if (mkdtemp(folder) == nullptr) return 1;
   nlohmann::json config = nlohmann::json::parse(std::ifstream(EXAMPLE_CONFIG));
   config["listen"] = textOf(listener.local_endpoint());
--- a/bench/latency.cpp
+++ b/bench/latency.cpp
@@ -42,13 +42,13 @@
 
 namespace {
 
+using client_proxy::rig::Effect;
+using client_proxy::rig::FleetRig;
+using client_proxy::rig::Plan;
+using client_proxy::rig::Record;
+using client_proxy::rig::ServicePlan;
+using client_proxy::rig::Site;
 using nlohmann::json;
-using quinceline::rig::Effect;
-using quinceline::rig::FleetRig;
-using quinceline::rig::Plan;
-using quinceline::rig::Record;
-using quinceline::rig::ServicePlan;
-using quinceline::rig::Site;
 using Clock = std::chrono::steady_clock;
 using Endpoint = boost::asio::ip::tcp::endpoint;
 using Seconds = std::chrono::duration<double>;
@@ -156,7 +156,7 @@
                           .hosts = options.hosts / kZones,
                           .cores = kHostQueue,
                           .queue = kHostQueue,
-                          .work = quinceline::rig::Span(0)});
+                          .work = client_proxy::rig::Span(0)});
   for (std::size_t s = 0; s < options.services; ++s) {
     plan.classes.push_back({.name = classOf(s), .effect = Effect::Unsafe});
     if (control)
@@ -227,7 +227,7 @@
   const Seconds every_;
   const pid_t pid_;
   const std::filesystem::path file_;
-  weldflow::Random random_;
+  load_balancer::Random random_;
   std::atomic<bool> stopped_{false};
   mutable std::mutex mutex_;
   std::vector<Clock::time_point> signals_;
@@ -272,7 +272,7 @@
         seed_(seed),
         plan_(planOf(options, control, seed)),
         site_(plan_, record_),
-        rig_(QUINCELINE, plan_, site_, control),
+        rig_(CLIENT_PROXY_PROGRAM, plan_, site_, control),
         host_(firstHost(site_)),
         proxy_(rig_.listensForCalls(0)) {
     rig_.startAll();
@@ -305,7 +305,7 @@
   // One direct call and one through the proxy in each period, half a period apart, in either order, so that
   // both meet the machine alike. A period is 0.5 to 1.5 of the mean one.
   void makePairs(double rate, double seconds, Run& run, std::vector<Clock::time_point>* began) {
-    weldflow::Random random(seed_ + 1);
+    load_balancer::Random random(seed_ + 1);
     const Clock::time_point end =
         Clock::now() + std::chrono::duration_cast<Clock::duration>(Seconds(seconds));
     Clock::time_point due = Clock::now();
@@ -362,7 +362,7 @@
 
 // The sum over a chain of calls, each drawn on its own from the measured ones.
 Quantiles chainOf(const std::vector<Pair>& pairs) {
-  weldflow::Random random(kChainLength);
+  load_balancer::Random random(kChainLength);
   std::vector<double> sums(pairs.empty() ? 0 : kChains);
   for (double& sum : sums) {
     for (int call = 0; call < kChainLength; ++call)
--- a/bench/loop.cpp
+++ b/bench/loop.cpp
@@ -3,7 +3,7 @@
 //
 //     bench_loop [--rounds 4] [--seconds 2] [--connections 16,128] NAME=PROGRAM...
 //
-// Each round runs an empty relay of ours and each PROGRAM (a quinceline, perhaps an earlier build) in turn,
+// Each round runs an empty relay of ours and each PROGRAM (a client-proxy, perhaps an earlier build) in turn,
 // so that what the machine does meanwhile meets all alike. The program has a core, the clients and hosts have
 // another. Everything is on loopback addresses and ends with this process.
 #include <fcntl.h>
--- a/bench/proxy_process.cpp
+++ b/bench/proxy_process.cpp
@@ -14,7 +14,7 @@
 #include <utility>
 #include <vector>
 
-namespace quinceline::bench {
+namespace client_proxy::bench {
 namespace {
 
 namespace asio = boost::asio;
@@ -58,7 +58,7 @@
 }
 
 std::filesystem::path newFolder() {
-  std::string name = "/tmp/quinceline-bench-XXXXXX";
+  std::string name = "/tmp/client-proxy-bench-XXXXXX";
   if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder for a measurement");
   return name;
 }
@@ -148,4 +148,4 @@
   throw std::runtime_error("the proxy does not serve:\n" + log());
 }
 
-}  // namespace quinceline::bench
+}  // namespace client_proxy::bench
--- a/bench/proxy_process.h
+++ b/bench/proxy_process.h
@@ -12,7 +12,7 @@
 
 #include "rig/child.h"
 
-namespace quinceline::bench {
+namespace client_proxy::bench {
 
 using Endpoint = boost::asio::ip::tcp::endpoint;
 
@@ -60,4 +60,4 @@
   std::unique_ptr<rig::Child> child_;
 };
 
-}  // namespace quinceline::bench
+}  // namespace client_proxy::bench
--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-using namespace quinceline::routing;
+using namespace client_proxy::routing;
 
 // Services of ten routes each, on hosts of their own, as a site of many would have.
 Routes routesOf(std::int64_t count) {
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -26,21 +26,21 @@
 #include <vector>
 
 #include "fit.h"
+#include "load_balancer/balancer.h"
 #include "proxy_process.h"
 #include "rig/fleet_rig.h"
 #include "rig/site.h"
 #include "stand_ins.h"
-#include "weldflow/balancer.h"
 
 namespace {
 
 using nlohmann::json;
-using namespace quinceline::bench;
-using quinceline::rig::Effect;
-using quinceline::rig::FleetRig;
-using quinceline::rig::Plan;
-using quinceline::rig::Record;
-using quinceline::rig::Site;
+using namespace client_proxy::bench;
+using client_proxy::rig::Effect;
+using client_proxy::rig::FleetRig;
+using client_proxy::rig::Plan;
+using client_proxy::rig::Record;
+using client_proxy::rig::Site;
 using Clock = std::chrono::steady_clock;
 using Seconds = std::chrono::duration<double>;
 using Told = DiscoveryStandIn::Told;
@@ -137,7 +137,7 @@
   constexpr int kReloads = 10;
   DiscoveryStandIn discovery(absentHosts(730));
   const ProxyOptions options = serving(discovery, services, members);
-  ProxyProcess proxy(QUINCELINE, options);
+  ProxyProcess proxy(CLIENT_PROXY_PROGRAM, options);
   waitFor([&] { return discovery.watchers() == 1; }, "the proxy's watch");
   std::this_thread::sleep_for(kSettle);
   const double resident = proxy.resident();
@@ -168,7 +168,7 @@
   constexpr std::size_t kHosts = 8;
   HoldingHosts hosts(kHosts);
   DiscoveryStandIn discovery(hosts.at());
-  ProxyProcess proxy(QUINCELINE, listing(discovery));
+  ProxyProcess proxy(CLIENT_PROXY_PROGRAM, listing(discovery));
   waitFor([&] { return discovery.watchers() == 1; }, "the proxy's watch");
   std::this_thread::sleep_for(kSettle);
   const double before = proxy.resident();
@@ -214,7 +214,7 @@
 std::vector<double> measureHosts(std::size_t hosts) {
   constexpr Seconds kRest{1};
   DiscoveryStandIn discovery(absentHosts(hosts));
-  const ProxyProcess proxy(QUINCELINE, listing(discovery));
+  const ProxyProcess proxy(CLIENT_PROXY_PROGRAM, listing(discovery));
   waitFor([&] { return discovery.watchers() == 1; }, "the proxy's watch");
   std::this_thread::sleep_for(kSettle);
   const double resident = proxy.resident();
@@ -261,15 +261,15 @@
 class ModuleDriver {
  public:
   explicit ModuleDriver(std::size_t hosts) : balancer_(settings(), 1) {
-    std::vector<weldflow::Host> list(hosts);
+    std::vector<load_balancer::Host> list(hosts);
     for (std::size_t n = 0; n < hosts; ++n) list[n].id = "host-" + std::to_string(n);
-    balancer_.onServers(now_, weldflow::ListKind::Restored, list, out_);
+    balancer_.onServers(now_, load_balancer::ListKind::Restored, list, out_);
     carryOut();
-    balancer_.onServers(now_, weldflow::ListKind::Full, list, out_);
+    balancer_.onServers(now_, load_balancer::ListKind::Full, list, out_);
     carryOut();
   }
   void request() {
-    constexpr weldflow::Time kBetween = 15'000;  // 67 a second
+    constexpr load_balancer::Time kBetween = 15'000;  // 67 a second
     now_ += kBetween;
     while (!timers_.empty() && timers_.top().first <= now_) {
       const std::uint64_t timer = timers_.top().second;
@@ -281,14 +281,14 @@
     carryOut();
   }
   std::uint64_t served() const { return served_; }
-  weldflow::Balancer& balancer() { return balancer_; }
-  weldflow::Time now() const { return now_; }
+  load_balancer::Balancer& balancer() { return balancer_; }
+  load_balancer::Time now() const { return now_; }
 
  private:
-  static weldflow::Settings settings() {
-    weldflow::Settings s;
-    s.discovery = weldflow::Discovery::Ask;
-    s.classes = {{.aim = 800'000, .deadline = 2'500'000, .effect = weldflow::Effect::Safe}};
+  static load_balancer::Settings settings() {
+    load_balancer::Settings s;
+    s.discovery = load_balancer::Discovery::Ask;
+    s.classes = {{.aim = 800'000, .deadline = 2'500'000, .effect = load_balancer::Effect::Safe}};
     s.max_attempts = 3;
     s.may_cancel = true;
     s.drain_grace = 2'000'000;
@@ -301,15 +301,15 @@
     return s;
   }
   void carryOut() {
-    constexpr weldflow::Time kLatency = 1000;
+    constexpr load_balancer::Time kLatency = 1000;
     while (!out_.empty()) {
-      weldflow::Actions actions;
+      load_balancer::Actions actions;
       actions.swap(out_);
-      for (const weldflow::Action& a : actions) {
-        if (a.kind == weldflow::ActionKind::SetTimer) timers_.emplace(a.time, a.timer);
-        if (a.kind != weldflow::ActionKind::Send) continue;
+      for (const load_balancer::Action& a : actions) {
+        if (a.kind == load_balancer::ActionKind::SetTimer) timers_.emplace(a.time, a.timer);
+        if (a.kind != load_balancer::ActionKind::Send) continue;
         ++served_;
-        weldflow::Outcome outcome;
+        load_balancer::Outcome outcome;
         outcome.request = a.request;
         outcome.attempt = a.attempt;
         outcome.final = true;
@@ -319,11 +319,11 @@
     }
   }
 
-  using Timer = std::pair<weldflow::Time, std::uint64_t>;
-  weldflow::Balancer balancer_;
-  weldflow::Actions out_;
+  using Timer = std::pair<load_balancer::Time, std::uint64_t>;
+  load_balancer::Balancer balancer_;
+  load_balancer::Actions out_;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
-  weldflow::Time now_ = 1'000'000'000;
+  load_balancer::Time now_ = 1'000'000'000;
   std::uint64_t requests_ = 0, served_ = 0;
 };
 
@@ -402,7 +402,7 @@
   const Plan plan = planOfLeases(members);
   Record record;
   const Site site(plan, record);
-  FleetRig rig(QUINCELINE, plan, site);
+  FleetRig rig(CLIENT_PROXY_PROGRAM, plan, site);
   rig.startAll();
   if (!FleetRig::until([&] { return rig.agree(rig.all()); }))
     throw std::runtime_error("members do not agree");
--- a/bench/stand_ins.cpp
+++ b/bench/stand_ins.cpp
@@ -12,7 +12,7 @@
 #include <future>
 #include <utility>
 
-namespace quinceline::bench {
+namespace client_proxy::bench {
 namespace {
 
 namespace asio = boost::asio;
@@ -239,4 +239,4 @@
                          });
 }
 
-}  // namespace quinceline::bench
+}  // namespace client_proxy::bench
--- a/bench/stand_ins.h
+++ b/bench/stand_ins.h
@@ -17,7 +17,7 @@
 #include <thread>
 #include <vector>
 
-namespace quinceline::bench {
+namespace client_proxy::bench {
 
 // An event loop in a thread of its own.
 class Loop {
@@ -123,4 +123,4 @@
   std::set<std::shared_ptr<Held>> all_;
 };
 
-}  // namespace quinceline::bench
+}  // namespace client_proxy::bench
--- a/bench/zones.cpp
+++ b/bench/zones.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-using namespace quinceline::rig;
+using namespace client_proxy::rig;
 
 constexpr int kLost = 8, kBack = 18, kEnd = 34;  // seconds
 
@@ -104,6 +104,6 @@
   }
   const auto seed = argc > 2 ? static_cast<std::uint64_t>(std::atoll(argv[2])) : 1;
   const Plan plan = world(members, seed, argc > 3 ? std::atof(argv[3]) : 0.54);
-  show("each for itself:", carryOut(QUINCELINE, plan, false), false);
-  show("decided in common:", carryOut(QUINCELINE, plan, true), argc > 4);
+  show("each for itself:", carryOut(CLIENT_PROXY_PROGRAM, plan, false), false);
+  show("decided in common:", carryOut(CLIENT_PROXY_PROGRAM, plan, true), argc > 4);
 }
--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -1,10 +1,10 @@
-# quinceline_package(NAME [SOURCES file ...] [DEPS library ...])
+# client_proxy_package(NAME [SOURCES file ...] [DEPS library ...])
 #
 # The package src/NAME: its headers lie in src/NAME/include/NAME, and only who links it can include them. Without
 # sources it is headers alone.
-function(quinceline_package name)
+function(client_proxy_package name)
   cmake_parse_arguments(P "" "" "SOURCES;DEPS" ${ARGN})
-  set(target quinceline_${name})
+  set(target client_proxy_${name})
   if(P_SOURCES)
     add_library(${target} STATIC ${P_SOURCES})
     target_include_directories(${target} PUBLIC include)
--- a/demo/main.cpp
+++ b/demo/main.cpp
@@ -2,7 +2,7 @@
 // asks from several clients at once, kills one host, and prints who answered what and what the proxy decided.
 // All that it started ends with it.
 //
-//     quinceline_demo QUINCELINE FILE
+//     client_proxy_demo CLIENT_PROXY_PROGRAM FILE
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -21,7 +21,7 @@
 #include "rig/child.h"
 #include "station.h"
 
-namespace quinceline::demo {
+namespace client_proxy::demo {
 namespace {
 
 namespace http = boost::beast::http;
@@ -190,10 +190,10 @@
 }
 
 }  // namespace
-}  // namespace quinceline::demo
+}  // namespace client_proxy::demo
 
 int main(int argc, char** argv) {
-  using namespace quinceline;
+  using namespace client_proxy;
   try {
     if (argc == 4 && std::strcmp(argv[1], "station") == 0) {
       const auto at = conf::readAddress(argv[3]);
@@ -202,9 +202,9 @@
     }
     if (argc == 3) return demo::show(argv[0], argv[1], argv[2]);
   } catch (const std::exception& e) {
-    std::fprintf(stderr, "quinceline_demo: %s\n", e.what());
+    std::fprintf(stderr, "client_proxy_demo: %s\n", e.what());
     return 1;
   }
-  std::fprintf(stderr, "quinceline_demo QUINCELINE FILE\n");
+  std::fprintf(stderr, "client_proxy_demo CLIENT_PROXY_PROGRAM FILE\n");
   return 2;
 }
--- a/demo/station.cpp
+++ b/demo/station.cpp
@@ -8,7 +8,7 @@
 #include <thread>
 #include <utility>
 
-namespace quinceline::demo {
+namespace client_proxy::demo {
 namespace {
 
 namespace http = boost::beast::http;
@@ -52,4 +52,4 @@
   }
 }
 
-}  // namespace quinceline::demo
+}  // namespace client_proxy::demo
--- a/demo/station.h
+++ b/demo/station.h
@@ -5,9 +5,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <string>
 
-namespace quinceline::demo {
+namespace client_proxy::demo {
 
 // Serves until it is killed. Throws boost::system::system_error if the address can't be taken.
 void serveStation(const std::string& name, const boost::asio::ip::tcp::endpoint& at);
 
-}  // namespace quinceline::demo
+}  // namespace client_proxy::demo
--- a/fuzz/conf.cpp
+++ b/fuzz/conf.cpp
@@ -11,7 +11,7 @@
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   const std::string broken =
-      quinceline::conf::brokenProperty(std::string(reinterpret_cast<const char*>(data), size));
+      client_proxy::conf::brokenProperty(std::string(reinterpret_cast<const char*>(data), size));
   if (broken.empty()) return 0;
   std::fprintf(stderr, "%s\n", broken.c_str());
   std::abort();
--- a/fuzz/conf_property.cpp
+++ b/fuzz/conf_property.cpp
@@ -5,7 +5,7 @@
 
 #include "conf/report.h"
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 namespace {
 
 // One file; whatever is included is that file again, so that loops are part of it.
@@ -52,4 +52,4 @@
   return {};
 }
 
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/fuzz/conf_property.h
+++ b/fuzz/conf_property.h
@@ -3,10 +3,10 @@
 
 #include <string>
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 
 // Empty: it holds. Else what does not: reading ends, every message can be shown, what was read without an
 // error survives its own form, and what is dumped reads as the same configuration.
 std::string brokenProperty(const std::string& bytes);
 
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/fuzz/fleet_property.cpp
+++ b/fuzz/fleet_property.cpp
@@ -6,7 +6,7 @@
 #include "fleet/fleet.h"
 #include "fleet_transport/remembered.h"
 
-namespace quinceline::fuzz {
+namespace client_proxy::fuzz {
 namespace {
 
 using namespace fleet;
@@ -96,4 +96,4 @@
   return serves(one);
 }
 
-}  // namespace quinceline::fuzz
+}  // namespace client_proxy::fuzz
--- a/fuzz/fleet_property.h
+++ b/fuzz/fleet_property.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace quinceline::fuzz {
+namespace client_proxy::fuzz {
 
 // A datagram, also with its checksum set right, is dropped with a cause or means one thing; a member that
 // takes it sends back only datagrams that can be read, few of them, and none to one that was dropped.
@@ -13,4 +13,4 @@
 // A view is refused with words or survives its own text, and a member that recalls it serves on.
 std::string brokenView(std::string_view bytes);
 
-}  // namespace quinceline::fuzz
+}  // namespace client_proxy::fuzz
--- a/fuzz/wire_property.cpp
+++ b/fuzz/wire_property.cpp
@@ -12,7 +12,7 @@
 #include "net/host_list.h"
 #include "net/http.h"
 
-namespace quinceline::fuzz {
+namespace client_proxy::fuzz {
 namespace {
 
 using boost::system::error_code;
@@ -137,33 +137,33 @@
   const std::string once = handover::toText(state);
   if (handover::toText(handover::fromText(once)) != once) return "its text means something else";
 
-  weldflow::Settings settings;
+  load_balancer::Settings settings;
   settings.classes.resize(1);
   settings.classes[0].aim = settings.classes[0].deadline = 1'000'000;
   settings.cold_time = 5'000'000;
-  weldflow::Balancer module(settings, 1);
-  std::vector<weldflow::Host> hosts(4);
+  load_balancer::Balancer module(settings, 1);
+  std::vector<load_balancer::Host> hosts(4);
   for (std::size_t i = 0; i < hosts.size(); ++i) hosts[i].id = "s-" + std::to_string(i + 1);
-  weldflow::Actions actions;
-  constexpr weldflow::Time kNow = 1'000'000'000;
-  module.onServers(kNow, weldflow::ListKind::Restored, hosts, actions);
+  load_balancer::Actions actions;
+  constexpr load_balancer::Time kNow = 1'000'000'000;
+  module.onServers(kNow, load_balancer::ListKind::Restored, hosts, actions);
   module.recall(kNow, state.servers, actions);
   if (module.knownServers() > hosts.size() + state.servers.size()) return "servers from nowhere";
   if (module.rememberedSlots() > (1U << 20U) + hosts.size()) return "slots have no bound";
   bool all_out = true;
-  for (const weldflow::Host& h : hosts) {
+  for (const load_balancer::Host& h : hosts) {
     all_out &= std::any_of(state.servers.begin(), state.servers.end(),
                            [&](const auto& s) { return s.id == h.id && (s.out_of_use || s.ejected); });
   }
   // Whatever is recalled: where a server is in use the tenth request at the latest finds it.
   bool sent = false;
-  for (weldflow::RequestId id = 1; id <= 10; ++id) {
+  for (load_balancer::RequestId id = 1; id <= 10; ++id) {
     actions.clear();
-    weldflow::Request r;
+    load_balancer::Request r;
     r.id = id;
     r.time_left = 1'000'000;
-    module.onRequest(kNow + static_cast<weldflow::Time>(id) * 1'000'000, r, actions);
-    for (const weldflow::Action& a : actions) sent |= a.kind == weldflow::ActionKind::Send;
+    module.onRequest(kNow + static_cast<load_balancer::Time>(id) * 1'000'000, r, actions);
+    for (const load_balancer::Action& a : actions) sent |= a.kind == load_balancer::ActionKind::Send;
   }
   return sent || all_out ? "" : "nobody is asked any more";
 }
@@ -193,7 +193,7 @@
     return *e.what() == '\0' ? "refused without a word" : "";
   }
   if (list.hosts.size() != list.endpoints.size()) return "hosts without a place";
-  for (const weldflow::Host& h : list.hosts) {
+  for (const load_balancer::Host& h : list.hosts) {
     if (h.id.empty() || !(h.capacity >= 0)) return "a host that is none";
   }
   const std::string once = formatHostList(list, zones);
@@ -208,4 +208,4 @@
   return all;
 }
 
-}  // namespace quinceline::fuzz
+}  // namespace client_proxy::fuzz
--- a/fuzz/wire_property.h
+++ b/fuzz/wire_property.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace quinceline::fuzz {
+namespace client_proxy::fuzz {
 
 // Empty: it holds. Else what does not.
 using Property = std::string (*)(std::string_view bytes);
@@ -33,4 +33,4 @@
 // In the order of the folders under tests/wire.
 const std::vector<Target>& targets();
 
-}  // namespace quinceline::fuzz
+}  // namespace client_proxy::fuzz
--- a/include/weldflow/balancer.h
+++ b/include/load_balancer/balancer.h
@@ -1,4 +1,4 @@
-// weldflow: the decisions of a client-side load balancer. This file is the whole interface.
+// load_balancer: the decisions of a client-side load balancer. This file is the whole interface.
 //
 // One Balancer serves one client process. The embedder reports events (the on… functions) together with the
 // current time and then carries out, in order, the actions that were appended to its buffer. The library has
@@ -14,7 +14,7 @@
 #include <string_view>
 #include <vector>
 
-namespace weldflow {
+namespace load_balancer {
 
 using Time = std::int64_t;           // microseconds
 using RequestId = std::uint64_t;     // chosen by the embedder, never used twice in one Balancer's life
@@ -290,4 +290,4 @@
 // The order in which client lot `client_lot` visits `server_lots` lots.
 std::vector<std::uint32_t> lotOrder(std::uint32_t client_lot, std::uint32_t server_lots);
 
-}  // namespace weldflow
+}  // namespace load_balancer
--- a/rig/callers.cpp
+++ b/rig/callers.cpp
@@ -9,7 +9,7 @@
 #include <future>
 #include <utility>
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 namespace asio = boost::asio;
@@ -240,4 +240,4 @@
   });
 }
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/callers.h
+++ b/rig/callers.h
@@ -13,7 +13,7 @@
 #include "plan.h"
 #include "random/random.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 class Callers {
  public:
@@ -60,10 +60,10 @@
   Record& record_;
   boost::asio::io_context io_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
-  weldflow::Random random_;
+  load_balancer::Random random_;
   std::vector<Proxy> proxies_;
   bool stopped_ = false;
   std::thread thread_;
 };
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/child.cpp
+++ b/rig/child.cpp
@@ -15,7 +15,7 @@
 
 extern char** environ;
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 Child::Child(std::vector<std::string> arguments, const std::vector<std::string>* environment, int inherited) {
   std::array<int, 2> ends{};
@@ -99,4 +99,4 @@
   return there();
 }
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/child.h
+++ b/rig/child.h
@@ -9,7 +9,7 @@
 #include <thread>
 #include <vector>
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 class Child {
  public:
@@ -42,4 +42,4 @@
   std::thread reader_;
 };
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/datagram_relay.cpp
+++ b/rig/datagram_relay.cpp
@@ -5,7 +5,7 @@
 #include <memory>
 #include <utility>
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
@@ -108,4 +108,4 @@
   }
 }
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/datagram_relay.h
+++ b/rig/datagram_relay.h
@@ -18,7 +18,7 @@
 
 #include "random/random.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 class DatagramRelay {
  public:
@@ -71,9 +71,9 @@
   Link link_;
   std::function<Link(Number, Number)> link_of_;  // empty: link_ for all
   std::function<bool(Number, Number)> cut_;
-  weldflow::Random random_;
+  load_balancer::Random random_;
   std::atomic<std::uint64_t> passed_{0}, lost_{0};
   std::thread thread_;
 };
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/discovery_stub.cpp
+++ b/rig/discovery_stub.cpp
@@ -11,7 +11,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 namespace asio = boost::asio;
@@ -175,4 +175,4 @@
   return "{\"rev\":" + std::to_string(revision_) + ",\"all\":true,\"targets\":[" + targets + "]}\n";
 }
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/discovery_stub.h
+++ b/rig/discovery_stub.h
@@ -14,7 +14,7 @@
 #include <thread>
 #include <vector>
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 class DiscoveryStub {
  public:
@@ -58,4 +58,4 @@
   std::thread thread_;
 };
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/events.cpp
+++ b/rig/events.cpp
@@ -7,7 +7,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 using nlohmann::json;
@@ -78,4 +78,4 @@
   return events;
 }
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/events.h
+++ b/rig/events.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 struct Event {
   enum class What : std::uint8_t { Asked, Ran, Answered, Lost, Left, Back, Fault, Undone };
@@ -41,4 +41,4 @@
 // Throws std::runtime_error with the line's number for what is no event.
 std::vector<Event> readLines(std::istream& in);
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/fleet_rig.cpp
+++ b/rig/fleet_rig.cpp
@@ -14,7 +14,7 @@
 #include <thread>
 #include <utility>
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 namespace asio = boost::asio;
@@ -101,7 +101,7 @@
 FleetRig::FleetRig(std::string program, Plan plan, const Site* site, bool allowed)
     : program_(std::move(program)), plan_(std::move(plan)), site_(site), allowed_(allowed) {
   const std::size_t members = plan_.proxies;
-  std::string name = "/tmp/quinceline-rig-XXXXXX";
+  std::string name = "/tmp/client-proxy-rig-XXXXXX";
   if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder for the rig");
   folder_ = name;
   address_ = ownAddress();
@@ -339,4 +339,4 @@
   return all;
 }
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/fleet_rig.h
+++ b/rig/fleet_rig.h
@@ -16,7 +16,7 @@
 #include "plan.h"
 #include "site.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 class FleetRig {
  public:
@@ -119,4 +119,4 @@
   Member twin_;
 };
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/hollow_clients.cpp
+++ b/rig/hollow_clients.cpp
@@ -8,7 +8,7 @@
 #include "ownership/ownership_service.h"
 #include "random/random.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 // Leases of services, without a memory on disk.
@@ -86,7 +86,7 @@
   const Clock& clock_;
   Timers& timers_;
   Zones zones_;
-  weldflow::Random random_;
+  load_balancer::Random random_;
   Discovery discovery_;
   double backoff_ = kFirstBackoff;
   std::size_t hosts_ = 0, lost_ = 0;
@@ -102,4 +102,4 @@
   return clients;
 }
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/hollow_host.cpp
+++ b/rig/hollow_host.cpp
@@ -9,7 +9,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 namespace asio = boost::asio;
@@ -252,4 +252,4 @@
   return {{"members", all}};
 }
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/hollow_host.h
+++ b/rig/hollow_host.h
@@ -25,7 +25,7 @@
 
 #include "hollow_member.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 // The members file: what is common to all, and the members that a process holds.
 struct HollowFile {
@@ -75,4 +75,4 @@
   bool quit_ = false;
 };
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/hollow_main.cpp
+++ b/rig/hollow_main.cpp
@@ -1,6 +1,6 @@
 // Many hollow members in one process.
 //
-//     quinceline_hollow MEMBERS [DESCRIPTOR]
+//     client_proxy_hollow MEMBERS [DESCRIPTOR]
 //
 // MEMBERS is a JSON file (docs/rig.md); commands come over the connected stream socket DESCRIPTOR, 3 if none
 // is named (rig/hollow_host.h lists them), and each is answered by one JSON object on a line.
@@ -15,7 +15,7 @@
 int main(int argc, char** argv) {
   constexpr int kInherited = 3;
   if (argc < 2 || argc > 3) {
-    std::fprintf(stderr, "quinceline_hollow MEMBERS [DESCRIPTOR]\n");
+    std::fprintf(stderr, "client_proxy_hollow MEMBERS [DESCRIPTOR]\n");
     return 2;
   }
   try {
@@ -23,8 +23,8 @@
     if (!in) throw std::runtime_error("can't be read");
     std::stringstream text;
     text << in.rdbuf();
-    quinceline::rig::HollowHost host(quinceline::rig::parseHollowFile(text.str()),
-                                     argc > 2 ? std::atoi(argv[2]) : kInherited);
+    client_proxy::rig::HollowHost host(client_proxy::rig::parseHollowFile(text.str()),
+                                       argc > 2 ? std::atoi(argv[2]) : kInherited);
     host.run();
   } catch (const std::exception& e) {
     std::fprintf(stderr, "%s: %s\n", argv[1], e.what());
--- a/rig/hollow_member.cpp
+++ b/rig/hollow_member.cpp
@@ -2,15 +2,17 @@
 
 #include <utility>
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 class HollowMember::NoRequests final : public fleet_transport::Local {
  public:
   explicit NoRequests(std::vector<std::string> zones) : zones_(std::move(zones)) {}
   std::uint64_t admitted() const override { return 0; }
   std::vector<std::string> zones() const override { return zones_; }
-  weldflow::ZoneSeen seen(const std::string&, Time, const weldflow::ZoneSince&) override { return {}; }
-  void setZone(const std::string&, weldflow::ZoneOrder) override {}
+  load_balancer::ZoneSeen seen(const std::string&, Time, const load_balancer::ZoneSince&) override {
+    return {};
+  }
+  void setZone(const std::string&, load_balancer::ZoneOrder) override {}
 
  private:
   const std::vector<std::string> zones_;
@@ -52,4 +54,4 @@
   return all;
 }
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/hollow_member.h
+++ b/rig/hollow_member.h
@@ -18,7 +18,7 @@
 #include "net/service_settings.h"
 #include "net/timers.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 // What the members of one process have in common, but for their addresses.
 struct HollowPlan {
@@ -86,4 +86,4 @@
   std::vector<std::unique_ptr<HollowClient>> clients_;
 };
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/hollow_process.cpp
+++ b/rig/hollow_process.cpp
@@ -10,7 +10,7 @@
 
 #include "process_usage.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 HollowProcess::HollowProcess(const std::string& program, const std::string& members_file,
                              std::vector<std::size_t> held)
@@ -68,4 +68,4 @@
   return all;
 }
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/hollow_process.h
+++ b/rig/hollow_process.h
@@ -7,7 +7,7 @@
 
 #include "child.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 class HollowProcess {
  public:
@@ -36,4 +36,4 @@
   double empty_megabytes_ = 0;
 };
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/main.cpp
+++ b/rig/main.cpp
@@ -1,7 +1,7 @@
 // Carries out a scenario with processes of the program, and holds what it saw against the rules.
 //
-//     quinceline_rig_run PROGRAM SCENARIO [LINES]
-//     quinceline_rig_run --check LINES
+//     client_proxy_rig_run PROGRAM SCENARIO [LINES]
+//     client_proxy_rig_run --check LINES
 //
 // LINES: the file for all that was seen, as lines of JSON. Ends with 1 where a rule is broken.
 #include <algorithm>
@@ -15,7 +15,7 @@
 #include "run.h"
 #include "scenario.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 double at(std::vector<double>& sorted, double part) {
@@ -59,17 +59,17 @@
 }
 
 }  // namespace
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
 
 int main(int argc, char** argv) {
-  using namespace quinceline::rig;
+  using namespace client_proxy::rig;
   try {
     if (argc == 3 && std::strcmp(argv[1], "--check") == 0) return check(argv[2]);
     if (argc == 3 || argc == 4) return run(argv[1], argv[2], argc == 4 ? argv[3] : nullptr);
   } catch (const std::exception& e) {
-    std::fprintf(stderr, "quinceline_rig_run: %s\n", e.what());
+    std::fprintf(stderr, "client_proxy_rig_run: %s\n", e.what());
     return 1;
   }
-  std::fprintf(stderr, "quinceline_rig_run PROGRAM SCENARIO [LINES] | --check LINES\n");
+  std::fprintf(stderr, "client_proxy_rig_run PROGRAM SCENARIO [LINES] | --check LINES\n");
   return 2;
 }
--- a/rig/mixed_fleet.cpp
+++ b/rig/mixed_fleet.cpp
@@ -12,7 +12,7 @@
 
 #include "process_usage.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 using nlohmann::json;
@@ -304,4 +304,4 @@
   return all;
 }
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/mixed_fleet.h
+++ b/rig/mixed_fleet.h
@@ -16,7 +16,7 @@
 #include "fleet_transport/neighbours.h"
 #include "hollow_process.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 struct MixedPlan {
   std::size_t members = 60;
@@ -41,7 +41,7 @@
 class MixedFleet {
  public:
   using Numbers = std::set<std::size_t>;
-  // `program`: quinceline; not used where there are no real members. `hollow`: quinceline_hollow.
+  // `program`: client-proxy; not used where there are no real members. `hollow`: client_proxy_hollow.
   MixedFleet(const std::string& program, const std::string& hollow, const MixedPlan& plan);
   ~MixedFleet();
 
@@ -107,4 +107,4 @@
   Numbers running_;
 };
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/plan.h
+++ b/rig/plan.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 using Span = std::chrono::microseconds;
 
@@ -101,4 +101,4 @@
 constexpr Span kColdFor{8'000'000};
 constexpr Span kDrainGrace{2'000'000};
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/process_usage.cpp
+++ b/rig/process_usage.cpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <system_error>
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 double cpuMilliseconds(pid_t process) {
   double nanoseconds = 0;
@@ -28,4 +28,4 @@
   return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
 }
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/rules.cpp
+++ b/rig/rules.cpp
@@ -3,7 +3,7 @@
 #include <cstdio>
 #include <unordered_map>
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 constexpr int kOk = 200, kTooMany = 429, kUnavailable = 503;
@@ -109,4 +109,4 @@
   return judge.verdict;
 }
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/rules.h
+++ b/rig/rules.h
@@ -8,7 +8,7 @@
 
 #include "events.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 struct Verdict {
   std::vector<std::string> broken;
@@ -26,4 +26,4 @@
 
 Verdict judge(const std::vector<Event>& events, const Leeway& leeway = {});
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/run.cpp
+++ b/rig/run.cpp
@@ -11,7 +11,7 @@
 #include "fleet_rig.h"
 #include "site.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 using Clock = std::chrono::steady_clock;
@@ -189,4 +189,4 @@
   return Run(program, plan, allowed).carryOut();
 }
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/run.h
+++ b/rig/run.h
@@ -9,7 +9,7 @@
 #include "plan.h"
 #include "rules.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 struct Outcome {
   std::vector<Event> events;
@@ -23,4 +23,4 @@
 // come up.
 Outcome carryOut(const std::string& program, const Plan& plan, bool allowed = true);
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/scenario.cpp
+++ b/rig/scenario.cpp
@@ -6,7 +6,7 @@
 
 #include "conf/check.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 using conf::Block;
@@ -286,4 +286,4 @@
   return scenario;
 }
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/scenario.h
+++ b/rig/scenario.h
@@ -9,7 +9,7 @@
 #include "conf/loader.h"
 #include "plan.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 struct Scenario {
   std::optional<Plan> plan;  // nothing: `wrong` says why
@@ -18,4 +18,4 @@
 
 Scenario readScenario(conf::FileSource& files, const std::string& path);
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/site.cpp
+++ b/rig/site.cpp
@@ -15,7 +15,7 @@
 #include <set>
 #include <utility>
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 namespace asio = boost::asio;
@@ -189,7 +189,7 @@
 class Host {
  public:
   Host(asio::io_context& io, const asio::ip::address& address, Ways& ways, const Plan& plan,
-       std::size_t number, weldflow::Random& random, Record& record, ZoneMemory& memory)
+       std::size_t number, load_balancer::Random& random, Record& record, ZoneMemory& memory)
       : io_(io),
         ways_(ways),
         zone_(plan.zoneOfHost(number)),
@@ -304,7 +304,7 @@
   const std::size_t zone_;
   const ZonePlan plan_;
   const std::size_t number_;
-  weldflow::Random& random_;
+  load_balancer::Random& random_;
   Record& record_;
   ZoneMemory& memory_;
   const std::vector<ClassPlan> classes_;
@@ -485,4 +485,4 @@
   carryOut([&] { directory_->set(up); });
 }
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/rig/site.h
+++ b/rig/site.h
@@ -17,7 +17,7 @@
 #include "plan.h"
 #include "random/random.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 // Who can reach whom: zones, and outside them all where discovery is. What comes while a way is cut waits.
 class Ways {
@@ -99,7 +99,7 @@
   Record& record_;
   mutable boost::asio::io_context io_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
-  weldflow::Random random_;
+  load_balancer::Random random_;
   Ways ways_;
   std::vector<ZoneMemory> memories_;
   std::vector<std::unique_ptr<Host>> hosts_;
@@ -107,4 +107,4 @@
   std::thread thread_;
 };
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/src/admission/connections.cpp
+++ b/src/admission/connections.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cstring>
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 namespace {
 
 // A client that has just connected is about to ask. How long that takes is learnt; these are its bounds.
@@ -292,4 +292,4 @@
   return Cause::AnswerNotTaken;
 }
 
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/src/admission/include/admission/cause.h
+++ b/src/admission/include/admission/cause.h
@@ -7,9 +7,9 @@
 #include <cstdint>
 #include <string_view>
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 
-using Time = std::int64_t;  // microseconds, as in weldflow/balancer.h
+using Time = std::int64_t;  // microseconds, as in load_balancer/balancer.h
 
 // Classes and tenants go by index. One that is not known (-1, or beyond the last) is the last of `count`.
 constexpr std::size_t indexOrLast(std::int32_t index, std::size_t count) {
@@ -78,4 +78,4 @@
   return kNames[static_cast<std::size_t>(cause)];
 }
 
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/src/admission/include/admission/connections.h
+++ b/src/admission/include/admission/connections.h
@@ -19,7 +19,7 @@
 #include "admission/reuse.h"
 #include "admission/slot_list.h"
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 
 using ConnectionId = std::uint64_t;                // never used twice; 0 is none
 using PeerAddress = std::array<std::uint8_t, 16>;  // IPv6, or IPv4 mapped into it (RFC 4291, 2.5.5.2)
@@ -177,4 +177,4 @@
   std::array<std::uint64_t, kCauses> closed_{};
 };
 
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/src/admission/include/admission/indices.h
+++ b/src/admission/include/admission/indices.h
@@ -13,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 
 // `Definition` is a value with ==.
 template <typename Definition>
@@ -85,4 +85,4 @@
   std::map<std::string, std::int32_t, std::less<>> numbers_;
 };
 
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/src/admission/include/admission/ledger.h
+++ b/src/admission/include/admission/ledger.h
@@ -12,7 +12,7 @@
 
 #include "admission/cause.h"
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 
 // A class or tenant that is not known is counted as the last, "other".
 class Ledger {
@@ -72,4 +72,4 @@
   std::array<std::uint64_t, kCauses> totals_{}, told_{};
 };
 
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/src/admission/include/admission/places.h
+++ b/src/admission/include/admission/places.h
@@ -9,7 +9,7 @@
 
 #include "admission/cause.h"
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 
 enum class Side : std::uint8_t { Clients, Hosts };
 
@@ -75,4 +75,4 @@
   std::array<Time, 2> faded_{};
 };
 
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/src/admission/include/admission/repeats.h
+++ b/src/admission/include/admission/repeats.h
@@ -12,9 +12,9 @@
 #include <unordered_map>
 #include <vector>
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 
-using Time = std::int64_t;  // microseconds, as in weldflow/balancer.h
+using Time = std::int64_t;  // microseconds, as in load_balancer/balancer.h
 
 // What is remembered of one request.
 struct Tried {
@@ -85,4 +85,4 @@
   std::uint64_t next_order_ = 1;
 };
 
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/src/admission/include/admission/requests.h
+++ b/src/admission/include/admission/requests.h
@@ -18,7 +18,7 @@
 
 #include "admission/cause.h"
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 
 using RequestKey = std::uint64_t;  // chosen by the embedder, never used twice
 constexpr std::size_t kNoBound = std::numeric_limits<std::size_t>::max();
@@ -149,4 +149,4 @@
   Time faded_ = 0;
 };
 
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/src/admission/include/admission/reuse.h
+++ b/src/admission/include/admission/reuse.h
@@ -3,7 +3,7 @@
 
 #include "admission/cause.h"
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 
 // Keeping a connection is worth its place only if the client asks on it again. Some clients don't (each
 // request comes on a connection of its own, which the client then holds), and where those are bounded in
@@ -45,4 +45,4 @@
   Time hold_ = kHold;
 };
 
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/src/admission/include/admission/slot_list.h
+++ b/src/admission/include/admission/slot_list.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <vector>
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 
 using Slot = std::uint32_t;
 constexpr Slot kNoSlot = UINT32_MAX;
@@ -42,4 +42,4 @@
   std::size_t size_ = 0;
 };
 
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/src/admission/include/admission/upload_clock.h
+++ b/src/admission/include/admission/upload_clock.h
@@ -8,7 +8,7 @@
 
 #include "admission/cause.h"
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 
 // A body may take as long as its length asks for at the least pace, but may not stand still. Guards against
 // clients that send half and then nothing, or a byte now and then, for good; it would harm lines slower than
@@ -48,4 +48,4 @@
   std::uint64_t bytes_ = 0;
 };
 
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/src/admission/repeats.cpp
+++ b/src/admission/repeats.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 namespace {
 
 constexpr std::size_t kEntryCost = 200;  // beside its texts: two nodes, a place in line
@@ -111,4 +111,4 @@
   }
 }
 
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/src/admission/requests.cpp
+++ b/src/admission/requests.cpp
@@ -5,7 +5,7 @@
 #include <stdexcept>
 #include <string>
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 namespace {
 
 constexpr double kUsualWeight = 0.1;  // the last ten or so answers of a class
@@ -258,4 +258,4 @@
   return static_cast<Time>(std::min(advised, static_cast<double>(limits_.advice_most)));
 }
 
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/src/admission/reuse.cpp
+++ b/src/admission/reuse.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 
 void ReuseJudge::onRequest(Time now, std::uint32_t nth, std::size_t idle) {
   // Without an idle connection there was nothing to choose.
@@ -29,4 +29,4 @@
   if (frugal_ && requests == 1) trials_ -= kTrialWeight * trials_;
 }
 
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/src/cli/check.cpp
+++ b/src/cli/check.cpp
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 void append(nlohmann::json& all, const std::vector<conf::Diagnostic>& found, const conf::Sources& sources) {
@@ -39,9 +39,9 @@
 }
 
 void CheckedFiles::print() const {
-  quinceline::print(configuration.found, configuration.sources);
-  quinceline::print(hosts.found, hosts.sources);
-  quinceline::print(members.found, members.sources);
+  client_proxy::print(configuration.found, configuration.sources);
+  client_proxy::print(hosts.found, hosts.sources);
+  client_proxy::print(members.found, members.sources);
 }
 
 std::string CheckedFiles::asJson() const {
@@ -65,4 +65,4 @@
   for (const conf::Diagnostic& d : found) std::fputs(conf::render(d, sources).c_str(), stderr);
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -14,7 +14,7 @@
 #include <vector>
 
 #include "cli/check.h"
-#ifdef QUINCELINE_CONFIGURATION
+#ifdef CLIENT_PROXY_CONFIGURATION
 #include "cli/configuration_commands.h"
 #endif
 #include "cli/ctl.h"
@@ -25,7 +25,7 @@
 #include "net/head_rules.h"
 #include "operator/operator_file.h"
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 struct FormatOptions {
@@ -73,7 +73,7 @@
   if (!found.empty()) return false;
   const std::string formatted = conf::format(document);
   if (options.check)
-    return formatted == *text || complain(file, "is not in its form; quinceline fmt --write mends it");
+    return formatted == *text || complain(file, "is not in its form; client-proxy fmt --write mends it");
   if (options.write) return formatted == *text || replaceFile(file, formatted);
   std::fwrite(formatted.data(), 1, formatted.size(), stdout);
   return true;
@@ -177,7 +177,7 @@
 }  // namespace
 
 int runCommand(int argc, const char* const* argv) {
-  CLI::App app("A client proxy. Without a command it runs as PROXY_CONFIG says.", "quinceline");
+  CLI::App app("A client proxy. Without a command it runs as PROXY_CONFIG says.", "client-proxy");
   app.require_subcommand(1);
   std::string operator_file;
   CLI::App* const run_command =
@@ -258,7 +258,7 @@
 
   CLI::App* const reference_command =
       app.add_subcommand("reference", "Print the reference of all keys (Markdown)");
-#ifdef QUINCELINE_CONFIGURATION
+#ifdef CLIENT_PROXY_CONFIGURATION
   const configuration::Commands configuration_commands(app);
 #endif
   try {
@@ -273,11 +273,11 @@
   if (explain_command->parsed()) return explain(explain_options);
   if (ctl_command->parsed()) return ctl(ctl_options);
   if (dump_command->parsed()) return dump(dumped);
-#ifdef QUINCELINE_CONFIGURATION
+#ifdef CLIENT_PROXY_CONFIGURATION
   if (configuration_commands.parsed()) return configuration_commands.run();
 #endif
   if (reference_command->parsed()) std::fputs(conf::reference().c_str(), stdout);
   return 0;
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/cli/configuration_candidate.cpp
+++ b/src/cli/configuration_candidate.cpp
@@ -3,7 +3,7 @@
 #include "conf/syntax.h"
 #include "files/overlay_source.h"
 
-namespace quinceline::configuration {
+namespace client_proxy::configuration {
 CheckedFiles checkCandidate(conf::FileSource& files, const std::string& operator_file,
                             const std::string& candidate_text) {
   // The shared file itself may be broken or missing here: only its path is needed.
@@ -38,4 +38,4 @@
   return numbers;
 }
 
-}  // namespace quinceline::configuration
+}  // namespace client_proxy::configuration
--- a/src/cli/configuration_client.cpp
+++ b/src/cli/configuration_client.cpp
@@ -9,7 +9,7 @@
 #include "cli/usage_error.h"
 #include "distribution/codec.h"
 
-namespace quinceline::configuration {
+namespace client_proxy::configuration {
 namespace {
 
 using boost::beast::http::verb;
@@ -110,4 +110,4 @@
   return std::nullopt;
 }
 
-}  // namespace quinceline::configuration
+}  // namespace client_proxy::configuration
--- a/src/cli/configuration_commands.cpp
+++ b/src/cli/configuration_commands.cpp
@@ -16,7 +16,7 @@
 #include "distribution/digest.h"
 #include "files/disk_source.h"
 
-namespace quinceline::configuration {
+namespace client_proxy::configuration {
 namespace {
 
 using Clock = std::chrono::steady_clock;
@@ -26,7 +26,7 @@
 constexpr milliseconds kLook{200};  // between two looks at who holds a version
 
 int complain(const std::string& what, int status) {
-  std::fprintf(stderr, "quinceline configuration: %s\n", what.c_str());
+  std::fprintf(stderr, "client-proxy configuration: %s\n", what.c_str());
   return status;
 }
 
@@ -289,4 +289,4 @@
   }
 }
 
-}  // namespace quinceline::configuration
+}  // namespace client_proxy::configuration
--- a/src/cli/configuration_progress.cpp
+++ b/src/cli/configuration_progress.cpp
@@ -4,7 +4,7 @@
 #include <map>
 #include <utility>
 
-namespace quinceline::configuration {
+namespace client_proxy::configuration {
 namespace {
 
 using distribution::MemberId;
@@ -83,4 +83,4 @@
   return progress;
 }
 
-}  // namespace quinceline::configuration
+}  // namespace client_proxy::configuration
--- a/src/cli/configuration_replica.cpp
+++ b/src/cli/configuration_replica.cpp
@@ -13,7 +13,7 @@
 #include "net/clock.h"
 #include "net/log.h"
 
-namespace quinceline::configuration {
+namespace client_proxy::configuration {
 namespace {
 
 constexpr std::uint64_t kMaxId = 0xFFFF;
@@ -64,7 +64,7 @@
   try {
     server.emplace(io, settings);
   } catch (const std::runtime_error& e) {
-    std::fprintf(stderr, "quinceline configuration: %s\n", e.what());
+    std::fprintf(stderr, "client-proxy configuration: %s\n", e.what());
     return 1;
   }
   signals.async_wait([&](const boost::system::error_code&, int) { io.stop(); });
@@ -77,4 +77,4 @@
   return 0;
 }
 
-}  // namespace quinceline::configuration
+}  // namespace client_proxy::configuration
--- a/src/cli/configuration_report.cpp
+++ b/src/cli/configuration_report.cpp
@@ -5,7 +5,7 @@
 
 #include "distribution/codec.h"
 
-namespace quinceline::configuration {
+namespace client_proxy::configuration {
 namespace {
 
 using nlohmann::ordered_json;
@@ -95,4 +95,4 @@
   return all;
 }
 
-}  // namespace quinceline::configuration
+}  // namespace client_proxy::configuration
--- a/src/cli/ctl.cpp
+++ b/src/cli/ctl.cpp
@@ -15,7 +15,7 @@
 #include "cli/http_call.h"
 #include "net/host_list.h"
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 namespace http = boost::beast::http;
@@ -61,7 +61,7 @@
 }
 
 int complain(const std::string& what) {
-  std::fprintf(stderr, "quinceline ctl: %s\n", what.c_str());
+  std::fprintf(stderr, "client-proxy ctl: %s\n", what.c_str());
   return 2;
 }
 
@@ -264,4 +264,4 @@
   return yes ? 0 : 1;
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/cli/http_call.cpp
+++ b/src/cli/http_call.cpp
@@ -10,7 +10,7 @@
 #include <cstdint>
 #include <utility>
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 namespace beast = boost::beast;
@@ -50,4 +50,4 @@
   return answer;
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/cli/include/cli/check.h
+++ b/src/cli/include/cli/check.h
@@ -1,4 +1,4 @@
-// All that is wrong with an operator file and the files that it names: `quinceline check`, and the dry run
+// All that is wrong with an operator file and the files that it names: `client-proxy check`, and the dry run
 // before a shared configuration is published.
 #pragma once
 
@@ -8,7 +8,7 @@
 #include "conf/loader.h"
 #include "conf/model.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 struct CheckedFiles {
   conf::Configuration configuration;
@@ -28,4 +28,4 @@
 // On standard error.
 void print(const std::vector<conf::Diagnostic>& found, const conf::Sources& sources);
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/cli/include/cli/configuration_candidate.h
+++ b/src/cli/include/cli/configuration_candidate.h
@@ -8,9 +8,9 @@
 #include "cli/check.h"
 #include "distribution/types.h"
 
-namespace quinceline::configuration {
+namespace client_proxy::configuration {
 
-// What `quinceline check` would say of the operator file once the candidate is in force. An operator file
+// What `client-proxy check` would say of the operator file once the candidate is in force. An operator file
 // that names no shared file is an error of its own.
 CheckedFiles checkCandidate(conf::FileSource& files, const std::string& operator_file,
                             const std::string& candidate_text);
@@ -21,4 +21,4 @@
 // The numbers of the members that the operator file's fleet lists; empty: it has none.
 std::set<distribution::MemberId> membersOf(const CheckedFiles& checked);
 
-}  // namespace quinceline::configuration
+}  // namespace client_proxy::configuration
--- a/src/cli/include/cli/configuration_client.h
+++ b/src/cli/include/cli/configuration_client.h
@@ -12,7 +12,7 @@
 #include "distribution/types.h"
 #include "net/host_list.h"
 
-namespace quinceline::configuration {
+namespace client_proxy::configuration {
 
 // A replica's address as the command line has it; throws UsageError.
 Endpoint endpointOf(const std::string& text);
@@ -53,4 +53,4 @@
   std::vector<Endpoint> replicas_;
 };
 
-}  // namespace quinceline::configuration
+}  // namespace client_proxy::configuration
--- a/src/cli/include/cli/configuration_commands.h
+++ b/src/cli/include/cli/configuration_commands.h
@@ -1,4 +1,4 @@
-// `quinceline configuration replica|publish|status|revert`: the shared configuration of a fleet of proxies,
+// `client-proxy configuration replica|publish|status|revert`: the shared configuration of a fleet of proxies,
 // for the machines that hold it and the people who change it.
 #pragma once
 
@@ -11,7 +11,7 @@
 
 #include "cli/configuration_replica.h"
 
-namespace quinceline::configuration {
+namespace client_proxy::configuration {
 
 struct ClientOptions {
   std::vector<std::string> replicas;  // address:port
@@ -55,4 +55,4 @@
   std::uint64_t version_ = 0;  // of revert
 };
 
-}  // namespace quinceline::configuration
+}  // namespace client_proxy::configuration
--- a/src/cli/include/cli/configuration_progress.h
+++ b/src/cli/include/cli/configuration_progress.h
@@ -10,7 +10,7 @@
 
 #include "distribution/types.h"
 
-namespace quinceline::configuration {
+namespace client_proxy::configuration {
 
 // Why a proxy holds a version, or does not.
 enum class Holding : std::uint8_t {
@@ -52,4 +52,4 @@
                     const std::vector<distribution::MemberStatus>& members,
                     const std::set<distribution::MemberId>& expected);
 
-}  // namespace quinceline::configuration
+}  // namespace client_proxy::configuration
--- a/src/cli/include/cli/configuration_replica.h
+++ b/src/cli/include/cli/configuration_replica.h
@@ -1,4 +1,4 @@
-// `quinceline configuration replica`: one of the machines that keep the shared configuration.
+// `client-proxy configuration replica`: one of the machines that keep the shared configuration.
 #pragma once
 
 #include <cstdint>
@@ -7,7 +7,7 @@
 
 #include "replica/replica_server.h"
 
-namespace quinceline::configuration {
+namespace client_proxy::configuration {
 
 struct ReplicaOptions {
   std::uint16_t id = 0;
@@ -24,4 +24,4 @@
 // UsageError.
 int runReplica(const ReplicaOptions& options);
 
-}  // namespace quinceline::configuration
+}  // namespace client_proxy::configuration
--- a/src/cli/include/cli/configuration_report.h
+++ b/src/cli/include/cli/configuration_report.h
@@ -8,7 +8,7 @@
 #include "cli/configuration_client.h"
 #include "cli/configuration_progress.h"
 
-namespace quinceline::configuration {
+namespace client_proxy::configuration {
 
 // The address of a replica as it is written on the command line.
 std::string nameOf(const Endpoint& replica);
@@ -24,4 +24,4 @@
 // The word for it in JSON.
 const char* nameOf(PublishResult result);
 
-}  // namespace quinceline::configuration
+}  // namespace client_proxy::configuration
--- a/src/cli/include/cli/ctl.h
+++ b/src/cli/include/cli/ctl.h
@@ -1,9 +1,9 @@
-// `quinceline ctl`: a call on a running proxy's console, for people and scripts.
+// `client-proxy ctl`: a call on a running proxy's console, for people and scripts.
 #pragma once
 
 #include <string>
 
-namespace quinceline {
+namespace client_proxy {
 
 struct CtlOptions {
   std::string console;  // address:port; empty: $PROXY_CONSOLE
@@ -27,4 +27,4 @@
 std::string deedsAsTable(const std::string& page);
 std::string recoveryAsTable(const std::string& page);
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/cli/include/cli/http_call.h
+++ b/src/cli/include/cli/http_call.h
@@ -7,7 +7,7 @@
 #include <chrono>
 #include <string>
 
-namespace quinceline {
+namespace client_proxy {
 
 struct HttpAnswer {
   boost::system::error_code error;  // set: nobody answered in time, or not in HTTP
@@ -27,4 +27,4 @@
 // Blocks until the answer is there, or the time limit has passed.
 HttpAnswer callOnce(const boost::asio::ip::tcp::endpoint& server, const HttpCall& call);
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/cli/include/cli/usage_error.h
+++ b/src/cli/include/cli/usage_error.h
@@ -3,10 +3,10 @@
 
 #include <stdexcept>
 
-namespace quinceline {
+namespace client_proxy {
 
 struct UsageError : std::runtime_error {
   using std::runtime_error::runtime_error;
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/conf/check.cpp
+++ b/src/conf/check.cpp
@@ -10,7 +10,7 @@
 
 #include "conf/units.h"
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 namespace {
 
 struct Value {
@@ -319,4 +319,4 @@
   return a;
 }
 
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/src/conf/diagnostic.cpp
+++ b/src/conf/diagnostic.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 namespace {
 
 constexpr std::size_t kShownBefore = 80, kShownAfter = 40;  // columns around the place
@@ -86,4 +86,4 @@
   return out;
 }
 
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/src/conf/include/conf/check.h
+++ b/src/conf/include/conf/check.h
@@ -10,7 +10,7 @@
 #include "conf/schema.h"
 #include "conf/syntax.h"
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 
 // One value that was set, or that holds because nothing was.
 struct Setting {
@@ -54,4 +54,4 @@
 };
 std::optional<Address> readAddress(std::string_view text);
 
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/src/conf/include/conf/diagnostic.h
+++ b/src/conf/include/conf/diagnostic.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 
 // A place in a text. Lines and columns count from 1; columns are bytes. `file` indexes the list of files
 // read.
@@ -53,4 +53,4 @@
 // it, and what can't be printed is shown as '?'.
 std::string render(const Diagnostic& diagnostic, const Sources& sources);
 
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/src/conf/include/conf/loader.h
+++ b/src/conf/include/conf/loader.h
@@ -8,7 +8,7 @@
 
 #include "conf/syntax.h"
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 
 class FileSource {
  public:
@@ -47,4 +47,4 @@
 // twice, one that is not defined, one that stands for itself. A name that nobody uses is a warning.
 Loaded load(FileSource& files, const std::string& path);
 
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/src/conf/include/conf/model.h
+++ b/src/conf/include/conf/model.h
@@ -9,7 +9,7 @@
 #include "conf/check.h"
 #include "conf/loader.h"
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 
 using Micros = std::int64_t;
 
@@ -163,4 +163,4 @@
 // "file:line:column: error: what is wrong; what to write instead", without the line and the caret.
 std::string oneLine(const Diagnostic& diagnostic, const Sources& sources);
 
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/src/conf/include/conf/report.h
+++ b/src/conf/include/conf/report.h
@@ -8,7 +8,7 @@
 
 #include "conf/model.h"
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 
 // The effective configuration in the language: every key, those that were not set as what holds without them.
 // Reading it again gives the same configuration.
@@ -33,4 +33,4 @@
 // The reference page, Markdown.
 std::string reference();
 
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/src/conf/include/conf/schema.h
+++ b/src/conf/include/conf/schema.h
@@ -7,7 +7,7 @@
 #include <span>
 #include <string_view>
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 
 enum class Kind : std::uint8_t {
   Duration,  // microseconds
@@ -63,4 +63,4 @@
 // What a members file may hold: `member` alone.
 extern const Block kMembersFile;
 
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/src/conf/include/conf/syntax.h
+++ b/src/conf/include/conf/syntax.h
@@ -15,7 +15,7 @@
 
 #include "conf/diagnostic.h"
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 
 struct Word {
   std::string text;  // what it means: a string without quotes and escapes
@@ -54,4 +54,4 @@
 // The same statements with the same words, places and comments aside.
 bool sameMeaning(const Document& a, const Document& b);
 
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/src/conf/include/conf/units.h
+++ b/src/conf/include/conf/units.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 
 // What was read, or what is wrong with it and what to write instead.
 template <typename T>
@@ -34,4 +34,4 @@
 // missing or too many (optimal string alignment). Empty: none is near.
 std::string nearest(std::string_view word, const std::vector<std::string>& known);
 
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/src/conf/loader.cpp
+++ b/src/conf/loader.cpp
@@ -6,7 +6,7 @@
 
 #include "conf/units.h"
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 namespace {
 
 constexpr std::size_t kLongestValue = 4096;
@@ -284,4 +284,4 @@
 
 Loaded load(FileSource& files, const std::string& path) { return Loader(files).run(path); }
 
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/src/conf/model.cpp
+++ b/src/conf/model.cpp
@@ -5,7 +5,7 @@
 #include <map>
 #include <utility>
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 namespace {
 
 // What holds for a key, converted; nothing where nothing was set and the schema has no fallback.
@@ -513,4 +513,4 @@
   return whole.substr(0, whole.find('\n'));
 }
 
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/src/conf/report.cpp
+++ b/src/conf/report.cpp
@@ -3,7 +3,7 @@
 #include <unordered_map>
 #include <utility>
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 namespace {
 
 bool standsAlone(const Section& root) { return root.section("pool") != nullptr; }
@@ -315,7 +315,7 @@
 std::string reference() {
   std::string out =
       "# Configuration: the reference\n\n"
-      "Made by `quinceline reference` from the schema (`src/conf/schema.cpp`); the guide is "
+      "Made by `client-proxy reference` from the schema (`src/conf/schema.cpp`); the guide is "
       "`docs/configuration.md`.\n"
       "*Alone*: only in a file that holds a pool, which needs no configuration of a platform.\n";
   const Key top = {.name = "", .kind = Kind::Block, .about = "What stands in no block.", .block = &kRoot};
@@ -323,4 +323,4 @@
   return out;
 }
 
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/src/conf/schema.cpp
+++ b/src/conf/schema.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 namespace {
 
 constexpr double kSecond = 1e6, kHour = 3600e6, kMostCount = 1e7;
@@ -490,7 +490,7 @@
     Key{.name = "name",
         .kind = Kind::Name,
         .about = "The instance's name in its log.",
-        .fallback = "quinceline",
+        .fallback = "quinceline",  // the program's first name; members know one another by it
         .use = Use::Alone,
         .live = false},
     Key{.name = "client",
@@ -595,4 +595,4 @@
   return nullptr;
 }
 
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/src/conf/syntax.cpp
+++ b/src/conf/syntax.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 namespace {
 
 enum class Kind : std::uint8_t { Word, Open, Close, End, Newline, Comment, Eof, Bad };
@@ -331,4 +331,4 @@
 
 bool sameMeaning(const Document& a, const Document& b) { return same(a.statements, b.statements); }
 
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/src/conf/units.cpp
+++ b/src/conf/units.cpp
@@ -7,7 +7,7 @@
 #include <optional>
 #include <span>
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 namespace {
 
 struct Unit {
@@ -162,4 +162,4 @@
   return best;
 }
 
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/src/consensus/acceptor.cpp
+++ b/src/consensus/acceptor.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace quinceline::consensus {
+namespace client_proxy::consensus {
 
 void Acceptor::open(Version slot) {
   if (vote_.slot < slot) vote_ = Vote{.slot = slot, .promised = {}, .accepted = {}, .value = {}};
@@ -43,4 +43,4 @@
   if (vote_.slot <= version) vote_ = Vote{};
 }
 
-}  // namespace quinceline::consensus
+}  // namespace client_proxy::consensus
--- a/src/consensus/history.cpp
+++ b/src/consensus/history.cpp
@@ -4,7 +4,7 @@
 
 #include "distribution/digest.h"
 
-namespace quinceline::consensus {
+namespace client_proxy::consensus {
 
 ChangeHead headOf(const Change& change) { return {change.version, change.id, change.author, change.digest}; }
 
@@ -44,4 +44,4 @@
   changes_.pop_front();
 }
 
-}  // namespace quinceline::consensus
+}  // namespace client_proxy::consensus
--- a/src/consensus/include/consensus/acceptor.h
+++ b/src/consensus/include/consensus/acceptor.h
@@ -3,7 +3,7 @@
 
 #include "consensus/messages.h"
 
-namespace quinceline::consensus {
+namespace client_proxy::consensus {
 
 class Acceptor {
  public:
@@ -35,4 +35,4 @@
   Version first_vote_;
 };
 
-}  // namespace quinceline::consensus
+}  // namespace client_proxy::consensus
--- a/src/consensus/include/consensus/history.h
+++ b/src/consensus/include/consensus/history.h
@@ -6,7 +6,7 @@
 
 #include "consensus/types.h"
 
-namespace quinceline::consensus {
+namespace client_proxy::consensus {
 
 class History {
  public:
@@ -33,4 +33,4 @@
   std::size_t kept_;
 };
 
-}  // namespace quinceline::consensus
+}  // namespace client_proxy::consensus
--- a/src/consensus/include/consensus/membership.h
+++ b/src/consensus/include/consensus/membership.h
@@ -15,7 +15,7 @@
 
 #include "consensus/messages.h"
 
-namespace quinceline::consensus {
+namespace client_proxy::consensus {
 
 class Membership {
  public:
@@ -84,4 +84,4 @@
   std::map<ReplicaId, PeerRecord> peers_;
 };
 
-}  // namespace quinceline::consensus
+}  // namespace client_proxy::consensus
--- a/src/consensus/include/consensus/messages.h
+++ b/src/consensus/include/consensus/messages.h
@@ -3,7 +3,7 @@
 
 #include "consensus/types.h"
 
-namespace quinceline::consensus {
+namespace client_proxy::consensus {
 
 /// Asks for a promise to take part in no lower ballot of this slot.
 struct Prepare {
@@ -80,4 +80,4 @@
 
 using Message = std::variant<Prepare, Promise, Accept, Accepted, Rejected, Chosen, Fetch, Hello, HelloReply>;
 
-}  // namespace quinceline::consensus
+}  // namespace client_proxy::consensus
--- a/src/consensus/include/consensus/node.h
+++ b/src/consensus/include/consensus/node.h
@@ -13,7 +13,7 @@
 #include "consensus/publishes.h"
 #include "random/random.h"
 
-namespace quinceline::consensus {
+namespace client_proxy::consensus {
 
 /// A Node stands for one start of a replica. After a write that failed it has to be discarded together with
 /// all outputs not yet carried out, and made anew from what is on disk.
@@ -80,7 +80,7 @@
   Time backOff();
 
   const Rules rules_;
-  weldflow::Random random_;
+  load_balancer::Random random_;
   Membership membership_;
   Acceptor acceptor_;
   History history_;
@@ -95,4 +95,4 @@
   int lost_duels_ = 0;       // in a row
 };
 
-}  // namespace quinceline::consensus
+}  // namespace client_proxy::consensus
--- a/src/consensus/include/consensus/output.h
+++ b/src/consensus/include/consensus/output.h
@@ -5,7 +5,7 @@
 
 #include "consensus/messages.h"
 
-namespace quinceline::consensus {
+namespace client_proxy::consensus {
 
 /// The caller's name for one publish.
 using PublishToken = std::uint64_t;
@@ -48,4 +48,4 @@
   }
 };
 
-}  // namespace quinceline::consensus
+}  // namespace client_proxy::consensus
--- a/src/consensus/include/consensus/proposal.h
+++ b/src/consensus/include/consensus/proposal.h
@@ -5,7 +5,7 @@
 
 #include "consensus/messages.h"
 
-namespace quinceline::consensus {
+namespace client_proxy::consensus {
 
 class Proposal {
  public:
@@ -37,4 +37,4 @@
   std::set<ReplicaId> promised_, accepted_;
 };
 
-}  // namespace quinceline::consensus
+}  // namespace client_proxy::consensus
--- a/src/consensus/include/consensus/publishes.h
+++ b/src/consensus/include/consensus/publishes.h
@@ -6,7 +6,7 @@
 #include "consensus/history.h"
 #include "consensus/output.h"
 
-namespace quinceline::consensus {
+namespace client_proxy::consensus {
 
 struct Publish {
   PublishToken token = 0;
@@ -22,4 +22,4 @@
 /// The change that a publish asks for in the next slot.
 Change changeOf(const Publish& publish, const History& history);
 
-}  // namespace quinceline::consensus
+}  // namespace client_proxy::consensus
--- a/src/consensus/include/consensus/types.h
+++ b/src/consensus/include/consensus/types.h
@@ -14,7 +14,7 @@
 
 #include "distribution/types.h"
 
-namespace quinceline::consensus {
+namespace client_proxy::consensus {
 
 using distribution::Change;
 using distribution::ReplicaId;
@@ -123,4 +123,4 @@
   std::size_t kept = 1000;         ///< changes
 };
 
-}  // namespace quinceline::consensus
+}  // namespace client_proxy::consensus
--- a/src/consensus/membership.cpp
+++ b/src/consensus/membership.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace quinceline::consensus {
+namespace client_proxy::consensus {
 
 Membership::Membership(const Rules& rules, const DurableState& state, std::uint64_t run)
     : rules_(rules),
@@ -123,4 +123,4 @@
   return judged;
 }
 
-}  // namespace quinceline::consensus
+}  // namespace client_proxy::consensus
--- a/src/consensus/node.cpp
+++ b/src/consensus/node.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace quinceline::consensus {
+namespace client_proxy::consensus {
 
 using distribution::Conflict;
 
@@ -295,4 +295,4 @@
   return next;
 }
 
-}  // namespace quinceline::consensus
+}  // namespace client_proxy::consensus
--- a/src/consensus/proposal.cpp
+++ b/src/consensus/proposal.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-namespace quinceline::consensus {
+namespace client_proxy::consensus {
 
 Proposal::Proposal(Version slot, Ballot ballot, Change own, std::size_t quorum)
     : slot_(slot), ballot_(ballot), value_(std::move(own)), quorum_(quorum) {}
@@ -28,4 +28,4 @@
   return (accepting_ ? accepted_ : promised_).count(replica) > 0;
 }
 
-}  // namespace quinceline::consensus
+}  // namespace client_proxy::consensus
--- a/src/consensus/publishes.cpp
+++ b/src/consensus/publishes.cpp
@@ -2,7 +2,7 @@
 
 #include "distribution/digest.h"
 
-namespace quinceline::consensus {
+namespace client_proxy::consensus {
 
 using distribution::Conflict;
 using distribution::Published;
@@ -28,4 +28,4 @@
           .previous_digest = history.digest()};
 }
 
-}  // namespace quinceline::consensus
+}  // namespace client_proxy::consensus
--- a/src/console/calls.cpp
+++ b/src/console/calls.cpp
@@ -2,7 +2,7 @@
 
 #include <optional>
 
-namespace quinceline::console {
+namespace client_proxy::console {
 namespace {
 
 constexpr std::string_view kHosts = "/hosts/", kDeeds = "/deeds/";
@@ -77,4 +77,4 @@
   return {.call = Call::Page, .status = get ? 200 : 405, .allow = get ? "" : "GET", .page = path};
 }
 
-}  // namespace quinceline::console
+}  // namespace client_proxy::console
--- a/src/console/console_server.cpp
+++ b/src/console/console_server.cpp
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <utility>
 
-namespace quinceline::console {
+namespace client_proxy::console {
 namespace {
 
 namespace asio = boost::asio;
@@ -204,4 +204,4 @@
   return {.body = page->second() + "\n", .type = "application/json"};
 }
 
-}  // namespace quinceline::console
+}  // namespace client_proxy::console
--- a/src/console/include/console/calls.h
+++ b/src/console/include/console/calls.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace quinceline::console {
+namespace client_proxy::console {
 
 enum class Call : std::uint8_t {
   None,         // see Read::status
@@ -33,4 +33,4 @@
 // `method` and `target` as in the request line, which must outlive what is returned. A query is ignored.
 Read readCall(std::string_view method, std::string_view target);
 
-}  // namespace quinceline::console
+}  // namespace client_proxy::console
--- a/src/console/include/console/console_server.h
+++ b/src/console/include/console/console_server.h
@@ -16,7 +16,7 @@
 
 #include "console/calls.h"
 
-namespace quinceline::console {
+namespace client_proxy::console {
 
 // What the calls do. Each answers at once; false is a no.
 class Actor {
@@ -77,4 +77,4 @@
   Sessions sessions_;  // the oldest first
 };
 
-}  // namespace quinceline::console
+}  // namespace client_proxy::console
--- a/src/daemon/include/daemon/serve.h
+++ b/src/daemon/include/daemon/serve.h
@@ -3,9 +3,9 @@
 
 #include <string>
 
-namespace quinceline {
+namespace client_proxy {
 
 // Runs until SIGTERM or SIGINT; the exit status. `operator_file` empty: what PROXY_OPERATOR names, or none.
 int serve(const std::string& operator_file);
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/daemon/include/daemon/shared_configuration.h
+++ b/src/daemon/include/daemon/shared_configuration.h
@@ -15,7 +15,7 @@
 #include "subscription/shared_file.h"
 #include "subscription/subscription_task.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 class SharedConfiguration {
  public:
@@ -58,4 +58,4 @@
   subscription::SubscriptionTask task_;
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/daemon/serve.cpp
+++ b/src/daemon/serve.cpp
@@ -23,20 +23,20 @@
 #include "handover/link.h"
 #include "net/config.h"
 #include "net/log.h"
-#ifdef QUINCELINE_OWNERSHIP
+#ifdef CLIENT_PROXY_OWNERSHIP
 #include "ownership/ownership_service.h"
 #endif
-#ifdef QUINCELINE_OPERATOR
+#ifdef CLIENT_PROXY_OPERATOR
 #include "files/disk_source.h"
 #include "files/overlay_source.h"
 #include "operator/file_watch.h"
 #include "operator/operator_file.h"
 #endif
-#ifdef QUINCELINE_SUBSCRIPTION
+#ifdef CLIENT_PROXY_SUBSCRIPTION
 #include "daemon/shared_configuration.h"
 #endif
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 const char* variable(const char* name) { return std::getenv(name); }
@@ -59,14 +59,14 @@
     const char* const named = variable("PROXY_OPERATOR");
     const std::string path = !operator_file.empty() ? operator_file : named != nullptr ? named : "";
     if (path.empty()) return;
-#ifdef QUINCELINE_OPERATOR
+#ifdef CLIENT_PROXY_OPERATOR
     operated_.emplace(files_, path, variable);
 #else
-    throw std::runtime_error("PROXY_OPERATOR: this program was built without WELDFLOW_OPERATOR");
+    throw std::runtime_error("PROXY_OPERATOR: this program was built without CLIENT_PROXY_OPERATOR");
 #endif
   }
 
-#ifdef QUINCELINE_OPERATOR
+#ifdef CLIENT_PROXY_OPERATOR
   Config read() { return operated_ ? operated_->read() : readConfig(variable); }
   Config reread(const Zones& zones) { return operated_ ? operated_->read(zones) : rereadConfig(variable); }
   // As reread(), if the file at `path` had this content.
@@ -110,7 +110,7 @@
 
 // A line each.
 std::vector<std::string> linesOf(const std::exception& e) {
-#ifdef QUINCELINE_OPERATOR
+#ifdef CLIENT_PROXY_OPERATOR
   if (const auto* const refused = dynamic_cast<const ConfigurationRefused*>(&e)) return refused->errors;
 #endif
   return {e.what()};
@@ -143,7 +143,7 @@
         end_(io_, SIGTERM, SIGINT),
         reload_(io_, SIGHUP),
         console_(io_, *this)
-#ifdef QUINCELINE_OPERATOR
+#ifdef CLIENT_PROXY_OPERATOR
         ,
         hosts_watch_(io_, kLook, [this] { takeHosts(); }),
         members_watch_(io_, kLook, [this] { takeMembers(); })
@@ -161,10 +161,10 @@
     end_.async_wait([this](boost::system::error_code ec, int) {
       if (ec) return;
       if (others_) others_->leave();
-#ifdef QUINCELINE_OWNERSHIP
+#ifdef CLIENT_PROXY_OWNERSHIP
       if (ownership_) ownership_->end();
 #endif
-#ifdef QUINCELINE_SUBSCRIPTION
+#ifdef CLIENT_PROXY_SUBSCRIPTION
       if (shared_) shared_->stop();
 #endif
       proxy_.shutdown([this] { io_.stop(); });
@@ -172,7 +172,7 @@
     awaitReload();
     if (!shared_at_.empty()) link_.emplace(io_, shared_at_, name_, static_cast<handover::Holder&>(*this));
     listenToStaff();
-#ifdef QUINCELINE_OPERATOR
+#ifdef CLIENT_PROXY_OPERATOR
     hosts_watch_.follow(hosts_file_);
     members_watch_.follow(fleet_ ? fleet_->members_file : std::string());
 #endif
@@ -185,7 +185,7 @@
   std::string stats() override {
     std::string figures = proxy_.stats();
     if (others_) figures += others_->figures();
-#ifdef QUINCELINE_SUBSCRIPTION
+#ifdef CLIENT_PROXY_SUBSCRIPTION
     if (shared_) figures += shared_->figures();
 #endif
     return figures;
@@ -207,10 +207,13 @@
 
   std::uint64_t admitted() const override { return proxy_.admitted(); }
   std::vector<std::string> zones() const override { return proxy_.zoneNames(); }
-  weldflow::ZoneSeen seen(const std::string& zone, Time now, const weldflow::ZoneSince& since) override {
+  load_balancer::ZoneSeen seen(const std::string& zone, Time now,
+                               const load_balancer::ZoneSince& since) override {
     return proxy_.zoneSeen(zone, now, since);
   }
-  void setZone(const std::string& zone, weldflow::ZoneOrder order) override { proxy_.setZone(zone, order); }
+  void setZone(const std::string& zone, load_balancer::ZoneOrder order) override {
+    proxy_.setZone(zone, order);
+  }
 
   // While one process takes another's place, staff may call either.
   bool tellOther(const handover::Frame& call) {
@@ -237,10 +240,10 @@
   void begin(std::optional<handover::State> state) override {
     state ? proxy_.start(*state) : proxy_.start();
     if (others_) others_->start(state ? state->fleet : std::string());
-#ifdef QUINCELINE_OWNERSHIP
+#ifdef CLIENT_PROXY_OWNERSHIP
     if (ownership_) ownership_->start(state.has_value());
 #endif
-#ifdef QUINCELINE_SUBSCRIPTION
+#ifdef CLIENT_PROXY_SUBSCRIPTION
     if (shared_) shared_->start();
 #endif
   }
@@ -251,10 +254,10 @@
   }
   void give(handover::Successor successor) override {
     if (others_) others_->giveUp();
-#ifdef QUINCELINE_OWNERSHIP
+#ifdef CLIENT_PROXY_OWNERSHIP
     if (ownership_) ownership_->giveUp();
 #endif
-#ifdef QUINCELINE_SUBSCRIPTION
+#ifdef CLIENT_PROXY_SUBSCRIPTION
     if (shared_) shared_->stop();
 #endif
     proxy_.handOn(std::move(successor));
@@ -262,11 +265,11 @@
   void triedThere(const std::vector<admission::Tried>& tried) override { proxy_.triedThere(tried); }
   void takeBack() override {
     if (others_) others_->goOn();
-#ifdef QUINCELINE_OWNERSHIP
+#ifdef CLIENT_PROXY_OWNERSHIP
     if (ownership_) ownership_->goOn();
 #endif
     proxy_.takeBack();
-#ifdef QUINCELINE_SUBSCRIPTION
+#ifdef CLIENT_PROXY_SUBSCRIPTION
     if (shared_) shared_->start();
 #endif
   }
@@ -284,12 +287,12 @@
     console_.page("/admission", [this] { return proxy_.admissionReport(); });
     if (others_) console_.page("/fleet", [this] { return others_->page(); });
     if (others_) console_.page("/fleet/brief", [this] { return others_->brief(); });
-#ifdef QUINCELINE_OWNERSHIP
+#ifdef CLIENT_PROXY_OWNERSHIP
     if (ownership_) console_.page("/deeds", [this] { return ownership_->page(); });
     if (ownership_) console_.page("/rehearsal", [this] { return ownership_->rehearsalPage(); });
     if (ownership_) console_.page("/recovery", [this] { return ownership_->recoveryPage(); });
 #endif
-#ifdef QUINCELINE_SUBSCRIPTION
+#ifdef CLIENT_PROXY_SUBSCRIPTION
     if (shared_) console_.page("/configuration", [this] { return shared_->page(); });
 #endif
     if (others_) console_.page("/zones", [this] { return others_->zones(); });
@@ -303,16 +306,16 @@
   // Where services are, requests of theirs pass it.
   void makeOwnershipService() {
     if (!services_) return;
-#ifdef QUINCELINE_OWNERSHIP
+#ifdef CLIENT_PROXY_OWNERSHIP
     if (!others_) throw std::runtime_error("services: this instance has no fleet to ask");
     ownership::OwnershipService::Settings s;
     s.own = *services_;
     s.fleet = fleet_->name;
     s.number = fleet_->number;
     for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
-      const weldflow::RequestClass& c = settings_.classes[i];
+      const load_balancer::RequestClass& c = settings_.classes[i];
       s.longest_deadline = std::max(s.longest_deadline, c.deadline);
-      if (c.effect == weldflow::Effect::Keyed) s.longest_window = std::max(s.longest_window, c.window);
+      if (c.effect == load_balancer::Effect::Keyed) s.longest_window = std::max(s.longest_window, c.window);
       s.worth[class_names_[i]] = c.worth;
     }
     s.pending = [this] { return source_.pendingServices(); };
@@ -321,12 +324,12 @@
                                                                [this] { return proxy_.canServe(); });
     proxy_.setGate(ownership_.get());
 #else
-    throw std::runtime_error("services: this program was built without WELDFLOW_FLEET");
+    throw std::runtime_error("services: this program was built without CLIENT_PROXY_FLEET");
 #endif
   }
   void makeSharedConfiguration() {
     if (!subscription_) return;
-#ifdef QUINCELINE_SUBSCRIPTION
+#ifdef CLIENT_PROXY_SUBSCRIPTION
     SharedConfiguration::Daemon daemon;
     daemon.check = [this](const std::string& content) { checkShared(content); };
     daemon.take = [this] { takeConfiguration(source_.reread(proxy_.zones())); };
@@ -335,10 +338,10 @@
     shared_ = std::make_unique<SharedConfiguration>(io_, clock_, log_, *subscription_, settings_.client,
                                                     std::move(daemon));
 #else
-    throw std::runtime_error("configuration: this program was built without WELDFLOW_FLEET");
+    throw std::runtime_error("configuration: this program was built without CLIENT_PROXY_FLEET");
 #endif
   }
-#ifdef QUINCELINE_SUBSCRIPTION
+#ifdef CLIENT_PROXY_SUBSCRIPTION
   void checkShared(const std::string& content) {
     const Config config = source_.readWith(subscription_->file, content, proxy_.zones());
     if (!config.subscription || config.subscription->file != subscription_->file)
@@ -347,14 +350,14 @@
   }
 #endif
   bool rehearse(std::string& said) override {
-#ifdef QUINCELINE_OWNERSHIP
+#ifdef CLIENT_PROXY_OWNERSHIP
     if (ownership_) return (said = ownership_->rehearse()).empty();
 #endif
     said = "there are no services";
     return false;
   }
   bool give(const std::string& service, const std::string& zone, std::string& said) override {
-#ifdef QUINCELINE_OWNERSHIP
+#ifdef CLIENT_PROXY_OWNERSHIP
     if (ownership_) return ownership_->give(service, zone, said);
 #endif
     static_cast<void>(service), static_cast<void>(zone), static_cast<void>(said);
@@ -373,7 +376,7 @@
       if (ec) return;
       try {
         takeConfiguration(source_.reread(proxy_.zones()));
-#ifdef QUINCELINE_SUBSCRIPTION
+#ifdef CLIENT_PROXY_SUBSCRIPTION
         if (shared_) shared_->reread();
 #endif
       } catch (const std::exception& e) {
@@ -393,7 +396,7 @@
     for (const std::string& note : notes) log_.line("configuration: " + note);
     if (operated) log_.line(notes.empty() ? "configuration read again: nothing new" : "configuration taken");
     hosts_file_ = hosts_file;
-#ifdef QUINCELINE_OPERATOR
+#ifdef CLIENT_PROXY_OPERATOR
     hosts_watch_.follow(hosts_file_);
 #endif
   }
@@ -407,12 +410,12 @@
     } catch (const std::exception& e) {
       complain(log_, "fleet: members not taken: ", e);
     }
-#ifdef QUINCELINE_OPERATOR
+#ifdef CLIENT_PROXY_OPERATOR
     members_watch_.follow(fleet_->members_file);
 #endif
   }
 
-#ifdef QUINCELINE_OPERATOR
+#ifdef CLIENT_PROXY_OPERATOR
   void takeMembers() {
     try {
       const std::vector<FleetPeer> members = source_.members(fleet_->members_file);
@@ -444,7 +447,7 @@
   std::optional<FleetSettings> fleet_;
   std::optional<ServiceSettings> services_;
   std::optional<SubscriptionSettings> subscription_;
-  weldflow::Settings settings_;  // as at start
+  load_balancer::Settings settings_;  // as at start
   std::vector<std::string> class_names_;
   boost::asio::io_context io_;
   Proxy proxy_;
@@ -452,13 +455,13 @@
   console::ConsoleServer console_;
   std::optional<handover::Link> link_;
   std::unique_ptr<fleet_transport::Neighbours> others_;  // null: no word is sent to any
-#ifdef QUINCELINE_OWNERSHIP
+#ifdef CLIENT_PROXY_OWNERSHIP
   std::unique_ptr<ownership::OwnershipService> ownership_;  // null: there are no services
 #endif
-#ifdef QUINCELINE_OPERATOR
+#ifdef CLIENT_PROXY_OPERATOR
   FileWatch hosts_watch_, members_watch_;
 #endif
-#ifdef QUINCELINE_SUBSCRIPTION
+#ifdef CLIENT_PROXY_SUBSCRIPTION
   std::unique_ptr<SharedConfiguration> shared_;  // null: no replica is asked
 #endif
 };
@@ -476,10 +479,10 @@
     std::signal(SIGPIPE, SIG_IGN);
     Daemon(source, std::move(config)).run();
   } catch (const std::exception& e) {
-    for (const std::string& line : linesOf(e)) std::fprintf(stderr, "quinceline: %s\n", line.c_str());
+    for (const std::string& line : linesOf(e)) std::fprintf(stderr, "client-proxy: %s\n", line.c_str());
     return 1;
   }
   return 0;
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/daemon/shared_configuration.cpp
+++ b/src/daemon/shared_configuration.cpp
@@ -6,7 +6,7 @@
 
 #include "files/disk_source.h"
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 using subscription::ApplyResult;
@@ -109,4 +109,4 @@
   return in_force;
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -1,7 +1,8 @@
-// The interface of the module, include/weldflow/balancer.h: every call goes to Balancer::Impl, which decides.
+// The interface of the module, include/load_balancer/balancer.h: every call goes to Balancer::Impl, which
+// decides.
 #include "balancer_impl.h"
 
-namespace weldflow {
+namespace load_balancer {
 
 Balancer::Balancer(Settings settings, std::uint64_t seed)
     : impl_(std::make_unique<Impl>(std::move(settings), seed)) {}
@@ -59,4 +60,4 @@
 std::uint64_t Balancer::serversLookedAt() const { return impl_->looked_at; }
 std::size_t Balancer::knownServers() const { return impl_->table.size(); }
 
-}  // namespace weldflow
+}  // namespace load_balancer
--- a/src/decision/balancer_impl.h
+++ b/src/decision/balancer_impl.h
@@ -4,7 +4,7 @@
 
 #include "requests.h"
 
-namespace weldflow {
+namespace load_balancer {
 
 struct Balancer::Impl : decision::Serving {
   using Server = decision::Server;
@@ -183,4 +183,4 @@
   }
 };
 
-}  // namespace weldflow
+}  // namespace load_balancer
--- a/src/decision/cold.h
+++ b/src/decision/cold.h
@@ -4,10 +4,10 @@
 #include "measures/rate.h"
 #include "servers.h"
 
-namespace weldflow::decision {
+namespace load_balancer::decision {
 
 struct ColdStart : Servers {
-  quinceline::measures::Rate arrivals{kRateMemory};
+  client_proxy::measures::Rate arrivals{kRateMemory};
 
   void startCold(Server& s, Time since) {
     s.cold_since = since;
@@ -61,4 +61,4 @@
   static bool atEase(const Server& s) { return s.in_flight <= 1 && s.slowness < kAtEase; }
 };
 
-}  // namespace weldflow::decision
+}  // namespace load_balancer::decision
--- a/src/decision/concurrency_limit.h
+++ b/src/decision/concurrency_limit.h
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace weldflow::decision {
+namespace load_balancer::decision {
 
 // Slower answers fill a limit on requests in flight at once, before any of them has come, and retries do not
 // add to what it lets through; a fixed part of arrivals, refused, does neither. Below one request in flight
@@ -54,4 +54,4 @@
   double refused_ = 0;
 };
 
-}  // namespace weldflow::decision
+}  // namespace load_balancer::decision
--- a/src/decision/health.h
+++ b/src/decision/health.h
@@ -3,7 +3,7 @@
 
 #include "cold.h"
 
-namespace weldflow::decision {
+namespace load_balancer::decision {
 
 constexpr Time kFirstOut = kSecond;        // first ejection: about what one trial costs is risked each second
 constexpr Time kLongestOut = 8 * kSecond;  // a server that returns is found within seconds
@@ -91,4 +91,4 @@
   static constexpr double kAnswerMends = 0.8;
 };
 
-}  // namespace weldflow::decision
+}  // namespace load_balancer::decision
--- a/src/decision/order.cpp
+++ b/src/decision/order.cpp
@@ -3,10 +3,10 @@
 #include <array>
 #include <numeric>
 
+#include "load_balancer/balancer.h"
 #include "random/random.h"
-#include "weldflow/balancer.h"
 
-namespace weldflow {
+namespace load_balancer {
 namespace {
 
 constexpr std::uint32_t kLot = 10;  // the paper's lot size: diverse enough, hardly unbalanced
@@ -55,4 +55,4 @@
   return order;
 }
 
-}  // namespace weldflow
+}  // namespace load_balancer
--- a/src/decision/picking.h
+++ b/src/decision/picking.h
@@ -6,7 +6,7 @@
 #include "repeats.h"
 #include "tables/ticketed.h"
 
-namespace weldflow::decision {
+namespace load_balancer::decision {
 
 struct Picking : Repeats {
   std::uint64_t looked_at = 0;  // servers weighed in picks, for tests of cost
@@ -80,7 +80,7 @@
 
 // Asking servers for their load before a send, where they report it to probes only.
 struct Asking : Picking {
-  quinceline::tables::Ticketed<RequestId, Live> requests;
+  client_proxy::tables::Ticketed<RequestId, Live> requests;
 
   bool mayAsk(const Live& r) const {
     return settings.reports == ReportSource::Probe && settings.may_probe && now >= distrust_until &&
@@ -181,4 +181,4 @@
   std::vector<RequestId> asking;  // for load reports
 };
 
-}  // namespace weldflow::decision
+}  // namespace load_balancer::decision
--- a/src/decision/repeats.h
+++ b/src/decision/repeats.h
@@ -4,7 +4,7 @@
 
 #include "zones.h"
 
-namespace weldflow::decision {
+namespace load_balancer::decision {
 
 struct Repeats : Zones {
   void fitRepeats() {
@@ -83,4 +83,4 @@
   bool some_repeatable = false;
 };
 
-}  // namespace weldflow::decision
+}  // namespace load_balancer::decision
--- a/src/decision/requests.h
+++ b/src/decision/requests.h
@@ -4,7 +4,7 @@
 #include "picking.h"
 #include "shedding.h"
 
-namespace weldflow::decision {
+namespace load_balancer::decision {
 
 struct Serving : Asking {
   Shedding shedding{*this};
@@ -219,4 +219,4 @@
   }
 };
 
-}  // namespace weldflow::decision
+}  // namespace load_balancer::decision
--- a/src/decision/servers.h
+++ b/src/decision/servers.h
@@ -8,7 +8,7 @@
 #include "state.h"
 #include "tables/slots.h"
 
-namespace weldflow::decision {
+namespace load_balancer::decision {
 
 constexpr std::uint32_t kSubset = 12;  // some stand-ins beyond the spread of a few failures, few connections
 
@@ -95,7 +95,7 @@
   static constexpr double kReach = 4;  // members for each own request in flight: a hot client spreads out
   static constexpr Time kShorten = 10 * kSecond;  // a lengthened subset stays so long: bursts do not flap it
 
-  quinceline::tables::Slots<Server> slots;
+  client_proxy::tables::Slots<Server> slots;
   std::vector<Server*> order;  // this client's reading order of the listed servers
   std::size_t reach = 0;       // the subset is the usable part of order[0, reach)
   std::uint32_t members = 0;   // how many usable servers that is
@@ -103,4 +103,4 @@
   Time lengthened = 0;
 };
 
-}  // namespace weldflow::decision
+}  // namespace load_balancer::decision
--- a/src/decision/settings.cpp
+++ b/src/decision/settings.cpp
@@ -3,9 +3,9 @@
 #include <stdexcept>
 #include <string>
 
-#include "weldflow/balancer.h"
+#include "load_balancer/balancer.h"
 
-namespace weldflow {
+namespace load_balancer {
 namespace {
 
 void need(bool ok, const std::string& field) {
@@ -75,4 +75,4 @@
   return "none";
 }
 
-}  // namespace weldflow
+}  // namespace load_balancer
--- a/src/decision/shedding.h
+++ b/src/decision/shedding.h
@@ -4,7 +4,7 @@
 #include "concurrency_limit.h"
 #include "state.h"
 
-namespace weldflow::decision {
+namespace load_balancer::decision {
 
 class Shedding {
  public:
@@ -97,4 +97,4 @@
   bool noted_ = false;
 };
 
-}  // namespace weldflow::decision
+}  // namespace load_balancer::decision
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -9,10 +9,10 @@
 #include <utility>
 #include <vector>
 
+#include "load_balancer/balancer.h"
 #include "random/random.h"
-#include "weldflow/balancer.h"
 
-namespace weldflow::decision {
+namespace load_balancer::decision {
 
 constexpr Time kSecond = 1'000'000;
 
@@ -108,4 +108,4 @@
   }
 };
 
-}  // namespace weldflow::decision
+}  // namespace load_balancer::decision
--- a/src/decision/zones.h
+++ b/src/decision/zones.h
@@ -4,7 +4,7 @@
 #include "health.h"
 #include "sight/sight.h"
 
-namespace weldflow::decision {
+namespace load_balancer::decision {
 
 struct Zones : Health {
   // Silence of a zone is the zone's: lost, or cut off from here; no bound on the ejected keeps its servers.
@@ -66,8 +66,8 @@
     }
   }
 
-  quinceline::locality::Sight sight;
+  client_proxy::locality::Sight sight;
   std::map<std::int32_t, ZoneOrder> zone_orders;  // that are not free
 };
 
-}  // namespace weldflow::decision
+}  // namespace load_balancer::decision
--- a/src/distribution/codec.cpp
+++ b/src/distribution/codec.cpp
@@ -5,7 +5,7 @@
 #include "distribution/delta.h"
 #include "distribution/digest.h"
 
-namespace quinceline::distribution {
+namespace client_proxy::distribution {
 namespace {
 
 using nlohmann::json;
@@ -298,4 +298,4 @@
   return status;
 }
 
-}  // namespace quinceline::distribution
+}  // namespace client_proxy::distribution
--- a/src/distribution/delta.cpp
+++ b/src/distribution/delta.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace quinceline::distribution {
+namespace client_proxy::distribution {
 namespace {
 
 constexpr std::size_t kDeltaHead = 64;   // base and digest, as JSON
@@ -63,4 +63,4 @@
   return text;
 }
 
-}  // namespace quinceline::distribution
+}  // namespace client_proxy::distribution
--- a/src/distribution/digest.cpp
+++ b/src/distribution/digest.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace quinceline::distribution {
+namespace client_proxy::distribution {
 namespace {
 
 constexpr std::size_t kDigits = 32;
@@ -30,4 +30,4 @@
          });
 }
 
-}  // namespace quinceline::distribution
+}  // namespace client_proxy::distribution
--- a/src/distribution/include/distribution/codec.h
+++ b/src/distribution/include/distribution/codec.h
@@ -10,7 +10,7 @@
 #include "distribution/json_object.h"
 #include "distribution/types.h"
 
-namespace quinceline::distribution {
+namespace client_proxy::distribution {
 
 /// With its text, as GET /v1/changes/N answers and as replicas send it to each other.
 nlohmann::json toJson(const Change& change);
@@ -44,4 +44,4 @@
 std::string formatStatus(const Status& status);
 Status parseStatus(std::string_view text);
 
-}  // namespace quinceline::distribution
+}  // namespace client_proxy::distribution
--- a/src/distribution/include/distribution/delta.h
+++ b/src/distribution/include/distribution/delta.h
@@ -7,7 +7,7 @@
 
 #include "distribution/types.h"
 
-namespace quinceline::distribution {
+namespace client_proxy::distribution {
 
 /// One splice: what is between the common start and the common end of both texts. It cuts no UTF-8 character.
 Delta makeDelta(const Change& base, std::string_view text);
@@ -19,4 +19,4 @@
 /// kMaxTextBytes. Whoever applies it holds the result against the digest of the change.
 std::optional<std::string> applyDelta(const Delta& delta, std::string_view base_text);
 
-}  // namespace quinceline::distribution
+}  // namespace client_proxy::distribution
--- a/src/distribution/include/distribution/digest.h
+++ b/src/distribution/include/distribution/digest.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-namespace quinceline::distribution {
+namespace client_proxy::distribution {
 
 /// XXH3-128 of the bytes as 32 lower-case hex digits. It finds damage and mix-ups, not malice.
 std::string digestOf(std::string_view text);
@@ -12,4 +12,4 @@
 /// Whether it is 32 lower-case hex digits, as digests and the ids of publishes are.
 bool isHexDigest(std::string_view digits);
 
-}  // namespace quinceline::distribution
+}  // namespace client_proxy::distribution
--- a/src/distribution/include/distribution/json_object.h
+++ b/src/distribution/include/distribution/json_object.h
@@ -12,7 +12,7 @@
 #include <string_view>
 #include <vector>
 
-namespace quinceline::distribution {
+namespace client_proxy::distribution {
 
 /// What is wrong with a message: "delta.splices[0].offset: is not a whole number".
 struct CodecError : std::runtime_error {
@@ -52,4 +52,4 @@
 /// As one line. Throws CodecError where a string in it is not UTF-8.
 std::string formatJson(const nlohmann::json& value);
 
-}  // namespace quinceline::distribution
+}  // namespace client_proxy::distribution
--- a/src/distribution/include/distribution/types.h
+++ b/src/distribution/include/distribution/types.h
@@ -8,7 +8,7 @@
 #include <variant>
 #include <vector>
 
-namespace quinceline::distribution {
+namespace client_proxy::distribution {
 
 /// The number of a change: 1, 2, 3 ... without gaps. 0: nothing was published yet.
 using Version = std::uint64_t;
@@ -184,4 +184,4 @@
   bool operator==(const Status&) const = default;
 };
 
-}  // namespace quinceline::distribution
+}  // namespace client_proxy::distribution
--- a/src/distribution/json_object.cpp
+++ b/src/distribution/json_object.cpp
@@ -4,7 +4,7 @@
 
 #include "distribution/digest.h"
 
-namespace quinceline::distribution {
+namespace client_proxy::distribution {
 
 using nlohmann::json;
 
@@ -119,4 +119,4 @@
   }
 }
 
-}  // namespace quinceline::distribution
+}  // namespace client_proxy::distribution
--- a/src/figures/figures.cpp
+++ b/src/figures/figures.cpp
@@ -5,7 +5,7 @@
 
 #include <map>
 
-namespace quinceline::figures {
+namespace client_proxy::figures {
 namespace {
 
 using prometheus::ClientMetric;
@@ -99,4 +99,4 @@
   });
 }
 
-}  // namespace quinceline::figures
+}  // namespace client_proxy::figures
--- a/src/figures/include/figures/figures.h
+++ b/src/figures/include/figures/figures.h
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-namespace quinceline::figures {
+namespace client_proxy::figures {
 
 // How a request ended, as its client sees it.
 enum class Ending : std::uint8_t { Success, Overload, Error };
@@ -62,4 +62,4 @@
 };
 std::string textOf(const FleetPage& page);
 
-}  // namespace quinceline::figures
+}  // namespace client_proxy::figures
--- a/src/files/disk_source.cpp
+++ b/src/files/disk_source.cpp
@@ -6,7 +6,7 @@
 #include <fstream>
 #include <system_error>
 
-namespace quinceline {
+namespace client_proxy {
 
 std::optional<std::string> DiskSource::read(const std::string& path) {
   // A pipe or a device would be waited for without end.
@@ -31,4 +31,4 @@
   return paths;
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/files/include/files/disk_source.h
+++ b/src/files/include/files/disk_source.h
@@ -3,7 +3,7 @@
 
 #include "conf/loader.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 // Regular files of at most kMostBytes; anything else can't be read.
 class DiskSource final : public conf::FileSource {
@@ -13,4 +13,4 @@
   std::vector<std::string> match(const std::string& pattern) override;
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/files/include/files/overlay_source.h
+++ b/src/files/include/files/overlay_source.h
@@ -3,7 +3,7 @@
 
 #include "conf/loader.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 class OverlaySource final : public conf::FileSource {
  public:
@@ -23,4 +23,4 @@
   std::string path_;
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/files/overlay_source.cpp
+++ b/src/files/overlay_source.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-namespace quinceline {
+namespace client_proxy {
 
 void OverlaySource::put(std::string path, std::string text) {
   path_ = std::move(path);
@@ -15,4 +15,4 @@
   return text_ && path == path_ ? text_ : below_.read(path);
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/fleet/anti_entropy.cpp
+++ b/src/fleet/anti_entropy.cpp
@@ -8,7 +8,7 @@
 #include "fleet/fleet.h"
 #include "fleet/shuffle.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 namespace {
 
 constexpr Time kCompareAfter = 400 * kMillisecond;        // nobody has held the same view for so long
@@ -137,4 +137,4 @@
   }
 }
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/dissemination.cpp
+++ b/src/fleet/dissemination.cpp
@@ -6,7 +6,7 @@
 
 #include "fleet/fleet.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 namespace {
 
 constexpr double kRepairReserve = 4.0 * kMostDatagram;  // of the budget: left to anti-entropy by gossip
@@ -104,4 +104,4 @@
   gossip_queue_.addRecord(roster_, self_, urgent);
 }
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/duplicate_number.cpp
+++ b/src/fleet/duplicate_number.cpp
@@ -1,6 +1,6 @@
 #include "fleet/duplicate_number.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 
 bool DuplicateNumber::onForeignIncarnation(Time now, Incarnation incarnation) {
   const std::uint16_t life = lifeOf(incarnation);
@@ -10,4 +10,4 @@
   return foreign_raises_ <= 1 || now - refuted_at_ >= kRefuteEvery;
 }
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/facts.cpp
+++ b/src/fleet/facts.cpp
@@ -5,7 +5,7 @@
 
 #include "fleet/bytes.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 namespace {
 
 enum Tag : std::uint8_t { kVersion = 1, kZone, kRegion, kTraffic };
@@ -78,4 +78,4 @@
   return facts;
 }
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/failure_detection.cpp
+++ b/src/fleet/failure_detection.cpp
@@ -8,7 +8,7 @@
 
 #include "fleet/fleet.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 namespace {
 
 constexpr Time kAloneEvery = 500 * kMillisecond;  // between tries while no other member answers
@@ -157,4 +157,4 @@
          static_cast<Time>(static_cast<double>(settings_.try_dead) * each * unreachable_jitter_);
 }
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <utility>
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 namespace {
 
 constexpr Time kPause = 600 * kMillisecond;  // later than due by more: this process stood still
@@ -165,4 +165,4 @@
   schedule(now);
 }
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/gossip_queue.cpp
+++ b/src/fleet/gossip_queue.cpp
@@ -5,7 +5,7 @@
 
 #include "fleet/shuffle.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 namespace {
 
 constexpr std::size_t kBacklog = 44;                           // standings: more than two datagrams hold
@@ -15,7 +15,7 @@
 // Moves as many items into the datagram as fit, those to be sent most often first, equal ones by chance.
 template <typename ItemOf>
 void passOn(Writer& writer, Roster& roster, std::size_t to, std::vector<std::size_t>& slots,
-            int Member::*sends_left, int cost, std::size_t least_room, weldflow::Random& random,
+            int Member::*sends_left, int cost, std::size_t least_room, load_balancer::Random& random,
             ItemOf itemOf) {
   shuffle(slots, random);
   std::stable_sort(slots.begin(), slots.end(), [&](std::size_t a, std::size_t b) {
@@ -76,7 +76,7 @@
 }
 
 void GossipQueue::fill(Writer& writer, Roster& roster, std::size_t to, bool with_records,
-                       weldflow::Random& random) {
+                       load_balancer::Random& random) {
   const Member& receiver = roster.at(to);
   if (receiver.standing.state > State::Alive) writer.add(rumourOf(receiver));
   passOn(writer, roster, to, standings_, &Member::tell_standing, sendCost(), kLeastStanding, random,
@@ -87,4 +87,4 @@
   });
 }
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/include/fleet/bytes.h
+++ b/src/fleet/include/fleet/bytes.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 
 template <typename T>
 void put(std::string& out, T value) {
@@ -47,4 +47,4 @@
   bool ok_ = true;
 };
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/include/fleet/duplicate_number.h
+++ b/src/fleet/include/fleet/duplicate_number.h
@@ -6,7 +6,7 @@
 
 #include "fleet/types.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 
 // An incarnation of another life that is above ours is either left over from the process before this one,
 // whose clock was ahead: one refutation ends that. Or its owner still runs and raises its own incarnation as
@@ -33,4 +33,4 @@
   Time refuted_at_ = kLongAgo, foreign_at_ = kLongAgo, claimed_at_ = kLongAgo;
 };
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/include/fleet/facts.h
+++ b/src/fleet/include/fleet/facts.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 
 constexpr std::size_t kMostFacts = 96;
 constexpr std::size_t kMostName = 24;  // of a zone or region; what is longer is cut
@@ -40,4 +40,4 @@
 std::uint16_t trafficStep(double per_second);
 double trafficOf(std::uint16_t step);
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/include/fleet/fleet.h
+++ b/src/fleet/include/fleet/fleet.h
@@ -27,7 +27,7 @@
 #include "fleet/wire.h"
 #include "random/random.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 
 struct Settings {
   Number self = 0;
@@ -198,7 +198,7 @@
   Settings settings_;
   Roster roster_;
   std::size_t self_ = 0;  // slot
-  weldflow::Random random_;
+  load_balancer::Random random_;
   LocalHealth health_;
   Drops drops_;
   SendBudget budget_;
@@ -224,4 +224,4 @@
   Time published_at_ = kLongAgo;
 };
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/include/fleet/gossip_queue.h
+++ b/src/fleet/include/fleet/gossip_queue.h
@@ -8,7 +8,7 @@
 #include "fleet/wire.h"
 #include "random/random.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 
 // What a member is said to be, as it goes into a datagram.
 Rumour rumourOf(const Member& member);
@@ -33,7 +33,7 @@
 
   // Fills a datagram for the member in slot `to`: first its own standing, if it has something to refute, then
   // other standings, then records. Those that were sent least often go first.
-  void fill(Writer& writer, Roster& roster, std::size_t to, bool with_records, weldflow::Random& random);
+  void fill(Writer& writer, Roster& roster, std::size_t to, bool with_records, load_balancer::Random& random);
 
  private:
   static int sendsOfNews(const Roster& roster);
@@ -43,4 +43,4 @@
   bool urgent_ = false;                           // one of the records is
 };
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/include/fleet/probe_order.h
+++ b/src/fleet/include/fleet/probe_order.h
@@ -9,22 +9,22 @@
 #include "fleet/types.h"
 #include "random/random.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 
 // Every live member is probed once before any is probed again, so a failure is found within a bounded number
 // of periods.
 class ProbeOrder {
  public:
   // Slot of the next live member; nothing if no other member is live.
-  std::optional<std::size_t> next(const Roster& roster, Number self, weldflow::Random& random);
+  std::optional<std::size_t> next(const Roster& roster, Number self, load_balancer::Random& random);
   // Begins a new round: the list of members has changed.
   void reset() { order_.clear(); }
 
  private:
-  void begin(const Roster& roster, Number self, weldflow::Random& random);
+  void begin(const Roster& roster, Number self, load_balancer::Random& random);
 
   std::vector<Number> order_;
   std::size_t position_ = 0;
 };
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/include/fleet/roster.h
+++ b/src/fleet/include/fleet/roster.h
@@ -10,7 +10,7 @@
 
 #include "fleet/types.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 
 // A member as the list of members names it.
 struct Listed {
@@ -77,4 +77,4 @@
   std::uint64_t hash_ = 0;
 };
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/include/fleet/send_budget.h
+++ b/src/fleet/include/fleet/send_budget.h
@@ -6,7 +6,7 @@
 
 #include "fleet/types.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 
 // Probes and their answers are sent whatever the balance is, so it may go below zero, by one second's worth
 // at most; gossip and repair ask `has()` first. All amounts are bytes.
@@ -30,4 +30,4 @@
   double balance_ = 0;
 };
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/include/fleet/shuffle.h
+++ b/src/fleet/include/fleet/shuffle.h
@@ -8,12 +8,12 @@
 
 #include "random/random.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 
 template <typename T>
-void shuffle(std::vector<T>& all, weldflow::Random& random) {
+void shuffle(std::vector<T>& all, load_balancer::Random& random) {
   for (std::size_t i = all.size(); i > 1; --i)
     std::swap(all[i - 1], all[random.below(static_cast<std::uint32_t>(i))]);
 }
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/include/fleet/suspicion.h
+++ b/src/fleet/include/fleet/suspicion.h
@@ -9,7 +9,7 @@
 
 #include "fleet/types.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 
 // The suspect has `most` where one member accuses it, and as little as `least` when several did apart from
 // one another: they can't all be the slow ones.
@@ -33,4 +33,4 @@
   int score_ = 0;
 };
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/include/fleet/types.h
+++ b/src/fleet/include/fleet/types.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <utility>
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 
 using Time = std::int64_t;  // microseconds, of any steady clock; never compared between members
 constexpr Time kMillisecond = 1000, kSecond = 1'000'000;
@@ -74,4 +74,4 @@
   friend constexpr auto operator<=>(const RecordVersion&, const RecordVersion&) = default;
 };
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/include/fleet/view.h
+++ b/src/fleet/include/fleet/view.h
@@ -11,7 +11,7 @@
 #include "fleet/roster.h"
 #include "fleet/types.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 
 // Why a view is not to be relied on: who would decide by it then does what needs no talk. The first that
 // holds.
@@ -60,4 +60,4 @@
   Number by = 0;  // of a suspect: who accused it first
 };
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/include/fleet/wire.h
+++ b/src/fleet/include/fleet/wire.h
@@ -15,7 +15,7 @@
 
 #include "fleet/types.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 
 constexpr std::size_t kMostDatagram = 256;  // by the protocol
 constexpr std::size_t kHeader = 30;
@@ -115,4 +115,4 @@
 std::uint64_t hashOf(Number member, const Standing& standing);
 std::uint64_t hashOf(Number member, const RecordVersion& version);
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/probe_order.cpp
+++ b/src/fleet/probe_order.cpp
@@ -2,9 +2,9 @@
 
 #include "fleet/shuffle.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 
-void ProbeOrder::begin(const Roster& roster, Number self, weldflow::Random& random) {
+void ProbeOrder::begin(const Roster& roster, Number self, load_balancer::Random& random) {
   order_.clear();
   position_ = 0;
   for (const Member& m : roster.all()) {
@@ -13,7 +13,8 @@
   shuffle(order_, random);
 }
 
-std::optional<std::size_t> ProbeOrder::next(const Roster& roster, Number self, weldflow::Random& random) {
+std::optional<std::size_t> ProbeOrder::next(const Roster& roster, Number self,
+                                            load_balancer::Random& random) {
   for (std::size_t looked = 0; looked <= roster.size(); ++looked) {
     if (position_ >= order_.size()) {
       begin(roster, self, random);
@@ -25,4 +26,4 @@
   return std::nullopt;
 }
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/receiving.cpp
+++ b/src/fleet/receiving.cpp
@@ -4,7 +4,7 @@
 
 #include "fleet/fleet.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 namespace {
 
 bool addAccuser(Member& suspect, Number by) {
@@ -145,4 +145,4 @@
   if (changed || accused) gossip_queue_.addStanding(roster_, slot);
 }
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -5,7 +5,7 @@
 
 #include "fleet/wire.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 namespace {
 
 std::uint32_t folded(std::uint64_t hash) { return static_cast<std::uint32_t>(hash ^ (hash >> 32)); }
@@ -93,4 +93,4 @@
   return folded(hash);
 }
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -3,7 +3,7 @@
 
 #include "fleet/fleet.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 namespace {
 
 constexpr Time kSureAfter = 2 * kSecond;     // since the start or a pause
@@ -58,4 +58,4 @@
   return v;
 }
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -7,7 +7,7 @@
 
 #include "fleet/bytes.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 namespace {
 
 constexpr std::uint16_t kMagic = 0xB17D;
@@ -225,4 +225,4 @@
   return v.incarnation == 0 ? 0 : hashOfAll(member, v.incarnation, v.sequence);
 }
 
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/src/fleet_transport/include/fleet_transport/neighbours.h
+++ b/src/fleet_transport/include/fleet_transport/neighbours.h
@@ -9,12 +9,12 @@
 #include <string_view>
 #include <vector>
 
+#include "load_balancer/balancer.h"
 #include "net/clock.h"
 #include "net/fleet_settings.h"
 #include "net/log.h"
-#include "weldflow/balancer.h"
 
-namespace quinceline::fleet_transport {
+namespace client_proxy::fleet_transport {
 
 // This proxy, as what is talked about has to do with it.
 class Local {
@@ -23,8 +23,9 @@
   virtual std::uint64_t admitted() const = 0;          // requests that were let in since the start
   virtual std::vector<std::string> zones() const = 0;  // of hosts
   // As Balancer::zoneSeen.
-  virtual weldflow::ZoneSeen seen(const std::string& zone, Time now, const weldflow::ZoneSince& since) = 0;
-  virtual void setZone(const std::string& zone, weldflow::ZoneOrder order) = 0;
+  virtual load_balancer::ZoneSeen seen(const std::string& zone, Time now,
+                                       const load_balancer::ZoneSince& since) = 0;
+  virtual void setZone(const std::string& zone, load_balancer::ZoneOrder order) = 0;
 };
 
 class Neighbours {
@@ -72,4 +73,4 @@
 std::unique_ptr<Neighbours> makeNeighbours(boost::asio::io_context& io, const Clock& clock, Log& log,
                                            const FleetSettings& settings, Local& local);
 
-}  // namespace quinceline::fleet_transport
+}  // namespace client_proxy::fleet_transport
--- a/src/fleet_transport/include/fleet_transport/remembered.h
+++ b/src/fleet_transport/include/fleet_transport/remembered.h
@@ -6,10 +6,10 @@
 
 #include "fleet/fleet.h"
 
-namespace quinceline::fleet_transport {
+namespace client_proxy::fleet_transport {
 
 std::string toText(const fleet::Remembered& remembered);
 // Throws std::runtime_error with what is wrong; nothing of a text that is not whole is used.
 fleet::Remembered rememberedFrom(std::string_view text);
 
-}  // namespace quinceline::fleet_transport
+}  // namespace client_proxy::fleet_transport
--- a/src/fleet_transport/include/fleet_transport/udp_transport.h
+++ b/src/fleet_transport/include/fleet_transport/udp_transport.h
@@ -20,7 +20,7 @@
 #include "net/fleet_settings.h"
 #include "net/log.h"
 
-namespace quinceline::fleet_transport {
+namespace client_proxy::fleet_transport {
 
 class UdpTransport final : public Neighbours {
  public:
@@ -89,4 +89,4 @@
   std::function<void(Number, std::string_view)> take_;
 };
 
-}  // namespace quinceline::fleet_transport
+}  // namespace client_proxy::fleet_transport
--- a/src/fleet_transport/include/fleet_transport/zone_watch.h
+++ b/src/fleet_transport/include/fleet_transport/zone_watch.h
@@ -13,7 +13,7 @@
 #include "locality/verdict.h"
 #include "net/log.h"
 
-namespace quinceline::fleet_transport {
+namespace client_proxy::fleet_transport {
 
 class ZoneWatch {
  public:
@@ -55,10 +55,10 @@
   std::vector<std::string> names_;
   std::optional<locality::Court> court_;
   std::vector<Known> known_;  // by slot
-  std::vector<weldflow::ZoneOrder> orders_;
+  std::vector<load_balancer::ZoneOrder> orders_;
   std::vector<locality::State> shown_;
   std::string note_;
   locality::Told told_;
 };
 
-}  // namespace quinceline::fleet_transport
+}  // namespace client_proxy::fleet_transport
--- a/src/fleet_transport/remembered.cpp
+++ b/src/fleet_transport/remembered.cpp
@@ -5,7 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
-namespace quinceline::fleet_transport {
+namespace client_proxy::fleet_transport {
 namespace {
 
 using nlohmann::json;
@@ -56,4 +56,4 @@
   }
 }
 
-}  // namespace quinceline::fleet_transport
+}  // namespace client_proxy::fleet_transport
--- a/src/fleet_transport/udp_transport.cpp
+++ b/src/fleet_transport/udp_transport.cpp
@@ -11,7 +11,7 @@
 #include "figures/figures.h"
 #include "fleet_transport/remembered.h"
 
-namespace quinceline::fleet_transport {
+namespace client_proxy::fleet_transport {
 namespace {
 
 namespace asio = boost::asio;
@@ -435,4 +435,4 @@
   return std::make_unique<UdpTransport>(io, clock, log, settings, local);
 }
 
-}  // namespace quinceline::fleet_transport
+}  // namespace client_proxy::fleet_transport
--- a/src/fleet_transport/zone_watch.cpp
+++ b/src/fleet_transport/zone_watch.cpp
@@ -6,13 +6,13 @@
 
 #include "fleet/facts.h"
 
-namespace quinceline::fleet_transport {
+namespace client_proxy::fleet_transport {
 namespace {
 
+using load_balancer::ZoneOrder;
 using locality::Seen;
 using locality::State;
 using locality::Witness;
-using weldflow::ZoneOrder;
 }  // namespace
 
 ZoneWatch::ZoneWatch(Local& local, Log& log, fleet::Number self, std::string zone)
@@ -174,4 +174,4 @@
       2, ' ', false, ordered_json::error_handler_t::replace);
 }
 
-}  // namespace quinceline::fleet_transport
+}  // namespace client_proxy::fleet_transport
--- a/src/front/include/front/proxy.h
+++ b/src/front/include/front/proxy.h
@@ -23,7 +23,7 @@
 #include "net/server.h"
 #include "pools/pool.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 class Proxy final : private RequestSink, private PoolSink {
  public:
@@ -75,18 +75,18 @@
   bool takeOut(const std::string& host) { return pool_.takeOut(host); }
   bool putBack(const std::string& host) { return pool_.putBack(host); }
   // What the fleet holds of a zone, and what this proxy has seen of it: as Balancer's, by name.
-  void setZone(const std::string& zone, weldflow::ZoneOrder order) {
+  void setZone(const std::string& zone, load_balancer::ZoneOrder order) {
     pool_.setZone(config_.zones.indexOf(zone), order);
   }
-  weldflow::ZoneSeen zoneSeen(const std::string& zone, Time now, const weldflow::ZoneSince& since) {
+  load_balancer::ZoneSeen zoneSeen(const std::string& zone, Time now, const load_balancer::ZoneSince& since) {
     return pool_.zoneSeen(config_.zones.indexOf(zone), now, since);
   }
   std::vector<std::string> zoneNames() const { return config_.zones.names(); }
   // What the listed hosts of each zone can take: the sum of their capacities.
   std::map<std::string, double> zoneRooms() const {
     std::map<std::string, double> rooms;
-    for (const weldflow::Host& h : pool_.hosts().hosts) {
-      if (h.state == weldflow::HostState::Healthy) rooms[config_.zones.nameOf(h.zone)] += h.capacity;
+    for (const load_balancer::Host& h : pool_.hosts().hosts) {
+      if (h.state == load_balancer::HostState::Healthy) rooms[config_.zones.nameOf(h.zone)] += h.capacity;
     }
     return rooms;
   }
@@ -112,17 +112,17 @@
   struct ClassInfo {
     std::int32_t index = 0;
     Time deadline = 0;
-    weldflow::Effect effect = weldflow::Effect::Unsafe;
+    load_balancer::Effect effect = load_balancer::Effect::Unsafe;
   };
   struct TenantInfo {  // what changes of a tenant is taken at once
     bool operator==(const TenantInfo&) const = default;
   };
   struct Known {  // classes by the path's first part, tenants by account
-    admission::Indices<weldflow::RequestClass> classes;
+    admission::Indices<load_balancer::RequestClass> classes;
     admission::Indices<TenantInfo> tenants;
     explicit Known(const Config& config) { assign(config); }
     void assign(const Config& config);
-    weldflow::Settings settings(const Config& config) const;
+    load_balancer::Settings settings(const Config& config) const;
     admission::RequestGate::Limits limits(const Config& config) const;
   };
   struct Claimed {  // by a service, and where it may run
@@ -181,7 +181,7 @@
              bool may_have_run = false);
   void over(const std::string& correlation, bool may_have_run);
   admission::Tried triedOf(const RequestHead& head, std::int32_t request_class) const;
-  static Pool::Config poolConfig(const Config& config, weldflow::Settings settings);
+  static Pool::Config poolConfig(const Config& config, load_balancer::Settings settings);
 
   boost::asio::io_context& io_;
   Config config_;
@@ -210,4 +210,4 @@
   ServiceGate* gate_ = nullptr;
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/front/limits.cpp
+++ b/src/front/limits.cpp
@@ -5,10 +5,10 @@
 #include "console/console_server.h"
 #include "front/proxy.h"
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
-using weldflow::Effect;
+using load_balancer::Effect;
 
 // The console's: its connections, its listener, and one that is about to make room for another.
 constexpr std::size_t kConsoleDescriptors = console::ConsoleServer::kMostConnections + 2;
@@ -21,17 +21,17 @@
 constexpr Time kLongestKept = 60 * kSecond;  // what may have run is remembered for, whatever classes say
 
 // Never more than a second.
-Time shortestAim(const weldflow::Settings& settings) {
+Time shortestAim(const load_balancer::Settings& settings) {
   Time aim = kSecond;
-  for (const weldflow::RequestClass& c : settings.classes) aim = std::min(aim, c.aim);
+  for (const load_balancer::RequestClass& c : settings.classes) aim = std::min(aim, c.aim);
   return aim;
 }
 
 }  // namespace
 
-Time longestDeadline(const weldflow::Settings& settings) {
+Time longestDeadline(const load_balancer::Settings& settings) {
   Time longest = 0;
-  for (const weldflow::RequestClass& c : settings.classes) longest = std::max(longest, c.deadline);
+  for (const load_balancer::RequestClass& c : settings.classes) longest = std::max(longest, c.deadline);
   return longest;
 }
 
@@ -66,7 +66,7 @@
 
 admission::RequestGate::Limits requestLimits(const Config& config) {
   const OperatorSettings& own = config.own;
-  const weldflow::Settings& settings = config.site.settings;
+  const load_balancer::Settings& settings = config.site.settings;
   admission::RequestGate::Limits limits;
   limits.open = own.open.value_or(static_cast<std::size_t>(config.site.max_open));
   limits.bytes = std::max<std::size_t>(config.memory_mb * kMegabyte / 2, kMostBody);
@@ -75,7 +75,7 @@
   limits.classes.resize(settings.classes.size());
   limits.tenants = own.tenants;
   if (limits.tenants.empty()) {
-    for (const weldflow::Tenant& t : settings.tenants)
+    for (const load_balancer::Tenant& t : settings.tenants)
       limits.tenants.push_back({.weight = std::max(t.fraction, 0.01)});
   }
   limits.retries_least = own.retries_least.value_or(kLeastRetries);
@@ -90,7 +90,7 @@
 admission::Repeats::Limits repeatLimits(const Config& config) {
   admission::Repeats::Limits limits;
   limits.kept = 0;
-  for (const weldflow::RequestClass& c : config.site.settings.classes)
+  for (const load_balancer::RequestClass& c : config.site.settings.classes)
     limits.kept = std::max({limits.kept, c.deadline, c.effect == Effect::Keyed ? 2 * c.window : 0});
   limits.kept = std::min(limits.kept, kLongestKept);
   limits.bytes = config.memory_mb * kMegabyte / 128;
@@ -119,8 +119,8 @@
 }
 
 void Proxy::Known::assign(const Config& config) {
-  const weldflow::Settings& settings = config.site.settings;
-  admission::Indices<weldflow::RequestClass>::Named classes_now;
+  const load_balancer::Settings& settings = config.site.settings;
+  admission::Indices<load_balancer::RequestClass>::Named classes_now;
   for (std::size_t i = 0; i < config.site.classes.size(); ++i) {
     classes_now.emplace_back(config.site.classes[i], settings.classes[i]);
     // As many attempts as when it came, also after a reload that says otherwise.
@@ -134,8 +134,8 @@
 }
 
 // By number. One that no name means any more is what it was, for the requests that came under it.
-weldflow::Settings Proxy::Known::settings(const Config& config) const {
-  weldflow::Settings s = config.site.settings;
+load_balancer::Settings Proxy::Known::settings(const Config& config) const {
+  load_balancer::Settings s = config.site.settings;
   s.classes.clear();
   for (std::size_t i = 0; i < classes.size(); ++i)
     s.classes.push_back(classes.at(static_cast<std::int32_t>(i)));
@@ -161,4 +161,4 @@
   return limits;
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/front/limits.h
+++ b/src/front/limits.h
@@ -11,13 +11,13 @@
 #include "net/server.h"
 #include "net/upstream.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 // Descriptors that are neither a client's nor a host's: standard streams, the loop's own, the listener,
 // signals, discovery, and some to spare.
 constexpr std::size_t kOwnDescriptors = 24;
 
-Time longestDeadline(const weldflow::Settings& settings);
+Time longestDeadline(const load_balancer::Settings& settings);
 Server::Limits serverLimits(const Config& config, std::size_t descriptors);
 // Shares by name, in the order of `names`; `shares` are in the order of `of`.
 std::vector<admission::RequestGate::Share> sharesOf(const std::vector<std::string>& names,
@@ -30,4 +30,4 @@
 Upstream::Limits upstreamLimits(const Config& config);
 std::size_t budgetOf(const Config& config);
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/front/proxy.cpp
+++ b/src/front/proxy.cpp
@@ -9,12 +9,12 @@
 #include "limits.h"
 #include "net/head_rules.h"
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 namespace asio = boost::asio;
 using admission::Cause;
-using weldflow::Effect;
+using load_balancer::Effect;
 
 constexpr std::size_t kRequestCost = 1024;       // bytes that an open request holds beside its head and body
 constexpr Time kLongestUpload = 3600 * kSecond;  // its pace is the server's to watch
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-Pool::Config Proxy::poolConfig(const Config& config, weldflow::Settings settings) {
+Pool::Config Proxy::poolConfig(const Config& config, load_balancer::Settings settings) {
   Pool::Config pool;
   pool.settings = std::move(settings);
   pool.seed = config.seed;
@@ -82,7 +82,7 @@
 std::optional<Proxy::ClassInfo> Proxy::classOf(std::string_view target) const {
   const auto index = known_.classes.find(firstPart(pathOf(target)));
   if (!index) return std::nullopt;
-  const weldflow::RequestClass& c = known_.classes.at(*index);
+  const load_balancer::RequestClass& c = known_.classes.at(*index);
   return ClassInfo{*index, c.deadline, c.effect};
 }
 
@@ -106,12 +106,12 @@
 }
 
 admission::Tried Proxy::triedOf(const RequestHead& head, std::int32_t request_class) const {
-  const weldflow::RequestClass& c = known_.classes.at(request_class);
+  const load_balancer::RequestClass& c = known_.classes.at(request_class);
   admission::Tried tried;
   tried.id = head.correlation;
   tried.safe = c.effect == Effect::Safe;
   if (c.effect == Effect::Keyed) tried.key = head.key;
-  if (c.effect == Effect::Keyed && c.group == weldflow::Group::All) tried.window = c.window;
+  if (c.effect == Effect::Keyed && c.group == load_balancer::Group::All) tried.window = c.window;
   return tried;
 }
 
@@ -189,7 +189,7 @@
                             Time deadline) const {
   return {.id = id,
           .request_class = info.index,
-          .tenant = known_.tenants.find(head.account).value_or(weldflow::kUnset),
+          .tenant = known_.tenants.find(head.account).value_or(load_balancer::kUnset),
           .bytes = bytes + kRequestCost,
           .deadline = deadline,
           .retry = head.repeat};
@@ -370,7 +370,7 @@
   next.sockets = config_.sockets;
   Known known = known_;
   known.assign(next);
-  weldflow::Settings settings = known.settings(next);
+  load_balancer::Settings settings = known.settings(next);
   const admission::RequestGate::Limits limits = known.limits(next);
   const admission::RequestGate tried(limits);  // throws where they can't hold together
   // Or this; nothing has changed until then.
@@ -397,4 +397,4 @@
   admitWaiting();  // there may be places now
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/front/proxy_life.cpp
+++ b/src/front/proxy_life.cpp
@@ -6,7 +6,7 @@
 
 #include "front/proxy.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 using admission::Cause;
 
@@ -124,4 +124,4 @@
   });
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/front/proxy_report.cpp
+++ b/src/front/proxy_report.cpp
@@ -4,7 +4,7 @@
 
 #include "front/proxy.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 using admission::Cause;
 
@@ -65,11 +65,11 @@
   figures::Page page;
   for (std::size_t i = 0; i < known_.classes.size(); ++i)
     page.classes.push_back({known_.classes.name(i), counts_.of(i)});
-  const weldflow::Standing hosts = pool_.standing();
+  const load_balancer::Standing hosts = pool_.standing();
   page.concurrent = server_.openRequests();
   page.targets = hosts.listed;
   page.targets_disabled = hosts.avoided;
   return figures::textOf(page);
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/handover/channel.cpp
+++ b/src/handover/channel.cpp
@@ -12,7 +12,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace quinceline::handover {
+namespace client_proxy::handover {
 namespace {
 
 namespace asio = boost::asio;
@@ -203,4 +203,4 @@
   waiting_.clear();
 }
 
-}  // namespace quinceline::handover
+}  // namespace client_proxy::handover
--- a/src/handover/frame.cpp
+++ b/src/handover/frame.cpp
@@ -3,7 +3,7 @@
 #include <charconv>
 #include <stdexcept>
 
-namespace quinceline::handover {
+namespace client_proxy::handover {
 namespace {
 
 constexpr std::size_t kHead = 6;
@@ -39,4 +39,4 @@
   return number;
 }
 
-}  // namespace quinceline::handover
+}  // namespace client_proxy::handover
--- a/src/handover/include/handover/channel.h
+++ b/src/handover/include/handover/channel.h
@@ -11,7 +11,7 @@
 
 #include "handover/frame.h"
 
-namespace quinceline::handover {
+namespace client_proxy::handover {
 
 // A descriptor that is closed with its owner.
 class OwnedDescriptor {
@@ -81,4 +81,4 @@
 // Takes the path over from whoever has it, at once: a caller reaches the one or the other.
 OwnedDescriptor listenAt(const std::string& path);
 
-}  // namespace quinceline::handover
+}  // namespace client_proxy::handover
--- a/src/handover/include/handover/frame.h
+++ b/src/handover/include/handover/frame.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace quinceline::handover {
+namespace client_proxy::handover {
 
 // What a new process says with Ready if it understands Tried; an older one says nothing and is not told.
 constexpr std::string_view kUnderstandsTried = "tried";
@@ -45,4 +45,4 @@
 // A number in decimal; nothing if it is not one.
 std::optional<std::uint64_t> numberOf(std::string_view text);
 
-}  // namespace quinceline::handover
+}  // namespace client_proxy::handover
--- a/src/handover/include/handover/link.h
+++ b/src/handover/include/handover/link.h
@@ -19,7 +19,7 @@
 #include "handover/state.h"
 #include "handover/successor.h"
 
-namespace quinceline::handover {
+namespace client_proxy::handover {
 
 // The proxy, as the link sees it.
 class Holder {
@@ -104,4 +104,4 @@
 // Where the processes of the proxy `name` meet in `folder`.
 std::string socketPath(const std::string& folder, std::string_view name);
 
-}  // namespace quinceline::handover
+}  // namespace client_proxy::handover
--- a/src/handover/include/handover/roles.h
+++ b/src/handover/include/handover/roles.h
@@ -14,7 +14,7 @@
 
 #include "handover/frame.h"
 
-namespace quinceline::handover {
+namespace client_proxy::handover {
 
 using PeerId = std::uint64_t;  // a connection of ours, never used twice
 
@@ -74,4 +74,4 @@
   std::string state_;
 };
 
-}  // namespace quinceline::handover
+}  // namespace client_proxy::handover
--- a/src/handover/include/handover/state.h
+++ b/src/handover/include/handover/state.h
@@ -7,13 +7,13 @@
 #include <vector>
 
 #include "admission/repeats.h"
-#include "weldflow/balancer.h"
+#include "load_balancer/balancer.h"
 
-namespace quinceline::handover {
+namespace client_proxy::handover {
 
 struct State {
   std::string hosts;  // the list, in discovery's form; empty: none was known
-  std::vector<weldflow::Remembered> servers;
+  std::vector<load_balancer::Remembered> servers;
   bool drained = false;
   std::vector<admission::Tried> tried;
   bool tells_tried = true;  // it will tell the rest when the new one is ready: all it has, then an empty list
@@ -30,4 +30,4 @@
 std::vector<std::string> triedToTexts(std::span<const admission::Tried> tried);
 std::vector<admission::Tried> triedFromText(std::string_view text);
 
-}  // namespace quinceline::handover
+}  // namespace client_proxy::handover
--- a/src/handover/include/handover/successor.h
+++ b/src/handover/include/handover/successor.h
@@ -7,7 +7,7 @@
 
 #include "admission/repeats.h"
 
-namespace quinceline::handover {
+namespace client_proxy::handover {
 
 struct Successor {
   // Takes a client's connection at rest along; false: it could not, and the descriptor is the caller's as
@@ -20,4 +20,4 @@
   std::function<std::size_t()> waiting;
 };
 
-}  // namespace quinceline::handover
+}  // namespace client_proxy::handover
--- a/src/handover/link.cpp
+++ b/src/handover/link.cpp
@@ -7,16 +7,19 @@
 #include <exception>
 #include <utility>
 
-namespace quinceline::handover {
+namespace client_proxy::handover {
 namespace {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
 
+// The program's first name: a process of any version has to find the one it replaces.
+constexpr const char* kSocketPrefix = "/quinceline-";
+
 }  // namespace
 
 std::string socketPath(const std::string& folder, std::string_view name) {
-  std::string path = folder + "/quinceline-";
+  std::string path = folder + kSocketPrefix;
   for (const char c : name) path += std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' ? c : '_';
   return path + ".sock";
 }
@@ -238,4 +241,4 @@
   }
 }
 
-}  // namespace quinceline::handover
+}  // namespace client_proxy::handover
--- a/src/handover/roles.cpp
+++ b/src/handover/roles.cpp
@@ -1,6 +1,6 @@
 #include "handover/roles.h"
 
-namespace quinceline::handover {
+namespace client_proxy::handover {
 namespace {
 
 bool fromStaff(Type type) {
@@ -71,4 +71,4 @@
 
 Taker::Step Taker::onTimeUp() { return phase_ == Phase::Loading ? fresh() : Step::None; }
 
-}  // namespace quinceline::handover
+}  // namespace client_proxy::handover
--- a/src/handover/state.cpp
+++ b/src/handover/state.cpp
@@ -7,7 +7,7 @@
 
 #include "handover/frame.h"
 
-namespace quinceline::handover {
+namespace client_proxy::handover {
 
 using nlohmann::json;
 
@@ -47,7 +47,7 @@
 
 std::string toText(const State& state) {
   json servers = json::array();
-  for (const weldflow::Remembered& s : state.servers) {
+  for (const load_balancer::Remembered& s : state.servers) {
     servers.push_back({{"id", s.id},
                        {"slot", s.slot},
                        {"out_of_use", s.out_of_use},
@@ -78,17 +78,17 @@
     if (state.tells_tried) state.tried = triedOf(doc.at("tried"));
     if (doc.contains("fleet")) state.fleet = doc.at("fleet").get<std::string>();
     for (const json& s : doc.at("servers")) {
-      weldflow::Remembered r;
+      load_balancer::Remembered r;
       r.id = s.at("id").get<std::string>();
       r.slot = whole<std::int32_t>(s, "slot");
       r.out_of_use = s.at("out_of_use").get<bool>();
       r.ejected = s.at("ejected").get<bool>();
       r.silent = s.at("silent").get<bool>();
-      r.ejected_since = whole<weldflow::Time>(s, "ejected_since");
-      r.ejected_until = whole<weldflow::Time>(s, "ejected_until");
+      r.ejected_since = whole<load_balancer::Time>(s, "ejected_since");
+      r.ejected_until = whole<load_balancer::Time>(s, "ejected_until");
       r.strikes = s.at("strikes").get<double>();
-      r.struck_at = whole<weldflow::Time>(s, "struck_at");
-      r.cold_since = whole<weldflow::Time>(s, "cold_since");
+      r.struck_at = whole<load_balancer::Time>(s, "struck_at");
+      r.cold_since = whole<load_balancer::Time>(s, "cold_since");
       r.slowness = s.at("slowness").get<double>();
       state.servers.push_back(std::move(r));
     }
@@ -119,4 +119,4 @@
   }
 }
 
-}  // namespace quinceline::handover
+}  // namespace client_proxy::handover
--- a/src/leases/claims.cpp
+++ b/src/leases/claims.cpp
@@ -4,7 +4,7 @@
 
 #include "leases/member.h"
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 namespace {
 
 constexpr Time kRenewSoon = 50 * fleet::kMillisecond;  // after the promise of a claim of our own
@@ -133,4 +133,4 @@
   return overrides;
 }
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/conflict_detection.cpp
+++ b/src/leases/conflict_detection.cpp
@@ -3,7 +3,7 @@
 
 #include "leases/member.h"
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 
 // Two members with one installation's storage would both vote by promises that were made once. The lower
 // number keeps it.
@@ -73,4 +73,4 @@
          out);
 }
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/conflicts.cpp
+++ b/src/leases/conflicts.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 
 const Resolution& resolutionOf(ConflictKind kind) {
   static constexpr std::array<Resolution, 7> kAll = {{
@@ -50,4 +50,4 @@
       std::count_if(all_.begin(), all_.end(), [&](const Conflict& f) { return f.kind == kind; }));
 }
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/include/leases/conflicts.h
+++ b/src/leases/include/leases/conflicts.h
@@ -7,7 +7,7 @@
 
 #include "leases/types.h"
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 
 enum class ConflictKind : std::uint8_t {
   Stale,                 // from storage of before a power cut, or an older copy of it
@@ -59,4 +59,4 @@
   std::vector<Conflict> all_;
 };
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/include/leases/lease_cache.h
+++ b/src/leases/include/leases/lease_cache.h
@@ -8,7 +8,7 @@
 
 #include "leases/wire.h"
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 
 // Why a request may not be sent. It is refused before any part of it has run.
 enum class Denial : std::uint8_t {
@@ -68,4 +68,4 @@
   std::uint32_t last_round_ = 0;
 };
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/include/leases/lease_holder.h
+++ b/src/leases/include/leases/lease_holder.h
@@ -9,7 +9,7 @@
 #include "leases/voters.h"
 #include "leases/wire.h"
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 
 struct Lease {
   Grant grant;
@@ -69,4 +69,4 @@
   std::uint32_t last_round_ = 0;
 };
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/include/leases/member.h
+++ b/src/leases/include/leases/member.h
@@ -21,7 +21,7 @@
 #include "leases/voter.h"
 #include "random/random.h"
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 
 struct OutgoingMessage {
   Number to = 0;
@@ -124,7 +124,7 @@
   const VoterList voters_;
   const Number self_;
   const SiteId site_;
-  weldflow::Random random_;
+  load_balancer::Random random_;
   Voter voter_;
   LeaseHolder lease_holder_;
   LeaseCache lease_cache_;
@@ -153,4 +153,4 @@
 // "term 5 (home)", for log lines.
 std::string describe(const Grant& grant);
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/include/leases/pending_votes.h
+++ b/src/leases/include/leases/pending_votes.h
@@ -6,7 +6,7 @@
 
 #include "leases/wire.h"
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 
 class PendingVotes {
  public:
@@ -26,4 +26,4 @@
   std::vector<Vote> votes_;
 };
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/include/leases/state_sync.h
+++ b/src/leases/include/leases/state_sync.h
@@ -9,7 +9,7 @@
 #include "leases/voters.h"
 #include "leases/wire.h"
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 
 // Members that have lost their storage count only where nobody remembers any grant: then the fleet is new.
 class StateSync {
@@ -33,4 +33,4 @@
   bool any_grant_ = false;  // somebody knows of one
 };
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/include/leases/types.h
+++ b/src/leases/include/leases/types.h
@@ -14,7 +14,7 @@
 
 #include "fleet/types.h"
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 
 using fleet::Number;
 using fleet::Time;
@@ -86,4 +86,4 @@
   bool operator==(const StoredGrant&) const = default;
 };
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/include/leases/voter.h
+++ b/src/leases/include/leases/voter.h
@@ -8,7 +8,7 @@
 #include "leases/voters.h"
 #include "leases/wire.h"
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 
 class Voter {
  public:
@@ -77,4 +77,4 @@
   std::optional<Time> synchronized_at_;
 };
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/include/leases/voters.h
+++ b/src/leases/include/leases/voters.h
@@ -9,7 +9,7 @@
 
 #include "leases/types.h"
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 
 // What a member sees of the others at the moment.
 struct LivenessView {
@@ -91,4 +91,4 @@
   std::vector<SiteId> sites_;
 };
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/include/leases/wire.h
+++ b/src/leases/include/leases/wire.h
@@ -9,7 +9,7 @@
 
 #include "leases/types.h"
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 
 enum class Kind : std::uint8_t {
   SyncRequest = 1,  // a member that has just started asks what others know
@@ -66,4 +66,4 @@
 // The same for the same grants in any order.
 std::uint32_t digestOf(const std::vector<StoredGrant>& grants);
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/lease_cache.cpp
+++ b/src/leases/lease_cache.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 namespace {
 
 constexpr std::size_t kRounds = 8;  // whose answers still count
@@ -61,4 +61,4 @@
   return it == known_.end() || !(it->second.grant == grant) ? fleet::kNever : it->second.ready_at;
 }
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/lease_holder.cpp
+++ b/src/leases/lease_holder.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 
 void LeaseHolder::restore(ServiceId service, const Grant& grant, bool ready) {
   Lease& lease = leases_[service];
@@ -109,4 +109,4 @@
   return all;
 }
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/member.cpp
+++ b/src/leases/member.cpp
@@ -4,7 +4,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 
 using fleet::kMillisecond;
 
@@ -150,4 +150,4 @@
   return p;
 }
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/pending_votes.cpp
+++ b/src/leases/pending_votes.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 namespace {
 
 bool waitsFor(const PendingVotes::Vote& vote, const StoredGrant& stored) {
@@ -28,4 +28,4 @@
   return taken;
 }
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/queries.cpp
+++ b/src/leases/queries.cpp
@@ -3,7 +3,7 @@
 
 #include "leases/member.h"
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 namespace {
 
 using fleet::kMillisecond;
@@ -60,4 +60,4 @@
   }
 }
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/renewal.cpp
+++ b/src/leases/renewal.cpp
@@ -3,7 +3,7 @@
 
 #include "leases/member.h"
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 
 void Member::renew(Time now, Output& out) {
   renew_at_ = now + settings_.lease / 3;
@@ -89,4 +89,4 @@
   learn(now, entry.service, entry.grant, out);
 }
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/state_sync.cpp
+++ b/src/leases/state_sync.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 
 void StateSync::restart(bool has_storage) {
   ++round_;
@@ -25,4 +25,4 @@
   return counted.count() >= std::min(voters_.majority(), voters_.size() - 1);
 }
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/synchronization.cpp
+++ b/src/leases/synchronization.cpp
@@ -3,7 +3,7 @@
 
 #include "leases/member.h"
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 namespace {
 
 constexpr Time kSyncInterval = 300 * fleet::kMillisecond;
@@ -77,4 +77,4 @@
          out);
 }
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/voter.cpp
+++ b/src/leases/voter.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 namespace {
 
 std::uint16_t millisecondsOf(Time t) {
@@ -190,4 +190,4 @@
   }
 }
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/leases/wire.cpp
+++ b/src/leases/wire.cpp
@@ -6,18 +6,18 @@
 #include "random/fnv.h"
 #include "random/random.h"
 
-namespace quinceline::leases {
+namespace client_proxy::leases {
 namespace {
 
 constexpr std::uint8_t kYes = 0x80, kUnknown = 0x40, kReasonMask = 0x0F;
 
 }  // namespace
 
-ServiceId serviceId(std::string_view name) { return weldflow::fnv32(name); }
+ServiceId serviceId(std::string_view name) { return load_balancer::fnv32(name); }
 
 SiteId siteId(std::string_view zone) {
   if (zone.empty()) return kNoSite;
-  const SiteId id = weldflow::folded(weldflow::fnv32(zone));
+  const SiteId id = load_balancer::folded(load_balancer::fnv32(zone));
   return id == kNoSite ? 1 : id;
 }
 
@@ -95,9 +95,9 @@
   std::uint64_t all = grants.size();
   for (const StoredGrant& k : grants) {
     const std::uint64_t one = std::uint64_t{k.service} << 32 | k.grant.term;
-    all += weldflow::Random(one ^ std::uint64_t{k.grant.site} << 16).next();
+    all += load_balancer::Random(one ^ std::uint64_t{k.grant.site} << 16).next();
   }
   return static_cast<std::uint32_t>(all ^ (all >> 32));
 }
 
-}  // namespace quinceline::leases
+}  // namespace client_proxy::leases
--- a/src/lifecycle/include/lifecycle/lifecycle.h
+++ b/src/lifecycle/include/lifecycle/lifecycle.h
@@ -11,7 +11,7 @@
 #include <limits>
 #include <vector>
 
-namespace quinceline::lifecycle {
+namespace client_proxy::lifecycle {
 
 using Time = std::int64_t;  // microseconds, of any steady clock
 constexpr Time kNothingDue = std::numeric_limits<Time>::max();
@@ -82,4 +82,4 @@
   Time last_due_ = kNothingDue;                    // leaves, whatever is left
 };
 
-}  // namespace quinceline::lifecycle
+}  // namespace client_proxy::lifecycle
--- a/src/lifecycle/lifecycle.cpp
+++ b/src/lifecycle/lifecycle.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace quinceline::lifecycle {
+namespace client_proxy::lifecycle {
 namespace {
 
 constexpr Time kMillisecond = 1000;
@@ -113,4 +113,4 @@
   return std::min({close_due_, idle_due_, deaf_due_, look_due_, last_due_});
 }
 
-}  // namespace quinceline::lifecycle
+}  // namespace client_proxy::lifecycle
--- a/src/locality/include/locality/notes.h
+++ b/src/locality/include/locality/notes.h
@@ -7,7 +7,7 @@
 
 #include "locality/verdict.h"
 
-namespace quinceline::locality {
+namespace client_proxy::locality {
 
 constexpr std::uint8_t kZonesNote = 16;  // the note's tag: see fleet::Facts
 constexpr std::size_t kMostTold = 8;     // zones in one note
@@ -23,4 +23,4 @@
 // What is not whole or of an unknown zone is passed over.
 Told decode(std::string_view bytes, const std::vector<std::string>& names);
 
-}  // namespace quinceline::locality
+}  // namespace client_proxy::locality
--- a/src/locality/include/locality/plan.h
+++ b/src/locality/include/locality/plan.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace quinceline::locality {
+namespace client_proxy::locality {
 
 // One zone, as the list and the fleet's records tell of it.
 struct ZoneFacts {
@@ -56,4 +56,4 @@
   bool moving_ = false;
 };
 
-}  // namespace quinceline::locality
+}  // namespace client_proxy::locality
--- a/src/locality/include/locality/verdict.h
+++ b/src/locality/include/locality/verdict.h
@@ -11,7 +11,7 @@
 #include "fleet/types.h"
 #include "sight/sight.h"
 
-namespace quinceline::locality {
+namespace client_proxy::locality {
 
 using fleet::Number;
 using fleet::Time;
@@ -75,7 +75,7 @@
   void saw(std::size_t zone, Seen seen) { own_seen_[zone] = seen; }
   // What was sent before says nothing: of answers since somebody began to hear nothing from there, or from
   // the zone that they are compared with; of both since the last verdict.
-  weldflow::ZoneSince since(std::size_t zone) const;
+  load_balancer::ZoneSince since(std::size_t zone) const;
   Seen sight(std::size_t zone) const { return own_seen_[zone]; }
   // Every zone but its own is silent: then it is itself that is cut off, and it has no say.
   bool cutOff() const;
@@ -143,4 +143,4 @@
   std::vector<Zone> zones_;
 };
 
-}  // namespace quinceline::locality
+}  // namespace client_proxy::locality
--- a/src/locality/notes.cpp
+++ b/src/locality/notes.cpp
@@ -2,13 +2,13 @@
 
 #include "random/fnv.h"
 
-namespace quinceline::locality {
+namespace client_proxy::locality {
 namespace {
 
 constexpr std::size_t kEntry = 5;  // hash 2, epoch 2, state and sight 1
 
 // It only has to be the same everywhere.
-std::uint16_t hashOf(std::string_view name) { return weldflow::folded(weldflow::fnv32(name)); }
+std::uint16_t hashOf(std::string_view name) { return load_balancer::folded(load_balancer::fnv32(name)); }
 
 std::uint16_t twoAt(std::string_view bytes, std::size_t at) {
   return static_cast<std::uint16_t>(static_cast<unsigned char>(bytes[at]) |
@@ -50,4 +50,4 @@
   return told;
 }
 
-}  // namespace quinceline::locality
+}  // namespace client_proxy::locality
--- a/src/locality/plan.cpp
+++ b/src/locality/plan.cpp
@@ -5,7 +5,7 @@
 #include <numeric>
 #include <utility>
 
-namespace quinceline::locality {
+namespace client_proxy::locality {
 namespace {
 
 constexpr double kMostOver = 0.25;  // of a zone's even part, near traffic may add to it
@@ -131,4 +131,4 @@
   return row_;
 }
 
-}  // namespace quinceline::locality
+}  // namespace client_proxy::locality
--- a/src/locality/verdict.cpp
+++ b/src/locality/verdict.cpp
@@ -7,7 +7,7 @@
 
 #include "random/random.h"
 
-namespace quinceline::locality {
+namespace client_proxy::locality {
 namespace {
 
 constexpr std::size_t kWatchers = 3;
@@ -15,7 +15,7 @@
 // Between 0 and 1, the same for all who ask.
 double lot(std::size_t zone, std::uint16_t epoch, Number member) {
   const std::uint64_t seed = std::uint64_t{zone} << 32 | std::uint64_t{epoch} << 16 | member;
-  return weldflow::Random(seed).unit();
+  return load_balancer::Random(seed).unit();
 }
 
 }  // namespace
@@ -29,7 +29,7 @@
 Court::Court(std::size_t zones, std::size_t own, const Rules& rules)
     : rules_(rules), own_(own), own_seen_(zones, Seen::Nothing), zones_(zones) {}
 
-weldflow::ZoneSince Court::since(std::size_t zone) const {
+load_balancer::ZoneSince Court::since(std::size_t zone) const {
   const Zone& asked = zones_[zone];
   if (asked.verdict.state != State::Up) return {asked.since, asked.since};
   if (suspected(asked)) return {asked.silent_since, fleet::kLongAgo};
@@ -241,4 +241,4 @@
   return z.told == seen || z.answered < rules_.least + 2 * z.silent / rules_.objection ? seen : Seen::Nothing;
 }
 
-}  // namespace quinceline::locality
+}  // namespace client_proxy::locality
--- a/src/measures/include/measures/rate.h
+++ b/src/measures/include/measures/rate.h
@@ -5,7 +5,7 @@
 #include <cmath>
 #include <cstdint>
 
-namespace quinceline::measures {
+namespace client_proxy::measures {
 
 class Rate {
  public:
@@ -31,4 +31,4 @@
   Time began_ = 0, last_ = 0;
 };
 
-}  // namespace quinceline::measures
+}  // namespace client_proxy::measures
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <utility>
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 namespace asio = boost::asio;
@@ -240,4 +240,4 @@
   armRead();
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -9,7 +9,7 @@
 #include "admission/upload_clock.h"
 #include "net/server.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 // One client's connection. It lives as long as the server lists it or an operation of its socket is out.
 class Server::Connection : public std::enable_shared_from_this<Connection> {
@@ -136,4 +136,4 @@
   bool reading_ = false, waits_for_room_ = false;
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -11,7 +11,7 @@
 
 #include "client_connection.h"
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 namespace asio = boost::asio;
@@ -284,4 +284,4 @@
   armRead();
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -8,12 +8,15 @@
 
 #include "platform/json_node.h"
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
+using load_balancer::platform::Node;
 using nlohmann::json;
-using weldflow::platform::Node;
 
+// The name of an instance that is told none: the program's first name. Hand-over sockets and what members
+// have stored go by it.
+constexpr const char* kDefaultName = "quinceline";
 constexpr double kLeastMemory = 32, kLeastSockets = 64;
 
 std::string readFile(const std::string& path) {
@@ -55,7 +58,7 @@
 }
 
 // Only where the settings allow talk between proxies: else the keys are not even read.
-std::optional<FleetSettings> fleetOf(const Node& root, const weldflow::platform::Site& site) {
+std::optional<FleetSettings> fleetOf(const Node& root, const load_balancer::platform::Site& site) {
   if (!site.peers || !root.has("peer_listen") || !root.has("peers")) return std::nullopt;
   FleetSettings fleet;
   fleet.listen = datagramsAt(root.at("peer_listen"));
@@ -107,7 +110,7 @@
     c.console = endpointOf("PROXY_CONSOLE", "console", console, root);
   within("PROXY_CONFIG: ", [&] {
     const char* const name = getenv("PROXY_NAME");
-    c.name = name != nullptr ? name : root.has("name") ? root.at("name").text() : "quinceline";
+    c.name = name != nullptr ? name : root.has("name") ? root.at("name").text() : kDefaultName;
     if (root.has("seed")) c.seed = parseSeed(root.at("seed"));
     if (root.has("limits")) {
       const Node limits = root.at("limits");
@@ -118,8 +121,9 @@
         c.sockets = static_cast<std::size_t>(limits.at("sockets").number(kLeastSockets, 1e9));
     }
     root.at("settings");
-    c.site = within("settings: ", [&] { return weldflow::platform::parseSite(doc.at("settings").dump()); });
-    within("settings: ", [&] { weldflow::validate(c.site.settings); });
+    c.site =
+        within("settings: ", [&] { return load_balancer::platform::parseSite(doc.at("settings").dump()); });
+    within("settings: ", [&] { load_balancer::validate(c.site.settings); });
     c.zones = Zones(c.site.zones);
     c.fleet = fleetOf(root, c.site);
     if (root.has("known")) {
@@ -134,4 +138,4 @@
       [&](const char* name) { return std::string_view(name) == "PROXY_DISCOVERY" ? nullptr : getenv(name); });
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -7,7 +7,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 namespace asio = boost::asio;
@@ -198,4 +198,4 @@
   subscribe();
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/head_rules.cpp
+++ b/src/net/head_rules.cpp
@@ -1,8 +1,8 @@
 #include "net/head_rules.h"
 
-namespace quinceline {
+namespace client_proxy {
 
-using weldflow::Effect;
+using load_balancer::Effect;
 
 std::string_view pathOf(std::string_view target) { return target.substr(0, target.find_first_of("?#")); }
 
@@ -29,4 +29,4 @@
   return std::nullopt;
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/host_connection.cpp
+++ b/src/net/host_connection.cpp
@@ -6,12 +6,12 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
-using weldflow::Result;
+using load_balancer::Result;
 
 constexpr Time kLook = 250 * kMillisecond;  // between two looks whether a long body moves
 
@@ -217,4 +217,4 @@
   }
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/host_connection.h
+++ b/src/net/host_connection.h
@@ -11,11 +11,11 @@
 
 #include "net/upstream.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 class Upstream::Connection : public std::enable_shared_from_this<Connection> {
   using Socket = boost::asio::ip::tcp::socket;
-  using Result = weldflow::Result;
+  using Result = load_balancer::Result;
   static constexpr int kMostInterims = 16;
 
  public:
@@ -135,4 +135,4 @@
   bool connected_ = false, busy_ = false, probe_ = false, closed_ = false, reading_ = false;
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/host_list.cpp
+++ b/src/net/host_list.cpp
@@ -8,11 +8,11 @@
 
 #include "platform/json_node.h"
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
-using weldflow::HostState;
-using weldflow::platform::Node;
+using load_balancer::HostState;
+using load_balancer::platform::Node;
 
 HostState parseState(const Node& node) {
   const std::string word = node.text();
@@ -22,8 +22,8 @@
   node.bad("is unknown: " + word);
 }
 
-std::pair<weldflow::Host, Endpoint> parseEntry(const Node& entry, Zones& zones) {
-  weldflow::Host host;
+std::pair<load_balancer::Host, Endpoint> parseEntry(const Node& entry, Zones& zones) {
+  load_balancer::Host host;
   host.id = entry.at("uid").text();
   if (host.id.empty()) entry.at("uid").bad("is empty");
   host.state = parseState(entry.at("state"));
@@ -32,7 +32,7 @@
   Endpoint endpoint;
   try {
     endpoint = parseEndpoint(entry.at("endpoint").text());
-  } catch (const weldflow::platform::BadField&) {
+  } catch (const load_balancer::platform::BadField&) {
     throw;
   } catch (const std::runtime_error& e) {
     entry.at("endpoint").bad(e.what());
@@ -48,7 +48,7 @@
 std::string idOf(const Node& entry) {
   try {
     return entry.at("uid").text();
-  } catch (const weldflow::platform::BadField&) {
+  } catch (const load_balancer::platform::BadField&) {
     return {};
   }
 }
@@ -82,7 +82,7 @@
   using nlohmann::json;
   json targets = json::array();
   for (std::size_t i = 0; i < list.hosts.size(); ++i) {
-    const weldflow::Host& host = list.hosts[i];
+    const load_balancer::Host& host = list.hosts[i];
     const Endpoint& at = list.endpoints[i];
     const std::string address = at.address().to_string();
     json entry = {{"uid", host.id},
@@ -142,4 +142,4 @@
   return list;
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/host_reading.cpp
+++ b/src/net/host_reading.cpp
@@ -6,12 +6,12 @@
 
 #include "host_connection.h"
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
-using weldflow::Result;
+using load_balancer::Result;
 
 constexpr std::size_t kRead = 4 * 1024, kLongRead = 16 * 1024;
 constexpr double kLeastPace = 32 * 1024;  // bytes a second, of an answer that is held
@@ -147,4 +147,4 @@
   return parser_->status / 100 == 4 && !own ? Result::BadRequest : Result::Error;
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -9,7 +9,7 @@
 #include <cstdio>
 #include <utility>
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 using boost::beast::iequals;
@@ -236,4 +236,4 @@
   begin_ = end_ = 0;
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/body_budget.h
+++ b/src/net/include/net/body_budget.h
@@ -10,7 +10,7 @@
 
 #include "net/http.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 class BodyShare;
 
@@ -101,4 +101,4 @@
   }
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/body_pipe.h
+++ b/src/net/include/net/body_pipe.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <utility>
 
-namespace quinceline {
+namespace client_proxy {
 
 // Both sides run on one loop. Whoever puts asks hasRoom() before it reads more, so that no more than a window
 // and one read is held, however long the body is. Callbacks are called from within put(), take() and the
@@ -83,4 +83,4 @@
   std::function<void()> on_more_, on_room_, on_abandoned_, on_started_;
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/clock.h
+++ b/src/net/include/net/clock.h
@@ -5,11 +5,11 @@
 
 #include <chrono>
 
-#include "weldflow/balancer.h"
+#include "load_balancer/balancer.h"
 
-namespace quinceline {
+namespace client_proxy {
 
-using weldflow::Time;
+using load_balancer::Time;
 
 constexpr Time kMillisecond = 1'000;
 constexpr Time kSecond = 1'000'000;
@@ -28,4 +28,4 @@
   Time unix_at_start_ = micros(std::chrono::system_clock::now().time_since_epoch());
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/config.h
+++ b/src/net/include/net/config.h
@@ -13,7 +13,7 @@
 #include "net/subscription_settings.h"
 #include "platform/settings.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 struct Config {
   std::string name;
@@ -26,7 +26,7 @@
   double cores = 1;
   std::size_t memory_mb = 256;
   std::size_t sockets = 1024;
-  weldflow::platform::Site site;
+  load_balancer::platform::Site site;
   Zones zones;
   OperatorSettings own;  // of the operator file
   HostList known;        // the list as this client proxy last had it, perhaps old
@@ -49,4 +49,4 @@
 // start.
 Config rereadConfig(const std::function<const char*(const char*)>& getenv);
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/descriptors.h
+++ b/src/net/include/net/descriptors.h
@@ -9,7 +9,7 @@
 #include "admission/places.h"
 #include "net/clock.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 using admission::Side;
 
@@ -63,4 +63,4 @@
   std::vector<Reclaimer> reclaimers_;
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/discovery.h
+++ b/src/net/include/net/discovery.h
@@ -11,7 +11,7 @@
 #include "net/log.h"
 #include "net/timers.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 class DiscoverySink {
  public:
@@ -69,4 +69,4 @@
   std::shared_ptr<Watch> former_;  // on the old address
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/exchange.h
+++ b/src/net/include/net/exchange.h
@@ -9,7 +9,7 @@
 #include "net/body_pipe.h"
 #include "net/http.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 using ExchangeId = std::uint64_t;  // one request on one client connection; from 1, never used twice
 
@@ -32,4 +32,4 @@
   return {.status = status, .body = {}, .content_type = {}, .retry_after = {}};
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/fleet_settings.h
+++ b/src/net/include/net/fleet_settings.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace quinceline {
+namespace client_proxy {
 
 struct FleetPeer {
   std::uint16_t number = 0;
@@ -24,4 +24,4 @@
   std::string members_file;        // where a newer list comes from; empty: nowhere
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/head_rules.h
+++ b/src/net/include/net/head_rules.h
@@ -4,10 +4,10 @@
 #include <optional>
 #include <string_view>
 
+#include "load_balancer/balancer.h"
 #include "net/http.h"
-#include "weldflow/balancer.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 std::string_view pathOf(std::string_view target);   // without query and fragment
 std::string_view firstPart(std::string_view path);  // "swap-charge" of "/swap-charge/7": the class's name
@@ -18,6 +18,6 @@
 };
 
 // What is wrong with a request of a class that has this effect; nothing: it may go on.
-std::optional<HeadFault> faultOf(const RequestHead& head, weldflow::Effect effect);
+std::optional<HeadFault> faultOf(const RequestHead& head, load_balancer::Effect effect);
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/host_list.h
+++ b/src/net/include/net/host_list.h
@@ -8,9 +8,9 @@
 #include <string_view>
 #include <vector>
 
-#include "weldflow/balancer.h"
+#include "load_balancer/balancer.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 using Endpoint = boost::asio::ip::tcp::endpoint;
 
@@ -32,7 +32,7 @@
 struct HostList {
   std::uint64_t revision = 0;
   bool full = false;
-  std::vector<weldflow::Host> hosts;
+  std::vector<load_balancer::Host> hosts;
   std::vector<Endpoint> endpoints;  // of hosts[i]
   std::vector<std::string> unread;  // the ids of entries that were passed over
   std::string complaint;            // what was wrong with the last of these
@@ -51,4 +51,4 @@
 // "address:port"; throws std::runtime_error.
 Endpoint parseEndpoint(const std::string& text);
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/http.h
+++ b/src/net/include/net/http.h
@@ -16,7 +16,7 @@
 
 #include "net/clock.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 namespace http = boost::beast::http;
 using Text = boost::beast::string_view;
@@ -116,4 +116,4 @@
   std::size_t begin_ = 0, end_ = 0;
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/idle_need.h
+++ b/src/net/include/net/idle_need.h
@@ -5,7 +5,7 @@
 #include <array>
 #include <cstddef>
 
-namespace quinceline {
+namespace client_proxy {
 
 // A host takes only so many connections, and what one proxy keeps without use another can't open. Worth
 // keeping is what was in use at once lately, and one more for the next request after a pause. A longer memory
@@ -30,4 +30,4 @@
   std::array<std::size_t, 4> peaks_{};  // the present period first
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/log.h
+++ b/src/net/include/net/log.h
@@ -8,7 +8,7 @@
 
 #include "net/clock.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 // In rising order of what is written.
 enum class LogLevel : std::uint8_t { Error, Warning, Info };
@@ -52,4 +52,4 @@
   std::uint64_t left_out_ = 0;
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/operator_settings.h
+++ b/src/net/include/net/operator_settings.h
@@ -12,7 +12,7 @@
 #include "net/clock.h"
 #include "net/log.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 struct OperatorSettings {
   std::string file;                                      // where they come from; empty: nowhere
@@ -26,4 +26,4 @@
   std::vector<admission::RequestGate::Share> classes, tenants;        // by index; empty: no shares
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/server.h
+++ b/src/net/include/net/server.h
@@ -21,7 +21,7 @@
 #include "net/log.h"
 #include "net/timers.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 // What the server tells. Calls back into the server are allowed from each.
 class RequestSink {
@@ -126,4 +126,4 @@
   bool no_place_ = false;   // connections wait in the queue until somebody leaves
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/service_gate.h
+++ b/src/net/include/net/service_gate.h
@@ -7,11 +7,11 @@
 #include <string>
 #include <string_view>
 
+#include "load_balancer/balancer.h"
 #include "net/clock.h"
 #include "net/http.h"
-#include "weldflow/balancer.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 class ServiceGate {
  public:
@@ -28,17 +28,17 @@
     bool malformed = false;          // its target can be read in more ways than one: it is no request
   };
   virtual Match serviceOf(const RequestHead& head, std::string_view request_class,
-                          weldflow::Effect effect) const = 0;
+                          load_balancer::Effect effect) const = 0;
   // To be asked when a request comes, and again at the moment of each sending.
   virtual Leave leave(Service service) const = 0;
   // While the proxy comes back from a power cut: how long a request of this class has to stay away yet, since
   // it may be one that ran before. Nothing: it may be served. `served`: by a service's one site.
-  virtual std::optional<Time> heldBack(const weldflow::RequestClass& of, bool served) const = 0;
+  virtual std::optional<Time> heldBack(const load_balancer::RequestClass& of, bool served) const = 0;
   // A request that was let in has its answer.
   struct Ended {
     const RequestHead& head;
     std::string_view request_class;
-    weldflow::Effect effect = weldflow::Effect::Safe;
+    load_balancer::Effect effect = load_balancer::Effect::Safe;
     double worth = 0;
     std::string_view zone;  // where it ran last; empty: nowhere
     Time took = 0;          // there
@@ -49,4 +49,4 @@
   virtual void turnedAway(Service service, std::uint32_t term) = 0;
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/service_settings.h
+++ b/src/net/include/net/service_settings.h
@@ -8,7 +8,7 @@
 
 #include "net/clock.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 struct ServiceRoute {
   std::string name;
@@ -27,4 +27,4 @@
   std::string memory;  // the folder of what is remembered over a power cut; empty: nothing is
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/subscription_settings.h
+++ b/src/net/include/net/subscription_settings.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace quinceline {
+namespace client_proxy {
 
 struct ReplicaSetting {
   std::uint16_t number = 0;
@@ -21,4 +21,4 @@
   std::vector<ReplicaSetting> replicas;
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/timers.h
+++ b/src/net/include/net/timers.h
@@ -10,7 +10,7 @@
 
 #include "net/clock.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 // Timers are never withdrawn: a callback looks up by id whether what it was set for still matters. That costs
 // a heap entry until it is due, and saves a system call and two allocations for each time-out that is not
@@ -49,4 +49,4 @@
   bool running_ = false;
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/include/net/upstream.h
+++ b/src/net/include/net/upstream.h
@@ -19,7 +19,7 @@
 #include "net/idle_need.h"
 #include "net/timers.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 using AttemptId = std::uint64_t;  // chosen by the caller, never used twice
 
@@ -32,7 +32,7 @@
 };
 
 struct AttemptEnd {
-  weldflow::Result result = weldflow::Result::NotSent;
+  load_balancer::Result result = load_balancer::Result::NotSent;
   std::string body;  // of an Ok
   std::string content_type;
   std::string load;  // the host's report of its load, if one came
@@ -92,7 +92,7 @@
   void start(AttemptId id, std::string_view uid, AttemptRequest request);
   // Stop waiting: the connection is closed and `as` reported, at once. Nothing happens if the attempt has
   // ended.
-  void giveUp(AttemptId id, weldflow::Result as);
+  void giveUp(AttemptId id, load_balancer::Result as);
   // A 200 answer to it is coming; that it keeps its pace is watched here.
   bool answering(AttemptId id) const;
   void probe(std::string_view uid);
@@ -138,4 +138,4 @@
   bool keeps_ = true;
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -11,7 +11,7 @@
 
 #include "client_connection.h"
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 namespace asio = boost::asio;
@@ -260,4 +260,4 @@
   acceptor_.close(ignored);
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/timers.cpp
+++ b/src/net/timers.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 // Later than this, the process was not scheduled for a while.
@@ -53,4 +53,4 @@
   arm();
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -5,11 +5,11 @@
 
 #include "host_connection.h"
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 namespace asio = boost::asio;
-using weldflow::Result;
+using load_balancer::Result;
 
 constexpr Time kSweep = 500 * kMillisecond;
 constexpr double kReuseWeight = 0.1;       // the last ten or so uses of kept connections count
@@ -169,4 +169,4 @@
   timers_.after(kSweep, [this] { sweep(); });
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/operator/file_watch.cpp
+++ b/src/operator/file_watch.cpp
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-namespace quinceline {
+namespace client_proxy {
 
 FileWatch::FileWatch(boost::asio::io_context& io, std::chrono::milliseconds every,
                      std::function<void()> changed)
@@ -39,4 +39,4 @@
   });
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/operator/include/operator/file_watch.h
+++ b/src/operator/include/operator/file_watch.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <tuple>
 
-namespace quinceline {
+namespace client_proxy {
 
 class FileWatch {
  public:
@@ -33,4 +33,4 @@
   Version told_, seen_;
 };
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/operator/include/operator/operator_file.h
+++ b/src/operator/include/operator/operator_file.h
@@ -12,7 +12,7 @@
 #include "conf/model.h"
 #include "net/config.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 using Environment = std::function<const char*(const char*)>;
 
@@ -53,7 +53,7 @@
 };
 
 // The module's word for it.
-weldflow::Effect effectOf(conf::Effect effect);
+load_balancer::Effect effectOf(conf::Effect effect);
 
 // The services of another operator file, as it would have them. Throws ConfigurationRefused.
 std::optional<ServiceSettings> readServices(conf::FileSource& files, const std::string& path);
@@ -64,4 +64,4 @@
 // The members of a members file. Throws ConfigurationRefused.
 std::vector<FleetPeer> readMembers(conf::FileSource& files, const std::string& path);
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -8,7 +8,7 @@
 #include "conf/report.h"
 #include "conf/units.h"
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 using admission::RequestGate;
@@ -85,14 +85,14 @@
   return shares;
 }
 
-weldflow::RequestClass classOf(const conf::ClassModel& c) {
-  weldflow::RequestClass out;
+load_balancer::RequestClass classOf(const conf::ClassModel& c) {
+  load_balancer::RequestClass out;
   out.aim = c.aim;
   out.deadline = c.deadline;
   out.effect = effectOf(c.effect);
-  out.group = c.group == conf::Group::All    ? weldflow::Group::All
-              : c.group == conf::Group::Zone ? weldflow::Group::Zone
-                                             : weldflow::Group::Cell;
+  out.group = c.group == conf::Group::All    ? load_balancer::Group::All
+              : c.group == conf::Group::Zone ? load_balancer::Group::Zone
+                                             : load_balancer::Group::Cell;
   out.window = c.window;
   out.max_attempts = c.attempts.value_or(0);
   out.worth = c.worth;
@@ -100,12 +100,12 @@
   return out;
 }
 
-weldflow::Settings moduleSettings(const Model& m) {
+load_balancer::Settings moduleSettings(const Model& m) {
   const conf::PoolModel& p = *m.pool;
-  weldflow::Settings s;
+  load_balancer::Settings s;
   s.client = m.client;
-  s.discovery = weldflow::Discovery::Push;
-  s.reports = weldflow::ReportSource::None;
+  s.discovery = load_balancer::Discovery::Push;
+  s.reports = load_balancer::ReportSource::None;
   s.weighted = true;
   for (const conf::ClassModel& c : m.classes) s.classes.push_back(classOf(c));
   for (const conf::TenantModel& t : m.tenants) s.tenants.push_back({.fraction = t.part});
@@ -126,7 +126,7 @@
   HostList list;
   list.full = true;
   for (const conf::HostModel& h : hosts) {
-    weldflow::Host host;
+    load_balancer::Host host;
     host.id = h.name;
     host.capacity = h.capacity;
     host.zone = zones.indexOf(h.zone);
@@ -232,10 +232,10 @@
 
 }  // namespace
 
-weldflow::Effect effectOf(conf::Effect effect) {
-  return effect == conf::Effect::Safe    ? weldflow::Effect::Safe
-         : effect == conf::Effect::Keyed ? weldflow::Effect::Keyed
-                                         : weldflow::Effect::Unsafe;
+load_balancer::Effect effectOf(conf::Effect effect) {
+  return effect == conf::Effect::Safe    ? load_balancer::Effect::Safe
+         : effect == conf::Effect::Keyed ? load_balancer::Effect::Keyed
+                                         : load_balancer::Effect::Unsafe;
 }
 
 OperatorSource::OperatorSource(conf::FileSource& files, std::string path, Environment getenv)
@@ -306,4 +306,4 @@
   return listOf(read.hosts, zones);
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
