--- a/src/ownership/include/ownership/ownership_service.h
+++ b/src/ownership/include/ownership/ownership_service.h
@@ -20,7 +20,7 @@
 #include "recovery/recovery.h"
 #include "storage/async_store.h"
 
-namespace quinceline::ownership {
+namespace client_proxy::ownership {
 
 class OwnershipService final : public ServiceGate {
  public:
@@ -47,9 +47,9 @@
   void goOn();
 
   Match serviceOf(const RequestHead& head, std::string_view request_class,
-                  weldflow::Effect effect) const override;
+                  load_balancer::Effect effect) const override;
   Leave leave(Service service) const override;
-  std::optional<Time> heldBack(const weldflow::RequestClass& of, bool served) const override;
+  std::optional<Time> heldBack(const load_balancer::RequestClass& of, bool served) const override;
   void turnedAway(Service service, std::uint32_t term) override;
   void ended(const Ended& request) override { rehearsing_->note(request, clock_.now()); }
 
@@ -90,4 +90,4 @@
   bool slow_logged_ = false, silent_ = false;
 };
 
-}  // namespace quinceline::ownership
+}  // namespace client_proxy::ownership
--- a/src/ownership/include/ownership/rehearsing.h
+++ b/src/ownership/include/ownership/rehearsing.h
@@ -15,7 +15,7 @@
 #include "record/record.h"
 #include "rehearsal/rehearsal.h"
 
-namespace quinceline::ownership {
+namespace client_proxy::ownership {
 
 // In pieces that fit a parcel; whatever is lost of them is asked for again.
 std::vector<std::string> piecesOf(const rehearsal::Tally& tally, std::size_t most);
@@ -75,4 +75,4 @@
   rehearsal::Grounds grounds_;
 };
 
-}  // namespace quinceline::ownership
+}  // namespace client_proxy::ownership
--- a/src/ownership/include/ownership/services.h
+++ b/src/ownership/include/ownership/services.h
@@ -11,7 +11,7 @@
 #include "net/service_settings.h"
 #include "routing/routes.h"
 
-namespace quinceline::ownership {
+namespace client_proxy::ownership {
 
 class Services {
  public:
@@ -35,4 +35,4 @@
   std::uint32_t hash_ = 0;
 };
 
-}  // namespace quinceline::ownership
+}  // namespace client_proxy::ownership
--- a/src/ownership/ownership_service.cpp
+++ b/src/ownership/ownership_service.cpp
@@ -7,7 +7,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace quinceline::ownership {
+namespace client_proxy::ownership {
 namespace {
 
 using boost::system::error_code;
@@ -136,10 +136,10 @@
 // ---- what the front asks ----
 
 ServiceGate::Match OwnershipService::serviceOf(const RequestHead& head, std::string_view request_class,
-                                               weldflow::Effect effect) const {
+                                               load_balancer::Effect effect) const {
   const Services::Match m = services_.find(head.target, head.method, request_class);
   if (m.malformed) return {std::nullopt, true};
-  if (!m.service || effect == weldflow::Effect::Safe) return {};
+  if (!m.service || effect == load_balancer::Effect::Safe) return {};
   return {services_.deeds()[*m.service].id, false};
 }
 
@@ -149,7 +149,7 @@
   return {true, zoneOf(p.site), p.term, 0};
 }
 
-std::optional<Time> OwnershipService::heldBack(const weldflow::RequestClass& of, bool served) const {
+std::optional<Time> OwnershipService::heldBack(const load_balancer::RequestClass& of, bool served) const {
   return recovery_.heldBack(clock_.now(), of, served);
 }
 
@@ -327,4 +327,4 @@
   return true;
 }
 
-}  // namespace quinceline::ownership
+}  // namespace client_proxy::ownership
--- a/src/ownership/rehearsing.cpp
+++ b/src/ownership/rehearsing.cpp
@@ -7,7 +7,7 @@
 #include "fleet/bytes.h"
 #include "routing/target.h"
 
-namespace quinceline::ownership {
+namespace client_proxy::ownership {
 namespace {
 
 using nlohmann::ordered_json;
@@ -97,9 +97,9 @@
   e.method = names_.numberOf(r.head.method);
   e.path = names_.numberOf(record::shapeOf(target.path));
   e.zone = names_.numberOf(r.zone);
-  e.effect = r.effect == weldflow::Effect::Safe    ? record::Effect::Safe
-             : r.effect == weldflow::Effect::Keyed ? record::Effect::Keyed
-                                                   : record::Effect::Unsafe;
+  e.effect = r.effect == load_balancer::Effect::Safe    ? record::Effect::Safe
+             : r.effect == load_balancer::Effect::Keyed ? record::Effect::Keyed
+                                                        : record::Effect::Unsafe;
   e.outcome = r.status == 200   ? record::Outcome::Served
               : r.status == 503 ? record::Outcome::Refused
                                 : record::Outcome::Failed;
@@ -286,4 +286,4 @@
   return page.dump(2, ' ', false, ordered_json::error_handler_t::replace);
 }
 
-}  // namespace quinceline::ownership
+}  // namespace client_proxy::ownership
--- a/src/ownership/services.cpp
+++ b/src/ownership/services.cpp
@@ -5,7 +5,7 @@
 
 #include "routing/target.h"
 
-namespace quinceline::ownership {
+namespace client_proxy::ownership {
 
 Services::Services(const std::vector<ServiceSetting>& settings) {
   std::vector<routing::Rule> rules;
@@ -54,4 +54,4 @@
   return {service_of_[*route], false, *route};
 }
 
-}  // namespace quinceline::ownership
+}  // namespace client_proxy::ownership
--- a/src/platform/include/platform/json_node.h
+++ b/src/platform/include/platform/json_node.h
@@ -10,7 +10,7 @@
 
 #include "platform/settings.h"
 
-namespace weldflow::platform {
+namespace load_balancer::platform {
 
 class Node {
  public:
@@ -76,4 +76,4 @@
   std::string path_;
 };
 
-}  // namespace weldflow::platform
+}  // namespace load_balancer::platform
--- a/src/platform/include/platform/settings.h
+++ b/src/platform/include/platform/settings.h
@@ -7,9 +7,9 @@
 #include <string_view>
 #include <vector>
 
-#include "weldflow/balancer.h"
+#include "load_balancer/balancer.h"
 
-namespace weldflow::platform {
+namespace load_balancer::platform {
 
 // What is wrong with a line, and in which of its fields.
 struct BadField : std::runtime_error {
@@ -34,4 +34,4 @@
 };
 Site parseSite(std::string_view json);
 
-}  // namespace weldflow::platform
+}  // namespace load_balancer::platform
--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -4,7 +4,7 @@
 
 #include "platform/json_node.h"
 
-namespace weldflow::platform {
+namespace load_balancer::platform {
 namespace {
 
 using nlohmann::json;
@@ -137,4 +137,4 @@
   return site;
 }
 
-}  // namespace weldflow::platform
+}  // namespace load_balancer::platform
--- a/src/pools/include/pools/pool.h
+++ b/src/pools/include/pools/pool.h
@@ -16,20 +16,20 @@
 #include <utility>
 #include <vector>
 
+#include "load_balancer/balancer.h"
 #include "net/discovery.h"
 #include "net/exchange.h"
 #include "net/service_gate.h"
 #include "net/upstream.h"
-#include "weldflow/balancer.h"
 
-namespace quinceline {
+namespace client_proxy {
 
 // A request that was let in, with what it came under.
 struct Taken {
   ExchangeId exchange = 0;
   ClientRequest request;
-  std::int32_t request_class = 0, tenant = weldflow::kUnset;  // the module's numbers
-  weldflow::Effect effect = weldflow::Effect::Unsafe;
+  std::int32_t request_class = 0, tenant = load_balancer::kUnset;  // the module's numbers
+  load_balancer::Effect effect = load_balancer::Effect::Unsafe;
   Time deadline = 0;
   Time patience = 0;          // of a long one: how long its client waits after the last byte, at most
   bool may_have_run = false;  // told by onOver(): an attempt of it may have
@@ -55,7 +55,7 @@
  public:
   struct Config {
     std::string name;  // before its lines in the log; empty: none
-    weldflow::Settings settings;
+    load_balancer::Settings settings;
     std::uint64_t seed = 0;
     Upstream::Limits upstream;
     bool reports = false;               // hosts report their load
@@ -73,15 +73,15 @@
   // The list as it was last known, perhaps old; then the watch on discovery, if there is one.
   void start(HostList known);
   // The same with what the process before this one knew: `known` is how the list was a moment ago.
-  void start(HostList known, const std::vector<weldflow::Remembered>& servers);
+  void start(HostList known, const std::vector<load_balancer::Remembered>& servers);
   // What the process after this one is to know.
   HostList hosts() const;
-  std::vector<weldflow::Remembered> remember() const { return balancer_.remember(); }
+  std::vector<load_balancer::Remembered> remember() const { return balancer_.remember(); }
   void keepConnections(bool keep) { upstream_.keepConnections(keep); }
   // The whole list is this from now on.
   void setHosts(HostList list);
-  // Throws std::invalid_argument like weldflow::validateChange, and then nothing has changed.
-  void reconfigure(weldflow::Settings settings, const Upstream::Limits& upstream);
+  // Throws std::invalid_argument like load_balancer::validateChange, and then nothing has changed.
+  void reconfigure(load_balancer::Settings settings, const Upstream::Limits& upstream);
   void moveDiscovery(const Endpoint& to);
 
   void open(Taken request);
@@ -96,11 +96,11 @@
   bool takeOut(const std::string& host) { return maintain(host, true); }
   bool putBack(const std::string& host) { return maintain(host, false); }
   // As Balancer's.
-  weldflow::ZoneSeen zoneSeen(std::int32_t zone, Time now, const weldflow::ZoneSince& since) {
+  load_balancer::ZoneSeen zoneSeen(std::int32_t zone, Time now, const load_balancer::ZoneSince& since) {
     return balancer_.zoneSeen(now, zone, since);
   }
-  void setZone(std::int32_t zone, weldflow::ZoneOrder order);
-  weldflow::Standing standing() const { return balancer_.standing(); }
+  void setZone(std::int32_t zone, load_balancer::ZoneOrder order);
+  load_balancer::Standing standing() const { return balancer_.standing(); }
 
   std::size_t openRequests() const { return open_.size(); }
   bool closeOneIdle() { return upstream_.closeOneIdle(); }
@@ -108,7 +108,7 @@
   std::optional<Endpoint> discoveryEndpoint() const;
 
  private:
-  using RequestId = weldflow::RequestId;  // an ExchangeId
+  using RequestId = load_balancer::RequestId;  // an ExchangeId
 
   struct Attempt {
     Time sent = 0;
@@ -126,7 +126,7 @@
     bool timed_out = false;  // an attempt has
   };
   struct Listed {
-    weldflow::Host host;
+    load_balancer::Host host;
     Endpoint endpoint;
   };
 
@@ -142,8 +142,8 @@
   template <typename Event>
   void tell(Event event);
   void carryOut();
-  void act(const weldflow::Action& action);
-  void send(const weldflow::Action& action);
+  void act(const load_balancer::Action& action);
+  void send(const load_balancer::Action& action);
   void finish(RequestId id, Answer answer);
   void onAttemptTimeout(RequestId id, std::int32_t attempt);
   void onDeadline(RequestId id);
@@ -157,9 +157,9 @@
   bool maintain(const std::string& host, bool out_of_use);
   HostList completed(HostList list) const;
   void applyHosts(const HostList& list);
-  void applyList(HostList list, weldflow::ListKind kind);
+  void applyList(HostList list, load_balancer::ListKind kind);
   bool pushed() const;
-  weldflow::LoadReport parseLoad(std::string_view text) const;
+  load_balancer::LoadReport parseLoad(std::string_view text) const;
   std::string headFor(const Open& request, Time time_left, std::uint32_t term) const;
   void log(std::string_view text, LogLevel level = LogLevel::Info);
 
@@ -175,7 +175,7 @@
   PoolSink& sink_;
   Zones& zones_;
   ServiceGate* gate_ = nullptr;
-  weldflow::Balancer balancer_;
+  load_balancer::Balancer balancer_;
   Upstream upstream_;
   std::optional<Discovery> discovery_;
   std::unordered_map<RequestId, Open> open_;
@@ -183,7 +183,7 @@
   std::deque<std::function<void(Time)>> events_;
   Time last_ = kNever;  // no request may be open longer
   bool telling_ = false;
-  weldflow::Actions actions_;
+  load_balancer::Actions actions_;
 };
 
 template <typename Event>
@@ -204,4 +204,4 @@
   telling_ = false;
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -7,21 +7,21 @@
 #include "net/head_rules.h"
 #include "platform/settings.h"
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
-using weldflow::Action;
-using weldflow::ActionKind;
-using weldflow::ListKind;
-using weldflow::Outcome;
-using weldflow::Result;
+using load_balancer::Action;
+using load_balancer::ActionKind;
+using load_balancer::ListKind;
+using load_balancer::Outcome;
+using load_balancer::Result;
 
 constexpr std::uint64_t kMostKey = 1ULL << 53;
 
 // What the request is about: the last part, as a number below 2^53 or as a stable hash of its text.
 std::int64_t keyOf(std::string_view path) {
   const std::size_t slash = path.rfind('/');
-  if (slash == 0 || slash == std::string_view::npos || slash + 1 == path.size()) return weldflow::kUnset;
+  if (slash == 0 || slash == std::string_view::npos || slash + 1 == path.size()) return load_balancer::kUnset;
   const std::string_view last = path.substr(slash + 1);
   std::uint64_t key = 0;
   const auto r = std::from_chars(last.data(), last.data() + last.size(), key);
@@ -66,7 +66,7 @@
   if (pushed()) discovery_->subscribe();
 }
 
-void Pool::start(HostList known, const std::vector<weldflow::Remembered>& servers) {
+void Pool::start(HostList known, const std::vector<load_balancer::Remembered>& servers) {
   known.full = true;
   // Where it was asked may have had revisions of its own.
   if (discovery_) discovery_->askFrom(0);
@@ -77,14 +77,14 @@
 
 // Where lists are pushed, the module waits for them; the agent beside us that has them still wants a watch.
 bool Pool::pushed() const {
-  return config_.discovery && config_.settings.discovery == weldflow::Discovery::Push;
+  return config_.discovery && config_.settings.discovery == load_balancer::Discovery::Push;
 }
 
 std::optional<Endpoint> Pool::discoveryEndpoint() const {
   return discovery_ ? std::optional(discovery_->endpoint()) : std::nullopt;
 }
 
-void Pool::reconfigure(weldflow::Settings settings, const Upstream::Limits& upstream) {
+void Pool::reconfigure(load_balancer::Settings settings, const Upstream::Limits& upstream) {
   balancer_.reconfigure(std::move(settings));
   upstream_.reconfigure(upstream);
 }
@@ -133,7 +133,7 @@
 void Pool::open(Taken taken) {
   const RequestId id = taken.exchange;
   const Time deadline = taken.deadline = std::min(taken.deadline, last_);
-  weldflow::Request told;
+  load_balancer::Request told;
   told.id = id;
   told.request_class = taken.request_class;
   told.tenant = taken.tenant;
@@ -185,7 +185,7 @@
   expectEnd(action.request, r, attempt);
   upstream_.start(id, action.server,
                   {headFor(r, limit, term), r.taken.request.body, r.taken.request.rest,
-                   r.taken.effect == weldflow::Effect::Unsafe});
+                   r.taken.effect == load_balancer::Effect::Unsafe});
 }
 
 // A host begins when it has the last byte: until a long request's has come, no time runs for its attempts.
@@ -288,7 +288,7 @@
   Attempt& a = r.attempts[static_cast<std::size_t>(attempt)];
   if (std::exchange(a.over, true)) return;
   --r.outstanding;
-  r.taken.may_have_run |= !weldflow::provesNotRun(end.result);
+  r.taken.may_have_run |= !load_balancer::provesNotRun(end.result);
   r.timed_out |= end.result == Result::TimedOut;
   r.taken.ran_for = now - beganAt(r, a);
   if (r.taken.service && !end.term.empty()) {
@@ -348,8 +348,8 @@
 }
 
 // A report that is not well-formed is no report; the answer it came with stands.
-weldflow::LoadReport Pool::parseLoad(std::string_view text) const {
-  weldflow::LoadReport report;
+load_balancer::LoadReport Pool::parseLoad(std::string_view text) const {
+  load_balancer::LoadReport report;
   if (!config_.reports || text.empty()) return report;
   while (!text.empty()) {
     const std::size_t comma = text.find(',');
@@ -361,9 +361,9 @@
     double value = 0;
     const auto r = std::from_chars(number.data(), number.data() + number.size(), value);
     if (r.ec != std::errc{} || r.ptr != number.data() + number.size() || !(value >= 0)) return {};
-    if (weldflow::platform::isInFlightGauge(pair.substr(0, equals))) report.in_flight = value;
+    if (load_balancer::platform::isInFlightGauge(pair.substr(0, equals))) report.in_flight = value;
   }
   return report;
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/pools/pool_head.cpp
+++ b/src/pools/pool_head.cpp
@@ -7,7 +7,7 @@
 #include "net/head_rules.h"
 #include "pools/pool.h"
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 // A client has no say in it.
@@ -61,4 +61,4 @@
   return head;
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/pools/pool_hosts.cpp
+++ b/src/pools/pool_hosts.cpp
@@ -4,9 +4,9 @@
 
 #include "pools/pool.h"
 
-namespace quinceline {
+namespace client_proxy {
 
-using weldflow::ListKind;
+using load_balancer::ListKind;
 
 HostList Pool::hosts() const {
   HostList list;
@@ -34,7 +34,7 @@
   return true;
 }
 
-void Pool::setZone(std::int32_t zone, weldflow::ZoneOrder order) {
+void Pool::setZone(std::int32_t zone, load_balancer::ZoneOrder order) {
   tell([this, zone, order](Time now) { balancer_.setZone(now, zone, order, actions_); });
 }
 
@@ -51,9 +51,9 @@
   }
   std::map<std::string_view, std::size_t> named;
   for (std::size_t i = 0; i < list.hosts.size(); ++i) named[list.hosts[i].id] = i;
-  std::map<Endpoint, weldflow::Host> holders;
-  const auto claim = [&](const Endpoint& at, const weldflow::Host& host) {
-    if (host.state == weldflow::HostState::Gone) return;
+  std::map<Endpoint, load_balancer::Host> holders;
+  const auto claim = [&](const Endpoint& at, const load_balancer::Host& host) {
+    if (host.state == load_balancer::HostState::Gone) return;
     const auto [it, first] = holders.emplace(at, host);
     if (!first && host.up_since >= it->second.up_since) it->second = host;
   };
@@ -65,17 +65,17 @@
   for (std::size_t i = 0; i < list.hosts.size(); ++i) claim(list.endpoints[i], list.hosts[i]);
   const auto lost = [&](const Endpoint& at, const std::string& uid) { return holders.at(at).id != uid; };
   for (std::size_t i = 0; i < list.hosts.size(); ++i) {
-    weldflow::Host& host = list.hosts[i];
-    if (host.state != weldflow::HostState::Gone && lost(list.endpoints[i], host.id)) {
-      host.state = weldflow::HostState::Gone;
+    load_balancer::Host& host = list.hosts[i];
+    if (host.state != load_balancer::HostState::Gone && lost(list.endpoints[i], host.id)) {
+      host.state = load_balancer::HostState::Gone;
     }
   }
-  std::vector<weldflow::Host> replaced;
+  std::vector<load_balancer::Host> replaced;
   for (const auto& [uid, known] : listed_) {
     if (!list.full && !named.count(uid) && lost(known.endpoint, uid)) replaced.push_back(known.host);
   }
-  for (weldflow::Host& host : replaced) {
-    host.state = weldflow::HostState::Gone;
+  for (load_balancer::Host& host : replaced) {
+    host.state = load_balancer::HostState::Gone;
     list.hosts.push_back(std::move(host));
     list.endpoints.emplace_back();
   }
@@ -86,9 +86,9 @@
   std::map<std::string, Listed, std::less<>> left;
   if (list.full) left.swap(listed_);
   for (std::size_t i = 0; i < list.hosts.size(); ++i) {
-    const weldflow::Host& host = list.hosts[i];
+    const load_balancer::Host& host = list.hosts[i];
     left.erase(host.id);
-    if (host.state == weldflow::HostState::Gone) {
+    if (host.state == load_balancer::HostState::Gone) {
       upstream_.removeHost(host.id);
       listed_.erase(host.id);
     } else {
@@ -116,4 +116,4 @@
   tell([this](Time now) { balancer_.onServers(now, ListKind::Unavailable, {}, actions_); });
 }
 
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/src/random/include/random/fnv.h
+++ b/src/random/include/random/fnv.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <string_view>
 
-namespace weldflow {
+namespace load_balancer {
 
 constexpr std::uint32_t fnv32(std::string_view text) {
   std::uint32_t h = 2166136261U;
@@ -22,4 +22,4 @@
 // To two bytes.
 constexpr std::uint16_t folded(std::uint32_t hash) { return static_cast<std::uint16_t>(hash ^ (hash >> 16)); }
 
-}  // namespace weldflow
+}  // namespace load_balancer
--- a/src/random/include/random/random.h
+++ b/src/random/include/random/random.h
@@ -2,7 +2,7 @@
 
 #include <cstdint>
 
-namespace weldflow {
+namespace load_balancer {
 
 // SplitMix64: its results are fixed by its definition, on every machine.
 class Random {
@@ -21,4 +21,4 @@
   std::uint64_t state_;
 };
 
-}  // namespace weldflow
+}  // namespace load_balancer
--- a/src/record/include/record/record.h
+++ b/src/record/include/record/record.h
@@ -11,7 +11,7 @@
 
 #include "random/random.h"
 
-namespace quinceline::record {
+namespace client_proxy::record {
 
 using Time = std::int64_t;  // microseconds, of any steady clock
 enum class Effect : std::uint8_t { Safe, Keyed, Unsafe };
@@ -77,8 +77,8 @@
 
   const std::size_t each_;
   const Time span_;
-  weldflow::Random random_;
+  load_balancer::Random random_;
   std::array<Half, 2> halves_;  // the present one, and the one before
 };
 
-}  // namespace quinceline::record
+}  // namespace client_proxy::record
--- a/src/record/record.cpp
+++ b/src/record/record.cpp
@@ -5,7 +5,7 @@
 
 #include "random/fnv.h"
 
-namespace quinceline::record {
+namespace client_proxy::record {
 namespace {
 
 constexpr std::size_t kSlots = 4 * Names::kMost;
@@ -15,7 +15,7 @@
 
 std::uint16_t Names::numberOf(std::string_view name) {
   if (slots_.empty()) slots_.assign(kSlots, kOther);
-  for (std::size_t at = weldflow::fnv64(name) % kSlots;; at = (at + 1) % kSlots) {
+  for (std::size_t at = load_balancer::fnv64(name) % kSlots;; at = (at + 1) % kSlots) {
     const std::uint16_t n = slots_[at];
     if (n != kOther && names_[n] == name) return n;
     if (n != kOther) continue;
@@ -91,4 +91,4 @@
   return all;
 }
 
-}  // namespace quinceline::record
+}  // namespace client_proxy::record
--- a/src/recovery/include/recovery/recovery.h
+++ b/src/recovery/include/recovery/recovery.h
@@ -10,9 +10,9 @@
 #include <vector>
 
 #include "leases/lease_cache.h"
-#include "weldflow/balancer.h"
+#include "load_balancer/balancer.h"
 
-namespace quinceline::recovery {
+namespace client_proxy::recovery {
 
 using leases::Time;
 
@@ -72,7 +72,7 @@
   Stage stage(Time now, const Facts& facts) const;
   // How long a request has to stay away; nothing: it may be served, as far as the cut goes. `served`: by a
   // service, whose hosts drop repeats of keys.
-  std::optional<Time> heldBack(Time now, const weldflow::RequestClass& of, bool served) const;
+  std::optional<Time> heldBack(Time now, const load_balancer::RequestClass& of, bool served) const;
   // What is not served yet and why, the worthiest service first.
   std::vector<Wait> waits(Time now, const Facts& facts) const;
 
@@ -83,4 +83,4 @@
   Time started_ = 0;
 };
 
-}  // namespace quinceline::recovery
+}  // namespace client_proxy::recovery
--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 
-namespace quinceline::recovery {
+namespace client_proxy::recovery {
 
-using weldflow::Effect;
+using load_balancer::Effect;
 
 void Recovery::start(Time now, Before before) {
   started_ = now;
@@ -24,12 +24,12 @@
   return fenceLeft(now) > 0 ? Stage::Keyed : Stage::Whole;
 }
 
-std::optional<Time> Recovery::heldBack(Time now, const weldflow::RequestClass& of, bool served) const {
+std::optional<Time> Recovery::heldBack(Time now, const load_balancer::RequestClass& of, bool served) const {
   const Time left = fenceLeft(now);
   if (left == 0 || of.effect == Effect::Safe) return std::nullopt;
   // Hosts that drop a key's repeats tell them from new ones: all of them, or those of the one site.
   if (of.effect == Effect::Keyed &&
-      (of.group == weldflow::Group::All || (served && of.group == weldflow::Group::Zone)))
+      (of.group == load_balancer::Group::All || (served && of.group == load_balancer::Group::Zone)))
     return std::nullopt;
   return left;
 }
@@ -64,4 +64,4 @@
   return all;
 }
 
-}  // namespace quinceline::recovery
+}  // namespace client_proxy::recovery
--- a/src/rehearsal/include/rehearsal/rehearsal.h
+++ b/src/rehearsal/include/rehearsal/rehearsal.h
@@ -11,7 +11,7 @@
 
 #include "record/record.h"
 
-namespace quinceline::rehearsal {
+namespace client_proxy::rehearsal {
 
 using record::Time;
 
@@ -80,4 +80,4 @@
 Verdict judge(const Tally& tally, const std::map<std::string, double>& rooms, std::size_t live,
               std::size_t unlike, const Grounds& grounds, const Rules& rules = {});
 
-}  // namespace quinceline::rehearsal
+}  // namespace client_proxy::rehearsal
--- a/src/rehearsal/rehearsal.cpp
+++ b/src/rehearsal/rehearsal.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <cstdio>
 
-namespace quinceline::rehearsal {
+namespace client_proxy::rehearsal {
 namespace {
 
 using record::Effect;
@@ -108,4 +108,4 @@
   return v;
 }
 
-}  // namespace quinceline::rehearsal
+}  // namespace client_proxy::rehearsal
--- a/src/replica/acknowledgements.cpp
+++ b/src/replica/acknowledgements.cpp
@@ -4,7 +4,7 @@
 
 #include "distribution/digest.h"
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 
 using distribution::Acknowledgement;
 
@@ -56,4 +56,4 @@
   return all;
 }
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/database.cpp
+++ b/src/replica/database.cpp
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 namespace {
 
 constexpr int kNoWait = 0;  // one process has one database: a lock is not waited for
@@ -97,4 +97,4 @@
   return bytes == nullptr ? std::string() : std::string(bytes, size);
 }
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/disk_task.cpp
+++ b/src/replica/disk_task.cpp
@@ -6,7 +6,7 @@
 #include <filesystem>
 #include <utility>
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 
 namespace asio = boost::asio;
 
@@ -115,4 +115,4 @@
   });
 }
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/engine.cpp
+++ b/src/replica/engine.cpp
@@ -3,7 +3,7 @@
 #include <random>
 #include <utility>
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 namespace {
 
 constexpr std::size_t kFetchCount = 8;  // changes sent for one fetch
@@ -189,4 +189,4 @@
   done(std::move(reply));
 }
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/http_session.cpp
+++ b/src/replica/http_session.cpp
@@ -6,7 +6,7 @@
 
 #include "replica/wire.h"
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -100,4 +100,4 @@
   });
 }
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/include/replica/acknowledgements.h
+++ b/src/replica/include/replica/acknowledgements.h
@@ -8,7 +8,7 @@
 
 #include "distribution/types.h"
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 
 class Acknowledgements {
  public:
@@ -37,4 +37,4 @@
   std::map<MemberId, Entry> members_;
 };
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/include/replica/database.h
+++ b/src/replica/include/replica/database.h
@@ -9,7 +9,7 @@
 struct sqlite3;
 struct sqlite3_stmt;
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 
 /// Why a database is not used, or not written any more.
 enum class DiskFault : std::uint8_t {
@@ -72,4 +72,4 @@
   int bound_ = 0;
 };
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/include/replica/disk_task.h
+++ b/src/replica/include/replica/disk_task.h
@@ -15,7 +15,7 @@
 #include "tasks/loop.h"
 #include "tasks/mailbox.h"
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 
 /// What a database held when it was opened.
 struct Loaded {
@@ -94,4 +94,4 @@
   tasks::Mailbox<Order> orders_;
 };
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/include/replica/engine.h
+++ b/src/replica/include/replica/engine.h
@@ -15,7 +15,7 @@
 #include "replica/disk_task.h"
 #include "replica/output_queue.h"
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 
 /// The disk can't keep the change; it is not published.
 struct DiskRefused {
@@ -91,4 +91,4 @@
   std::unique_ptr<DiskTask> disk_;
 };
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/include/replica/http_session.h
+++ b/src/replica/include/replica/http_session.h
@@ -15,7 +15,7 @@
 
 #include "replica/watches.h"
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 
 struct HttpRequest {
   std::string method, path;
@@ -68,4 +68,4 @@
   boost::beast::http::response<boost::beast::http::string_body> response_;
 };
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/include/replica/output_queue.h
+++ b/src/replica/include/replica/output_queue.h
@@ -8,7 +8,7 @@
 
 #include "consensus/output.h"
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 
 class OutputQueue {
  public:
@@ -44,4 +44,4 @@
   std::deque<Waiting> waiting_;
 };
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/include/replica/peer_link.h
+++ b/src/replica/include/replica/peer_link.h
@@ -10,7 +10,7 @@
 
 #include "replica/wire.h"
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 
 class PeerLink {
  public:
@@ -43,4 +43,4 @@
   std::shared_ptr<Connection> connection_;
 };
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/include/replica/replica_server.h
+++ b/src/replica/include/replica/replica_server.h
@@ -13,7 +13,7 @@
 #include "consensus/types.h"
 #include "distribution/types.h"
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 
 struct PeerSettings {
   distribution::ReplicaId id = 0;
@@ -60,4 +60,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/include/replica/store.h
+++ b/src/replica/include/replica/store.h
@@ -8,7 +8,7 @@
 #include "consensus/types.h"
 #include "replica/database.h"
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 
 using distribution::Change;
 using distribution::ReplicaId;
@@ -49,4 +49,4 @@
   Version vote_slot_ = 0;
 };
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/include/replica/watches.h
+++ b/src/replica/include/replica/watches.h
@@ -14,7 +14,7 @@
 
 #include "distribution/types.h"
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 
 /// What a subscriber says of itself when it begins to watch.
 struct WatchRequest {
@@ -73,4 +73,4 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/include/replica/wire.h
+++ b/src/replica/include/replica/wire.h
@@ -8,7 +8,7 @@
 #include "consensus/messages.h"
 #include "distribution/json_object.h"
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 
 /// The longest body; a sender stays below half of it.
 constexpr std::size_t kMaxPeerBodyBytes = std::size_t{8} << 20;
@@ -33,4 +33,4 @@
 nlohmann::json toJson(const consensus::PeerRecord& record);
 consensus::PeerRecord recordFromJson(const distribution::JsonObject& object);
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/peer_link.cpp
+++ b/src/replica/peer_link.cpp
@@ -8,7 +8,7 @@
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -128,4 +128,4 @@
   return together;
 }
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/replica_server.cpp
+++ b/src/replica/replica_server.cpp
@@ -17,7 +17,7 @@
 #include "replica/watches.h"
 #include "replica/wire.h"
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
@@ -383,4 +383,4 @@
 std::size_t ReplicaServer::watches() const { return impl_->watches(); }
 void ReplicaServer::limitPagesForTests(int most) { impl_->limitPagesForTests(most); }
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/store.cpp
+++ b/src/replica/store.cpp
@@ -7,7 +7,7 @@
 #include "random/fnv.h"
 #include "replica/wire.h"
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 namespace {
 
 using distribution::CodecError;
@@ -20,7 +20,7 @@
 constexpr std::string_view kPeerPrefix = "peer ";
 
 std::uint64_t checksumOf(const std::string& name, const std::string& bytes) {
-  return weldflow::fnv64(name + "=" + bytes);
+  return load_balancer::fnv64(name + "=" + bytes);
 }
 
 }  // namespace
@@ -188,4 +188,4 @@
 
 void Store::limitPages(int most) { database_.run(("PRAGMA max_page_count=" + std::to_string(most)).c_str()); }
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/watches.cpp
+++ b/src/replica/watches.cpp
@@ -8,7 +8,7 @@
 
 #include "distribution/codec.h"
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
@@ -160,4 +160,4 @@
   return lines_[key] = chunkOf(distribution::formatWatchLine(notice));
 }
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/replica/wire.cpp
+++ b/src/replica/wire.cpp
@@ -4,7 +4,7 @@
 
 #include "distribution/codec.h"
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 namespace {
 
 using consensus::Ballot;
@@ -164,4 +164,4 @@
   return envelope;
 }
 
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/src/routing/include/routing/routes.h
+++ b/src/routing/include/routing/routes.h
@@ -23,7 +23,7 @@
 #include <utility>
 #include <vector>
 
-namespace quinceline::routing {
+namespace client_proxy::routing {
 
 struct HeaderRule {
   std::string name;                  // in small letters
@@ -103,4 +103,4 @@
   std::size_t last_;                 // that has a weight
 };
 
-}  // namespace quinceline::routing
+}  // namespace client_proxy::routing
--- a/src/routing/include/routing/target.h
+++ b/src/routing/include/routing/target.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace quinceline::routing {
+namespace client_proxy::routing {
 
 // A request's target in its one form, or what is wrong with it (to be answered 400).
 struct Target {
@@ -35,4 +35,4 @@
 // dot at the end; empty: there is none or it is malformed. An IPv6 address keeps its brackets.
 std::string hostOf(std::string_view authority);
 
-}  // namespace quinceline::routing
+}  // namespace client_proxy::routing
--- a/src/routing/routes.cpp
+++ b/src/routing/routes.cpp
@@ -6,7 +6,7 @@
 
 #include "routing/target.h"
 
-namespace quinceline::routing {
+namespace client_proxy::routing {
 namespace {
 
 // More is more specific; only what a path and a host leave open.
@@ -225,4 +225,4 @@
   return it == ends_.end() ? last_ : static_cast<std::size_t>(it - ends_.begin());
 }
 
-}  // namespace quinceline::routing
+}  // namespace client_proxy::routing
--- a/src/routing/target.cpp
+++ b/src/routing/target.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <vector>
 
-namespace quinceline::routing {
+namespace client_proxy::routing {
 namespace {
 
 int digit(char c) {
@@ -122,4 +122,4 @@
   return host;
 }
 
-}  // namespace quinceline::routing
+}  // namespace client_proxy::routing
--- a/src/sight/include/sight/sight.h
+++ b/src/sight/include/sight/sight.h
@@ -9,11 +9,11 @@
 #include <string>
 #include <string_view>
 
-#include "weldflow/balancer.h"
+#include "load_balancer/balancer.h"
 
-namespace quinceline::locality {
+namespace client_proxy::locality {
 
-using Seen = weldflow::ZoneSeen;
+using Seen = load_balancer::ZoneSeen;
 
 class Sight {
  public:
@@ -38,7 +38,7 @@
   // or later: of two servers there, one of them unreachable, and no answer from the zone to what was sent
   // since the first of them was tried. Lateness alone is never silence here: where many are full at once all
   // would see it.
-  Seen seen(std::int32_t zone, Time now, const weldflow::ZoneSince& since) const;
+  Seen seen(std::int32_t zone, Time now, const load_balancer::ZoneSince& since) const;
   // The others say that it is back: what was seen before says nothing any more.
   void forget(std::int32_t zone) { zones_.erase(zone); }
 
@@ -91,7 +91,7 @@
   z.unreachable = z.unreachable || unreachable;
 }
 
-inline Seen Sight::seen(std::int32_t zone, Time now, const weldflow::ZoneSince& since) const {
+inline Seen Sight::seen(std::int32_t zone, Time now, const load_balancer::ZoneSince& since) const {
   const auto it = zones_.find(zone);
   if (it == zones_.end()) return Seen::Nothing;
   const Zone& z = it->second;
@@ -102,4 +102,4 @@
   return now - z.last_answer < kFresh && z.last_answer >= since.answers ? Seen::Answers : Seen::Nothing;
 }
 
-}  // namespace quinceline::locality
+}  // namespace client_proxy::locality
--- a/src/drill/main.cpp
+++ b/src/simulator_adapter/main.cpp
@@ -10,10 +10,10 @@
 #include <utility>
 #include <vector>
 
+#include "load_balancer/balancer.h"
 #include "platform/settings.h"
-#include "weldflow/balancer.h"
 
-namespace weldflow::drill {
+namespace load_balancer::simulator_adapter {
 
 using platform::BadField;
 using platform::isInFlightGauge;
@@ -178,7 +178,7 @@
   };
 
   bool complain(const std::string& what) const {
-    std::cerr << "weldflow_drill: line " << line_ << ": " << what << '\n';
+    std::cerr << "simulator_adapter: line " << line_ << ": " << what << '\n';
     return false;
   }
 
@@ -429,11 +429,11 @@
 };
 
 }  // namespace
-}  // namespace weldflow::drill
+}  // namespace load_balancer::simulator_adapter
 
 int main() {
   std::ios::sync_with_stdio(false);
   std::cin.tie(nullptr);
-  weldflow::drill::Adapter adapter;
+  load_balancer::simulator_adapter::Adapter adapter;
   return adapter.run(std::cin, std::cout) ? 0 : 1;
 }
--- a/src/storage/async_store.cpp
+++ b/src/storage/async_store.cpp
@@ -6,7 +6,7 @@
 #include <filesystem>
 #include <utility>
 
-namespace quinceline::storage {
+namespace client_proxy::storage {
 
 namespace asio = boost::asio;
 
@@ -95,4 +95,4 @@
   });
 }
 
-}  // namespace quinceline::storage
+}  // namespace client_proxy::storage
--- a/src/storage/include/storage/async_store.h
+++ b/src/storage/include/storage/async_store.h
@@ -12,7 +12,7 @@
 #include "tasks/loop.h"
 #include "tasks/mailbox.h"
 
-namespace quinceline::storage {
+namespace client_proxy::storage {
 
 class AsyncStore {
  public:
@@ -66,4 +66,4 @@
   std::unique_ptr<tasks::Mailbox<Request>> requests_;
 };
 
-}  // namespace quinceline::storage
+}  // namespace client_proxy::storage
--- a/src/storage/include/storage/store.h
+++ b/src/storage/include/storage/store.h
@@ -14,7 +14,7 @@
 
 struct sqlite3;
 
-namespace quinceline::storage {
+namespace client_proxy::storage {
 
 // A named value; writing it replaces the one before.
 struct Note {
@@ -83,4 +83,4 @@
   bool fresh_ = false;
 };
 
-}  // namespace quinceline::storage
+}  // namespace client_proxy::storage
--- a/src/storage/store.cpp
+++ b/src/storage/store.cpp
@@ -7,19 +7,19 @@
 
 #include "random/fnv.h"
 
-namespace quinceline::storage {
+namespace client_proxy::storage {
 namespace {
 
 constexpr std::int64_t kLayout = 1;
 constexpr int kNever = 0;  // a lock is nobody's to wait for: one process has one memory
 
 std::int64_t checksumOf(const leases::StoredGrant& k) {
-  return static_cast<std::int64_t>(weldflow::fnv64(
+  return static_cast<std::int64_t>(load_balancer::fnv64(
       std::to_string(k.service) + "/" + std::to_string(k.grant.term) + "/" + std::to_string(k.grant.site) +
       "/" + std::to_string(static_cast<int>(k.grant.reason)) + (k.ready ? "r" : "")));
 }
 std::int64_t checksumOf(const Note& n) {
-  return static_cast<std::int64_t>(weldflow::fnv64(n.name + "=" + n.bytes));
+  return static_cast<std::int64_t>(load_balancer::fnv64(n.name + "=" + n.bytes));
 }
 
 Fault faultOf(int code) {
@@ -217,4 +217,4 @@
   run("COMMIT");
 }
 
-}  // namespace quinceline::storage
+}  // namespace client_proxy::storage
--- a/src/subscription/acknowledgement_call.cpp
+++ b/src/subscription/acknowledgement_call.cpp
@@ -4,7 +4,7 @@
 #include <chrono>
 #include <utility>
 
-namespace quinceline::subscription {
+namespace client_proxy::subscription {
 namespace {
 
 using boost::system::error_code;
@@ -64,4 +64,4 @@
   if (done) done(delivered);
 }
 
-}  // namespace quinceline::subscription
+}  // namespace client_proxy::subscription
--- a/src/subscription/file_writer.cpp
+++ b/src/subscription/file_writer.cpp
@@ -8,7 +8,7 @@
 
 #include "subscription/shared_file.h"
 
-namespace quinceline::subscription {
+namespace client_proxy::subscription {
 namespace {
 
 int newEventDescriptor() {
@@ -58,4 +58,4 @@
   ::eventfd_read(ended_.native_handle(), &count);
 }
 
-}  // namespace quinceline::subscription
+}  // namespace client_proxy::subscription
--- a/src/subscription/include/subscription/acknowledgement_call.h
+++ b/src/subscription/include/subscription/acknowledgement_call.h
@@ -11,7 +11,7 @@
 #include "net/http.h"
 #include "subscription/watch_connection.h"
 
-namespace quinceline::subscription {
+namespace client_proxy::subscription {
 
 class AcknowledgementCall final : public std::enable_shared_from_this<AcknowledgementCall> {
  public:
@@ -38,4 +38,4 @@
   ResponseParser parser_;
 };
 
-}  // namespace quinceline::subscription
+}  // namespace client_proxy::subscription
--- a/src/subscription/include/subscription/file_writer.h
+++ b/src/subscription/include/subscription/file_writer.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <thread>
 
-namespace quinceline::subscription {
+namespace client_proxy::subscription {
 
 class FileWriter {
  public:
@@ -38,4 +38,4 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-}  // namespace quinceline::subscription
+}  // namespace client_proxy::subscription
--- a/src/subscription/include/subscription/replica_order.h
+++ b/src/subscription/include/subscription/replica_order.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace quinceline::subscription {
+namespace client_proxy::subscription {
 
 /// A replica as the operator file lists it.
 struct Replica {
@@ -20,4 +20,4 @@
 std::vector<std::size_t> replicaOrder(std::uint32_t member, const std::string& region,
                                       const std::vector<Replica>& replicas);
 
-}  // namespace quinceline::subscription
+}  // namespace client_proxy::subscription
--- a/src/subscription/include/subscription/shared_file.h
+++ b/src/subscription/include/subscription/shared_file.h
@@ -7,7 +7,7 @@
 #include "distribution/types.h"
 #include "subscription/subscription.h"
 
-namespace quinceline::subscription {
+namespace client_proxy::subscription {
 
 /// The file's content for a change:
 ///
@@ -24,4 +24,4 @@
 /// there, or the new one without certainty that it outlives a power cut.
 std::string replaceSharedFile(const std::string& path, std::string_view content);
 
-}  // namespace quinceline::subscription
+}  // namespace client_proxy::subscription
--- a/src/subscription/include/subscription/subscription.h
+++ b/src/subscription/include/subscription/subscription.h
@@ -14,7 +14,7 @@
 #include "random/random.h"
 #include "subscription/replica_order.h"
 
-namespace quinceline::subscription {
+namespace client_proxy::subscription {
 
 using Time = std::int64_t;
 constexpr Time kMillisecond = 1'000, kSecond = 1'000'000, kMinute = 60 * kSecond;
@@ -177,7 +177,7 @@
 
   Settings settings_;
   std::vector<std::size_t> order_;  // indices into settings_.replicas
-  weldflow::Random random_;
+  load_balancer::Random random_;
   InForce in_force_;
   bool running_ = false;
 
@@ -206,4 +206,4 @@
   Counters counters_;
 };
 
-}  // namespace quinceline::subscription
+}  // namespace client_proxy::subscription
--- a/src/subscription/include/subscription/subscription_task.h
+++ b/src/subscription/include/subscription/subscription_task.h
@@ -19,7 +19,7 @@
 #include "subscription/subscription.h"
 #include "subscription/watch_connection.h"
 
-namespace quinceline::subscription {
+namespace client_proxy::subscription {
 
 struct ReplicaAddress {
   std::uint32_t number = 0;
@@ -97,4 +97,4 @@
   Counters earlier_;  // of the lives before this
 };
 
-}  // namespace quinceline::subscription
+}  // namespace client_proxy::subscription
--- a/src/subscription/include/subscription/watch_connection.h
+++ b/src/subscription/include/subscription/watch_connection.h
@@ -12,7 +12,7 @@
 #include "net/http.h"
 #include "subscription/subscription.h"
 
-namespace quinceline::subscription {
+namespace client_proxy::subscription {
 
 /// Bytes and calls of a subscription, without the headers of IP and TCP.
 struct Traffic {
@@ -57,4 +57,4 @@
   ResponseParser parser_{std::nullopt};
 };
 
-}  // namespace quinceline::subscription
+}  // namespace client_proxy::subscription
--- a/src/subscription/replica_order.cpp
+++ b/src/subscription/replica_order.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-namespace quinceline::subscription {
+namespace client_proxy::subscription {
 namespace {
 
 // The multiples of the golden ratio, modulo one, lie evenly on the unit interval, and so do those of every
@@ -41,4 +41,4 @@
   return order;
 }
 
-}  // namespace quinceline::subscription
+}  // namespace client_proxy::subscription
--- a/src/subscription/shared_file.cpp
+++ b/src/subscription/shared_file.cpp
@@ -13,7 +13,7 @@
 
 #include "distribution/digest.h"
 
-namespace quinceline::subscription {
+namespace client_proxy::subscription {
 namespace {
 
 constexpr std::string_view kVersion = "# version ", kDigest = " digest ", kBy = " by ";
@@ -139,4 +139,4 @@
   return path + ": can't be written: " + why;
 }
 
-}  // namespace quinceline::subscription
+}  // namespace client_proxy::subscription
--- a/src/subscription/subscription.cpp
+++ b/src/subscription/subscription.cpp
@@ -6,7 +6,7 @@
 #include "distribution/delta.h"
 #include "distribution/digest.h"
 
-namespace quinceline::subscription {
+namespace client_proxy::subscription {
 namespace {
 
 using distribution::Change;
@@ -381,4 +381,4 @@
   return actions;
 }
 
-}  // namespace quinceline::subscription
+}  // namespace client_proxy::subscription
--- a/src/subscription/subscription_task.cpp
+++ b/src/subscription/subscription_task.cpp
@@ -7,7 +7,7 @@
 
 #include "distribution/codec.h"
 
-namespace quinceline::subscription {
+namespace client_proxy::subscription {
 namespace {
 
 // Larger than any of an earlier life, for a life has fewer acknowledgements than 2^20 in a millisecond.
@@ -211,4 +211,4 @@
   return page.dump(kIndent, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
-}  // namespace quinceline::subscription
+}  // namespace client_proxy::subscription
--- a/src/subscription/watch_connection.cpp
+++ b/src/subscription/watch_connection.cpp
@@ -5,7 +5,7 @@
 
 #include "distribution/codec.h"
 
-namespace quinceline::subscription {
+namespace client_proxy::subscription {
 namespace {
 
 using boost::system::error_code;
@@ -101,4 +101,4 @@
   if (handler != nullptr) handler->onLost(id_, why);
 }
 
-}  // namespace quinceline::subscription
+}  // namespace client_proxy::subscription
--- a/src/tables/include/tables/slots.h
+++ b/src/tables/include/tables/slots.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <vector>
 
-namespace quinceline::tables {
+namespace client_proxy::tables {
 
 // `T` has a member `slot`, which is kNone where it has no place. The table owns nothing.
 template <typename T>
@@ -58,4 +58,4 @@
   std::size_t free_ = 0;  // none below it is free
 };
 
-}  // namespace quinceline::tables
+}  // namespace client_proxy::tables
--- a/src/tables/include/tables/ticketed.h
+++ b/src/tables/include/tables/ticketed.h
@@ -6,7 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace quinceline::tables {
+namespace client_proxy::tables {
 
 template <typename Key, typename T>
 class Ticketed {
@@ -71,4 +71,4 @@
   std::unordered_map<Key, std::uint32_t> index_;  // look-ups only: its order never shows
 };
 
-}  // namespace quinceline::tables
+}  // namespace client_proxy::tables
--- a/src/tasks/include/tasks/loop.h
+++ b/src/tasks/include/tasks/loop.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <thread>
 
-namespace quinceline::tasks {
+namespace client_proxy::tasks {
 
 class Loop {
  public:
@@ -43,4 +43,4 @@
   std::thread thread_;
 };
 
-}  // namespace quinceline::tasks
+}  // namespace client_proxy::tasks
--- a/src/tasks/include/tasks/mailbox.h
+++ b/src/tasks/include/tasks/mailbox.h
@@ -10,7 +10,7 @@
 #include <optional>
 #include <utility>
 
-namespace quinceline::tasks {
+namespace client_proxy::tasks {
 
 template <typename M>
 class Mailbox {
@@ -44,4 +44,4 @@
   boost::asio::experimental::concurrent_channel<void(boost::system::error_code, M)> channel_;
 };
 
-}  // namespace quinceline::tasks
+}  // namespace client_proxy::tasks
--- a/src/tasks/loop.cpp
+++ b/src/tasks/loop.cpp
@@ -3,7 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
-namespace quinceline::tasks {
+namespace client_proxy::tasks {
 
 Loop::Loop(std::string name)
     : name_(std::move(name)),
@@ -42,4 +42,4 @@
   thread_.join();
 }
 
-}  // namespace quinceline::tasks
+}  // namespace client_proxy::tasks
--- a/tests/admission_connections_test.cpp
+++ b/tests/admission_connections_test.cpp
@@ -7,7 +7,7 @@
 
 #include "admission/connections.h"
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 namespace {
 
 constexpr Time kMs = 1'000, kSecond = 1'000'000;
@@ -355,4 +355,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/tests/admission_indices_test.cpp
+++ b/tests/admission_indices_test.cpp
@@ -10,7 +10,7 @@
 #include "admission/ledger.h"
 #include "admission/requests.h"
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 namespace {
 
 TEST(Indices, ANameKeepsItsNumberWhileItMeansTheSame) {
@@ -202,4 +202,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/tests/admission_places_test.cpp
+++ b/tests/admission_places_test.cpp
@@ -3,7 +3,7 @@
 
 #include "admission/places.h"
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 namespace {
 
 constexpr Time kSecond = 1'000'000;
@@ -44,4 +44,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/tests/admission_proxy_test.cpp
+++ b/tests/admission_proxy_test.cpp
@@ -3,7 +3,7 @@
 
 #include "proxy_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
 class AdmissionProxyTest : public ProxyTest {
@@ -180,4 +180,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/admission_requests_test.cpp
+++ b/tests/admission_requests_test.cpp
@@ -8,7 +8,7 @@
 #include "admission/ledger.h"
 #include "admission/requests.h"
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 namespace {
 
 constexpr Time kMs = 1'000, kSecond = 1'000'000;
@@ -321,4 +321,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/tests/admission_server_test.cpp
+++ b/tests/admission_server_test.cpp
@@ -5,7 +5,7 @@
 #include "net/server.h"
 #include "net_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
 using admission::Cause;
@@ -234,4 +234,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -8,7 +8,7 @@
 
 #include "support.h"
 
-namespace weldflow::test {
+namespace load_balancer::test {
 namespace {
 
 // ---- slots and subset ----
@@ -990,4 +990,4 @@
 }
 
 }  // namespace
-}  // namespace weldflow::test
+}  // namespace load_balancer::test
--- a/tests/body_pipe_test.cpp
+++ b/tests/body_pipe_test.cpp
@@ -6,7 +6,7 @@
 
 #include "admission/upload_clock.h"
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 using admission::Time;
@@ -110,4 +110,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/tests/by_hand_proxy_test.cpp
+++ b/tests/by_hand_proxy_test.cpp
@@ -1,7 +1,7 @@
 // What staff do by hand, through the whole proxy: hosts out of use, figures, a drain.
 #include "proxy_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
 class ByHand : public ProxyTest {
@@ -116,4 +116,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -11,7 +11,7 @@
 #include "bench/capacity_run.h"
 #include "bench/capacity_table.h"
 
-namespace quinceline::capacity {
+namespace client_proxy::capacity {
 namespace {
 
 TEST(CapacityFit, FindsALineAndSaysHowFarOffItIs) {
@@ -55,7 +55,7 @@
       runs.emplace_back([&, i] {
         try {
           const rig::MixedPlan plan{.members = kSizes[i], .real = 0, .services = 12};
-          measureSize({"", QUINCELINE_HOLLOW}, plan, phases(), tables[i]);
+          measureSize({"", CLIENT_PROXY_HOLLOW}, plan, phases(), tables[i]);
         } catch (const std::exception& e) {
           faults[i] = e.what();
         }
@@ -124,4 +124,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::capacity
+}  // namespace client_proxy::capacity
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -10,7 +10,7 @@
 #include <sstream>
 #include <string>
 
-namespace quinceline {
+namespace client_proxy {
 namespace {
 
 namespace fs = std::filesystem;
@@ -33,7 +33,7 @@
   // Runs the program; what it prints, errors too, goes to `said`.
   int run(const std::string& arguments) {
     said.clear();
-    std::string command = QUINCELINE;
+    std::string command = CLIENT_PROXY_PROGRAM;
     command += " " + arguments + " 2>&1";
     FILE* const out = popen(command.c_str(), "r");
     char bytes[4096];
@@ -43,7 +43,7 @@
   }
   bool heard(const std::string& text) const { return said.find(text) != std::string::npos; }
 
-  const fs::path folder = fs::path(::testing::TempDir()) / ("quinceline-cli-" + std::to_string(getpid()));
+  const fs::path folder = fs::path(::testing::TempDir()) / ("client-proxy-cli-" + std::to_string(getpid()));
   std::string said;
 };
 
@@ -58,7 +58,7 @@
   const std::string good = file("good.conf", "a 1\n"), other = file("other.conf", "a  1\n");
   EXPECT_EQ(run("fmt --check " + good), 0);
   EXPECT_EQ(run("fmt --check " + good + " " + other), 1);
-  EXPECT_EQ(said, other + ": error: is not in its form; quinceline fmt --write mends it\n");
+  EXPECT_EQ(said, other + ": error: is not in its form; client-proxy fmt --write mends it\n");
 }
 
 TEST_F(Commands, FmtWriteReplacesThroughLinksAndKeepsTheRights) {
@@ -210,4 +210,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline
+}  // namespace client_proxy
--- a/tests/client_left_test.cpp
+++ b/tests/client_left_test.cpp
@@ -3,7 +3,7 @@
 
 #include "proxy_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
 class ClientLeft : public ProxyTest {
@@ -42,7 +42,7 @@
 // attempt fails then: there is no next one.
 TEST_F(ClientLeft, BehindMoreThanIsReadAheadAndItsAttemptIsCancelled) {
   start(json::array({entry("s-1", host.endpoint())}), [](Config& c) {
-    for (weldflow::RequestClass& k : c.site.settings.classes) k.aim = k.deadline = 20 * kSecond;
+    for (load_balancer::RequestClass& k : c.site.settings.classes) k.aim = k.deadline = 20 * kSecond;
   });
   const auto c = client();
   std::string behind;
@@ -80,4 +80,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/combination_test.cpp
+++ b/tests/combination_test.cpp
@@ -6,7 +6,7 @@
 
 #include "support.h"
 
-namespace weldflow::test {
+namespace load_balancer::test {
 namespace {
 
 // Plays `requests` through `d`, `gap` apart; `answer` says how the attempt at a server ends.
@@ -244,4 +244,4 @@
 }
 
 }  // namespace
-}  // namespace weldflow::test
+}  // namespace load_balancer::test
--- a/tests/conf_generated_test.cpp
+++ b/tests/conf_generated_test.cpp
@@ -10,7 +10,7 @@
 #include "conf/report.h"
 #include "conf_property.h"
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 namespace {
 
 namespace fs = std::filesystem;
@@ -155,4 +155,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/tests/conf_schema_test.cpp
+++ b/tests/conf_schema_test.cpp
@@ -11,7 +11,7 @@
 #include "conf/report.h"
 #include "files/disk_source.h"
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 namespace {
 
 namespace fs = std::filesystem;
@@ -333,7 +333,7 @@
 
 TEST(ConfSchema, TheReferencePageIsTheTable) {
   EXPECT_EQ(textOf(fs::path(REPOSITORY) / "docs/configuration-reference.md"), reference())
-      << "quinceline reference > docs/configuration-reference.md";
+      << "client-proxy reference > docs/configuration-reference.md";
 }
 
 TEST(ConfSchema, TheFilesUnderDeployHaveNothingToComplainOf) {
@@ -377,4 +377,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/tests/conf_test.cpp
+++ b/tests/conf_test.cpp
@@ -13,7 +13,7 @@
 #include "conf/units.h"
 #include "files/disk_source.h"
 
-namespace quinceline::conf {
+namespace client_proxy::conf {
 namespace {
 
 struct Memory : FileSource {
@@ -282,4 +282,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::conf
+}  // namespace client_proxy::conf
--- a/tests/configuration_commands_test.cpp
+++ b/tests/configuration_commands_test.cpp
@@ -1,4 +1,5 @@
-// `quinceline configuration publish|status|revert` against stand-ins of replicas that answer as a test says.
+// `client-proxy configuration publish|status|revert` against stand-ins of replicas that answer as a test
+// says.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -22,7 +23,7 @@
 #include "distribution/codec.h"
 #include "distribution/digest.h"
 
-namespace quinceline::configuration {
+namespace client_proxy::configuration {
 namespace {
 
 namespace http = boost::beast::http;
@@ -222,7 +223,7 @@
   }
   // The exit status; what it prints goes to `out` and `errors`.
   int run(std::vector<std::string> arguments) {
-    arguments.insert(arguments.begin(), {"quinceline", "configuration"});
+    arguments.insert(arguments.begin(), {"client-proxy", "configuration"});
     std::vector<const char*> pointers;
     for (const std::string& a : arguments) pointers.push_back(a.c_str());
     ::testing::internal::CaptureStdout();
@@ -241,8 +242,8 @@
     return run(arguments);
   }
 
-  const std::filesystem::path folder =
-      std::filesystem::path(::testing::TempDir()) / ("quinceline-configuration-" + std::to_string(getpid()));
+  const std::filesystem::path folder = std::filesystem::path(::testing::TempDir()) /
+                                       ("client-proxy-configuration-" + std::to_string(getpid()));
   const std::string kText = "class a {\n  effect safe\n}\n";
   std::string out, errors;
 };
@@ -390,4 +391,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::configuration
+}  // namespace client_proxy::configuration
--- a/tests/consensus_sim.h
+++ b/tests/consensus_sim.h
@@ -15,7 +15,7 @@
 #include "consensus/node.h"
 #include "distribution/digest.h"
 
-namespace quinceline::consensus::test {
+namespace client_proxy::consensus::test {
 
 /// What is broken on purpose, to see that the checker sees it.
 struct Mutations {
@@ -235,7 +235,7 @@
   Node& node(ReplicaId id) { return *machine(id).node; }
   bool up(ReplicaId id) { return machine(id).node != nullptr; }
   std::size_t size() const { return machines_.size(); }
-  weldflow::Random& random() { return random_; }
+  load_balancer::Random& random() { return random_; }
   const std::vector<std::string>& lines(ReplicaId id) { return machine(id).lines; }
   Checker checker;
   std::vector<Try> tries;
@@ -392,10 +392,10 @@
   }
 
   const Mutations mutations_;
-  weldflow::Random random_;
+  load_balancer::Random random_;
   std::vector<Machine> machines_;
   std::priority_queue<Delivery> deliveries_;
   std::uint64_t order_ = 0;
 };
 
-}  // namespace quinceline::consensus::test
+}  // namespace client_proxy::consensus::test
--- a/tests/consensus_test.cpp
+++ b/tests/consensus_test.cpp
@@ -5,7 +5,7 @@
 
 #include "consensus_sim.h"
 
-namespace quinceline::consensus::test {
+namespace client_proxy::consensus::test {
 namespace {
 
 constexpr std::size_t kReplicas = 4;
@@ -117,7 +117,7 @@
     if (random_.below(2) == 0) group.start(id);
   }
 
-  weldflow::Random random_;
+  load_balancer::Random random_;
   std::map<ReplicaId, Disk> backups_;
 };
 
@@ -410,4 +410,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::consensus::test
+}  // namespace client_proxy::consensus::test
--- a/tests/console_test.cpp
+++ b/tests/console_test.cpp
@@ -2,10 +2,10 @@
 #include "console/console_server.h"
 #include "net_support.h"
 
-namespace quinceline::console {
+namespace client_proxy::console {
 namespace {
 
-using namespace quinceline::test;
+using namespace client_proxy::test;
 
 TEST(ConsoleCalls, EachPathAndMethodMeansOneCallOrOneFault) {
   struct Case {
@@ -167,4 +167,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::console
+}  // namespace client_proxy::console
--- a/tests/demo_test.cpp
+++ b/tests/demo_test.cpp
@@ -4,7 +4,7 @@
 
 #include "operator_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
 TEST(Demo, EveryRequestIsAnsweredOnceAlthoughAHostIsKilled) {
@@ -14,8 +14,8 @@
   const tcp::endpoint listen = freePort(loop);
   std::string text = alone(poolOf(hosts));
   text.replace(text.find("127.0.0.1:0"), 11, textOf(listen));
-  std::string command = QUINCELINE_DEMO;
-  command += std::string(" ") + QUINCELINE + " " + files.write("demo.conf", text) + " 2>&1";
+  std::string command = CLIENT_PROXY_DEMO;
+  command += std::string(" ") + CLIENT_PROXY_PROGRAM + " " + files.write("demo.conf", text) + " 2>&1";
   FILE* const out = popen(command.c_str(), "r");
   ASSERT_NE(out, nullptr);
   std::string said;
@@ -35,4 +35,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/descriptor_flood_test.cpp
+++ b/tests/descriptor_flood_test.cpp
@@ -2,7 +2,7 @@
 // docs/crossings.md has the list.
 #include "proxy_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
 class DescriptorFlood : public ProxyTest {
@@ -69,4 +69,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/distribution_checker.h
+++ b/tests/distribution_checker.h
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-namespace quinceline::distribution {
+namespace client_proxy::distribution {
 
 // Since the start of the recording.
 using HistoryTime = std::chrono::milliseconds;
@@ -188,4 +188,4 @@
   return all;
 }
 
-}  // namespace quinceline::distribution
+}  // namespace client_proxy::distribution
--- a/tests/distribution_checker_test.cpp
+++ b/tests/distribution_checker_test.cpp
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-namespace quinceline::distribution {
+namespace client_proxy::distribution {
 namespace {
 
 using std::chrono::milliseconds;
@@ -81,4 +81,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::distribution
+}  // namespace client_proxy::distribution
--- a/tests/distribution_processes_test.cpp
+++ b/tests/distribution_processes_test.cpp
@@ -8,7 +8,7 @@
 
 #include "distribution_rig.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 namespace fs = std::filesystem;
@@ -99,7 +99,7 @@
                                  [&](const std::string& f) { return f.find(kind) != std::string::npos; });
   }
 
-  DistributionRig rig{QUINCELINE};
+  DistributionRig rig{CLIENT_PROXY_PROGRAM};
 };
 
 TEST_F(Distribution, APublishIsHeldByAllAndStatusSaysSo) {
@@ -321,4 +321,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/tests/distribution_rig.h
+++ b/tests/distribution_rig.h
@@ -38,7 +38,7 @@
 #include "subscription/shared_file.h"
 #include "tcp_relay.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 class DistributionRig {
  public:
@@ -54,7 +54,7 @@
   };
 
   explicit DistributionRig(std::string program) : program_(std::move(program)), began_(Clock::now()) {
-    std::string name = "/tmp/quinceline-distribution-XXXXXX";
+    std::string name = "/tmp/client-proxy-distribution-XXXXXX";
     if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder for the rig");
     folder_ = name;
     address_ = boost::asio::ip::address_v4(0x7F'50'00'00U | (static_cast<unsigned>(getpid()) & 0xFFFFU));
@@ -378,4 +378,4 @@
   std::map<std::pair<std::size_t, std::string>, std::pair<distribution::Version, std::string>> last_;
 };
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/tests/distribution_test.cpp
+++ b/tests/distribution_test.cpp
@@ -7,7 +7,7 @@
 #include "distribution/delta.h"
 #include "distribution/digest.h"
 
-namespace quinceline::distribution {
+namespace client_proxy::distribution {
 namespace {
 
 const std::string kId(32, 'a');
@@ -124,4 +124,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::distribution
+}  // namespace client_proxy::distribution
--- a/tests/embed_example.cpp
+++ b/tests/embed_example.cpp
@@ -1,20 +1,20 @@
 #include <cstdio>
 
-#include "weldflow/balancer.h"
+#include "load_balancer/balancer.h"
 
 int main() {
-  weldflow::Settings settings;
+  load_balancer::Settings settings;
   settings.client = 3;  // this client's number
-  settings.classes = {{.aim = 200'000, .deadline = 1'000'000, .effect = weldflow::Effect::Safe}};
-  weldflow::Balancer balancer(settings, /*seed=*/12345);
+  settings.classes = {{.aim = 200'000, .deadline = 1'000'000, .effect = load_balancer::Effect::Safe}};
+  load_balancer::Balancer balancer(settings, /*seed=*/12345);
 
-  weldflow::Actions actions;
-  const weldflow::Host hosts[] = {{.id = "a"}, {.id = "b"}};
-  weldflow::Time now = 0;  // your clock, in microseconds
-  balancer.onServers(now, weldflow::ListKind::Restored, hosts, actions);
+  load_balancer::Actions actions;
+  const load_balancer::Host hosts[] = {{.id = "a"}, {.id = "b"}};
+  load_balancer::Time now = 0;  // your clock, in microseconds
+  balancer.onServers(now, load_balancer::ListKind::Restored, hosts, actions);
   balancer.onRequest(now, {.id = 1, .time_left = 900'000, .request_class = 0}, actions);
-  for (const weldflow::Action& a : actions) {  // carry them out in order
-    if (a.kind == weldflow::ActionKind::Send) {
+  for (const load_balancer::Action& a : actions) {  // carry them out in order
+    if (a.kind == load_balancer::ActionKind::Send) {
       std::printf("request 1 goes to %.*s\n", static_cast<int>(a.server.size()), a.server.data());
     }
   }
--- a/tests/figures_test.cpp
+++ b/tests/figures_test.cpp
@@ -6,7 +6,7 @@
 
 #include <sstream>
 
-namespace quinceline::figures {
+namespace client_proxy::figures {
 namespace {
 
 // The value on the line that begins with `name`; -1: there is none.
@@ -67,4 +67,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::figures
+}  // namespace client_proxy::figures
--- a/tests/fit_test.cpp
+++ b/tests/fit_test.cpp
@@ -8,7 +8,7 @@
 #include <stdexcept>
 #include <vector>
 
-namespace quinceline::bench {
+namespace client_proxy::bench {
 namespace {
 
 TEST(Fit, FindsTheLineThatThePointsLieOn) {
@@ -62,4 +62,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::bench
+}  // namespace client_proxy::bench
--- a/tests/fleet_bytes_test.cpp
+++ b/tests/fleet_bytes_test.cpp
@@ -7,7 +7,7 @@
 #include "fleet_sim.h"
 #include "fleet_transport/remembered.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 namespace {
 
 constexpr std::uint64_t kFleet = 7;  // of the properties
@@ -63,4 +63,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -19,7 +19,7 @@
 
 #include "support.h"
 
-namespace weldflow::test {
+namespace load_balancer::test {
 
 // As a site's that has many clients.
 inline Settings fleetSettings() {
@@ -405,4 +405,4 @@
   Count calls_, refused_, failed_;
 };
 
-}  // namespace weldflow::test
+}  // namespace load_balancer::test
--- a/tests/fleet_processes_test.cpp
+++ b/tests/fleet_processes_test.cpp
@@ -12,7 +12,7 @@
 #include "fleet/wire.h"
 #include "rig/fleet_rig.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 constexpr std::size_t kMembers = 12;
@@ -32,7 +32,7 @@
     if (FleetRig::until([&] { return rig.agree(live); })) return testing::AssertionSuccess();
     return testing::AssertionFailure() << rig.logs();
   }
-  FleetRig rig{QUINCELINE, kMembers, 11};
+  FleetRig rig{CLIENT_PROXY_PROGRAM, kMembers, 11};
 };
 
 TEST_F(Processes, OneIsKilledThenAThirdAndAllComeBack) {
@@ -126,7 +126,7 @@
 }
 
 TEST(ProcessesAtStart, HalfOfTheListIsDead) {
-  FleetRig rig(QUINCELINE, kMembers, 12);
+  FleetRig rig(CLIENT_PROXY_PROGRAM, kMembers, 12);
   std::set<std::size_t> even;
   for (std::size_t n = 0; n < kMembers; n += 2) even.insert(n);
   for (const std::size_t n : even) rig.start(n);
@@ -136,7 +136,7 @@
 }
 
 TEST_F(Processes, GarbageAndStrangersAreDroppedAndCounted) {
-  weldflow::Random random(3);
+  load_balancer::Random random(3);
   for (int i = 0; i < 20'000; ++i) {
     std::string bytes(random.below(400), '\0');
     for (char& c : bytes) c = static_cast<char>(random.next());
@@ -210,7 +210,7 @@
 // Addresses are named, and the settings do not allow it: no socket is opened, nothing is shown.
 TEST(FleetOff, NoSocketIsOpenedWhereTheSettingsDoNotAllowTalk) {
   for (const bool allowed : {false, true}) {
-    FleetRig rig(QUINCELINE, 2, 5, allowed);
+    FleetRig rig(CLIENT_PROXY_PROGRAM, 2, 5, allowed);
     rig.startAll();
     ASSERT_TRUE(FleetRig::until([&] {
       return rig.get(0, "/stats").find("app_concurrent") != std::string::npos;
@@ -231,7 +231,7 @@
 TEST(FleetFromFiles, AMembersFileIsFollowedAndABrokenOneIsNot) {
   namespace fs = std::filesystem;
   using Tcp = boost::asio::ip::tcp;
-  std::string folder = "/tmp/quinceline-members-XXXXXX";
+  std::string folder = "/tmp/client-proxy-members-XXXXXX";
   ASSERT_NE(mkdtemp(folder.data()), nullptr);
   boost::asio::io_context io;
   const auto address =
@@ -265,7 +265,7 @@
                                                textOf(consoles[n]) + "\n}\nfleet {\n  listen " + listens[n] +
                                                "\n  members-file members.conf\n}\n");
     children.push_back(
-        std::make_unique<Child>(std::vector<std::string>{QUINCELINE, "run", "--operator", file}));
+        std::make_unique<Child>(std::vector<std::string>{CLIENT_PROXY_PROGRAM, "run", "--operator", file}));
   };
   const auto sees = [&](int n, const std::string& what) {
     return FleetRig::getAt(consoles[n], "/fleet").find(what) != std::string::npos;
@@ -287,4 +287,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -16,7 +16,7 @@
 #include "fleet/fleet.h"
 #include "random/random.h"
 
-namespace quinceline::fleet::sim {
+namespace client_proxy::fleet::sim {
 
 struct Link {
   double loss = 0, doubled = 0;
@@ -57,7 +57,7 @@
   std::vector<std::string> broken;              // invariants
 
  private:
-  weldflow::Random random_;
+  load_balancer::Random random_;
   const std::size_t members_;  // what lies beyond are twins
 
  public:
@@ -291,4 +291,4 @@
   std::uint64_t order_ = 0;
 };
 
-}  // namespace quinceline::fleet::sim
+}  // namespace client_proxy::fleet::sim
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -4,7 +4,7 @@
 
 #include "fleet_sim.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 namespace {
 
 using sim::World;
@@ -219,7 +219,7 @@
 TEST_P(FleetTest, GarbageChangesNothingAndIsCounted) {
   const auto w = settled(8);
   const std::uint32_t before = w->nodes[0].fleet->roster().hash();
-  weldflow::Random random(GetParam());
+  load_balancer::Random random(GetParam());
   for (int i = 0; i < 10'000; ++i) {
     std::string bytes(random.below(300), '\0');
     for (char& c : bytes) c = static_cast<char>(random.next());
@@ -284,7 +284,7 @@
 
 TEST_P(FleetTest, ClocksMayDifferAndDrift) {
   const auto w = fleet(16);
-  weldflow::Random random(GetParam());
+  load_balancer::Random random(GetParam());
   for (auto& node : w->nodes) {
     node.clock_offset = static_cast<Time>(random.below(120)) * kSecond;
     node.clock_rate = 0.999 + 0.002 * random.unit();
@@ -476,4 +476,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/tests/fleet_wire_test.cpp
+++ b/tests/fleet_wire_test.cpp
@@ -7,7 +7,7 @@
 #include "fleet/wire.h"
 #include "random/random.h"
 
-namespace quinceline::fleet {
+namespace client_proxy::fleet {
 namespace {
 
 constexpr std::uint64_t kFleet = 7;
@@ -172,7 +172,7 @@
       Standing standing;
       RecordVersion version;
     };
-    weldflow::Random random(seed);
+    load_balancer::Random random(seed);
     std::vector<News> news;
     for (int i = 0; i < 60; ++i) {
       const Incarnation at = incarnationAt(1 + random.below(3), static_cast<std::uint16_t>(random.below(2)));
@@ -224,4 +224,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::fleet
+}  // namespace client_proxy::fleet
--- a/tests/generated_settings_test.cpp
+++ b/tests/generated_settings_test.cpp
@@ -8,7 +8,7 @@
 
 #include "proxy_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
 // The same settings for a seed, anywhere.
@@ -166,4 +166,4 @@
         BadKey{"/limits/sockets", "[]", "limits.sockets"}, BadKey{"/seed", "\"xyz\"", "seed"}));
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -10,10 +10,10 @@
 #include "handover/link.h"
 #include "net_support.h"
 
-namespace quinceline::handover {
+namespace client_proxy::handover {
 namespace {
 
-using quinceline::test::Loop;
+using client_proxy::test::Loop;
 
 // ---- frames and state ----
 
@@ -42,7 +42,7 @@
   EXPECT_THROW(encode({Type::StatePart, std::string(kMostPayload + 1, 'x')}), std::invalid_argument);
 }
 
-weldflow::Remembered remembered(const std::string& id, int n) {
+load_balancer::Remembered remembered(const std::string& id, int n) {
   return {id, n, n % 2 == 0, n % 3 == 0, n % 5 == 0, 10 * n, 20 * n, 0.5 * n, 30 * n, 40 * n, 1.0 + n};
 }
 
@@ -219,7 +219,7 @@
 class HandoverLink : public ::testing::Test {
  protected:
   HandoverLink() {
-    char name[] = "/tmp/quinceline-handover-XXXXXX";
+    char name[] = "/tmp/client-proxy-handover-XXXXXX";
     folder = mkdtemp(name);
     path = socketPath(folder, "n0");
   }
@@ -388,4 +388,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::handover
+}  // namespace client_proxy::handover
--- a/tests/herd_test.cpp
+++ b/tests/herd_test.cpp
@@ -7,7 +7,7 @@
 
 #include "fleet_model.h"
 
-namespace weldflow::test {
+namespace load_balancer::test {
 namespace {
 
 // What chance makes of this many on average: six deviations more.
@@ -165,4 +165,4 @@
                          });
 
 }  // namespace
-}  // namespace weldflow::test
+}  // namespace load_balancer::test
--- a/tests/hollow_test.cpp
+++ b/tests/hollow_test.cpp
@@ -9,7 +9,7 @@
 #include "rig/hollow_host.h"
 #include "rig/mixed_fleet.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 using namespace std::chrono_literals;
@@ -62,7 +62,7 @@
   }
   static bool holds(const std::function<bool()>& what) { return MixedFleet::until(what, 20ms, 40s) >= 0; }
 
-  MixedFleet fleet{QUINCELINE, QUINCELINE_HOLLOW,
+  MixedFleet fleet{CLIENT_PROXY_PROGRAM, CLIENT_PROXY_HOLLOW,
                    MixedPlan{.members = kMembers, .real = kReal, .services = 12}};
 };
 
@@ -122,4 +122,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/tests/late_connection_test.cpp
+++ b/tests/late_connection_test.cpp
@@ -10,11 +10,11 @@
 #include "net_support.h"
 #include "pools/pool.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
-using weldflow::Effect;
-using weldflow::HostState;
+using load_balancer::Effect;
+using load_balancer::HostState;
 
 // Its queue of connections is full until open(): the system drops what would begin another, and the other
 // side tries again a second later. So a connection comes up late, and is never refused.
@@ -87,10 +87,10 @@
 };
 
 // Classes: 0 safe, 1 unsafe, 2 keyed with a short window.
-weldflow::Settings settings() {
-  weldflow::Settings s;
+load_balancer::Settings settings() {
+  load_balancer::Settings s;
   for (const Effect effect : {Effect::Safe, Effect::Unsafe, Effect::Keyed}) {
-    weldflow::RequestClass c;
+    load_balancer::RequestClass c;
     c.aim = c.deadline = 3 * kSecond;
     c.effect = effect;
     c.window = 700 * kMillisecond;
@@ -117,7 +117,7 @@
   }
   static void add(HostList& list, const std::string& id, const tcp::endpoint& at,
                   HostState state = HostState::Healthy, Time up_since = 0) {
-    weldflow::Host host;
+    load_balancer::Host host;
     host.id = id;
     host.state = state;
     host.up_since = up_since;
@@ -249,4 +249,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/leases_sim.h
+++ b/tests/leases_sim.h
@@ -15,7 +15,7 @@
 
 #include "leases/member.h"
 
-namespace quinceline::leases::test {
+namespace client_proxy::leases::test {
 
 using fleet::kMillisecond;
 using fleet::kSecond;
@@ -273,7 +273,7 @@
   }
 
   Shape shape_;
-  weldflow::Random random_;
+  load_balancer::Random random_;
   std::vector<Listed> listed_;
   std::vector<Node> nodes_;
   std::priority_queue<Event> events_;
@@ -286,4 +286,4 @@
   std::string log_;
 };
 
-}  // namespace quinceline::leases::test
+}  // namespace client_proxy::leases::test
--- a/tests/leases_test.cpp
+++ b/tests/leases_test.cpp
@@ -3,7 +3,7 @@
 
 #include "leases_sim.h"
 
-namespace quinceline::leases::test {
+namespace client_proxy::leases::test {
 namespace {
 
 const ServiceId kCharge = serviceId("swap-charge"), kHold = serviceId("reservation");
@@ -240,7 +240,7 @@
 class LeasesStorm : public ::testing::TestWithParam<std::uint64_t> {};
 
 TEST_P(LeasesStorm, NothingBreaksAndAllEndsWithOneOwner) {
-  weldflow::Random random(GetParam() * 77);
+  load_balancer::Random random(GetParam() * 77);
   LeasesFleet::Shape s = shape();
   s.loss = 0.2;
   s.delay = 150 * kMillisecond;
@@ -316,7 +316,7 @@
     const auto less = decode(bytes.substr(0, cut));
     EXPECT_TRUE(!less || less->entries.size() < 6) << cut;
   }
-  weldflow::Random random(2);
+  load_balancer::Random random(2);
   for (int i = 0; i < 5000; ++i) {
     std::string any(random.below(220), '\0');
     for (char& c : any) c = static_cast<char>(random.next());
@@ -328,4 +328,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::leases::test
+}  // namespace client_proxy::leases::test
--- a/tests/lifecycle_test.cpp
+++ b/tests/lifecycle_test.cpp
@@ -6,7 +6,7 @@
 #include <functional>
 #include <string>
 
-namespace quinceline::lifecycle {
+namespace client_proxy::lifecycle {
 namespace {
 
 using Kind = Step::Kind;
@@ -167,4 +167,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::lifecycle
+}  // namespace client_proxy::lifecycle
--- a/tests/list_watch_test.cpp
+++ b/tests/list_watch_test.cpp
@@ -3,7 +3,7 @@
 
 #include "proxy_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
 // The module's longest waits before it asks again (decision/balancer_impl.h): after a watch that broke, and
@@ -15,7 +15,7 @@
 class ListWatch : public ProxyTest {
  protected:
   void startPushed(const json& known) {
-    start(known, [](Config& c) { c.site.settings.discovery = weldflow::Discovery::Push; });
+    start(known, [](Config& c) { c.site.settings.discovery = load_balancer::Discovery::Push; });
   }
   // The host that is asked next says so.
   std::string served() {
@@ -152,4 +152,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/locality_test.cpp
+++ b/tests/locality_test.cpp
@@ -8,7 +8,7 @@
 #include "locality/verdict.h"
 #include "random/random.h"
 
-namespace quinceline::locality {
+namespace client_proxy::locality {
 namespace {
 
 using fleet::kMillisecond;
@@ -52,7 +52,7 @@
 
 // Any facts: rows are whole, nothing goes to what is closed, no room is overdrawn while there is any.
 TEST(Waterfall, HoldsForAnyZones) {
-  weldflow::Random random(5);
+  load_balancer::Random random(5);
   for (int round = 0; round < 2000; ++round) {
     std::vector<ZoneFacts> zones(1 + random.below(6));
     bool any = false;
@@ -234,7 +234,7 @@
 TEST(Verdicts, NoCalmDayEndsInALoss) {
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
     Members m(15);
-    weldflow::Random random(seed);
+    load_balancer::Random random(seed);
     m.sees = [&](auto, auto) { return random.below(50) == 0 ? Seen::Silence : Seen::Answers; };
     m.hears = [&](auto, auto) { return random.below(5) != 0; };
     m.runFor(20 * kSecond);
@@ -243,7 +243,7 @@
 }
 
 TEST(Verdicts, MergeInAnyOrderToTheSame) {
-  weldflow::Random random(2);
+  load_balancer::Random random(2);
   std::vector<Verdict> all;
   for (int i = 0; i < 12; ++i) {
     constexpr State kStates[] = {State::Up, State::Returning, State::Lost};
@@ -273,7 +273,7 @@
   EXPECT_EQ(read.seen, (std::vector<Seen>{Seen::Answers, Seen::Silence}));
   EXPECT_EQ(read.verdicts[1], (Verdict{7, State::Lost}));
   EXPECT_EQ(read.verdicts[0], (Verdict{65'535, State::Returning}));
-  weldflow::Random random(1);
+  load_balancer::Random random(1);
   for (int i = 0; i < 2000; ++i) {
     std::string any(random.below(40), '\0');
     for (char& c : any) c = static_cast<char>(random.next());
@@ -429,4 +429,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::locality
+}  // namespace client_proxy::locality
--- a/tests/long_bodies_test.cpp
+++ b/tests/long_bodies_test.cpp
@@ -1,7 +1,7 @@
 // Bodies beyond what is held, through the whole proxy: both ways, in pieces, at unlike speeds, broken off.
 #include "proxy_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
 class LongBodies : public ProxyTest {
@@ -181,7 +181,7 @@
   // One whose head and first bytes come at once; its connection.
   std::shared_ptr<Peer> begin(const std::string& more = "") {
     start(json::array({entry("s-1", host.endpoint())}), [](Config& config) {
-      for (weldflow::RequestClass& k : config.site.settings.classes) {
+      for (load_balancer::RequestClass& k : config.site.settings.classes) {
         k.aim = 200 * kMillisecond;
         k.late_worth = 0;
       }
@@ -340,4 +340,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/loop_test.cpp
+++ b/tests/loop_test.cpp
@@ -7,7 +7,7 @@
 #include <cstdlib>
 #include <future>
 
-namespace quinceline::tasks {
+namespace client_proxy::tasks {
 namespace {
 
 TEST(LoopTest, EndsThoughItsTimerWasDueBefore) {
@@ -32,4 +32,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::tasks
+}  // namespace client_proxy::tasks
--- a/tests/maintenance_test.cpp
+++ b/tests/maintenance_test.cpp
@@ -7,7 +7,7 @@
 
 #include "support.h"
 
-namespace weldflow::test {
+namespace load_balancer::test {
 namespace {
 
 class Maintenance : public ::testing::Test {
@@ -287,4 +287,4 @@
 }
 
 }  // namespace
-}  // namespace weldflow::test
+}  // namespace load_balancer::test
--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -18,7 +18,7 @@
 #include "net/log.h"
 #include "net/timers.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -128,4 +128,4 @@
   return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/operator_reload_test.cpp
+++ b/tests/operator_reload_test.cpp
@@ -4,7 +4,7 @@
 
 #include "operator_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
 std::string post(const std::string& path, const std::string& id, const std::string& extra = "") {
@@ -409,4 +409,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/operator_support.h
+++ b/tests/operator_support.h
@@ -8,7 +8,7 @@
 #include "operator/operator_file.h"
 #include "proxy_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 
 namespace fs = std::filesystem;
 
@@ -16,7 +16,7 @@
 class Files {
  public:
   Files() {
-    char name[] = "/tmp/quinceline-operator-XXXXXX";
+    char name[] = "/tmp/client-proxy-operator-XXXXXX";
     folder_ = mkdtemp(name);
   }
   ~Files() { fs::remove_all(folder_); }
@@ -88,4 +88,4 @@
   std::unique_ptr<Proxy> proxy;
 };
 
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -4,7 +4,7 @@
 #include "conf/schema.h"
 #include "operator_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
 class OperatorFile : public ::testing::Test {
@@ -74,7 +74,7 @@
 // All that a proxy goes by.
 std::string fingerprint(const Config& c) {
   const OperatorSettings& o = c.own;
-  const weldflow::Settings& s = c.site.settings;
+  const load_balancer::Settings& s = c.site.settings;
   std::ostringstream all;
   all << c.name << '|' << c.listen << '|' << c.sockets << '|' << c.memory_mb << '|' << c.alone << '|'
       << c.hosts_file << '|' << static_cast<int>(o.log_level) << '|' << (o.status ? textOf(*o.status) : "-");
@@ -267,4 +267,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -10,7 +10,7 @@
 
 #include "support.h"
 
-namespace weldflow::test {
+namespace load_balancer::test {
 namespace {
 
 constexpr int kClients = 40, kHosts = 30, kCores = 4, kTries = 3;
@@ -239,4 +239,4 @@
 INSTANTIATE_TEST_SUITE_P(Seeds, Overload, ::testing::Range<std::uint64_t>(1, 6));
 
 }  // namespace
-}  // namespace weldflow::test
+}  // namespace load_balancer::test
--- a/tests/ownership_processes_test.cpp
+++ b/tests/ownership_processes_test.cpp
@@ -6,7 +6,7 @@
 
 #include "processes_support.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 using nlohmann::json;
@@ -261,4 +261,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -7,7 +7,7 @@
 
 #include "net_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
 struct Recorder : PoolSink {
@@ -27,12 +27,12 @@
   std::map<ExchangeId, Answer> last;
 };
 
-weldflow::Settings settings() {
-  weldflow::Settings s;
-  weldflow::RequestClass safe, unsafe;
+load_balancer::Settings settings() {
+  load_balancer::Settings s;
+  load_balancer::RequestClass safe, unsafe;
   safe.aim = unsafe.aim = 400 * kMillisecond;
   safe.deadline = unsafe.deadline = 600 * kMillisecond;
-  safe.effect = weldflow::Effect::Safe;
+  safe.effect = load_balancer::Effect::Safe;
   s.classes = {safe, unsafe};
   s.max_attempts = 3;
   s.may_cancel = true;
@@ -52,7 +52,7 @@
   static HostList listOf(const std::vector<tcp::endpoint>& hosts) {
     HostList list;
     for (std::size_t i = 0; i < hosts.size(); ++i) {
-      weldflow::Host host;
+      load_balancer::Host host;
       host.id = "s-" + std::to_string(i + 1);
       list.hosts.push_back(host);
       list.endpoints.push_back(hosts[i]);
@@ -67,7 +67,7 @@
     t.request.head.correlation = correlation;
     t.request.head.forward = "X-Correlation-Id: " + correlation + "\r\n";
     t.request_class = safe ? 0 : 1;
-    t.effect = safe ? weldflow::Effect::Safe : weldflow::Effect::Unsafe;
+    t.effect = safe ? load_balancer::Effect::Safe : load_balancer::Effect::Unsafe;
     t.deadline = loop.clock.now() + 600 * kMillisecond;
     return t;
   }
@@ -156,4 +156,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/processes_support.h
+++ b/tests/processes_support.h
@@ -13,7 +13,7 @@
 #include "rig/rules.h"
 #include "rig/site.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 class PlannedProcesses : public ::testing::Test {
  protected:
@@ -43,8 +43,8 @@
   const Plan plan;
   Record record;
   Site site{plan, record};
-  FleetRig fleet{QUINCELINE, plan, site};
+  FleetRig fleet{CLIENT_PROXY_PROGRAM, plan, site};
   std::unique_ptr<Callers> callers;
 };
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/tests/proxy_support.h
+++ b/tests/proxy_support.h
@@ -16,7 +16,7 @@
 #include "front/proxy.h"
 #include "net_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 
 using nlohmann::json;
 
@@ -46,7 +46,7 @@
     doc["discovery"] = textOf(discovery);
     doc["known"]["targets"] = known;
     doc["settings"]["rules"]["ask_within_us"] = 300000;
-    char name[] = "/tmp/quinceline-test-XXXXXX";
+    char name[] = "/tmp/client-proxy-test-XXXXXX";
     const int fd = mkstemp(name);
     if (fd >= 0) ::close(fd);
     path = name;
@@ -106,7 +106,7 @@
   // `inherited`: a descriptor that it gets as its descriptor 3; -1: none.
   Program(std::vector<std::string> arguments, std::vector<std::string> environment,
           const std::string& log = {}, int inherited = -1) {
-    arguments.insert(arguments.begin(), QUINCELINE);
+    arguments.insert(arguments.begin(), CLIENT_PROXY_PROGRAM);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     if (!log.empty())
@@ -115,7 +115,7 @@
       posix_spawn_file_actions_adddup2(&actions, inherited, 3);
       posix_spawn_file_actions_addclosefrom_np(&actions, 4);  // none of ours
     }
-    if (posix_spawn(&pid_, QUINCELINE, &actions, nullptr, pointers(arguments).data(),
+    if (posix_spawn(&pid_, CLIENT_PROXY_PROGRAM, &actions, nullptr, pointers(arguments).data(),
                     pointers(environment).data()) != 0)
       pid_ = -1;
     posix_spawn_file_actions_destroy(&actions);
@@ -145,4 +145,4 @@
   pid_t pid_ = -1;
 };
 
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -1,7 +1,7 @@
 // The whole client proxy on loopback sockets: a scripted client, host and discovery around the real parts.
 #include "proxy_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
 TEST_F(ProxyTest, TheIdOfAnOpenRequestIsTakenOnce) {
@@ -204,4 +204,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/reconfigure_test.cpp
+++ b/tests/reconfigure_test.cpp
@@ -6,7 +6,7 @@
 
 #include "support.h"
 
-namespace weldflow::test {
+namespace load_balancer::test {
 namespace {
 
 TEST(Reconfigure, SlotsAndEjectionsStay) {
@@ -130,4 +130,4 @@
 }
 
 }  // namespace
-}  // namespace weldflow::test
+}  // namespace load_balancer::test
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -3,16 +3,16 @@
 
 #include <gtest/gtest.h>
 
-namespace quinceline::recovery {
+namespace client_proxy::recovery {
 namespace {
 
-using weldflow::Effect;
-using weldflow::Group;
+using load_balancer::Effect;
+using load_balancer::Group;
 
 constexpr Time kSecond = 1'000'000;
 
-weldflow::RequestClass of(Effect effect, Group group = Group::Zone) {
-  weldflow::RequestClass c;
+load_balancer::RequestClass of(Effect effect, Group group = Group::Zone) {
+  load_balancer::RequestClass c;
   c.effect = effect;
   c.group = group;
   return c;
@@ -83,4 +83,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::recovery
+}  // namespace client_proxy::recovery
--- a/tests/rehearsal_test.cpp
+++ b/tests/rehearsal_test.cpp
@@ -7,7 +7,7 @@
 
 #include "record/record.h"
 
-namespace quinceline::rehearsal {
+namespace client_proxy::rehearsal {
 namespace {
 
 using record::Effect;
@@ -119,7 +119,7 @@
 
 // A thousand pairs of files over records that hold everything: what is told is what a plain count tells.
 TEST(Rehearsal, EqualsAPlainCountOnAThousandPairsOfFiles) {
-  weldflow::Random random(9);
+  load_balancer::Random random(9);
   const Names names = namesOf();
   for (int round = 0; round < 1000; ++round) {
     File now, then;
@@ -239,4 +239,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::rehearsal
+}  // namespace client_proxy::rehearsal
--- a/tests/rehearsing_test.cpp
+++ b/tests/rehearsing_test.cpp
@@ -5,7 +5,7 @@
 
 #include "random/random.h"
 
-namespace quinceline::ownership {
+namespace client_proxy::ownership {
 namespace {
 
 TEST(RehearsingPieces, ComeTogetherAsTheyWereAndWhatIsMalformedDoesNot) {
@@ -24,7 +24,7 @@
     some.erase(some.begin() + static_cast<std::ptrdiff_t>(without));
     EXPECT_FALSE(tallyOf(some).has_value() && *tallyOf(some) == t) << without;
   }
-  weldflow::Random random(3);
+  load_balancer::Random random(3);
   for (int i = 0; i < 3000; ++i) {
     std::string any(random.below(200), '\0');
     for (char& c : any) c = static_cast<char>(random.next());
@@ -35,4 +35,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::ownership
+}  // namespace client_proxy::ownership
--- a/tests/repeats_test.cpp
+++ b/tests/repeats_test.cpp
@@ -7,7 +7,7 @@
 #include <map>
 #include <optional>
 
-namespace quinceline::admission {
+namespace client_proxy::admission {
 namespace {
 
 using Verdict = Repeats::Verdict;
@@ -177,4 +177,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::admission
+}  // namespace client_proxy::admission
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -18,7 +18,7 @@
 #include "replica/replica_server.h"
 #include "replica/store.h"
 
-namespace quinceline::replica {
+namespace client_proxy::replica {
 namespace {
 
 namespace asio = boost::asio;
@@ -121,7 +121,7 @@
   static constexpr int kReplicas = 4;
 
   ReplicaTest() {
-    std::string name = "/tmp/quinceline-replica-XXXXXX";
+    std::string name = "/tmp/client-proxy-replica-XXXXXX";
     folder = mkdtemp(name.data());
     for (int n = 1; n <= kReplicas; ++n) endpoints.push_back(freeEndpoint(io, n));
     servers.resize(kReplicas);
@@ -483,4 +483,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::replica
+}  // namespace client_proxy::replica
--- a/tests/rig_processes_test.cpp
+++ b/tests/rig_processes_test.cpp
@@ -4,7 +4,7 @@
 
 #include "rig/run.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 using std::chrono::milliseconds;
@@ -22,7 +22,7 @@
 }
 
 testing::AssertionResult keepsTheRules(const Plan& plan) {
-  const Outcome o = carryOut(QUINCELINE, plan);
+  const Outcome o = carryOut(CLIENT_PROXY_PROGRAM, plan);
   if (!o.agreed) return testing::AssertionFailure() << "no one view at the end\n" << o.logs;
   if (o.verdict.served * 2 < o.verdict.asked)
     return testing::AssertionFailure() << "served " << o.verdict.served << " of " << o.verdict.asked;
@@ -70,4 +70,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/tests/rig_test.cpp
+++ b/tests/rig_test.cpp
@@ -9,7 +9,7 @@
 #include "rig/rules.h"
 #include "rig/scenario.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 using What = Event::What;
@@ -138,4 +138,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -7,7 +7,7 @@
 #include "routing/routes.h"
 #include "routing/target.h"
 
-namespace quinceline::routing {
+namespace client_proxy::routing {
 namespace {
 
 // ---- targets ----
@@ -329,4 +329,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::routing
+}  // namespace client_proxy::routing
--- a/tests/rule_checker.h
+++ b/tests/rule_checker.h
@@ -9,9 +9,9 @@
 #include <string>
 #include <vector>
 
-#include "weldflow/balancer.h"
+#include "load_balancer/balancer.h"
 
-namespace weldflow::test {
+namespace load_balancer::test {
 
 class RuleChecker {
  public:
@@ -208,4 +208,4 @@
   std::map<std::string, Known> known_;
 };
 
-}  // namespace weldflow::test
+}  // namespace load_balancer::test
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -8,7 +8,7 @@
 
 #include "support.h"
 
-namespace weldflow::test {
+namespace load_balancer::test {
 namespace {
 
 // ---- the gate: effect x outcome x window edge ----
@@ -311,4 +311,4 @@
 INSTANTIATE_TEST_SUITE_P(Seeds, RandomWalk, testing::Range<std::uint64_t>(1, 61));
 
 }  // namespace
-}  // namespace weldflow::test
+}  // namespace load_balancer::test
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -5,7 +5,7 @@
 
 #include "net_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
 struct Taken : RequestSink {
@@ -135,4 +135,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-namespace quinceline::ownership {
+namespace client_proxy::ownership {
 namespace {
 
 ServiceSetting service(const std::string& name, const std::string& home, std::vector<ServiceRoute> routes) {
@@ -44,4 +44,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::ownership
+}  // namespace client_proxy::ownership
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -1,7 +1,7 @@
 // What crosses the end of a process: docs/crossings.md has the list.
 #include "proxy_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
 // The program with one host; each class's clients wait for this long.
@@ -194,4 +194,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/drill_test.cpp
+++ b/tests/simulator_adapter_test.cpp
@@ -24,13 +24,13 @@
   return text.str();
 }
 
-Ran drill(const std::string& input) {
+Ran runAdapter(const std::string& input) {
   std::string name = testing::UnitTest::GetInstance()->current_test_info()->name();
   std::replace(name.begin(), name.end(), '/', '_');
-  const std::string base = testing::TempDir() + "/weldflow_drill_" + std::to_string(getpid()) + name;
+  const std::string base = testing::TempDir() + "/simulator_adapter_" + std::to_string(getpid()) + name;
   std::ofstream(base + ".in") << input;
   const std::string command =
-      std::string(WELDFLOW_DRILL) + " <" + base + ".in >" + base + ".out 2>" + base + ".err";
+      std::string(CLIENT_PROXY_SIMULATOR_ADAPTER) + " <" + base + ".in >" + base + ".out 2>" + base + ".err";
   const int status = std::system(command.c_str());
   Ran ran{WIFEXITED(status) ? WEXITSTATUS(status) : -1, slurp(base + ".out"), slurp(base + ".err")};
   for (const char* end : {".in", ".out", ".err"}) std::remove((base + end).c_str());
@@ -49,32 +49,32 @@
          "FLEET\tproxy/0\trestored\t1\t3\nEOB\n";
 }
 
-TEST(Drill, AnswersAnEmptyRound) {
-  const Ran r = drill("ROUND\t5\nEOB\n");
+TEST(SimulatorAdapter, AnswersAnEmptyRound) {
+  const Ran r = runAdapter("ROUND\t5\nEOB\n");
   EXPECT_EQ(r.code, 0);
   EXPECT_EQ(r.out, "EOR\n");
   EXPECT_EQ(r.err, "");
 }
 
-TEST(Drill, SendsARequestToTheHealthyHost) {
-  const Ran r = drill(start() +
-                      "ROUND\t1005000\nJOB_IN\tproxy/0\t741a98ca5d3a91c4\t240000\t-\t-\t0\t-\t0\nEOB\n"
-                      "ROUND\t1006000\nRETURNED\tproxy/"
-                      "0\t741a98ca5d3a91c4\t0\t0\t1\t1000\thost_a\tload_share:0.5,odd:1\nEOB\n");
+TEST(SimulatorAdapter, SendsARequestToTheHealthyHost) {
+  const Ran r = runAdapter(start() +
+                           "ROUND\t1005000\nJOB_IN\tproxy/0\t741a98ca5d3a91c4\t240000\t-\t-\t0\t-\t0\nEOB\n"
+                           "ROUND\t1006000\nRETURNED\tproxy/"
+                           "0\t741a98ca5d3a91c4\t0\t0\t1\t1000\thost_a\tload_share:0.5,odd:1\nEOB\n");
   EXPECT_EQ(r.code, 0) << r.err;
   EXPECT_EQ(r.out, "EOR\nPLACE\tproxy/0\t741a98ca5d3a91c4\thost_a\t240000\nEOR\nEOR\n");
 }
 
-TEST(Drill, AnInstanceStartsAnew) {
-  const Ran r =
-      drill(start() + "ROUND\t2000000\nRETIRE\tproxy/0\nEOB\n" + "ROUND\t2000001\nPOWER_ON\tproxy/0\t7\t" +
-            kConfig + "\nFLEET\tproxy/0\trestored\t1\t3\nEOB\n");
+TEST(SimulatorAdapter, AnInstanceStartsAnew) {
+  const Ran r = runAdapter(start() + "ROUND\t2000000\nRETIRE\tproxy/0\nEOB\n" +
+                           "ROUND\t2000001\nPOWER_ON\tproxy/0\t7\t" + kConfig +
+                           "\nFLEET\tproxy/0\trestored\t1\t3\nEOB\n");
   EXPECT_EQ(r.code, 0) << r.err;
   EXPECT_EQ(r.out, "EOR\nEOR\nEOR\n");
 }
 
-TEST(Drill, EveryEventIsUnderstood) {
-  const Ran r = drill(
+TEST(SimulatorAdapter, EveryEventIsUnderstood) {
+  const Ran r = runAdapter(
       start() +
       "ROUND\t3000000\nELAPSED\tproxy/0\t77\nMESSAGE\tproxy/0\t1\t6869\nLEFT\tproxy/0\t0c5986300e6f2b19\n"
       "STREAMING\tproxy/0\t741a98ca5d3a91c4\t0\thost_a\t9250\n"
@@ -85,7 +85,7 @@
 }
 
 // Instances act alike wherever they live: together in one process or each in its own.
-TEST(Drill, TheSameActionsInOneProcessAndInTwo) {
+TEST(SimulatorAdapter, TheSameActionsInOneProcessAndInTwo) {
   const auto input = [](bool first, bool second) {
     std::string text = "ROUND\t1000000\nDIRECTORY\t3\t4\n";
     for (const char* id : {"host_a", "host_b", "host_c", "host_d"}) {
@@ -114,9 +114,9 @@
     }
     return kept;
   };
-  const std::string both = drill(input(true, true)).out;
-  const std::string first = drill(input(true, false)).out;
-  const std::string second = drill(input(false, true)).out;
+  const std::string both = runAdapter(input(true, true)).out;
+  const std::string first = runAdapter(input(true, false)).out;
+  const std::string second = runAdapter(input(false, true)).out;
   EXPECT_EQ(only(both, "proxy/0"), only(first, "proxy/0"));
   EXPECT_EQ(only(both, "proxy/1"), only(second, "proxy/1"));
   EXPECT_NE(only(both, "proxy/0"), "");
@@ -131,10 +131,10 @@
 
 std::ostream& operator<<(std::ostream& out, const Bad& bad) { return out << bad.name; }
 
-class DrillBad : public testing::TestWithParam<Bad> {};
+class SimulatorAdapterBad : public testing::TestWithParam<Bad> {};
 
-TEST_P(DrillBad, NamesLineAndField) {
-  const Ran r = drill(GetParam().input);
+TEST_P(SimulatorAdapterBad, NamesLineAndField) {
+  const Ran r = runAdapter(GetParam().input);
   EXPECT_NE(r.code, 0);
   EXPECT_NE(r.err.find(GetParam().line), std::string::npos) << r.err;
   EXPECT_NE(r.err.find(GetParam().field), std::string::npos) << r.err;
@@ -147,7 +147,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(
-    Lines, DrillBad,
+    Lines, SimulatorAdapterBad,
     testing::Values(
         Bad{"clock", "ROUND\tsoon\nEOB\n", "line 1:", "clock"},
         Bad{"outside", "JOB_IN\tproxy/0\n", "line 1:", "message"},
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -10,7 +10,7 @@
 
 #include "storage/async_store.h"
 
-namespace quinceline::storage {
+namespace client_proxy::storage {
 namespace {
 
 namespace fs = std::filesystem;
@@ -21,7 +21,7 @@
 class KeepTest : public ::testing::Test {
  protected:
   KeepTest() {
-    std::string name = "/tmp/quinceline-keep-XXXXXX";
+    std::string name = "/tmp/client-proxy-keep-XXXXXX";
     folder = mkdtemp(name.data());
   }
   ~KeepTest() override {
@@ -191,4 +191,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::storage
+}  // namespace client_proxy::storage
--- a/tests/subscription_proxy_test.cpp
+++ b/tests/subscription_proxy_test.cpp
@@ -9,7 +9,7 @@
 #include "operator_support.h"
 #include "subscription/shared_file.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
 using distribution::Acknowledgement;
@@ -356,4 +356,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/subscription_test.cpp
+++ b/tests/subscription_test.cpp
@@ -13,7 +13,7 @@
 #include "distribution/delta.h"
 #include "distribution/digest.h"
 
-namespace quinceline::subscription {
+namespace client_proxy::subscription {
 namespace {
 
 using distribution::Change;
@@ -223,7 +223,7 @@
 // Replicas that lie in every way: older versions, other texts under one number, deltas that do not fit.
 TEST(Subscription, VersionsNeverGoBackAndNoNumberHasTwoTextsWhateverReplicasSend) {
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
-    weldflow::Random random(seed);
+    load_balancer::Random random(seed);
     Watching w(inForce(3, "text 3\n"));
     std::map<distribution::Version, std::string> seen = {{3, "text 3\n"}};
     distribution::Version highest = 3;
@@ -543,4 +543,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::subscription
+}  // namespace client_proxy::subscription
--- a/tests/subset_test.cpp
+++ b/tests/subset_test.cpp
@@ -7,9 +7,9 @@
 #include <set>
 #include <vector>
 
-#include "weldflow/balancer.h"
+#include "load_balancer/balancer.h"
 
-namespace weldflow {
+namespace load_balancer {
 namespace {
 
 using Order = std::vector<std::uint32_t>;
@@ -85,4 +85,4 @@
 }
 
 }  // namespace
-}  // namespace weldflow
+}  // namespace load_balancer
--- a/tests/support.h
+++ b/tests/support.h
@@ -4,10 +4,10 @@
 #include <string>
 #include <vector>
 
+#include "load_balancer/balancer.h"
 #include "rule_checker.h"
-#include "weldflow/balancer.h"
 
-namespace weldflow::test {
+namespace load_balancer::test {
 
 constexpr Time kMs = 1000;
 constexpr Time kSec = 1'000'000;
@@ -147,4 +147,4 @@
   }
 };
 
-}  // namespace weldflow::test
+}  // namespace load_balancer::test
--- a/tests/tcp_relay.h
+++ b/tests/tcp_relay.h
@@ -19,7 +19,7 @@
 #include <thread>
 #include <utility>
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 
 class TcpRelay {
  public:
@@ -92,4 +92,4 @@
   std::thread thread_;
 };
 
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -6,14 +6,14 @@
 
 #include "proxy_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
 class Upgrade : public ::testing::Test {
  protected:
   Upgrade() : listener(loop.io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {
     listener.listen(1024);
-    char name[] = "/tmp/quinceline-upgrade-XXXXXX";
+    char name[] = "/tmp/client-proxy-upgrade-XXXXXX";
     folder = mkdtemp(name);
     file.doc["listen"] = textOf(listener.local_endpoint());
     file.doc["settings"]["rules"]["drain_grace_us"] = 2'000'000;
@@ -287,13 +287,13 @@
   ASSERT_TRUE(loop.until([&] { return serveHosts(), c->heard("200"); }));
 }
 
-#ifdef QUINCELINE_OPERATOR
+#ifdef CLIENT_PROXY_OPERATOR
 TEST_F(Upgrade, TheCommandCallsTheConsoleAndItsExitStatusSaysWhatCameOfIt) {
   const std::string console = textOf(startOne().console);
   std::string said;
   const auto run = [&](const std::string& arguments) {
     said.clear();
-    const std::string command = std::string(QUINCELINE) + " ctl " + arguments + " 2>&1";
+    const std::string command = std::string(CLIENT_PROXY_PROGRAM) + " ctl " + arguments + " 2>&1";
     FILE* const out = popen(command.c_str(), "r");
     std::array<char, 4096> bytes;
     while (const std::size_t n = std::fread(bytes.data(), 1, bytes.size(), out)) said.append(bytes.data(), n);
@@ -336,4 +336,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -8,10 +8,10 @@
 
 #include "net_support.h"
 
-namespace quinceline::test {
+namespace client_proxy::test {
 namespace {
 
-using weldflow::Result;
+using load_balancer::Result;
 
 struct Reports : AttemptSink {
   void onAttemptEnd(AttemptId id, AttemptEnd end) override {
@@ -239,4 +239,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::test
+}  // namespace client_proxy::test
--- a/tests/verdict_day.h
+++ b/tests/verdict_day.h
@@ -9,13 +9,13 @@
 #include "fleet_model.h"
 #include "locality/verdict.h"
 
-namespace weldflow::test {
+namespace load_balancer::test {
 
 class VerdictDay {
  public:
-  using Court = quinceline::locality::Court;
-  using State = quinceline::locality::State;
-  using Witness = quinceline::locality::Witness;
+  using Court = client_proxy::locality::Court;
+  using State = client_proxy::locality::State;
+  using Witness = client_proxy::locality::Witness;
   struct Shape {
     std::uint32_t clients = 24, hosts = 12;
     double load = 0.54;  // of what the hosts can
@@ -95,7 +95,9 @@
         fleet_.order(c, static_cast<std::int32_t>(z), wanted);
     }
   }
-  static quinceline::fleet::Number number(std::size_t c) { return static_cast<quinceline::fleet::Number>(c); }
+  static client_proxy::fleet::Number number(std::size_t c) {
+    return static_cast<client_proxy::fleet::Number>(c);
+  }
 
   // A new word reaches each of the others a while later; older ones that all have heard are forgotten.
   void say(std::size_t c) {
@@ -128,7 +130,7 @@
     }
     log_ += "\n  " + std::to_string(static_cast<double>(fleet_.now() - kStart) / 1e6) + " client " +
             std::to_string(c) + ": zone " + std::to_string(z) + " " +
-            std::string(quinceline::locality::nameOf(v.state)) + " " + std::to_string(v.epoch) +
+            std::string(client_proxy::locality::nameOf(v.state)) + " " + std::to_string(v.epoch) +
             ", silent to " + std::to_string(courts_[c].silent(z)) + ", answers " +
             std::to_string(courts_[c].answered(z));
   }
@@ -143,4 +145,4 @@
   std::string log_;
 };
 
-}  // namespace weldflow::test
+}  // namespace load_balancer::test
--- a/tests/verdict_days_test.cpp
+++ b/tests/verdict_days_test.cpp
@@ -4,7 +4,7 @@
 
 #include "verdict_day.h"
 
-namespace weldflow::test {
+namespace load_balancer::test {
 namespace {
 
 class VerdictDays : public ::testing::TestWithParam<double> {};
@@ -26,10 +26,10 @@
     day.runFor(3 * kSec);
     day.fleet().silence(1, true);
     day.runFor(6 * kSec);
-    EXPECT_EQ(day.holding(1, quinceline::locality::State::Lost), 24U) << "seed " << seed << day.told();
+    EXPECT_EQ(day.holding(1, client_proxy::locality::State::Lost), 24U) << "seed " << seed << day.told();
     day.fleet().silence(1, false);
     day.runFor(16 * kSec);
-    EXPECT_EQ(day.holding(1, quinceline::locality::State::Up), 24U) << "seed " << seed << day.told();
+    EXPECT_EQ(day.holding(1, client_proxy::locality::State::Up), 24U) << "seed " << seed << day.told();
     EXPECT_EQ(day.callsOn(0) + day.callsOn(2), 0) << "seed " << seed << day.told();
   }
 }
@@ -39,4 +39,4 @@
 });
 
 }  // namespace
-}  // namespace weldflow::test
+}  // namespace load_balancer::test
--- a/tests/wire_corpus_test.cpp
+++ b/tests/wire_corpus_test.cpp
@@ -8,7 +8,7 @@
 
 #include "wire_property.h"
 
-namespace quinceline::fuzz {
+namespace client_proxy::fuzz {
 namespace {
 
 namespace fs = std::filesystem;
@@ -42,4 +42,4 @@
                          [](const auto& p) { return std::string(p.param.name); });
 
 }  // namespace
-}  // namespace quinceline::fuzz
+}  // namespace client_proxy::fuzz
--- a/tests/zone_loss_test.cpp
+++ b/tests/zone_loss_test.cpp
@@ -3,7 +3,7 @@
 
 #include "fleet_model.h"
 
-namespace weldflow::test {
+namespace load_balancer::test {
 namespace {
 
 class ZoneLoss : public ::testing::TestWithParam<std::uint32_t> {
@@ -69,4 +69,4 @@
                          [](const auto& p) { return "Of" + std::to_string(p.param); });
 
 }  // namespace
-}  // namespace weldflow::test
+}  // namespace load_balancer::test
--- a/tests/zone_processes_test.cpp
+++ b/tests/zone_processes_test.cpp
@@ -3,7 +3,7 @@
 
 #include "processes_support.h"
 
-namespace quinceline::rig {
+namespace client_proxy::rig {
 namespace {
 
 using nlohmann::json;
@@ -49,8 +49,8 @@
   for (std::size_t n = 1; n < plan.proxies; n += 3)
     EXPECT_EQ(zone(n, 1).at("order"), "free") << "all that it has";
   const auto at = fleet.console(0);
-  Child ctl(
-      {QUINCELINE, "ctl", "--console", at.address().to_string() + ":" + std::to_string(at.port()), "zones"});
+  Child ctl({CLIENT_PROXY_PROGRAM, "ctl", "--console",
+             at.address().to_string() + ":" + std::to_string(at.port()), "zones"});
   EXPECT_TRUE(ctl.said("lost")) << "staff see it";
   const auto before = site.ran();
   ASSERT_TRUE(FleetRig::until([&] { return site.ran()[4] > before[4] + 20; })) << "from within";
@@ -88,4 +88,4 @@
 }
 
 }  // namespace
-}  // namespace quinceline::rig
+}  // namespace client_proxy::rig
