The deadline told to a host is taken when the first byte is written

Cause: Pool::send made the head, X-Time-Left and X-Service-Term among its lines, when the module had chosen the host; upstream wrote it when the connection was up, up to connect_timeout later. A host whose queue of connections was full for a second was told 3.000 s where its client had 1.98 s left. A connection that comes up late also passed over a change of the service's term or owner.

Ruled out: a patch of the composed bytes (the term and the owner would still be old), and asking the module again for connections that are up (it has decided in the same turn of the loop).

Change: upstream asks AttemptSink::onAttemptReady for the head when the first byte can be written; the pool asks the module where there was a wait, the service's owner and term, and tells what is left of the attempt and of the client.

--- a/src/net/host_connection.cpp
+++ b/src/net/host_connection.cpp
@@ -23,10 +23,11 @@
   begin(std::move(request));
 }
 
-void Upstream::Connection::startProbe(AttemptRequest request) {
+void Upstream::Connection::startProbe(std::string head) {
   probe_ = true;
   attempt_ = 0;
-  begin(std::move(request));
+  prefix_ = std::move(head);
+  begin({});
   const std::uint64_t turn = turn_;
   up_.timers_.after(up_.limits_.probe_timeout, [weak = weak_from_this(), turn] {
     const auto self = weak.lock();
@@ -57,6 +58,8 @@
   ++turn_;
   started_ = up_.timers_.clock().now();
   sent_ = 0;
+  begun_ = false;
+  late_ = !connected_;
   answer_begun_ = interims_ = 0;
   come_ = 0;
   rest_done_ = waits_for_client_ = false;
@@ -77,7 +80,6 @@
     self->connected_ = true;
     error_code ignored;
     self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-    if (!self->mayBegin()) return self->end(Result::NotSent);
     self->write();
   });
   up_.timers_.after(up_.limits_.connect_timeout, [weak = weak_from_this(), turn] {
@@ -92,27 +94,40 @@
   });
 }
 
-bool Upstream::Connection::mayBegin() const {
+bool Upstream::Connection::hostIsHere() const {
   const auto it = up_.pools_.find(uid_);
-  if (it == up_.pools_.end() || it->second.endpoint != endpoint_) return false;  // gone, or elsewhere now
-  return probe_ || up_.sink_.mayBegin(attempt_);
+  return it != up_.pools_.end() && it->second.endpoint == endpoint_;
+}
+
+bool Upstream::Connection::prepareHead() {
+  if (late_ && !hostIsHere()) return false;
+  if (probe_) return true;
+  std::optional<std::string> head = up_.sink_.onAttemptReady(attempt_, late_);
+  if (!head) return false;
+  prefix_ = std::move(*head);
+  return true;
 }
 
 std::array<asio::const_buffer, 2> Upstream::Connection::unsent() const {
-  const asio::const_buffer head = asio::buffer(request_.head);
+  const asio::const_buffer prefix = asio::buffer(prefix_);
   const asio::const_buffer body = request_.body ? asio::buffer(*request_.body) : asio::const_buffer{};
-  return {head + sent_, body + (sent_ > head.size() ? sent_ - head.size() : 0)};
+  return {prefix + sent_, body + (sent_ > prefix.size() ? sent_ - prefix.size() : 0)};
 }
 
 void Upstream::Connection::write() {
   if (written()) return;
+  if (!begun_ && !prepareHead()) return end(Result::NotSent);
   error_code ec;
   do {
-    while (!ec && sent_ < total()) sent_ += socket_.write_some(unsent(), ec);
+    while (!ec && sent_ < total()) {
+      sent_ += socket_.write_some(unsent(), ec);
+      begun_ = begun_ || sent_ > 0;
+    }
   } while (!ec && request_.rest && !rest_done_ && refill());
   moved_ = up_.timers_.clock().now();
   if (written() && attempt_ != 0) up_.sink_.onAttemptWritten(attempt_);
   if (ec == asio::error::would_block) {
+    late_ = true;
     socket_.async_wait(Socket::wait_write, [self = shared_from_this(), turn = turn_](error_code e) {
       if (!e && self->busy_ && self->turn_ == turn) self->write();
     });
@@ -138,14 +153,14 @@
   }
   const bool chunked = !rest.length();
   request_.body.reset();
-  request_.head.clear();
+  prefix_.clear();
   sent_ = 0;
   if (!piece.empty()) {
-    if (chunked) request_.head += "\r\n" + chunkLine(piece.size());
-    request_.head += piece;
+    if (chunked) prefix_ += "\r\n" + chunkLine(piece.size());
+    prefix_ += piece;
   }
   rest_done_ = rest.end() == BodyPipe::End::Whole;
-  if (rest_done_ && chunked) request_.head += "\r\n0\r\n\r\n";
+  if (rest_done_ && chunked) prefix_ += "\r\n0\r\n\r\n";
   return true;
 }
 
@@ -179,7 +194,7 @@
     whole&& result == Result::Ok ? stream->finish() : stream->breakOff();
   }
   // Bytes behind a good answer take nothing from it, but the connection is out of step.
-  const bool unused = result == Result::NotSent && connected_ && sent_ == 0;
+  const bool unused = result == Result::NotSent && connected_ && !begun_;
   const bool reusable = unused || (whole && written() && parser_->keep_alive() && in_.size() == 0);
   if (whole) {
     report.load = probe_ && parser_->load.empty() ? parser_->body : std::move(parser_->load);
@@ -198,6 +213,7 @@
   Upstream& up = up_;
   parser_.reset();
   request_ = {};
+  prefix_.clear();
   sent_ = 0;
   const auto self = shared_from_this();
   if (!probe) up.attempts_.erase(attempt);
--- a/src/net/host_connection.h
+++ b/src/net/host_connection.h
@@ -29,7 +29,8 @@
 
   void startAttempt(AttemptId id, AttemptRequest request);
 
-  void startProbe(AttemptRequest request);
+  // `head`: of a request without a body, complete.
+  void startProbe(std::string head);
 
   void giveUp(Result as) { end(as); }
   bool answering() const { return busy_ && parser_->is_header_done() && parser_->status == 200; }
@@ -48,14 +49,17 @@
 
   void later(Result result);
 
-  // Asked when the connection has come up, which may have taken as long as it is given.
-  bool mayBegin() const;
-
   // ---- writing ----
 
-  std::size_t total() const { return request_.head.size() + (request_.body ? request_.body->size() : 0); }
+  // The head for the first byte, made when that can be written: until then the client's time runs on, and
+  // what the attempt was chosen by may change. False: it must not begin any more.
+  bool prepareHead();
+  // The host may have gone or moved while the connection was awaited.
+  bool hostIsHere() const;
+
+  std::size_t total() const { return prefix_.size() + (request_.body ? request_.body->size() : 0); }
   // All of the request is with the kernel: from here on it may run.
-  bool written() const { return sent_ == total() && (!request_.rest || rest_done_); }
+  bool written() const { return begun_ && sent_ == total() && (!request_.rest || rest_done_); }
 
   std::array<boost::asio::const_buffer, 2> unsent() const;
 
@@ -122,6 +126,7 @@
   ReadBuffer in_;
   std::optional<ResponseParser> parser_;
   AttemptRequest request_;
+  std::string prefix_;  // written before request_.body: the head, or a later piece of a long body
   std::shared_ptr<BodyPipe> stream_;  // of a long answer that is coming
   std::size_t sent_ = 0;    // bytes of the request, of a long one of this piece, that the kernel has taken
   std::uint64_t come_ = 0;  // bytes of the answer
@@ -130,6 +135,8 @@
   std::uint64_t turn_ = 0;  // attempts and probes so far: tells late callbacks of earlier ones
   Time started_ = 0, answer_begun_ = 0, idle_since_ = 0;
   int interims_ = 0;
+  bool begun_ = false;             // the kernel has the request's first byte
+  bool late_ = false;              // that had to wait
   bool rest_done_ = false;         // the last piece of a long request is in request_
   bool waits_for_client_ = false;  // to send more of its request, or to take more of its answer
   bool connected_ = false, busy_ = false, probe_ = false, closed_ = false, reading_ = false;
--- a/src/net/include/net/upstream.h
+++ b/src/net/include/net/upstream.h
@@ -23,8 +23,8 @@
 
 using AttemptId = std::uint64_t;  // chosen by the caller, never used twice
 
+// What follows the head of an attempt; the head itself is asked for when its first byte can be written.
 struct AttemptRequest {
-  std::string head;                         // complete, with the empty line
   std::shared_ptr<const std::string> body;  // may be null
   std::shared_ptr<BodyPipe> rest;  // what follows `body`; where its length is not known the head says chunked
                                    // and ends with the size line of `body` as a chunk (RFC 9112, 7.1)
@@ -53,9 +53,10 @@
  public:
   virtual ~AttemptSink() = default;
   virtual void onAttemptEnd(AttemptId id, AttemptEnd end) = 0;
-  // Its connection has come up later than it was started: may its first byte go now? If not it is NotSent.
-  // Must not call back.
-  virtual bool mayBegin(AttemptId id) = 0;
+  // The first byte of the attempt can be written now. Returns its head, complete with the empty line, as it
+  // holds at this moment; nothing if the attempt must not begin any more, and then its end is NotSent.
+  // `late`: there was a wait since start(), for the connection or for room in it. Must not call back.
+  virtual std::optional<std::string> onAttemptReady(AttemptId id, bool late) = 0;
   // Its last byte is with the kernel: the host may have it whole. Once at most, before its end.
   virtual void onAttemptWritten(AttemptId id) = 0;
   // It is served, by a long answer. Once at most; its end follows when all has come, or broke off, or when
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -71,10 +71,8 @@
   const auto it = pools_.find(uid);
   Connection* connection = it == pools_.end() ? nullptr : open(it->first, it->second.endpoint);
   if (connection == nullptr) return sink_.onProbeEnd(std::string(uid), false, 0, {});
-  AttemptRequest request;
-  request.head = std::string("GET ") + (limits_.probe_load ? "/load" : "/healthz") +
-                 " HTTP/1.1\r\nHost: api.internal\r\n\r\n";
-  connection->startProbe(std::move(request));
+  connection->startProbe(std::string("GET ") + (limits_.probe_load ? "/load" : "/healthz") +
+                         " HTTP/1.1\r\nHost: api.internal\r\n\r\n");
 }
 
 void Upstream::giveUp(AttemptId id, Result as) {
--- a/src/pools/include/pools/pool.h
+++ b/src/pools/include/pools/pool.h
@@ -131,7 +131,7 @@
   };
 
   void onAttemptEnd(AttemptId id, AttemptEnd end) override;
-  bool mayBegin(AttemptId id) override;
+  std::optional<std::string> onAttemptReady(AttemptId id, bool late) override;
   void onAttemptWritten(AttemptId id) override;
   void onAttemptAnswers(AttemptId id, LongAnswer answer) override;
   void onProbeEnd(const std::string& uid, bool ok, Time latency, const std::string& load) override;
@@ -160,6 +160,11 @@
   void applyList(HostList list, load_balancer::ListKind kind);
   bool pushed() const;
   load_balancer::LoadReport parseLoad(std::string_view text) const;
+  // The term under which a request of a service may be sent where it was meant to go, 0 for one of no
+  // service. Nothing: its service has another owner by now.
+  std::optional<std::uint32_t> termFor(const Open& request) const;
+  // What the host of an attempt is told that begins now: never more than the client has left.
+  static Time timeLeft(const Open& request, const Attempt& attempt, Time now);
   std::string headFor(const Open& request, Time time_left, std::uint32_t term) const;
   void log(std::string_view text, LogLevel level = LogLevel::Info);
 
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -171,21 +171,15 @@
   const bool may_go =
       whole && !r.answered && limit > 0 && action.time >= 0 && r.attempts.size() < kMostAttempts;
   if (!may_go) return onAttemptEnd(id, {});
-  // Whose it is may have changed since it came.
-  std::uint32_t term = 0;
-  if (r.taken.service) {
-    const ServiceGate::Leave leave = gate_->leave(*r.taken.service);
-    if (!leave.may || leave.zone != r.taken.zone) return onAttemptEnd(id, {});
-    term = leave.term;
-  }
+  if (!termFor(r)) return onAttemptEnd(id, {});  // no connection is opened for nothing
   if (gate_ != nullptr) {
     const auto host = listed_.find(action.server);
     r.taken.ran_in = host == listed_.end() ? std::string() : zones_.nameOf(host->second.host.zone);
   }
   expectEnd(action.request, r, attempt);
-  upstream_.start(id, action.server,
-                  {headFor(r, limit, term), r.taken.request.body, r.taken.request.rest,
-                   r.taken.effect == load_balancer::Effect::Unsafe});
+  upstream_.start(
+      id, action.server,
+      {r.taken.request.body, r.taken.request.rest, r.taken.effect == load_balancer::Effect::Unsafe});
 }
 
 // A host begins when it has the last byte: until a long request's has come, no time runs for its attempts.
@@ -277,8 +271,18 @@
   });
 }
 
-bool Pool::mayBegin(AttemptId id) {
-  return balancer_.mayBegin(clock_.now(), id / kMostAttempts, static_cast<std::int32_t>(id % kMostAttempts));
+std::optional<std::string> Pool::onAttemptReady(AttemptId id, bool late) {
+  const Time now = clock_.now();
+  const RequestId request = id / kMostAttempts;
+  const auto attempt = static_cast<std::int32_t>(id % kMostAttempts);
+  if (late && !balancer_.mayBegin(now, request, attempt)) return std::nullopt;
+  const auto it = open_.find(request);
+  if (it == open_.end()) return std::nullopt;
+  const Open& r = it->second;
+  const std::optional<std::uint32_t> term = termFor(r);
+  const Time left = timeLeft(r, r.attempts[static_cast<std::size_t>(attempt)], now);
+  if (!term || left <= 0) return std::nullopt;
+  return headFor(r, left, *term);
 }
 
 void Pool::outcome(Time now, RequestId id, std::int32_t attempt, AttemptEnd end) {
--- a/src/pools/pool_head.cpp
+++ b/src/pools/pool_head.cpp
@@ -29,6 +29,19 @@
 
 }  // namespace
 
+std::optional<std::uint32_t> Pool::termFor(const Open& r) const {
+  if (!r.taken.service) return 0;
+  const ServiceGate::Leave leave = gate_->leave(*r.taken.service);
+  if (!leave.may || leave.zone != r.taken.zone) return std::nullopt;
+  return leave.term;
+}
+
+Time Pool::timeLeft(const Open& r, const Attempt& a, Time now) {
+  const bool uploading = r.taken.request.rest && r.uploaded == 0;  // the attempt's time has not begun to run
+  const Time end = (uploading ? now : beganAt(r, a)) + a.limit;
+  return std::min(end, r.taken.deadline) - now;
+}
+
 std::string Pool::headFor(const Open& r, Time time_left, std::uint32_t term) const {
   const RequestHead& from = r.taken.request.head;
   std::string head;
--- a/tests/late_connection_test.cpp
+++ b/tests/late_connection_test.cpp
@@ -86,6 +86,17 @@
   Answer last;
 };
 
+// One service, whose owner and term the test says.
+struct Owners : ServiceGate {
+  Match serviceOf(const RequestHead&, std::string_view, Effect) const override { return {0U, false}; }
+  Leave leave(Service) const override { return {true, zone, term, 0}; }
+  std::optional<Time> heldBack(const load_balancer::RequestClass&, bool) const override { return {}; }
+  void ended(const Ended&) override {}
+  void turnedAway(Service, std::uint32_t) override {}
+  std::string zone = "a";
+  std::uint32_t term = 1;
+};
+
 // Classes: 0 safe, 1 unsafe, 2 keyed with a short window.
 load_balancer::Settings settings() {
   load_balancer::Settings s;
@@ -129,15 +140,17 @@
     add(list, "s-late", late.endpoint(), state, up_since);
     return list;
   }
-  void ask(std::int32_t request_class) {
+  void ask(std::int32_t request_class, std::optional<ServiceGate::Service> service = {}) {
     Taken t;
+    t.service = service;
+    if (service) t.zone = owners.zone;
     t.exchange = 1;
     t.request.head.method = request_class == 0 ? "GET" : "POST";
     t.request.head.target = "/a/7";
     t.request.head.forward = "X-Correlation-Id: x\r\n";
     t.request_class = request_class;
     t.effect = settings().classes[static_cast<std::size_t>(request_class)].effect;
-    t.deadline = loop.clock.now() + 3 * kSecond;
+    t.deadline = deadline = loop.clock.now() + kPatience;
     pool->open(std::move(t));
     loop.turn();  // its connection is under way
   }
@@ -147,6 +160,17 @@
     ASSERT_TRUE(loop.until([&] { return late.come() > 0; }));
     for (int i = 0; i < 20; ++i) loop.turn();
   }
+  // The value of a header line that the late host was sent; empty: it has heard none of this name.
+  std::string toldLate(const std::string& name) const {
+    const std::string heard = late.heard();
+    const std::size_t at = heard.find("\r\n" + name + ": ");
+    if (at == std::string::npos) return {};
+    const std::size_t value = at + name.size() + 4;
+    return heard.substr(value, heard.find("\r\n", value) - value);
+  }
+  static constexpr Time kPatience = 3 * kSecond;
+  Time deadline = 0;  // the client's
+  Owners owners;
   Loop loop;
   LateHost late{loop};
   Host other{loop};
@@ -165,6 +189,40 @@
   EXPECT_EQ(sink.last.status, 200);
 }
 
+// The system asks for a dropped connection again after a second: that much is gone by the first byte.
+TEST_F(LateConnection, TheHostIsToldTheTimeThatIsLeftWhenTheFirstByteIsWritten) {
+  constexpr Time kSlack = 150 * kMillisecond;
+  pool->start(onlyLate());
+  ask(1);
+  comesUp();
+  ASSERT_TRUE(loop.until([&] { return late.heard().find("\r\n\r\n") != std::string::npos; }));
+  const std::optional<Time> told = parseSeconds(toldLate("X-Time-Left"));
+  ASSERT_TRUE(told);
+  EXPECT_LE(*told, kPatience - kSecond + kSlack);
+  EXPECT_GE(*told, deadline - loop.clock.now()) << "nor less than is left";
+}
+
+TEST_F(LateConnection, TheTermOfItsServiceChangesMeanwhileAndTheHostIsToldTheNewOne) {
+  pool->setGate(&owners);
+  pool->start(onlyLate());
+  ask(1, ServiceGate::Service{0});
+  owners.term = 2;
+  comesUp();
+  ASSERT_TRUE(loop.until([&] { return late.heard().find("\r\n\r\n") != std::string::npos; }));
+  EXPECT_EQ(toldLate("X-Service-Term"), "2");
+}
+
+TEST_F(LateConnection, TheOwnerOfItsServiceChangesMeanwhileAndNothingIsSent) {
+  pool->setGate(&owners);
+  pool->start(onlyLate());
+  ask(1, ServiceGate::Service{0});
+  owners.zone = "b";
+  comesUp();
+  ASSERT_TRUE(loop.until([&] { return sink.over == 1; }));
+  EXPECT_EQ(late.heard(), "");
+  EXPECT_EQ(sink.last.status, 503);
+}
+
 TEST_F(LateConnection, TheClientLeavesMeanwhileAndNothingIsSent) {
   pool->start(onlyLate());
   ask(1);
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -17,7 +17,10 @@
   void onAttemptEnd(AttemptId id, AttemptEnd end) override {
     EXPECT_TRUE(ends.emplace(id, std::move(end)).second) << "two reports of attempt " << id;
   }
-  bool mayBegin(AttemptId id) override { return begin_refused.count(id) == 0; }
+  std::optional<std::string> onAttemptReady(AttemptId id, bool) override {
+    if (begin_refused.count(id) > 0) return std::nullopt;
+    return std::string(posts.count(id) > 0 ? "POST" : "GET") + " /x HTTP/1.1\r\nX-Correlation-Id: a\r\n\r\n";
+  }
   void onAttemptWritten(AttemptId id) override {
     EXPECT_EQ(ends.count(id), 0U) << "written after its end: " << id;
     ++written[id];
@@ -28,7 +31,7 @@
   }
   void onProbeEnd(const std::string&, bool, Time, const std::string&) override {}
   std::map<AttemptId, AttemptEnd> ends;
-  std::set<AttemptId> begin_refused;
+  std::set<AttemptId> begin_refused, posts;
   std::map<AttemptId, int> written;
   std::map<AttemptId, LongAnswer> begun;
 };
@@ -36,9 +39,7 @@
 class UpstreamTest : public ::testing::Test {
  protected:
   UpstreamTest() { up.setHost("h", host.endpoint()); }
-  void start(AttemptId id) {
-    up.start(id, "h", {"GET /x HTTP/1.1\r\nX-Correlation-Id: a\r\n\r\n", nullptr, nullptr, false});
-  }
+  void start(AttemptId id) { up.start(id, "h", {nullptr, nullptr, false}); }
   bool ended(AttemptId id) {
     return loop.until([&] { return reports.ends.count(id) > 0; });
   }
@@ -166,7 +167,8 @@
     return peer != nullptr && ended(id);
   };
   const auto startUnrepeatable = [&](AttemptId id) {
-    up.start(id, "h", {"POST /x HTTP/1.1\r\nX-Correlation-Id: a\r\n\r\n", nullptr, nullptr, true});
+    reports.posts.insert(id);
+    up.start(id, "h", {nullptr, nullptr, true});
   };
   start(1);
   ASSERT_TRUE(answer(1, 1, 1));
