The event loop keeps its locks: storage posts to it from its own thread

Cause: the program's loop was made with BOOST_ASIO_CONCURRENCY_HINT_UNSAFE (src/daemon/serve.cpp), which takes the locks out of its queue, and the storage task posts to it from its own thread (src/storage/async_store.cpp, tell). Only where the operator file has 'memory'.

Ruled out: the writer of shared files (src/subscription/file_writer.cpp), which wakes the loop through an eventfd and posts nothing.

Change: EventLoop, an io_context with a concurrency hint of 1, in the program, in the tests over sockets and in bench_admission.

--- a/bench/admission.cpp
+++ b/bench/admission.cpp
@@ -10,13 +10,13 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <boost/asio/io_context.hpp>
 #include <cstdlib>
 #include <random>
 #include <vector>
 
 #include "admission/connections.h"
 #include "admission/requests.h"
+#include "net/event_loop.h"
 #include "net/server.h"
 
 namespace {
@@ -171,7 +171,7 @@
     SilentClients clients(count);
     const Clock clock;
     Log log(clock, "bench");
-    boost::asio::io_context io(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
+    EventLoop io;
     Timers timers(io, clock);
     Descriptors descriptors(clock, 4 * count);
     Nobody nobody;
--- a/src/daemon/serve.cpp
+++ b/src/daemon/serve.cpp
@@ -4,7 +4,6 @@
 #include <sys/resource.h>
 
 #include <algorithm>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
@@ -22,6 +21,7 @@
 #include "front/proxy.h"
 #include "handover/link.h"
 #include "net/config.h"
+#include "net/event_loop.h"
 #include "net/log.h"
 #ifdef CLIENT_PROXY_OWNERSHIP
 #include "ownership/ownership_service.h"
@@ -138,7 +138,6 @@
         subscription_(config.subscription),
         settings_(config.site.settings),
         class_names_(config.site.classes),
-        io_(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE),
         proxy_(io_, levelled(std::move(config)), log_, clock_),
         end_(io_, SIGTERM, SIGINT),
         reload_(io_, SIGHUP),
@@ -449,7 +448,7 @@
   std::optional<SubscriptionSettings> subscription_;
   load_balancer::Settings settings_;  // as at start
   std::vector<std::string> class_names_;
-  boost::asio::io_context io_;
+  EventLoop io_;
   Proxy proxy_;
   boost::asio::signal_set end_, reload_;
   console::ConsoleServer console_;
--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -4,7 +4,6 @@
 
 #include <gtest/gtest.h>
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -15,6 +14,7 @@
 #include <string>
 
 #include "net/descriptors.h"
+#include "net/event_loop.h"
 #include "net/log.h"
 #include "net/timers.h"
 
@@ -29,7 +29,7 @@
 inline tcp::endpoint anyPort() { return {asio::ip::make_address("127.0.0.1"), 0}; }
 
 struct Loop {
-  asio::io_context io{BOOST_ASIO_CONCURRENCY_HINT_UNSAFE};
+  EventLoop io;
   Clock clock;
   Timers timers{io, clock};
   Log log{clock, "test"};
