--- a/bench/admission.cpp
+++ b/bench/admission.cpp
@@ -74,7 +74,7 @@
   Crowd crowd(static_cast<std::size_t>(state.range(0)), static_cast<std::uint32_t>(state.range(1)));
   for (auto _ : state) {
     crowd.now += 1000;
-    if (const auto victim = crowd.gate.makeRoom(crowd.now)) crowd.gate.onClosed(victim->id, victim->cause);
+    if (const auto victim = crowd.gate.makeRoom(crowd.now)) crowd.gate.onClosed(victim->id, victim->reason);
     benchmark::DoNotOptimize(crowd.gate.onAccepted(crowd.now, peer(crowd.random() % 200)));
   }
 }
@@ -104,11 +104,11 @@
   std::vector<Refusal> refused;
   RequestKey id = 1;
   const auto ask = [&] {
-    return Ask{.id = id,
-               .request_class = static_cast<std::int32_t>(id % 4),
-               .tenant = static_cast<std::int32_t>(id % 2),
-               .bytes = 500,
-               .deadline = static_cast<Time>(id) + 1'000'000};
+    return AdmissionRequest{.id = id,
+                            .request_class = static_cast<std::int32_t>(id % 4),
+                            .tenant = static_cast<std::int32_t>(id % 2),
+                            .bytes = 500,
+                            .deadline = static_cast<Time>(id) + 1'000'000};
   };
   for (; id <= held; ++id) gate.offer(static_cast<Time>(id), ask(), refused);
   for (auto _ : state) {
--- a/bench/capacity_run.cpp
+++ b/bench/capacity_run.cpp
@@ -12,7 +12,7 @@
 
 using rig::MemberTraffic;
 using rig::MixedFleet;
-using Traffic = fleet_transport::Neighbours::Traffic;
+using Traffic = fleet_transport::MembershipService::Traffic;
 using Clock = std::chrono::steady_clock;
 
 constexpr std::chrono::seconds kAgreeWithin{90};
@@ -63,10 +63,10 @@
   add("worst second out of any hollow", "B/s", static_cast<double>(worst_out), kMostBytesASecond);
   add("worst second in of any hollow", "B/s", static_cast<double>(worst_in), kMostBytesASecond);
   const auto membership = [](const Traffic& t) {
-    return static_cast<double>(t.bytes_out - t.parcel_bytes_out);
+    return static_cast<double>(t.bytes_out - t.message_bytes_out);
   };
   const auto membershipDatagrams = [](const Traffic& t) {
-    return static_cast<double>(t.datagrams_out - t.parcels_out);
+    return static_cast<double>(t.datagrams_out - t.messages_out);
   };
   add("membership bytes out a hollow", "B/s", meanOf(interval.rates(membership, hollow)), kMostBytesASecond);
   add("membership datagrams out a hollow", "1/s", meanOf(interval.rates(membershipDatagrams, hollow)));
@@ -250,8 +250,8 @@
     };
     std::printf("%zu members, until %5.0f s: membership %6.0f B/s in %5.1f datagrams/s a hollow member\n",
                 plan.members, secondsSince(began),
-                mean([](const Traffic& t) { return static_cast<double>(t.bytes_out - t.parcel_bytes_out); }),
-                mean([](const Traffic& t) { return static_cast<double>(t.datagrams_out - t.parcels_out); }));
+                mean([](const Traffic& t) { return static_cast<double>(t.bytes_out - t.message_bytes_out); }),
+                mean([](const Traffic& t) { return static_cast<double>(t.datagrams_out - t.messages_out); }));
     std::fflush(stdout);
     before = std::move(after);
   }
--- a/bench/capacity_run.h
+++ b/bench/capacity_run.h
@@ -31,7 +31,7 @@
 // Two readings of all members' counters, and what lies between.
 class Interval {
  public:
-  using Pick = std::function<double(const fleet_transport::Neighbours::Traffic&)>;
+  using Pick = std::function<double(const fleet_transport::MembershipService::Traffic&)>;
   Interval(std::vector<rig::MemberTraffic> before, std::vector<rig::MemberTraffic> after);
   // Per second, of each member that is in both and that `who` takes.
   std::vector<double> rates(const Pick& what,
--- a/bench/latency.cpp
+++ b/bench/latency.cpp
@@ -42,8 +42,8 @@
 
 namespace {
 
-using client_proxy::rig::Effect;
 using client_proxy::rig::FleetRig;
+using client_proxy::rig::Idempotency;
 using client_proxy::rig::Plan;
 using client_proxy::rig::Record;
 using client_proxy::rig::ServicePlan;
@@ -158,7 +158,7 @@
                           .queue = kHostQueue,
                           .work = client_proxy::rig::Span(0)});
   for (std::size_t s = 0; s < options.services; ++s) {
-    plan.classes.push_back({.name = classOf(s), .effect = Effect::Unsafe});
+    plan.classes.push_back({.name = classOf(s), .idempotency = Idempotency::NonIdempotent});
     if (control)
       plan.services.push_back({"service-" + std::to_string(s), classOf(s), s % kZones, (s + 1) % kZones});
   }
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -36,8 +36,8 @@
 
 using nlohmann::json;
 using namespace client_proxy::bench;
-using client_proxy::rig::Effect;
 using client_proxy::rig::FleetRig;
+using client_proxy::rig::Idempotency;
 using client_proxy::rig::Plan;
 using client_proxy::rig::Record;
 using client_proxy::rig::Site;
@@ -287,16 +287,18 @@
  private:
   static load_balancer::Settings settings() {
     load_balancer::Settings s;
-    s.discovery = load_balancer::Discovery::Ask;
-    s.classes = {{.aim = 800'000, .deadline = 2'500'000, .effect = load_balancer::Effect::Safe}};
+    s.discovery = load_balancer::Discovery::Poll;
+    s.classes = {{.latency_objective = 800'000,
+                  .deadline = 2'500'000,
+                  .idempotency = load_balancer::Idempotency::Idempotent}};
     s.max_attempts = 3;
     s.may_cancel = true;
     s.drain_grace = 2'000'000;
-    s.cold_from = 0.3;
-    s.cold_time = 8'000'000;
-    s.cold_multiple = 3;
-    s.cold_window = 2'000'000;
-    s.ask_within = 10'000'000;
+    s.slow_start_initial_capacity = 0.3;
+    s.slow_start_duration = 8'000'000;
+    s.slow_start_overload_factor = 3;
+    s.slow_start_overload_window = 2'000'000;
+    s.poll_interval = 10'000'000;
     s.tick = 5000;
     return s;
   }
@@ -346,7 +348,7 @@
   const double bytes = heap() - heap_before;
   for (int n = 0; n < kWarmUp; ++n) module.request();
   const std::uint64_t served = module.served();
-  const std::uint64_t looked_at = module.balancer().serversLookedAt();
+  const std::uint64_t looked_at = module.balancer().hostsExamined();
   double least = std::numeric_limits<double>::infinity();
   for (int round = 0; round < kRounds; ++round) {
     const double before = ownCpuMilliseconds();
@@ -355,8 +357,7 @@
   }
   constexpr int kAll = kRounds * kRequests;
   if (module.served() - served != kAll) throw std::runtime_error("the module refused or repeated requests");
-  return {least * 1000 / kRequests,
-          static_cast<double>(module.balancer().serversLookedAt() - looked_at) / kAll,
+  return {least * 1000 / kRequests, static_cast<double>(module.balancer().hostsExamined() - looked_at) / kAll,
           static_cast<double>(module.balancer().subset(module.now()).size()), bytes / 1000};
 }
 
@@ -389,7 +390,7 @@
     plan.zones.push_back({.name = "zone-" + std::to_string(z), .region = "", .hosts = 1});
   for (std::size_t s = 0; s < kAllServices; ++s) {
     const std::string of = "class-" + std::to_string(s);
-    plan.classes.push_back({.name = of, .effect = Effect::Unsafe});
+    plan.classes.push_back({.name = of, .idempotency = Idempotency::NonIdempotent});
     plan.services.push_back({"service-" + std::to_string(s), of, s % kZones, (s + 1) % kZones});
   }
   return plan;
--- a/bench/zones.cpp
+++ b/bench/zones.cpp
@@ -27,7 +27,8 @@
   plan.seed = seed;
   plan.proxies = members;
   plan.lasting = std::chrono::seconds(kEnd);
-  plan.classes = {{.name = "slot-status", .share = 3}, {.name = "swap-charge", .effect = Effect::Unsafe}};
+  plan.classes = {{.name = "slot-status", .share = 3},
+                  {.name = "swap-charge", .idempotency = Idempotency::NonIdempotent}};
   for (const char* name : {"a", "b", "c"})
     plan.zones.push_back({.name = name, .region = "south", .hosts = 12, .work = Span(85'000)});
   const double all = load * 36 * 2 / 0.085;
--- a/demo/main.cpp
+++ b/demo/main.cpp
@@ -48,11 +48,11 @@
 };
 
 http::request<http::empty_body> requestFor(const conf::ClassModel& c, const std::string& id) {
-  const bool safe = c.effect == conf::Effect::Safe;
+  const bool safe = c.idempotency == conf::Idempotency::Idempotent;
   http::request<http::empty_body> r(safe ? http::verb::get : http::verb::post, "/" + c.name + "/7", 11);
   r.set(http::field::host, "demo");
   r.set("X-Correlation-Id", id);
-  if (c.effect == conf::Effect::Keyed) r.set("Idempotency-Key", id);
+  if (c.idempotency == conf::Idempotency::IdempotentWithKey) r.set("Idempotency-Key", id);
   if (!safe) r.set(http::field::content_length, "0");
   return r;
 }
@@ -81,7 +81,7 @@
     }
     const std::lock_guard lock(tally.mutex);
     ++tally.answers[who];
-    if (c.effect == conf::Effect::Unsafe) tally.charges[id] = c.name;
+    if (c.idempotency == conf::Idempotency::NonIdempotent) tally.charges[id] = c.name;
   }
 }
 
--- a/fuzz/fleet_property.cpp
+++ b/fuzz/fleet_property.cpp
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "fleet/fleet.h"
-#include "fleet_transport/remembered.h"
+#include "fleet_transport/membership_snapshot.h"
 
 namespace client_proxy::fuzz {
 namespace {
@@ -78,7 +78,7 @@
 }
 
 std::string brokenView(std::string_view bytes) {
-  Remembered view;
+  MembershipSnapshot view;
   try {
     view = fleet_transport::rememberedFrom(bytes);
   } catch (const std::runtime_error& e) {
@@ -89,7 +89,7 @@
     return "a view does not survive its own text";
   Fleet one = member();
   Out out;
-  one.recall(view, kStart);
+  one.restore(view, kStart);
   one.start(kStart, out);
   if (one.roster().at(9).standing.state != State::Alive) return "a member believes itself dead";
   if (const std::string broken = unreadable(out); !broken.empty()) return broken;
--- a/fuzz/wire_property.cpp
+++ b/fuzz/wire_property.cpp
@@ -7,8 +7,8 @@
 #include <utility>
 
 #include "console/calls.h"
-#include "handover/frame.h"
-#include "handover/state.h"
+#include "hot_restart/frame.h"
+#include "hot_restart/state.h"
 #include "net/host_list.h"
 #include "net/http.h"
 
@@ -121,39 +121,39 @@
 }
 
 std::string brokenFrame(std::string_view bytes) {
-  const auto frame = handover::decode(bytes);
+  const auto frame = hot_restart::decode(bytes);
   if (!frame) return {};
-  if (frame->payload.size() > handover::kMostPayload) return "a payload beyond the bound";
-  return handover::encode(*frame) == bytes ? "" : "it is written otherwise than it was read";
+  if (frame->payload.size() > hot_restart::kMostPayload) return "a payload beyond the bound";
+  return hot_restart::encode(*frame) == bytes ? "" : "it is written otherwise than it was read";
 }
 
 std::string brokenState(std::string_view bytes) {
-  handover::State state;
+  hot_restart::State state;
   try {
-    state = handover::fromText(bytes);
+    state = hot_restart::fromText(bytes);
   } catch (const std::runtime_error&) {
     return {};
   }
-  const std::string once = handover::toText(state);
-  if (handover::toText(handover::fromText(once)) != once) return "its text means something else";
+  const std::string once = hot_restart::toText(state);
+  if (hot_restart::toText(hot_restart::fromText(once)) != once) return "its text means something else";
 
   load_balancer::Settings settings;
   settings.classes.resize(1);
-  settings.classes[0].aim = settings.classes[0].deadline = 1'000'000;
-  settings.cold_time = 5'000'000;
+  settings.classes[0].latency_objective = settings.classes[0].deadline = 1'000'000;
+  settings.slow_start_duration = 5'000'000;
   load_balancer::Balancer module(settings, 1);
   std::vector<load_balancer::Host> hosts(4);
   for (std::size_t i = 0; i < hosts.size(); ++i) hosts[i].id = "s-" + std::to_string(i + 1);
   load_balancer::Actions actions;
   constexpr load_balancer::Time kNow = 1'000'000'000;
   module.onServers(kNow, load_balancer::ListKind::Restored, hosts, actions);
-  module.recall(kNow, state.servers, actions);
+  module.restore(kNow, state.servers, actions);
   if (module.knownServers() > hosts.size() + state.servers.size()) return "servers from nowhere";
-  if (module.rememberedSlots() > (1U << 20U) + hosts.size()) return "slots have no bound";
+  if (module.slotCount() > (1U << 20U) + hosts.size()) return "slots have no bound";
   bool all_out = true;
   for (const load_balancer::Host& h : hosts) {
     all_out &= std::any_of(state.servers.begin(), state.servers.end(),
-                           [&](const auto& s) { return s.id == h.id && (s.out_of_use || s.ejected); });
+                           [&](const auto& s) { return s.id == h.id && (s.in_maintenance || s.ejected); });
   }
   // Whatever is recalled: where a server is in use the tenth request at the latest finds it.
   bool sent = false;
--- a/include/load_balancer/balancer.h
+++ b/include/load_balancer/balancer.h
@@ -20,32 +20,36 @@
 using RequestId = std::uint64_t;     // chosen by the embedder, never used twice in one Balancer's life
 constexpr std::int32_t kUnset = -1;  // an index that was not given
 
-enum class Effect : std::uint8_t {
-  Safe,    // may be repeated and refused without limit
-  Keyed,   // a group of servers discards repeats for a while
-  Unsafe,  // must never run twice
+enum class Idempotency : std::uint8_t {
+  Idempotent,         // may be repeated and refused without limit
+  IdempotentWithKey,  // a group of servers discards repeats for a while
+  NonIdempotent,      // must never run twice
 };
-enum class Group : std::uint8_t { All, Zone, Cell };  // which servers discard a keyed request's repeats
+enum class DeduplicationScope : std::uint8_t {
+  All,
+  Zone,
+  Cell
+};  // which servers discard a keyed request's repeats
 
 struct RequestClass {
-  Time aim = 0;       // an answer within this time earns the full worth; > 0
-  Time deadline = 0;  // how long clients of this class wait at most; > 0
-  Effect effect = Effect::Unsafe;
-  Group group = Group::All;       // read for Keyed
-  Time window = 0;                // read for Keyed: repeats are discarded this long after the first send; > 0
-  double worth = 1;               // what one answer in time is worth; >= 0
-  double late_worth = 0;          // fraction of the worth for an answer between aim and deadline
-  double aim_stretch = 0;         // the aim grows by this multiple of the request's own work
+  Time latency_objective = 0;  // an answer within this time earns the full worth; > 0
+  Time deadline = 0;           // how long clients of this class wait at most; > 0
+  Idempotency idempotency = Idempotency::NonIdempotent;
+  DeduplicationScope deduplication_scope = DeduplicationScope::All;  // read for Keyed
+  Time deduplication_window = 0;  // read for Keyed: repeats are discarded this long after the first send; > 0
+  double priority_weight = 1;     // what one answer in time is worth; >= 0
+  double late_weight = 0;         // fraction of the worth for an answer between aim and deadline
+  double objective_per_work = 0;  // the aim grows by this multiple of the request's own work
   std::int32_t max_attempts = 0;  // per request; 0: Settings::max_attempts
   bool operator==(const RequestClass&) const = default;
 };
 
 struct Tenant {
-  double fraction = 0;  // its portion of the service, 0 to 1; its requests beyond that are shed first
+  double quota = 0;  // its portion of the service, 0 to 1; its requests beyond that are shed first
 };
 
-enum class Discovery : std::uint8_t { Push, Ask };
-enum class ReportSource : std::uint8_t { None, Answers, Probe };
+enum class Discovery : std::uint8_t { Push, Poll };
+enum class ReportSource : std::uint8_t { None, Responses, HealthChecks };
 
 // What the deployment states once, at start. The constructor throws std::invalid_argument naming the field
 // if a value is impossible.
@@ -58,22 +62,24 @@
   bool warm_keys = false;             // a server that met a key lately needs less work for it
   std::vector<RequestClass> classes;  // at least one
   std::vector<Tenant> tenants;        // may be empty
-  double over_share_worth = 1;        // worth of a request beyond its tenant's share, as a fraction
+  double over_quota_weight = 1;       // worth of a request beyond its tenant's share, as a fraction
   // What the deployment permits.
   std::int32_t max_attempts = 1;  // per request, >= 1
   bool may_cancel = false;
-  bool may_probe = false;
+  bool may_health_check = false;
   bool retry_after = false;  // clients are told how long to stay away after a refusal
   Time max_retry_after = 0;
   // The figures of the rules.
   Time drain_grace = 0;  // sends to a draining server must have stopped after this; here they stop at once
-  double cold_from = 1;  // a server starts with at least this fraction of its capacity; in (0, 1]
-  Time cold_time = 0;    // and is warm no later than this
-  double cold_multiple = 1;  // sent more than this multiple of its present capacity ...
-  Time cold_window = 0;      // ... for this long, a cold server falls over; here no burst of two is saved up
-  Time ask_within = 0;       // Discovery::Ask: silence this long counts as knowing what was listed then
-  Time tick = 1000;          // the least time between two rounds of events
-  bool explain = false;      // fill in Action::reason; costs a walk along the subset for each Send
+  double slow_start_initial_capacity =
+      1;                         // a server starts with at least this fraction of its capacity; in (0, 1]
+  Time slow_start_duration = 0;  // and is warm no later than this
+  double slow_start_overload_factor = 1;  // sent more than this multiple of its present capacity ...
+  Time slow_start_overload_window =
+      0;                   // ... for this long, a cold server falls over; here no burst of two is saved up
+  Time poll_interval = 0;  // Discovery::Ask: silence this long counts as knowing what was listed then
+  Time tick = 1000;        // the least time between two rounds of events
+  bool explain = false;    // fill in Action::reason; costs a walk along the subset for each Send
 };
 
 enum class HostState : std::uint8_t { Healthy, Draining, Gone };
@@ -82,7 +88,7 @@
 struct Host {
   std::string id;
   HostState state = HostState::Healthy;
-  Time up_since = 0;    // when its process last started; 0: long ago
+  Time started_at = 0;  // when its process last started; 0: long ago
   double capacity = 1;  // comparable between hosts if Settings::weighted
   std::int32_t zone = 0;
   std::int32_t cell = 0;
@@ -97,31 +103,32 @@
 
 struct Request {
   RequestId id = 0;
-  Time time_left = 0;               // until the client gives this try up
-  Time expected_work = 0;           // on a standard core; 0: unknown
-  std::int32_t request_class = 0;   // index into Settings::classes
-  std::int32_t tenant = kUnset;     // index into Settings::tenants
-  std::int64_t key = kUnset;        // what the request is about
-  std::int32_t only_zone = kUnset;  // no server elsewhere may have it; kUnset: any may
+  Time time_left = 0;                   // until the client gives this try up
+  Time expected_work = 0;               // on a standard core; 0: unknown
+  std::int32_t request_class = 0;       // index into Settings::classes
+  std::int32_t tenant = kUnset;         // index into Settings::tenants
+  std::int64_t key = kUnset;            // what the request is about
+  std::int32_t required_zone = kUnset;  // no server elsewhere may have it; kUnset: any may
 };
 
 enum class Result : std::uint8_t {
   Ok,
-  Error,          // may have run
-  Rejected,       // never ran: turned away unseen
-  TimedOut,       // may have run
-  ConnectFailed,  // never ran
-  Reset,          // may have run
-  Spoilt,         // may have run: what came back is no answer to it
-  BadRequest,     // may have run: the server finds fault with the request itself
-  Cancelled,      // may have run
-  NotSent,        // never ran: the embedder did not send it
-  CutShort,       // never ran: the connection broke before the server had all of it
+  Error,              // may have run
+  Rejected,           // never ran: turned away unseen
+  TimedOut,           // may have run
+  ConnectFailed,      // never ran
+  Reset,              // may have run
+  InvalidResponse,    // may have run: what came back is no answer to it
+  BadRequest,         // may have run: the server finds fault with the request itself
+  Cancelled,          // may have run
+  NotSent,            // never ran: the embedder did not send it
+  RequestIncomplete,  // never ran: the connection broke before the server had all of it
 };
 
 // No server can have had the whole request.
-constexpr bool provesNotRun(Result r) {
-  return r == Result::Rejected || r == Result::ConnectFailed || r == Result::NotSent || r == Result::CutShort;
+constexpr bool provesNotProcessed(Result r) {
+  return r == Result::Rejected || r == Result::ConnectFailed || r == Result::NotSent ||
+         r == Result::RequestIncomplete;
 }
 
 // What a server says about its own load; a negative value was not reported. Read from probes where
@@ -142,50 +149,50 @@
 
 // What the caller must do. Fields not named for a kind have no meaning there.
 enum class ActionKind : std::uint8_t {
-  Send,       // start an attempt of `request` at `server` now, give it up after `time` microseconds (0: when
-              // the client gives up) and report exactly one Outcome; if it cannot be sent, Result::NotSent.
-              // One whose answer is being written then, and keeps coming, may take `longest` in all
-  Cancel,     // stop waiting for `attempt` of `request`; its Outcome still follows, Cancelled or as it ended
-  Refuse,     // final answer to the client of `request`: not done, repeating is harmless; `time` advises how
-              // many microseconds to stay away (0: no advice)
-  Fail,       // final answer to the client of `request`: failed, effect unknown
-  Probe,      // check `server` once and report with onProbe, also if it fails or takes long
-  Subscribe,  // ask discovery for all changes from now on; report with onServers, failures as Unavailable
-  SetTimer,   // call onTimer(`timer`) at or soon after clock time `time`; timers are never withdrawn, and one
-              // that is no longer needed does nothing
-  Trace,      // a line for staff: `text`; dropping it is harmless
+  Send,    // start an attempt of `request` at `server` now, give it up after `time` microseconds (0: when
+           // the client gives up) and report exactly one Outcome; if it cannot be sent, Result::NotSent.
+           // One whose answer is being written then, and keeps coming, may take `longest` in all
+  Cancel,  // stop waiting for `attempt` of `request`; its Outcome still follows, Cancelled or as it ended
+  Reject,  // final answer to the client of `request`: not done, repeating is harmless; `time` advises how
+           // many microseconds to stay away (0: no advice)
+  Fail,    // final answer to the client of `request`: failed, effect unknown
+  HealthCheck,  // check `server` once and report with onHealthCheck, also if it fails or takes long
+  Subscribe,    // ask discovery for all changes from now on; report with onServers, failures as Unavailable
+  SetTimer,  // call onTimer(`timer`) at or soon after clock time `time`; timers are never withdrawn, and one
+             // that is no longer needed does nothing
+  Log,       // a line for staff: `text`; dropping it is harmless
 };
 
 // How many servers the list has, and how many of them nothing goes to as a matter of course: they drain, are
 // ejected, or staff have taken them out.
-struct Standing {
+struct HostCounts {
   std::size_t listed = 0, avoided = 0;
 };
 
 // What a Balancer has found out of a server, for the one that takes its place. Times are of the same clock.
-struct Remembered {
+struct HostSnapshot {
   std::string id;
   std::int32_t slot = kUnset;
-  bool out_of_use = false;               // staff have taken it out
-  bool ejected = false, silent = false;  // silent: ejected for silence, so it may come back cold
+  bool in_maintenance = false;                 // staff have taken it out
+  bool ejected = false, unresponsive = false;  // silent: ejected for silence, so it may come back cold
   Time ejected_since = 0, ejected_until = 0;
-  double strikes = 0;  // evidence of failure
-  Time struck_at = 0;
+  double failure_score = 0;  // evidence of failure
+  Time failure_score_at = 0;
   Time cold_since = 0;  // 0: warm
-  double slowness = 1;
-  bool operator==(const Remembered&) const = default;
+  double latency_ratio = 1;
+  bool operator==(const HostSnapshot&) const = default;
 };
 
 // Why a Send goes where it goes; toString gives the words.
 enum class Reason : std::uint8_t {
-  None,              // not a Send, or Settings::explain is off
-  OrdinaryPick,      // fewest own requests in flight within the subset, ties by turn
-  LengthenedSubset,  // the same, beyond the subset's ordinary length: own demand has outgrown it
-  StandIn,           // the same, in place of a member that drains, is ejected or may not take it now
-  LeastReported,     // of the tied members that were asked for their load
-  Trial,             // an ejected server's time is over and it may prove itself
-  GroupBoundRepeat,  // a repeat that only the group of its first attempt may take
-  ColdShare,         // this client's part of what a server that started lately can take
+  None,               // not a Send, or Settings::explain is off
+  LeastLoaded,        // fewest own requests in flight within the subset, ties by turn
+  ExtendedSubset,     // the same, beyond the subset's ordinary length: own demand has outgrown it
+  Substitute,         // the same, in place of a member that drains, is ejected or may not take it now
+  LeastReportedLoad,  // of the tied members that were asked for their load
+  EjectionTrial,      // an ejected server's time is over and it may prove itself
+  ScopedRetry,        // a repeat that only the group of its first attempt may take
+  SlowStart,          // this client's part of what a server that started lately can take
 };
 std::string_view toString(Reason reason);
 
@@ -202,13 +209,13 @@
 };
 using Actions = std::vector<Action>;
 
-enum class ZoneOrder : std::uint8_t {
-  Free,   // as its own attempts show
-  Watch,  // away, but its servers may prove themselves here
-  Away,   // away, and others look after it
+enum class ZoneDirective : std::uint8_t {
+  None,           // as its own attempts show
+  EjectAndCheck,  // away, but its servers may prove themselves here
+  Eject,          // away, and others look after it
 };
-enum class ZoneSeen : std::uint8_t { Nothing, Answers, Silence };
-struct ZoneSince {
+enum class ZoneObservation : std::uint8_t { None, Responding, Unresponsive };
+struct ZoneObservedSince {
   Time answers = 0, silence = 0;
 };
 
@@ -235,45 +242,45 @@
   // For an attempt that could not be written at once, when its connection has come up: may its first byte go
   // now? If not it ends as Result::NotSent. Since it was chosen its client may have left, its time or its
   // key's window may be over, its server may drain, be gone or have started anew.
-  bool mayBegin(Time now, RequestId request, std::int32_t attempt);
+  bool mayStart(Time now, RequestId request, std::int32_t attempt);
   // The process has to leave: all that is open is to have its answer by `last`. What comes later is to have
   // no more time than that either.
-  void endBy(Time now, Time last, Actions& out);
+  void finishBy(Time now, Time last, Actions& out);
   // An attempt has ended, also one whose request was answered long ago.
   void onOutcome(Time now, const Outcome& outcome, Actions& out);
   // The answer of a streamed class has begun: it belongs to the client now.
-  void onStreaming(Time now, RequestId request, std::int32_t attempt, Actions& out);
+  void onResponseStarted(Time now, RequestId request, std::int32_t attempt, Actions& out);
   // The client has gone; no answer is owed.
   void onClientGone(Time now, RequestId request, Actions& out);
   // A probe has ended. `ok`: the server answered; `load`: what it said of itself, if anything.
-  void onProbe(Time now, std::string_view server, bool ok, Time latency, const LoadReport& load,
-               Actions& out);
+  void onHealthCheck(Time now, std::string_view server, bool ok, Time latency, const LoadReport& load,
+                     Actions& out);
   // Staff take a server out: nothing new goes to it, whatever is listed, also if it leaves the list and comes
   // back, until they put it back. Then it counts as started now. False: no server has this id.
-  bool setMaintenance(Time now, std::string_view server, bool out_of_use);
+  bool setMaintenance(Time now, std::string_view server, bool in_maintenance);
   // A timer that SetTimer asked for is due.
   void onTimer(Time now, std::uint64_t timer, Actions& out);
 
-  Standing standing() const;
+  HostCounts hostCounts() const;
   // What the clients together hold of a zone: nothing goes there but where nobody else is left. A verdict on
   // a zone where this client sends nothing to be answered never makes it send.
-  void setZone(Time now, std::int32_t zone, ZoneOrder order, Actions& out);
+  void setZone(Time now, std::int32_t zone, ZoneDirective order, Actions& out);
   // What this client has seen of a zone's servers: answers since one time, silence on sends since the other.
-  ZoneSeen zoneSeen(Time now, std::int32_t zone, const ZoneSince& since);
+  ZoneObservation observeZone(Time now, std::int32_t zone, const ZoneObservedSince& since);
   // All that is known of servers, by id.
-  std::vector<Remembered> remember() const;
+  std::vector<HostSnapshot> snapshot() const;
   // What another Balancer of this client has found out; to be called once, after the Restored list. Servers
   // that are not listed are passed over, but for those that staff have taken out. Impossible values are
   // passed over too. A cold server gets nothing at first: the other may have spent its share.
-  void recall(Time now, std::span<const Remembered> servers, Actions& out);
+  void restore(Time now, std::span<const HostSnapshot> servers, Actions& out);
   // For tests and operators: the ids of the present subset, in order of preference.
   std::vector<std::string> subset(Time now);
   // How much is remembered and how much was done: requests without an answer or with an attempt out, servers
   // that are listed or still owe an outcome, slots, and servers weighed in all picks so far.
   std::size_t liveRequests() const;
   std::size_t knownServers() const;
-  std::size_t rememberedSlots() const;
-  std::uint64_t serversLookedAt() const;
+  std::size_t slotCount() const;
+  std::uint64_t hostsExamined() const;
 
  private:
   struct Impl;
--- a/rig/callers.cpp
+++ b/rig/callers.cpp
@@ -92,7 +92,7 @@
   });
 }
 
-void Callers::goOn(std::size_t proxy) {
+void Callers::resume(std::size_t proxy) {
   carryOut([&] { proxies_[proxy].paused = false; });
 }
 
@@ -143,7 +143,7 @@
   auto call = std::make_shared<Call>(io_);
   call->proxy = proxy;
   call->id = hex(random_.next());
-  const bool safe = c.effect == Effect::Safe;
+  const bool safe = c.idempotency == Idempotency::Idempotent;
   const double limit = std::chrono::duration<double>(c.deadline).count();
   call->request = {safe ? http::verb::get : http::verb::post, "/" + c.name + "/7", 11};
   call->request.set(http::field::host, "rig");
@@ -151,7 +151,7 @@
   call->request.set("X-Account", "acme");
   call->request.set("X-Time-Left", std::to_string(limit));
   if (!safe) call->request.set(http::field::content_length, "0");
-  if (c.effect == Effect::Keyed) {
+  if (c.idempotency == Idempotency::IdempotentWithKey) {
     call->asked = &c;
     call->key = key.empty() ? hex(random_.next()) : key;
     call->until = key.empty() ? Clock::now() + c.window - c.deadline : until;
@@ -160,7 +160,7 @@
   record_.add({.what = Event::What::Asked,
                .id = call->id,
                .proxy = static_cast<int>(proxy),
-               .unsafe = c.effect == Effect::Unsafe,
+               .unsafe = c.idempotency == Idempotency::NonIdempotent,
                .limit = limit,
                .key = call->key});
   proxies_[proxy].calls.insert(call);
--- a/rig/callers.h
+++ b/rig/callers.h
@@ -30,7 +30,7 @@
   // The application stops and starts with its proxy (PROTOCOL): it calls no more from `after` on, until it
   // goes on.
   void pause(std::size_t proxy, Span after = Span(0));
-  void goOn(std::size_t proxy);
+  void resume(std::size_t proxy);
   // No further calls; returns when each has its answer or has waited its time.
   void stop();
 
--- a/rig/fleet_rig.cpp
+++ b/rig/fleet_rig.cpp
@@ -34,12 +34,13 @@
   for (const ZonePlan& z : plan.zones) zones.push_back(z.name);
   for (const ClassPlan& c : plan.classes) {
     json one = {{"name", c.name},
-                {"goal_time_us", c.aim.count()},
+                {"goal_time_us", c.latency_objective.count()},
                 {"deadline_us", c.deadline.count()},
-                {"effect", c.effect == Effect::Safe     ? "retryable"
-                           : c.effect == Effect::Unsafe ? "fragile"
-                                                        : "dedup"}};
-    if (c.effect == Effect::Keyed) one["group"] = "zone", one["window_us"] = c.window.count();
+                {"effect", c.idempotency == Idempotency::Idempotent      ? "retryable"
+                           : c.idempotency == Idempotency::NonIdempotent ? "fragile"
+                                                                         : "dedup"}};
+    if (c.idempotency == Idempotency::IdempotentWithKey)
+      one["group"] = "zone", one["window_us"] = c.window.count();
     classes.push_back(std::move(one));
   }
   return {{"me", me},
--- a/rig/hollow_clients.cpp
+++ b/rig/hollow_clients.cpp
@@ -19,7 +19,7 @@
         ownership_(context.io, context.clock, context.log, settingsOf(context), context.neighbours,
                    [] { return true; }) {}
   void start() override { ownership_.start(false); }
-  void stop() override { ownership_.giveUp(); }
+  void stop() override { ownership_.stop(); }
   std::string name() const override { return "leases"; }
   nlohmann::ordered_json report() const override {
     const auto served = std::count_if(services_.begin(), services_.end(), [&](const ServiceSetting& service) {
--- a/rig/hollow_host.cpp
+++ b/rig/hollow_host.cpp
@@ -16,17 +16,17 @@
 using boost::system::error_code;
 using nlohmann::json;
 using nlohmann::ordered_json;
-using Traffic = fleet_transport::Neighbours::Traffic;
+using Traffic = fleet_transport::MembershipService::Traffic;
 
 Traffic sum(const Traffic& a, const Traffic& b) {
   return {.datagrams_in = a.datagrams_in + b.datagrams_in,
           .datagrams_out = a.datagrams_out + b.datagrams_out,
           .bytes_in = a.bytes_in + b.bytes_in,
           .bytes_out = a.bytes_out + b.bytes_out,
-          .parcels_in = a.parcels_in + b.parcels_in,
-          .parcels_out = a.parcels_out + b.parcels_out,
-          .parcel_bytes_in = a.parcel_bytes_in + b.parcel_bytes_in,
-          .parcel_bytes_out = a.parcel_bytes_out + b.parcel_bytes_out};
+          .messages_in = a.messages_in + b.messages_in,
+          .messages_out = a.messages_out + b.messages_out,
+          .message_bytes_in = a.message_bytes_in + b.message_bytes_in,
+          .message_bytes_out = a.message_bytes_out + b.message_bytes_out};
 }
 
 asio::ip::udp::endpoint datagramsAt(const std::string& text) {
@@ -231,10 +231,10 @@
                    {"datagrams_out", t.datagrams_out},
                    {"bytes_in", t.bytes_in},
                    {"bytes_out", t.bytes_out},
-                   {"parcels_in", t.parcels_in},
-                   {"parcels_out", t.parcels_out},
-                   {"parcel_bytes_in", t.parcel_bytes_in},
-                   {"parcel_bytes_out", t.parcel_bytes_out},
+                   {"parcels_in", t.messages_in},
+                   {"parcels_out", t.messages_out},
+                   {"parcel_bytes_in", t.message_bytes_in},
+                   {"parcel_bytes_out", t.message_bytes_out},
                    {"worst_out", slot.worst_out},
                    {"worst_in", slot.worst_in}});
   }
--- a/rig/hollow_host.h
+++ b/rig/hollow_host.h
@@ -47,10 +47,10 @@
  private:
   struct Slot {
     const FleetSettings settings;
-    std::unique_ptr<HollowMember> member;          // null: it does not run
-    fleet_transport::Neighbours::Traffic earlier;  // of the members under this number that ended
-    fleet_transport::Neighbours::Traffic second;   // when the current second began
-    std::uint64_t worst_out = 0, worst_in = 0;     // bytes in one second
+    std::unique_ptr<HollowMember> member;                 // null: it does not run
+    fleet_transport::MembershipService::Traffic earlier;  // of the members under this number that ended
+    fleet_transport::MembershipService::Traffic second;   // when the current second began
+    std::uint64_t worst_out = 0, worst_in = 0;            // bytes in one second
   };
   using Numbers = std::vector<std::uint16_t>;
 
@@ -61,7 +61,7 @@
   nlohmann::ordered_json views(const Numbers& numbers) const;
   nlohmann::ordered_json traffic() const;
   nlohmann::ordered_json clients() const;
-  static fleet_transport::Neighbours::Traffic trafficOf(const Slot& slot);
+  static fleet_transport::MembershipService::Traffic trafficOf(const Slot& slot);
   Slot& slotOf(std::uint16_t number);
 
   const HollowFile file_;
--- a/rig/hollow_member.cpp
+++ b/rig/hollow_member.cpp
@@ -4,15 +4,16 @@
 
 namespace client_proxy::rig {
 
-class HollowMember::NoRequests final : public fleet_transport::Local {
+class HollowMember::NoRequests final : public fleet_transport::LocalNode {
  public:
   explicit NoRequests(std::vector<std::string> zones) : zones_(std::move(zones)) {}
   std::uint64_t admitted() const override { return 0; }
   std::vector<std::string> zones() const override { return zones_; }
-  load_balancer::ZoneSeen seen(const std::string&, Time, const load_balancer::ZoneSince&) override {
+  load_balancer::ZoneObservation seen(const std::string&, Time,
+                                      const load_balancer::ZoneObservedSince&) override {
     return {};
   }
-  void setZone(const std::string&, load_balancer::ZoneOrder) override {}
+  void setZone(const std::string&, load_balancer::ZoneDirective) override {}
 
  private:
   const std::vector<std::string> zones_;
@@ -25,7 +26,7 @@
       timers_(io, clock),
       local_(std::make_unique<NoRequests>(plan.zones)) {
   log_.setLevel(LogLevel::Error);
-  neighbours_ = fleet_transport::makeNeighbours(io, clock, log_, fleet_, *local_);
+  neighbours_ = fleet_transport::makeMembershipService(io, clock, log_, fleet_, *local_);
   clients_ = makeHollowClients({io, clock, log_, timers_, plan, fleet_, *neighbours_});
 }
 
@@ -38,7 +39,7 @@
 
 void HollowMember::crash() {
   for (const auto& client : clients_) client->stop();
-  neighbours_->giveUp();
+  neighbours_->stop();
 }
 
 void HollowMember::leave() {
@@ -46,7 +47,7 @@
   crash();
 }
 
-nlohmann::json HollowMember::view() const { return nlohmann::json::parse(neighbours_->brief()); }
+nlohmann::json HollowMember::view() const { return nlohmann::json::parse(neighbours_->summary()); }
 
 nlohmann::ordered_json HollowMember::clients() const {
   nlohmann::ordered_json all = nlohmann::ordered_json::object();
--- a/rig/hollow_member.h
+++ b/rig/hollow_member.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "fleet_transport/neighbours.h"
+#include "fleet_transport/membership_service.h"
 #include "net/clock.h"
 #include "net/fleet_settings.h"
 #include "net/host_list.h"
@@ -36,7 +36,7 @@
   Timers& timers;
   const HollowPlan& plan;
   const FleetSettings& fleet;
-  fleet_transport::Neighbours& neighbours;
+  fleet_transport::MembershipService& neighbours;
 };
 
 // One client for control, as the program runs it: leases, the watch on discovery, and what comes later. A new
@@ -69,8 +69,8 @@
   void leave();
 
   std::uint16_t number() const { return fleet_.number; }
-  fleet_transport::Neighbours::Traffic traffic() const { return neighbours_->traffic(); }
-  // Neighbours::brief(), parsed.
+  fleet_transport::MembershipService::Traffic traffic() const { return neighbours_->traffic(); }
+  // MembershipService::summary(), parsed.
   nlohmann::json view() const;
   // Of each client by its name.
   nlohmann::ordered_json clients() const;
@@ -82,7 +82,7 @@
   Log log_;
   Timers timers_;
   std::unique_ptr<NoRequests> local_;
-  std::unique_ptr<fleet_transport::Neighbours> neighbours_;
+  std::unique_ptr<fleet_transport::MembershipService> neighbours_;
   std::vector<std::unique_ptr<HollowClient>> clients_;
 };
 
--- a/rig/mixed_fleet.cpp
+++ b/rig/mixed_fleet.cpp
@@ -23,7 +23,7 @@
   Plan plan;
   plan.seed = mixed.seed;
   plan.proxies = mixed.members;
-  plan.classes = {{.name = "slot-status", .effect = Effect::Unsafe}};
+  plan.classes = {{.name = "slot-status", .idempotency = Idempotency::NonIdempotent}};
   for (const char* zone : {"a", "b", "c"})
     plan.zones.push_back({.name = zone, .region = "north", .hosts = 0});
   for (const char* zone : {"d", "e"}) plan.zones.push_back({.name = zone, .region = "south", .hosts = 0});
@@ -231,10 +231,10 @@
                     .datagrams_out = m.at("datagrams_out"),
                     .bytes_in = m.at("bytes_in"),
                     .bytes_out = m.at("bytes_out"),
-                    .parcels_in = m.at("parcels_in"),
-                    .parcels_out = m.at("parcels_out"),
-                    .parcel_bytes_in = m.at("parcel_bytes_in"),
-                    .parcel_bytes_out = m.at("parcel_bytes_out")};
+                    .messages_in = m.at("parcels_in"),
+                    .messages_out = m.at("parcels_out"),
+                    .message_bytes_in = m.at("parcel_bytes_in"),
+                    .message_bytes_out = m.at("parcel_bytes_out")};
       one.worst_out = m.at("worst_out");
       one.worst_in = m.at("worst_in");
       members.push_back(one);
--- a/rig/mixed_fleet.h
+++ b/rig/mixed_fleet.h
@@ -13,7 +13,7 @@
 
 #include "discovery_stub.h"
 #include "fleet_rig.h"
-#include "fleet_transport/neighbours.h"
+#include "fleet_transport/membership_service.h"
 #include "hollow_process.h"
 
 namespace client_proxy::rig {
@@ -33,9 +33,9 @@
 struct MemberTraffic {
   std::size_t number = 0;
   bool hollow = false;
-  double at_s = 0;                              // when it was read, by a clock of its own kind
-  fleet_transport::Neighbours::Traffic counts;  // of a real one without parcels apart
-  std::uint64_t worst_out = 0, worst_in = 0;    // bytes in one second since the last reset; hollow ones only
+  double at_s = 0;                                     // when it was read, by a clock of its own kind
+  fleet_transport::MembershipService::Traffic counts;  // of a real one without parcels apart
+  std::uint64_t worst_out = 0, worst_in = 0;  // bytes in one second since the last reset; hollow ones only
 };
 
 class MixedFleet {
--- a/rig/plan.h
+++ b/rig/plan.h
@@ -10,12 +10,16 @@
 
 using Span = std::chrono::microseconds;
 
-enum class Effect : std::uint8_t { Safe, Unsafe, Keyed };  // Keyed: a zone's hosts drop repeats
+enum class Idempotency : std::uint8_t {
+  Idempotent,
+  NonIdempotent,
+  IdempotentWithKey
+};  // Keyed: a zone's hosts drop repeats
 
 struct ClassPlan {
   std::string name;
-  Effect effect = Effect::Safe;
-  Span aim{800'000}, deadline{2'500'000};
+  Idempotency idempotency = Idempotency::Idempotent;
+  Span latency_objective{800'000}, deadline{2'500'000};
   double share = 1;        // of the calls, beside the other classes' shares
   Span window{1'500'000};  // of a keyed one: so long hosts drop repeats, and callers ask again no later
 };
--- a/rig/run.cpp
+++ b/rig/run.cpp
@@ -133,7 +133,7 @@
         fleet_.start(n);
         if (!FleetRig::until([&] { return ready(n); }))
           throw std::runtime_error("proxy " + std::to_string(n) + " does not come up again");
-        callers_->goOn(n);
+        callers_->resume(n);
         live_.insert(n);
         break;
       case Fault::Freeze:
--- a/rig/scenario.cpp
+++ b/rig/scenario.cpp
@@ -185,8 +185,9 @@
                          .busy_times = numberOf(s, "busy-times")};
       } else if (s.kind == "class") {
         plan_.classes.push_back({.name = s.name,
-                                 .effect = textOf(s, "effect") == "safe" ? Effect::Safe : Effect::Unsafe,
-                                 .aim = spanOf(s, "aim"),
+                                 .idempotency = textOf(s, "effect") == "safe" ? Idempotency::Idempotent
+                                                                              : Idempotency::NonIdempotent,
+                                 .latency_objective = spanOf(s, "aim"),
                                  .deadline = spanOf(s, "deadline"),
                                  .share = numberOf(s, "share")});
       } else if (s.kind == "zone") {
--- a/src/admission/connections.cpp
+++ b/src/admission/connections.cpp
@@ -155,16 +155,16 @@
   setDue(slotOf(*r), 0);
 }
 
-Cause ConnectionGate::onAnswer(Time now, ConnectionId id, bool more) {
+RejectionReason ConnectionGate::onAnswer(Time now, ConnectionId id, bool more) {
   Record* const r = find(id);
-  if (r == nullptr) return Cause::None;
+  if (r == nullptr) return RejectionReason::None;
   enter(*r, State::Answering, now, limits_.write);
   const bool full_without_silent = connections_ - silent() > limits_.most;
   if (std::exchange(r->beyond, false) && (full_without_silent || atBound(peers_[r->peer])))
-    return Cause::ConnectionsFull;
-  if (more || !reuse_.frugal()) return Cause::None;
+    return RejectionReason::ConnectionLimit;
+  if (more || !reuse_.frugal()) return RejectionReason::None;
   // One that was used again before is as good as any.
-  return r->requests < 2 && idle() >= limits_.kept ? Cause::NotReused : Cause::None;
+  return r->requests < 2 && idle() >= limits_.kept ? RejectionReason::NotReused : RejectionReason::None;
 }
 
 void ConnectionGate::onRest(Time now, ConnectionId id) {
@@ -180,12 +180,12 @@
   enter(*r, State::Lingering, now, limits_.linger);
 }
 
-void ConnectionGate::onClosed(ConnectionId id, Cause cause) {
+void ConnectionGate::onClosed(ConnectionId id, RejectionReason reason) {
   Record* const r = find(id);
   if (r == nullptr) return;
   const Slot slot = slotOf(*r);
-  const bool early =
-      cause == Cause::IdleGaveWay || cause == Cause::UnusedGaveWay || cause == Cause::PeerShare;
+  const bool early = reason == RejectionReason::IdleEvicted || reason == RejectionReason::UnusedEvicted ||
+                     reason == RejectionReason::PeerQuota;
   if (r->state == State::Idle && !early) reuse_.onUnused(r->requests);
   if (r->state == State::Silent) asks_ -= kAsksWeight * asks_;
   wake(slot);
@@ -193,7 +193,7 @@
   leavePeer(slot);
   free_.push_back(slot);
   --connections_;
-  ++closed_[static_cast<std::size_t>(cause)];
+  ++closed_[static_cast<std::size_t>(reason)];
 }
 
 bool ConnectionGate::refuses(ConnectionId id) const {
@@ -216,13 +216,14 @@
 
 // `hook`: of the list. A connection made just now is passed over: its request may be on its way.
 std::optional<ConnectionGate::Closing> ConnectionGate::oldest(const SlotList& list, Hook Record::*hook,
-                                                              Time now, Time before, Cause cause) const {
+                                                              Time now, Time before,
+                                                              RejectionReason reason) const {
   int skipped = 0;
   for (Slot s = list.front(); s != kNoSlot; s = (records_[s].*hook).after) {
     const Record& r = records_[s];
     if (r.since > before) return std::nullopt;
     const bool just_connected = r.state == State::Silent && r.since > now - kLeastGrace;
-    if (!r.skipped && !just_connected) return Closing{idOf(s), cause};
+    if (!r.skipped && !just_connected) return Closing{idOf(s), reason};
     if (++skipped > kMostSkipped) return std::nullopt;
   }
   return std::nullopt;
@@ -235,13 +236,13 @@
   const double others =
       static_cast<double>(connections_ - count) / static_cast<double>(peer_slots_.size() - 1);
   if (count < limits_.most / kLargePart || count <= kOverShare * others) return std::nullopt;
-  return oldest(peers_[peer].resting, &Record::of_peer, now, before, Cause::PeerShare);
+  return oldest(peers_[peer].resting, &Record::of_peer, now, before, RejectionReason::PeerQuota);
 }
 
 std::optional<ConnectionGate::Closing> ConnectionGate::makeRoomAt(Time now, const PeerAddress& peer) {
   const auto it = peer_slots_.find(peer);
   if (it == peer_slots_.end() || !atBound(peers_[it->second])) return std::nullopt;
-  return oldest(peers_[it->second].resting, &Record::of_peer, now, now, Cause::PeerShare);
+  return oldest(peers_[it->second].resting, &Record::of_peer, now, now, RejectionReason::PeerQuota);
 }
 
 // The least useful first. Silent ones that had their chance; then what one address holds beyond its share;
@@ -252,15 +253,18 @@
 // the protection is over.
 std::optional<ConnectionGate::Closing> ConnectionGate::makeRoom(Time now, Time rested) {
   const Time before = now - rested;
-  const auto first = [&](const SlotList& list, Time since, Cause cause) {
-    return oldest(list, &Record::order, now, since, cause);
+  const auto first = [&](const SlotList& list, Time since, RejectionReason reason) {
+    return oldest(list, &Record::order, now, since, reason);
   };
-  if (auto c = first(silent_, std::min(before, now - silentGrace()), Cause::SilentGaveWay)) return c;
+  if (auto c = first(silent_, std::min(before, now - silentGrace()), RejectionReason::SilentEvicted))
+    return c;
   if (auto c = overShare(now, before)) return c;
   if (crowded() && !silent_.empty()) return std::nullopt;
-  if (auto c = first(once_, before, reuse_.frugal() ? Cause::UnusedGaveWay : Cause::IdleGaveWay)) return c;
-  if (auto c = first(used_, before, Cause::IdleGaveWay)) return c;
-  return first(silent_, before, Cause::SilentGaveWay);
+  if (auto c = first(once_, before,
+                     reuse_.frugal() ? RejectionReason::UnusedEvicted : RejectionReason::IdleEvicted))
+    return c;
+  if (auto c = first(used_, before, RejectionReason::IdleEvicted)) return c;
+  return first(silent_, before, RejectionReason::SilentEvicted);
 }
 
 void ConnectionGate::overdue(Time now, std::vector<Overdue>& out) {
@@ -275,21 +279,21 @@
   swept_ = to;
 }
 
-Cause ConnectionGate::causeOf(State state) {
+RejectionReason ConnectionGate::reasonOf(State state) {
   switch (state) {
     case State::Silent:
-      return Cause::SilentOverdue;
+      return RejectionReason::FirstByteTimeout;
     case State::Idle:
-      return Cause::IdleOverdue;
+      return RejectionReason::IdleTimeout;
     case State::Reading:
-      return Cause::RequestOverdue;
+      return RejectionReason::RequestTimeout;
     case State::Lingering:
-      return Cause::LingerOver;
+      return RejectionReason::LingerTimeout;
     case State::Waiting:
     case State::Answering:
       break;
   }
-  return Cause::AnswerNotTaken;
+  return RejectionReason::ResponseWriteTimeout;
 }
 
 }  // namespace client_proxy::admission
--- a/src/admission/repeats.cpp
+++ b/src/admission/duplicate_detector.cpp
@@ -1,4 +1,4 @@
-#include "admission/repeats.h"
+#include "admission/duplicate_detector.h"
 
 #include <algorithm>
 #include <utility>
@@ -10,9 +10,11 @@
 
 }  // namespace
 
-std::size_t Repeats::cost(const Tried& t) { return kEntryCost + 3 * t.id.size() + 2 * t.key.size(); }
+std::size_t DuplicateDetector::cost(const RequestRecord& t) {
+  return kEntryCost + 3 * t.id.size() + 2 * t.key.size();
+}
 
-const Tried* Repeats::byKey(const std::string& key) const {
+const RequestRecord* DuplicateDetector::byKey(const std::string& key) const {
   if (key.empty()) return nullptr;
   const auto it = of_key_.find(key);
   if (it == of_key_.end()) return nullptr;
@@ -20,17 +22,18 @@
   return found == all_.end() ? nullptr : &found->second.tried;
 }
 
-Repeats::Verdict Repeats::offer(Time now, Tried request) {
+DuplicateDetector::Verdict DuplicateDetector::offer(Time now, RequestRecord request) {
   expire(now);
   if (const auto it = all_.find(request.id); it != all_.end()) {
-    const Tried& before = it->second.tried;
+    const RequestRecord& before = it->second.tried;
     if (before.ended == 0) return Verdict::Open;
     if (!before.safe || !request.safe) return Verdict::MayHaveRun;
     forget(request.id);
   }
-  if (const Tried* const before = byKey(request.key)) {
+  if (const RequestRecord* const before = byKey(request.key)) {
     // A client's own repeat, under an id of its own. Where every host drops it, it may run beside the first.
-    const bool dropped = before->window > 0 && now < before->began + before->window;
+    const bool dropped =
+        before->deduplication_window > 0 && now < before->began + before->deduplication_window;
     if (!dropped) return before->ended == 0 ? Verdict::Open : Verdict::MayHaveRun;
     request.began = before->began;  // hosts count from the first
   } else {
@@ -41,10 +44,10 @@
   return Verdict::New;
 }
 
-Tried Repeats::end(Time now, std::string_view id, bool may_have_run) {
+RequestRecord DuplicateDetector::end(Time now, std::string_view id, bool may_have_run) {
   const auto it = all_.find(std::string(id));
   if (it == all_.end() || it->second.until != 0) return {};
-  Tried tried = it->second.tried;
+  RequestRecord tried = it->second.tried;
   tried.ended = std::max<Time>(now, 1);
   tried.never_ran = !may_have_run;
   forget(tried.id);
@@ -53,22 +56,22 @@
   return tried;
 }
 
-std::vector<Tried> Repeats::remember(Time now) const {
+std::vector<RequestRecord> DuplicateDetector::snapshot(Time now) const {
   std::vector<const Entry*> entries;
   for (const auto& [id, entry] : all_) {
     if (entry.until == 0 || entry.until > now) entries.push_back(&entry);
   }
   std::sort(entries.begin(), entries.end(), [](auto* a, auto* b) { return a->order < b->order; });
-  std::vector<Tried> out;
+  std::vector<RequestRecord> out;
   for (const Entry* e : entries) out.push_back(e->tried);
   return out;
 }
 
-void Repeats::recall(Time now, std::span<const Tried> known) {
+void DuplicateDetector::restore(Time now, std::span<const RequestRecord> known) {
   expire(now);
-  for (Tried t : known) {
+  for (RequestRecord t : known) {
     if (t.id.empty() || t.began > now || t.ended > now) continue;  // of another clock
-    t.window = std::clamp<Time>(t.window, 0, limits_.kept);
+    t.deduplication_window = std::clamp<Time>(t.deduplication_window, 0, limits_.kept);
     const auto it = all_.find(t.id);
     if (it != all_.end() && it->second.until == 0) continue;  // open here: this process knows best
     if (it != all_.end()) forget(t.id);
@@ -79,7 +82,7 @@
   }
 }
 
-void Repeats::keep(Time now, Tried tried, Time until) {
+void DuplicateDetector::keep(Time now, RequestRecord tried, Time until) {
   bytes_ += until != 0 ? cost(tried) : 0;
   const std::uint64_t order = next_order_++;
   if (!tried.key.empty()) of_key_[tried.key].push_back(tried.id);
@@ -89,10 +92,10 @@
   if (bytes_ > limits_.bytes) expire(now);
 }
 
-void Repeats::forget(const std::string& id) {
+void DuplicateDetector::forget(const std::string& id) {
   const auto it = all_.find(id);
   if (it == all_.end()) return;
-  const Tried& t = it->second.tried;
+  const RequestRecord& t = it->second.tried;
   if (it->second.until != 0) bytes_ -= cost(t);
   // Others of this key stay: one that never ran takes nothing from one that may have.
   if (const auto k = of_key_.find(t.key); k != of_key_.end()) {
@@ -102,7 +105,7 @@
   all_.erase(it);
 }
 
-void Repeats::expire(Time now) {
+void DuplicateDetector::expire(Time now) {
   while (!due_.empty() && (due_.front().until <= now || bytes_ > limits_.bytes)) {
     const Due due = std::move(due_.front());
     due_.pop_front();
--- a/src/admission/include/admission/connections.h
+++ b/src/admission/include/admission/connections.h
@@ -15,7 +15,7 @@
 #include <utility>
 #include <vector>
 
-#include "admission/cause.h"
+#include "admission/rejection_reason.h"
 #include "admission/reuse.h"
 #include "admission/slot_list.h"
 
@@ -40,7 +40,7 @@
   enum class State : std::uint8_t { Silent, Reading, Waiting, Answering, Idle, Lingering };
   struct Closing {
     ConnectionId id = 0;
-    Cause cause = Cause::None;
+    RejectionReason reason = RejectionReason::None;
   };
   struct Overdue {
     ConnectionId id = 0;
@@ -61,13 +61,13 @@
   void onRequest(ConnectionId id);
   // An answer is about to be written. A cause: the connection is to be closed with it. `more`: a further
   // request has begun to come already.
-  Cause onAnswer(Time now, ConnectionId id, bool more);
+  RejectionReason onAnswer(Time now, ConnectionId id, bool more);
   // The answer is written and the connection rests.
   void onRest(Time now, ConnectionId id);
   // The answer is written, the connection closes, the client may still be sending.
   void onLinger(Time now, ConnectionId id);
   // It is closed, by whom ever.
-  void onClosed(ConnectionId id, Cause cause);
+  void onClosed(ConnectionId id, RejectionReason reason);
 
   // ---- verdicts ----
 
@@ -89,7 +89,7 @@
   // What has been in one state for too long, appended to `out`. They stay until they are closed or move on.
   void overdue(Time now, std::vector<Overdue>& out);
   // Why a connection that was in `state` for too long is closed.
-  static Cause causeOf(State state);
+  static RejectionReason reasonOf(State state);
   // The bound follows what others leave.
   void setMost(std::size_t most) { limits_.most = most; }
   // The limits are others from now on; a connection keeps the time it has for what it is in.
@@ -104,7 +104,7 @@
   std::size_t peers() const { return peer_slots_.size(); }
   const Limits& limits() const { return limits_; }
   const ReuseJudge& reuse() const { return reuse_; }
-  const std::array<std::uint64_t, kCauses>& closed() const { return closed_; }
+  const std::array<std::uint64_t, kRejectionReasons>& closed() const { return closed_; }
   std::uint64_t accepted() const { return accepted_; }
   // How long a silent connection is protected: clients that ask do so within about a quarter of it.
   Time silentGrace() const;
@@ -150,7 +150,7 @@
   void leavePeer(Slot slot);
   void recount(Slot peer, std::uint32_t connections);
   std::optional<Closing> oldest(const SlotList& list, Hook Record::*hook, Time now, Time before,
-                                Cause cause) const;
+                                RejectionReason reason) const;
   std::optional<Closing> overShare(Time now, Time before) const;
   // Most of those that connect say nothing.
   bool crowded() const { return asks_ < 0.5 || 2 * silent_.size() > limits_.most; }
@@ -174,7 +174,7 @@
   std::uint64_t accepted_ = 0;
   double asks_ = 1;            // part of the late connections that have asked something
   double ask_delay_ = 50'000;  // from acceptance to the first byte: about the slowest of late
-  std::array<std::uint64_t, kCauses> closed_{};
+  std::array<std::uint64_t, kRejectionReasons> closed_{};
 };
 
 }  // namespace client_proxy::admission
--- a/src/admission/include/admission/repeats.h
+++ b/src/admission/include/admission/duplicate_detector.h
@@ -17,17 +17,18 @@
 using Time = std::int64_t;  // microseconds, as in load_balancer/balancer.h
 
 // What is remembered of one request.
-struct Tried {
+struct RequestRecord {
   std::string id, key;  // X-Correlation-Id; Idempotency-Key, empty where it has none
   bool safe = false;    // it may run any number of times
-  Time window = 0;      // of a keyed one whose repeats every host drops: for so long after `began`; 0: not so
+  Time deduplication_window =
+      0;  // of a keyed one whose repeats every host drops: for so long after `began`; 0: not so
   Time began = 0;
   Time ended = 0;          // 0: it is open
   bool never_ran = false;  // it has ended so: whoever repeats it does no harm
-  bool operator==(const Tried&) const = default;
+  bool operator==(const RequestRecord&) const = default;
 };
 
-class Repeats {
+class DuplicateDetector {
  public:
   struct Limits {
     Time kept = 5'000'000;           // after its end: no client repeats later, and no window is longer
@@ -39,37 +40,37 @@
     MayHaveRun,  // one of this id, or of this key, may have run, and nobody would drop this one
   };
 
-  explicit Repeats(Limits limits) : limits_(limits) {}
+  explicit DuplicateDetector(Limits limits) : limits_(limits) {}
   void reconfigure(Limits limits) { limits_ = limits; }
 
   // A request has come whole.
-  Verdict offer(Time now, Tried request);
+  Verdict offer(Time now, RequestRecord request);
   // Nothing of it is in flight any more. What there is to tell the other process; its id is empty where
   // nothing of this id was open here.
-  Tried end(Time now, std::string_view id, bool may_have_run);
+  RequestRecord end(Time now, std::string_view id, bool may_have_run);
 
   // All that is open or remembered, the oldest first.
-  std::vector<Tried> remember(Time now) const;
+  std::vector<RequestRecord> snapshot(Time now) const;
   // What another process knows, or knows better by now: what is open there counts as open here until it is
   // told to have ended, or could not be open any longer.
-  void recall(Time now, std::span<const Tried> known);
+  void restore(Time now, std::span<const RequestRecord> known);
 
   std::size_t size() const { return all_.size(); }
   std::size_t bytes() const { return bytes_; }
 
  private:
   struct Entry {
-    Tried tried;
+    RequestRecord tried;
     Time until = 0;  // when it is forgotten; 0: it is open here
     std::uint64_t order = 0;
   };
   using Entries = std::unordered_map<std::string, Entry>;
 
-  const Tried* byKey(const std::string& key) const;
-  void keep(Time now, Tried tried, Time until);
+  const RequestRecord* byKey(const std::string& key) const;
+  void keep(Time now, RequestRecord tried, Time until);
   void forget(const std::string& id);
   void expire(Time now);
-  static std::size_t cost(const Tried& t);
+  static std::size_t cost(const RequestRecord& t);
 
   Limits limits_;
   Entries all_;  // by id
--- a/src/admission/include/admission/indices.h
+++ b/src/admission/include/admission/index_registry.h
@@ -17,7 +17,7 @@
 
 // `Definition` is a value with ==.
 template <typename Definition>
-class Indices {
+class IndexRegistry {
  public:
   using Named = std::vector<std::pair<std::string, Definition>>;  // no name twice
 
--- a/src/admission/include/admission/places.h
+++ b/src/admission/include/admission/permit_pool.h
@@ -7,7 +7,7 @@
 #include <cmath>
 #include <cstddef>
 
-#include "admission/cause.h"
+#include "admission/rejection_reason.h"
 
 namespace client_proxy::admission {
 
@@ -16,14 +16,14 @@
 // Each side has a reserve that the other can't take: at least a fixed part, more where it has lately used
 // more, never over half. What neither has in reserve goes to whoever comes first. A fixed split would leave
 // places unused on one side while requests are lost for want of them on the other.
-class Places {
+class PermitPool {
  public:
   struct Limits {
     std::size_t all = 1024;
     std::size_t least_clients = 128, least_hosts = 128;
   };
 
-  explicit Places(Limits limits) : limits_(limits) {}
+  explicit PermitPool(Limits limits) : limits_(limits) {}
 
   // How many `side` may hold in all.
   std::size_t most(Time now, Side side) {
--- a/src/admission/include/admission/ledger.h
+++ b/src/admission/include/admission/rejection_counters.h
@@ -10,66 +10,66 @@
 #include <utility>
 #include <vector>
 
-#include "admission/cause.h"
+#include "admission/rejection_reason.h"
 
 namespace client_proxy::admission {
 
 // A class or tenant that is not known is counted as the last, "other".
-class Ledger {
+class RejectionCounters {
  public:
-  Ledger(std::size_t classes, std::size_t tenants)
-      : classes_(classes + 1), tenants_(tenants + 1), counts_(kCauses * classes_ * tenants_) {}
+  RejectionCounters(std::size_t classes, std::size_t tenants)
+      : classes_(classes + 1), tenants_(tenants + 1), counts_(kRejectionReasons * classes_ * tenants_) {}
 
-  void note(Cause cause, std::int32_t cls, std::int32_t tenant) {
-    ++counts_[at(cause, indexOrLast(cls, classes_), indexOrLast(tenant, tenants_))];
-    ++totals_[static_cast<std::size_t>(cause)];
+  void note(RejectionReason reason, std::int32_t cls, std::int32_t tenant) {
+    ++counts_[at(reason, indexOrLast(cls, classes_), indexOrLast(tenant, tenants_))];
+    ++totals_[static_cast<std::size_t>(reason)];
   }
   // Room for more of them; what was counted stays where it belongs.
   void grow(std::size_t classes, std::size_t tenants) {
-    Ledger grown(std::max(classes, classes_ - 1), std::max(tenants, tenants_ - 1));
+    RejectionCounters grown(std::max(classes, classes_ - 1), std::max(tenants, tenants_ - 1));
     const auto moved = [](std::size_t i, std::size_t before, std::size_t now) {
       return i + 1 == before ? now - 1 : i;
     };
-    for (std::size_t cause = 0; cause < kCauses; ++cause) {
+    for (std::size_t reason = 0; reason < kRejectionReasons; ++reason) {
       for (std::size_t c = 0; c < classes_; ++c) {
         for (std::size_t t = 0; t < tenants_; ++t)
-          grown.counts_[grown.at(static_cast<Cause>(cause), moved(c, classes_, grown.classes_),
+          grown.counts_[grown.at(static_cast<RejectionReason>(reason), moved(c, classes_, grown.classes_),
                                  moved(t, tenants_, grown.tenants_))] =
-              counts_[at(static_cast<Cause>(cause), c, t)];
+              counts_[at(static_cast<RejectionReason>(reason), c, t)];
       }
     }
     grown.totals_ = totals_;
     grown.told_ = told_;
     *this = std::move(grown);
   }
-  std::uint64_t total(Cause cause) const { return totals_[static_cast<std::size_t>(cause)]; }
-  std::uint64_t count(Cause cause, std::size_t cls, std::size_t tenant) const {
-    return counts_[at(cause, cls, tenant)];
+  std::uint64_t total(RejectionReason reason) const { return totals_[static_cast<std::size_t>(reason)]; }
+  std::uint64_t count(RejectionReason reason, std::size_t cls, std::size_t tenant) const {
+    return counts_[at(reason, cls, tenant)];
   }
   std::size_t classes() const { return classes_; }
   std::size_t tenants() const { return tenants_; }
 
   // "12 open_full, 3 too_late": what came since the last call, let in not counted; empty if nothing did.
-  std::string newsSinceLast(const std::array<std::uint64_t, kCauses>& also = {}) {
+  std::string newsSinceLast(const std::array<std::uint64_t, kRejectionReasons>& also = {}) {
     std::string news;
-    for (std::size_t c = 1; c < kCauses; ++c) {
+    for (std::size_t c = 1; c < kRejectionReasons; ++c) {
       const std::uint64_t now = totals_[c] + also[c];
       if (now == told_[c]) continue;
       if (!news.empty()) news += ", ";
-      news += std::to_string(now - told_[c]) + ' ' + std::string(nameOf(static_cast<Cause>(c)));
+      news += std::to_string(now - told_[c]) + ' ' + std::string(nameOf(static_cast<RejectionReason>(c)));
       told_[c] = now;
     }
     return news;
   }
 
  private:
-  std::size_t at(Cause cause, std::size_t cls, std::size_t tenant) const {
-    return (static_cast<std::size_t>(cause) * classes_ + cls) * tenants_ + tenant;
+  std::size_t at(RejectionReason reason, std::size_t cls, std::size_t tenant) const {
+    return (static_cast<std::size_t>(reason) * classes_ + cls) * tenants_ + tenant;
   }
 
   std::size_t classes_, tenants_;
   std::vector<std::uint64_t> counts_;
-  std::array<std::uint64_t, kCauses> totals_{}, told_{};
+  std::array<std::uint64_t, kRejectionReasons> totals_{}, told_{};
 };
 
 }  // namespace client_proxy::admission
--- a/src/admission/include/admission/requests.h
+++ b/src/admission/include/admission/requests.h
@@ -16,14 +16,14 @@
 #include <utility>
 #include <vector>
 
-#include "admission/cause.h"
+#include "admission/rejection_reason.h"
 
 namespace client_proxy::admission {
 
 using RequestKey = std::uint64_t;  // chosen by the embedder, never used twice
 constexpr std::size_t kNoBound = std::numeric_limits<std::size_t>::max();
 
-struct Ask {
+struct AdmissionRequest {
   RequestKey id = 0;
   std::int32_t request_class = 0;
   std::int32_t tenant = -1;  // -1: not known
@@ -36,12 +36,12 @@
 
 struct Verdict {
   Entry entry = Entry::Admitted;
-  Cause cause = Cause::None;  // where refused
+  RejectionReason reason = RejectionReason::None;  // where refused
 };
 
 struct Refusal {
   RequestKey id = 0;
-  Cause cause = Cause::None;
+  RejectionReason reason = RejectionReason::None;
 };
 
 class RequestGate {
@@ -72,10 +72,10 @@
 
   // A request's head has come: the cause for which it would be refused if it were whole, or none. Spares
   // reading a body for nothing.
-  Cause early(const Ask& ask) const;
+  RejectionReason early(const AdmissionRequest& ask) const;
   // A whole request asks for a place. To make room in the queue it may displace others, appended to
   // `refused`.
-  Verdict offer(Time now, const Ask& ask, std::vector<Refusal>& refused);
+  Verdict offer(Time now, const AdmissionRequest& ask, std::vector<Refusal>& refused);
   // A request was refused by its head, for whatever cause: it counts for advice().
   void noteRefused(Time now);
   // The request has its answer, or its client has gone, open or waiting. Then next() is due.
@@ -111,7 +111,7 @@
     bool retry;
   };
   struct Waiting {
-    Ask ask;
+    AdmissionRequest ask;
     Time latest;  // when it must have begun
   };
   using Pair = std::pair<std::int32_t, std::int32_t>;  // class and tenant
@@ -121,15 +121,15 @@
   static std::size_t place(const Parts& parts, std::int32_t index);
   static const Part& part(const Parts& parts, std::int32_t index) { return parts.all[place(parts, index)]; }
   static void count(Parts& parts, std::int32_t index, bool in);
-  Cause blockedBy(const Parts& parts, std::int32_t index, Cause own) const;
-  Cause blocked(const Ask& ask) const;
-  bool overRetries(const Ask& ask) const;
-  Pair pairOf(const Ask& ask) const;
+  RejectionReason blockedBy(const Parts& parts, std::int32_t index, RejectionReason own) const;
+  RejectionReason blocked(const AdmissionRequest& ask) const;
+  bool overRetries(const AdmissionRequest& ask) const;
+  Pair pairOf(const AdmissionRequest& ask) const;
   double weightOf(const Pair& pair) const;
-  void admit(Time now, const Ask& ask);
-  void enqueue(const Ask& ask);
+  void admit(Time now, const AdmissionRequest& ask);
+  void enqueue(const AdmissionRequest& ask);
   void leaveLine(RequestKey id);
-  const Ask* pickNext() const;
+  const AdmissionRequest* pickNext() const;
   const Pair* longestLine() const;
   Time usual(std::int32_t cls) const { return usual_[place(classes_, cls)]; }
   Time expectedWait() const;
--- a/src/admission/include/admission/reuse.h
+++ b/src/admission/include/admission/reuse.h
@@ -1,7 +1,7 @@
 // Whether clients use their kept connections again. No I/O, no clock.
 #pragma once
 
-#include "admission/cause.h"
+#include "admission/rejection_reason.h"
 
 namespace client_proxy::admission {
 
--- a/src/admission/include/admission/upload_clock.h
+++ b/src/admission/include/admission/upload_clock.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <limits>
 
-#include "admission/cause.h"
+#include "admission/rejection_reason.h"
 
 namespace client_proxy::admission {
 
--- a/src/admission/requests.cpp
+++ b/src/admission/requests.cpp
@@ -69,31 +69,33 @@
 
 // Whoever is below what it is guaranteed always finds a place: the others leave as many free as are
 // guaranteed and not used, so that used places and these together never exceed the bound.
-Cause RequestGate::blockedBy(const Parts& parts, std::int32_t index, Cause own) const {
+RejectionReason RequestGate::blockedBy(const Parts& parts, std::int32_t index, RejectionReason own) const {
   const Part& p = part(parts, index);
-  if (p.open < p.share.guaranteed) return Cause::None;
+  if (p.open < p.share.guaranteed) return RejectionReason::None;
   if (p.open >= p.share.most) return own;
-  return parts.unmet > 0 && limits_.open - open_.size() <= parts.unmet ? own : Cause::None;
+  return parts.unmet > 0 && limits_.open - open_.size() <= parts.unmet ? own : RejectionReason::None;
 }
 
-Cause RequestGate::blocked(const Ask& ask) const {
-  if (open_.size() >= limits_.open) return Cause::OpenFull;
+RejectionReason RequestGate::blocked(const AdmissionRequest& ask) const {
+  if (open_.size() >= limits_.open) return RejectionReason::ConcurrencyLimit;
   // One alone may exceed the bound: it would never be let in otherwise.
-  if (!open_.empty() && ask.bytes > limits_.bytes - std::min(limits_.bytes, bytes_)) return Cause::BytesFull;
-  const Cause by_class = blockedBy(classes_, ask.request_class, Cause::ClassFull);
-  return by_class != Cause::None ? by_class : blockedBy(tenants_, ask.tenant, Cause::TenantFull);
+  if (!open_.empty() && ask.bytes > limits_.bytes - std::min(limits_.bytes, bytes_))
+    return RejectionReason::MemoryLimit;
+  const RejectionReason by_class = blockedBy(classes_, ask.request_class, RejectionReason::ClassLimit);
+  return by_class != RejectionReason::None ? by_class
+                                           : blockedBy(tenants_, ask.tenant, RejectionReason::TenantLimit);
 }
 
 // Clients' own repeats: a part of the work, as Envoy bounds its own. After an outage everybody repeats at
 // once, and first tries must find room beside that.
-bool RequestGate::overRetries(const Ask& ask) const {
+bool RequestGate::overRetries(const AdmissionRequest& ask) const {
   if (!ask.retry) return false;
   const std::size_t held = retries_ + waiting_retries_;
   const auto part = limits_.retries_part * static_cast<double>(open_.size() - retries_);
   return held >= limits_.retries_least && static_cast<double>(held) >= part;
 }
 
-RequestGate::Pair RequestGate::pairOf(const Ask& ask) const {
+RequestGate::Pair RequestGate::pairOf(const AdmissionRequest& ask) const {
   return {static_cast<std::int32_t>(place(classes_, ask.request_class)),
           static_cast<std::int32_t>(place(tenants_, ask.tenant))};
 }
@@ -117,45 +119,48 @@
   return longest;
 }
 
-Cause RequestGate::early(const Ask& ask) const {
-  if (overRetries(ask)) return Cause::RetryBudget;
-  const Cause cause = blocked(ask);
-  if (cause == Cause::None || waiting_.size() < limits_.waiting) return Cause::None;
-  if (limits_.waiting == 0) return cause;
+RejectionReason RequestGate::early(const AdmissionRequest& ask) const {
+  if (overRetries(ask)) return RejectionReason::RetryBudget;
+  const RejectionReason reason = blocked(ask);
+  if (reason == RejectionReason::None || waiting_.size() < limits_.waiting) return RejectionReason::None;
+  if (limits_.waiting == 0) return reason;
   // The queue is full: only a line that is shorter than the longest gets a place in it.
   const Pair own = pairOf(ask), longest = *longestLine();
   const auto it = lines_.find(own);
   const double mine = static_cast<double>(it == lines_.end() ? 1 : it->second.size() + 1) / weightOf(own);
-  return mine <= static_cast<double>(lines_.at(longest).size() - 1) / weightOf(longest) ? Cause::None : cause;
+  return mine <= static_cast<double>(lines_.at(longest).size() - 1) / weightOf(longest)
+             ? RejectionReason::None
+             : reason;
 }
 
-Verdict RequestGate::offer(Time now, const Ask& ask, std::vector<Refusal>& refused) {
+Verdict RequestGate::offer(Time now, const AdmissionRequest& ask, std::vector<Refusal>& refused) {
   fade(now);
-  const auto refuse = [&](Cause cause) {
+  const auto refuse = [&](RejectionReason reason) {
     turned_away_ += 1;
-    return Verdict{Entry::Refused, cause};
+    return Verdict{Entry::Refused, reason};
   };
-  if (const Cause cause = early(ask); cause != Cause::None) return refuse(cause);
+  if (const RejectionReason reason = early(ask); reason != RejectionReason::None) return refuse(reason);
   // Nobody passes those of the same kind that wait already, unless what they wait for is memory.
-  const Cause cause = blocked(ask);
+  const RejectionReason reason = blocked(ask);
   const bool line = lines_.count(pairOf(ask)) > 0 && pickNext() != nullptr;
-  if (cause == Cause::None && !line) {
+  if (reason == RejectionReason::None && !line) {
     admit(now, ask);
     return {};
   }
-  if (limits_.waiting == 0) return refuse(cause);
-  if (now + expectedWait() + usual(ask.request_class) >= ask.deadline) return refuse(Cause::TooLate);
+  if (limits_.waiting == 0) return refuse(reason);
+  if (now + expectedWait() + usual(ask.request_class) >= ask.deadline)
+    return refuse(RejectionReason::DeadlineUnreachable);
   if (waiting_.size() >= limits_.waiting) {
     const RequestKey last = lines_.at(*longestLine()).rbegin()->second;
     leaveLine(last);
     turned_away_ += 1;
-    refused.push_back({last, Cause::Displaced});
+    refused.push_back({last, RejectionReason::EvictedFromQueue});
   }
   enqueue(ask);
-  return {Entry::Waits, Cause::None};
+  return {Entry::Waits, RejectionReason::None};
 }
 
-void RequestGate::admit(Time now, const Ask& ask) {
+void RequestGate::admit(Time now, const AdmissionRequest& ask) {
   count(classes_, ask.request_class, true);
   count(tenants_, ask.tenant, true);
   bytes_ += ask.bytes;
@@ -164,7 +169,7 @@
   open_.emplace(ask.id, Open{ask.request_class, ask.tenant, ask.bytes, now, ask.retry});
 }
 
-void RequestGate::enqueue(const Ask& ask) {
+void RequestGate::enqueue(const AdmissionRequest& ask) {
   const Time latest = ask.deadline - usual(ask.request_class);
   waiting_.emplace(ask.id, Waiting{ask, latest});
   lines_[pairOf(ask)].insert({ask.deadline, ask.id});
@@ -203,12 +208,12 @@
 }
 
 // The first of the line that has the fewest open for its weight, of those that are not blocked.
-const Ask* RequestGate::pickNext() const {
-  const Ask* best = nullptr;
+const AdmissionRequest* RequestGate::pickNext() const {
+  const AdmissionRequest* best = nullptr;
   std::array<double, 3> least{};
   for (const auto& [pair, line] : lines_) {
-    const Ask& first = waiting_.at(line.begin()->second).ask;
-    if (blocked(first) != Cause::None) continue;
+    const AdmissionRequest& first = waiting_.at(line.begin()->second).ask;
+    if (blocked(first) != RejectionReason::None) continue;
     const Part &c = part(classes_, pair.first), &t = part(tenants_, pair.second);
     const bool owed = c.open < c.share.guaranteed || t.open < t.share.guaranteed;
     const std::array<double, 3> rank = {owed ? 0.0 : 1.0, static_cast<double>(c.open + 1) / c.share.weight,
@@ -224,10 +229,10 @@
     const RequestKey id = by_latest_.begin()->second;
     leaveLine(id);
     turned_away_ += 1;
-    refused.push_back({id, Cause::TooLate});
+    refused.push_back({id, RejectionReason::DeadlineUnreachable});
   }
-  while (const Ask* const found = pickNext()) {
-    const Ask ask = *found;
+  while (const AdmissionRequest* const found = pickNext()) {
+    const AdmissionRequest ask = *found;
     leaveLine(ask.id);
     admit(now, ask);
     admitted.push_back(ask.id);
--- a/src/rehearsal/rehearsal.cpp
+++ b/src/change_preview/change_preview.cpp
@@ -1,13 +1,13 @@
-#include "rehearsal/rehearsal.h"
+#include "change_preview/change_preview.h"
 
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
 
-namespace client_proxy::rehearsal {
+namespace client_proxy::change_preview {
 namespace {
 
-using record::Effect;
+using traffic_sample::Idempotency;
 
 void addAll(std::map<std::string, double>& to, const std::map<std::string, double>& from) {
   for (const auto& [name, value] : from) to[name] += value;
@@ -21,7 +21,7 @@
 
 }  // namespace
 
-void Tally::add(const Tally& o) {
+void PreviewTotals::add(const PreviewTotals& o) {
   all += o.all;
   squares += o.squares;
   to_other_service += o.to_other_service;
@@ -37,18 +37,18 @@
   seconds += o.seconds;
 }
 
-Tally replay(const record::Record& record, const record::Names& names, const Side& now, const Side& pending,
-             Time until) {
-  Tally t;
+PreviewTotals replay(const traffic_sample::TrafficSample& record, const traffic_sample::NameTable& names,
+                     const RoutingSnapshot& now, const RoutingSnapshot& pending, Time until) {
+  PreviewTotals t;
   t.members = 1;
   t.seconds = std::max(0.0, static_cast<double>(until - record.from()) / 1e6);
   for (const std::string& route : pending.routes) t.routes[route] += 0;
   for (const auto& [e, weight] : record.sample()) {
     t.all += weight;
     t.squares += weight * weight;
-    const Placed before = now.place(e), after = pending.place(e);
+    const Placement before = now.place(e), after = pending.place(e);
     if (after.route >= 0) t.routes[pending.routes[static_cast<std::size_t>(after.route)]] += weight;
-    const bool bound = e.effect != Effect::Safe;
+    const bool bound = e.idempotency != Idempotency::Idempotent;
     const std::string went = names.at(e.zone);
     const std::string goes = bound && !after.zone.empty() ? std::string(after.zone) : went;
     t.work[goes] += weight * static_cast<double>(e.work);
@@ -68,26 +68,26 @@
   return t;
 }
 
-Verdict judge(const Tally& t, const std::map<std::string, double>& rooms, std::size_t live,
-              std::size_t unlike, const Grounds& grounds, const Rules& rules) {
-  Verdict v;
-  v.grounds = grounds;
+Assessment assess(const PreviewTotals& t, const std::map<std::string, double>& rooms, std::size_t live,
+                  std::size_t unlike, const PreviewInputs& inputs, const Rules& rules) {
+  Assessment v;
+  v.inputs = inputs;
   v.coverage = live == 0 ? 0 : static_cast<double>(t.members) / static_cast<double>(live);
   // Of any part that is told, at the worst part, a half: by as many requests as the weights are worth.
-  const double worth = t.squares > 0 ? t.all * t.all / t.squares : 0;
-  v.error = worth > 0 ? 1.96 * 0.5 / std::sqrt(worth) : 1;
+  const double priority_weight = t.squares > 0 ? t.all * t.all / t.squares : 0;
+  v.error = priority_weight > 0 ? 1.96 * 0.5 / std::sqrt(priority_weight) : 1;
   const auto part = [&](double n) { return t.all > 0 ? n / t.all : 0; };
-  const auto say = [&](Judgement j, const std::string& cause) {
-    v.judgement = std::max(v.judgement, j);
-    const auto at = j == Judgement::Unsafe ? v.causes.begin() : v.causes.end();
+  const auto say = [&](Risk j, const std::string& cause) {
+    v.risk = std::max(v.risk, j);
+    const auto at = j == Risk::Unsafe ? v.causes.begin() : v.causes.end();
     v.causes.insert(at, std::string(nameOf(j)) + ": " + cause);
   };
   if (t.keys_split > 0)
-    say(Judgement::Unsafe,
+    say(Risk::Unsafe,
         percent(part(t.keys_split)) +
             " of the requests may not run twice and would change site with no deed between the two");
   if (t.left_alone > 0)
-    say(Judgement::Unsafe,
+    say(Risk::Unsafe,
         percent(part(t.left_alone)) + " of the requests may not run twice and would leave their service");
   for (const auto& [zone, work] : t.work) {
     const auto room = rooms.find(zone);
@@ -95,17 +95,17 @@
         t.seconds > 0 ? work / t.seconds * static_cast<double>(std::max<std::size_t>(t.members, 1)) : 0;
     if (room == rooms.end() || room->second <= 0) continue;
     if (load > rules.full * room->second)
-      say(Judgement::Risky, "zone " + zone + " would be at " + percent(load / room->second) + " of its room");
+      say(Risk::Risky, "zone " + zone + " would be at " + percent(load / room->second) + " of its room");
   }
-  if (unlike > 0) say(Judgement::Risky, std::to_string(unlike) + " members have another pending file");
+  if (unlike > 0) say(Risk::Risky, std::to_string(unlike) + " members have another pending file");
   if (v.coverage < rules.coverage)
-    say(Judgement::Risky,
+    say(Risk::Risky,
         "only " + std::to_string(t.members) + " of " + std::to_string(live) + " members have told");
-  if (v.error > rules.error) say(Judgement::Risky, "the sample may be off by " + percent(v.error));
+  if (v.error > rules.error) say(Risk::Risky, "the sample may be off by " + percent(v.error));
   for (const auto& [route, n] : t.routes) {
-    if (n <= 0) say(Judgement::Risky, "route " + route + " was not used by any recorded request");
+    if (n <= 0) say(Risk::Risky, "route " + route + " was not used by any recorded request");
   }
   return v;
 }
 
-}  // namespace client_proxy::rehearsal
+}  // namespace client_proxy::change_preview
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -166,7 +166,7 @@
   const auto known =
       std::find_if(classes.begin(), classes.end(), [&](const auto& k) { return k.name == name; });
   if (c->model.pool && known != classes.end()) {
-    if (const auto fault = faultOf(*head, effectOf(known->effect)))
+    if (const auto fault = faultOf(*head, effectOf(known->idempotency)))
       std::printf("answered %d: %.*s\n", fault->status, static_cast<int>(fault->why.size()),
                   fault->why.data());
   }
--- a/src/conf/include/conf/model.h
+++ b/src/conf/include/conf/model.h
@@ -14,8 +14,8 @@
 using Micros = std::int64_t;
 
 // In rising order of what they permit, as in the schema.
-enum class Effect : std::uint8_t { Unsafe, Keyed, Safe };
-enum class Group : std::uint8_t { Cell, Zone, All };
+enum class Idempotency : std::uint8_t { NonIdempotent, IdempotentWithKey, Idempotent };
+enum class DeduplicationScope : std::uint8_t { Cell, Zone, All };
 enum class LogLevel : std::uint8_t { Error, Warning, Info };
 
 struct Share {
@@ -27,12 +27,13 @@
 struct ClassModel {
   std::string name;
   Place at;
-  Effect effect = Effect::Unsafe;  // this and what follows up to `share`: of a file that stands alone
-  Micros aim = 0, deadline = 0;
-  Group group = Group::All;
-  Micros window = 0;
+  Idempotency idempotency =
+      Idempotency::NonIdempotent;  // this and what follows up to `share`: of a file that stands alone
+  Micros latency_objective = 0, deadline = 0;
+  DeduplicationScope deduplication_scope = DeduplicationScope::All;
+  Micros deduplication_window = 0;
   std::optional<std::int32_t> attempts;
-  double worth = 1, late_worth = 0;
+  double priority_weight = 1, late_weight = 0;
   Share share;
 };
 
@@ -60,8 +61,8 @@
   Place hosts_file_at;
   std::int32_t attempts = 1;
   bool cancel = false, probe = false;
-  Micros retry_after_most = 0, drain_grace = 0, cold_time = 0;
-  double cold_from = 1, cold_multiple = 1;
+  Micros retry_after_most = 0, drain_grace = 0, slow_start_duration = 0;
+  double slow_start_initial_capacity = 1, slow_start_overload_factor = 1;
 };
 
 struct MemberModel {
@@ -121,8 +122,8 @@
   std::uint32_t client = 0;
   std::vector<ClassModel> classes;
   std::vector<TenantModel> tenants;
-  std::optional<Micros> first_byte, request, idle, write, linger;       // clients
-  std::optional<Micros> connect, upstream_idle, probe_timeout, answer;  // upstream
+  std::optional<Micros> first_byte, request, idle, write, linger;              // clients
+  std::optional<Micros> connect, upstream_idle, health_check_timeout, answer;  // upstream
   std::optional<std::size_t> connections, connections_per_address, idle_kept, open, waiting, retries_least;
   std::optional<double> retries_part;
   std::optional<std::size_t> sockets, memory;  // memory: bytes
--- a/src/conf/model.cpp
+++ b/src/conf/model.cpp
@@ -185,7 +185,7 @@
     const Section* const u = root_.section("upstream");
     m_.connect = given<Micros>(u, "connect");
     m_.upstream_idle = given<Micros>(u, "idle");
-    m_.probe_timeout = given<Micros>(u, "probe");
+    m_.health_check_timeout = given<Micros>(u, "probe");
     m_.answer = given<Micros>(u, "answer");
   }
 
@@ -217,18 +217,19 @@
     c.at = s.at;
     c.share = shareOf(s);
     if (!alone_) return c;
-    c.effect = static_cast<Effect>(holds<int>(&s, "effect").value_or(0));
-    c.aim = holds<Micros>(&s, "aim").value_or(0);
+    c.idempotency = static_cast<Idempotency>(holds<int>(&s, "effect").value_or(0));
+    c.latency_objective = holds<Micros>(&s, "aim").value_or(0);
     c.deadline = holds<Micros>(&s, "deadline").value_or(0);
-    c.group = static_cast<Group>(holds<int>(&s, "group").value_or(static_cast<int>(Group::All)));
-    c.window = holds<Micros>(&s, "window").value_or(0);
+    c.deduplication_scope = static_cast<DeduplicationScope>(
+        holds<int>(&s, "group").value_or(static_cast<int>(DeduplicationScope::All)));
+    c.deduplication_window = holds<Micros>(&s, "window").value_or(0);
     c.attempts = given<std::int32_t>(&s, "attempts");
-    c.worth = holds<double>(&s, "worth").value_or(1);
-    c.late_worth = holds<double>(&s, "late-worth").value_or(0);
-    if (s.has("aim") && s.has("deadline") && c.deadline < c.aim)
+    c.priority_weight = holds<double>(&s, "worth").value_or(1);
+    c.late_weight = holds<double>(&s, "late-worth").value_or(0);
+    if (s.has("aim") && s.has("deadline") && c.deadline < c.latency_objective)
       error(placeOf(&s, "deadline"), "the deadline of '" + s.title() + "' is shorter than its aim",
             "write at least " + textOf(s, "aim"));
-    const bool keyed = s.has("effect") && c.effect == Effect::Keyed;
+    const bool keyed = s.has("effect") && c.idempotency == Idempotency::IdempotentWithKey;
     if (keyed && !s.wasTried("window"))
       error(s.at, "'" + s.title() + "' is keyed and lacks window",
             "add window TIME: how long hosts drop its repeats");
@@ -239,10 +240,10 @@
                   textOf(s, "effect"),
               "delete it, or write effect keyed");
     }
-    if (s.has("late-worth") && c.late_worth > 0 && c.deadline == c.aim)
+    if (s.has("late-worth") && c.late_weight > 0 && c.deadline == c.latency_objective)
       warn(placeOf(&s, "late-worth"), "no answer of '" + s.title() + "' is late: its deadline is its aim",
            "delete it, or write a longer deadline");
-    if (c.effect == Effect::Unsafe && s.has("effect") && c.attempts && *c.attempts > 1)
+    if (c.idempotency == Idempotency::NonIdempotent && s.has("effect") && c.attempts && *c.attempts > 1)
       warn(placeOf(&s, "attempts"),
            "'" + s.title() + "' is unsafe: it is sent again only if no earlier attempt can have run",
            "write 1, or leave it out");
@@ -277,9 +278,9 @@
     p.probe = holds<int>(&s, "probe") == 1;
     p.retry_after_most = holds<Micros>(&s, "retry-after-most").value_or(0);
     p.drain_grace = holds<Micros>(&s, "drain-grace").value_or(0);
-    p.cold_from = holds<double>(&s, "cold-from").value_or(1);
-    p.cold_time = holds<Micros>(&s, "cold-time").value_or(0);
-    p.cold_multiple = holds<double>(&s, "cold-multiple").value_or(1);
+    p.slow_start_initial_capacity = holds<double>(&s, "cold-from").value_or(1);
+    p.slow_start_duration = holds<Micros>(&s, "cold-time").value_or(0);
+    p.slow_start_overload_factor = holds<double>(&s, "cold-multiple").value_or(1);
     m_.pool = std::move(p);
     attempts_at_ = placeOf(&s, "attempts");
     attempts_set_ = s.has("attempts");
@@ -417,15 +418,17 @@
             "a connection may take longer than 'class " + tightest->name + "' may wait, see " +
                 out_.sources.lineOf(tightest->at),
             "write much less than its deadline");
-    const bool unsafe = std::any_of(m_.classes.begin(), m_.classes.end(),
-                                    [](const ClassModel& c) { return c.effect == Effect::Unsafe; });
+    const bool unsafe = std::any_of(m_.classes.begin(), m_.classes.end(), [](const ClassModel& c) {
+      return c.idempotency == Idempotency::NonIdempotent;
+    });
     if (unsafe && attempts_set_ && m_.pool->attempts > kMostUnsafe)
       warn(attempts_at_,
            "an unsafe class is served with " + std::to_string(m_.pool->attempts) +
                " attempts: it is sent again only if no earlier attempt can have run, and each costs time",
            "write at most " + std::to_string(kMostUnsafe));
     for (const ClassModel& c : m_.classes) {
-      if (c.effect == Effect::Keyed && c.window > 0 && c.window < c.aim && m_.pool->attempts > 1)
+      if (c.idempotency == Idempotency::IdempotentWithKey && c.deduplication_window > 0 &&
+          c.deduplication_window < c.latency_objective && m_.pool->attempts > 1)
         warn(c.at,
              "the window of 'class " + c.name + "' is shorter than its aim: late attempts are not repeated",
              "write a window of at least its aim, if hosts drop repeats for so long");
--- a/src/tables/include/tables/ticketed.h
+++ b/src/containers/include/containers/generational_slot_map.h
@@ -6,31 +6,31 @@
 #include <unordered_map>
 #include <vector>
 
-namespace client_proxy::tables {
+namespace client_proxy::containers {
 
 template <typename Key, typename T>
-class Ticketed {
+class GenerationalSlotMap {
  public:
-  using Ticket = std::uint64_t;  // never 0
+  using Handle = std::uint64_t;  // never 0
 
   // Valid until the next open(). Null: there is none.
   T* find(const Key& key) {
     const auto it = index_.find(key);
     return it == index_.end() ? nullptr : &places_[it->second].value;
   }
-  T* ofTicket(Ticket ticket) {
-    const Ticket at = (ticket >> 32) - 1;
+  T* findByHandle(Handle handle) {
+    const Handle at = (handle >> 32) - 1;
     if (at >= places_.size()) return nullptr;
     Place& p = places_[at];
-    return p.used && p.generation == static_cast<std::uint32_t>(ticket) ? &p.value : nullptr;
+    return p.used && p.generation == static_cast<std::uint32_t>(handle) ? &p.value : nullptr;
   }
 
-  struct Opened {
+  struct Inserted {
     T& value;
-    Ticket ticket;
+    Handle handle;
   };
   // `key` must not be open.
-  Opened open(const Key& key) {
+  Inserted open(const Key& key) {
     if (unused_.empty()) {
       unused_.push_back(static_cast<std::uint32_t>(places_.size()));
       places_.emplace_back();
@@ -42,7 +42,7 @@
     p.value = {};
     p.used = true;
     ++p.generation;
-    return {p.value, (Ticket{at} + 1) << 32 | p.generation};
+    return {p.value, (Handle{at} + 1) << 32 | p.generation};
   }
   void close(const Key& key) {
     const auto it = index_.find(key);
@@ -71,4 +71,4 @@
   std::unordered_map<Key, std::uint32_t> index_;  // look-ups only: its order never shows
 };
 
-}  // namespace client_proxy::tables
+}  // namespace client_proxy::containers
--- a/src/tables/include/tables/slots.h
+++ b/src/containers/include/containers/slot_table.h
@@ -6,11 +6,11 @@
 #include <cstdint>
 #include <vector>
 
-namespace client_proxy::tables {
+namespace client_proxy::containers {
 
 // `T` has a member `slot`, which is kNone where it has no place. The table owns nothing.
 template <typename T>
-class Slots {
+class SlotTable {
  public:
   static constexpr std::int32_t kNone = -1;
   static constexpr std::int32_t kMost = 1 << 20;
@@ -58,4 +58,4 @@
   std::size_t free_ = 0;  // none below it is free
 };
 
-}  // namespace client_proxy::tables
+}  // namespace client_proxy::containers
--- a/src/daemon/serve.cpp
+++ b/src/daemon/serve.cpp
@@ -17,9 +17,9 @@
 #include <vector>
 
 #include "console/console_server.h"
-#include "fleet_transport/neighbours.h"
+#include "fleet_transport/membership_service.h"
 #include "front/proxy.h"
-#include "handover/link.h"
+#include "hot_restart/link.h"
 #include "net/config.h"
 #include "net/event_loop.h"
 #include "net/log.h"
@@ -121,13 +121,15 @@
 }
 
 // What runs until a signal ends it.
-class Daemon final : private console::Actor, private handover::Holder, private fleet_transport::Local {
+class Daemon final : private console::Actor,
+                     private hot_restart::HotRestartHandler,
+                     private fleet_transport::LocalNode {
  public:
   Daemon(Source& source, Config config)
       : source_(source),
         log_(clock_, config.name),
         shared_at_(config.inherited && !config.shared_folder.empty()
-                       ? handover::socketPath(config.shared_folder, config.name)
+                       ? hot_restart::socketPath(config.shared_folder, config.name)
                        : std::string()),
         name_(config.name),
         status_at_(config.own.status),
@@ -149,8 +151,8 @@
 #endif
   {
     if (fleet_)
-      others_ = fleet_transport::makeNeighbours(io_, clock_, log_, *fleet_,
-                                                static_cast<fleet_transport::Local&>(*this));
+      others_ = fleet_transport::makeMembershipService(io_, clock_, log_, *fleet_,
+                                                       static_cast<fleet_transport::LocalNode&>(*this));
     makeOwnershipService();
     makeSharedConfiguration();
   }
@@ -169,7 +171,8 @@
       proxy_.shutdown([this] { io_.stop(); });
     });
     awaitReload();
-    if (!shared_at_.empty()) link_.emplace(io_, shared_at_, name_, static_cast<handover::Holder&>(*this));
+    if (!shared_at_.empty())
+      link_.emplace(io_, shared_at_, name_, static_cast<hot_restart::HotRestartHandler&>(*this));
     listenToStaff();
 #ifdef CLIENT_PROXY_OPERATOR
     hosts_watch_.follow(hosts_file_);
@@ -190,53 +193,53 @@
     return figures;
   }
   bool takeOut(const std::string& host) override {
-    return proxy_.takeOut(host) && tellOther({handover::Type::TakeOut, host});
+    return proxy_.takeOut(host) && tellOther({hot_restart::Type::TakeOut, host});
   }
   bool putBack(const std::string& host) override {
-    return proxy_.putBack(host) && tellOther({handover::Type::PutBack, host});
+    return proxy_.putBack(host) && tellOther({hot_restart::Type::PutBack, host});
   }
   void drainClients() override {
     proxy_.drainClients();
-    tellOther({handover::Type::Drain, {}});
+    tellOther({hot_restart::Type::Drain, {}});
   }
   void takeClients() override {
     proxy_.takeClients();
-    tellOther({handover::Type::TakeClients, {}});
+    tellOther({hot_restart::Type::TakeClients, {}});
   }
 
   std::uint64_t admitted() const override { return proxy_.admitted(); }
   std::vector<std::string> zones() const override { return proxy_.zoneNames(); }
-  load_balancer::ZoneSeen seen(const std::string& zone, Time now,
-                               const load_balancer::ZoneSince& since) override {
-    return proxy_.zoneSeen(zone, now, since);
+  load_balancer::ZoneObservation seen(const std::string& zone, Time now,
+                                      const load_balancer::ZoneObservedSince& since) override {
+    return proxy_.observeZone(zone, now, since);
   }
-  void setZone(const std::string& zone, load_balancer::ZoneOrder order) override {
+  void setZone(const std::string& zone, load_balancer::ZoneDirective order) override {
     proxy_.setZone(zone, order);
   }
 
   // While one process takes another's place, staff may call either.
-  bool tellOther(const handover::Frame& call) {
+  bool tellOther(const hot_restart::Frame& call) {
     if (link_) link_->tell(call);
     return true;
   }
-  void told(const handover::Frame& call) override {
+  void told(const hot_restart::Frame& call) override {
     switch (call.type) {
-      case handover::Type::TakeOut:
+      case hot_restart::Type::TakeOut:
         proxy_.takeOut(call.payload);
         return;
-      case handover::Type::PutBack:
+      case hot_restart::Type::PutBack:
         proxy_.putBack(call.payload);
         return;
-      case handover::Type::Drain:
+      case hot_restart::Type::Drain:
         return proxy_.drainClients();
-      case handover::Type::TakeClients:
+      case hot_restart::Type::TakeClients:
         return proxy_.takeClients();
       default:
         return;
     }
   }
 
-  void begin(std::optional<handover::State> state) override {
+  void begin(std::optional<hot_restart::State> state) override {
     state ? proxy_.start(*state) : proxy_.start();
     if (others_) others_->start(state ? state->fleet : std::string());
 #ifdef CLIENT_PROXY_OWNERSHIP
@@ -246,28 +249,30 @@
     if (shared_) shared_->start();
 #endif
   }
-  handover::State state() override {
-    handover::State state = proxy_.state();
+  hot_restart::State state() override {
+    hot_restart::State state = proxy_.state();
     if (others_) state.fleet = others_->handOn();
     return state;
   }
-  void give(handover::Successor successor) override {
-    if (others_) others_->giveUp();
+  void give(hot_restart::Successor successor) override {
+    if (others_) others_->stop();
 #ifdef CLIENT_PROXY_OWNERSHIP
-    if (ownership_) ownership_->giveUp();
+    if (ownership_) ownership_->stop();
 #endif
 #ifdef CLIENT_PROXY_SUBSCRIPTION
     if (shared_) shared_->stop();
 #endif
     proxy_.handOn(std::move(successor));
   }
-  void triedThere(const std::vector<admission::Tried>& tried) override { proxy_.triedThere(tried); }
-  void takeBack() override {
-    if (others_) others_->goOn();
+  void recordPredecessorRequests(const std::vector<admission::RequestRecord>& tried) override {
+    proxy_.recordPredecessorRequests(tried);
+  }
+  void rollBack() override {
+    if (others_) others_->resume();
 #ifdef CLIENT_PROXY_OWNERSHIP
-    if (ownership_) ownership_->goOn();
+    if (ownership_) ownership_->resume();
 #endif
-    proxy_.takeBack();
+    proxy_.rollBack();
 #ifdef CLIENT_PROXY_SUBSCRIPTION
     if (shared_) shared_->start();
 #endif
@@ -285,7 +290,7 @@
   void listenToStaff() {
     console_.page("/admission", [this] { return proxy_.admissionReport(); });
     if (others_) console_.page("/fleet", [this] { return others_->page(); });
-    if (others_) console_.page("/fleet/brief", [this] { return others_->brief(); });
+    if (others_) console_.page("/fleet/brief", [this] { return others_->summary(); });
 #ifdef CLIENT_PROXY_OWNERSHIP
     if (ownership_) console_.page("/deeds", [this] { return ownership_->page(); });
     if (ownership_) console_.page("/rehearsal", [this] { return ownership_->rehearsalPage(); });
@@ -314,8 +319,9 @@
     for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
       const load_balancer::RequestClass& c = settings_.classes[i];
       s.longest_deadline = std::max(s.longest_deadline, c.deadline);
-      if (c.effect == load_balancer::Effect::Keyed) s.longest_window = std::max(s.longest_window, c.window);
-      s.worth[class_names_[i]] = c.worth;
+      if (c.idempotency == load_balancer::Idempotency::IdempotentWithKey)
+        s.longest_window = std::max(s.longest_window, c.deduplication_window);
+      s.priority_weight[class_names_[i]] = c.priority_weight;
     }
     s.pending = [this] { return source_.pendingServices(); };
     s.rooms = [this] { return proxy_.zoneRooms(); };
@@ -452,8 +458,8 @@
   Proxy proxy_;
   boost::asio::signal_set end_, reload_;
   console::ConsoleServer console_;
-  std::optional<handover::Link> link_;
-  std::unique_ptr<fleet_transport::Neighbours> others_;  // null: no word is sent to any
+  std::optional<hot_restart::HotRestartLink> link_;
+  std::unique_ptr<fleet_transport::MembershipService> others_;  // null: no word is sent to any
 #ifdef CLIENT_PROXY_OWNERSHIP
   std::unique_ptr<ownership::OwnershipService> ownership_;  // null: there are no services
 #endif
--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -20,33 +20,33 @@
 void Balancer::onOutcome(Time now, const Outcome& outcome, Actions& out) {
   impl_->at(now).onOutcome(outcome, out);
 }
-bool Balancer::mayBegin(Time now, RequestId request, std::int32_t attempt) {
-  return impl_->at(now).mayBegin(request, attempt);
+bool Balancer::mayStart(Time now, RequestId request, std::int32_t attempt) {
+  return impl_->at(now).mayStart(request, attempt);
 }
-void Balancer::endBy(Time now, Time last, Actions& out) { impl_->at(now).endBy(last, out); }
-void Balancer::onStreaming(Time now, RequestId request, std::int32_t attempt, Actions&) {
-  impl_->at(now).onStreaming(request, attempt);
+void Balancer::finishBy(Time now, Time last, Actions& out) { impl_->at(now).finishBy(last, out); }
+void Balancer::onResponseStarted(Time now, RequestId request, std::int32_t attempt, Actions&) {
+  impl_->at(now).onResponseStarted(request, attempt);
 }
 void Balancer::onClientGone(Time now, RequestId request, Actions& out) { impl_->at(now).end(request, out); }
-void Balancer::onProbe(Time now, std::string_view server, bool ok, Time latency, const LoadReport& load,
-                       Actions& out) {
-  impl_->at(now).onProbe(server, ok, latency, load, out);
+void Balancer::onHealthCheck(Time now, std::string_view server, bool ok, Time latency, const LoadReport& load,
+                             Actions& out) {
+  impl_->at(now).onHealthCheck(server, ok, latency, load, out);
 }
 void Balancer::onTimer(Time now, std::uint64_t timer, Actions& out) { impl_->at(now).onTimer(timer, out); }
-bool Balancer::setMaintenance(Time now, std::string_view server, bool out_of_use) {
-  return impl_->at(now).maintain(server, out_of_use);
+bool Balancer::setMaintenance(Time now, std::string_view server, bool in_maintenance) {
+  return impl_->at(now).maintain(server, in_maintenance);
 }
-std::vector<Remembered> Balancer::remember() const { return impl_->remember(); }
-void Balancer::setZone(Time now, std::int32_t zone, ZoneOrder order, Actions& out) {
+std::vector<HostSnapshot> Balancer::snapshot() const { return impl_->snapshot(); }
+void Balancer::setZone(Time now, std::int32_t zone, ZoneDirective order, Actions& out) {
   impl_->at(now).setZone(zone, order, out);
 }
-ZoneSeen Balancer::zoneSeen(Time now, std::int32_t zone, const ZoneSince& since) {
-  return impl_->at(now).zoneSeen(zone, since);
+ZoneObservation Balancer::observeZone(Time now, std::int32_t zone, const ZoneObservedSince& since) {
+  return impl_->at(now).observeZone(zone, since);
 }
-void Balancer::recall(Time now, std::span<const Remembered> servers, Actions& out) {
-  impl_->at(now).recall(servers, out);
+void Balancer::restore(Time now, std::span<const HostSnapshot> servers, Actions& out) {
+  impl_->at(now).restore(servers, out);
 }
-Standing Balancer::standing() const { return impl_->standing(); }
+HostCounts Balancer::hostCounts() const { return impl_->hostCounts(); }
 std::vector<std::string> Balancer::subset(Time now) {
   const decision::Servers& servers = impl_->at(now);
   std::vector<std::string> ids;
@@ -56,8 +56,8 @@
   return ids;
 }
 std::size_t Balancer::liveRequests() const { return impl_->requests.size(); }
-std::size_t Balancer::rememberedSlots() const { return impl_->slots.size(); }
-std::uint64_t Balancer::serversLookedAt() const { return impl_->looked_at; }
+std::size_t Balancer::slotCount() const { return impl_->slots.size(); }
+std::uint64_t Balancer::hostsExamined() const { return impl_->looked_at; }
 std::size_t Balancer::knownServers() const { return impl_->table.size(); }
 
 }  // namespace load_balancer
--- a/src/decision/balancer_impl.h
+++ b/src/decision/balancer_impl.h
@@ -35,7 +35,7 @@
   bool takeList(ListKind kind, std::span<const Host> hosts, Actions& out) {
     if (kind == ListKind::Unavailable) {
       list_stale = true;
-      if (settings.discovery == Discovery::Ask) askLater(out);
+      if (settings.discovery == Discovery::Poll) askLater(out);
       trace(out, Line::Listing, "list stale: discovery unavailable");
       return false;
     }
@@ -57,9 +57,9 @@
 
   // A restart of many clients must not stampede discovery: the first call waits at random, failures back off.
   void discoveryAnswered(ListKind kind, Actions& out) {
-    if (settings.discovery != Discovery::Ask || kind == ListKind::Unavailable) return;
+    if (settings.discovery != Discovery::Poll || kind == ListKind::Unavailable) return;
     if (kind == ListKind::Restored) {
-      const double within = std::min(3e6, static_cast<double>(settings.ask_within) / 3);
+      const double within = std::min(3e6, static_cast<double>(settings.poll_interval) / 3);
       setTimer(out, now + static_cast<Time>(random.unit() * within), kDiscoveryTimer);
     } else {
       subscribed = true;
@@ -78,12 +78,14 @@
       return true;
     }
     Server& s = table[h.id];
-    const bool restarted = s.listed && h.up_since > s.host.up_since;
+    const bool restarted = s.listed && h.started_at > s.host.started_at;
     const bool changed = !s.listed || s.host.state != h.state || restarted;
     s.host = h;
-    const bool news = s.cold_since == 0 || h.up_since > s.cold_since;
-    if (h.up_since != 0 && news && now - h.up_since < settings.cold_time) startCold(s, h.up_since);
-    if (restarted) s.out = false, s.strikes = 0, s.slowness = 1;  // what the old process did says nothing
+    const bool news = s.cold_since == 0 || h.started_at > s.cold_since;
+    if (h.started_at != 0 && news && now - h.started_at < settings.slow_start_duration)
+      startCold(s, h.started_at);
+    if (restarted)
+      s.out = false, s.failure_score = 0, s.latency_ratio = 1;  // what the old process did says nothing
     if (!s.listed) newcomers.push_back(&s);
     s.listed = s.named = true;
     return changed;
@@ -108,7 +110,7 @@
     discoveryAnswered(kind, out);
   }
 
-  void onProbe(std::string_view id, bool ok, Time latency, const LoadReport& load, Actions& out) {
+  void onHealthCheck(std::string_view id, bool ok, Time latency, const LoadReport& load, Actions& out) {
     Server* const probed = find(id);
     if (probed == nullptr || !probed->probing) return;
     Server& s = *probed;
@@ -118,9 +120,9 @@
       s.reported_at = now;
     }
     if (!s.out) {
-      if (ok) sight.answered(s.host.zone, now - latency, now);
-      if (!ok && sight.suspected(s.host.zone)) silence(s, now - latency, true, out);
-      for (const RequestId waiting : heard(s, ok)) goOn(*requests.find(waiting), out);
+      if (ok) zone_observations.answered(s.host.zone, now - latency, now);
+      if (!ok && zone_observations.suspected(s.host.zone)) silence(s, now - latency, true, out);
+      for (const RequestId waiting : heard(s, ok)) resume(*requests.find(waiting), out);
     } else if (s.listed && ok) {
       s.unproven = true;
       answered(s, now, out);
@@ -134,13 +136,13 @@
   }
 
   // Staff take a server out, or put it back: it has been restarted meanwhile and is cold.
-  bool maintain(std::string_view id, bool out_of_use) {
+  bool maintain(std::string_view id, bool in_maintenance) {
     Server* const s = find(id);
     if (s == nullptr || !(s->listed || s->banned)) return false;
-    if (s->banned == out_of_use) return true;
-    s->banned = out_of_use;
-    if (!out_of_use) {
-      s->out = false, s->strikes = 0, s->slowness = 1;
+    if (s->banned == in_maintenance) return true;
+    s->banned = in_maintenance;
+    if (!in_maintenance) {
+      s->out = false, s->failure_score = 0, s->latency_ratio = 1;
       startCold(*s, now);
       if (!s->listed) slots.give(*s);
     }
@@ -148,33 +150,33 @@
     return true;
   }
 
-  std::vector<Remembered> remember() const {
-    std::vector<Remembered> all;
+  std::vector<HostSnapshot> snapshot() const {
+    std::vector<HostSnapshot> all;
     for (const auto& [id, s] : table) {
       if (!s.listed && !s.banned) continue;
-      all.push_back({id, s.slot, s.banned, s.out, s.silent, s.out_since, s.out_until, s.strikes, s.struck_at,
-                     s.cold_since, s.slowness});
+      all.push_back({id, s.slot, s.banned, s.out, s.unresponsive, s.out_since, s.out_until, s.failure_score,
+                     s.failure_score_at, s.cold_since, s.latency_ratio});
     }
     return all;
   }
-  void recall(std::span<const Remembered> known, Actions& out) {
-    for (const Remembered& k : known) {
+  void restore(std::span<const HostSnapshot> known, Actions& out) {
+    for (const HostSnapshot& k : known) {
       Server* s = find(k.id);
-      if (s == nullptr && k.out_of_use) {
+      if (s == nullptr && k.in_maintenance) {
         s = &table[k.id];
         s->host = {.id = k.id, .state = HostState::Gone};
       }
       if (s == nullptr) continue;
-      s->banned = k.out_of_use;
+      s->banned = k.in_maintenance;
       recallOne(*s, k);
     }
     recallSlots(known);
     relist();
-    if (settings.discovery == Discovery::Ask && !subscribed) setTimer(out, now, kDiscoveryTimer);
+    if (settings.discovery == Discovery::Poll && !subscribed) setTimer(out, now, kDiscoveryTimer);
   }
 
-  Standing standing() const {
-    Standing all;
+  HostCounts hostCounts() const {
+    HostCounts all;
     for (const auto& [id, s] : table) {
       all.listed += s.listed ? 1U : 0U;
       all.avoided += s.listed && !s.usable() ? 1U : 0U;
--- a/src/decision/cold.h
+++ b/src/decision/cold.h
@@ -1,13 +1,13 @@
 // What a server that started lately may get.
 #pragma once
 
-#include "measures/rate.h"
 #include "servers.h"
+#include "statistics/rate_estimator.h"
 
 namespace load_balancer::decision {
 
 struct ColdStart : Servers {
-  client_proxy::measures::Rate arrivals{kRateMemory};
+  client_proxy::statistics::RateEstimator arrivals{kRateMemory};
 
   void startCold(Server& s, Time since) {
     s.cold_since = since;
@@ -21,12 +21,12 @@
   bool coldAllows(Server& s, bool hard) {
     if (s.cold_since == 0) return true;
     const auto age = static_cast<double>(now - s.cold_since);
-    const auto full = static_cast<double>(settings.cold_time);
+    const auto full = static_cast<double>(settings.slow_start_duration);
     if (age >= full) {
       s.cold_since = 0;
       return true;
     }
-    const double from = settings.cold_from;
+    const double from = settings.slow_start_initial_capacity;
     const double capacity = from + (1 - from) * std::max(0.0, age) / full;
     const double share = arrivals.perSecond(now) / std::max(1U, members) * relativeSize(s) * capacity *
                          hardFactor() * (atEase(s) ? kEaseGain : 1);
@@ -44,7 +44,7 @@
   static constexpr double kEaseGain = 1.5;    // its share grows so: what is served at once it can do
 
   // How far above its ordinary share a client may go where nothing but cold servers is left.
-  double hardFactor() const { return std::max(1.0, settings.cold_multiple / 2); }
+  double hardFactor() const { return std::max(1.0, settings.slow_start_overload_factor / 2); }
 
   // What warm servers of like size take: more than the average for a large one, less for a small one.
   double relativeSize(const Server& s) const {
@@ -58,7 +58,7 @@
   }
 
   // Much faster than the others, it has room for all it may have: they are full where many are out by hand.
-  static bool atEase(const Server& s) { return s.in_flight <= 1 && s.slowness < kAtEase; }
+  static bool atEase(const Server& s) { return s.in_flight <= 1 && s.latency_ratio < kAtEase; }
 };
 
 }  // namespace load_balancer::decision
--- a/src/decision/health.h
+++ b/src/decision/health.h
@@ -14,10 +14,11 @@
 
 struct Health : ColdStart {
   // Evidence against a server. False if it is not ejected: too little, or too many fail for it to be theirs.
-  bool strike(Server& s, bool silent, double evidence, Actions& out, double most_out = kMaxOut) {
-    s.strikes = s.strikes * std::exp2(-static_cast<double>(now - s.struck_at) / kStrikeHalf) + evidence;
-    s.struck_at = now;
-    if (s.strikes < kEnough) return false;
+  bool strike(Server& s, bool unresponsive, double evidence, Actions& out, double most_out = kMaxOut) {
+    s.failure_score =
+        s.failure_score * std::exp2(-static_cast<double>(now - s.failure_score_at) / kStrikeHalf) + evidence;
+    s.failure_score_at = now;
+    if (s.failure_score < kEnough) return false;
     if (!s.out) {
       const auto outs = std::count_if(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(reach),
                                       [](const Server* o) { return o->out; });
@@ -25,8 +26,9 @@
       if (members <= 1 || static_cast<double>(outs + 1) > std::max(1.0, most_out * members)) return false;
     }
     if (!std::exchange(s.out, true)) s.out_since = now;
-    s.silent = silent;
-    const double length = std::min<double>(kLongestOut, kFirstOut * std::exp2(std::max(0.0, s.strikes - 1)));
+    s.unresponsive = unresponsive;
+    const double length =
+        std::min<double>(kLongestOut, kFirstOut * std::exp2(std::max(0.0, s.failure_score - 1)));
     s.out_until = now + static_cast<Time>(length * spreadOut());
     returnAt(s.out_until);
     measureReach();
@@ -34,13 +36,13 @@
     return true;
   }
   // An answer takes back less than a failure adds, so that part failures show.
-  static void mend(Server& s) { s.strikes *= kAnswerMends; }
+  static void mend(Server& s) { s.failure_score *= kAnswerMends; }
 
   // `asked`: when it was asked what it answers now. A silent one may have restarted since it was ejected.
   void readmit(Server& s, Time asked, Actions& out) {
     if (!s.out) return;
     s.out = s.by_zone = false;
-    if (s.silent && settings.cold_time > 0 && asked > s.out_since) startCold(s, now);
+    if (s.unresponsive && settings.slow_start_duration > 0 && asked > s.out_since) startCold(s, now);
     measureReach();
     trace(out, Line::Readmitted, "readmitted " + s.host.id);
   }
@@ -58,26 +60,28 @@
       }
       if (now < s->out_until) {
         returnAt(s->out_until);
-      } else if (settings.may_probe && s->inService()) {
+      } else if (settings.may_health_check && s->inService()) {
         probe(*s, out);
       }
     }
   }
   static void probe(Server& s, Actions& out) {
-    if (!std::exchange(s.probing, true)) out.push_back({.kind = ActionKind::Probe, .server = s.host.id});
+    if (!std::exchange(s.probing, true))
+      out.push_back({.kind = ActionKind::HealthCheck, .server = s.host.id});
   }
 
   // As another Balancer has left it.
-  void recallOne(Server& s, const Remembered& k) {
-    if (std::isfinite(k.slowness) && k.slowness > 0) s.slowness = std::min(k.slowness, 8.0);
-    if (std::isfinite(k.strikes) && k.strikes >= 0) s.strikes = k.strikes;
-    s.struck_at = std::min(std::max<Time>(k.struck_at, 0), now);
-    if (k.cold_since > 0 && k.cold_since <= now && now - k.cold_since < settings.cold_time)
+  void recallOne(Server& s, const HostSnapshot& k) {
+    if (std::isfinite(k.latency_ratio) && k.latency_ratio > 0)
+      s.latency_ratio = std::min(k.latency_ratio, 8.0);
+    if (std::isfinite(k.failure_score) && k.failure_score >= 0) s.failure_score = k.failure_score;
+    s.failure_score_at = std::min(std::max<Time>(k.failure_score_at, 0), now);
+    if (k.cold_since > 0 && k.cold_since <= now && now - k.cold_since < settings.slow_start_duration)
       startCold(s, k.cold_since);
     if (s.cold_since != 0) s.cold_tokens = 0;
     if (!k.ejected) return;
     s.out = true;
-    s.silent = k.silent;
+    s.unresponsive = k.unresponsive;
     s.out_since = std::min(k.ejected_since, now);
     s.out_until = std::min(k.ejected_until, now + kLongestOut);
     returnAt(s.out_until);
--- a/src/decision/picking.h
+++ b/src/decision/picking.h
@@ -3,8 +3,8 @@
 
 #include <iterator>
 
+#include "containers/generational_slot_map.h"
 #include "repeats.h"
-#include "tables/ticketed.h"
 
 namespace load_balancer::decision {
 
@@ -14,8 +14,9 @@
   // How many turns a server gets: its listed size and its measured speed.
   double weight(const Server& s) const {
     const double size = settings.weighted && s.host.capacity > 0 ? s.host.capacity : 1;
-    const double slowness = std::clamp(s.slowness, 0.5, 8.0);
-    return size / (slowness * slowness * slowness);  // cubed: at half the pace a queue is far longer
+    const double latency_ratio = std::clamp(s.latency_ratio, 0.5, 8.0);
+    return size /
+           (latency_ratio * latency_ratio * latency_ratio);  // cubed: at half the pace a queue is far longer
   }
   void takeTurn(Server& s) const { s.turn += 1 / weight(s); }
 
@@ -57,12 +58,12 @@
   // Why this server: asked for before the send is booked. Walks the order, hence only where settings.explain.
   Reason explain(const Live& r, const Server& s, bool by_report) const {
     const auto at = static_cast<std::size_t>(std::find(order.begin(), order.end(), &s) - order.begin());
-    if (s.out) return Reason::Trial;
-    if (bound(r)) return Reason::GroupBoundRepeat;
-    if (s.cold_since != 0) return Reason::ColdShare;
-    if (by_report) return Reason::LeastReported;
-    if (at >= wanted || at >= reach) return Reason::StandIn;
-    return at >= kSubset ? Reason::LengthenedSubset : Reason::OrdinaryPick;
+    if (s.out) return Reason::EjectionTrial;
+    if (bound(r)) return Reason::ScopedRetry;
+    if (s.cold_since != 0) return Reason::SlowStart;
+    if (by_report) return Reason::LeastReportedLoad;
+    if (at >= wanted || at >= reach) return Reason::Substitute;
+    return at >= kSubset ? Reason::ExtendedSubset : Reason::LeastLoaded;
   }
 
   static constexpr std::size_t kStandIns = 48;  // looked at beyond it: a pick's cost stays the subset's
@@ -70,21 +71,21 @@
 
   // An ejected server whose time is over takes one request that may be repeated; a probe is cheaper.
   bool trialAllowed(const Server& s, const Live& r) const {
-    return s.out && now >= s.out_until && s.in_flight == 0 && !settings.may_probe && fitForTrial(r);
+    return s.out && now >= s.out_until && s.in_flight == 0 && !settings.may_health_check && fitForTrial(r);
   }
   // Requests in flight; at a server that has been slow for long each counts for more.
   static double busy(const Server& s) {
-    return s.slowness < kSlow ? s.in_flight : s.in_flight * s.slowness / kSlow;
+    return s.latency_ratio < kSlow ? s.in_flight : s.in_flight * s.latency_ratio / kSlow;
   }
 };
 
 // Asking servers for their load before a send, where they report it to probes only.
 struct Asking : Picking {
-  client_proxy::tables::Ticketed<RequestId, Live> requests;
+  client_proxy::containers::GenerationalSlotMap<RequestId, Live> requests;
 
   bool mayAsk(const Live& r) const {
-    return settings.reports == ReportSource::Probe && settings.may_probe && now >= distrust_until &&
-           !r.asking && r.outstanding == 0 && r.give_up - now > 4 * timeFor(r);
+    return settings.reports == ReportSource::HealthChecks && settings.may_health_check &&
+           now >= distrust_until && !r.asking && r.outstanding == 0 && r.give_up - now > 4 * timeFor(r);
   }
 
   // Ties tell nothing of the others' load. Some of the tied are asked first: of the own zone, of them one by
@@ -134,8 +135,8 @@
     for (std::size_t n = 0; r.asking && n < r.asked.size(); ++n) {
       Server& s = *r.asked[n];
       if (s.reported_at < r.asking_since || s.out || !eligible(r, s)) continue;
-      const double slowness = std::clamp(s.slowness, 0.5, 8.0);
-      const double cost = (s.reported + 1) * slowness + (home(s) ? 0 : 1) - (keyed(r, n) ? 1 : 0);
+      const double latency_ratio = std::clamp(s.latency_ratio, 0.5, 8.0);
+      const double cost = (s.reported + 1) * latency_ratio + (home(s) ? 0 : 1) - (keyed(r, n) ? 1 : 0);
       if (best == nullptr || cost < least) best = &s, least = cost;
     }
     stopAsking(r);
@@ -155,7 +156,7 @@
   // Late reports lead all clients to servers that were idle a while ago; late answers from those show it.
   void trust(const Live& r, const Attempt& a, const Outcome& o) {
     if (!a.by_report || (o.result != Result::Ok && o.result != Result::TimedOut)) return;
-    const bool surprise = o.result == Result::TimedOut || o.latency > classOf(r).aim;
+    const bool surprise = o.result == Result::TimedOut || o.latency > classOf(r).latency_objective;
     surprises += 0.2 * ((surprise ? 1 : 0) - surprises);
     if (surprises < kDistrust) return;
     surprises = kDistrust / 2;
@@ -167,7 +168,7 @@
   static constexpr double kDistrust = 0.3;  // two surprises in a row
   static constexpr Time kDistrusted = 5 * kSecond;  // late reports last; trying again costs a surprise or two
 
-  Time timeFor(const Live& r) const { return classOf(r).aim / kAskPart; }
+  Time timeFor(const Live& r) const { return classOf(r).latency_objective / kAskPart; }
   bool home(const Server& s) const { return s.host.zone == settings.zone; }
   bool keyed(const Live& r, std::size_t n) const { return n == 0 && settings.warm_keys && r.key != kUnset; }
   static std::uint64_t affinity(const Live& r, const Server& s) {
--- a/src/decision/repeats.h
+++ b/src/decision/repeats.h
@@ -8,8 +8,9 @@
 
 struct Repeats : Zones {
   void fitRepeats() {
-    some_repeatable = std::any_of(settings.classes.begin(), settings.classes.end(),
-                                  [](const RequestClass& k) { return k.effect != Effect::Unsafe; });
+    some_repeatable =
+        std::any_of(settings.classes.begin(), settings.classes.end(),
+                    [](const RequestClass& k) { return k.idempotency != Idempotency::NonIdempotent; });
   }
 
   const RequestClass& classOf(const Live& r) const {
@@ -20,13 +21,16 @@
     return static_cast<std::int32_t>(r.attempts.size()) < most;
   }
   // A server that has failed is tried with what may be repeated, where there is any.
-  bool fitForTrial(const Live& r) const { return classOf(r).effect != Effect::Unsafe || !some_repeatable; }
+  bool fitForTrial(const Live& r) const {
+    return classOf(r).idempotency != Idempotency::NonIdempotent || !some_repeatable;
+  }
 
   // A repeat of a keyed request that may have run goes to the group of its first attempt only; what one zone
   // alone may run goes there.
   bool bound(const Live& r) const {
-    if (r.only_zone != kUnset) return true;
-    return classOf(r).effect == Effect::Keyed && classOf(r).group != Group::All && !neverRan(r);
+    if (r.required_zone != kUnset) return true;
+    return classOf(r).idempotency == Idempotency::IdempotentWithKey &&
+           classOf(r).deduplication_scope != DeduplicationScope::All && !neverRan(r);
   }
 
   // ---- the gate: rule 2 and the drain check, for every send and every refusal ----
@@ -39,21 +43,26 @@
     for (const Attempt& a : r.attempts) {
       if (a.run == Run::NeverRan || &a == self) continue;
       if (a.run == Run::Outstanding) return false;  // never two at once
-      if (c.effect == Effect::Unsafe) return false;
-      if (c.effect == Effect::Safe) continue;
-      if (now >= a.sent + c.window - settings.tick) return false;
-      if (s != nullptr && c.group == Group::Zone && a.zone != s->host.zone) return false;
-      if (s != nullptr && c.group == Group::Cell && a.cell != s->host.cell) return false;
+      if (c.idempotency == Idempotency::NonIdempotent) return false;
+      if (c.idempotency == Idempotency::Idempotent) continue;
+      if (now >= a.sent + c.deduplication_window - settings.tick) return false;
+      if (s != nullptr && c.deduplication_scope == DeduplicationScope::Zone && a.zone != s->host.zone)
+        return false;
+      if (s != nullptr && c.deduplication_scope == DeduplicationScope::Cell && a.cell != s->host.cell)
+        return false;
     }
     return true;
   }
   bool gate(const Live& r, const Server& s, const Attempt* self = nullptr) const {
     return !r.ended && !r.streaming && s.inService() && now < r.deadline && mayRepeat(r, &s, self) &&
-           (r.only_zone == kUnset || r.only_zone == s.host.zone);
+           (r.required_zone == kUnset || r.required_zone == s.host.zone);
   }
   bool mayRefuse(const Live& r) const {
     const RequestClass& c = classOf(r);
-    return c.effect == Effect::Safe || (c.effect == Effect::Keyed && c.group == Group::All) || neverRan(r);
+    return c.idempotency == Idempotency::Idempotent ||
+           (c.idempotency == Idempotency::IdempotentWithKey &&
+            c.deduplication_scope == DeduplicationScope::All) ||
+           neverRan(r);
   }
 
   void earnRepeats() {
@@ -62,7 +71,7 @@
   }
   bool spendRepeat() { return budget >= 1 && (budget -= 1, true); }
   // Its client gives it up before its answer would have lost its worth.
-  bool impatient(const Live& r) const { return r.deadline - r.arrived < classOf(r).aim; }
+  bool impatient(const Live& r) const { return r.deadline - r.arrived < classOf(r).latency_objective; }
   bool tooImpatient(const Live& r) const { return impatient(r) && futile < 1; }
   // What its client gives up has cost its server as much as an answer, and clients that come again at once
   // can keep a whole fleet busy with it: it is bounded like repeats. Answers in time cost nothing here.
--- a/src/decision/requests.h
+++ b/src/decision/requests.h
@@ -12,24 +12,26 @@
   void onRequest(const Request& q, Actions& out) {
     if (requests.find(q.id) != nullptr) return;
     if (q.request_class < 0 || static_cast<std::size_t>(q.request_class) >= shedding.classes())
-      return out.push_back({.kind = ActionKind::Refuse, .request = q.id});
+      return out.push_back({.kind = ActionKind::Reject, .request = q.id});
     const RequestClass& c = settings.classes[static_cast<std::size_t>(q.request_class)];
     arrivals.note(now);
     demand += 0.1 * (in_flight + 1 - demand);
     earnRepeats();
-    const auto [r, ticket] = requests.open(q.id);
+    const auto [r, handle] = requests.open(q.id);
     r.id = q.id;
-    r.timer = ticket;
+    r.timer = handle;
     r.request_class = q.request_class;
     r.key = q.key;
-    r.only_zone = q.only_zone;
+    r.required_zone = q.required_zone;
     r.arrived = now;
     r.deadline = now + q.time_left;
     r.give_up = r.deadline;
     // Past its aim an answer may be worth nothing: then waiting on only keeps a server busy.
-    if (c.late_worth <= 0 && (c.aim_stretch <= 0 || q.expected_work > 0)) {
-      const auto aim = c.aim + static_cast<Time>(c.aim_stretch * static_cast<double>(q.expected_work));
-      r.give_up = std::min(r.deadline, now + aim);
+    if (c.late_weight <= 0 && (c.objective_per_work <= 0 || q.expected_work > 0)) {
+      const auto latency_objective =
+          c.latency_objective +
+          static_cast<Time>(c.objective_per_work * static_cast<double>(q.expected_work));
+      r.give_up = std::min(r.deadline, now + latency_objective);
     }
     proveReturning(out);
     adjustLength(out);
@@ -72,7 +74,7 @@
   }
 
   // Its connection is up: may its first byte still go? What it was chosen by may have changed meanwhile.
-  bool mayBegin(RequestId id, std::int32_t attempt) {
+  bool mayStart(RequestId id, std::int32_t attempt) {
     Live* const r = requests.find(id);
     Attempt* const a = outstandingOf(r, attempt);
     if (a == nullptr || !gate(*r, *a->server, a)) return false;
@@ -85,7 +87,7 @@
   }
 
   // The process has to leave: what is open must be answered by then.
-  void endBy(Time last, Actions& out) {
+  void finishBy(Time last, Actions& out) {
     requests.each([&](Live& r) {
       r.deadline = std::min(r.deadline, last);
       r.give_up = std::min(r.give_up, last);
@@ -98,8 +100,9 @@
     r.ended = true;
     stopAsking(r);
     if (!mayRefuse(r) || r.faulty) return out.push_back({.kind = ActionKind::Fail, .request = r.id});
-    const Time stay_away = settings.retry_after ? std::min(settings.max_retry_after, classOf(r).aim / 8) : 0;
-    out.push_back({.kind = ActionKind::Refuse, .request = r.id, .time = stay_away});
+    const Time stay_away =
+        settings.retry_after ? std::min(settings.max_retry_after, classOf(r).latency_objective / 8) : 0;
+    out.push_back({.kind = ActionKind::Reject, .request = r.id, .time = stay_away});
   }
 
   void onOutcome(const Outcome& o, Actions& out) {
@@ -107,7 +110,7 @@
     Attempt* const found = outstandingOf(r, o.attempt);
     if (found == nullptr) return;
     Attempt& a = *found;
-    const bool never_ran = provesNotRun(o.result);
+    const bool never_ran = provesNotProcessed(o.result);
     a.run = never_ran ? Run::NeverRan : Run::MayHaveRun;
     r->faulty |= o.result == Result::BadRequest;
     Server& s = *a.server;
@@ -129,7 +132,7 @@
   void judge(Server& s, const Live& r, const Attempt& a, const Outcome& o, Actions& out) {
     const bool silent_since = s.last_answer < a.sent;
     if (o.result == Result::Ok || o.result == Result::Rejected || o.result == Result::Error ||
-        o.result == Result::Spoilt || o.result == Result::BadRequest) {
+        o.result == Result::InvalidResponse || o.result == Result::BadRequest) {
       s.last_answer = now;
       s.unproven = false;
       answered(s, a.sent, out);
@@ -149,8 +152,8 @@
       case Result::Error:
         strike(s, false, 1, out);
         return;
-      case Result::Spoilt:
-      case Result::CutShort:
+      case Result::InvalidResponse:
+      case Result::RequestIncomplete:
       case Result::Reset:  // a process that has died refuses the next connection
         strike(s, false, kBrokenEvidence, out);
         return;
@@ -176,17 +179,17 @@
   }
 
   void onTimer(std::uint64_t timer, Actions& out) {
-    Live* const r = requests.ofTicket(timer);
+    Live* const r = requests.findByHandle(timer);
     if (r == nullptr || r->ended || r->streaming) return;
     proveReturning(out);
-    if (r->outstanding == 0) goOn(*r, out);
+    if (r->outstanding == 0) resume(*r, out);
   }
-  void goOn(Live& r, Actions& out) {
+  void resume(Live& r, Actions& out) {
     dispatch(r, out);
     closeIfDone(r);
   }
 
-  void onStreaming(RequestId id, std::int32_t attempt) {
+  void onResponseStarted(RequestId id, std::int32_t attempt) {
     Live* r = requests.find(id);
     Attempt* a = outstandingOf(r, attempt);
     if (a == nullptr || r->ended) return;
--- a/src/decision/servers.h
+++ b/src/decision/servers.h
@@ -5,8 +5,8 @@
 #include <map>
 #include <span>
 
+#include "containers/slot_table.h"
 #include "state.h"
-#include "tables/slots.h"
 
 namespace load_balancer::decision {
 
@@ -61,10 +61,10 @@
     s.host.state = HostState::Gone;
   }
   // Slots as they were; whoever has none takes what is free.
-  void recallSlots(std::span<const Remembered> known) {
+  void recallSlots(std::span<const HostSnapshot> known) {
     slots.clear();
     for (auto& [id, s] : table) s.slot = kUnset;
-    for (const Remembered& k : known) {
+    for (const HostSnapshot& k : known) {
       if (Server* const s = find(k.id)) slots.take(*s, k.slot);
     }
     for (auto& [id, s] : table) {
@@ -95,7 +95,7 @@
   static constexpr double kReach = 4;  // members for each own request in flight: a hot client spreads out
   static constexpr Time kShorten = 10 * kSecond;  // a lengthened subset stays so long: bursts do not flap it
 
-  client_proxy::tables::Slots<Server> slots;
+  client_proxy::containers::SlotTable<Server> slots;
   std::vector<Server*> order;  // this client's reading order of the listed servers
   std::size_t reach = 0;       // the subset is the usable part of order[0, reach)
   std::uint32_t members = 0;   // how many usable servers that is
--- a/src/decision/settings.cpp
+++ b/src/decision/settings.cpp
@@ -21,26 +21,26 @@
   for (std::size_t i = 0; i < s.classes.size(); ++i) {
     const RequestClass& c = s.classes[i];
     const std::string at = "classes[" + std::to_string(i) + "].";
-    need(c.aim > 0, at + "aim");
+    need(c.latency_objective > 0, at + "aim");
     need(c.deadline > 0, at + "deadline");
-    need(c.effect != Effect::Keyed || c.window > 0, at + "window");
-    need(notNegative(c.worth), at + "worth");
-    need(notNegative(c.late_worth), at + "late_worth");
-    need(notNegative(c.aim_stretch), at + "aim_stretch");
+    need(c.idempotency != Idempotency::IdempotentWithKey || c.deduplication_window > 0, at + "window");
+    need(notNegative(c.priority_weight), at + "worth");
+    need(notNegative(c.late_weight), at + "late_worth");
+    need(notNegative(c.objective_per_work), at + "aim_stretch");
     need(c.max_attempts >= 0, at + "max_attempts");
   }
   for (std::size_t i = 0; i < s.tenants.size(); ++i) {
-    need(notNegative(s.tenants[i].fraction), "tenants[" + std::to_string(i) + "].fraction");
+    need(notNegative(s.tenants[i].quota), "tenants[" + std::to_string(i) + "].fraction");
   }
-  need(notNegative(s.over_share_worth), "over_share_worth");
+  need(notNegative(s.over_quota_weight), "over_share_worth");
   need(s.max_attempts >= 1, "max_attempts");
   need(s.max_retry_after >= 0, "max_retry_after");
   need(s.drain_grace >= 0, "drain_grace");
-  need(s.cold_from > 0 && s.cold_from <= 1, "cold_from");
-  need(s.cold_time >= 0, "cold_time");
-  need(notNegative(s.cold_multiple), "cold_multiple");
-  need(s.cold_window >= 0, "cold_window");
-  need(s.discovery == Discovery::Push || s.ask_within > 0, "ask_within");
+  need(s.slow_start_initial_capacity > 0 && s.slow_start_initial_capacity <= 1, "cold_from");
+  need(s.slow_start_duration >= 0, "cold_time");
+  need(notNegative(s.slow_start_overload_factor), "cold_multiple");
+  need(s.slow_start_overload_window >= 0, "cold_window");
+  need(s.discovery == Discovery::Push || s.poll_interval > 0, "ask_within");
   need(s.tick > 0, "tick");
 }
 
@@ -57,19 +57,19 @@
   switch (reason) {
     case Reason::None:
       return "none";
-    case Reason::OrdinaryPick:
+    case Reason::LeastLoaded:
       return "ordinary pick";
-    case Reason::LengthenedSubset:
+    case Reason::ExtendedSubset:
       return "lengthened subset";
-    case Reason::StandIn:
+    case Reason::Substitute:
       return "stand-in";
-    case Reason::LeastReported:
+    case Reason::LeastReportedLoad:
       return "least reported";
-    case Reason::Trial:
+    case Reason::EjectionTrial:
       return "trial";
-    case Reason::GroupBoundRepeat:
+    case Reason::ScopedRetry:
       return "group-bound repeat";
-    case Reason::ColdShare:
+    case Reason::SlowStart:
       return "cold share";
   }
   return "none";
--- a/src/decision/shedding.h
+++ b/src/decision/shedding.h
@@ -24,16 +24,16 @@
     if (usual == 0) usual = taken;
     const double ratio = std::min(8.0, taken / usual);
     usual += 0.05 * (taken - usual);
-    s.slowness += 0.1 * (ratio - s.slowness);
+    s.latency_ratio += 0.1 * (ratio - s.latency_ratio);
   }
 
   static double lateness(const RequestClass& c, const Outcome& o) {
-    const double part = static_cast<double>(o.latency) / static_cast<double>(c.aim);
+    const double part = static_cast<double>(o.latency) / static_cast<double>(c.latency_objective);
     return std::clamp((part - kLateFrom) / (1 - kLateFrom), 0.0, 1.0);
   }
   // What an attempt's lateness says of the load of all.
   void follow(double late, const Server& s, Actions& out) {
-    late /= std::max(1.0, s.slowness);  // a slow server's lateness is its own, not the fleet's
+    late /= std::max(1.0, s.latency_ratio);  // a slow server's lateness is its own, not the fleet's
     limit_.adapt((kLateTarget - late) / kLateTarget, c_.demand);
     const bool noted = limit_.refused() > (noted_ ? kShedNoted / 2 : kShedNoted);
     if (noted != noted_) c_.trace(out, Context::Line::Shedding, noted ? "shedding begun" : "shedding ended");
@@ -53,9 +53,9 @@
     double lower = 0, same = 0, all = 0;
     for (std::size_t l = 0; l < level_recent_.size(); ++l) {
       all += level_recent_[l];
-      if (worthOf(l, by_worth) < worthOf(level, by_worth)) {
+      if (weightOf(l, by_worth) < weightOf(level, by_worth)) {
         lower += level_recent_[l];
-      } else if (!(worthOf(level, by_worth) < worthOf(l, by_worth))) {
+      } else if (!(weightOf(level, by_worth) < weightOf(l, by_worth))) {
         same += level_recent_[l];
       }
     }
@@ -77,16 +77,17 @@
     tenant_total_ = tenant_total_ * kRecent + 1;
     double& mine = tenant_recent_[static_cast<std::size_t>(tenant)];
     mine += 1;
-    const double fraction = c_.settings.tenants[static_cast<std::size_t>(tenant)].fraction;
-    return c_.random.unit() < 1 - fraction * tenant_total_ / mine;
+    const double quota = c_.settings.tenants[static_cast<std::size_t>(tenant)].quota;
+    return c_.random.unit() < 1 - quota * tenant_total_ / mine;
   }
 
-  double worthOf(std::size_t level, bool by_worth) const {
-    const double share = (level & 1U) != 0 ? c_.settings.over_share_worth : 1;
+  double weightOf(std::size_t level, bool by_worth) const {
+    const double share = (level & 1U) != 0 ? c_.settings.over_quota_weight : 1;
     if (!by_worth) return share;
     const std::size_t cls = level / 2;
     const RequestClass& c = c_.settings.classes[cls];
-    return share * c.worth / (latency_[cls] > 0 ? latency_[cls] : static_cast<double>(c.aim) / 2);
+    return share * c.priority_weight /
+           (latency_[cls] > 0 ? latency_[cls] : static_cast<double>(c.latency_objective) / 2);
   }
 
   Context& c_;
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -37,7 +37,7 @@
     Time& next = next_trace[static_cast<std::size_t>(line)];
     if (now < next) return;
     next = now + kSecond;
-    out.push_back({.kind = ActionKind::Trace, .text = std::move(text)});
+    out.push_back({.kind = ActionKind::Log, .text = std::move(text)});
   }
 
   void setTimer(Actions& out, Time when, std::uint64_t timer) const {
@@ -56,14 +56,14 @@
   std::int32_t slot = kUnset;
   std::int32_t in_flight = 0;  // this client's attempts that have no outcome yet
   double turn = 0;             // ties go to the lowest; each send adds to it
-  double slowness = 1;         // latency relative to what its classes take on average
+  double latency_ratio = 1;    // latency relative to what its classes take on average
   Time last_answer = std::numeric_limits<Time>::min();
-  double strikes = 0;  // decaying evidence of failure
-  Time struck_at = 0;
-  bool out = false;       // ejected: passed over like a placeholder
-  bool silent = false;    // ejected for silence: it may come back cold
-  bool by_zone = false;   // ejected with its whole zone
-  bool unproven = false;  // a probe has readmitted it, and no request was answered since
+  double failure_score = 0;  // decaying evidence of failure
+  Time failure_score_at = 0;
+  bool out = false;           // ejected: passed over like a placeholder
+  bool unresponsive = false;  // ejected for silence: it may come back cold
+  bool by_zone = false;       // ejected with its whole zone
+  bool unproven = false;      // a probe has readmitted it, and no request was answered since
   bool probing = false;
   Time out_since = 0;
   Time out_until = 0;                    // then a probe or a trial may prove it
@@ -99,7 +99,7 @@
   std::vector<Attempt> attempts;
   std::int32_t outstanding = 0;
   std::int64_t key = kUnset;
-  std::int32_t only_zone = kUnset;
+  std::int32_t required_zone = kUnset;
   Time asking_since = 0;
   std::vector<Server*> asked;  // for their load, before the next send
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -40,8 +40,8 @@
   if (started_) schedule(now);
 }
 
-void Fleet::recall(const Remembered& remembered, Time now) {
-  for (const Remembered::Known& k : remembered.members) {
+void Fleet::restore(const MembershipSnapshot& remembered, Time now) {
+  for (const MembershipSnapshot::Known& k : remembered.members) {
     const auto slot = roster_.find(k.number);
     if (!slot || *slot == self_) continue;
     roster_.merge(*slot, k.standing, now);
@@ -53,8 +53,8 @@
   recalled_ = true;
 }
 
-Remembered Fleet::remember() const {
-  Remembered out{incarnation(), self().version.sequence, {}};
+MembershipSnapshot Fleet::snapshot() const {
+  MembershipSnapshot out{incarnation(), self().version.sequence, {}};
   for (const Member& m : roster_.all()) {
     if (m.standing.state != State::Unheard)
       out.members.push_back({m.listed.number, m.standing, m.version, m.facts});
--- a/src/fleet/include/fleet/fleet.h
+++ b/src/fleet/include/fleet/fleet.h
@@ -53,18 +53,18 @@
   std::string bytes;
 };
 // Another package's payload, from one member to another: delivered once, late or never.
-struct Parcel {
+struct ApplicationMessage {
   Number from = 0;
   std::string bytes;
 };
 struct Out {
   std::vector<Datagram> datagrams;
-  std::vector<Parcel> parcels;  // that have arrived
+  std::vector<ApplicationMessage> parcels;  // that have arrived
   std::vector<Change> changes;
 };
 
 // What the next process of this member starts from.
-struct Remembered {
+struct MembershipSnapshot {
   struct Known {
     Number number = 0;
     Standing standing;
@@ -90,8 +90,8 @@
   Fleet(const Settings& settings, const std::vector<Listed>& members, Incarnation first, std::uint64_t seed);
 
   // Before start(): continues with the view and the incarnation of the process before this one.
-  void recall(const Remembered& remembered, Time now);
-  Remembered remember() const;
+  void restore(const MembershipSnapshot& remembered, Time now);
+  MembershipSnapshot snapshot() const;
 
   void start(Time now, Out& out);
   // `from`: whose listed address it came from.
--- a/src/fleet_transport/include/fleet_transport/remembered.h
+++ b/src/fleet_transport/include/fleet_transport/membership_snapshot.h
@@ -8,8 +8,8 @@
 
 namespace client_proxy::fleet_transport {
 
-std::string toText(const fleet::Remembered& remembered);
+std::string toText(const fleet::MembershipSnapshot& remembered);
 // Throws std::runtime_error with what is wrong; nothing of a text that is not whole is used.
-fleet::Remembered rememberedFrom(std::string_view text);
+fleet::MembershipSnapshot rememberedFrom(std::string_view text);
 
 }  // namespace client_proxy::fleet_transport
--- a/src/fleet_transport/include/fleet_transport/udp_transport.h
+++ b/src/fleet_transport/include/fleet_transport/udp_transport.h
@@ -14,7 +14,7 @@
 #include <vector>
 
 #include "fleet/fleet.h"
-#include "fleet_transport/neighbours.h"
+#include "fleet_transport/membership_service.h"
 #include "fleet_transport/zone_watch.h"
 #include "net/clock.h"
 #include "net/fleet_settings.h"
@@ -22,26 +22,28 @@
 
 namespace client_proxy::fleet_transport {
 
-class UdpTransport final : public Neighbours {
+class UdpTransport final : public MembershipService {
  public:
   using Endpoint = boost::asio::ip::udp::endpoint;
 
-  // As makeNeighbours().
+  // As makeMembershipService().
   UdpTransport(boost::asio::io_context& io, const Clock& clock, Log& log, FleetSettings settings,
-               Local& local);
+               LocalNode& local);
   ~UdpTransport() override;
 
   void start(const std::string& remembered) override;
   std::string handOn() override;
-  void goOn() override;
-  void giveUp() override;
+  void resume() override;
+  void stop() override;
   void leave() override;
   void setMembers(const std::vector<FleetPeer>& members) override;
   std::string page() const override;
-  std::string brief() const override;
+  std::string summary() const override;
   void send(Number to, std::string bytes) override;
   Traffic traffic() const override;
-  void onParcel(std::function<void(Number, std::string_view)> take) override { take_ = std::move(take); }
+  void onApplicationMessage(std::function<void(Number, std::string_view)> take) override {
+    take_ = std::move(take);
+  }
   std::vector<Member> members() const override;
   std::vector<std::string> lostZones() const override { return zones_.lost(); }
   std::string figures() const override;
@@ -67,7 +69,7 @@
   const Clock& clock_;
   Log& log_;
   const FleetSettings settings_;
-  Local& local_;
+  LocalNode& local_;
   std::optional<fleet::Fleet> fleet_;
   std::map<Endpoint, fleet::Number> numbers_;
   std::map<fleet::Number, Endpoint> addresses_;
--- a/src/fleet_transport/include/fleet_transport/zone_watch.h
+++ b/src/fleet_transport/include/fleet_transport/zone_watch.h
@@ -1,5 +1,5 @@
-// Carries what this proxy and the others have seen of zones to the verdicts of src/locality, and these back
-// to the decision module.
+// Carries what this proxy and the others have seen of zones to the verdicts of src/zone_health, and these
+// back to the decision module.
 #pragma once
 
 #include <cstdint>
@@ -8,17 +8,17 @@
 #include <vector>
 
 #include "fleet/roster.h"
-#include "fleet_transport/neighbours.h"
-#include "locality/notes.h"
-#include "locality/verdict.h"
+#include "fleet_transport/membership_service.h"
 #include "net/log.h"
+#include "zone_health/zone_health_quorum.h"
+#include "zone_health/zone_report.h"
 
 namespace client_proxy::fleet_transport {
 
 class ZoneWatch {
  public:
   // `zone`: this proxy's own. `local` and `log` must outlive it.
-  ZoneWatch(Local& local, Log& log, fleet::Number self, std::string zone);
+  ZoneWatch(LocalNode& local, Log& log, fleet::Number self, std::string zone);
 
   // What the record is to tell from now on.
   struct Note {
@@ -36,29 +36,29 @@
   struct Known {  // what a member told last
     fleet::RecordVersion version;
     bool live = false;
-    locality::Witness witness;
+    zone_health::ObserverReport report;
   };
   std::size_t indexOf(const std::string& zone) const;
   void see(Time now);
   bool read(const fleet::Roster& roster);
   bool calm() const;
-  std::vector<locality::Witness> witnesses() const;
-  locality::Told told() const;
-  bool wanted(const locality::Told& before, const locality::Told& after,
-              const std::vector<locality::Witness>& all) const;
-  void order(Time now, const std::vector<locality::Witness>& all, bool sure);
+  std::vector<zone_health::ObserverReport> reports() const;
+  zone_health::ZoneReport reported() const;
+  bool wanted(const zone_health::ZoneReport& before, const zone_health::ZoneReport& after,
+              const std::vector<zone_health::ObserverReport>& all) const;
+  void order(Time now, const std::vector<zone_health::ObserverReport>& all, bool sure);
 
-  Local& local_;
+  LocalNode& local_;
   Log& log_;
   const fleet::Number self_;
   const std::string zone_;
   std::vector<std::string> names_;
-  std::optional<locality::Court> court_;
+  std::optional<zone_health::ZoneHealthQuorum> zone_health_;
   std::vector<Known> known_;  // by slot
-  std::vector<load_balancer::ZoneOrder> orders_;
-  std::vector<locality::State> shown_;
+  std::vector<load_balancer::ZoneDirective> orders_;
+  std::vector<zone_health::ZoneState> shown_;
   std::string note_;
-  locality::Told told_;
+  zone_health::ZoneReport told_;
 };
 
 }  // namespace client_proxy::fleet_transport
--- a/src/fleet_transport/remembered.cpp
+++ b/src/fleet_transport/membership_snapshot.cpp
@@ -1,4 +1,4 @@
-#include "fleet_transport/remembered.h"
+#include "fleet_transport/membership_snapshot.h"
 
 #include <cstdint>
 #include <limits>
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-std::string toText(const fleet::Remembered& remembered) {
+std::string toText(const fleet::MembershipSnapshot& remembered) {
   json members = json::array();
   for (const auto& m : remembered.members) {
     json facts = json::array();  // bytes: they need not be text
@@ -31,14 +31,14 @@
       .dump();
 }
 
-fleet::Remembered rememberedFrom(std::string_view text) {
+fleet::MembershipSnapshot rememberedFrom(std::string_view text) {
   try {
     const json doc = json::parse(text);
-    fleet::Remembered out;
+    fleet::MembershipSnapshot out;
     out.incarnation = whole<fleet::Incarnation>(doc.at("incarnation"), fleet::kMostIncarnation);
     out.record = whole<std::uint32_t>(doc.at("record"));
     for (const json& m : doc.at("members")) {
-      fleet::Remembered::Known known;
+      fleet::MembershipSnapshot::Known known;
       known.number = whole<fleet::Number>(m.at(0));
       known.standing.incarnation = whole<fleet::Incarnation>(m.at(1), fleet::kMostIncarnation);
       known.standing.state =
--- a/src/fleet_transport/none.cpp
+++ b/src/fleet_transport/none.cpp
@@ -1,9 +1,9 @@
-#include "fleet_transport/neighbours.h"
+#include "fleet_transport/membership_service.h"
 
 namespace client_proxy::fleet_transport {
 
-std::unique_ptr<Neighbours> makeNeighbours(boost::asio::io_context&, const Clock&, Log& log,
-                                           const FleetSettings&, Local&) {
+std::unique_ptr<MembershipService> makeMembershipService(boost::asio::io_context&, const Clock&, Log& log,
+                                                         const FleetSettings&, LocalNode&) {
   log.line("fleet: this program was built without CLIENT_PROXY_FLEET: no view of it is kept",
            LogLevel::Warning);
   return nullptr;
--- a/src/fleet_transport/udp_transport.cpp
+++ b/src/fleet_transport/udp_transport.cpp
@@ -8,8 +8,8 @@
 #include <stdexcept>
 #include <utility>
 
-#include "figures/figures.h"
-#include "fleet_transport/remembered.h"
+#include "fleet_transport/membership_snapshot.h"
+#include "metrics/metrics.h"
 
 namespace client_proxy::fleet_transport {
 namespace {
@@ -47,14 +47,14 @@
   return static_cast<double>(milliseconds) / 1000;
 }
 
-std::string textOf(const UdpTransport::Endpoint& at) {
+std::string toPrometheusText(const UdpTransport::Endpoint& at) {
   return at.address().to_string() + ":" + std::to_string(at.port());
 }
 
 }  // namespace
 
 UdpTransport::UdpTransport(asio::io_context& io, const Clock& clock, Log& log, FleetSettings settings,
-                           Local& local)
+                           LocalNode& local)
     : io_(io),
       clock_(clock),
       log_(log),
@@ -108,7 +108,7 @@
 void UdpTransport::start(const std::string& remembered) {
   if (!remembered.empty()) {
     try {
-      fleet_->recall(rememberedFrom(remembered), clock_.now());
+      fleet_->restore(rememberedFrom(remembered), clock_.now());
     } catch (const std::runtime_error& e) {
       log_.line(std::string("fleet: what the process before this one knew is not used: ") + e.what(),
                 LogLevel::Warning);
@@ -118,7 +118,8 @@
   try {
     open();
   } catch (const boost::system::system_error& e) {
-    const std::string why = "fleet: can't listen at " + textOf(settings_.listen) + ": " + e.code().message();
+    const std::string why =
+        "fleet: can't listen at " + toPrometheusText(settings_.listen) + ": " + e.code().message();
     if (remembered.empty()) throw std::runtime_error(why);
     openLater(why);  // the process before this one is about to let it go
   }
@@ -155,7 +156,7 @@
 }
 
 std::string UdpTransport::handOn() {
-  std::string text = toText(fleet_->remember());
+  std::string text = toText(fleet_->snapshot());
   const Time until = clock_.now() + kStill;
   fleet_->beQuiet(clock_.now(), until);
   error_code ignored;
@@ -163,28 +164,29 @@
   arm();
   reopen_.expires_after(std::chrono::microseconds(kStill));
   reopen_.async_wait([this](error_code ec) {
-    if (!ec && !silent_) goOn();
+    if (!ec && !silent_) resume();
   });
   return text;
 }
 
-void UdpTransport::goOn() {
+void UdpTransport::resume() {
   if (!started_ || socket_.is_open()) return;
   if (std::exchange(silent_, false)) tellFacts();
   fleet_->beQuiet(clock_.now(), clock_.now());
   try {
     open();
   } catch (const boost::system::system_error& e) {
-    openLater("fleet: can't listen at " + textOf(settings_.listen) + " again: " + e.code().message());
+    openLater("fleet: can't listen at " + toPrometheusText(settings_.listen) +
+              " again: " + e.code().message());
   }
   arm();
 }
 
-void UdpTransport::giveUp() {
+void UdpTransport::stop() {
   silent_ = true;
   reopen_.cancel();
   due_.cancel();
-  armed_for_ = kNever;  // goOn() arms it anew
+  armed_for_ = kNever;  // resume() arms it anew
   facts_.cancel();
   error_code ignored;
   socket_.close(ignored);
@@ -245,7 +247,7 @@
     ++(failed ? unsent_ : out_);
     if (!failed) bytes_out_ += d.bytes.size();
   }
-  for (const fleet::Parcel& p : out.parcels) {
+  for (const fleet::ApplicationMessage& p : out.parcels) {
     if (take_) take_(p.from, p.bytes);
   }
   for (const fleet::Change& c : out.changes) {
@@ -274,18 +276,18 @@
   parcel_bytes_out_ += bytes_out_ - bytes_before;
 }
 
-Neighbours::Traffic UdpTransport::traffic() const {
+MembershipService::Traffic UdpTransport::traffic() const {
   return {.datagrams_in = in_,
           .datagrams_out = out_,
           .bytes_in = bytes_in_,
           .bytes_out = bytes_out_,
-          .parcels_in = parcels_in_,
-          .parcels_out = parcels_out_,
-          .parcel_bytes_in = parcel_bytes_in_,
-          .parcel_bytes_out = parcel_bytes_out_};
+          .messages_in = parcels_in_,
+          .messages_out = parcels_out_,
+          .message_bytes_in = parcel_bytes_in_,
+          .message_bytes_out = parcel_bytes_out_};
 }
 
-std::vector<Neighbours::Member> UdpTransport::members() const {
+std::vector<MembershipService::Member> UdpTransport::members() const {
   std::vector<Member> all;
   for (const fleet::Member& m : fleet_->roster().all()) {
     Member one{m.listed.number, m.listed.zone, fleet::isLive(m.standing.state)};
@@ -340,7 +342,7 @@
   facts.zone = settings_.zone;
   facts.region = settings_.region;
   facts.traffic = traffic_;
-  if (!zones_.note().empty()) facts.notes.push_back({locality::kZonesNote, zones_.note()});
+  if (!zones_.note().empty()) facts.notes.push_back({zone_health::kZonesNote, zones_.note()});
   fleet_->tell(clock_.now(), facts, urgent);
   arm();
 }
@@ -355,7 +357,7 @@
   });
 }
 
-std::string UdpTransport::brief() const {
+std::string UdpTransport::summary() const {
   const fleet::View v = view();
   return nlohmann::ordered_json{{"number", v.self}, {"sure", v.sure()}, {"live", v.live}, {"hash", v.hash}}
       .dump();
@@ -370,7 +372,7 @@
   for (const fleet::ViewedMember& m : v.members) {
     ordered_json one = {{"number", m.number}, {"state", fleet::nameOf(m.state)}};
     if (const auto at = addresses_.find(m.number); at != addresses_.end())
-      one["address"] = textOf(at->second);
+      one["address"] = toPrometheusText(at->second);
     if (m.state != State::Unheard) one["since_s"] = ago(m.since);
     if (m.heard > 0) one["heard_s"] = ago(m.heard);
     if (!m.accusers.empty()) one["suspected_by"] = m.accusers;
@@ -414,7 +416,7 @@
 std::string UdpTransport::figures() const {
   const fleet::View v = view();
   const fleet::Drops& d = fleet_->drops();
-  figures::FleetPage page;
+  metrics::FleetMetrics page;
   page.members = {{"alive", v.live - v.suspects},
                   {"suspect", v.suspects},
                   {"dead", v.dead},
@@ -427,11 +429,11 @@
                 {"mistaken", d.mistaken}, {"stranger", strangers_}};
   page.unchanged_seconds = static_cast<double>(v.unchanged) / static_cast<double>(kSecond);
   page.sure = v.sure();
-  return figures::textOf(page);
+  return metrics::toPrometheusText(page);
 }
 
-std::unique_ptr<Neighbours> makeNeighbours(asio::io_context& io, const Clock& clock, Log& log,
-                                           const FleetSettings& settings, Local& local) {
+std::unique_ptr<MembershipService> makeMembershipService(asio::io_context& io, const Clock& clock, Log& log,
+                                                         const FleetSettings& settings, LocalNode& local) {
   return std::make_unique<UdpTransport>(io, clock, log, settings, local);
 }
 
--- a/src/fleet_transport/zone_watch.cpp
+++ b/src/fleet_transport/zone_watch.cpp
@@ -9,13 +9,13 @@
 namespace client_proxy::fleet_transport {
 namespace {
 
-using load_balancer::ZoneOrder;
-using locality::Seen;
-using locality::State;
-using locality::Witness;
+using load_balancer::ZoneDirective;
+using zone_health::ObserverReport;
+using zone_health::ZoneObservation;
+using zone_health::ZoneState;
 }  // namespace
 
-ZoneWatch::ZoneWatch(Local& local, Log& log, fleet::Number self, std::string zone)
+ZoneWatch::ZoneWatch(LocalNode& local, Log& log, fleet::Number self, std::string zone)
     : local_(local), log_(log), self_(self), zone_(std::move(zone)) {}
 
 // One that is not among the hosts' zones lies beside them all.
@@ -26,20 +26,20 @@
 void ZoneWatch::see(Time now) {
   std::vector<std::string> names = local_.zones();
   std::sort(names.begin(), names.end());  // the first of several is the same one everywhere
-  if (names != names_ || !court_) {
+  if (names != names_ || !zone_health_) {
     // Zones are numbered anew: verdicts come back from what the others tell, and orders with them.
     for (std::size_t z = 0; z < names_.size(); ++z) {
-      if (orders_[z] != ZoneOrder::Free) local_.setZone(names_[z], ZoneOrder::Free);
+      if (orders_[z] != ZoneDirective::None) local_.setZone(names_[z], ZoneDirective::None);
     }
     names_ = std::move(names);
-    court_.emplace(names_.size(), indexOf(zone_));
+    zone_health_.emplace(names_.size(), indexOf(zone_));
     known_.clear();
-    orders_.assign(names_.size(), ZoneOrder::Free);
-    shown_.assign(names_.size(), State::Up);
-    told_ = told();
+    orders_.assign(names_.size(), ZoneDirective::None);
+    shown_.assign(names_.size(), ZoneState::Up);
+    told_ = reported();
   }
   for (std::size_t z = 0; z < names_.size(); ++z)
-    court_->saw(z, local_.seen(names_[z], now, court_->since(z)));
+    zone_health_->observe(z, local_.seen(names_[z], now, zone_health_->since(z)));
 }
 
 // False: nobody has told anything new.
@@ -51,87 +51,89 @@
     Known& k = known_[slot];
     const bool live = fleet::isLive(m.standing.state) && m.listed.number != self_;
     if (std::exchange(k.live, live) != live) news = true;
-    if (!live || (k.version == m.version && !k.witness.seen.empty())) continue;
+    if (!live || (k.version == m.version && !k.report.seen.empty())) continue;
     news = true;
     k.version = m.version;
     const auto facts = fleet::decodeFacts(m.facts);
-    const fleet::Facts::Note* const note = facts ? facts->find(locality::kZonesNote) : nullptr;
-    locality::Told told = locality::decode(note != nullptr ? note->bytes : "", names_);
+    const fleet::Facts::Note* const note = facts ? facts->find(zone_health::kZonesNote) : nullptr;
+    zone_health::ZoneReport reported = zone_health::decode(note != nullptr ? note->bytes : "", names_);
     const std::string zone = !m.listed.zone.empty() ? m.listed.zone : facts ? facts->zone : std::string();
-    k.witness = {m.listed.number, indexOf(zone), std::move(told.seen), std::move(told.verdicts)};
+    k.report = {m.listed.number, indexOf(zone), std::move(reported.seen), std::move(reported.statuses)};
   }
   return news;
 }
 
 bool ZoneWatch::calm() const {
-  if (!court_->quiet()) return false;
+  if (!zone_health_->quiet()) return false;
   for (std::size_t z = 0; z < names_.size(); ++z) {
-    if (court_->sight(z) == Seen::Silence) return false;
+    if (zone_health_->observation(z) == ZoneObservation::Unresponsive) return false;
   }
   return true;
 }
 
-std::vector<Witness> ZoneWatch::witnesses() const {
-  std::vector<Witness> all;
+std::vector<ObserverReport> ZoneWatch::reports() const {
+  std::vector<ObserverReport> all;
   for (const Known& k : known_) {
-    if (k.live) all.push_back(k.witness);
+    if (k.live) all.push_back(k.report);
   }
-  locality::Told own = told();
-  all.push_back({self_, indexOf(zone_), std::move(own.seen), std::move(own.verdicts)});
+  zone_health::ZoneReport own = reported();
+  all.push_back({self_, indexOf(zone_), std::move(own.seen), std::move(own.statuses)});
   return all;
 }
 
-locality::Told ZoneWatch::told() const {
-  locality::Told t;
+zone_health::ZoneReport ZoneWatch::reported() const {
+  zone_health::ZoneReport t;
   for (std::size_t z = 0; z < names_.size(); ++z) {
-    t.seen.push_back(court_->tells(z));
-    t.verdicts.push_back(court_->verdict(z));
+    t.seen.push_back(zone_health_->reports(z));
+    t.statuses.push_back(zone_health_->status(z));
   }
   return t;
 }
 
 // Others wait for the first words on a doubt, and for a verdict that nobody has told yet.
-bool ZoneWatch::wanted(const locality::Told& before, const locality::Told& after,
-                       const std::vector<Witness>& all) const {
+bool ZoneWatch::wanted(const zone_health::ZoneReport& before, const zone_health::ZoneReport& after,
+                       const std::vector<ObserverReport>& all) const {
   for (std::size_t z = 0; z < names_.size(); ++z) {
     // No more say a thing than settle it: each of their words is waited for.
-    if (after.seen[z] != before.seen[z] && after.seen[z] != Seen::Nothing) return true;
-    const bool verdict = !(after.verdicts[z] == before.verdicts[z]);
-    const auto same = std::count_if(all.begin(), all.end(), [&](const Witness& w) {
-      return w.member != self_ && w.verdicts[z] == after.verdicts[z];
+    if (after.seen[z] != before.seen[z] && after.seen[z] != ZoneObservation::None) return true;
+    const bool status = !(after.statuses[z] == before.statuses[z]);
+    const auto same = std::count_if(all.begin(), all.end(), [&](const ObserverReport& w) {
+      return w.member != self_ && w.statuses[z] == after.statuses[z];
     });
-    if (verdict && same < 3) return true;
+    if (status && same < 3) return true;
   }
   return false;
 }
 
-void ZoneWatch::order(Time now, const std::vector<Witness>& all, bool sure) {
+void ZoneWatch::order(Time now, const std::vector<ObserverReport>& all, bool sure) {
   for (std::size_t z = 0; z < names_.size(); ++z) {
-    ZoneOrder wanted = ZoneOrder::Free;
+    ZoneDirective wanted = ZoneDirective::None;
     // Lost to the others is not lost to those inside, who see it best: it may be all that they have.
-    if (z != indexOf(zone_) && !court_->goes(z, self_, now)) {
+    if (z != indexOf(zone_) && !zone_health_->goes(z, self_, now)) {
       // Without a view to rely on nobody can tell who looks after the zone: each does.
-      const bool looks = !sure || locality::Court::watches(z, court_->verdict(z).epoch, self_, all);
-      wanted = looks ? ZoneOrder::Watch : ZoneOrder::Away;
+      const bool looks =
+          !sure || zone_health::ZoneHealthQuorum::watches(z, zone_health_->status(z).epoch, self_, all);
+      wanted = looks ? ZoneDirective::EjectAndCheck : ZoneDirective::Eject;
     }
     if (std::exchange(orders_[z], wanted) != wanted) local_.setZone(names_[z], wanted);
-    const State state = court_->state(z);
+    const ZoneState state = zone_health_->state(z);
     if (std::exchange(shown_[z], state) == state) continue;
-    log_.line("zones: " + names_[z] + " is " + std::string(locality::nameOf(state)) + ", epoch " +
-                  std::to_string(court_->verdict(z).epoch) + ": silent to " +
-                  std::to_string(court_->silent(z)) + ", answers " + std::to_string(court_->answered(z)),
-              state == State::Lost ? LogLevel::Warning : LogLevel::Info);
+    log_.line("zones: " + names_[z] + " is " + std::string(zone_health::nameOf(state)) + ", epoch " +
+                  std::to_string(zone_health_->status(z).epoch) + ": silent to " +
+                  std::to_string(zone_health_->silent(z)) + ", answers " +
+                  std::to_string(zone_health_->answered(z)),
+              state == ZoneState::Down ? LogLevel::Warning : LogLevel::Info);
   }
 }
 
 std::optional<ZoneWatch::Note> ZoneWatch::look(Time now, const fleet::Roster& roster, bool sure) {
   see(now);
   if (!read(roster) && calm()) return std::nullopt;
-  std::vector<Witness> all = witnesses();
-  court_->judge(now, all, sure);
+  std::vector<ObserverReport> all = reports();
+  zone_health_->evaluate(now, all, sure);
   order(now, all, sure);
-  const locality::Told after = told();
-  std::string bytes = locality::encode(names_, after);
+  const zone_health::ZoneReport after = reported();
+  std::string bytes = zone_health::encode(names_, after);
   const bool urgent = wanted(told_, after, all);
   told_ = after;
   if (bytes == note_) return std::nullopt;
@@ -141,8 +143,8 @@
 
 std::vector<std::string> ZoneWatch::lost() const {
   std::vector<std::string> all;
-  for (std::size_t z = 0; court_ && z < names_.size(); ++z) {
-    if (court_->away(z)) all.push_back(names_[z]);
+  for (std::size_t z = 0; zone_health_ && z < names_.size(); ++z) {
+    if (zone_health_->away(z)) all.push_back(names_[z]);
   }
   return all;
 }
@@ -150,27 +152,27 @@
 std::string ZoneWatch::page(Time now) const {
   using nlohmann::ordered_json;
   ordered_json zones = ordered_json::array();
-  for (std::size_t z = 0; court_ && z < names_.size(); ++z) {
+  for (std::size_t z = 0; zone_health_ && z < names_.size(); ++z) {
     constexpr const char* kSeen[] = {"nothing", "answers", "silence"};
     constexpr const char* kOrders[] = {"free", "watch", "away"};
     ordered_json one = {{"zone", names_[z]},
-                        {"state", locality::nameOf(court_->state(z))},
-                        {"epoch", court_->verdict(z).epoch},
-                        {"seen_here", kSeen[static_cast<std::size_t>(court_->sight(z))]},
-                        {"silent_to", court_->silent(z)},
-                        {"answers", court_->answered(z)},
+                        {"state", zone_health::nameOf(zone_health_->state(z))},
+                        {"epoch", zone_health_->status(z).epoch},
+                        {"seen_here", kSeen[static_cast<std::size_t>(zone_health_->observation(z))]},
+                        {"silent_to", zone_health_->silent(z)},
+                        {"answers", zone_health_->answered(z)},
                         {"order", kOrders[static_cast<std::size_t>(orders_[z])]},
-                        {"flaps", court_->flaps(z)}};
+                        {"flaps", zone_health_->flaps(z)}};
     ordered_json by = ordered_json::array();
     for (const Known& k : known_) {
-      if (k.live && k.witness.seen[z] == Seen::Silence) by.push_back(k.witness.member);
+      if (k.live && k.report.seen[z] == ZoneObservation::Unresponsive) by.push_back(k.report.member);
     }
     one["silence_told_by"] = by;
-    if (court_->verdict(z).state == State::Lost)
-      one["away_for_s"] = static_cast<double>(std::max<Time>(0, court_->awayUntil(z) - now)) / 1e6;
+    if (zone_health_->status(z).state == ZoneState::Down)
+      one["away_for_s"] = static_cast<double>(std::max<Time>(0, zone_health_->awayUntil(z) - now)) / 1e6;
     zones.push_back(std::move(one));
   }
-  return ordered_json{{"cut_off", court_ && court_->cutOff()}, {"zones", zones}}.dump(
+  return ordered_json{{"cut_off", zone_health_ && zone_health_->isolated()}, {"zones", zones}}.dump(
       2, ' ', false, ordered_json::error_handler_t::replace);
 }
 
--- a/src/front/include/front/proxy.h
+++ b/src/front/include/front/proxy.h
@@ -11,14 +11,14 @@
 #include <unordered_map>
 #include <vector>
 
-#include "admission/indices.h"
-#include "admission/ledger.h"
-#include "admission/repeats.h"
+#include "admission/duplicate_detector.h"
+#include "admission/index_registry.h"
+#include "admission/rejection_counters.h"
 #include "admission/requests.h"
-#include "figures/figures.h"
-#include "handover/state.h"
-#include "handover/successor.h"
+#include "hot_restart/state.h"
+#include "hot_restart/successor.h"
 #include "lifecycle/lifecycle.h"
+#include "metrics/metrics.h"
 #include "net/config.h"
 #include "net/server.h"
 #include "pools/pool.h"
@@ -38,17 +38,19 @@
   // Tells the module the known hosts, then listens.
   void start();
   // The same with what the process before this one knew.
-  void start(const handover::State& state);
+  void start(const hot_restart::State& state);
   // What the process after this one is to know.
-  handover::State state() const;
+  hot_restart::State state() const;
   // That one serves now: nobody is accepted here, and it gets each client's connection at rest.
-  void handOn(handover::Successor successor);
+  void handOn(hot_restart::Successor successor);
   // It has gone: serve as before.
-  void takeBack();
+  void rollBack();
   // A client's connection at rest, from the process before this one.
   void adopt(int descriptor) { server_.adopt(descriptor); }
   // What may not run a second time here, from the process before this one.
-  void triedThere(const std::vector<admission::Tried>& tried) { repeats_.recall(clock_.now(), tried); }
+  void recordPredecessorRequests(const std::vector<admission::RequestRecord>& tried) {
+    duplicates_.restore(clock_.now(), tried);
+  }
   // Nothing is left here.
   bool idle() const { return clientsHere() == 0 && pool_.openRequests() == 0; }
   // Of clients and hosts, and the process's own.
@@ -70,16 +72,17 @@
   // ---- by hand (docs/on-call.md) ----
 
   // This process can serve: it listens and has had a list of hosts.
-  bool canServe() const { return life_.serves() && pool_.standing().listed > 0; }
+  bool canServe() const { return life_.serves() && pool_.hostCounts().listed > 0; }
   // Nothing new to this host, or again. False: no host has this id.
   bool takeOut(const std::string& host) { return pool_.takeOut(host); }
   bool putBack(const std::string& host) { return pool_.putBack(host); }
   // What the fleet holds of a zone, and what this proxy has seen of it: as Balancer's, by name.
-  void setZone(const std::string& zone, load_balancer::ZoneOrder order) {
+  void setZone(const std::string& zone, load_balancer::ZoneDirective order) {
     pool_.setZone(config_.zones.indexOf(zone), order);
   }
-  load_balancer::ZoneSeen zoneSeen(const std::string& zone, Time now, const load_balancer::ZoneSince& since) {
-    return pool_.zoneSeen(config_.zones.indexOf(zone), now, since);
+  load_balancer::ZoneObservation observeZone(const std::string& zone, Time now,
+                                             const load_balancer::ZoneObservedSince& since) {
+    return pool_.observeZone(config_.zones.indexOf(zone), now, since);
   }
   std::vector<std::string> zoneNames() const { return config_.zones.names(); }
   // What the listed hosts of each zone can take: the sum of their capacities.
@@ -98,7 +101,7 @@
   // In Prometheus' text format.
   std::string stats() const;
   // Requests that were let in since the start.
-  std::uint64_t admitted() const { return ledger_.total(admission::Cause::None); }
+  std::uint64_t admitted() const { return rejection_counters_.total(admission::RejectionReason::None); }
 
   Endpoint localEndpoint() const { return server_.localEndpoint(); }
   // What admission has decided and what it goes by, as JSON: docs/admission.md explains it.
@@ -112,14 +115,14 @@
   struct ClassInfo {
     std::int32_t index = 0;
     Time deadline = 0;
-    load_balancer::Effect effect = load_balancer::Effect::Unsafe;
+    load_balancer::Idempotency idempotency = load_balancer::Idempotency::NonIdempotent;
   };
   struct TenantInfo {  // what changes of a tenant is taken at once
     bool operator==(const TenantInfo&) const = default;
   };
   struct Known {  // classes by the path's first part, tenants by account
-    admission::Indices<load_balancer::RequestClass> classes;
-    admission::Indices<TenantInfo> tenants;
+    admission::IndexRegistry<load_balancer::RequestClass> classes;
+    admission::IndexRegistry<TenantInfo> tenants;
     explicit Known(const Config& config) { assign(config); }
     void assign(const Config& config);
     load_balancer::Settings settings(const Config& config) const;
@@ -132,7 +135,7 @@
   struct Held {  // waits for a place
     ClientRequest request;
     ClassInfo info;
-    admission::Ask ask;
+    admission::AdmissionRequest ask;
     Time uploaded = 0;  // when the last byte of a long one came; 0: not yet
     std::optional<Claimed> claimed = {};
   };
@@ -143,14 +146,15 @@
   void onUploaded(ExchangeId id, Time received) override;
   void onClientGone(ExchangeId id) override;
   void onStreamed(ExchangeId id, bool whole) override;
-  void onAnswer(const Taken& request, Answer answer) override;
+  void onAnswer(const AdmittedRequest& request, Answer answer) override;
   void onDispatched(std::int32_t request_class) override {
     counts_.dispatched(static_cast<std::size_t>(request_class));
   }
-  void onOver(const Taken& request) override;
+  void onCompleted(const AdmittedRequest& request) override;
 
-  admission::Ask askOf(ExchangeId id, const RequestHead& head, const ClassInfo& info, std::size_t bytes,
-                       Time deadline) const;
+  admission::AdmissionRequest admissionRequestOf(ExchangeId id, const RequestHead& head,
+                                                 const ClassInfo& info, std::size_t bytes,
+                                                 Time deadline) const;
   // A request's final answer.
   void conclude(ExchangeId id, std::int32_t request_class, Answer answer);
   // Tells the life cycle, and carries out what follows.
@@ -163,10 +167,11 @@
   }
   void awaitLife();
   void answerAll(Time by);
-  Answer refusal(const admission::Ask& ask, admission::Cause cause);
+  Answer refusal(const admission::AdmissionRequest& ask, admission::RejectionReason reason);
   // By its service: nothing, or why it is refused at once.
-  std::optional<Answer> barred(const RequestHead& head, const ClassInfo& info, const admission::Ask& ask,
-                               std::optional<Claimed>& claimed);
+  std::optional<Answer> rejectionBeforeAdmission(const RequestHead& head, const ClassInfo& info,
+                                                 const admission::AdmissionRequest& ask,
+                                                 std::optional<Claimed>& claimed);
   void refuseWaiting(const std::vector<admission::Refusal>& refused);
   void admitWaiting();
   void awaitPlaces();
@@ -174,13 +179,13 @@
   void summarize();
   void listen();
   std::optional<ClassInfo> classOf(std::string_view target) const;
-  void open(const admission::Ask& ask, ClientRequest request, const ClassInfo& info,
+  void open(const admission::AdmissionRequest& ask, ClientRequest request, const ClassInfo& info,
             const std::optional<Claimed>& claimed);
-  void use(const admission::Ask& ask);
-  void letGo(const ClientRequest& request, std::int32_t request_class, std::int32_t tenant,
-             bool may_have_run = false);
+  void use(const admission::AdmissionRequest& ask);
+  void releaseNumbers(const ClientRequest& request, std::int32_t request_class, std::int32_t tenant,
+                      bool may_have_run = false);
   void over(const std::string& correlation, bool may_have_run);
-  admission::Tried triedOf(const RequestHead& head, std::int32_t request_class) const;
+  admission::RequestRecord requestRecordOf(const RequestHead& head, std::int32_t request_class) const;
   static Pool::Config poolConfig(const Config& config, load_balancer::Settings settings);
 
   boost::asio::io_context& io_;
@@ -193,19 +198,19 @@
   Server server_;
   Pool pool_;
 
-  admission::Repeats repeats_;
+  admission::DuplicateDetector duplicates_;
   admission::RequestGate requests_;  // by exchange
-  admission::Ledger ledger_;
-  figures::Counts counts_;
+  admission::RejectionCounters rejection_counters_;
+  metrics::RequestCounters counts_;
   std::unordered_map<ExchangeId, Held> waiting_;
   std::unordered_map<ExchangeId, Time> uploads_;           // how long each client waits after its last byte
   std::unordered_map<ExchangeId, std::int32_t> streamed_;  // classes of the long answers on their way
   Time places_due_ = kNever;                               // when the gate is asked again for sure
   bool places_freed_ = false;                              // it will be asked in this turn of the loop
   lifecycle::Lifecycle life_;
-  Time last_ = kNever;             // nothing may be open longer: the process has to leave
-  Time life_due_ = kNever;         // when it is asked again for sure
-  handover::Successor successor_;  // while another process serves
+  Time last_ = kNever;                // nothing may be open longer: the process has to leave
+  Time life_due_ = kNever;            // when it is asked again for sure
+  hot_restart::Successor successor_;  // while another process serves
   std::function<void()> done_;
   ServiceGate* gate_ = nullptr;
 };
--- a/src/front/limits.cpp
+++ b/src/front/limits.cpp
@@ -8,7 +8,7 @@
 namespace client_proxy {
 namespace {
 
-using load_balancer::Effect;
+using load_balancer::Idempotency;
 
 // The console's: its connections, its listener, and one that is about to make room for another.
 constexpr std::size_t kConsoleDescriptors = console::ConsoleServer::kMostConnections + 2;
@@ -22,9 +22,10 @@
 
 // Never more than a second.
 Time shortestAim(const load_balancer::Settings& settings) {
-  Time aim = kSecond;
-  for (const load_balancer::RequestClass& c : settings.classes) aim = std::min(aim, c.aim);
-  return aim;
+  Time latency_objective = kSecond;
+  for (const load_balancer::RequestClass& c : settings.classes)
+    latency_objective = std::min(latency_objective, c.latency_objective);
+  return latency_objective;
 }
 
 }  // namespace
@@ -76,7 +77,7 @@
   limits.tenants = own.tenants;
   if (limits.tenants.empty()) {
     for (const load_balancer::Tenant& t : settings.tenants)
-      limits.tenants.push_back({.weight = std::max(t.fraction, 0.01)});
+      limits.tenants.push_back({.weight = std::max(t.quota, 0.01)});
   }
   limits.retries_least = own.retries_least.value_or(kLeastRetries);
   limits.retries_part = own.retries_part.value_or(1);
@@ -87,11 +88,13 @@
   return limits;
 }
 
-admission::Repeats::Limits repeatLimits(const Config& config) {
-  admission::Repeats::Limits limits;
+admission::DuplicateDetector::Limits repeatLimits(const Config& config) {
+  admission::DuplicateDetector::Limits limits;
   limits.kept = 0;
   for (const load_balancer::RequestClass& c : config.site.settings.classes)
-    limits.kept = std::max({limits.kept, c.deadline, c.effect == Effect::Keyed ? 2 * c.window : 0});
+    limits.kept =
+        std::max({limits.kept, c.deadline,
+                  c.idempotency == Idempotency::IdempotentWithKey ? 2 * c.deduplication_window : 0});
   limits.kept = std::min(limits.kept, kLongestKept);
   limits.bytes = config.memory_mb * kMegabyte / 128;
   return limits;
@@ -100,14 +103,15 @@
 Upstream::Limits upstreamLimits(const Config& config) {
   Upstream::Limits limits;
   limits.idle = config.site.idle;
-  limits.probe_load = config.site.reports;
+  limits.health_check_load = config.site.reports;
   // Answers are small and written at once; what stops half-way is worth a part of the aim at most.
-  const Time aim = shortestAim(config.site.settings);
-  limits.answer_whole = std::max(aim / 4, 20 * kMillisecond);
+  const Time latency_objective = shortestAim(config.site.settings);
+  limits.answer_whole = std::max(latency_objective / 4, 20 * kMillisecond);
   // A machine that has vanished must leave time for another; hosts are never far away.
-  limits.connect_timeout = std::min(config.site.connect_timeout, std::max(aim / 4, 20 * kMillisecond));
+  limits.connect_timeout =
+      std::min(config.site.connect_timeout, std::max(latency_objective / 4, 20 * kMillisecond));
   limits.idle = config.own.upstream_idle.value_or(limits.idle);
-  limits.probe_timeout = config.own.probe_timeout.value_or(limits.probe_timeout);
+  limits.health_check_timeout = config.own.health_check_timeout.value_or(limits.health_check_timeout);
   limits.answer_whole = config.own.answer.value_or(limits.answer_whole);
   limits.connect_timeout = config.own.connect.value_or(limits.connect_timeout);
   return limits;
@@ -120,7 +124,7 @@
 
 void Proxy::Known::assign(const Config& config) {
   const load_balancer::Settings& settings = config.site.settings;
-  admission::Indices<load_balancer::RequestClass>::Named classes_now;
+  admission::IndexRegistry<load_balancer::RequestClass>::Named classes_now;
   for (std::size_t i = 0; i < config.site.classes.size(); ++i) {
     classes_now.emplace_back(config.site.classes[i], settings.classes[i]);
     // As many attempts as when it came, also after a reload that says otherwise.
@@ -128,7 +132,7 @@
     if (attempts == 0) attempts = settings.max_attempts;
   }
   classes.assign(classes_now);
-  admission::Indices<TenantInfo>::Named tenants_now;
+  admission::IndexRegistry<TenantInfo>::Named tenants_now;
   for (const std::string& name : config.site.tenants) tenants_now.emplace_back(name, TenantInfo{});
   tenants.assign(tenants_now);
 }
--- a/src/front/limits.h
+++ b/src/front/limits.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "admission/repeats.h"
+#include "admission/duplicate_detector.h"
 #include "admission/requests.h"
 #include "net/config.h"
 #include "net/server.h"
@@ -26,7 +26,7 @@
 // Classes and tenants in the configuration's order.
 admission::RequestGate::Limits requestLimits(const Config& config);
 // No client repeats later than its class's deadline, and no host drops repeats for longer than its window.
-admission::Repeats::Limits repeatLimits(const Config& config);
+admission::DuplicateDetector::Limits repeatLimits(const Config& config);
 Upstream::Limits upstreamLimits(const Config& config);
 std::size_t budgetOf(const Config& config);
 
--- a/src/front/proxy.cpp
+++ b/src/front/proxy.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 namespace asio = boost::asio;
-using admission::Cause;
-using load_balancer::Effect;
+using admission::RejectionReason;
+using load_balancer::Idempotency;
 
 constexpr std::size_t kRequestCost = 1024;       // bytes that an open request holds beside its head and body
 constexpr Time kLongestUpload = 3600 * kSecond;  // its pace is the server's to watch
@@ -47,9 +47,9 @@
       server_(io, timers_, descriptors_, log, *this, serverLimits(config_, descriptors_.limit())),
       pool_(io, timers_, descriptors_, log, config_.zones, *this,
             poolConfig(config_, known_.settings(config_))),
-      repeats_(repeatLimits(config_)),
+      duplicates_(repeatLimits(config_)),
       requests_(known_.limits(config_)),
-      ledger_(known_.classes.size(), known_.tenants.size()),
+      rejection_counters_(known_.classes.size(), known_.tenants.size()),
       life_(longestDeadline(config_.site.settings)) {
   // Clients that only stay are cheaper to lose than connections to hosts, which cost these work to open.
   descriptors_.addReclaimer(Side::Clients, [this] { return server_.closeOneIdle(kMayBeClosed); });
@@ -83,35 +83,37 @@
   const auto index = known_.classes.find(firstPart(pathOf(target)));
   if (!index) return std::nullopt;
   const load_balancer::RequestClass& c = known_.classes.at(*index);
-  return ClassInfo{*index, c.deadline, c.effect};
+  return ClassInfo{*index, c.deadline, c.idempotency};
 }
 
 // What is in flight or waits goes by these numbers to its end.
-void Proxy::use(const admission::Ask& ask) {
+void Proxy::use(const admission::AdmissionRequest& ask) {
   known_.classes.use(ask.request_class);
   known_.tenants.use(ask.tenant);
 }
 
 // It is over, or was never let in: its numbers are free.
-void Proxy::letGo(const ClientRequest& request, std::int32_t request_class, std::int32_t tenant,
-                  bool may_have_run) {
+void Proxy::releaseNumbers(const ClientRequest& request, std::int32_t request_class, std::int32_t tenant,
+                           bool may_have_run) {
   over(request.head.correlation, may_have_run);
   known_.classes.release(request_class);
   known_.tenants.release(tenant);
 }
 
 void Proxy::over(const std::string& correlation, bool may_have_run) {
-  const admission::Tried tried = repeats_.end(clock_.now(), correlation, may_have_run);
+  const admission::RequestRecord tried = duplicates_.end(clock_.now(), correlation, may_have_run);
   if (successor_.tell && !tried.id.empty()) successor_.tell({tried});
 }
 
-admission::Tried Proxy::triedOf(const RequestHead& head, std::int32_t request_class) const {
+admission::RequestRecord Proxy::requestRecordOf(const RequestHead& head, std::int32_t request_class) const {
   const load_balancer::RequestClass& c = known_.classes.at(request_class);
-  admission::Tried tried;
+  admission::RequestRecord tried;
   tried.id = head.correlation;
-  tried.safe = c.effect == Effect::Safe;
-  if (c.effect == Effect::Keyed) tried.key = head.key;
-  if (c.effect == Effect::Keyed && c.group == load_balancer::Group::All) tried.window = c.window;
+  tried.safe = c.idempotency == Idempotency::Idempotent;
+  if (c.idempotency == Idempotency::IdempotentWithKey) tried.key = head.key;
+  if (c.idempotency == Idempotency::IdempotentWithKey &&
+      c.deduplication_scope == load_balancer::DeduplicationScope::All)
+    tried.deduplication_window = c.deduplication_window;
   return tried;
 }
 
@@ -124,19 +126,19 @@
     counts_.ended(static_cast<std::size_t>(info->index), answer.status);
     return answer;
   };
-  if (const auto fault = faultOf(head, info->effect)) return counted(plainAnswer(fault->status));
-  const admission::Ask ask = askOf(0, head, *info, 0, 0);
-  const Cause cause = room ? requests_.early(ask) : Cause::ConnectionsFull;
-  if (cause == Cause::None) return std::nullopt;
+  if (const auto fault = faultOf(head, info->idempotency)) return counted(plainAnswer(fault->status));
+  const admission::AdmissionRequest ask = admissionRequestOf(0, head, *info, 0, 0);
+  const RejectionReason reason = room ? requests_.early(ask) : RejectionReason::ConnectionLimit;
+  if (reason == RejectionReason::None) return std::nullopt;
   requests_.noteRefused(clock_.now());
-  return counted(refusal(ask, cause));
+  return counted(refusal(ask, reason));
 }
 
 void Proxy::onRequest(ExchangeId id, ClientRequest request) {
   // A reload may have come between its head and its last byte.
   const std::optional<ClassInfo> info = classOf(request.head.target);
   if (!info) return server_.answer(id, plainAnswer(404));
-  if (const auto fault = faultOf(request.head, info->effect))
+  if (const auto fault = faultOf(request.head, info->idempotency))
     return conclude(id, info->index, plainAnswer(fault->status));
   // No longer than the class allows, whatever the client says: what is kept for a request must not outlive
   // it.
@@ -146,19 +148,20 @@
   // Of a long request only the beginning is here; its client's time runs from its last byte.
   const Time deadline = std::min(request.received + (request.rest ? kLongestUpload : left), last_);
   if (left > 0 && clock_.now() >= last_)
-    return conclude(id, info->index, refusal(askOf(id, request.head, *info, 0, 0), Cause::Shutdown));
+    return conclude(id, info->index,
+                    refusal(admissionRequestOf(id, request.head, *info, 0, 0), RejectionReason::Shutdown));
   if (left <= 0 || deadline <= clock_.now())
     return conclude(id, info->index, plainAnswer(504));  // over before it was read
   const std::size_t bytes = (request.body ? request.body->size() : 0) + request.head.forward.size();
-  const admission::Ask ask = askOf(id, request.head, *info, bytes, deadline);
+  const admission::AdmissionRequest ask = admissionRequestOf(id, request.head, *info, bytes, deadline);
   std::optional<Claimed> claimed;
-  if (auto answer = barred(request.head, *info, ask, claimed))
+  if (auto answer = rejectionBeforeAdmission(request.head, *info, ask, claimed))
     return conclude(id, info->index, std::move(*answer));
   // Two open requests of one id: hosts could not tell them apart, nor could their answers be told apart. The
   // first one's attempts count too, also after its answer; and what may have run must not run again. It would
   // harm clients that reuse an id, or a key for another request, within seconds.
-  const admission::Tried tried = triedOf(request.head, info->index);
-  if (repeats_.offer(clock_.now(), tried) != admission::Repeats::Verdict::New)
+  const admission::RequestRecord tried = requestRecordOf(request.head, info->index);
+  if (duplicates_.offer(clock_.now(), tried) != admission::DuplicateDetector::Verdict::New)
     return conclude(id, info->index, plainAnswer(409));
   if (request.rest) uploads_[id] = left;
   std::vector<admission::Refusal> displaced;
@@ -166,7 +169,7 @@
   switch (verdict.entry) {
     case admission::Entry::Admitted:
       use(ask);
-      ledger_.note(Cause::None, ask.request_class, ask.tenant);
+      rejection_counters_.note(RejectionReason::None, ask.request_class, ask.tenant);
       open(ask, std::move(request), *info, claimed);
       break;
     case admission::Entry::Waits:
@@ -176,7 +179,7 @@
     case admission::Entry::Refused:
       over(request.head.correlation, false);
       uploads_.erase(id);
-      conclude(id, info->index, refusal(ask, verdict.cause));
+      conclude(id, info->index, refusal(ask, verdict.reason));
       break;
   }
   refuseWaiting(displaced);
@@ -185,8 +188,9 @@
 
 // ---- admission: who gets a place, before the module hears of a request ----
 
-admission::Ask Proxy::askOf(ExchangeId id, const RequestHead& head, const ClassInfo& info, std::size_t bytes,
-                            Time deadline) const {
+admission::AdmissionRequest Proxy::admissionRequestOf(ExchangeId id, const RequestHead& head,
+                                                      const ClassInfo& info, std::size_t bytes,
+                                                      Time deadline) const {
   return {.id = id,
           .request_class = info.index,
           .tenant = known_.tenants.find(head.account).value_or(load_balancer::kUnset),
@@ -196,30 +200,31 @@
 }
 
 // Nothing was sent for it yet: trying again is harmless, whatever its class.
-Answer Proxy::refusal(const admission::Ask& ask, Cause cause) {
-  ledger_.note(cause, ask.request_class, ask.tenant);
+Answer Proxy::refusal(const admission::AdmissionRequest& ask, RejectionReason reason) {
+  rejection_counters_.note(reason, ask.request_class, ask.tenant);
   Answer answer = plainAnswer(503);
   if (const Time advice = requests_.advice(clock_.now()); advice > 0) answer.retry_after = advice;
   return answer;
 }
 
-std::optional<Answer> Proxy::barred(const RequestHead& head, const ClassInfo& info, const admission::Ask& ask,
-                                    std::optional<Claimed>& claimed) {
+std::optional<Answer> Proxy::rejectionBeforeAdmission(const RequestHead& head, const ClassInfo& info,
+                                                      const admission::AdmissionRequest& ask,
+                                                      std::optional<Claimed>& claimed) {
   if (gate_ == nullptr) return std::nullopt;
-  const auto later = [&](Cause cause, Time wait) {
-    Answer answer = refusal(ask, cause);
+  const auto later = [&](RejectionReason reason, Time wait) {
+    Answer answer = refusal(ask, reason);
     const Time most = config_.site.settings.max_retry_after;
     if (config_.site.settings.retry_after && wait > 0) answer.retry_after = std::min(wait, most);
     return answer;
   };
   const std::string& name = known_.classes.name(static_cast<std::size_t>(info.index));
-  const ServiceGate::Match match = gate_->serviceOf(head, name, info.effect);
+  const ServiceGate::Match match = gate_->serviceOf(head, name, info.idempotency);
   if (match.malformed) return plainAnswer(400);
   if (const auto wait = gate_->heldBack(known_.classes.at(info.index), match.service.has_value()))
-    return later(Cause::ComingBack, *wait);
+    return later(RejectionReason::StagedRestart, *wait);
   if (!match.service) return std::nullopt;
   const ServiceGate::Leave leave = gate_->leave(*match.service);
-  if (!leave.may) return later(Cause::NoDeed, leave.wait);
+  if (!leave.may) return later(RejectionReason::NoLease, leave.wait);
   claimed = Claimed{*match.service, leave.zone};
   return std::nullopt;
 }
@@ -230,9 +235,9 @@
     if (it == waiting_.end()) continue;
     const Held held = std::move(it->second);
     waiting_.erase(it);
-    letGo(held.request, held.ask.request_class, held.ask.tenant);
+    releaseNumbers(held.request, held.ask.request_class, held.ask.tenant);
     uploads_.erase(r.id);
-    conclude(r.id, held.ask.request_class, refusal(held.ask, r.cause));
+    conclude(r.id, held.ask.request_class, refusal(held.ask, r.reason));
   }
 }
 
@@ -246,7 +251,7 @@
     const auto it = waiting_.find(id);
     Held held = std::move(it->second);
     waiting_.erase(it);
-    ledger_.note(Cause::None, held.ask.request_class, held.ask.tenant);
+    rejection_counters_.note(RejectionReason::None, held.ask.request_class, held.ask.tenant);
     open(held.ask, std::move(held.request), held.info, held.claimed);
     if (held.uploaded != 0) pool_.uploaded(id, held.uploaded, held.ask.deadline);
   }
@@ -273,35 +278,35 @@
 }
 
 void Proxy::summarize() {
-  const std::string news = ledger_.newsSinceLast(server_.gate().closed());
+  const std::string news = rejection_counters_.newsSinceLast(server_.gate().closed());
   if (!news.empty()) log_.line("admission, last 10 s: " + news);
   timers_.after(kSummary, [this] { summarize(); });
 }
 
 // ---- requests that were let in ----
 
-void Proxy::open(const admission::Ask& ask, ClientRequest request, const ClassInfo& info,
+void Proxy::open(const admission::AdmissionRequest& ask, ClientRequest request, const ClassInfo& info,
                  const std::optional<Claimed>& claimed) {
-  Taken taken{.exchange = ask.id,
-              .request = std::move(request),
-              .request_class = ask.request_class,
-              .tenant = ask.tenant,
-              .effect = info.effect,
-              .deadline = ask.deadline,
-              .patience = info.deadline};
+  AdmittedRequest taken{.exchange = ask.id,
+                        .request = std::move(request),
+                        .request_class = ask.request_class,
+                        .tenant = ask.tenant,
+                        .idempotency = info.idempotency,
+                        .deadline = ask.deadline,
+                        .patience = info.deadline};
   if (claimed) taken.service = claimed->service, taken.zone = claimed->zone;
   pool_.open(std::move(taken));
 }
 
-void Proxy::onAnswer(const Taken& request, Answer answer) {
+void Proxy::onAnswer(const AdmittedRequest& request, Answer answer) {
   const ExchangeId id = request.exchange;
   const std::int32_t request_class = request.request_class;
   uploads_.erase(id);
   settled(id);
   if (gate_ != nullptr)
     gate_->ended({request.request.head, known_.classes.name(static_cast<std::size_t>(request_class)),
-                  request.effect, known_.classes.at(request_class).worth, request.ran_in, request.ran_for,
-                  answer.status});
+                  request.idempotency, known_.classes.at(request_class).priority_weight, request.ran_in,
+                  request.ran_for, answer.status});
   conclude(id, request_class, std::move(answer));
 }
 
@@ -335,14 +340,14 @@
   streamed_.erase(it);
 }
 
-void Proxy::onOver(const Taken& request) {
-  letGo(request.request, request.request_class, request.tenant, request.may_have_run);
+void Proxy::onCompleted(const AdmittedRequest& request) {
+  releaseNumbers(request.request, request.request_class, request.tenant, request.may_have_run);
 }
 
 void Proxy::onClientGone(ExchangeId id) {
   uploads_.erase(id);
   if (const auto held = waiting_.find(id); held != waiting_.end()) {
-    letGo(held->second.request, held->second.ask.request_class, held->second.ask.tenant);
+    releaseNumbers(held->second.request, held->second.ask.request_class, held->second.ask.tenant);
     waiting_.erase(held);
     requests_.release(clock_.now(), id);
     return;
@@ -377,9 +382,9 @@
   pool_.reconfigure(std::move(settings), upstreamLimits(next));
   known_ = std::move(known);
   requests_.reconfigure(limits);
-  repeats_.reconfigure(repeatLimits(next));
+  duplicates_.reconfigure(repeatLimits(next));
   life_.setLongest(longestDeadline(next.site.settings));
-  ledger_.grow(known_.classes.size(), known_.tenants.size());
+  rejection_counters_.grow(known_.classes.size(), known_.tenants.size());
   server_.reconfigure(serverLimits(next, descriptors_.limit()).connections);
   log_.setLevel(next.own.log_level);
   HostList hosts = std::exchange(next.known, {});
