--- a/src/front/proxy_life.cpp
+++ b/src/front/proxy_life.cpp
@@ -8,7 +8,7 @@
 
 namespace client_proxy {
 
-using admission::Cause;
+using admission::RejectionReason;
 
 template <typename Event>
 void Proxy::live(Event event) {
@@ -18,7 +18,7 @@
   awaitLife();
 }
 
-void Proxy::start(const handover::State& state) {
+void Proxy::start(const hot_restart::State& state) {
   HostList known = std::exchange(config_.known, {});
   if (!state.hosts.empty()) {
     try {
@@ -28,33 +28,33 @@
                 LogLevel::Warning);
     }
   }
-  repeats_.recall(clock_.now(), state.tried);
+  duplicates_.restore(clock_.now(), state.tried);
   pool_.start(std::move(known), state.servers);
   if (state.drained) drainClients();
   listen();
 }
 
-handover::State Proxy::state() const {
-  handover::State state;
+hot_restart::State Proxy::state() const {
+  hot_restart::State state;
   state.hosts = formatHostList(pool_.hosts(), config_.zones);
-  state.servers = pool_.remember();
+  state.servers = pool_.snapshot();
   state.drained = drained();
-  state.tried = repeats_.remember(clock_.now());
+  state.tried = duplicates_.snapshot(clock_.now());
   return state;
 }
 
-void Proxy::handOn(handover::Successor successor) {
+void Proxy::handOn(hot_restart::Successor successor) {
   successor_ = std::move(successor);
   if (successor_.tell) {  // before any client can repeat something there
-    if (const auto tried = repeats_.remember(clock_.now()); !tried.empty()) successor_.tell(tried);
+    if (const auto tried = duplicates_.snapshot(clock_.now()); !tried.empty()) successor_.tell(tried);
     successor_.tell({});  // that was all
   }
   live([this](lifecycle::Steps& steps) { life_.onHandOn(steps); });
 }
 
-void Proxy::takeBack() {
+void Proxy::rollBack() {
   successor_ = {};
-  live([this](lifecycle::Steps& steps) { life_.onTakeBack(steps); });
+  live([this](lifecycle::Steps& steps) { life_.onRollBack(steps); });
 }
 
 void Proxy::carryOut(const lifecycle::Step& step) {
@@ -69,7 +69,7 @@
     case Kind::GiveAway:
       pool_.keepConnections(false);
       return server_.handOn(successor_.give);
-    case Kind::TakeBack:
+    case Kind::RollBack:
       pool_.keepConnections(true);
       return server_.keepAll();
     case Kind::StopListening:
@@ -95,10 +95,10 @@
 // Whoever waits for a place by then does not get one any more.
 void Proxy::answerAll(Time by) {
   last_ = by;
-  pool_.endBy(by);
+  pool_.finishBy(by);
   timers_.at(by, [this] {
     std::vector<admission::Refusal> left;
-    for (const auto& [id, held] : waiting_) left.push_back({id, Cause::Shutdown});
+    for (const auto& [id, held] : waiting_) left.push_back({id, RejectionReason::Shutdown});
     for (const admission::Refusal& r : left) requests_.release(clock_.now(), r.id);
     refuseWaiting(left);
   });
--- a/src/front/proxy_report.cpp
+++ b/src/front/proxy_report.cpp
@@ -6,7 +6,7 @@
 
 namespace client_proxy {
 
-using admission::Cause;
+using admission::RejectionReason;
 
 std::string Proxy::admissionReport() {
   using nlohmann::json;
@@ -16,13 +16,13 @@
   const auto named = [](const auto& indices, std::size_t i) {
     return i < indices.size() ? indices.name(i) : "other";
   };
-  for (std::size_t i = 1; i < admission::kCauses; ++i) {
-    const auto cause = static_cast<Cause>(i);
-    const std::string name(admission::nameOf(cause));
+  for (std::size_t i = 1; i < admission::kRejectionReasons; ++i) {
+    const auto reason = static_cast<RejectionReason>(i);
+    const std::string name(admission::nameOf(reason));
     if (c.closed()[i] > 0) closed[name] = c.closed()[i];
-    for (std::size_t k = 0; k < ledger_.classes(); ++k) {
-      for (std::size_t t = 0; t < ledger_.tenants(); ++t) {
-        const auto n = ledger_.count(cause, k, t);
+    for (std::size_t k = 0; k < rejection_counters_.classes(); ++k) {
+      for (std::size_t t = 0; t < rejection_counters_.tenants(); ++t) {
+        const auto n = rejection_counters_.count(reason, k, t);
         if (n == 0) continue;
         json& cell = refused[name][named(known_.classes, k)][named(known_.tenants, t)];
         cell = n + (cell.is_number() ? cell.get<std::uint64_t>() : 0);  // a name may have had several numbers
@@ -56,20 +56,20 @@
         {"most_open", bound(limits.open)},
         {"most_waiting", bound(limits.waiting)},
         {"most_bytes", bound(limits.bytes)},
-        {"admitted", ledger_.total(Cause::None)},
+        {"admitted", rejection_counters_.total(RejectionReason::None)},
         {"refused", refused}}}};
   return report.dump(2);
 }
 
 std::string Proxy::stats() const {
-  figures::Page page;
+  metrics::ProxyMetrics page;
   for (std::size_t i = 0; i < known_.classes.size(); ++i)
     page.classes.push_back({known_.classes.name(i), counts_.of(i)});
-  const load_balancer::Standing hosts = pool_.standing();
+  const load_balancer::HostCounts hosts = pool_.hostCounts();
   page.concurrent = server_.openRequests();
   page.targets = hosts.listed;
   page.targets_disabled = hosts.avoided;
-  return figures::textOf(page);
+  return metrics::toPrometheusText(page);
 }
 
 }  // namespace client_proxy
--- a/src/handover/channel.cpp
+++ b/src/hot_restart/channel.cpp
@@ -1,4 +1,4 @@
-#include "handover/channel.h"
+#include "hot_restart/channel.h"
 
 #include <fcntl.h>
 #include <sys/socket.h>
@@ -12,7 +12,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace client_proxy::handover {
+namespace client_proxy::hot_restart {
 namespace {
 
 namespace asio = boost::asio;
@@ -203,4 +203,4 @@
   waiting_.clear();
 }
 
-}  // namespace client_proxy::handover
+}  // namespace client_proxy::hot_restart
--- a/src/handover/frame.cpp
+++ b/src/hot_restart/frame.cpp
@@ -1,9 +1,9 @@
-#include "handover/frame.h"
+#include "hot_restart/frame.h"
 
 #include <charconv>
 #include <stdexcept>
 
-namespace client_proxy::handover {
+namespace client_proxy::hot_restart {
 namespace {
 
 constexpr std::size_t kHead = 6;
@@ -24,7 +24,7 @@
 std::optional<Frame> decode(std::string_view message) {
   if (message.size() < kHead || static_cast<std::uint8_t>(message[0]) != kVersion) return std::nullopt;
   const auto type = static_cast<std::uint8_t>(message[1]);
-  if (type < static_cast<std::uint8_t>(Type::Hello) || type > static_cast<std::uint8_t>(Type::Tried))
+  if (type < static_cast<std::uint8_t>(Type::Hello) || type > static_cast<std::uint8_t>(Type::RequestRecord))
     return std::nullopt;
   std::uint32_t length = 0;
   for (std::size_t i = 2; i < kHead; ++i) length = (length << 8) | static_cast<std::uint8_t>(message[i]);
@@ -39,4 +39,4 @@
   return number;
 }
 
-}  // namespace client_proxy::handover
+}  // namespace client_proxy::hot_restart
--- a/src/handover/include/handover/channel.h
+++ b/src/hot_restart/include/hot_restart/channel.h
@@ -9,9 +9,9 @@
 #include <memory>
 #include <string>
 
-#include "handover/frame.h"
+#include "hot_restart/frame.h"
 
-namespace client_proxy::handover {
+namespace client_proxy::hot_restart {
 
 // A descriptor that is closed with its owner.
 class OwnedDescriptor {
@@ -81,4 +81,4 @@
 // Takes the path over from whoever has it, at once: a caller reaches the one or the other.
 OwnedDescriptor listenAt(const std::string& path);
 
-}  // namespace client_proxy::handover
+}  // namespace client_proxy::hot_restart
--- a/src/handover/include/handover/link.h
+++ b/src/hot_restart/include/hot_restart/link.h
@@ -14,17 +14,17 @@
 #include <string_view>
 #include <vector>
 
-#include "handover/channel.h"
-#include "handover/roles.h"
-#include "handover/state.h"
-#include "handover/successor.h"
+#include "hot_restart/channel.h"
+#include "hot_restart/roles.h"
+#include "hot_restart/state.h"
+#include "hot_restart/successor.h"
 
-namespace client_proxy::handover {
+namespace client_proxy::hot_restart {
 
 // The proxy, as the link sees it.
-class Holder {
+class HotRestartHandler {
  public:
-  virtual ~Holder() = default;
+  virtual ~HotRestartHandler() = default;
   // Serve from now on: with what the old process knew, or from nothing.
   virtual void begin(std::optional<State> state) = 0;
   virtual State state() = 0;
@@ -32,11 +32,11 @@
   // connection at rest.
   virtual void give(Successor successor) = 0;
   // The new process has gone: serve as before.
-  virtual void takeBack() = 0;
+  virtual void rollBack() = 0;
   // A client's connection at rest, from the old process.
   virtual void adopt(int descriptor) = 0;
   // What may not run a second time here, from the old process.
-  virtual void triedThere(const std::vector<admission::Tried>& tried) = 0;
+  virtual void recordPredecessorRequests(const std::vector<admission::RequestRecord>& tried) = 0;
   virtual std::size_t descriptorsHeld() = 0;
   // The other process holds so many of the descriptors that both may hold together.
   virtual void otherHolds(std::size_t descriptors) = 0;
@@ -48,7 +48,7 @@
   virtual void log(const std::string& line) = 0;
 };
 
-class Link {
+class HotRestartLink {
  public:
   struct Limits {
     std::chrono::milliseconds loading{1500};  // for the old one to tell its state
@@ -57,17 +57,18 @@
   };
 
   // `path`: of the socket, in a folder that both processes share.
-  Link(boost::asio::io_context& io, std::string path, std::string name, Holder& holder, Limits limits);
-  Link(boost::asio::io_context& io, std::string path, std::string name, Holder& holder)
-      : Link(io, std::move(path), std::move(name), holder, Limits{}) {}
-  ~Link();
+  HotRestartLink(boost::asio::io_context& io, std::string path, std::string name, HotRestartHandler& handler,
+                 Limits limits);
+  HotRestartLink(boost::asio::io_context& io, std::string path, std::string name, HotRestartHandler& handler)
+      : HotRestartLink(io, std::move(path), std::move(name), handler, Limits{}) {}
+  ~HotRestartLink();
 
-  // Looks for a process to take the place of; Holder::begin() follows, once, at the latest after
+  // Looks for a process to take the place of; HotRestartHandler::begin() follows, once, at the latest after
   // Limits::loading.
   void begin();
   // Staff have told this process: the other one is to know.
   void tell(const Frame& call);
-  bool giving() const { return giver_.giving(); }
+  bool handingOver() const { return predecessor_.handingOver(); }
 
  private:
   using Shared = std::shared_ptr<Channel>;
@@ -76,20 +77,20 @@
   void takePlace();
   void onOldFrame(const Frame& frame, OwnedDescriptor descriptor);
   void onTried(const std::string& text);
-  void carryOut(Taker::Step step);
+  void carryOut(SuccessorRole::Step step);
   void listen();
   void accept();
   void onNewFrame(PeerId peer, const Frame& frame);
-  void carryOut(PeerId peer, Giver::Step step, const Frame& frame);
+  void carryOut(PeerId peer, PredecessorRole::Step step, const Frame& frame);
   void sendState(Channel& to);
   void look();
 
   boost::asio::io_context& io_;
   const std::string path_, name_;
-  Holder& holder_;
+  HotRestartHandler& handler_;
   const Limits limits_;
-  Giver giver_;
-  Taker taker_;
+  PredecessorRole predecessor_;
+  SuccessorRole successor_role_;
   Shared old_;
   std::optional<State> state_;  // waits for what the old process has tried since it told its state
   std::map<PeerId, Shared> peers_;
@@ -104,4 +105,4 @@
 // Where the processes of the proxy `name` meet in `folder`.
 std::string socketPath(const std::string& folder, std::string_view name);
 
-}  // namespace client_proxy::handover
+}  // namespace client_proxy::hot_restart
--- a/src/handover/include/handover/roles.h
+++ b/src/hot_restart/include/hot_restart/roles.h
@@ -12,31 +12,31 @@
 #include <string>
 #include <string_view>
 
-#include "handover/frame.h"
+#include "hot_restart/frame.h"
 
-namespace client_proxy::handover {
+namespace client_proxy::hot_restart {
 
 using PeerId = std::uint64_t;  // a connection of ours, never used twice
 
 // The old process. Several new ones may ask; the first that is ready gets it.
-class Giver {
+class PredecessorRole {
  public:
   enum class Step : std::uint8_t {
     None,
     SendState,  // to this peer
     Give,       // this peer serves from now on: accept nobody, hand the clients on to it
-    TakeBack,   // the one that served has gone: serve again
+    RollBack,   // the one that served has gone: serve again
     Dismiss,    // close this peer: it is not of our name, or out of turn, or another was ready first
     Pass,       // what the frame says is for us: staff have called the other process
   };
 
-  explicit Giver(std::string name) : name_(std::move(name)) {}
+  explicit PredecessorRole(std::string name) : name_(std::move(name)) {}
 
   void onPeer(PeerId peer) { peers_[peer] = Peer::New; }
   Step onFrame(PeerId peer, const Frame& frame);
   Step onPeerGone(PeerId peer);
 
-  bool giving() const { return successor_.has_value(); }
+  bool handingOver() const { return successor_.has_value(); }
   std::optional<PeerId> successor() const { return successor_; }
   // It has the state, so it is to hear of what staff do from now on.
   bool informed(PeerId peer) const;
@@ -49,7 +49,7 @@
 };
 
 // The new process.
-class Taker {
+class SuccessorRole {
  public:
   enum class Step : std::uint8_t {
     None,
@@ -74,4 +74,4 @@
   std::string state_;
 };
 
-}  // namespace client_proxy::handover
+}  // namespace client_proxy::hot_restart
--- a/src/handover/include/handover/state.h
+++ b/src/hot_restart/include/hot_restart/state.h
@@ -6,16 +6,16 @@
 #include <string_view>
 #include <vector>
 
-#include "admission/repeats.h"
+#include "admission/duplicate_detector.h"
 #include "load_balancer/balancer.h"
 
-namespace client_proxy::handover {
+namespace client_proxy::hot_restart {
 
 struct State {
   std::string hosts;  // the list, in discovery's form; empty: none was known
-  std::vector<load_balancer::Remembered> servers;
+  std::vector<load_balancer::HostSnapshot> servers;
   bool drained = false;
-  std::vector<admission::Tried> tried;
+  std::vector<admission::RequestRecord> tried;
   bool tells_tried = true;  // it will tell the rest when the new one is ready: all it has, then an empty list
   std::string fleet{};  // what it knows of the other proxies (src/fleet_transport); empty: it does not talk
   bool operator==(const State&) const = default;
@@ -27,7 +27,7 @@
 
 // The same for what may not run a second time alone, in pieces of kMostPayload at most each. What would not
 // fit into one by itself is left out.
-std::vector<std::string> triedToTexts(std::span<const admission::Tried> tried);
-std::vector<admission::Tried> triedFromText(std::string_view text);
+std::vector<std::string> triedToTexts(std::span<const admission::RequestRecord> tried);
+std::vector<admission::RequestRecord> triedFromText(std::string_view text);
 
-}  // namespace client_proxy::handover
+}  // namespace client_proxy::hot_restart
--- a/src/handover/roles.cpp
+++ b/src/hot_restart/roles.cpp
@@ -1,6 +1,6 @@
-#include "handover/roles.h"
+#include "hot_restart/roles.h"
 
-namespace client_proxy::handover {
+namespace client_proxy::hot_restart {
 namespace {
 
 bool fromStaff(Type type) {
@@ -9,17 +9,17 @@
 
 }  // namespace
 
-Giver::Step Giver::onFrame(PeerId peer, const Frame& frame) {
+PredecessorRole::Step PredecessorRole::onFrame(PeerId peer, const Frame& frame) {
   const auto it = peers_.find(peer);
   if (it == peers_.end()) return Step::None;
   Peer& is = it->second;
   if (frame.type == Type::Hello) {
-    if (is != Peer::New || frame.payload != name_ || giving()) return Step::Dismiss;
+    if (is != Peer::New || frame.payload != name_ || handingOver()) return Step::Dismiss;
     is = Peer::Informed;
     return Step::SendState;
   }
   if (frame.type == Type::Ready) {
-    if (is != Peer::Informed || giving()) return Step::Dismiss;
+    if (is != Peer::Informed || handingOver()) return Step::Dismiss;
     is = Peer::Successor;
     successor_ = peer;
     return Step::Give;
@@ -28,29 +28,29 @@
   return Step::Dismiss;
 }
 
-Giver::Step Giver::onPeerGone(PeerId peer) {
+PredecessorRole::Step PredecessorRole::onPeerGone(PeerId peer) {
   peers_.erase(peer);
   if (successor_ != peer) return Step::None;
   successor_.reset();
-  return Step::TakeBack;
+  return Step::RollBack;
 }
 
-bool Giver::informed(PeerId peer) const {
+bool PredecessorRole::informed(PeerId peer) const {
   const auto it = peers_.find(peer);
   return it != peers_.end() && it->second != Peer::New;
 }
 
-Taker::Step Taker::fresh() {
+SuccessorRole::Step SuccessorRole::fresh() {
   phase_ = Phase::Alone;
   state_ = std::string();
   return Step::Fresh;
 }
 
-Taker::Step Taker::onFrame(const Frame& frame) {
+SuccessorRole::Step SuccessorRole::onFrame(const Frame& frame) {
   if (phase_ == Phase::Alone) return Step::None;
   if (phase_ == Phase::Taken) {
     const bool ours = fromStaff(frame.type) || frame.type == Type::Client || frame.type == Type::Holds ||
-                      frame.type == Type::Tried;
+                      frame.type == Type::RequestRecord;
     return ours ? Step::Pass : Step::None;
   }
   if (frame.type == Type::StatePart && state_.size() + frame.payload.size() <= kMostState) {
@@ -62,13 +62,13 @@
   return Step::Load;
 }
 
-Taker::Step Taker::onGone() {
+SuccessorRole::Step SuccessorRole::onGone() {
   if (phase_ == Phase::Loading) return fresh();
   const bool taken = phase_ == Phase::Taken;
   phase_ = Phase::Alone;
   return taken ? Step::Ended : Step::None;
 }
 
-Taker::Step Taker::onTimeUp() { return phase_ == Phase::Loading ? fresh() : Step::None; }
+SuccessorRole::Step SuccessorRole::onTimeUp() { return phase_ == Phase::Loading ? fresh() : Step::None; }
 
-}  // namespace client_proxy::handover
+}  // namespace client_proxy::hot_restart
--- a/src/handover/state.cpp
+++ b/src/hot_restart/state.cpp
@@ -1,13 +1,13 @@
-#include "handover/state.h"
+#include "hot_restart/state.h"
 
 #include <cstdint>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
-#include "handover/frame.h"
+#include "hot_restart/frame.h"
 
-namespace client_proxy::handover {
+namespace client_proxy::hot_restart {
 
 using nlohmann::json;
 
@@ -16,9 +16,10 @@
 // An id need not be UTF-8.
 std::string textOf(const json& doc) { return doc.dump(-1, ' ', false, json::error_handler_t::replace); }
 
-json toJson(const admission::Tried& t) {
-  return {{"id", t.id},       {"key", t.key},     {"safe", t.safe},          {"window", t.window},
-          {"began", t.began}, {"ended", t.ended}, {"never_ran", t.never_ran}};
+json toJson(const admission::RequestRecord& t) {
+  return {
+      {"id", t.id},       {"key", t.key},     {"safe", t.safe},          {"window", t.deduplication_window},
+      {"began", t.began}, {"ended", t.ended}, {"never_ran", t.never_ran}};
 }
 
 // A number that is no whole one, or too large, has no meaning as a time or a slot, and converting it none at
@@ -33,8 +34,8 @@
   return static_cast<T>(number);
 }
 
-std::vector<admission::Tried> triedOf(const json& list) {
-  std::vector<admission::Tried> out;
+std::vector<admission::RequestRecord> requestRecordOf(const json& list) {
+  std::vector<admission::RequestRecord> out;
   for (const json& t : list) {
     out.push_back({t.at("id").get<std::string>(), t.at("key").get<std::string>(), t.at("safe").get<bool>(),
                    whole<admission::Time>(t, "window"), whole<admission::Time>(t, "began"),
@@ -47,21 +48,21 @@
 
 std::string toText(const State& state) {
   json servers = json::array();
-  for (const load_balancer::Remembered& s : state.servers) {
+  for (const load_balancer::HostSnapshot& s : state.servers) {
     servers.push_back({{"id", s.id},
                        {"slot", s.slot},
-                       {"out_of_use", s.out_of_use},
+                       {"out_of_use", s.in_maintenance},
                        {"ejected", s.ejected},
-                       {"silent", s.silent},
+                       {"silent", s.unresponsive},
                        {"ejected_since", s.ejected_since},
                        {"ejected_until", s.ejected_until},
-                       {"strikes", s.strikes},
-                       {"struck_at", s.struck_at},
+                       {"strikes", s.failure_score},
+                       {"struck_at", s.failure_score_at},
                        {"cold_since", s.cold_since},
-                       {"slowness", s.slowness}});
+                       {"slowness", s.latency_ratio}});
   }
   json tried = json::array();
-  for (const admission::Tried& t : state.tried) tried.push_back(toJson(t));
+  for (const admission::RequestRecord& t : state.tried) tried.push_back(toJson(t));
   json doc = {{"hosts", state.hosts}, {"servers", servers}, {"drained", state.drained}};
   if (state.tells_tried) doc["tried"] = tried;  // a process one release older neither says nor reads this
   if (!state.fleet.empty()) doc["fleet"] = state.fleet;
@@ -75,21 +76,21 @@
     state.hosts = doc.at("hosts").get<std::string>();
     state.drained = doc.at("drained").get<bool>();
     state.tells_tried = doc.contains("tried");
-    if (state.tells_tried) state.tried = triedOf(doc.at("tried"));
+    if (state.tells_tried) state.tried = requestRecordOf(doc.at("tried"));
     if (doc.contains("fleet")) state.fleet = doc.at("fleet").get<std::string>();
     for (const json& s : doc.at("servers")) {
-      load_balancer::Remembered r;
+      load_balancer::HostSnapshot r;
       r.id = s.at("id").get<std::string>();
       r.slot = whole<std::int32_t>(s, "slot");
-      r.out_of_use = s.at("out_of_use").get<bool>();
+      r.in_maintenance = s.at("out_of_use").get<bool>();
       r.ejected = s.at("ejected").get<bool>();
-      r.silent = s.at("silent").get<bool>();
+      r.unresponsive = s.at("silent").get<bool>();
       r.ejected_since = whole<load_balancer::Time>(s, "ejected_since");
       r.ejected_until = whole<load_balancer::Time>(s, "ejected_until");
-      r.strikes = s.at("strikes").get<double>();
-      r.struck_at = whole<load_balancer::Time>(s, "struck_at");
+      r.failure_score = s.at("strikes").get<double>();
+      r.failure_score_at = whole<load_balancer::Time>(s, "struck_at");
       r.cold_since = whole<load_balancer::Time>(s, "cold_since");
-      r.slowness = s.at("slowness").get<double>();
+      r.latency_ratio = s.at("slowness").get<double>();
       state.servers.push_back(std::move(r));
     }
     return state;
@@ -98,9 +99,9 @@
   }
 }
 
-std::vector<std::string> triedToTexts(std::span<const admission::Tried> tried) {
+std::vector<std::string> triedToTexts(std::span<const admission::RequestRecord> tried) {
   std::vector<std::string> texts;
-  for (const admission::Tried& t : tried) {
+  for (const admission::RequestRecord& t : tried) {
     const std::string one = textOf(toJson(t));
     if (one.size() + 2 > kMostPayload) continue;
     if (texts.empty() || texts.back().size() + one.size() + 2 > kMostPayload) texts.emplace_back();
@@ -111,12 +112,12 @@
   return texts;
 }
 
-std::vector<admission::Tried> triedFromText(std::string_view text) {
+std::vector<admission::RequestRecord> triedFromText(std::string_view text) {
   try {
-    return triedOf(json::parse(text));
+    return requestRecordOf(json::parse(text));
   } catch (const json::exception& e) {
     throw std::runtime_error(std::string("what was tried is not whole: ") + e.what());
   }
 }
 
-}  // namespace client_proxy::handover
+}  // namespace client_proxy::hot_restart
--- a/src/lifecycle/include/lifecycle/lifecycle.h
+++ b/src/lifecycle/include/lifecycle/lifecycle.h
@@ -30,7 +30,7 @@
     Keep,       // answers keep their connections again
     CloseIdle,  // those that have rested for `rested` microseconds
     GiveAway,   // accept nobody; each connection at rest goes to the other process
-    TakeBack,   // accept again, give nothing away
+    RollBack,   // accept again, give nothing away
     AnswerAll,  // whatever is open, or comes still, has its answer by `by`
     StopListening,
     Leave,  // the last step there is
@@ -60,7 +60,7 @@
   bool onUndrain(Steps& out);
   // The other process serves, or has gone without.
   void onHandOn(Steps& out);
-  void onTakeBack(Steps& out);
+  void onRollBack(Steps& out);
   // SIGTERM. False: it has come before.
   bool onEnd(Time now, Steps& out);
   // `connections`: of clients, that are open here.
--- a/src/lifecycle/lifecycle.cpp
+++ b/src/lifecycle/lifecycle.cpp
@@ -50,11 +50,11 @@
   out.push_back({Kind::GiveAway});
 }
 
-void Lifecycle::onTakeBack(Steps& out) {
+void Lifecycle::onRollBack(Steps& out) {
   if (phase_ != Phase::HandingOn) return;
   phase_ = ending_ ? Phase::Ending : Phase::Serving;
   out.push_back({sendsAway() ? Kind::SendAway : Kind::Keep});
-  out.push_back({Kind::TakeBack});
+  out.push_back({Kind::RollBack});
 }
 
 bool Lifecycle::onEnd(Time now, Steps& out) {
--- a/src/figures/include/figures/figures.h
+++ b/src/metrics/include/metrics/metrics.h
@@ -7,13 +7,13 @@
 #include <utility>
 #include <vector>
 
-namespace client_proxy::figures {
+namespace client_proxy::metrics {
 
 // How a request ended, as its client sees it.
-enum class Ending : std::uint8_t { Success, Overload, Error };
+enum class RequestOutcome : std::uint8_t { Success, Overload, Error };
 
 // 200: served; 429 and 503: refused; anything else: failed.
-Ending endingOf(int status);
+RequestOutcome outcomeOf(int status);
 
 struct ClassCounts {
   std::uint64_t success = 0, overload = 0, error = 0;  // final answers
@@ -22,7 +22,7 @@
 };
 
 // Since the process started; by the class's number, which never means another class later.
-class Counts {
+class RequestCounters {
  public:
   void ended(std::size_t request_class, int status);
   void dispatched(std::size_t request_class) { ++at(request_class).dispatches; }
@@ -40,7 +40,7 @@
 };
 
 // The page's figures at one moment.
-struct Page {
+struct ProxyMetrics {
   struct Row {
     std::string name;  // of the class
     ClassCounts counts;
@@ -51,15 +51,15 @@
 };
 
 // In Prometheus' text format 0.0.4: app_success{type="C"} 812.
-std::string textOf(const Page& page);
+std::string toPrometheusText(const ProxyMetrics& page);
 
 // Of the fleet's own view; by state, way or cause.
-struct FleetPage {
+struct FleetMetrics {
   using Rows = std::vector<std::pair<std::string, std::uint64_t>>;
   Rows members, datagrams, bytes, drops;
   double unchanged_seconds = 0;
   bool sure = false;
 };
-std::string textOf(const FleetPage& page);
+std::string toPrometheusText(const FleetMetrics& page);
 
-}  // namespace client_proxy::figures
+}  // namespace client_proxy::metrics
--- a/src/figures/figures.cpp
+++ b/src/metrics/metrics.cpp
@@ -1,11 +1,11 @@
-#include "figures/figures.h"
+#include "metrics/metrics.h"
 
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
 #include <map>
 
-namespace client_proxy::figures {
+namespace client_proxy::metrics {
 namespace {
 
 using prometheus::ClientMetric;
@@ -25,7 +25,7 @@
 }
 
 MetricFamily rows(const char* name, const char* help, MetricType type, const char* label,
-                  const FleetPage::Rows& all) {
+                  const FleetMetrics::Rows& all) {
   MetricFamily family{.name = name, .help = help, .type = type, .metric = {}};
   for (const auto& [of, value] : all) {
     ClientMetric metric;
@@ -45,29 +45,29 @@
 
 }  // namespace
 
-Ending endingOf(int status) {
-  if (status == 200) return Ending::Success;
-  return status == 429 || status == 503 ? Ending::Overload : Ending::Error;
+RequestOutcome outcomeOf(int status) {
+  if (status == 200) return RequestOutcome::Success;
+  return status == 429 || status == 503 ? RequestOutcome::Overload : RequestOutcome::Error;
 }
 
-void Counts::ended(std::size_t request_class, int status) {
+void RequestCounters::ended(std::size_t request_class, int status) {
   ClassCounts& counts = at(request_class);
-  switch (endingOf(status)) {
-    case Ending::Success:
+  switch (outcomeOf(status)) {
+    case RequestOutcome::Success:
       ++counts.success;
       break;
-    case Ending::Overload:
+    case RequestOutcome::Overload:
       ++counts.overload;
       break;
-    case Ending::Error:
+    case RequestOutcome::Error:
       ++counts.error;
       break;
   }
 }
 
-std::string textOf(const Page& page) {
+std::string toPrometheusText(const ProxyMetrics& page) {
   std::map<std::string, ClassCounts> classes;
-  for (const Page::Row& row : page.classes) {
+  for (const ProxyMetrics::Row& row : page.classes) {
     ClassCounts& sum = classes[row.name];
     sum.success += row.counts.success;
     sum.overload += row.counts.overload;
@@ -86,7 +86,7 @@
   });
 }
 
-std::string textOf(const FleetPage& page) {
+std::string toPrometheusText(const FleetMetrics& page) {
   constexpr auto kCounter = MetricType::Counter;
   return prometheus::TextSerializer().Serialize({
       rows("app_fleet_members", "Listed proxies, as this one sees them.", MetricType::Gauge, "state",
@@ -99,4 +99,4 @@
   });
 }
 
-}  // namespace client_proxy::figures
+}  // namespace client_proxy::metrics
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -72,8 +72,8 @@
     close_ = true;  // the rest of what it sends is not wanted
     pipe_->breakOff();
   }
-  const Cause verdict = server_.gate_.onAnswer(server_.now(), id_, in_.size() > 0);
-  if (verdict != Cause::None) close_ = true;
+  const RejectionReason verdict = server_.gate_.onAnswer(server_.now(), id_, in_.size() > 0);
+  if (verdict != RejectionReason::None) close_ = true;
   cause_ = verdict;
   out_ = headOf(answer.status, answer.content_type);
   if (answer.retry_after) {
@@ -93,7 +93,7 @@
   } else {
     close_ = true;  // HTTP/1.0: its end is the connection's
   }
-  if (server_.draining_) close_ = true, cause_ = Cause::Shutdown;
+  if (server_.draining_) close_ = true, cause_ = RejectionReason::Shutdown;
   if (close_) {
     out_ += "Connection: close\r\n";
   } else if (old_version_) {
@@ -128,7 +128,7 @@
     }
     out_ += piece;
   } else if (end == BodyPipe::End::Broken) {
-    return close(Cause::AnswerCut);
+    return close(RejectionReason::ResponseTruncated);
   }
   if (end == BodyPipe::End::Whole) {
     if (chunked_) out_ += "\r\n0\r\n\r\n";
@@ -141,18 +141,18 @@
   write();
 }
 
-void Server::Connection::overdue(Cause cause) {
+void Server::Connection::overdue(RejectionReason reason) {
   if (resting_ && inputWaits()) return server_.gate_.notYet(server_.now(), id_);  // its reading is under way
-  if (resting_ && cause == Cause::IdleOverdue) return retire(cause);
-  if (resting_ || state_ != State::Reading) return close(cause);
+  if (resting_ && reason == RejectionReason::IdleTimeout) return retire(reason);
+  if (resting_ || state_ != State::Reading) return close(reason);
   abandonUpload();
   if (state_ == State::Closed) return;
   refuse(waits_for_room_ ? 503 : 408);
-  cause_ = waits_for_room_ ? Cause::BodyMemory : cause;
+  cause_ = waits_for_room_ ? RejectionReason::BodyMemory : reason;
 }
 
-void Server::Connection::retire(Cause cause) {
-  cause_ = cause;
+void Server::Connection::retire(RejectionReason reason) {
+  cause_ = reason;
   resting_ = false;
   linger();
   if (state_ != State::Closed) server_.gate_.extend(id_, server_.now() + kRetired);
@@ -163,10 +163,10 @@
   if (!server_.give_(socket_.native_handle())) return;
   error_code ignored;
   ::close(socket_.release(ignored));  // it lives on elsewhere: this loop must not hear of it any more
-  close(Cause::HandedOn);
+  close(RejectionReason::HandedOver);
 }
 
-void Server::Connection::close(Cause cause) {
+void Server::Connection::close(RejectionReason reason) {
   if (state_ == State::Closed) return;
   state_ = State::Closed;
   ended();
@@ -180,7 +180,7 @@
   }
   socket_.close(ignored);
   tellStreamed(false);
-  server_.remove(id_, cause);  // the last thing: it may destroy this
+  server_.remove(id_, reason);  // the last thing: it may destroy this
 }
 
 void Server::Connection::tellStreamed(bool whole) {
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -34,16 +34,16 @@
 
   // The limits of time. None is renewed by a byte more or less: whoever trickles gets no longer than whoever
   // is silent. They would harm clients on slow lines; the protocol's are on the same machine.
-  void overdue(Cause cause);
+  void overdue(RejectionReason reason);
 
   // At rest and not wanted any more: its client hears of it by the end of our sending. To close now would
   // reset the connection where a request is on its way, and what we sent last might go with it.
-  void retire(Cause cause);
+  void retire(RejectionReason reason);
 
   // Gives its socket away where nothing has been read of a request. What waits in the kernel goes with it.
   void handOn();
 
-  void close(Cause cause);
+  void close(RejectionReason reason);
 
  private:
   enum class State { Reading, Waiting, Answering, Lingering, Closed };
@@ -117,8 +117,8 @@
   const ConnectionId id_;
   Socket socket_;
   State state_ = State::Reading;
-  Cause cause_ = Cause::None;  // of its end, where that was decided here
-  bool resting_ = true;        // no request is open here
+  RejectionReason cause_ = RejectionReason::None;  // of its end, where that was decided here
+  bool resting_ = true;                            // no request is open here
   ReadBuffer in_;
   std::unique_ptr<RequestParser> parser_;        // only while a request comes: it is large
   std::shared_ptr<BodyShare> share_;             // of the body that is being read
--- a/src/net/host_connection.cpp
+++ b/src/net/host_connection.cpp
@@ -23,13 +23,13 @@
   begin(std::move(request));
 }
 
-void Upstream::Connection::startProbe(std::string head) {
+void Upstream::Connection::startHealthCheck(std::string head) {
   probe_ = true;
   attempt_ = 0;
   prefix_ = std::move(head);
   begin({});
   const std::uint64_t turn = turn_;
-  up_.timers_.after(up_.limits_.probe_timeout, [weak = weak_from_this(), turn] {
+  up_.timers_.after(up_.limits_.health_check_timeout, [weak = weak_from_this(), turn] {
     const auto self = weak.lock();
     if (self && self->busy_ && self->turn_ == turn) self->end(Result::TimedOut);
   });
@@ -148,7 +148,7 @@
     return false;
   }
   if (rest.end() == BodyPipe::End::Broken) {
-    later(Result::CutShort);  // its client has gone: the host never gets all of it
+    later(Result::RequestIncomplete);  // its client has gone: the host never gets all of it
     return false;
   }
   const bool chunked = !rest.length();
@@ -189,7 +189,7 @@
   AttemptEnd report;
   report.result = result;
   report.begun = answer_begun_;
-  const bool whole = parser_->is_done() && result != Result::Spoilt;
+  const bool whole = parser_->is_done() && result != Result::InvalidResponse;
   if (const auto stream = std::exchange(stream_, nullptr)) {
     whole&& result == Result::Ok ? stream->finish() : stream->breakOff();
   }
@@ -202,7 +202,7 @@
     report.body = std::move(parser_->body);
     report.content_type = std::move(parser_->content_type);
   }
-  if (turn_ > 1 && (whole || result == Result::Reset || result == Result::CutShort)) {
+  if (turn_ > 1 && (whole || result == Result::Reset || result == Result::RequestIncomplete)) {
     up_.noteReuse(uid_, !whole && !parser_->got_some());
   }
   const bool probe = std::exchange(probe_, false);
@@ -227,7 +227,7 @@
     close();
   }
   if (probe) {
-    up.sink_.onProbeEnd(uid, ok, latency, report.load);
+    up.sink_.onHealthCheckEnd(uid, ok, latency, report.load);
   } else {
     up.sink_.onAttemptEnd(attempt, std::move(report));
   }
--- a/src/net/host_connection.h
+++ b/src/net/host_connection.h
@@ -30,7 +30,7 @@
   void startAttempt(AttemptId id, AttemptRequest request);
 
   // `head`: of a request without a body, complete.
-  void startProbe(std::string head);
+  void startHealthCheck(std::string head);
 
   void giveUp(Result as) { end(as); }
   bool answering() const { return busy_ && parser_->is_header_done() && parser_->status == 200; }
@@ -83,13 +83,13 @@
   void onReadEnd(boost::system::error_code ec);
 
   // It may have run once the host can have the whole request.
-  void broken() { end(written() ? Result::Reset : Result::CutShort); }
+  void broken() { end(written() ? Result::Reset : Result::RequestIncomplete); }
 
   // What came is no answer to this request. Guards against noise, heads that can't be read or don't end,
   // lengths that contradict one another or exceed what the protocol has, and 1xx without end. It should catch
   // whatever else a host may say out of turn; it would harm if hosts sent answers beyond the protocol's 64
   // KiB.
-  void spoilt() { end(written() ? Result::Spoilt : Result::CutShort); }
+  void spoilt() { end(written() ? Result::InvalidResponse : Result::RequestIncomplete); }
 
   // An answer that has begun must come to its end: it may not stand still, nor come slower than a least pace,
   // so that an endless trickle is no way round it. Guards against lengths that promise more than comes; it
--- a/src/net/host_list.cpp
+++ b/src/net/host_list.cpp
@@ -37,7 +37,7 @@
   } catch (const std::runtime_error& e) {
     entry.at("endpoint").bad(e.what());
   }
-  host.up_since = entry.timeOr("boot_ms", 0) * 1000;
+  host.started_at = entry.timeOr("boot_ms", 0) * 1000;
   host.capacity = entry.numberOr("capacity_hint", 1, 0);
   host.zone = entry.has("az") ? zones.indexOf(entry.at("az").text()) : 0;
   host.cell = entry.has("pod_group") ? entry.at("pod_group").whole(0) : 0;
@@ -93,7 +93,7 @@
                                                                 : "left"},
                   {"capacity_hint", host.capacity},
                   {"pod_group", std::max(host.cell, 0)},
-                  {"boot_ms", host.up_since / 1000}};
+                  {"boot_ms", host.started_at / 1000}};
     if (const std::string zone = zones.nameOf(host.zone); !zone.empty()) entry["az"] = zone;
     targets.push_back(std::move(entry));
   }
--- a/src/net/host_reading.cpp
+++ b/src/net/host_reading.cpp
@@ -142,7 +142,7 @@
 Result Upstream::Connection::resultOf() const {
   if (parser_->status == 200) return Result::Ok;
   if ((parser_->status == 503 || parser_->status == 504) && parser_->unprocessed) return Result::Rejected;
-  if (!written()) return Result::CutShort;                            // the host cannot have the last byte
+  if (!written()) return Result::RequestIncomplete;                   // the host cannot have the last byte
   const bool own = parser_->status == 408 || parser_->status == 429;  // about the host, not the request
   return parser_->status / 100 == 4 && !own ? Result::BadRequest : Result::Error;
 }
--- a/src/net/include/net/descriptors.h
+++ b/src/net/include/net/descriptors.h
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "admission/places.h"
+#include "admission/permit_pool.h"
 #include "net/clock.h"
 
 namespace client_proxy {
@@ -18,7 +18,7 @@
 class Descriptors {
  public:
   Descriptors(const Clock& clock, std::size_t limit)
-      : clock_(clock), places_({.all = limit, .least_clients = limit / 8, .least_hosts = limit / 4}) {}
+      : clock_(clock), permits_({.all = limit, .least_clients = limit / 8, .least_hosts = limit / 4}) {}
 
   void addReclaimer(Side side, std::function<bool()> closeOne) {
     reclaimers_.push_back({side, std::move(closeOne)});
@@ -26,22 +26,22 @@
 
   // False: there is no place, and nobody can give way.
   bool take(Side side) {
-    while (!places_.free(clock_.now(), side)) {
+    while (!permits_.free(clock_.now(), side)) {
       if (!reclaim(side)) return false;
     }
-    places_.take(clock_.now(), side);
+    permits_.take(clock_.now(), side);
     return true;
   }
   // For a connection that is open already.
-  void takeAnyway(Side side) { places_.take(clock_.now(), side); }
-  void release(Side side) { places_.release(clock_.now(), side); }
+  void takeAnyway(Side side) { permits_.take(clock_.now(), side); }
+  void release(Side side) { permits_.release(clock_.now(), side); }
 
-  std::size_t most(Side side) { return places_.most(clock_.now(), side); }
-  std::size_t used() const { return places_.used(); }
-  std::size_t used(Side side) const { return places_.used(side); }
+  std::size_t most(Side side) { return permits_.most(clock_.now(), side); }
+  std::size_t used() const { return permits_.used(); }
+  std::size_t used(Side side) const { return permits_.used(side); }
   // A bound of all together from now on; more may be in use.
-  void setLimit(std::size_t limit) { places_.setAll(limit); }
-  std::size_t limit() const { return places_.all(); }
+  void setLimit(std::size_t limit) { permits_.setAll(limit); }
+  std::size_t limit() const { return permits_.all(); }
 
  private:
   struct Reclaimer {
@@ -51,7 +51,7 @@
 
   // Where a side is at its own bound, only its own connections make room for it.
   bool reclaim(Side side) {
-    const bool own = places_.used(side) >= places_.most(clock_.now(), side);
+    const bool own = permits_.used(side) >= permits_.most(clock_.now(), side);
     for (const Reclaimer& r : reclaimers_) {
       if ((!own || r.side == side) && r.closeOne()) return true;
     }
@@ -59,7 +59,7 @@
   }
 
   const Clock& clock_;
-  admission::Places places_;
+  admission::PermitPool permits_;
   std::vector<Reclaimer> reclaimers_;
 };
 
--- a/src/net/include/net/head_rules.h
+++ b/src/net/include/net/head_rules.h
@@ -18,6 +18,6 @@
 };
 
 // What is wrong with a request of a class that has this effect; nothing: it may go on.
-std::optional<HeadFault> faultOf(const RequestHead& head, load_balancer::Effect effect);
+std::optional<HeadFault> faultOf(const RequestHead& head, load_balancer::Idempotency idempotency);
 
 }  // namespace client_proxy
--- a/src/net/include/net/operator_settings.h
+++ b/src/net/include/net/operator_settings.h
@@ -21,9 +21,9 @@
   // Not set: what follows from the platform's limits.
   std::optional<std::size_t> connections, connections_per_address, idle_kept, open, waiting, retries_least;
   std::optional<double> retries_part;
-  std::optional<Time> first_byte, request, idle, write, linger;       // of clients' connections
-  std::optional<Time> connect, upstream_idle, probe_timeout, answer;  // of hosts' connections
-  std::vector<admission::RequestGate::Share> classes, tenants;        // by index; empty: no shares
+  std::optional<Time> first_byte, request, idle, write, linger;              // of clients' connections
+  std::optional<Time> connect, upstream_idle, health_check_timeout, answer;  // of hosts' connections
+  std::vector<admission::RequestGate::Share> classes, tenants;               // by index; empty: no shares
 };
 
 }  // namespace client_proxy
--- a/src/net/include/net/server.h
+++ b/src/net/include/net/server.h
@@ -87,7 +87,7 @@
   class Connection;
   friend class Connection;
   using Socket = boost::asio::ip::tcp::socket;
-  using Cause = admission::Cause;
+  using RejectionReason = admission::RejectionReason;
   using ConnectionId = admission::ConnectionId;
 
   Time now() const { return timers_.clock().now(); }
@@ -96,11 +96,11 @@
   void acceptBatch();
   bool takePlace();
   template <typename Choose>
-  std::shared_ptr<Connection> chosen(Choose choose, Cause* why = nullptr);
+  std::shared_ptr<Connection> chosen(Choose choose, RejectionReason* why = nullptr);
   template <typename Choose>
   bool closeChosen(Choose choose);
   std::shared_ptr<Connection> admit(Socket socket);
-  void remove(ConnectionId connection, Cause cause);
+  void remove(ConnectionId connection, RejectionReason reason);
   void sweep();
   void grantBodies();
 
--- a/src/net/include/net/service_gate.h
+++ b/src/net/include/net/service_gate.h
@@ -28,7 +28,7 @@
     bool malformed = false;          // its target can be read in more ways than one: it is no request
   };
   virtual Match serviceOf(const RequestHead& head, std::string_view request_class,
-                          load_balancer::Effect effect) const = 0;
+                          load_balancer::Idempotency idempotency) const = 0;
   // To be asked when a request comes, and again at the moment of each sending.
   virtual Leave leave(Service service) const = 0;
   // While the proxy comes back from a power cut: how long a request of this class has to stay away yet, since
@@ -38,8 +38,8 @@
   struct Ended {
     const RequestHead& head;
     std::string_view request_class;
-    load_balancer::Effect effect = load_balancer::Effect::Safe;
-    double worth = 0;
+    load_balancer::Idempotency idempotency = load_balancer::Idempotency::Idempotent;
+    double priority_weight = 0;
     std::string_view zone;  // where it ran last; empty: nowhere
     Time took = 0;          // there
     int status = 0;
--- a/src/net/include/net/upstream.h
+++ b/src/net/include/net/upstream.h
@@ -62,7 +62,7 @@
   // It is served, by a long answer. Once at most; its end follows when all has come, or broke off, or when
   // nobody takes it any more.
   virtual void onAttemptAnswers(AttemptId id, LongAnswer answer) = 0;
-  virtual void onProbeEnd(const std::string& uid, bool ok, Time latency, const std::string& load) = 0;
+  virtual void onHealthCheckEnd(const std::string& uid, bool ok, Time latency, const std::string& load) = 0;
 };
 
 class Upstream {
@@ -70,10 +70,10 @@
   struct Limits {
     Time connect_timeout = 250 * kMillisecond;
     Time idle = 10 * kSecond;  // when hosts close idle connections
-    Time probe_timeout = 500 * kMillisecond;
+    Time health_check_timeout = 500 * kMillisecond;
     Time answer_whole = 250 * kMillisecond;  // an answer may stand still for, on its way
     Time long_still = 4 * kSecond;           // the same for a long one, and for a long request on its way
-    bool probe_load = false;                 // hosts report their load to probes
+    bool health_check_load = false;          // hosts report their load to probes
   };
 
   Upstream(boost::asio::io_context& io, Timers& timers, Descriptors& descriptors, AttemptSink& sink,
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -50,7 +50,7 @@
   ending_ = true;
   bodies_->onRoom(nullptr);
   const auto connections = std::exchange(connections_, {});
-  for (const auto& [id, connection] : connections) connection->close(Cause::Shutdown);
+  for (const auto& [id, connection] : connections) connection->close(RejectionReason::Shutdown);
 }
 
 void Server::listenOn(int descriptor) {
@@ -183,9 +183,9 @@
   return connection;
 }
 
-void Server::remove(ConnectionId connection, Cause cause) {
+void Server::remove(ConnectionId connection, RejectionReason reason) {
   if (connections_.erase(connection) == 0) return;
-  gate_.onClosed(connection, cause);
+  gate_.onClosed(connection, reason);
   descriptors_.release(Side::Clients);
 }
 
@@ -195,11 +195,11 @@
 
 // What is chosen but has input waiting is passed over: its reading is under way.
 template <typename Choose>
-std::shared_ptr<Server::Connection> Server::chosen(Choose choose, Cause* why) {
+std::shared_ptr<Server::Connection> Server::chosen(Choose choose, RejectionReason* why) {
   while (const auto victim = choose()) {
     const std::shared_ptr<Connection> connection = connections_.at(victim->id);
     if (!connection->inputWaits()) {
-      if (why != nullptr) *why = victim->cause;
+      if (why != nullptr) *why = victim->reason;
       return connection;
     }
     gate_.notYet(now(), victim->id);
@@ -210,7 +210,7 @@
 // At once: its place is wanted.
 template <typename Choose>
 bool Server::closeChosen(Choose choose) {
-  Cause why = Cause::None;
+  RejectionReason why = RejectionReason::None;
   const auto connection = chosen(choose, &why);
   if (connection) connection->close(why);
   return connection != nullptr;
@@ -223,7 +223,7 @@
     const auto it = connections_.find(id);
     if (it == connections_.end()) continue;
     const std::shared_ptr<Connection> connection = it->second;
-    connection->overdue(admission::ConnectionGate::causeOf(state));
+    connection->overdue(admission::ConnectionGate::reasonOf(state));
   }
   timers_.after(kSweep, [this] { sweep(); });
 }
@@ -242,7 +242,7 @@
 
 void Server::closeIdle(Time rested) {
   while (const auto resting = chosen([&] { return gate_.makeRoom(now(), rested); }))
-    resting->retire(Cause::Shutdown);
+    resting->retire(RejectionReason::Shutdown);
 }
 
 void Server::stopListening() {
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -70,9 +70,9 @@
 void Upstream::probe(std::string_view uid) {
   const auto it = pools_.find(uid);
   Connection* connection = it == pools_.end() ? nullptr : open(it->first, it->second.endpoint);
-  if (connection == nullptr) return sink_.onProbeEnd(std::string(uid), false, 0, {});
-  connection->startProbe(std::string("GET ") + (limits_.probe_load ? "/load" : "/healthz") +
-                         " HTTP/1.1\r\nHost: api.internal\r\n\r\n");
+  if (connection == nullptr) return sink_.onHealthCheckEnd(std::string(uid), false, 0, {});
+  connection->startHealthCheck(std::string("GET ") + (limits_.health_check_load ? "/load" : "/healthz") +
+                               " HTTP/1.1\r\nHost: api.internal\r\n\r\n");
 }
 
 void Upstream::giveUp(AttemptId id, Result as) {
--- a/src/operator/include/operator/operator_file.h
+++ b/src/operator/include/operator/operator_file.h
@@ -53,7 +53,7 @@
 };
 
 // The module's word for it.
-load_balancer::Effect effectOf(conf::Effect effect);
+load_balancer::Idempotency effectOf(conf::Idempotency idempotency);
 
 // The services of another operator file, as it would have them. Throws ConfigurationRefused.
 std::optional<ServiceSettings> readServices(conf::FileSource& files, const std::string& path);
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -57,7 +57,7 @@
   s.linger = m.linger;
   s.connect = m.connect;
   s.upstream_idle = m.upstream_idle;
-  s.probe_timeout = m.probe_timeout;
+  s.health_check_timeout = m.health_check_timeout;
   s.answer = m.answer;
   return s;
 }
@@ -87,16 +87,17 @@
 
 load_balancer::RequestClass classOf(const conf::ClassModel& c) {
   load_balancer::RequestClass out;
-  out.aim = c.aim;
+  out.latency_objective = c.latency_objective;
   out.deadline = c.deadline;
-  out.effect = effectOf(c.effect);
-  out.group = c.group == conf::Group::All    ? load_balancer::Group::All
-              : c.group == conf::Group::Zone ? load_balancer::Group::Zone
-                                             : load_balancer::Group::Cell;
-  out.window = c.window;
+  out.idempotency = effectOf(c.idempotency);
+  out.deduplication_scope =
+      c.deduplication_scope == conf::DeduplicationScope::All    ? load_balancer::DeduplicationScope::All
+      : c.deduplication_scope == conf::DeduplicationScope::Zone ? load_balancer::DeduplicationScope::Zone
+                                                                : load_balancer::DeduplicationScope::Cell;
+  out.deduplication_window = c.deduplication_window;
   out.max_attempts = c.attempts.value_or(0);
-  out.worth = c.worth;
-  out.late_worth = c.late_worth;
+  out.priority_weight = c.priority_weight;
+  out.late_weight = c.late_weight;
   return out;
 }
 
@@ -108,17 +109,17 @@
   s.reports = load_balancer::ReportSource::None;
   s.weighted = true;
   for (const conf::ClassModel& c : m.classes) s.classes.push_back(classOf(c));
-  for (const conf::TenantModel& t : m.tenants) s.tenants.push_back({.fraction = t.part});
+  for (const conf::TenantModel& t : m.tenants) s.tenants.push_back({.quota = t.part});
   s.max_attempts = p.attempts;
   s.may_cancel = p.cancel;
-  s.may_probe = p.probe;
+  s.may_health_check = p.probe;
   s.retry_after = p.retry_after_most > 0;
   s.max_retry_after = p.retry_after_most;
   s.drain_grace = p.drain_grace;
-  s.cold_from = p.cold_from;
-  s.cold_time = p.cold_time;
-  s.cold_multiple = p.cold_multiple;
-  s.cold_window = 2 * kSecond;
+  s.slow_start_initial_capacity = p.slow_start_initial_capacity;
+  s.slow_start_duration = p.slow_start_duration;
+  s.slow_start_overload_factor = p.slow_start_overload_factor;
+  s.slow_start_overload_window = 2 * kSecond;
   return s;
 }
 
@@ -232,10 +233,10 @@
 
 }  // namespace
 
-load_balancer::Effect effectOf(conf::Effect effect) {
-  return effect == conf::Effect::Safe    ? load_balancer::Effect::Safe
-         : effect == conf::Effect::Keyed ? load_balancer::Effect::Keyed
-                                         : load_balancer::Effect::Unsafe;
+load_balancer::Idempotency effectOf(conf::Idempotency idempotency) {
+  return idempotency == conf::Idempotency::Idempotent          ? load_balancer::Idempotency::Idempotent
+         : idempotency == conf::Idempotency::IdempotentWithKey ? load_balancer::Idempotency::IdempotentWithKey
+                                                               : load_balancer::Idempotency::NonIdempotent;
 }
 
 OperatorSource::OperatorSource(conf::FileSource& files, std::string path, Environment getenv)
--- a/src/ownership/rehearsing.cpp
+++ b/src/ownership/change_preview_coordinator.cpp
@@ -1,4 +1,4 @@
-#include "ownership/rehearsing.h"
+#include "ownership/change_preview_coordinator.h"
 
 #include <algorithm>
 #include <bit>
@@ -10,8 +10,8 @@
 namespace client_proxy::ownership {
 namespace {
 
+using change_preview::PreviewTotals;
 using nlohmann::ordered_json;
-using rehearsal::Tally;
 
 constexpr std::uint8_t kAsk = 0x10, kTell = 0x20;
 constexpr std::size_t kPiece = 180, kRecorded = 16'384;
@@ -35,12 +35,12 @@
 
 }  // namespace
 
-std::vector<std::string> piecesOf(const Tally& tally, std::size_t most) {
+std::vector<std::string> piecesOf(const PreviewTotals& totals, std::size_t most) {
   std::string all;
   const auto number = [&](double n) { fleet::put(all, std::bit_cast<std::uint64_t>(n)); };
-  eachNumber(tally, number);
-  fleet::put(all, static_cast<std::uint16_t>(tally.members));
-  eachTable(tally, [&](const std::map<std::string, double>& table) {
+  eachNumber(totals, number);
+  fleet::put(all, static_cast<std::uint16_t>(totals.members));
+  eachTable(totals, [&](const std::map<std::string, double>& table) {
     fleet::put(all, static_cast<std::uint16_t>(table.size()));
     for (const auto& [name, n] : table) {
       const std::string_view cut = std::string_view(name).substr(0, 64);
@@ -54,11 +54,11 @@
   return pieces;
 }
 
-std::optional<Tally> tallyOf(const std::vector<std::string>& pieces) {
+std::optional<PreviewTotals> totalsOf(const std::vector<std::string>& pieces) {
   std::string all;
   for (const std::string& p : pieces) all += p;
   fleet::Reader in(all);
-  Tally t;
+  PreviewTotals t;
   bool sound = true;
   const auto number = [&](double& n) {
     n = std::bit_cast<double>(in.get<std::uint64_t>());
@@ -76,39 +76,43 @@
   return t;
 }
 
-Rehearsing::Rehearsing(const Services& now, const std::vector<ServiceSetting>& settings, Number self,
-                       World world)
+ChangePreviewCoordinator::ChangePreviewCoordinator(const Services& now,
+                                                   const std::vector<ServiceSetting>& settings, Number self,
+                                                   Environment environment)
     : now_(now),
       settings_(settings),
       self_(self),
-      world_(std::move(world)),
+      environment_(std::move(environment)),
       record_(kRecorded, kSpan, self + 1U) {}
 
-void Rehearsing::note(const ServiceGate::Ended& r, Time now) {
+void ChangePreviewCoordinator::note(const ServiceGate::Ended& r, Time now) {
   const routing::Target target = routing::targetOf(r.head.target);
   if (!target.ok()) return;
-  record::Entry e;
+  traffic_sample::SampledRequest e;
   e.at = now;
   e.key = r.head.key.empty() ? 0 : hashOf(r.head.key);
   e.work = static_cast<float>(static_cast<double>(r.took) / 1e6);
-  e.worth = static_cast<float>(r.worth);
+  e.priority_weight = static_cast<float>(r.priority_weight);
   e.request_class = names_.numberOf(r.request_class);
   e.tenant = names_.numberOf(r.head.account);
   e.method = names_.numberOf(r.head.method);
-  e.path = names_.numberOf(record::shapeOf(target.path));
+  e.path = names_.numberOf(traffic_sample::shapeOf(target.path));
   e.zone = names_.numberOf(r.zone);
-  e.effect = r.effect == load_balancer::Effect::Safe    ? record::Effect::Safe
-             : r.effect == load_balancer::Effect::Keyed ? record::Effect::Keyed
-                                                        : record::Effect::Unsafe;
-  e.outcome = r.status == 200   ? record::Outcome::Served
-              : r.status == 503 ? record::Outcome::Refused
-                                : record::Outcome::Failed;
+  e.idempotency = r.idempotency == load_balancer::Idempotency::Idempotent
+                      ? traffic_sample::Idempotency::Idempotent
+                  : r.idempotency == load_balancer::Idempotency::IdempotentWithKey
+                      ? traffic_sample::Idempotency::IdempotentWithKey
+                      : traffic_sample::Idempotency::NonIdempotent;
+  e.outcome = r.status == 200   ? traffic_sample::Outcome::Served
+              : r.status == 503 ? traffic_sample::Outcome::Refused
+                                : traffic_sample::Outcome::Failed;
   record_.note(e);
 }
 
-std::optional<Rehearsing::Pending> Rehearsing::readPending(std::string& fault) const {
+std::optional<ChangePreviewCoordinator::Pending> ChangePreviewCoordinator::readPending(
+    std::string& fault) const {
   try {
-    ServiceSettings settings = world_.pending();
+    ServiceSettings settings = environment_.pending();
     Services services(settings.services);
     const std::uint32_t hash = services.hash() == 0 ? 1 : services.hash();
     return Pending{hash, std::move(settings.services), std::move(services)};
@@ -119,20 +123,20 @@
 }
 
 // The grant that holds stays with its service, unless the file gives it another home.
-Tally Rehearsing::replay(const Pending& pending, Time now) const {
+PreviewTotals ChangePreviewCoordinator::replay(const Pending& pending, Time now) const {
   const auto side = [&](const Services& services, const std::vector<ServiceSetting>& settings) {
-    rehearsal::Side s;
+    change_preview::RoutingSnapshot s;
     std::vector<std::string> zones;
     for (const ServiceSetting& v : settings) {
       const auto before =
           std::find_if(settings_.begin(), settings_.end(), [&](auto& o) { return o.name == v.name; });
-      const leases::Grant held = world_.known(leases::serviceId(v.name));
+      const leases::Grant held = environment_.known(leases::serviceId(v.name));
       const bool stays = held.term > 0 && before != settings_.end() && before->home == v.home;
-      zones.push_back(stays ? world_.zone_of(held.site) : v.home);
+      zones.push_back(stays ? environment_.zone_of(held.site) : v.home);
       for (const ServiceRoute& r : v.routes) s.routes.push_back(v.name + "/" + r.name);
     }
-    s.place = [this, &services, &settings, zones](const record::Entry& e) {
-      rehearsal::Placed p;
+    s.place = [this, &services, &settings, zones](const traffic_sample::SampledRequest& e) {
+      change_preview::Placement p;
       const Services::Match m =
           services.find(names_.at(e.path), names_.at(e.method), names_.at(e.request_class));
       if (!m.service) return p;
@@ -144,26 +148,26 @@
     };
     return s;
   };
-  return rehearsal::replay(record_, names_, side(now_, settings_), side(pending.services, pending.settings),
-                           now);
+  return change_preview::replay(record_, names_, side(now_, settings_),
+                                side(pending.services, pending.settings), now);
 }
 
-rehearsal::Grounds Rehearsing::grounds() const {
-  rehearsal::Grounds g;
+change_preview::PreviewInputs ChangePreviewCoordinator::inputs() const {
+  change_preview::PreviewInputs g;
   g.file = now_.hash();
   g.pending = pending_;
   std::uint32_t deeds = 0, members = 0;
   for (const leases::Service& s : now_.deeds()) {
-    const leases::Grant d = world_.known(s.id);
+    const leases::Grant d = environment_.known(s.id);
     deeds ^= leases::serviceId(s.name + "/" + std::to_string(d.term) + "/" + std::to_string(d.site));
   }
-  for (const Number n : world_.live()) members ^= leases::serviceId("member " + std::to_string(n));
+  for (const Number n : environment_.live()) members ^= leases::serviceId("member " + std::to_string(n));
   g.deeds = deeds;
   g.members = members;
   return g;
 }
 
-std::string Rehearsing::begin(Time now) {
+std::string ChangePreviewCoordinator::begin(Time now) {
   std::string fault;
   const auto pending = readPending(fault);
   if (!pending) return fault;
@@ -172,39 +176,39 @@
   began_ = now;
   heard_.clear();
   heard_[self_] = {pending_, {}, 0, replay(*pending, now)};
-  grounds_ = grounds();
+  inputs_ = inputs();
   asked_ = now - kAskEvery;
   onTime(now);
   return {};
 }
 
-void Rehearsing::ask(Number to) {
+void ChangePreviewCoordinator::ask(Number to) {
   std::string bytes;
   fleet::put(bytes, kAsk);
   fleet::put(bytes, round_);
   fleet::put(bytes, pending_);
-  world_.send(to, bytes);
+  environment_.send(to, bytes);
 }
 
-void Rehearsing::onTime(Time now) {
+void ChangePreviewCoordinator::onTime(Time now) {
   if (round_ == 0 || done(now) || now - asked_ < kAskEvery) return;
   asked_ = now;
-  for (const Number n : world_.live()) {
+  for (const Number n : environment_.live()) {
     const auto it = heard_.find(n);
-    if (n != self_ && (it == heard_.end() || (!it->second.tally && it->second.pending == pending_))) ask(n);
+    if (n != self_ && (it == heard_.end() || (!it->second.totals && it->second.pending == pending_))) ask(n);
   }
 }
 
-bool Rehearsing::done(Time now) const {
+bool ChangePreviewCoordinator::done(Time now) const {
   if (now - began_ >= kWait) return true;
-  const std::vector<Number> live = world_.live();
+  const std::vector<Number> live = environment_.live();
   return std::all_of(live.begin(), live.end(), [&](Number n) {
     const auto it = heard_.find(n);
-    return it != heard_.end() && (it->second.tally || it->second.pending != pending_);
+    return it != heard_.end() && (it->second.totals || it->second.pending != pending_);
   });
 }
 
-void Rehearsing::receive(Time now, Number from, std::string_view parcel) {
+void ChangePreviewCoordinator::receive(Time now, Number from, std::string_view parcel) {
   fleet::Reader in(parcel);
   const auto kind = in.get<std::uint8_t>();
   const auto round = in.get<std::uint32_t>();
@@ -223,7 +227,7 @@
       fleet::put(bytes, hash);
       fleet::put(bytes, static_cast<std::uint8_t>(i));
       fleet::put(bytes, static_cast<std::uint8_t>(pieces.size()));
-      world_.send(from, bytes + pieces[i]);
+      environment_.send(from, bytes + pieces[i]);
     }
     return;
   }
@@ -231,7 +235,7 @@
   const auto piece = in.get<std::uint8_t>(), of = in.get<std::uint8_t>();
   if (!in.ok()) return;
   Heard& h = heard_[from];
-  if (h.tally) return;
+  if (h.totals) return;
   h.pending = pending;
   if (pending != pending_) return;
   if (h.of != of) h.pieces.clear();  // its record has grown since it was asked first
@@ -240,25 +244,26 @@
   if (h.pieces.size() < h.of) return;
   std::vector<std::string> all;
   for (auto& [at, bytes] : h.pieces) all.push_back(bytes);
-  h.tally = tallyOf(all);
-  if (!h.tally) h.pieces.clear();  // pieces of two answers
+  h.totals = totalsOf(all);
+  if (!h.totals) h.pieces.clear();  // pieces of two answers
 }
 
-std::string Rehearsing::page(Time now) const {
+std::string ChangePreviewCoordinator::page(Time now) const {
   if (round_ == 0) return ordered_json{{"state", "none"}}.dump(2);
-  Tally all;
+  PreviewTotals all;
   std::size_t unlike = 0;
   ordered_json others = ordered_json::array();
   for (const auto& [n, h] : heard_) {
-    if (h.tally) {
-      all.add(*h.tally);
+    if (h.totals) {
+      all.add(*h.totals);
     } else if (h.pending != pending_) {
       ++unlike;
       others.push_back(n);
     }
   }
-  const rehearsal::Verdict v = rehearsal::judge(all, world_.rooms(), world_.live().size(), unlike, grounds_);
-  const bool holds = v.holds(grounds());
+  const change_preview::Assessment v =
+      change_preview::assess(all, environment_.rooms(), environment_.live().size(), unlike, inputs_);
+  const bool holds = v.holds(inputs());
   const auto part = [&](double n) { return all.all > 0 ? n / all.all : 0; };
   ordered_json load = ordered_json::object();
   for (const auto& [zone, work] : all.work)
@@ -266,7 +271,7 @@
   ordered_json page = {{"state", !done(now) ? "gathering"
                                  : holds    ? "judged"
                                             : "void"},
-                       {"judgement", rehearsal::nameOf(v.judgement)},
+                       {"judgement", change_preview::nameOf(v.risk)},
                        {"causes", v.causes},
                        {"members", all.members},
                        {"coverage", v.coverage},
--- a/src/ownership/include/ownership/rehearsing.h
+++ b/src/ownership/include/ownership/change_preview_coordinator.h
@@ -9,22 +9,22 @@
 #include <string_view>
 #include <vector>
 
+#include "change_preview/change_preview.h"
 #include "leases/types.h"
 #include "net/service_gate.h"
 #include "ownership/services.h"
-#include "record/record.h"
-#include "rehearsal/rehearsal.h"
+#include "traffic_sample/traffic_sample.h"
 
 namespace client_proxy::ownership {
 
 // In pieces that fit a parcel; whatever is lost of them is asked for again.
-std::vector<std::string> piecesOf(const rehearsal::Tally& tally, std::size_t most);
-std::optional<rehearsal::Tally> tallyOf(const std::vector<std::string>& pieces);
+std::vector<std::string> piecesOf(const change_preview::PreviewTotals& totals, std::size_t most);
+std::optional<change_preview::PreviewTotals> totalsOf(const std::vector<std::string>& pieces);
 
-class Rehearsing {
+class ChangePreviewCoordinator {
  public:
   using Number = std::uint16_t;
-  struct World {
+  struct Environment {
     std::function<leases::Grant(leases::ServiceId)> known;
     std::function<std::string(leases::SiteId)> zone_of;
     std::function<ServiceSettings()> pending;  // throws std::exception: it can't be read
@@ -33,7 +33,8 @@
     std::function<void(Number, std::string)> send;
   };
   // `now` must outlive it.
-  Rehearsing(const Services& now, const std::vector<ServiceSetting>& settings, Number self, World world);
+  ChangePreviewCoordinator(const Services& now, const std::vector<ServiceSetting>& settings, Number self,
+                           Environment environment);
 
   static bool isMine(std::string_view parcel) { return !parcel.empty() && (parcel.front() & 0x0F) == 0; }
   void note(const ServiceGate::Ended& request, Time now);
@@ -52,27 +53,27 @@
     Services services;
   };
   std::optional<Pending> readPending(std::string& fault) const;
-  rehearsal::Tally replay(const Pending& pending, Time now) const;
-  rehearsal::Grounds grounds() const;
+  change_preview::PreviewTotals replay(const Pending& pending, Time now) const;
+  change_preview::PreviewInputs inputs() const;
   void ask(Number to);
 
   const Services& now_;
   const std::vector<ServiceSetting>& settings_;
   const Number self_;
-  const World world_;
-  record::Names names_;
-  record::Record record_;
+  const Environment environment_;
+  traffic_sample::NameTable names_;
+  traffic_sample::TrafficSample record_;
 
   struct Heard {
     std::uint32_t pending = 0;
     std::map<std::uint8_t, std::string> pieces;
     std::size_t of = 0;
-    std::optional<rehearsal::Tally> tally;
+    std::optional<change_preview::PreviewTotals> totals;
   };
   std::uint32_t round_ = 0, pending_ = 0;
   Time began_ = 0, asked_ = 0;
   std::map<Number, Heard> heard_;
-  rehearsal::Grounds grounds_;
+  change_preview::PreviewInputs inputs_;
 };
 
 }  // namespace client_proxy::ownership
--- a/src/ownership/include/ownership/ownership_service.h
+++ b/src/ownership/include/ownership/ownership_service.h
@@ -10,12 +10,12 @@
 #include <string>
 #include <string_view>
 
-#include "fleet_transport/neighbours.h"
+#include "fleet_transport/membership_service.h"
 #include "leases/member.h"
 #include "net/clock.h"
 #include "net/log.h"
 #include "net/service_gate.h"
-#include "ownership/rehearsing.h"
+#include "ownership/change_preview_coordinator.h"
 #include "ownership/services.h"
 #include "recovery/recovery.h"
 #include "storage/async_store.h"
@@ -28,26 +28,26 @@
     ServiceSettings own;
     std::string fleet;
     std::uint16_t number = 0;
-    Time longest_deadline = 0, longest_window = 0;         // of all classes
-    std::map<std::string, double, std::less<>> worth;      // by class
-    std::function<ServiceSettings()> pending;              // the pending file's; throws
-    std::function<std::map<std::string, double>()> rooms;  // by zone
+    Time longest_deadline = 0, longest_window = 0;               // of all classes
+    std::map<std::string, double, std::less<>> priority_weight;  // by class
+    std::function<ServiceSettings()> pending;                    // the pending file's; throws
+    std::function<std::map<std::string, double>()> rooms;        // by zone
   };
   // Throws std::runtime_error with what is wrong with the settings. `talk` must outlive it.
   OwnershipService(boost::asio::io_context& io, const Clock& clock, Log& log, Settings settings,
-                   fleet_transport::Neighbours& talk, std::function<bool()> listed);
+                   fleet_transport::MembershipService& talk, std::function<bool()> listed);
   ~OwnershipService() override;
 
   // `handed_on`: the process before this one has passed on its state in an upgrade.
   void start(bool handed_on);
   // An orderly end, recorded in storage: the next process need not wait for requests that were cut short.
   void end();
-  // Sends nothing any more, since another process of this member has taken over, until goOn().
-  void giveUp();
-  void goOn();
+  // Sends nothing any more, since another process of this member has taken over, until resume().
+  void stop();
+  void resume();
 
   Match serviceOf(const RequestHead& head, std::string_view request_class,
-                  load_balancer::Effect effect) const override;
+                  load_balancer::Idempotency idempotency) const override;
   Leave leave(Service service) const override;
   std::optional<Time> heldBack(const load_balancer::RequestClass& of, bool served) const override;
   void turnedAway(Service service, std::uint32_t term) override;
@@ -74,16 +74,16 @@
   const Clock& clock_;
   Log& log_;
   const Settings settings_;
-  fleet_transport::Neighbours& talk_;
+  fleet_transport::MembershipService& talk_;
   const std::function<bool()> listed_;
   const Services services_;
   std::map<leases::SiteId, std::string> zones_;
   leases::Settings lease_settings_;
   std::unique_ptr<storage::AsyncStore> store_;  // null: nothing is stored
   std::unique_ptr<leases::Member> member_;
-  std::unique_ptr<Rehearsing> rehearsing_;
+  std::unique_ptr<ChangePreviewCoordinator> rehearsing_;
   recovery::Recovery recovery_;
-  recovery::Stage stage_ = recovery::Stage::Dark;
+  recovery::Stage stage_ = recovery::Stage::NoEndpoints;
   boost::asio::steady_timer observe_timer_, due_timer_;
   Time armed_for_ = kNever, started_ = 0;
   std::string storage_fault_;
--- a/src/ownership/ownership_service.cpp
+++ b/src/ownership/ownership_service.cpp
@@ -29,7 +29,7 @@
 }  // namespace
 
 OwnershipService::OwnershipService(boost::asio::io_context& io, const Clock& clock, Log& log,
-                                   Settings settings, fleet_transport::Neighbours& talk,
+                                   Settings settings, fleet_transport::MembershipService& talk,
                                    std::function<bool()> listed)
     : clock_(clock),
       log_(log),
@@ -44,7 +44,7 @@
   lease_settings_.drain = settings_.longest_deadline + settings_.longest_window;
   lease_settings_.config_hash = services_.hash();
   std::vector<leases::Listed> listed_members;
-  for (const fleet_transport::Neighbours::Member& m : talk_.members()) {
+  for (const fleet_transport::MembershipService::Member& m : talk_.members()) {
     const leases::SiteId site = leases::siteId(m.zone);
     listed_members.push_back({m.number, site});
     zones_[site] = m.zone;
@@ -61,15 +61,15 @@
   } catch (const std::invalid_argument& e) {
     throw std::runtime_error(std::string("services: ") + e.what());
   }
-  Rehearsing::World world;
-  world.known = [this](leases::ServiceId id) { return member_->known(id); };
-  world.zone_of = [this](leases::SiteId site) { return zoneOf(site); };
-  world.pending = settings_.pending;
-  world.rooms = settings_.rooms;
-  world.live = [this] { return member_->liveness().live; };
-  world.send = [this](std::uint16_t to, std::string bytes) { talk_.send(to, std::move(bytes)); };
-  rehearsing_ =
-      std::make_unique<Rehearsing>(services_, settings_.own.services, settings_.number, std::move(world));
+  ChangePreviewCoordinator::Environment environment;
+  environment.known = [this](leases::ServiceId id) { return member_->known(id); };
+  environment.zone_of = [this](leases::SiteId site) { return zoneOf(site); };
+  environment.pending = settings_.pending;
+  environment.rooms = settings_.rooms;
+  environment.live = [this] { return member_->liveness().live; };
+  environment.send = [this](std::uint16_t to, std::string bytes) { talk_.send(to, std::move(bytes)); };
+  rehearsing_ = std::make_unique<ChangePreviewCoordinator>(services_, settings_.own.services,
+                                                           settings_.number, std::move(environment));
   if (settings_.own.memory.empty()) return;
   storage::AsyncStore::Callbacks callbacks;
   callbacks.written = [this](const storage::Change& change, bool ok) {
@@ -97,26 +97,26 @@
 void OwnershipService::start(bool handed_on) {
   const Time now = clock_.now();
   started_ = now;
-  recovery::Before before = recovery::Before::Unknown;
+  recovery::PreviousRun before = recovery::PreviousRun::Unknown;
   std::vector<leases::StoredGrant> remembered;
   std::uint32_t installation = 0;
   if (store_ && store_->contents()) {
     const storage::Contents& m = *store_->contents();
-    before = m.fresh ? recovery::Before::Nothing : recovery::Before::Ended;
+    before = m.fresh ? recovery::PreviousRun::None : recovery::PreviousRun::Clean;
     for (const storage::Note& n : m.notes) {
-      if (n.name == kRunning && n.bytes == "1") before = recovery::Before::CutShort;
+      if (n.name == kRunning && n.bytes == "1") before = recovery::PreviousRun::Interrupted;
     }
     remembered = m.grants;
     installation = m.installation;
     store_->write(storage::Note{kRunning, "1"});
     log_.line("memory: " + std::to_string(remembered.size()) + " deeds remembered; the process before: " +
-              std::string(recovery::nameOf(handed_on ? recovery::Before::Ended : before)));
+              std::string(recovery::nameOf(handed_on ? recovery::PreviousRun::Clean : before)));
   }
-  recovery_.start(now, handed_on ? recovery::Before::Ended : before);
+  recovery_.start(now, handed_on ? recovery::PreviousRun::Clean : before);
   member_->start(now, remembered, installation);
-  talk_.onParcel([this](std::uint16_t from, std::string_view bytes) {
+  talk_.onApplicationMessage([this](std::uint16_t from, std::string_view bytes) {
     if (silent_) return;
-    if (Rehearsing::isMine(bytes)) return rehearsing_->receive(clock_.now(), from, bytes);
+    if (ChangePreviewCoordinator::isMine(bytes)) return rehearsing_->receive(clock_.now(), from, bytes);
     leases::Output out;
     member_->receive(clock_.now(), from, bytes, out);
     perform(out);
@@ -128,18 +128,18 @@
   if (store_) store_->write(storage::Note{kRunning, "0"});
 }
 
-void OwnershipService::giveUp() { silent_ = true; }
-void OwnershipService::goOn() {
+void OwnershipService::stop() { silent_ = true; }
+void OwnershipService::resume() {
   if (std::exchange(silent_, false)) armTimer();
 }
 
 // ---- what the front asks ----
 
 ServiceGate::Match OwnershipService::serviceOf(const RequestHead& head, std::string_view request_class,
-                                               load_balancer::Effect effect) const {
+                                               load_balancer::Idempotency idempotency) const {
   const Services::Match m = services_.find(head.target, head.method, request_class);
   if (m.malformed) return {std::nullopt, true};
-  if (!m.service || effect == load_balancer::Effect::Safe) return {};
+  if (!m.service || idempotency == load_balancer::Idempotency::Idempotent) return {};
   return {services_.deeds()[*m.service].id, false};
 }
 
@@ -168,7 +168,7 @@
 
 void OwnershipService::observe() {
   leases::LivenessView outlook;
-  for (const fleet_transport::Neighbours::Member& m : talk_.members()) {
+  for (const fleet_transport::MembershipService::Member& m : talk_.members()) {
     if (m.live || m.number == settings_.number) outlook.live.push_back(m.number);
   }
   for (const std::string& zone : talk_.lostZones()) outlook.lost.push_back(leases::siteId(zone));
@@ -234,12 +234,13 @@
   f.heard_of = member_->synchronizedMembers();
   f.majority = member_->voters().majority();
   for (const ServiceSetting& s : settings_.own.services) {
-    double worth = 0;
+    double priority_weight = 0;
     for (const ServiceRoute& r : s.routes) {
-      if (const auto it = settings_.worth.find(r.request_class); it != settings_.worth.end())
-        worth = std::max(worth, it->second);
+      if (const auto it = settings_.priority_weight.find(r.request_class);
+          it != settings_.priority_weight.end())
+        priority_weight = std::max(priority_weight, it->second);
     }
-    f.services.push_back({s.name, member_->permit(leases::serviceId(s.name), now), worth});
+    f.services.push_back({s.name, member_->permit(leases::serviceId(s.name), now), priority_weight});
   }
   return f;
 }
--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -11,34 +11,34 @@
 
 RequestClass parseClass(const Node& node) {
   RequestClass c;
-  c.aim = node.at("goal_time_us").time(1);
+  c.latency_objective = node.at("goal_time_us").time(1);
   c.deadline = node.at("deadline_us").time(1);
-  const Node effect = node.at("effect");
-  const std::string name = effect.text();
+  const Node idempotency = node.at("effect");
+  const std::string name = idempotency.text();
   if (name == "retryable") {
-    c.effect = Effect::Safe;
+    c.idempotency = Idempotency::Idempotent;
   } else if (name == "dedup") {
-    c.effect = Effect::Keyed;
-    const Node group = node.at("group");
-    const std::string word = group.text();
+    c.idempotency = Idempotency::IdempotentWithKey;
+    const Node deduplication_scope = node.at("group");
+    const std::string word = deduplication_scope.text();
     if (word == "all") {
-      c.group = Group::All;
+      c.deduplication_scope = DeduplicationScope::All;
     } else if (word == "zone") {
-      c.group = Group::Zone;
+      c.deduplication_scope = DeduplicationScope::Zone;
     } else if (word == "cell") {
-      c.group = Group::Cell;
+      c.deduplication_scope = DeduplicationScope::Cell;
     } else {
-      group.bad("is unknown: " + word);
+      deduplication_scope.bad("is unknown: " + word);
     }
-    c.window = node.at("window_us").time(1);
+    c.deduplication_window = node.at("window_us").time(1);
   } else if (name == "fragile") {
-    c.effect = Effect::Unsafe;
+    c.idempotency = Idempotency::NonIdempotent;
   } else {
-    effect.bad("is unknown: " + name);
+    idempotency.bad("is unknown: " + name);
   }
-  c.worth = node.numberOr("value", 1, 0);
-  c.late_worth = node.numberOr("late_worth", 0, 0);
-  c.aim_stretch = node.numberOr("aim_stretch", 0, 0);
+  c.priority_weight = node.numberOr("value", 1, 0);
+  c.late_weight = node.numberOr("late_worth", 0, 0);
+  c.objective_per_work = node.numberOr("aim_stretch", 0, 0);
   return c;
 }
 
@@ -47,8 +47,8 @@
   const Node report = root.at("report");
   const Node source = report.at("source");
   const std::string word = source.text();
-  if (word == "answers") return ReportSource::Answers;
-  if (word == "probe") return ReportSource::Probe;
+  if (word == "answers") return ReportSource::Responses;
+  if (word == "probe") return ReportSource::HealthChecks;
   if (word != "none") source.bad("is unknown: " + word);
   return ReportSource::None;
 }
@@ -60,7 +60,7 @@
   const Node discovery = root.at("discovery");
   const std::string how = discovery.text();
   if (how != "ask" && how != "push") discovery.bad("is unknown: " + how);
-  s.discovery = how == "ask" ? Discovery::Ask : Discovery::Push;
+  s.discovery = how == "ask" ? Discovery::Poll : Discovery::Push;
   s.reports = parseReports(root);
   s.weighted = root.has("weight_source") && root.at("weight_source").text() != "none";
   s.warm_keys = root.has("domain") && root.at("domain").flagOr("warm_keys", false);
@@ -71,25 +71,25 @@
     const Node parties = root.at("parties");
     for (std::size_t i = 0; i < parties.size(); ++i) {
       const Node party = parties.at(i);
-      s.tenants.push_back({.fraction = party.numberOr("fraction", 0, 0)});
+      s.tenants.push_back({.quota = party.numberOr("fraction", 0, 0)});
     }
   }
-  s.over_share_worth = root.numberOr("over_share_worth", 1, 0);
+  s.over_quota_weight = root.numberOr("over_share_worth", 1, 0);
   const Node limits = root.at("limits");
   s.max_attempts = limits.at("max_attempts").whole(1);
   s.may_cancel = limits.flagOr("may_cancel", false);
-  s.may_probe = limits.flagOr("may_probe", false);
+  s.may_health_check = limits.flagOr("may_probe", false);
   s.retry_after = limits.flagOr("retry_after", false);
   s.max_retry_after = limits.timeOr("max_retry_after_us", 0);
   const Node rules = root.at("rules");
   s.drain_grace = rules.at("drain_grace_us").time(0);
-  s.cold_from = rules.at("cold_from").number(0, 1);
-  if (s.cold_from <= 0) rules.at("cold_from").bad("is out of range: 0");
-  s.cold_time = rules.at("cold_us").time(0);
-  s.cold_multiple = rules.at("tip_multiple").number(0);
-  s.cold_window = rules.at("fall_us").time(0);
-  s.ask_within =
-      s.discovery == Discovery::Ask ? rules.at("ask_within_us").time(1) : rules.timeOr("ask_within_us", 0);
+  s.slow_start_initial_capacity = rules.at("cold_from").number(0, 1);
+  if (s.slow_start_initial_capacity <= 0) rules.at("cold_from").bad("is out of range: 0");
+  s.slow_start_duration = rules.at("cold_us").time(0);
+  s.slow_start_overload_factor = rules.at("tip_multiple").number(0);
+  s.slow_start_overload_window = rules.at("fall_us").time(0);
+  s.poll_interval =
+      s.discovery == Discovery::Poll ? rules.at("ask_within_us").time(1) : rules.timeOr("ask_within_us", 0);
   s.tick = root.at("tick_us").time(1);
   return s;
 }
--- a/src/pools/include/pools/pool.h
+++ b/src/pools/include/pools/pool.h
@@ -25,14 +25,14 @@
 namespace client_proxy {
 
 // A request that was let in, with what it came under.
-struct Taken {
+struct AdmittedRequest {
   ExchangeId exchange = 0;
   ClientRequest request;
   std::int32_t request_class = 0, tenant = load_balancer::kUnset;  // the module's numbers
-  load_balancer::Effect effect = load_balancer::Effect::Unsafe;
+  load_balancer::Idempotency idempotency = load_balancer::Idempotency::NonIdempotent;
   Time deadline = 0;
   Time patience = 0;          // of a long one: how long its client waits after the last byte, at most
-  bool may_have_run = false;  // told by onOver(): an attempt of it may have
+  bool may_have_run = false;  // told by onCompleted(): an attempt of it may have
   std::optional<ServiceGate::Service> service = {};  // that one site alone may run
   std::string zone = {};                             // that site's zone
   std::string ran_in = {};  // where there are services: the zone of its last attempt, and what that took
@@ -44,11 +44,11 @@
  public:
   virtual ~PoolSink() = default;
   // The one final answer of a request, unless its client has gone before.
-  virtual void onAnswer(const Taken& request, Answer answer) = 0;
+  virtual void onAnswer(const AdmittedRequest& request, Answer answer) = 0;
   // An attempt of this class has been written whole to a host.
   virtual void onDispatched(std::int32_t request_class) = 0;
   // Nothing of it is in flight any more, after its answer: the last word on it.
-  virtual void onOver(const Taken& request) = 0;
+  virtual void onCompleted(const AdmittedRequest& request) = 0;
 };
 
 class Pool final : private AttemptSink, private DiscoverySink {
@@ -73,10 +73,10 @@
   // The list as it was last known, perhaps old; then the watch on discovery, if there is one.
   void start(HostList known);
   // The same with what the process before this one knew: `known` is how the list was a moment ago.
-  void start(HostList known, const std::vector<load_balancer::Remembered>& servers);
+  void start(HostList known, const std::vector<load_balancer::HostSnapshot>& servers);
   // What the process after this one is to know.
   HostList hosts() const;
-  std::vector<load_balancer::Remembered> remember() const { return balancer_.remember(); }
+  std::vector<load_balancer::HostSnapshot> snapshot() const { return balancer_.snapshot(); }
   void keepConnections(bool keep) { upstream_.keepConnections(keep); }
   // The whole list is this from now on.
   void setHosts(HostList list);
@@ -84,11 +84,11 @@
   void reconfigure(load_balancer::Settings settings, const Upstream::Limits& upstream);
   void moveDiscovery(const Endpoint& to);
 
-  void open(Taken request);
+  void open(AdmittedRequest request);
   // The last byte of a long request came at `received`; its client waits until `deadline`.
   void uploaded(ExchangeId id, Time received, Time deadline);
   // The process has to leave: every request has its answer by then, whatever time its client has.
-  void endBy(Time last);
+  void finishBy(Time last);
   // Its client has gone: no answer is owed. False: none was, it is not here or has been answered.
   bool clientGone(ExchangeId id);
 
@@ -96,11 +96,12 @@
   bool takeOut(const std::string& host) { return maintain(host, true); }
   bool putBack(const std::string& host) { return maintain(host, false); }
   // As Balancer's.
-  load_balancer::ZoneSeen zoneSeen(std::int32_t zone, Time now, const load_balancer::ZoneSince& since) {
-    return balancer_.zoneSeen(now, zone, since);
+  load_balancer::ZoneObservation observeZone(std::int32_t zone, Time now,
+                                             const load_balancer::ZoneObservedSince& since) {
+    return balancer_.observeZone(now, zone, since);
   }
-  void setZone(std::int32_t zone, load_balancer::ZoneOrder order);
-  load_balancer::Standing standing() const { return balancer_.standing(); }
+  void setZone(std::int32_t zone, load_balancer::ZoneDirective order);
+  load_balancer::HostCounts hostCounts() const { return balancer_.hostCounts(); }
 
   std::size_t openRequests() const { return open_.size(); }
   bool closeOneIdle() { return upstream_.closeOneIdle(); }
@@ -118,7 +119,7 @@
     bool over = false;  // its outcome is known
   };
   struct Open {  // unanswered, or with an attempt out
-    Taken taken;
+    AdmittedRequest taken;
     std::vector<Attempt> attempts;
     std::int32_t outstanding = 0;
     Time uploaded = 0;       // when the last byte of a long request came; 0: not yet
@@ -134,7 +135,7 @@
   std::optional<std::string> onAttemptReady(AttemptId id, bool late) override;
   void onAttemptWritten(AttemptId id) override;
   void onAttemptAnswers(AttemptId id, LongAnswer answer) override;
-  void onProbeEnd(const std::string& uid, bool ok, Time latency, const std::string& load) override;
+  void onHealthCheckEnd(const std::string& uid, bool ok, Time latency, const std::string& load) override;
   void onHostList(const HostList& list) override;
   void onDiscoveryLost(const std::string& why) override;
 
@@ -154,7 +155,7 @@
   }
   void outcome(Time now, RequestId id, std::int32_t attempt, AttemptEnd end);
   void closeIfOver(RequestId id);
-  bool maintain(const std::string& host, bool out_of_use);
+  bool maintain(const std::string& host, bool in_maintenance);
   HostList completed(HostList list) const;
   void applyHosts(const HostList& list);
   void applyList(HostList list, load_balancer::ListKind kind);
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -66,12 +66,12 @@
   if (pushed()) discovery_->subscribe();
 }
 
-void Pool::start(HostList known, const std::vector<load_balancer::Remembered>& servers) {
+void Pool::start(HostList known, const std::vector<load_balancer::HostSnapshot>& servers) {
   known.full = true;
   // Where it was asked may have had revisions of its own.
   if (discovery_) discovery_->askFrom(0);
   applyList(std::move(known), discovery_ ? ListKind::Restored : ListKind::Full);
-  tell([this, &servers](Time now) { balancer_.recall(now, servers, actions_); });
+  tell([this, &servers](Time now) { balancer_.restore(now, servers, actions_); });
   if (pushed()) discovery_->subscribe();
 }
 
@@ -104,7 +104,7 @@
     case ActionKind::Cancel:
       upstream_.giveUp(attemptId(action.request, action.attempt), Result::Cancelled);
       return;
-    case ActionKind::Refuse: {
+    case ActionKind::Reject: {
       Answer answer = plainAnswer(503);
       if (action.time > 0) answer.retry_after = action.time;
       return finish(action.request, answer);
@@ -113,7 +113,7 @@
       const auto it = open_.find(action.request);
       return finish(action.request, plainAnswer(it != open_.end() && it->second.timed_out ? 504 : 502));
     }
-    case ActionKind::Probe:
+    case ActionKind::HealthCheck:
       return upstream_.probe(action.server);
     case ActionKind::Subscribe:
       if (discovery_) discovery_->subscribe();
@@ -123,14 +123,14 @@
         tell([this, timer](Time now) { balancer_.onTimer(now, timer, actions_); });
       });
       return;
-    case ActionKind::Trace:
+    case ActionKind::Log:
       return log(action.text);
   }
 }
 
 // ---- requests ----
 
-void Pool::open(Taken taken) {
+void Pool::open(AdmittedRequest taken) {
   const RequestId id = taken.exchange;
   const Time deadline = taken.deadline = std::min(taken.deadline, last_);
   load_balancer::Request told;
@@ -138,7 +138,7 @@
   told.request_class = taken.request_class;
   told.tenant = taken.tenant;
   told.key = keyOf(pathOf(taken.request.head.target));
-  if (taken.service) told.only_zone = zones_.indexOf(taken.zone);
+  if (taken.service) told.required_zone = zones_.indexOf(taken.zone);
   if (const auto hint = parseSeconds(taken.request.head.weight_hint)) told.expected_work = *hint / kSecond;
   // How long a long one will be on its way nobody knows; the module need not wait for it.
   const Time most = taken.request.rest ? taken.patience : deadline;
@@ -177,9 +177,9 @@
     r.taken.ran_in = host == listed_.end() ? std::string() : zones_.nameOf(host->second.host.zone);
   }
   expectEnd(action.request, r, attempt);
-  upstream_.start(
-      id, action.server,
-      {r.taken.request.body, r.taken.request.rest, r.taken.effect == load_balancer::Effect::Unsafe});
+  upstream_.start(id, action.server,
+                  {r.taken.request.body, r.taken.request.rest,
+                   r.taken.idempotency == load_balancer::Idempotency::NonIdempotent});
 }
 
 // A host begins when it has the last byte: until a long request's has come, no time runs for its attempts.
@@ -212,9 +212,9 @@
 void Pool::closeIfOver(RequestId id) {
   const auto it = open_.find(id);
   if (it == open_.end() || !it->second.answered || it->second.outstanding > 0) return;
-  const Taken over = std::move(it->second.taken);
+  const AdmittedRequest over = std::move(it->second.taken);
   open_.erase(it);
-  sink_.onOver(over);
+  sink_.onCompleted(over);
 }
 
 void Pool::onAttemptTimeout(RequestId id, std::int32_t attempt) {
@@ -245,10 +245,10 @@
   tell([this, id](Time now) { balancer_.onClientGone(now, id, actions_); });
 }
 
-void Pool::endBy(Time last) {
+void Pool::finishBy(Time last) {
   last_ = last;
   // The module's timers first: what it holds without an attempt is answered before we look for what is not.
-  tell([this, last](Time now) { balancer_.endBy(now, last, actions_); });
+  tell([this, last](Time now) { balancer_.finishBy(now, last, actions_); });
   for (auto& [id, request] : open_) {
     request.taken.deadline = std::min(request.taken.deadline, last);
     timers_.at(last, [this, id = id] { onDeadline(id); });
@@ -275,7 +275,7 @@
   const Time now = clock_.now();
   const RequestId request = id / kMostAttempts;
   const auto attempt = static_cast<std::int32_t>(id % kMostAttempts);
-  if (late && !balancer_.mayBegin(now, request, attempt)) return std::nullopt;
+  if (late && !balancer_.mayStart(now, request, attempt)) return std::nullopt;
   const auto it = open_.find(request);
   if (it == open_.end()) return std::nullopt;
   const Open& r = it->second;
@@ -292,7 +292,7 @@
   Attempt& a = r.attempts[static_cast<std::size_t>(attempt)];
   if (std::exchange(a.over, true)) return;
   --r.outstanding;
-  r.taken.may_have_run |= !load_balancer::provesNotRun(end.result);
+  r.taken.may_have_run |= !load_balancer::provesNotProcessed(end.result);
   r.timed_out |= end.result == Result::TimedOut;
   r.taken.ran_for = now - beganAt(r, a);
   if (r.taken.service && !end.term.empty()) {
@@ -336,7 +336,7 @@
     Open& r = it->second;
     r.answered = true;
     r.attempts[static_cast<std::size_t>(attempt)].answered = now;
-    balancer_.onStreaming(now, request, attempt, actions_);
+    balancer_.onResponseStarted(now, request, attempt, actions_);
     Answer begun = plainAnswer(200);
     begun.body = std::move(answer.body);
     begun.content_type = std::move(answer.content_type);
@@ -345,9 +345,9 @@
   });
 }
 
-void Pool::onProbeEnd(const std::string& uid, bool ok, Time latency, const std::string& load) {
+void Pool::onHealthCheckEnd(const std::string& uid, bool ok, Time latency, const std::string& load) {
   tell([this, uid, ok, latency, report = parseLoad(load)](Time now) {
-    balancer_.onProbe(now, uid, ok, latency, report, actions_);
+    balancer_.onHealthCheck(now, uid, ok, latency, report, actions_);
   });
 }
 
--- a/src/pools/pool_hosts.cpp
+++ b/src/pools/pool_hosts.cpp
@@ -27,14 +27,14 @@
   if (discovery_) discovery_->moveTo(to);
 }
 
-bool Pool::maintain(const std::string& host, bool out_of_use) {
-  if (!balancer_.setMaintenance(clock_.now(), host, out_of_use)) return false;
-  if (out_of_use) upstream_.closeIdleTo(host);
-  log("host " + host + (out_of_use ? " is out of use, by hand" : " is in use again, by hand"));
+bool Pool::maintain(const std::string& host, bool in_maintenance) {
+  if (!balancer_.setMaintenance(clock_.now(), host, in_maintenance)) return false;
+  if (in_maintenance) upstream_.closeIdleTo(host);
+  log("host " + host + (in_maintenance ? " is out of use, by hand" : " is in use again, by hand"));
   return true;
 }
 
-void Pool::setZone(std::int32_t zone, load_balancer::ZoneOrder order) {
+void Pool::setZone(std::int32_t zone, load_balancer::ZoneDirective order) {
   tell([this, zone, order](Time now) { balancer_.setZone(now, zone, order, actions_); });
 }
 
@@ -55,7 +55,7 @@
   const auto claim = [&](const Endpoint& at, const load_balancer::Host& host) {
     if (host.state == load_balancer::HostState::Gone) return;
     const auto [it, first] = holders.emplace(at, host);
-    if (!first && host.up_since >= it->second.up_since) it->second = host;
+    if (!first && host.started_at >= it->second.started_at) it->second = host;
   };
   if (!list.full) {
     for (const auto& [uid, known] : listed_) {
--- a/src/recovery/include/recovery/recovery.h
+++ b/src/recovery/include/recovery/recovery.h
@@ -18,12 +18,12 @@
 
 // In the order of return. Each holds what the ones before it hold.
 enum class Stage : std::uint8_t {
-  Dark,   // no list of hosts: nothing can be served
-  Alone,  // safe requests; of who owns what this proxy knows its own memory at most
-  Heard,  // a majority of the others has told what it knows
-  Keyed,  // keyed requests of each service that has an owner; what was asked before the cut is told apart by
-          // the hosts
-  Whole,  // nothing is held back: no client can ask again what ran before the cut
+  NoEndpoints,      // no list of hosts: nothing can be served
+  IdempotentOnly,   // safe requests; of who owns what this proxy knows its own memory at most
+  QuorumReached,    // a majority of the others has told what it knows
+  IdempotencyKeys,  // keyed requests of each service that has an owner; what was asked before the cut is told
+                    // apart by the hosts
+  FullService,  // nothing is held back: no client can ask again what ran before the cut
 };
 constexpr std::string_view nameOf(Stage s) {
   constexpr std::string_view kNames[] = {"dark", "alone", "heard", "keyed", "whole"};
@@ -31,13 +31,13 @@
 }
 
 // How the process before this one ended, as far as anything tells.
-enum class Before : std::uint8_t {
-  Unknown,   // there is no memory, or it can't be used
-  Nothing,   // this is the first one of this memory
-  Ended,     // in order, or it has handed on what it knew
-  CutShort,  // it was running a moment ago: what it sent may have run
+enum class PreviousRun : std::uint8_t {
+  Unknown,      // there is no memory, or it can't be used
+  None,         // this is the first one of this memory
+  Clean,        // in order, or it has handed on what it knew
+  Interrupted,  // it was running a moment ago: what it sent may have run
 };
-constexpr std::string_view nameOf(Before b) {
+constexpr std::string_view nameOf(PreviousRun b) {
   constexpr std::string_view kNames[] = {"unknown", "nothing", "ended", "cut short"};
   return kNames[static_cast<std::size_t>(b)];
 }
@@ -50,7 +50,7 @@
   struct Service {
     std::string name;
     leases::Permit permit;
-    double worth = 0;  // of its classes, at most
+    double priority_weight = 0;  // of its classes, at most
   };
   std::vector<Service> services;
 };
@@ -66,8 +66,8 @@
   // `repeated`: how long a client may ask once more for what it has asked before.
   explicit Recovery(Time repeated) : repeated_(repeated) {}
 
-  void start(Time now, Before before);
-  Before before() const { return before_; }
+  void start(Time now, PreviousRun before);
+  PreviousRun before() const { return before_; }
 
   Stage stage(Time now, const Facts& facts) const;
   // How long a request has to stay away; nothing: it may be served, as far as the cut goes. `served`: by a
@@ -79,7 +79,7 @@
  private:
   Time fenceLeft(Time now) const;
   const Time repeated_;
-  Before before_ = Before::Unknown;
+  PreviousRun before_ = PreviousRun::Unknown;
   Time started_ = 0;
 };
 
--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -4,32 +4,33 @@
 
 namespace client_proxy::recovery {
 
-using load_balancer::Effect;
+using load_balancer::Idempotency;
 
-void Recovery::start(Time now, Before before) {
+void Recovery::start(Time now, PreviousRun before) {
   started_ = now;
   before_ = before;
 }
 
 // A coarse fence, and no record of each request: docs/design-recovery.md has the price of both.
 Time Recovery::fenceLeft(Time now) const {
-  return before_ == Before::CutShort ? std::max<Time>(0, started_ + repeated_ - now) : 0;
+  return before_ == PreviousRun::Interrupted ? std::max<Time>(0, started_ + repeated_ - now) : 0;
 }
 
 Stage Recovery::stage(Time now, const Facts& f) const {
-  if (!f.listed) return Stage::Dark;
-  if (!f.heard && !f.services.empty()) return Stage::Alone;
+  if (!f.listed) return Stage::NoEndpoints;
+  if (!f.heard && !f.services.empty()) return Stage::IdempotentOnly;
   const bool all = std::all_of(f.services.begin(), f.services.end(), [](auto& s) { return s.permit.ok(); });
-  if (!all) return Stage::Heard;
-  return fenceLeft(now) > 0 ? Stage::Keyed : Stage::Whole;
+  if (!all) return Stage::QuorumReached;
+  return fenceLeft(now) > 0 ? Stage::IdempotencyKeys : Stage::FullService;
 }
 
 std::optional<Time> Recovery::heldBack(Time now, const load_balancer::RequestClass& of, bool served) const {
   const Time left = fenceLeft(now);
-  if (left == 0 || of.effect == Effect::Safe) return std::nullopt;
+  if (left == 0 || of.idempotency == Idempotency::Idempotent) return std::nullopt;
   // Hosts that drop a key's repeats tell them from new ones: all of them, or those of the one site.
-  if (of.effect == Effect::Keyed &&
-      (of.group == load_balancer::Group::All || (served && of.group == load_balancer::Group::Zone)))
+  if (of.idempotency == Idempotency::IdempotentWithKey &&
+      (of.deduplication_scope == load_balancer::DeduplicationScope::All ||
+       (served && of.deduplication_scope == load_balancer::DeduplicationScope::Zone)))
     return std::nullopt;
   return left;
 }
@@ -43,7 +44,8 @@
                                    " have told, and the end of what was promised"});
   std::vector<const Facts::Service*> order;
   for (const Facts::Service& s : f.services) order.push_back(&s);
-  std::stable_sort(order.begin(), order.end(), [](auto* a, auto* b) { return a->worth > b->worth; });
+  std::stable_sort(order.begin(), order.end(),
+                   [](auto* a, auto* b) { return a->priority_weight > b->priority_weight; });
   for (const Facts::Service* s : order) {
     switch (s->permit.denial) {
       case leases::Denial::None:
--- a/src/simulator_adapter/main.cpp
+++ b/src/simulator_adapter/main.cpp
@@ -267,7 +267,7 @@
       f.word("host");
       f.numberOr<Time>("latency_us", 0);
       f.end();
-      b.onStreaming(now_, id, attempt, actions_);
+      b.onResponseStarted(now_, id, attempt, actions_);
     } else if (word == "LEFT") {
       const RequestId id = f.request("corr");
       f.end();
@@ -278,7 +278,7 @@
       const Time latency = f.numberOr<Time>("latency_us", 0);
       const LoadReport load = parseReport(f.text("gauge"), "gauge");
       f.end();
-      b.onProbe(now_, host, result == Result::Ok, latency, load, actions_);
+      b.onHealthCheck(now_, host, result == Result::Ok, latency, load, actions_);
     } else if (word == "MESSAGE") {
       // Balancers share nothing: what a peer says is not used.
       f.number<std::int32_t>("sender");
@@ -309,7 +309,7 @@
     Fields f(line);
     if (f.text("message") != "M") throw BadField("message", "is not M, though the list has more entries");
     Host h;
-    h.up_since = f.numberOr<Time>("up_since_us", 0);
+    h.started_at = f.numberOr<Time>("up_since_us", 0);
     h.zone = f.numberOr<std::int32_t>("site", 0);
     h.capacity = f.numberOr<double>("capacity_hint", 1);
     const std::string_view state = f.word("state");
@@ -383,7 +383,7 @@
           putRequest(a.request);
           putNumber(a.attempt);
           break;
-        case ActionKind::Refuse:
+        case ActionKind::Reject:
           begin("DECLINE", name);
           putRequest(a.request);
           putNumber(a.time);
@@ -392,7 +392,7 @@
           begin("DROP_REQUEST", name);
           putRequest(a.request);
           break;
-        case ActionKind::Probe:
+        case ActionKind::HealthCheck:
           begin("INSPECT", name);
           reply_ += '\t';
           put(a.server);
@@ -406,7 +406,7 @@
           putNumber(a.time);
           putNumber(a.timer);
           break;
-        case ActionKind::Trace:
+        case ActionKind::Log:
           begin("TRACE", name);
           reply_ += '\t';
           put(a.text);
--- a/src/measures/include/measures/rate.h
+++ b/src/statistics/include/statistics/rate_estimator.h
@@ -5,14 +5,14 @@
 #include <cmath>
 #include <cstdint>
 
-namespace client_proxy::measures {
+namespace client_proxy::statistics {
 
-class Rate {
+class RateEstimator {
  public:
   using Time = std::int64_t;  // microseconds, of any steady clock
 
   // `memory`: the time, in microseconds, in which an event's weight falls to 1/e.
-  explicit Rate(double memory) : memory_(memory) {}
+  explicit RateEstimator(double memory) : memory_(memory) {}
   void begin(Time now) { began_ = last_ = now; }
   void note(Time now) {
     faded_ = faded_ * std::exp(-static_cast<double>(now - last_) / memory_) + 1;
@@ -31,4 +31,4 @@
   Time began_ = 0, last_ = 0;
 };
 
-}  // namespace client_proxy::measures
+}  // namespace client_proxy::statistics
--- a/src/record/record.cpp
+++ b/src/traffic_sample/traffic_sample.cpp
@@ -1,19 +1,19 @@
-#include "record/record.h"
+#include "traffic_sample/traffic_sample.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "random/fnv.h"
 
-namespace client_proxy::record {
+namespace client_proxy::traffic_sample {
 namespace {
 
-constexpr std::size_t kSlots = 4 * Names::kMost;
+constexpr std::size_t kSlots = 4 * NameTable::kMost;
 constexpr int kIdDigits = 3;  // a part with so many is an id, and no word of a route
 
 }  // namespace
 
-std::uint16_t Names::numberOf(std::string_view name) {
+std::uint16_t NameTable::numberOf(std::string_view name) {
   if (slots_.empty()) slots_.assign(kSlots, kOther);
   for (std::size_t at = load_balancer::fnv64(name) % kSlots;; at = (at + 1) % kSlots) {
     const std::uint16_t n = slots_[at];
@@ -38,12 +38,12 @@
   return out;
 }
 
-Record::Record(std::size_t most, Time span, std::uint64_t seed)
+TrafficSample::TrafficSample(std::size_t most, Time span, std::uint64_t seed)
     : each_(std::max<std::size_t>(1, most / (2 * kStrata))), span_(span), random_(seed) {}
 
-Record::Stratum& Record::stratumOf(const Entry& e) {
+TrafficSample::Stratum& TrafficSample::stratumOf(const SampledRequest& e) {
   const std::uint32_t pair = std::uint32_t{e.request_class} << 16 | e.tenant;
-  std::vector<Stratum>& strata = halves_[0].strata;
+  std::vector<Stratum>& strata = generations_[0].strata;
   const auto it =
       std::find_if(strata.begin(), strata.end(), [&](const Stratum& s) { return s.pair == pair; });
   if (it != strata.end()) return *it;
@@ -54,11 +54,11 @@
 }
 
 // Each of a stratum's requests is held with the same chance (Vitter's algorithm R).
-void Record::note(const Entry& entry) {
-  Half& now = halves_[0];
+void TrafficSample::note(const SampledRequest& entry) {
+  Generation& now = generations_[0];
   if (now.strata.empty() && now.begun == 0) now.begun = entry.at;
   if (entry.at - now.begun >= span_ / 2) {
-    halves_[1] = std::move(now);
+    generations_[1] = std::move(now);
     now = {entry.at, {}};
   }
   Stratum& s = stratumOf(entry);
@@ -71,24 +71,24 @@
   if (at < each_) s.held[at] = entry;
 }
 
-std::vector<Record::Weighted> Record::sample() const {
+std::vector<TrafficSample::Weighted> TrafficSample::sample() const {
   std::vector<Weighted> all;
-  for (const Half& half : halves_) {
+  for (const Generation& half : generations_) {
     for (const Stratum& s : half.strata) {
       const double weight =
           static_cast<double>(s.seen) / static_cast<double>(std::max<std::size_t>(1, s.held.size()));
-      for (const Entry& e : s.held) all.push_back({e, weight});
+      for (const SampledRequest& e : s.held) all.push_back({e, weight});
     }
   }
   return all;
 }
 
-std::uint64_t Record::seen() const {
+std::uint64_t TrafficSample::seen() const {
   std::uint64_t all = 0;
-  for (const Half& half : halves_) {
+  for (const Generation& half : generations_) {
     for (const Stratum& s : half.strata) all += s.seen;
   }
   return all;
 }
 
-}  // namespace client_proxy::record
+}  // namespace client_proxy::traffic_sample
--- a/src/locality/include/locality/plan.h
+++ b/src/zone_health/include/zone_health/traffic_plan.h
@@ -7,10 +7,10 @@
 #include <string>
 #include <vector>
 
-namespace client_proxy::locality {
+namespace client_proxy::zone_health {
 
 // One zone, as the list and the fleet's records tell of it.
-struct ZoneFacts {
+struct ZoneLoad {
   std::string region;  // empty: its own, shared with nobody
   double demand = 0;   // requests a second that arise there
   double capacity =
@@ -25,9 +25,9 @@
 // more than its even part of all the demand as kept even load away from it would not show: a quarter for many
 // hosts, less for few, nothing for a single one (bounded loads: Mirrokni, Thorup, Zadimoghaddam, "Consistent
 // Hashing with Bounded Loads", applied to zones).
-std::vector<double> roomsOf(const std::vector<ZoneFacts>& zones, double bears = 0);
+std::vector<double> capacitiesOf(const std::vector<ZoneLoad>& zones, double bears = 0);
 
-struct Plan {
+struct TrafficPlan {
   std::vector<std::vector<double>> shares;  // [from][to], parts of one of what arises in `from`
   std::vector<double> load;                 // by zone, requests a second
   double beyond = 0;                        // requests a second for which nobody has room
@@ -36,11 +36,11 @@
 // First the zone's own traffic up to its room; what is beyond goes to the spare room of its region, then to
 // that of all; what nobody has room for lies on all open zones by their room, and is theirs to refuse. Zones
 // without demand get the row that a small demand would.
-Plan waterfall(const std::vector<ZoneFacts>& zones, const std::vector<double>& rooms);
+TrafficPlan waterfall(const std::vector<ZoneLoad>& zones, const std::vector<double>& rooms);
 
 // One row as it is followed: towards the plan by a bounded step, so that no change of facts is a cliff, and
 // not for differences that are noise. What is closed is left at once.
-class Steering {
+class GradualShift {
  public:
   static constexpr double kStep = 0.10;    // of all traffic a second, at most, in sum
   static constexpr double kNoise = 0.02;   // a smaller difference in sum moves nothing
@@ -56,4 +56,4 @@
   bool moving_ = false;
 };
 
-}  // namespace client_proxy::locality
+}  // namespace client_proxy::zone_health
--- a/src/locality/include/locality/verdict.h
+++ b/src/zone_health/include/zone_health/zone_health_quorum.h
@@ -9,41 +9,41 @@
 #include <vector>
 
 #include "fleet/types.h"
-#include "sight/sight.h"
+#include "zone_observations/zone_observations.h"
 
-namespace client_proxy::locality {
+namespace client_proxy::zone_health {
 
 using fleet::Number;
 using fleet::Time;
 
 // In the order of gravity.
-enum class State : std::uint8_t {
+enum class ZoneState : std::uint8_t {
   Up,
-  Doubtful,   // somebody hears nothing from there: others are to say what they see. Each for itself, no
-              // verdict
-  Returning,  // a part of the members goes there, which grows by stages
-  Lost,       // nothing goes there as a matter of course
+  Suspected,   // somebody hears nothing from there: others are to say what they see. Each for itself, no
+               // verdict
+  Recovering,  // a part of the members goes there, which grows by stages
+  Down,        // nothing goes there as a matter of course
 };
-constexpr std::string_view nameOf(State s) {
+constexpr std::string_view nameOf(ZoneState s) {
   constexpr std::string_view kNames[] = {"up", "doubtful", "returning", "lost"};
   return kNames[static_cast<std::size_t>(s)];
 }
 
 // Of a zone: up, returning or lost. The higher epoch wins, at one epoch the graver state: so all end with the
 // same one, in whatever order they hear of it.
-struct Verdict {
+struct ZoneStatus {
   std::uint16_t epoch = 0;
-  State state = State::Up;
-  bool over(const Verdict& other) const;
-  friend bool operator==(const Verdict&, const Verdict&) = default;
+  ZoneState state = ZoneState::Up;
+  bool over(const ZoneStatus& other) const;
+  friend bool operator==(const ZoneStatus&, const ZoneStatus&) = default;
 };
 
 // What one live member tells.
-struct Witness {
+struct ObserverReport {
   Number member = 0;
-  std::size_t zone = 0;           // where it is
-  std::vector<Seen> seen;         // by zone
-  std::vector<Verdict> verdicts;  // by zone, as it holds them
+  std::size_t zone = 0;               // where it is
+  std::vector<ZoneObservation> seen;  // by zone
+  std::vector<ZoneStatus> statuses;   // by zone, as it holds them
 };
 
 struct Rules {
@@ -67,38 +67,39 @@
 // The part of the members that go to a returning zone, stage by stage; then it is up.
 constexpr double kStages[] = {0.05, 0.15, 0.4, 0.7};
 
-class Court {
+class ZoneHealthQuorum {
  public:
-  Court(std::size_t zones, std::size_t own, const Rules& rules = {});
+  ZoneHealthQuorum(std::size_t zones, std::size_t own, const Rules& rules = {});
 
   // This member's own sight of a zone, when it changes.
-  void saw(std::size_t zone, Seen seen) { own_seen_[zone] = seen; }
+  void observe(std::size_t zone, ZoneObservation seen) { own_seen_[zone] = seen; }
   // What was sent before says nothing: of answers since somebody began to hear nothing from there, or from
   // the zone that they are compared with; of both since the last verdict.
-  load_balancer::ZoneSince since(std::size_t zone) const;
-  Seen sight(std::size_t zone) const { return own_seen_[zone]; }
+  load_balancer::ZoneObservedSince since(std::size_t zone) const;
+  ZoneObservation observation(std::size_t zone) const { return own_seen_[zone]; }
   // Every zone but its own is silent: then it is itself that is cut off, and it has no say.
-  bool cutOff() const;
+  bool isolated() const;
 
   // Looks at what all tell. `sure`: the view of the fleet may be relied on; else nothing is called, and what
   // holds goes on. True: a verdict is another than before.
-  bool judge(Time now, const std::vector<Witness>& witnesses, bool sure);
-  const Verdict& verdict(std::size_t zone) const { return zones_[zone].verdict; }
-  State state(std::size_t zone) const {
+  bool evaluate(Time now, const std::vector<ObserverReport>& reports, bool sure);
+  const ZoneStatus& status(std::size_t zone) const { return zones_[zone].status; }
+  ZoneState state(std::size_t zone) const {
     const Zone& z = zones_[zone];
-    return z.doubtful ? State::Doubtful : z.verdict.state;
+    return z.doubtful ? ZoneState::Suspected : z.status.state;
   }
   bool quiet() const;  // nothing is under way anywhere
   // Whether this member goes there: where the zone returns, by a lot that is drawn anew with each epoch, so
   // that the part of the fleet that goes grows stage by stage.
   bool goes(std::size_t zone, Number self, Time now) const;
   // One of the few that look after a lost zone: by lot among the live members outside it.
-  static bool watches(std::size_t zone, std::uint16_t epoch, Number self, const std::vector<Witness>& live);
+  static bool watches(std::size_t zone, std::uint16_t epoch, Number self,
+                      const std::vector<ObserverReport>& live);
   // Only one zone is away at a time: of several that were called in the same moment the first.
   bool away(std::size_t zone) const;
   // What is told to the others, and only as long as it helps to settle something.
-  Seen tells(std::size_t zone) const { return zones_[zone].told; }
-  // Members that say they hear nothing from there, by the last judge(), and those that are answered.
+  ZoneObservation reports(std::size_t zone) const { return zones_[zone].reported; }
+  // Members that say they hear nothing from there, by the last evaluate(), and those that are answered.
   std::size_t silent(std::size_t zone) const { return zones_[zone].silent; }
   std::size_t answered(std::size_t zone) const { return zones_[zone].answered; }
   // From when a lost zone may return.
@@ -108,39 +109,39 @@
 
  private:
   struct Zone {
-    Verdict verdict;
+    ZoneStatus status;
     bool doubtful = false;
     Time since = 0;                 // of the state
     Time called = fleet::kLongAgo;  // of the last verdict
     Time silent_since = 0;          // somebody tells silence
     bool compared = false;          // since then the other zones have answered, or had time enough
     Time compared_at = 0;
-    Seen told = Seen::Nothing;  // by this member
-    Time up_for = 0;            // before the doubt
+    ZoneObservation reported = ZoneObservation::None;  // by this member
+    Time up_for = 0;                                   // before the doubt
     Time away_until = 0;
     std::uint32_t flaps = 0;
-    // By the last judge(), of members elsewhere: what they say, how many there are, and in how many zones
+    // By the last evaluate(), of members elsewhere: what they say, how many there are, and in how many zones
     // those of silence and all are.
     std::size_t silent = 0, answered = 0, could = 0, places = 0, others = 0;
   };
-  void count(Time now, std::size_t zone, const std::vector<Witness>& witnesses);
+  void count(Time now, std::size_t zone, const std::vector<ObserverReport>& reports);
   void beginComparison(Time now, std::size_t zone);
   void compare(Time now, std::size_t zone);
   bool othersAnswer(std::size_t zone) const;
-  static bool suspected(const Zone& zone) { return zone.verdict.state == State::Up && zone.silent > 0; }
+  static bool suspected(const Zone& zone) { return zone.status.state == ZoneState::Up && zone.silent > 0; }
   std::size_t needed(const Zone& zone) const;
   bool unopposed(const Zone& zone) const;
   bool enough(const Zone& zone) const;
   bool settled(Time now, const Zone& but) const;
-  Seen worthTelling(std::size_t zone) const;
-  void call(Time now, Zone& zone, State state);
-  void enter(Time now, Zone& zone, const Verdict& verdict);
+  ZoneObservation worthReporting(std::size_t zone) const;
+  void call(Time now, Zone& zone, ZoneState state);
+  void enter(Time now, Zone& zone, const ZoneStatus& status);
   void step(Time now, Zone& zone);
 
   const Rules rules_;
   const std::size_t own_;
-  std::vector<Seen> own_seen_;
+  std::vector<ZoneObservation> own_seen_;
   std::vector<Zone> zones_;
 };
 
-}  // namespace client_proxy::locality
+}  // namespace client_proxy::zone_health
--- a/src/locality/plan.cpp
+++ b/src/zone_health/traffic_plan.cpp
@@ -1,11 +1,11 @@
-#include "locality/plan.h"
+#include "zone_health/traffic_plan.h"
 
 #include <algorithm>
 #include <cmath>
 #include <numeric>
 #include <utility>
 
-namespace client_proxy::locality {
+namespace client_proxy::zone_health {
 namespace {
 
 constexpr double kMostOver = 0.25;  // of a zone's even part, near traffic may add to it
@@ -47,16 +47,16 @@
 
 }  // namespace
 
-std::vector<double> roomsOf(const std::vector<ZoneFacts>& zones, double bears) {
+std::vector<double> capacitiesOf(const std::vector<ZoneLoad>& zones, double bears) {
   double demand = 0, capacity = 0;
-  for (const ZoneFacts& z : zones) {
+  for (const ZoneLoad& z : zones) {
     demand += z.demand;
     capacity += z.open ? z.capacity : 0;
   }
   demand = std::max(demand, kLittle);  // an idle fleet has a plan too
   std::vector<double> rooms(zones.size(), 0);
   for (std::size_t i = 0; i < zones.size(); ++i) {
-    const ZoneFacts& z = zones[i];
+    const ZoneLoad& z = zones[i];
     if (!z.open || z.capacity <= 0 || z.hosts == 0) continue;
     const double even = demand * z.capacity / capacity;
     const double over = kMostOver * (1 - 1 / static_cast<double>(z.hosts));
@@ -65,12 +65,12 @@
   return rooms;
 }
 
-Plan waterfall(const std::vector<ZoneFacts>& zones, const std::vector<double>& rooms) {
+TrafficPlan waterfall(const std::vector<ZoneLoad>& zones, const std::vector<double>& rooms) {
   const std::size_t n = zones.size();
   std::vector<double> left(n), spare = rooms;
   std::vector<std::vector<double>> sent(n, std::vector<double>(n, 0));
   double all = 0;
-  for (const ZoneFacts& z : zones) all += z.demand;
+  for (const ZoneLoad& z : zones) all += z.demand;
   // A trace of demand everywhere, so that every row is a plan.
   const double trace = std::max(all, kLittle) * 1e-6;
   for (std::size_t i = 0; i < n; ++i) left[i] = zones[i].demand + trace;
@@ -88,7 +88,7 @@
   pour(left, spare, sent, sameRegion);
   for (int i = 0; i < 2; ++i) pour(left, spare, sent, [](std::size_t, std::size_t) { return true; });
 
-  Plan plan;
+  TrafficPlan plan;
   const double room = sum(rooms);
   for (std::size_t from = 0; from < n; ++from) {
     if (left[from] <= 1e-9 * demand[from]) continue;  // rounding
@@ -107,8 +107,8 @@
   return plan;
 }
 
-const std::vector<double>& Steering::follow(const std::vector<double>& wanted, const std::vector<bool>& open,
-                                            double seconds) {
+const std::vector<double>& GradualShift::follow(const std::vector<double>& wanted,
+                                                const std::vector<bool>& open, double seconds) {
   if (row_.size() != wanted.size()) return row_ = wanted;
   // What is closed now goes to the others as they stand, or as they are wanted where they have nothing.
   double closed = 0, rest = 0;
@@ -131,4 +131,4 @@
   return row_;
 }
 
-}  // namespace client_proxy::locality
+}  // namespace client_proxy::zone_health
--- a/src/locality/verdict.cpp
+++ b/src/zone_health/zone_health_quorum.cpp
@@ -1,4 +1,4 @@
-#include "locality/verdict.h"
+#include "zone_health/zone_health_quorum.h"
 
 #include <algorithm>
 #include <bit>
@@ -7,7 +7,7 @@
 
 #include "random/random.h"
 
-namespace client_proxy::locality {
+namespace client_proxy::zone_health {
 namespace {
 
 constexpr std::size_t kWatchers = 3;
@@ -20,18 +20,18 @@
 
 }  // namespace
 
-bool Verdict::over(const Verdict& other) const {
+bool ZoneStatus::over(const ZoneStatus& other) const {
   // Epochs go round: what is less than half a circle ahead is later.
   const auto ahead = static_cast<std::int16_t>(static_cast<std::uint16_t>(epoch - other.epoch));
   return ahead != 0 ? ahead > 0 : state > other.state;
 }
 
-Court::Court(std::size_t zones, std::size_t own, const Rules& rules)
-    : rules_(rules), own_(own), own_seen_(zones, Seen::Nothing), zones_(zones) {}
+ZoneHealthQuorum::ZoneHealthQuorum(std::size_t zones, std::size_t own, const Rules& rules)
+    : rules_(rules), own_(own), own_seen_(zones, ZoneObservation::None), zones_(zones) {}
 
-load_balancer::ZoneSince Court::since(std::size_t zone) const {
+load_balancer::ZoneObservedSince ZoneHealthQuorum::since(std::size_t zone) const {
   const Zone& asked = zones_[zone];
-  if (asked.verdict.state != State::Up) return {asked.since, asked.since};
+  if (asked.status.state != ZoneState::Up) return {asked.since, asked.since};
   if (suspected(asked)) return {asked.silent_since, fleet::kLongAgo};
   Time latest = fleet::kLongAgo;
   for (const Zone& z : zones_) {
@@ -40,11 +40,11 @@
   return {latest, fleet::kLongAgo};
 }
 
-bool Court::cutOff() const {
+bool ZoneHealthQuorum::isolated() const {
   std::size_t others = 0;
   for (std::size_t z = 0; z < zones_.size(); ++z) {
     if (z == own_) continue;
-    if (own_seen_[z] != Seen::Silence) return false;
+    if (own_seen_[z] != ZoneObservation::Unresponsive) return false;
     ++others;
   }
   return others > 1;
@@ -52,20 +52,20 @@
 
 // A member has no say on its own zone: from inside, a zone that is cut off looks well.
 // Once a verdict holds, only what is told by members that hold it too: others speak of the time before.
-void Court::count(Time now, std::size_t zone, const std::vector<Witness>& witnesses) {
+void ZoneHealthQuorum::count(Time now, std::size_t zone, const std::vector<ObserverReport>& reports) {
   Zone& z = zones_[zone];
   const bool before = z.silent > 0;
   z.silent = z.answered = z.could = 0;
   std::set<std::size_t> places, others;
-  for (const Witness& w : witnesses) {
+  for (const ObserverReport& w : reports) {
     if (w.zone == zone) continue;
     ++z.could;
     others.insert(w.zone);
-    if (z.verdict.state != State::Up && !(w.verdicts[zone] == z.verdict)) continue;
-    if (w.seen[zone] == Seen::Silence) {
+    if (z.status.state != ZoneState::Up && !(w.statuses[zone] == z.status)) continue;
+    if (w.seen[zone] == ZoneObservation::Unresponsive) {
       ++z.silent;
       places.insert(w.zone);
-    } else if (w.seen[zone] == Seen::Answers) {
+    } else if (w.seen[zone] == ZoneObservation::Responding) {
       ++z.answered;
     }
   }
@@ -75,17 +75,18 @@
 }
 
 // Answers that this member has seen until now were to what was sent before.
-void Court::beginComparison(Time now, std::size_t zone) {
+void ZoneHealthQuorum::beginComparison(Time now, std::size_t zone) {
   Zone& z = zones_[zone];
   z.silent_since = now;
   z.compared = false;
   for (std::size_t other = 0; other < zones_.size(); ++other) {
     const bool of_another_doubt = other != zone && suspected(zones_[other]);
-    if (!of_another_doubt && own_seen_[other] == Seen::Answers) own_seen_[other] = Seen::Nothing;
+    if (!of_another_doubt && own_seen_[other] == ZoneObservation::Responding)
+      own_seen_[other] = ZoneObservation::None;
   }
 }
 
-void Court::compare(Time now, std::size_t zone) {
+void ZoneHealthQuorum::compare(Time now, std::size_t zone) {
   Zone& z = zones_[zone];
   if (z.compared || !suspected(z)) return;
   if (!othersAnswer(zone) && now - z.silent_since < rules_.longest_comparison) return;
@@ -94,48 +95,48 @@
 }
 
 // All that are up and in no doubt; so a second zone that is lost holds up nothing.
-bool Court::othersAnswer(std::size_t zone) const {
+bool ZoneHealthQuorum::othersAnswer(std::size_t zone) const {
   for (std::size_t other = 0; other < zones_.size(); ++other) {
     const Zone& z = zones_[other];
-    const bool sound = other != zone && z.verdict.state == State::Up && !suspected(z);
-    if (sound && own_seen_[other] != Seen::Answers) return false;
+    const bool sound = other != zone && z.status.state == ZoneState::Up && !suspected(z);
+    if (sound && own_seen_[other] != ZoneObservation::Responding) return false;
   }
   return true;
 }
 
-std::size_t Court::needed(const Zone& z) const {
+std::size_t ZoneHealthQuorum::needed(const Zone& z) const {
   // Of those that go to a returning zone few can tell.
-  const std::size_t part = z.verdict.state == State::Up ? z.could / rules_.one_in : 0;
+  const std::size_t part = z.status.state == ZoneState::Up ? z.could / rules_.one_in : 0;
   return std::min(std::clamp(part, rules_.least, rules_.most), z.could);
 }
 
 // Where a zone is lost nobody is answered; where it is full, or some of its hosts are gone, many are.
-bool Court::unopposed(const Zone& z) const {
+bool ZoneHealthQuorum::unopposed(const Zone& z) const {
   return z.silent > 0 && z.silent >= rules_.objection * z.answered;
 }
 
 // Several, in at least two zones where there are two others.
-bool Court::enough(const Zone& z) const {
+bool ZoneHealthQuorum::enough(const Zone& z) const {
   return unopposed(z) && z.silent >= needed(z) && z.places >= std::min<std::size_t>(2, z.others);
 }
 
 // A zone that is given up sends its load to the others: what is seen of them then is no reason to give up
 // one more. If two are lost at once, each member finds the second by itself.
-bool Court::settled(Time now, const Zone& but) const {
+bool ZoneHealthQuorum::settled(Time now, const Zone& but) const {
   return std::all_of(zones_.begin(), zones_.end(), [&](const Zone& z) {
-    return &z == &but || (z.verdict.state == State::Up && now - z.called >= rules_.settle);
+    return &z == &but || (z.status.state == ZoneState::Up && now - z.called >= rules_.settle);
   });
 }
 
-void Court::enter(Time now, Zone& zone, const Verdict& verdict) {
-  const State was = zone.verdict.state;
+void ZoneHealthQuorum::enter(Time now, Zone& zone, const ZoneStatus& status) {
+  const ZoneState was = zone.status.state;
   const Time up_for = zone.doubtful ? zone.up_for : now - zone.since;
-  zone.verdict = verdict;
-  if (verdict.state == was) return;
+  zone.status = status;
+  if (status.state == was) return;
   zone.called = now;
-  if (verdict.state == State::Lost) {
+  if (status.state == ZoneState::Down) {
     // The longer away the oftener it went of late.
-    const bool steady = was == State::Up && up_for >= rules_.steady;
+    const bool steady = was == ZoneState::Up && up_for >= rules_.steady;
     zone.flaps = steady ? 1 : zone.flaps + 1;
     const auto doubled = std::min<std::uint32_t>(zone.flaps - 1, 10);
     zone.away_until = now + std::min(rules_.longest_away, rules_.first_away << doubled);
@@ -145,21 +146,21 @@
   zone.compared = false;
 }
 
-void Court::call(Time now, Zone& zone, State state) {
-  enter(now, zone, {static_cast<std::uint16_t>(zone.verdict.epoch + 1), state});
+void ZoneHealthQuorum::call(Time now, Zone& zone, ZoneState state) {
+  enter(now, zone, {static_cast<std::uint16_t>(zone.status.epoch + 1), state});
 }
 
-void Court::step(Time now, Zone& z) {
+void ZoneHealthQuorum::step(Time now, Zone& z) {
   const Time age = now - z.since;
-  switch (z.verdict.state) {
-    case State::Lost:
-      if (now >= z.away_until && z.answered > z.silent) call(now, z, State::Returning);
+  switch (z.status.state) {
+    case ZoneState::Down:
+      if (now >= z.away_until && z.answered > z.silent) call(now, z, ZoneState::Recovering);
       return;
-    case State::Returning:
+    case ZoneState::Recovering:
       if (enough(z))
-        call(now, z, State::Lost);
+        call(now, z, ZoneState::Down);
       else if (age >= rules_.stage * static_cast<Time>(std::size(kStages)))
-        call(now, z, State::Up);
+        call(now, z, ZoneState::Up);
       return;
     default:
       break;
@@ -173,45 +174,47 @@
     z.since = now;
   } else if (doubt && age >= wait && z.compared && now - z.compared_at >= wait && enough(z) &&
              settled(now, z)) {
-    call(now, z, State::Lost);
+    call(now, z, ZoneState::Down);
   }
 }
 
-bool Court::judge(Time now, const std::vector<Witness>& witnesses, bool sure) {
+bool ZoneHealthQuorum::evaluate(Time now, const std::vector<ObserverReport>& reports, bool sure) {
   bool changed = false;
   for (std::size_t zone = 0; zone < zones_.size(); ++zone) {
     Zone& z = zones_[zone];
-    const Verdict before = z.verdict;
-    for (const Witness& w : witnesses) {
-      if (w.verdicts[zone].over(z.verdict)) enter(now, z, w.verdicts[zone]);
+    const ZoneStatus before = z.status;
+    for (const ObserverReport& w : reports) {
+      if (w.statuses[zone].over(z.status)) enter(now, z, w.statuses[zone]);
     }
-    count(now, zone, witnesses);
+    count(now, zone, reports);
     compare(now, zone);
-    if (sure && !cutOff()) step(now, z);
-    if (z.verdict.state != before.state) own_seen_[zone] = Seen::Nothing;  // what was seen before it
-    changed = changed || !(z.verdict == before);
+    if (sure && !isolated()) step(now, z);
+    if (z.status.state != before.state) own_seen_[zone] = ZoneObservation::None;  // what was seen before it
+    changed = changed || !(z.status == before);
   }
-  for (std::size_t zone = 0; zone < zones_.size(); ++zone) zones_[zone].told = worthTelling(zone);
+  for (std::size_t zone = 0; zone < zones_.size(); ++zone) zones_[zone].reported = worthReporting(zone);
   return changed;
 }
 
-bool Court::quiet() const {
+bool ZoneHealthQuorum::quiet() const {
   return std::all_of(zones_.begin(), zones_.end(), [](const Zone& z) {
-    return z.verdict.state == State::Up && !z.doubtful && z.silent == 0 && z.told == Seen::Nothing;
+    return z.status.state == ZoneState::Up && !z.doubtful && z.silent == 0 &&
+           z.reported == ZoneObservation::None;
   });
 }
 
-bool Court::goes(std::size_t zone, Number self, Time now) const {
+bool ZoneHealthQuorum::goes(std::size_t zone, Number self, Time now) const {
   const Zone& z = zones_[zone];
-  if (z.verdict.state != State::Returning) return !away(zone);
+  if (z.status.state != ZoneState::Recovering) return !away(zone);
   const auto stage = static_cast<std::size_t>(std::max<Time>(0, now - z.since) / rules_.stage);
-  return stage >= std::size(kStages) || lot(zone, z.verdict.epoch, self) < kStages[stage];
+  return stage >= std::size(kStages) || lot(zone, z.status.epoch, self) < kStages[stage];
 }
 
-bool Court::watches(std::size_t zone, std::uint16_t epoch, Number self, const std::vector<Witness>& live) {
+bool ZoneHealthQuorum::watches(std::size_t zone, std::uint16_t epoch, Number self,
+                               const std::vector<ObserverReport>& live) {
   std::size_t before = 0;
   const double own = lot(zone, epoch, self);
-  for (const Witness& w : live) {
+  for (const ObserverReport& w : live) {
     if (w.zone == zone && w.member == self) return false;
     const double other = lot(zone, epoch, w.member);
     if (w.zone != zone && w.member != self && (other < own || (other == own && w.member < self))) ++before;
@@ -219,8 +222,8 @@
   return before < kWatchers;
 }
 
-bool Court::away(std::size_t zone) const {
-  const auto lost = [](const Zone& z) { return z.verdict.state == State::Lost; };
+bool ZoneHealthQuorum::away(std::size_t zone) const {
+  const auto lost = [](const Zone& z) { return z.status.state == ZoneState::Down; };
   return lost(zones_[zone]) && std::find_if(zones_.begin(), zones_.end(), lost) - zones_.begin() ==
                                    static_cast<std::ptrdiff_t>(zone);
 }
@@ -228,17 +231,19 @@
 // Hundreds that all say the same would fill the fleet's datagrams: silence is told by as many as settle it
 // and some more, an answer by as many as outweigh them. Of a zone that is lost silence is no news; of one
 // that nobody doubts answers are none.
-Seen Court::worthTelling(std::size_t zone) const {
+ZoneObservation ZoneHealthQuorum::worthReporting(std::size_t zone) const {
   const Zone& z = zones_[zone];
-  const Seen seen = own_seen_[zone];
-  if (zone == own_ || seen == Seen::Nothing || cutOff()) return Seen::Nothing;
-  const State state = z.verdict.state;
-  if (seen == Seen::Silence) {
-    if (state == State::Lost) return Seen::Nothing;
-    return z.told == seen || z.silent < needed(z) + rules_.least ? seen : Seen::Nothing;
+  const ZoneObservation seen = own_seen_[zone];
+  if (zone == own_ || seen == ZoneObservation::None || isolated()) return ZoneObservation::None;
+  const ZoneState state = z.status.state;
+  if (seen == ZoneObservation::Unresponsive) {
+    if (state == ZoneState::Down) return ZoneObservation::None;
+    return z.reported == seen || z.silent < needed(z) + rules_.least ? seen : ZoneObservation::None;
   }
-  if (state == State::Up && z.silent == 0) return Seen::Nothing;
-  return z.told == seen || z.answered < rules_.least + 2 * z.silent / rules_.objection ? seen : Seen::Nothing;
+  if (state == ZoneState::Up && z.silent == 0) return ZoneObservation::None;
+  return z.reported == seen || z.answered < rules_.least + 2 * z.silent / rules_.objection
+             ? seen
+             : ZoneObservation::None;
 }
 
-}  // namespace client_proxy::locality
+}  // namespace client_proxy::zone_health
--- a/src/locality/notes.cpp
+++ b/src/zone_health/zone_report.cpp
@@ -1,8 +1,8 @@
-#include "locality/notes.h"
+#include "zone_health/zone_report.h"
 
 #include "random/fnv.h"
 
-namespace client_proxy::locality {
+namespace client_proxy::zone_health {
 namespace {
 
 constexpr std::size_t kEntry = 5;  // hash 2, epoch 2, state and sight 1
@@ -17,37 +17,39 @@
 
 }  // namespace
 
-std::string encode(const std::vector<std::string>& names, const Told& told) {
+std::string encode(const std::vector<std::string>& names, const ZoneReport& reported) {
   std::string bytes;
   for (std::size_t z = 0; z < names.size() && bytes.size() < kMostTold * kEntry; ++z) {
-    const Verdict& v = told.verdicts[z];
-    if (v.epoch == 0 && told.seen[z] == Seen::Nothing) continue;
+    const ZoneStatus& v = reported.statuses[z];
+    if (v.epoch == 0 && reported.seen[z] == ZoneObservation::None) continue;
     const std::uint16_t hash = hashOf(names[z]);
     for (const std::uint16_t word : {hash, v.epoch}) {
       bytes += static_cast<char>(word & 0xFFU);
       bytes += static_cast<char>(word >> 8);
     }
-    bytes += static_cast<char>(static_cast<unsigned>(v.state) << 4 | static_cast<unsigned>(told.seen[z]));
+    bytes += static_cast<char>(static_cast<unsigned>(v.state) << 4 | static_cast<unsigned>(reported.seen[z]));
   }
   return bytes;
 }
 
-Told decode(std::string_view bytes, const std::vector<std::string>& names) {
-  Told told{std::vector<Seen>(names.size(), Seen::Nothing), std::vector<Verdict>(names.size())};
+ZoneReport decode(std::string_view bytes, const std::vector<std::string>& names) {
+  ZoneReport reported{std::vector<ZoneObservation>(names.size(), ZoneObservation::None),
+                      std::vector<ZoneStatus>(names.size())};
   for (; bytes.size() >= kEntry; bytes.remove_prefix(kEntry)) {
     const std::uint16_t hash = twoAt(bytes, 0);
     const auto last = static_cast<unsigned char>(bytes[4]);
     const unsigned state = last >> 4, seen = last & 0xFU;
-    if (state > static_cast<unsigned>(State::Lost) || state == static_cast<unsigned>(State::Doubtful) ||
-        seen > static_cast<unsigned>(Seen::Silence))
+    if (state > static_cast<unsigned>(ZoneState::Down) ||
+        state == static_cast<unsigned>(ZoneState::Suspected) ||
+        seen > static_cast<unsigned>(ZoneObservation::Unresponsive))
       continue;
     for (std::size_t z = 0; z < names.size(); ++z) {
       if (hashOf(names[z]) != hash) continue;
-      told.verdicts[z] = {twoAt(bytes, 2), static_cast<State>(state)};
-      told.seen[z] = static_cast<Seen>(seen);
+      reported.statuses[z] = {twoAt(bytes, 2), static_cast<ZoneState>(state)};
+      reported.seen[z] = static_cast<ZoneObservation>(seen);
     }
   }
-  return told;
+  return reported;
 }
 
-}  // namespace client_proxy::locality
+}  // namespace client_proxy::zone_health
--- a/src/sight/include/sight/sight.h
+++ b/src/zone_observations/include/zone_observations/zone_observations.h
@@ -11,11 +11,11 @@
 
 #include "load_balancer/balancer.h"
 
-namespace client_proxy::locality {
+namespace client_proxy::zone_health {
 
-using Seen = load_balancer::ZoneSeen;
+using ZoneObservation = load_balancer::ZoneObservation;
 
-class Sight {
+class ZoneObservations {
  public:
   using Time = std::int64_t;                 // microseconds, of any steady clock
   static constexpr Time kFresh = 3'000'000;  // an answer from longer ago says nothing of now
@@ -27,7 +27,7 @@
   // An attempt that was sent at `sent` has met silence at a server of the zone. True: so have two servers
   // there, with no answer from the zone but some from elsewhere since this one was sent. To find it out of
   // each server by itself would cost every client some requests for each.
-  bool silent(std::int32_t zone, std::string_view server, Time sent);
+  bool unresponsive(std::int32_t zone, std::string_view server, Time sent);
   // One server there was, and none has answered since.
   bool suspected(std::int32_t zone) const;
   // The same as it is told to others. `unreachable`: a connection did not come up, or a probe was not
@@ -38,7 +38,7 @@
   // or later: of two servers there, one of them unreachable, and no answer from the zone to what was sent
   // since the first of them was tried. Lateness alone is never silence here: where many are full at once all
   // would see it.
-  Seen seen(std::int32_t zone, Time now, const load_balancer::ZoneSince& since) const;
+  ZoneObservation seen(std::int32_t zone, Time now, const load_balancer::ZoneObservedSince& since) const;
   // The others say that it is back: what was seen before says nothing any more.
   void forget(std::int32_t zone) { zones_.erase(zone); }
 
@@ -46,7 +46,7 @@
   static constexpr Time kNever = std::numeric_limits<Time>::min() / 2;
   struct Zone {
     Time last_answer = kNever;
-    std::string silent;  // the server there that was silent first, with no answer from the zone since
+    std::string unresponsive;  // the server there that was silent first, with no answer from the zone since
     // As it is told to others: the first, when that one was tried, and the last silence.
     std::string first;
     Time first_sent = kNever, silent_at = kNever;
@@ -56,29 +56,30 @@
   Time last_answer_ = kNever;  // of any server
 };
 
-inline void Sight::answered(std::int32_t zone, Time sent, Time now) {
+inline void ZoneObservations::answered(std::int32_t zone, Time sent, Time now) {
   last_answer_ = now;
   Zone& z = zones_[zone];
   z.last_answer = now;
-  z.silent.clear();
+  z.unresponsive.clear();
   if (sent < z.first_sent) return;  // it says nothing against it
   z.first.clear();
   z.two = z.unreachable = false;
 }
 
-inline bool Sight::silent(std::int32_t zone, std::string_view server, Time sent) {
+inline bool ZoneObservations::unresponsive(std::int32_t zone, std::string_view server, Time sent) {
   Zone& z = zones_[zone];
   if (z.last_answer >= sent || last_answer_ < sent) return false;  // where nobody answers it may be us
-  if (z.silent.empty()) z.silent = server;
-  return z.silent != server;
+  if (z.unresponsive.empty()) z.unresponsive = server;
+  return z.unresponsive != server;
 }
 
-inline bool Sight::suspected(std::int32_t zone) const {
+inline bool ZoneObservations::suspected(std::int32_t zone) const {
   const auto it = zones_.find(zone);
-  return it != zones_.end() && !it->second.silent.empty();
+  return it != zones_.end() && !it->second.unresponsive.empty();
 }
 
-inline void Sight::note(std::int32_t zone, std::string_view server, Time sent, Time now, bool unreachable) {
+inline void ZoneObservations::note(std::int32_t zone, std::string_view server, Time sent, Time now,
+                                   bool unreachable) {
   Zone& z = zones_[zone];
   if (z.last_answer >= sent) return;
   if (z.first.empty() || now - z.silent_at >= kSilenceLasts) {
@@ -91,15 +92,17 @@
   z.unreachable = z.unreachable || unreachable;
 }
 
-inline Seen Sight::seen(std::int32_t zone, Time now, const load_balancer::ZoneSince& since) const {
+inline ZoneObservation ZoneObservations::seen(std::int32_t zone, Time now,
+                                              const load_balancer::ZoneObservedSince& since) const {
   const auto it = zones_.find(zone);
-  if (it == zones_.end()) return Seen::Nothing;
+  if (it == zones_.end()) return ZoneObservation::None;
   const Zone& z = it->second;
   if (z.two && z.unreachable) {
     const bool counts = now - z.silent_at < kSilenceLasts && z.first_sent >= since.silence;
-    return counts ? Seen::Silence : Seen::Nothing;
+    return counts ? ZoneObservation::Unresponsive : ZoneObservation::None;
   }
-  return now - z.last_answer < kFresh && z.last_answer >= since.answers ? Seen::Answers : Seen::Nothing;
+  return now - z.last_answer < kFresh && z.last_answer >= since.answers ? ZoneObservation::Responding
+                                                                        : ZoneObservation::None;
 }
 
-}  // namespace client_proxy::locality
+}  // namespace client_proxy::zone_health
--- a/tests/admission_connections_test.cpp
+++ b/tests/admission_connections_test.cpp
@@ -26,18 +26,18 @@
     for (int i = 0; i < times; ++i) ask(id);
     return id;
   }
-  Cause ask(ConnectionId id) {
+  RejectionReason ask(ConnectionId id) {
     gate.onFirstByte(now, id);
     gate.onRequest(id);
-    const Cause verdict = gate.onAnswer(now, id, false);
-    if (verdict == Cause::None) gate.onRest(now, id);
+    const RejectionReason verdict = gate.onAnswer(now, id, false);
+    if (verdict == RejectionReason::None) gate.onRest(now, id);
     return verdict;
   }
   // A request on a connection of its own; closed with its answer where that is the verdict.
-  Cause askOnce() {
+  RejectionReason askOnce() {
     const ConnectionId id = gate.onAccepted(now, peer(1));
-    const Cause verdict = ask(id);
-    if (verdict != Cause::None) gate.onClosed(id, verdict);
+    const RejectionReason verdict = ask(id);
+    if (verdict != RejectionReason::None) gate.onClosed(id, verdict);
     now += 3 * kMs;
     return verdict;
   }
@@ -63,7 +63,7 @@
   EXPECT_TRUE(overdue().empty());
   now += kMs;
   EXPECT_EQ(overdue(), std::vector{silent});
-  gate.onClosed(silent, Cause::SilentOverdue);
+  gate.onClosed(silent, RejectionReason::FirstByteTimeout);
   now += 299 * kMs;
   EXPECT_TRUE(overdue().empty());
   now += kMs;
@@ -75,7 +75,7 @@
   EXPECT_EQ(overdue(), std::vector{half});
   gate.extend(half, 0);
   EXPECT_TRUE(overdue().empty());
-  gate.onClosed(half, Cause::RequestOverdue);
+  gate.onClosed(half, RejectionReason::RequestTimeout);
   now += 799 * kMs;
   EXPECT_TRUE(overdue().empty());
   now += kMs;
@@ -109,7 +109,7 @@
   now += kSecond;
   while (const auto victim = gate.makeRoom(now)) {
     order.push_back(victim->id);
-    gate.onClosed(victim->id, victim->cause);
+    gate.onClosed(victim->id, victim->reason);
   }
   EXPECT_EQ(order, (std::vector{silent, asked, often}));
 }
@@ -125,7 +125,7 @@
     const ConnectionId id = gate.onAccepted(now, peer(1));
     now += kMs;
     gate.onFirstByte(now, id);
-    gate.onClosed(id, Cause::None);
+    gate.onClosed(id, RejectionReason::None);
   }
   EXPECT_EQ(gate.silentGrace(), 20 * kMs);
   const ConnectionId late = gate.onAccepted(now, peer(1));
@@ -145,7 +145,7 @@
     const auto victim = gate.makeRoom(now);
     ASSERT_TRUE(victim);
     EXPECT_EQ(victim->id, expected);
-    gate.onClosed(victim->id, victim->cause);
+    gate.onClosed(victim->id, victim->reason);
   }
   EXPECT_EQ(gate.makeRoom(now)->id, kept);
 }
@@ -159,11 +159,11 @@
   const auto victim = gate.makeRoom(now);
   ASSERT_TRUE(victim);
   EXPECT_EQ(victim->id, crowd.front());
-  EXPECT_EQ(victim->cause, Cause::PeerShare);
-  gate.onClosed(other, Cause::None);
+  EXPECT_EQ(victim->reason, RejectionReason::PeerQuota);
+  gate.onClosed(other, RejectionReason::None);
   const auto alone = gate.makeRoom(now);
   ASSERT_TRUE(alone);
-  EXPECT_NE(alone->cause, Cause::PeerShare) << "the only address is not over a share";
+  EXPECT_NE(alone->reason, RejectionReason::PeerQuota) << "the only address is not over a share";
 }
 
 TEST_F(ConnectionGateTest, InputThatWaitsProtects) {
@@ -184,7 +184,7 @@
   const ConnectionId beyond = gate.onAccepted(now, peer(1));
   gate.onFirstByte(now, beyond);
   EXPECT_TRUE(gate.refuses(beyond));
-  EXPECT_EQ(gate.onAnswer(now, beyond, false), Cause::ConnectionsFull);
+  EXPECT_EQ(gate.onAnswer(now, beyond, false), RejectionReason::ConnectionLimit);
   for (int i = 0; i < 3; ++i) gate.onAccepted(now, peer(1));
   EXPECT_TRUE(gate.overfull());
 }
@@ -196,7 +196,7 @@
     gate.onFirstByte(now, ids.back());
   }
   EXPECT_TRUE(gate.refuses(ids.back()));
-  gate.onClosed(ids.front(), Cause::None);
+  gate.onClosed(ids.front(), RejectionReason::None);
   EXPECT_FALSE(gate.refuses(ids.back()));
 }
 
@@ -211,7 +211,7 @@
 TEST_F(ConnectionGateTest, ConnectionsThatNobodyUsesAgainAreClosedWithTheirAnswer) {
   for (int i = 0; i < 15; ++i) rested(1, 20);
   int kept = 0;
-  for (int i = 0; i < 300; ++i) kept += askOnce() == Cause::None ? 1 : 0;
+  for (int i = 0; i < 300; ++i) kept += askOnce() == RejectionReason::None ? 1 : 0;
   EXPECT_LT(kept, 60);
   EXPECT_TRUE(gate.reuse().frugal());
   EXPECT_LT(gate.idle(), 60U);
@@ -221,7 +221,7 @@
   for (int i = 0; i < 300; ++i) askOnce();
   ASSERT_TRUE(gate.reuse().frugal());
   // Those it kept are closed by the client; the next few are kept for trial and used.
-  while (const auto victim = gate.makeRoom(now)) gate.onClosed(victim->id, Cause::None);
+  while (const auto victim = gate.makeRoom(now)) gate.onClosed(victim->id, RejectionReason::None);
   std::vector<ConnectionId> pool;
   for (int i = 0; i < 8; ++i) pool.push_back(rested(1));
   for (int i = 0; i < 40; ++i) {
@@ -241,7 +241,8 @@
       now += 4 * kMs;  // each asks every 2 s
       if (c == 0)
         c = gate.onAccepted(now, peer(static_cast<std::uint32_t>(&c - clients.data()))), ++handshakes;
-      if (const Cause verdict = ask(c); verdict != Cause::None) gate.onClosed(std::exchange(c, 0), verdict);
+      if (const RejectionReason verdict = ask(c); verdict != RejectionReason::None)
+        gate.onClosed(std::exchange(c, 0), verdict);
     }
   }
   EXPECT_FALSE(gate.reuse().frugal());
@@ -277,8 +278,8 @@
     Time now = 50 * kSecond;
     const ConnectionGate::Limits& limits = gate.limits();
     std::uint64_t closed = 0;
-    const auto close = [&](ConnectionId id, Cause cause) {
-      gate.onClosed(id, cause);
+    const auto close = [&](ConnectionId id, RejectionReason reason) {
+      gate.onClosed(id, reason);
       model.erase(id);
       ids.erase(std::find(ids.begin(), ids.end(), id));
       ++closed;
@@ -290,7 +291,7 @@
           if (const auto v = gate.makeRoom(now)) {
             const State s = model.at(v->id).state;
             ASSERT_TRUE(s == State::Silent || s == State::Idle);
-            close(v->id, v->cause);
+            close(v->id, v->reason);
           }
         }
         const ConnectionId id = gate.onAccepted(now, peer(below(5) == 0 ? below(1000) : below(4)));
@@ -312,7 +313,7 @@
           k = {State::Waiting, INT64_MAX};
           break;
         case State::Waiting:
-          if (gate.onAnswer(now, id, below(9) == 0) == Cause::None) {
+          if (gate.onAnswer(now, id, below(9) == 0) == RejectionReason::None) {
             gate.onRest(now, id);
             k = {State::Idle, now + limits.idle};
           } else {
@@ -323,10 +324,10 @@
         default:
           break;
       }
-      if (below(20) == 0) close(id, Cause::None);
+      if (below(20) == 0) close(id, RejectionReason::None);
       if (below(50) == 0) {
         gate.onFirstByte(now, 12345);  // ids it never gave or that are gone
-        gate.onClosed(id ^ (std::uint64_t{1} << 40), Cause::None);
+        gate.onClosed(id ^ (std::uint64_t{1} << 40), RejectionReason::None);
       }
       if (step % 50 != 0) continue;
       std::vector<ConnectionGate::Overdue> late;
@@ -336,7 +337,7 @@
       ASSERT_EQ(late.size(), expected);
       for (const auto& o : late) {
         ASSERT_EQ(o.state, model.at(o.id).state);
-        close(o.id, ConnectionGate::causeOf(o.state));
+        close(o.id, ConnectionGate::reasonOf(o.state));
       }
       std::size_t silent = 0, idle = 0;
       for (const auto& [i, m] : model) {
@@ -349,7 +350,7 @@
       ASSERT_LE(gate.connections(), limits.most + limits.overflow);
       ASSERT_EQ(gate.accepted(), closed + model.size());
     }
-    while (!ids.empty()) close(ids.back(), Cause::Shutdown);
+    while (!ids.empty()) close(ids.back(), RejectionReason::Shutdown);
     EXPECT_EQ(gate.connections() + gate.silent() + gate.idle() + gate.peers(), 0U);
   }
 }
--- a/tests/admission_indices_test.cpp
+++ b/tests/admission_index_registry_test.cpp
@@ -6,15 +6,15 @@
 #include <random>
 
 #include "admission/connections.h"
-#include "admission/indices.h"
-#include "admission/ledger.h"
+#include "admission/index_registry.h"
+#include "admission/rejection_counters.h"
 #include "admission/requests.h"
 
 namespace client_proxy::admission {
 namespace {
 
-TEST(Indices, ANameKeepsItsNumberWhileItMeansTheSame) {
-  Indices<int> all;
+TEST(IndexRegistry, ANameKeepsItsNumberWhileItMeansTheSame) {
+  IndexRegistry<int> all;
   all.assign({{"a", 1}, {"b", 2}});
   EXPECT_EQ(all.find("a"), 0);
   EXPECT_EQ(all.find("b"), 1);
@@ -25,8 +25,8 @@
   EXPECT_EQ(all.find("d"), std::nullopt);
 }
 
-TEST(Indices, ANumberThatIsInUseKeepsItsMeaning) {
-  Indices<int> all;
+TEST(IndexRegistry, ANumberThatIsInUseKeepsItsMeaning) {
+  IndexRegistry<int> all;
   all.assign({{"a", 1}});
   all.use(0);
   all.assign({{"a", 7}});
@@ -48,16 +48,16 @@
 
 // Whatever is assigned, used and released: what is in flight keeps its meaning, a name has the newest, and
 // there are never more numbers than names and meanings in flight together.
-TEST(Indices, AnyOrderOfEvents) {
+TEST(IndexRegistry, AnyOrderOfEvents) {
   std::mt19937 random(5);
-  Indices<int> all;
+  IndexRegistry<int> all;
   std::map<std::string, int> model;
   std::multimap<std::int32_t, int> in_flight;  // number to meaning
   std::size_t most = 0;
   for (int round = 0; round < 20'000; ++round) {
     if (random() % 10 == 0) {
       model.clear();
-      Indices<int>::Named named;
+      IndexRegistry<int>::Named named;
       for (const char* const name : {"a", "b", "c", "d"}) {
         if (random() % 3 == 0) continue;
         model[name] = static_cast<int>(random() % 4);
@@ -83,7 +83,7 @@
   EXPECT_LE(most, 4U * 4U) << "four names, four meanings";
 }
 
-Ask ask(RequestKey id, std::int32_t cls, std::int32_t tenant = -1) {
+AdmissionRequest ask(RequestKey id, std::int32_t cls, std::int32_t tenant = -1) {
   return {.id = id, .request_class = cls, .tenant = tenant, .bytes = 10, .deadline = 10'000'000};
 }
 
@@ -169,17 +169,17 @@
 }
 
 TEST(LedgerGrow, WhatWasCountedStaysWhereItBelongs) {
-  Ledger ledger(1, 1);
-  ledger.note(Cause::OpenFull, 0, 0);
-  ledger.note(Cause::OpenFull, 0, -1);
-  ledger.note(Cause::TooLate, 9, 9);
+  RejectionCounters ledger(1, 1);
+  ledger.note(RejectionReason::ConcurrencyLimit, 0, 0);
+  ledger.note(RejectionReason::ConcurrencyLimit, 0, -1);
+  ledger.note(RejectionReason::DeadlineUnreachable, 9, 9);
   ledger.grow(3, 2);
   EXPECT_EQ(ledger.classes(), 4U);
-  EXPECT_EQ(ledger.count(Cause::OpenFull, 0, 0), 1U);
-  EXPECT_EQ(ledger.count(Cause::OpenFull, 0, 2), 1U) << "other tenants";
-  EXPECT_EQ(ledger.count(Cause::TooLate, 3, 2), 1U) << "other classes and tenants";
-  EXPECT_EQ(ledger.count(Cause::TooLate, 1, 1), 0U);
-  EXPECT_EQ(ledger.total(Cause::OpenFull), 2U);
+  EXPECT_EQ(ledger.count(RejectionReason::ConcurrencyLimit, 0, 0), 1U);
+  EXPECT_EQ(ledger.count(RejectionReason::ConcurrencyLimit, 0, 2), 1U) << "other tenants";
+  EXPECT_EQ(ledger.count(RejectionReason::DeadlineUnreachable, 3, 2), 1U) << "other classes and tenants";
+  EXPECT_EQ(ledger.count(RejectionReason::DeadlineUnreachable, 1, 1), 0U);
+  EXPECT_EQ(ledger.total(RejectionReason::ConcurrencyLimit), 2U);
   EXPECT_EQ(ledger.newsSinceLast(), "2 open_full, 1 too_late");
   ledger.grow(1, 1);
   EXPECT_EQ(ledger.classes(), 4U) << "it never shrinks";
--- a/tests/admission_proxy_test.cpp
+++ b/tests/admission_proxy_test.cpp
@@ -125,7 +125,7 @@
 TEST_F(AdmissionProxyTest, ATenantThatTakesAllLeavesTheOtherItsGuarantee) {
   start([](Config& c) {
     c.site.tenants = {"acme", "quiet"};
-    c.site.settings.tenants = {{.fraction = 0.5}, {.fraction = 0.5}};
+    c.site.settings.tenants = {{.quota = 0.5}, {.quota = 0.5}};
     c.own.open = 8;
     c.own.waiting = 4;
     c.own.tenants = {{}, {.guaranteed = 2}};
--- a/tests/admission_requests_test.cpp
+++ b/tests/admission_requests_test.cpp
@@ -5,7 +5,7 @@
 #include <random>
 #include <stdexcept>
 
-#include "admission/ledger.h"
+#include "admission/rejection_counters.h"
 #include "admission/requests.h"
 
 namespace client_proxy::admission {
@@ -56,7 +56,7 @@
   EXPECT_EQ(g.verdict.entry, Entry::Waits);
   g.offer();
   EXPECT_EQ(g.verdict.entry, Entry::Refused);
-  EXPECT_EQ(g.verdict.cause, Cause::OpenFull);
+  EXPECT_EQ(g.verdict.reason, RejectionReason::ConcurrencyLimit);
   g.release(first);
   EXPECT_EQ(g.admitted, std::vector{waits});
 }
@@ -86,9 +86,10 @@
   g.next();
   ASSERT_EQ(g.refused.size(), 1U);
   EXPECT_EQ(g.refused[0].id, waits);
-  EXPECT_EQ(g.refused[0].cause, Cause::TooLate);
+  EXPECT_EQ(g.refused[0].reason, RejectionReason::DeadlineUnreachable);
   g.offer(0, 0, 1, 100 * kMs);
-  EXPECT_EQ(g.verdict.cause, Cause::TooLate) << "no time for the wait and the work: at once";
+  EXPECT_EQ(g.verdict.reason, RejectionReason::DeadlineUnreachable)
+      << "no time for the wait and the work: at once";
 }
 
 TEST(RequestGate, AClassBelowItsGuaranteeIsLetInWhateverTheOthersHold) {
@@ -96,7 +97,7 @@
   int readings = 0;
   while (g.entry(0) == Entry::Admitted) ++readings;
   EXPECT_EQ(readings, 7);
-  EXPECT_EQ(g.verdict.cause, Cause::ClassFull);
+  EXPECT_EQ(g.verdict.reason, RejectionReason::ClassLimit);
   for (int i = 0; i < 3; ++i) EXPECT_EQ(g.entry(1), Entry::Admitted);
   EXPECT_EQ(g.entry(1), Entry::Refused);
 }
@@ -134,7 +135,7 @@
   EXPECT_EQ(g.verdict.entry, Entry::Waits);
   ASSERT_EQ(g.refused.size(), 1U);
   EXPECT_EQ(g.refused[0].id, last);
-  EXPECT_EQ(g.refused[0].cause, Cause::Displaced);
+  EXPECT_EQ(g.refused[0].reason, RejectionReason::EvictedFromQueue);
   EXPECT_EQ(g.gate.waiting(), 4U);
 }
 
@@ -155,7 +156,7 @@
   g.offer(0, 0, 500);
   EXPECT_EQ(g.verdict.entry, Entry::Admitted);
   g.offer(0, 0, 1);
-  EXPECT_EQ(g.verdict.cause, Cause::BytesFull);
+  EXPECT_EQ(g.verdict.reason, RejectionReason::MemoryLimit);
 }
 
 // All hosts were silent for 3 s, everybody's time was up, everybody repeats at once.
@@ -167,7 +168,7 @@
     repeats += g.verdict.entry == Entry::Admitted ? 1 : 0;
   }
   EXPECT_EQ(repeats, 10);
-  EXPECT_EQ(g.verdict.cause, Cause::RetryBudget);
+  EXPECT_EQ(g.verdict.reason, RejectionReason::RetryBudget);
   for (int i = 0; i < 40; ++i) ASSERT_EQ(g.entry(), Entry::Admitted);
   for (int i = 0; i < 500; ++i) {
     g.offer(0, 0, 1, kSecond, true);
@@ -178,10 +179,10 @@
 
 TEST(RequestGate, TheHeadAloneTellsWhatWouldBeRefused) {
   Gate g({.open = 1, .retries_least = 0, .retries_part = 0});
-  EXPECT_EQ(g.gate.early({.id = 9}), Cause::None);
-  EXPECT_EQ(g.gate.early({.id = 9, .retry = true}), Cause::RetryBudget);
+  EXPECT_EQ(g.gate.early({.id = 9}), RejectionReason::None);
+  EXPECT_EQ(g.gate.early({.id = 9, .retry = true}), RejectionReason::RetryBudget);
   g.offer();
-  EXPECT_EQ(g.gate.early({.id = 9}), Cause::OpenFull);
+  EXPECT_EQ(g.gate.early({.id = 9}), RejectionReason::ConcurrencyLimit);
 }
 
 TEST(RequestGate, TheAdviceGrowsWithTheExcessUpToItsBound) {
@@ -219,7 +220,7 @@
         .retries_part = 0.3};
     RequestGate gate(limits);
     struct Held {
-      Ask ask;
+      AdmissionRequest ask;
       bool open;
     };
     std::map<RequestKey, Held> model;
@@ -247,12 +248,12 @@
       now += below(2000);
       std::vector<Refusal> refused;
       if (below(5) < 3) {
-        const Ask ask{next_id++,
-                      static_cast<std::int32_t>(below(5)) - 1,
-                      static_cast<std::int32_t>(below(4)) - 1,
-                      below(10) == 0 ? below(5000) : below(60),
-                      now + below(200'000) + 1,
-                      below(6) == 0};
+        const AdmissionRequest ask{next_id++,
+                                   static_cast<std::int32_t>(below(5)) - 1,
+                                   static_cast<std::int32_t>(below(4)) - 1,
+                                   below(10) == 0 ? below(5000) : below(60),
+                                   now + below(200'000) + 1,
+                                   below(6) == 0};
         const Verdict v = gate.offer(now, ask, refused);
         refuse(refused);
         if (HasFatalFailure()) return;
@@ -262,14 +263,14 @@
         const bool tenant_owed =
             (ask.tenant == 0 && gate.openOfTenant(0) < 8) || (ask.tenant == 1 && gate.openOfTenant(1) < 2);
         if (class_owed && tenant_owed && v.entry != Entry::Admitted) {
-          ASSERT_TRUE(v.cause == Cause::RetryBudget || ask.bytes + gate.bytes() > limits.bytes);
+          ASSERT_TRUE(v.reason == RejectionReason::RetryBudget || ask.bytes + gate.bytes() > limits.bytes);
         }
         if (v.entry != Entry::Refused) {
           model.emplace(ask.id, Held{ask, v.entry == Entry::Admitted});
           ids.push_back(ask.id);
         } else {
           ++ended;
-          ASSERT_NE(v.cause, Cause::None);
+          ASSERT_NE(v.reason, RejectionReason::None);
         }
       } else if (!ids.empty()) {
         const RequestKey id = ids[below(static_cast<std::uint32_t>(ids.size()))];
@@ -305,18 +306,18 @@
   }
 }
 
-TEST(Ledger, CountsByCauseClassAndTenantAndTellsTheNews) {
-  Ledger ledger(2, 1);
-  ledger.note(Cause::OpenFull, 1, 0);
-  ledger.note(Cause::OpenFull, 7, -1);  // not known: other
-  ledger.note(Cause::None, 0, 0);
-  EXPECT_EQ(ledger.total(Cause::OpenFull), 2U);
-  EXPECT_EQ(ledger.count(Cause::OpenFull, 1, 0), 1U);
-  EXPECT_EQ(ledger.count(Cause::OpenFull, 2, 1), 1U);
+TEST(RejectionCounters, CountsByCauseClassAndTenantAndTellsTheNews) {
+  RejectionCounters ledger(2, 1);
+  ledger.note(RejectionReason::ConcurrencyLimit, 1, 0);
+  ledger.note(RejectionReason::ConcurrencyLimit, 7, -1);  // not known: other
+  ledger.note(RejectionReason::None, 0, 0);
+  EXPECT_EQ(ledger.total(RejectionReason::ConcurrencyLimit), 2U);
+  EXPECT_EQ(ledger.count(RejectionReason::ConcurrencyLimit, 1, 0), 1U);
+  EXPECT_EQ(ledger.count(RejectionReason::ConcurrencyLimit, 2, 1), 1U);
   EXPECT_EQ(ledger.newsSinceLast(), "2 open_full");
   EXPECT_EQ(ledger.newsSinceLast(), "");
-  std::array<std::uint64_t, kCauses> also{};
-  also[static_cast<std::size_t>(Cause::SilentOverdue)] = 3;
+  std::array<std::uint64_t, kRejectionReasons> also{};
+  also[static_cast<std::size_t>(RejectionReason::FirstByteTimeout)] = 3;
   EXPECT_EQ(ledger.newsSinceLast(also), "3 silent_overdue");
 }
 
--- a/tests/admission_server_test.cpp
+++ b/tests/admission_server_test.cpp
@@ -8,7 +8,7 @@
 namespace client_proxy::test {
 namespace {
 
-using admission::Cause;
+using admission::RejectionReason;
 
 // Answers each request at once or, if `hold`, when release() is called.
 struct Taken : RequestSink {
@@ -57,8 +57,8 @@
     if (c->ended) c->close();
     return true;
   }
-  std::uint64_t closedFor(Cause cause) const {
-    return server->gate().closed()[static_cast<std::size_t>(cause)];
+  std::uint64_t closedFor(RejectionReason reason) const {
+    return server->gate().closed()[static_cast<std::size_t>(reason)];
   }
   const std::string kAsk = "GET /open HTTP/1.1\r\nHost: h\r\n\r\n";
   Loop loop;
@@ -91,7 +91,7 @@
                        [](const auto& c) { return c->heard("served") || c->ended; });
   }));
   EXPECT_EQ(taken.taken, 100) << "no kept connection went for one that says nothing";
-  EXPECT_GE(closedFor(Cause::SilentGaveWay) + closedFor(Cause::SilentOverdue), 1800U);
+  EXPECT_GE(closedFor(RejectionReason::SilentEvicted) + closedFor(RejectionReason::FirstByteTimeout), 1800U);
 }
 
 TEST_F(AdmissionServerTest, ClientsThatAskOnceAndStayCanGoOnAsking) {
@@ -103,7 +103,7 @@
   // What is open on their side is what they can't ask on.
   const auto open = std::count_if(all.begin(), all.end(), [](const auto& c) { return !c->ended; });
   EXPECT_LT(open, 60);
-  EXPECT_GT(closedFor(Cause::NotReused), 0U);
+  EXPECT_GT(closedFor(RejectionReason::NotReused), 0U);
   EXPECT_TRUE(all.back()->heard("Connection: close"));
 }
 
@@ -150,7 +150,7 @@
   ASSERT_TRUE(loop.until([&] {
     return std::all_of(quiet.begin(), quiet.end(), [](const auto& c) { return c->heard("served"); });
   }));
-  EXPECT_GT(closedFor(Cause::PeerShare) + closedFor(Cause::NotReused), 0U);
+  EXPECT_GT(closedFor(RejectionReason::PeerQuota) + closedFor(RejectionReason::NotReused), 0U);
 }
 
 TEST_F(AdmissionServerTest, AnAddressAtItsBoundGivesUpItsOwn) {
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -157,7 +157,7 @@
   Driver d(makeSettings());
   d.servers(ListKind::Restored, makeHosts(4));
   d.request(1, 4, kMs);
-  EXPECT_EQ(d.count(ActionKind::Refuse), 1);
+  EXPECT_EQ(d.count(ActionKind::Reject), 1);
 }
 
 TEST(Answers, AHeldRequestGoesToAServerThatAppears) {
@@ -176,7 +176,7 @@
 
 TEST(Health, AFailedConnectionEjectsAndAProbeReadmits) {
   Settings settings = makeSettings();
-  settings.may_probe = true;
+  settings.may_health_check = true;
   Driver d(settings);
   d.servers(ListKind::Restored, makeHosts(8));
   d.request(1, 4);
@@ -190,7 +190,7 @@
     d.request(id, 4);
     EXPECT_NE(d.sentTo(), bad);
     for (const Action& a : d.actions) {
-      if (a.kind == ActionKind::Probe) probed = a.server;
+      if (a.kind == ActionKind::HealthCheck) probed = a.server;
     }
     d.outcome(id, 0, Result::Ok, kMs);
   }
@@ -297,7 +297,7 @@
   };
   play(500);
   Host fresh = makeHost(9);
-  fresh.up_since = d.now;
+  fresh.started_at = d.now;
   d.servers(ListKind::Changes, {fresh});
   const int first = play(200);     // two seconds at a hundred a second: a tenth of it would be 20
   EXPECT_LE(first, 20 * 0.4 + 1);  // capacity is 0.25 to 0.4 of the full in this time
@@ -327,7 +327,7 @@
     };
     play(80);
     Host fresh = makeHost(30);
-    fresh.up_since = d.now;
+    fresh.started_at = d.now;
     d.servers(ListKind::Changes, {fresh});
     cold += play(8);  // the two seconds of the rule's window
   }
@@ -346,7 +346,7 @@
     int n = 0;
     for (int i = 0; i < requests; ++i, ++id) {
       d.request(id, 4);
-      n += d.count(ActionKind::Refuse);
+      n += d.count(ActionKind::Reject);
       d.now += latency;
       if (!d.checker.requests.at(id).ended) d.outcome(id, 0, Result::Ok, latency);
     }
@@ -361,7 +361,7 @@
 TEST(Admission, TheTenantBeyondItsShareGoesFirst) {
   Settings settings = makeSettings();
   settings.tenants = {{0.5}, {0.5}};
-  settings.over_share_worth = 0.1;
+  settings.over_quota_weight = 0.1;
   Driver d(settings);
   d.servers(ListKind::Restored, makeHosts(10));
   std::map<int, int> refused, asked;
@@ -369,7 +369,7 @@
     const int tenant = id % 5 == 0 ? 1 : 0;  // tenant 0 asks four times as much
     d.request(id, 4, 2 * kSec, tenant);
     ++asked[tenant];
-    refused[tenant] += d.count(ActionKind::Refuse);
+    refused[tenant] += d.count(ActionKind::Reject);
     const Time latency = id <= 10 ? 490 * kMs : 260 * kMs;  // overload comes and stays as it is
     d.now += latency;
     if (!d.checker.requests.at(id).ended) d.outcome(id, 0, Result::Ok, latency);
@@ -408,8 +408,8 @@
 
 Settings askingSettings() {
   Settings s = makeSettings();
-  s.reports = ReportSource::Probe;
-  s.may_probe = true;
+  s.reports = ReportSource::HealthChecks;
+  s.may_health_check = true;
   s.warm_keys = true;
   s.explain = true;
   return s;
@@ -427,7 +427,7 @@
   EXPECT_EQ(d.count(ActionKind::Send), 0);
   d.probe(asked[2], true, 7);
   EXPECT_EQ(d.sentTo(), asked[1]);
-  EXPECT_EQ(d.reason(), Reason::LeastReported);
+  EXPECT_EQ(d.reason(), Reason::LeastReportedLoad);
 }
 
 // Nobody answers the questions: the request must not wait for them longer than a part of its aim.
@@ -441,7 +441,7 @@
   d.now = timer.time;
   d.timer(timer.timer);
   EXPECT_EQ(d.count(ActionKind::Send), 1);
-  EXPECT_EQ(d.reason(), Reason::OrdinaryPick);
+  EXPECT_EQ(d.reason(), Reason::LeastLoaded);
 }
 
 // A server that leaves the list while it is being asked must not be sent to, nor remembered by the request.
@@ -480,7 +480,7 @@
 
 TEST(Asking, OnlyWhereReportsComeByProbe) {
   Settings s = askingSettings();
-  s.reports = ReportSource::Answers;
+  s.reports = ReportSource::Responses;
   Driver d(s);
   d.servers(ListKind::Restored, makeHosts(12));
   d.request(1, 0);
@@ -501,7 +501,7 @@
   Driver d(s);
   d.servers(ListKind::Restored, makeHosts(60));
   d.request(1, 0);
-  EXPECT_EQ(d.reason(), Reason::OrdinaryPick);
+  EXPECT_EQ(d.reason(), Reason::LeastLoaded);
   d.outcome(1, 0, Result::ConnectFailed);  // ejected; the next in order stands in
   std::set<Reason> seen;
   for (RequestId id = 2; id <= 17; ++id) {
@@ -510,12 +510,12 @@
     d.now += kMs;
     d.outcome(id, 0, Result::Ok, kMs);
   }
-  EXPECT_TRUE(seen.contains(Reason::StandIn));
+  EXPECT_TRUE(seen.contains(Reason::Substitute));
   for (RequestId id = 18; id <= 120; ++id) {
     d.request(id, 0);
     seen.insert(d.reason());
   }
-  EXPECT_TRUE(seen.contains(Reason::LengthenedSubset));
+  EXPECT_TRUE(seen.contains(Reason::ExtendedSubset));
 }
 
 TEST(Reasons, TrialColdShareAndGroupBoundRepeat) {
@@ -531,17 +531,17 @@
     d.request(id, 0);
     seen.insert(d.reason());
   }
-  EXPECT_TRUE(seen.contains(Reason::Trial));
+  EXPECT_TRUE(seen.contains(Reason::EjectionTrial));
 
   Driver keyed(s);
   keyed.servers(ListKind::Restored, makeHosts(24));
   keyed.request(1, 2);
   keyed.outcome(1, 0, Result::Error, kMs);
-  EXPECT_EQ(keyed.reason(), Reason::GroupBoundRepeat);
+  EXPECT_EQ(keyed.reason(), Reason::ScopedRetry);
 
   Driver cold(s);
   std::vector<Host> hosts = makeHosts(1);
-  hosts[0].up_since = cold.now - kSec;
+  hosts[0].started_at = cold.now - kSec;
   cold.servers(ListKind::Restored, hosts);
   Reason why = Reason::None;
   for (RequestId id = 1; id <= 200 && why == Reason::None; ++id) {
@@ -549,7 +549,7 @@
     why = cold.reason();
     cold.now += 20 * kMs;
   }
-  EXPECT_EQ(why, Reason::ColdShare);
+  EXPECT_EQ(why, Reason::SlowStart);
   EXPECT_EQ(toString(why), "cold share");
 }
 
@@ -588,7 +588,7 @@
 
 TEST(Discovery, AsksOnceWithJitterAndBacksOffAfterFailures) {
   Settings settings = makeSettings();
-  settings.discovery = Discovery::Ask;
+  settings.discovery = Discovery::Poll;
   std::set<Time> first;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     Driver d(settings, seed);
@@ -606,9 +606,9 @@
       d.servers(ListKind::Unavailable, {});
       ASSERT_EQ(d.count(ActionKind::SetTimer), 1);
     }
-    EXPECT_GT(gap, kSec);                 // backed off
-    EXPECT_LE(gap, settings.ask_within);  // but never silent for as long as that
-    d.servers(ListKind::Changes, {});     // a subscription stands
+    EXPECT_GT(gap, kSec);                    // backed off
+    EXPECT_LE(gap, settings.poll_interval);  // but never silent for as long as that
+    d.servers(ListKind::Changes, {});        // a subscription stands
     EXPECT_EQ(d.count(ActionKind::Subscribe), 0);
   }
   EXPECT_GT(first.size(), 15U);
@@ -617,8 +617,8 @@
 // A change counts as told 6 s after discovery had it and could be reached (net/discovery.h adds it up).
 TEST(Discovery, ABrokenWatchIsAskedForSoonAndNoFailureMakesTheNextCallWaitLong) {
   Settings settings = makeSettings();
-  settings.discovery = Discovery::Ask;
-  settings.ask_within = 60 * kSec;  // whatever that allows
+  settings.discovery = Discovery::Poll;
+  settings.poll_interval = 60 * kSec;  // whatever that allows
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
     Driver d(settings, seed);
     d.servers(ListKind::Restored, makeHosts(4));
@@ -665,11 +665,13 @@
     return std::string("accepted");
   };
   EXPECT_NE(complaint([](Settings& s) { s.classes.clear(); }).find("classes"), std::string::npos);
-  EXPECT_NE(complaint([](Settings& s) { s.classes[1].aim = -1; }).find("classes[1].aim"), std::string::npos);
-  EXPECT_NE(complaint([](Settings& s) { s.classes[2].window = 0; }).find("classes[2].window"),
+  EXPECT_NE(complaint([](Settings& s) { s.classes[1].latency_objective = -1; }).find("classes[1].aim"),
+            std::string::npos);
+  EXPECT_NE(complaint([](Settings& s) { s.classes[2].deduplication_window = 0; }).find("classes[2].window"),
             std::string::npos);
   EXPECT_NE(complaint([](Settings& s) { s.max_attempts = 0; }).find("max_attempts"), std::string::npos);
-  EXPECT_NE(complaint([](Settings& s) { s.cold_from = 0; }).find("cold_from"), std::string::npos);
+  EXPECT_NE(complaint([](Settings& s) { s.slow_start_initial_capacity = 0; }).find("cold_from"),
+            std::string::npos);
 }
 
 Outcome outcomeOf(std::int32_t attempt) {
@@ -693,19 +695,19 @@
   };
   constexpr double kNan = std::numeric_limits<double>::quiet_NaN();
   EXPECT_TRUE(names("classes[0].deadline", [](Settings& s) { s.classes[0].deadline = 0; }));
-  EXPECT_TRUE(names("classes[0].worth", [=](Settings& s) { s.classes[0].worth = kNan; }));
-  EXPECT_TRUE(names("classes[4].late_worth", [](Settings& s) { s.classes[4].late_worth = -1; }));
-  EXPECT_TRUE(names("classes[0].aim_stretch", [](Settings& s) { s.classes[0].aim_stretch = -1; }));
-  EXPECT_TRUE(names("tenants[0].fraction", [=](Settings& s) { s.tenants[0].fraction = kNan; }));
-  EXPECT_TRUE(names("over_share_worth", [](Settings& s) { s.over_share_worth = -1; }));
+  EXPECT_TRUE(names("classes[0].worth", [=](Settings& s) { s.classes[0].priority_weight = kNan; }));
+  EXPECT_TRUE(names("classes[4].late_worth", [](Settings& s) { s.classes[4].late_weight = -1; }));
+  EXPECT_TRUE(names("classes[0].aim_stretch", [](Settings& s) { s.classes[0].objective_per_work = -1; }));
+  EXPECT_TRUE(names("tenants[0].fraction", [=](Settings& s) { s.tenants[0].quota = kNan; }));
+  EXPECT_TRUE(names("over_share_worth", [](Settings& s) { s.over_quota_weight = -1; }));
   EXPECT_TRUE(names("max_retry_after", [](Settings& s) { s.max_retry_after = -1; }));
   EXPECT_TRUE(names("drain_grace", [](Settings& s) { s.drain_grace = -1; }));
-  EXPECT_TRUE(names("cold_from", [](Settings& s) { s.cold_from = 1.5; }));
-  EXPECT_TRUE(names("cold_time", [](Settings& s) { s.cold_time = -1; }));
-  EXPECT_TRUE(names("cold_multiple", [](Settings& s) { s.cold_multiple = -1; }));
-  EXPECT_TRUE(names("cold_window", [](Settings& s) { s.cold_window = -1; }));
+  EXPECT_TRUE(names("cold_from", [](Settings& s) { s.slow_start_initial_capacity = 1.5; }));
+  EXPECT_TRUE(names("cold_time", [](Settings& s) { s.slow_start_duration = -1; }));
+  EXPECT_TRUE(names("cold_multiple", [](Settings& s) { s.slow_start_overload_factor = -1; }));
+  EXPECT_TRUE(names("cold_window", [](Settings& s) { s.slow_start_overload_window = -1; }));
   EXPECT_TRUE(names("tick", [](Settings& s) { s.tick = 0; }));
-  EXPECT_TRUE(names("ask_within", [](Settings& s) { s.discovery = Discovery::Ask, s.ask_within = 0; }));
+  EXPECT_TRUE(names("ask_within", [](Settings& s) { s.discovery = Discovery::Poll, s.poll_interval = 0; }));
 }
 
 TEST(BadInput, CallsOutOfOrderDoNoHarm) {
@@ -726,7 +728,7 @@
   second.request = 2;
   second.final = true;
   d.balancer.onOutcome(later, second, out);  // a second final
-  d.balancer.onStreaming(later, 2, 0, out);
+  d.balancer.onResponseStarted(later, 2, 0, out);
   d.balancer.onClientGone(later, 2, out);
   EXPECT_TRUE(out.empty());
 }
@@ -739,8 +741,8 @@
   d.balancer.onTimer(d.now, 0xFFFF'FFFF'FFFFULL, out);
   d.balancer.onTimer(d.now, 5, out);
   d.balancer.onClientGone(d.now, 99, out);
-  d.balancer.onProbe(d.now, "nobody", true, 1, {}, out);
-  d.balancer.onStreaming(d.now, 99, 0, out);
+  d.balancer.onHealthCheck(d.now, "nobody", true, 1, {}, out);
+  d.balancer.onResponseStarted(d.now, 99, 0, out);
   d.balancer.onOutcome(d.now - kSec, outcomeOf(-1), out);
   EXPECT_TRUE(out.empty());
 }
@@ -752,7 +754,7 @@
   Driver d(settings);
   d.servers(ListKind::Restored, makeHosts(4));
   d.request(1, 4);
-  d.outcome(1, 0, Result::Spoilt, 10 * kMs);
+  d.outcome(1, 0, Result::InvalidResponse, 10 * kMs);
   for (RequestId id = 2; id < 30; ++id) {
     d.request(id, 4);
     d.outcome(id, 0, Result::BadRequest, 10 * kMs);
@@ -761,7 +763,7 @@
   bool ejected = false;
   for (RequestId id = 30; id < 60; ++id) {
     d.request(id, 4);
-    d.outcome(id, 0, Result::Spoilt, 10 * kMs);
+    d.outcome(id, 0, Result::InvalidResponse, 10 * kMs);
     ejected |= d.traced("ejected");
   }
   EXPECT_TRUE(ejected);
@@ -774,7 +776,11 @@
   for (RequestId id = 1; id < 200; ++id) {  // one of ten breaks
     d.request(id, 0);
     d.now += 5 * kMs;
-    d.outcome(id, 0, id % 20 == 0 ? Result::Reset : id % 20 == 10 ? Result::CutShort : Result::Ok, 5 * kMs);
+    d.outcome(id, 0,
+              id % 20 == 0    ? Result::Reset
+              : id % 20 == 10 ? Result::RequestIncomplete
+                              : Result::Ok,
+              5 * kMs);
     ejected |= d.traced("ejected");
     if (id % 10 == 0) d.outcome(id, 1, Result::Ok, 5 * kMs);
   }
@@ -801,7 +807,7 @@
   for (RequestId id = 10; id < 30; ++id) {
     d.now += 10 * kMs;
     d.request(id, 4);
-    EXPECT_NE(d.reason(), Reason::ColdShare);
+    EXPECT_NE(d.reason(), Reason::SlowStart);
     d.outcome(id, 0, Result::Ok, 5 * kMs);
   }
 }
@@ -817,7 +823,7 @@
     d.now += 10 * kMs;
     d.request(++last, cls, patience);
     const bool sent = d.count(ActionKind::Send) == 1;
-    EXPECT_EQ(d.count(ActionKind::Refuse), sent ? 0 : 1) << "refused at once, or sent";
+    EXPECT_EQ(d.count(ActionKind::Reject), sent ? 0 : 1) << "refused at once, or sent";
     if (!sent) return false;
     d.now += std::min(patience, takes);
     d.outcome(last, 0, takes <= patience ? Result::Ok : Result::TimedOut, std::min(patience, takes));
@@ -854,7 +860,7 @@
   ZoneLost() : d(probing()) { d.servers(ListKind::Restored, makeHosts(12)); }  // four in each of three zones
   static Settings probing() {
     Settings s = makeSettings();
-    s.may_probe = true;
+    s.may_health_check = true;
     return s;
   }
   static int zoneOf(const std::string& id) { return std::stoi(id.substr(7)) % 3; }
--- a/tests/rehearsal_test.cpp
+++ b/tests/change_preview_test.cpp
@@ -1,29 +1,29 @@
 // What was served as a bounded sample, and a pending change of routes tried on it.
-#include "rehearsal/rehearsal.h"
+#include "change_preview/change_preview.h"
 
 #include <gtest/gtest.h>
 
 #include <cmath>
 
-#include "record/record.h"
+#include "traffic_sample/traffic_sample.h"
 
-namespace client_proxy::rehearsal {
+namespace client_proxy::change_preview {
 namespace {
 
-using record::Effect;
-using record::Entry;
-using record::Names;
-using record::Record;
+using traffic_sample::Idempotency;
+using traffic_sample::NameTable;
+using traffic_sample::SampledRequest;
+using traffic_sample::TrafficSample;
 
 constexpr Time kSecond = 1'000'000;
 
 TEST(RecordTest, RareClassesAreInItAndWeightsMakeItStandForAll) {
-  Names names;
-  Record r(1280, 3600 * kSecond, 3);
+  NameTable names;
+  TrafficSample r(1280, 3600 * kSecond, 3);
   const auto busy = names.numberOf("slot-status"), rare = names.numberOf("refund"),
              t = names.numberOf("acme");
   for (int i = 0; i < 100'000; ++i) {
-    Entry e;
+    SampledRequest e;
     e.at = kSecond + i;
     e.request_class = i % 10'000 == 0 ? rare : busy;
     e.tenant = t;
@@ -44,9 +44,9 @@
   double sum = 0;
   int within = 0;
   for (std::uint64_t seed = 1; seed <= 400; ++seed) {
-    Record r(128 * 100, 3600 * kSecond, seed);
+    TrafficSample r(128 * 100, 3600 * kSecond, seed);
     for (int i = 0; i < 5000; ++i) {
-      Entry e;
+      SampledRequest e;
       e.at = kSecond + i;
       e.zone = i % 4 == 0 ? 1 : 2;
       r.note(e);
@@ -62,9 +62,9 @@
 }
 
 TEST(RecordTest, TheOlderHalfIsForgottenAndMorePairsThanStrataShareOne) {
-  Record r(1280, 100 * kSecond, 1);
+  TrafficSample r(1280, 100 * kSecond, 1);
   for (std::uint16_t i = 1; i <= 200; ++i) {
-    Entry e;
+    SampledRequest e;
     e.at = i * kSecond;
     e.request_class = i;
     r.note(e);
@@ -74,13 +74,13 @@
 }
 
 TEST(RecordTest, PathsKeepTheirShapeAndNoId) {
-  EXPECT_EQ(record::shapeOf("/slot-status/x"), "/slot-status/x");
-  EXPECT_EQ(record::shapeOf("/v1/swap-charge/rider-4711/refund"), "/v1/swap-charge/~/refund");
-  Names names;
+  EXPECT_EQ(traffic_sample::shapeOf("/slot-status/x"), "/slot-status/x");
+  EXPECT_EQ(traffic_sample::shapeOf("/v1/swap-charge/rider-4711/refund"), "/v1/swap-charge/~/refund");
+  NameTable names;
   EXPECT_EQ(names.numberOf("a"), names.numberOf("a"));
   for (int i = 0; i < 6000; ++i) names.numberOf("n" + std::to_string(i));
-  EXPECT_EQ(names.size(), Names::kMost);
-  EXPECT_EQ(names.numberOf("one more"), Names::kOther);
+  EXPECT_EQ(names.size(), NameTable::kMost);
+  EXPECT_EQ(names.numberOf("one more"), NameTable::kOther);
   EXPECT_EQ(names.at(names.numberOf("n7")), "n7");
 }
 
@@ -94,12 +94,12 @@
   };
   std::vector<Row> rows = std::vector<Row>(7);
   std::vector<std::string> services = {"s0", "s1", "s2"};
-  Side side() const {
-    Side s;
+  RoutingSnapshot side() const {
+    RoutingSnapshot s;
     for (std::size_t i = 0; i < rows.size(); ++i) s.routes.push_back("r" + std::to_string(i));
-    s.place = [this](const Entry& e) {
+    s.place = [this](const SampledRequest& e) {
       const Row& row = rows[e.request_class];
-      Placed p;
+      Placement p;
       if (row.service < 0) return p;
       p.service = row.service;
       p.route = e.request_class;
@@ -111,8 +111,8 @@
   }
 };
 
-Names namesOf() {
-  Names n;
+NameTable namesOf() {
+  NameTable n;
   for (const char* name : {"c1", "c2", "c3", "c4", "c5", "c6", "a", "b", "c"}) n.numberOf(name);
   return n;
 }
@@ -120,7 +120,7 @@
 // A thousand pairs of files over records that hold everything: what is told is what a plain count tells.
 TEST(Rehearsal, EqualsAPlainCountOnAThousandPairsOfFiles) {
   load_balancer::Random random(9);
-  const Names names = namesOf();
+  const NameTable names = namesOf();
   for (int round = 0; round < 1000; ++round) {
     File now, then;
     for (File* f : {&now, &then}) {
@@ -129,26 +129,26 @@
         f->rows[c].zone = std::string(1, static_cast<char>('a' + random.below(3)));
       }
     }
-    Record record(128 * 64, 3600 * kSecond, 1);
+    TrafficSample record(128 * 64, 3600 * kSecond, 1);
     double split = 0, left = 0, moved = 0;
     std::map<std::string, double> work;
     for (int i = 0; i < 40; ++i) {
-      Entry e;
+      SampledRequest e;
       e.at = kSecond;
       e.request_class = static_cast<std::uint16_t>(1 + random.below(6));
       e.zone = static_cast<std::uint16_t>(7 + random.below(3));
-      e.effect = static_cast<Effect>(random.below(3));
+      e.idempotency = static_cast<Idempotency>(random.below(3));
       e.work = 1;
       record.note(e);
       const File::Row &b = now.rows[e.request_class], &a = then.rows[e.request_class];
       const std::string bz = b.service < 0 ? "" : b.zone, az = a.service < 0 ? "" : a.zone;
-      work[e.effect != Effect::Safe && !az.empty() ? az : names.at(e.zone)] += 1;
-      if (e.effect == Effect::Safe) continue;
+      work[e.idempotency != Idempotency::Idempotent && !az.empty() ? az : names.at(e.zone)] += 1;
+      if (e.idempotency == Idempotency::Idempotent) continue;
       split += b.service >= 0 && b.service != a.service && bz != az ? 1 : 0;
       left += b.service >= 0 && a.service < 0 ? 1 : 0;
       moved += bz != az ? 1 : 0;
     }
-    const Tally t = replay(record, names, now.side(), then.side(), 2 * kSecond);
+    const PreviewTotals t = replay(record, names, now.side(), then.side(), 2 * kSecond);
     ASSERT_NEAR(t.keys_split, split, 1e-9) << round;
     ASSERT_NEAR(t.left_alone, left, 1e-9) << round;
     ASSERT_NEAR(t.to_other_site, moved, 1e-9) << round;
@@ -159,19 +159,20 @@
 
 class Judged : public ::testing::Test {
  protected:
-  Tally over(const File& now, const File& then, Effect effect = Effect::Keyed, int requests = 5000) {
-    Record record(128 * 5000, 3600 * kSecond, 1);
+  PreviewTotals over(const File& now, const File& then,
+                     Idempotency idempotency = Idempotency::IdempotentWithKey, int requests = 5000) {
+    TrafficSample record(128 * 5000, 3600 * kSecond, 1);
     for (int i = 0; i < requests; ++i) {
-      Entry e;
+      SampledRequest e;
       e.at = kSecond;
       e.request_class = static_cast<std::uint16_t>(1 + i % 6);
       e.zone = 7;
       e.tenant = 1;
-      e.effect = effect;
+      e.idempotency = idempotency;
       e.work = 0.01F;
       record.note(e);
     }
-    Tally t = replay(record, names, now.side(), then.side(), 11 * kSecond);
+    PreviewTotals t = replay(record, names, now.side(), then.side(), 11 * kSecond);
     t.routes.erase("r0");
     return t;
   }
@@ -180,47 +181,47 @@
     for (std::size_t c = 1; c < 7; ++c) f.rows[c] = {service, zone};
     return f;
   }
-  const Names names = namesOf();
+  const NameTable names = namesOf();
   const std::map<std::string, double> rooms = {{"a", 20}, {"b", 20}};
 };
 
 TEST_F(Judged, AServiceThatMovesByItsDeedIsSafe) {
-  const Verdict v = judge(over(all(0, "a"), all(0, "b")), rooms, 1, 0, {});
-  EXPECT_EQ(v.judgement, Judgement::Safe) << (v.causes.empty() ? "" : v.causes[0]);
+  const Assessment v = assess(over(all(0, "a"), all(0, "b")), rooms, 1, 0, {});
+  EXPECT_EQ(v.risk, Risk::Safe) << (v.causes.empty() ? "" : v.causes[0]);
   EXPECT_LT(v.error, 0.02);
 }
 
 TEST_F(Judged, KeysThatChangeSiteBetweenTwoServicesAreNeverSafe) {
-  const Verdict v = judge(over(all(0, "a"), all(1, "b")), rooms, 1, 0, {});
-  EXPECT_EQ(v.judgement, Judgement::Unsafe);
+  const Assessment v = assess(over(all(0, "a"), all(1, "b")), rooms, 1, 0, {});
+  EXPECT_EQ(v.risk, Risk::Unsafe);
   EXPECT_EQ(v.causes[0].rfind("unsafe: 100.0 % of the requests", 0), 0U) << v.causes[0];
-  EXPECT_EQ(judge(over(all(0, "a"), all(1, "a")), rooms, 1, 0, {}).judgement, Judgement::Safe)
-      << "the same site";
-  EXPECT_EQ(judge(over(all(0, "a"), all(-1, "")), rooms, 1, 0, {}).judgement, Judgement::Unsafe);
-  EXPECT_EQ(judge(over(all(0, "a"), all(1, "b"), Effect::Safe), rooms, 1, 0, {}).judgement, Judgement::Safe);
+  EXPECT_EQ(assess(over(all(0, "a"), all(1, "a")), rooms, 1, 0, {}).risk, Risk::Safe) << "the same site";
+  EXPECT_EQ(assess(over(all(0, "a"), all(-1, "")), rooms, 1, 0, {}).risk, Risk::Unsafe);
+  EXPECT_EQ(assess(over(all(0, "a"), all(1, "b"), Idempotency::Idempotent), rooms, 1, 0, {}).risk,
+            Risk::Safe);
 }
 
 TEST_F(Judged, ALoadBeyondAZonesRoomAMemberThatIsMissingAndAnUnusedRouteAreRisky) {
-  const Tally t = over(all(0, "a"), all(0, "b"));
-  const auto first = [](const Verdict& v) { return v.causes.empty() ? std::string() : v.causes[0]; };
-  const Verdict full = judge(t, {{"b", 5}}, 1, 0, {});
-  EXPECT_EQ(full.judgement, Judgement::Risky);
+  const PreviewTotals t = over(all(0, "a"), all(0, "b"));
+  const auto first = [](const Assessment& v) { return v.causes.empty() ? std::string() : v.causes[0]; };
+  const Assessment full = assess(t, {{"b", 5}}, 1, 0, {});
+  EXPECT_EQ(full.risk, Risk::Risky);
   EXPECT_EQ(first(full), "risky: zone b would be at 100.0 % of its room");
-  EXPECT_EQ(first(judge(t, rooms, 12, 0, {})), "risky: only 1 of 12 members have told");
-  EXPECT_EQ(first(judge(t, rooms, 1, 2, {})), "risky: 2 members have another pending file");
+  EXPECT_EQ(first(assess(t, rooms, 12, 0, {})), "risky: only 1 of 12 members have told");
+  EXPECT_EQ(first(assess(t, rooms, 1, 2, {})), "risky: 2 members have another pending file");
   File some = all(0, "b");
   some.rows[6].service = -1;
-  const Tally unused = over(File{}, some);
-  EXPECT_EQ(first(judge(unused, rooms, 1, 0, {})), "risky: route r6 was not used by any recorded request");
-  EXPECT_EQ(judge(over(all(0, "a"), all(0, "b"), Effect::Keyed, 30), rooms, 1, 0, {}).judgement,
-            Judgement::Risky)
+  const PreviewTotals unused = over(File{}, some);
+  EXPECT_EQ(first(assess(unused, rooms, 1, 0, {})), "risky: route r6 was not used by any recorded request");
+  EXPECT_EQ(assess(over(all(0, "a"), all(0, "b"), Idempotency::IdempotentWithKey, 30), rooms, 1, 0, {}).risk,
+            Risk::Risky)
       << "too few requests to tell";
 }
 
 TEST_F(Judged, TalliesOfMembersAddUpInAnyOrder) {
-  const Tally x = over(all(0, "a"), all(1, "b")), y = over(all(0, "a"), all(-1, "")),
-              z = over(File{}, all(2, "a"));
-  Tally one = x, two = z;
+  const PreviewTotals x = over(all(0, "a"), all(1, "b")), y = over(all(0, "a"), all(-1, "")),
+                      z = over(File{}, all(2, "a"));
+  PreviewTotals one = x, two = z;
   one.add(y), one.add(z);
   two.add(x), two.add(y);
   EXPECT_EQ(one.members, 3U);
@@ -230,13 +231,13 @@
 }
 
 TEST_F(Judged, AJudgementIsVoidAsSoonAsWhatItRestsOnIsAnother) {
-  const Grounds g{1, 2, 3, 4};
-  const Verdict v = judge(over(all(0, "a"), all(0, "b")), rooms, 1, 0, g);
+  const PreviewInputs g{1, 2, 3, 4};
+  const Assessment v = assess(over(all(0, "a"), all(0, "b")), rooms, 1, 0, g);
   EXPECT_TRUE(v.holds(g));
-  for (const Grounds& other :
-       {Grounds{9, 2, 3, 4}, Grounds{1, 9, 3, 4}, Grounds{1, 2, 9, 4}, Grounds{1, 2, 3, 9}})
+  for (const PreviewInputs& other : {PreviewInputs{9, 2, 3, 4}, PreviewInputs{1, 9, 3, 4},
+                                     PreviewInputs{1, 2, 9, 4}, PreviewInputs{1, 2, 3, 9}})
     EXPECT_FALSE(v.holds(other));
 }
 
 }  // namespace
-}  // namespace client_proxy::rehearsal
+}  // namespace client_proxy::change_preview
--- a/tests/client_left_test.cpp
+++ b/tests/client_left_test.cpp
@@ -42,7 +42,8 @@
 // attempt fails then: there is no next one.
 TEST_F(ClientLeft, BehindMoreThanIsReadAheadAndItsAttemptIsCancelled) {
   start(json::array({entry("s-1", host.endpoint())}), [](Config& c) {
-    for (load_balancer::RequestClass& k : c.site.settings.classes) k.aim = k.deadline = 20 * kSecond;
+    for (load_balancer::RequestClass& k : c.site.settings.classes)
+      k.latency_objective = k.deadline = 20 * kSecond;
   });
   const auto c = client();
   std::string behind;
--- a/tests/combination_test.cpp
+++ b/tests/combination_test.cpp
@@ -65,7 +65,7 @@
   std::vector<Host> fresh(old.begin() + 6, old.end());
   for (int n = 12; n < 18; ++n) {
     fresh.push_back(makeHost(n));
-    fresh.back().up_since = d.now - kSec;
+    fresh.back().started_at = d.now - kSec;
   }
   fresh[0].state = HostState::Draining;
   d.servers(ListKind::Full, fresh);
@@ -130,7 +130,7 @@
   d.servers(ListKind::Restored, makeHosts(30));
   play(d, 1, 200, 5 * kMs, kFine);
   std::vector<Host> grown = makeHosts(120);
-  for (int n = 30; n < 120; ++n) grown[static_cast<std::size_t>(n)].up_since = d.now;
+  for (int n = 30; n < 120; ++n) grown[static_cast<std::size_t>(n)].started_at = d.now;
   d.servers(ListKind::Full, grown);
   std::set<std::string> used;
   EXPECT_EQ(play(d, 1000, 400, 5 * kMs, [&](const std::string& s) { return used.insert(s), Result::Ok; }),
@@ -145,7 +145,7 @@
     Driver d(makeSettings());
     d.now = start;
     std::vector<Host> hosts = makeHosts(20);
-    hosts[3].up_since = start - kSec;
+    hosts[3].started_at = start - kSec;
     d.servers(ListKind::Restored, hosts);
     std::vector<std::string> seen;
     play(d, 1, 300, 7 * kMs, [&](const std::string& s) {
@@ -200,7 +200,7 @@
 // Nothing permitted, nothing told: no probes, reports, cancels, keys, hints or tenants, one attempt.
 TEST(Combination, NothingIsPermittedAndNothingTold) {
   Settings s;
-  s.classes = {makeClass(Effect::Unsafe)};
+  s.classes = {makeClass(Idempotency::NonIdempotent)};
   Driver d(s);
   d.servers(ListKind::Restored, makeHosts(6));
   int fail = 0;
@@ -222,7 +222,7 @@
     EXPECT_EQ(d.balancer.liveRequests(), 0U);
     EXPECT_EQ(d.balancer.knownServers(), 15U);
   }
-  EXPECT_LE(d.balancer.rememberedSlots(), 30U);
+  EXPECT_LE(d.balancer.slotCount(), 30U);
 }
 
 // Each ordinary pick looks at the members of the subset, however large the fleet is.
@@ -230,9 +230,9 @@
   const auto looks = [](int servers) {
     Driver d(makeSettings());
     d.servers(ListKind::Restored, makeHosts(servers));
-    const std::uint64_t before = d.balancer.serversLookedAt();
+    const std::uint64_t before = d.balancer.hostsExamined();
     play(d, 1, 200, 5 * kMs, kFine);
-    return d.balancer.serversLookedAt() - before;
+    return d.balancer.hostsExamined() - before;
   };
   EXPECT_LE(looks(900), 200U * 17);
   EXPECT_EQ(looks(900), looks(100));
--- a/tests/conf_generated_test.cpp
+++ b/tests/conf_generated_test.cpp
@@ -127,10 +127,10 @@
   std::string text = "listen 127.0.0.1:" + std::to_string(*rc::gen::inRange(1, 65536)) + "\n";
   const int classes = *rc::gen::inRange(1, 5), hosts = *rc::gen::inRange(1, 6);
   for (int i = 0; i < classes; ++i) {
-    const std::string effect = *rc::gen::elementOf(std::vector<std::string>{"safe", "unsafe", "keyed"});
-    text += "class c" + std::to_string(i) + " {\neffect " + effect + "\naim " + ms(1, 1000) + "\ndeadline " +
-            ms(1000, 100'000) + "\n";
-    if (effect == "keyed") text += "window " + ms(1, 10'000) + "\n";
+    const std::string idempotency = *rc::gen::elementOf(std::vector<std::string>{"safe", "unsafe", "keyed"});
+    text += "class c" + std::to_string(i) + " {\neffect " + idempotency + "\naim " + ms(1, 1000) +
+            "\ndeadline " + ms(1000, 100'000) + "\n";
+    if (idempotency == "keyed") text += "window " + ms(1, 10'000) + "\n";
     if (*rc::gen::arbitrary<bool>()) text += "worth " + std::to_string(*rc::gen::inRange(0, 1000)) + ".25\n";
     text += "}\n";
   }
--- a/tests/conf_schema_test.cpp
+++ b/tests/conf_schema_test.cpp
@@ -50,11 +50,11 @@
   ASSERT_TRUE(c.model.pool);
   EXPECT_EQ(c.model.listen.port, 8080);
   ASSERT_EQ(c.model.classes.size(), 2U);
-  EXPECT_EQ(c.model.classes[0].effect, Effect::Unsafe);
+  EXPECT_EQ(c.model.classes[0].idempotency, Idempotency::NonIdempotent);
   EXPECT_EQ(c.model.classes[0].deadline, 2'500'000);
-  EXPECT_EQ(c.model.classes[1].effect, Effect::Keyed);
-  EXPECT_EQ(c.model.classes[1].group, Group::Zone);
-  EXPECT_EQ(c.model.classes[1].window, 2'000'000);
+  EXPECT_EQ(c.model.classes[1].idempotency, Idempotency::IdempotentWithKey);
+  EXPECT_EQ(c.model.classes[1].deduplication_scope, DeduplicationScope::Zone);
+  EXPECT_EQ(c.model.classes[1].deduplication_window, 2'000'000);
   EXPECT_DOUBLE_EQ(c.model.tenants.at(0).part, 0.6);
   ASSERT_EQ(c.model.pool->hosts.size(), 2U);
   EXPECT_EQ(c.model.pool->hosts[0].zone, "b");
--- a/tests/repeats_test.cpp
+++ b/tests/duplicate_detector_test.cpp
@@ -1,5 +1,5 @@
 // Requests that must not run a second time: one process, and one process after another.
-#include "admission/repeats.h"
+#include "admission/duplicate_detector.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -10,23 +10,23 @@
 namespace client_proxy::admission {
 namespace {
 
-using Verdict = Repeats::Verdict;
+using Verdict = DuplicateDetector::Verdict;
 constexpr Time kMs = 1000, kSec = 1'000'000, kStart = 9'000'000'000;
 
-Tried safe(const std::string& id) { return {.id = id, .key = "", .safe = true}; }
-Tried unsafe(const std::string& id) { return {.id = id, .key = ""}; }
-Tried keyed(const std::string& id, const std::string& key, Time window) {
-  return {.id = id, .key = key, .safe = false, .window = window};
+RequestRecord safe(const std::string& id) { return {.id = id, .key = "", .safe = true}; }
+RequestRecord unsafe(const std::string& id) { return {.id = id, .key = ""}; }
+RequestRecord keyed(const std::string& id, const std::string& key, Time deduplication_window) {
+  return {.id = id, .key = key, .safe = false, .deduplication_window = deduplication_window};
 }
 
 struct RepeatsTest : ::testing::Test {
-  Repeats r{{.kept = 5 * kSec, .bytes = 100'000}};
+  DuplicateDetector r{{.kept = 5 * kSec, .bytes = 100'000}};
 };
 
 TEST_F(RepeatsTest, WhatBecameOfTheFirstSaysWhatBecomesOfTheNext) {
   struct Row {
     const char* what;
-    Tried first, next;
+    RequestRecord first, next;
     std::optional<bool> ended;  // may have run; nothing: it is open
     Time later;
     Verdict verdict;
@@ -53,13 +53,13 @@
   for (const Row& row : rows) {
     // The same in one process, and over a hand-over at the worst moment: told before its end, and of its end.
     for (const bool handed : {false, true}) {
-      Repeats first({.kept = 5 * kSec}), second({.kept = 5 * kSec});
+      DuplicateDetector first({.kept = 5 * kSec}), second({.kept = 5 * kSec});
       ASSERT_EQ(first.offer(kStart, row.first), Verdict::New);
-      if (handed) second.recall(kStart, first.remember(kStart));
+      if (handed) second.restore(kStart, first.snapshot(kStart));
       if (row.ended) {
-        const Tried told = first.end(kStart, row.first.id, *row.ended);
+        const RequestRecord told = first.end(kStart, row.first.id, *row.ended);
         EXPECT_EQ(told.id, row.first.id);
-        if (handed) second.recall(kStart, std::vector{told});
+        if (handed) second.restore(kStart, std::vector{told});
       }
       EXPECT_EQ((handed ? second : first).offer(kStart + row.later, row.next), row.verdict)
           << row.what << (handed ? ", handed over" : "");
@@ -101,12 +101,12 @@
 
 TEST_F(RepeatsTest, WhatAnotherProcessSaysDoesNotEndWhatIsOpenHere) {
   ASSERT_EQ(r.offer(kStart, unsafe("a")), Verdict::New);
-  Tried told = unsafe("a");
+  RequestRecord told = unsafe("a");
   told.began = kStart - kSec, told.ended = kStart, told.never_ran = true;
-  r.recall(kStart, std::vector{told});
+  r.restore(kStart, std::vector{told});
   EXPECT_EQ(r.offer(kStart + kMs, unsafe("a")), Verdict::Open);
   told.id = "from the future", told.began = kStart + kSec;
-  r.recall(kStart, std::vector{told});
+  r.restore(kStart, std::vector{told});
   EXPECT_EQ(r.size(), 1U);
 }
 
@@ -114,7 +114,7 @@
 // like: no unsafe request runs twice, no keyed one outside its window.
 RC_GTEST_PROP(RepeatsGenerated, NothingRunsTwiceOverAnyUpgradesRepeatsAndKills, ()) {
   struct Process {
-    Repeats known{{.kept = 5 * kSec}};
+    DuplicateDetector known{{.kept = 5 * kSec}};
     std::map<std::string, bool> open;  // ids, and whether they run
   };
   std::optional<Process> serving, leaving;
@@ -127,9 +127,9 @@
     if (p.open.empty()) return;
     auto it = p.open.begin();
     std::advance(it, below(static_cast<int>(p.open.size())));
-    const Tried told = p.known.end(now, it->first, it->second);
+    const RequestRecord told = p.known.end(now, it->first, it->second);
     p.open.erase(it);
-    if (successor != nullptr) successor->known.recall(now, std::vector{told});
+    if (successor != nullptr) successor->known.restore(now, std::vector{told});
   };
   const int steps = *rc::gen::inRange(20, 120);
   for (int n = 0; n < steps; ++n) {
@@ -142,8 +142,10 @@
         // Either it is the same again, or its key under a new id.
         const bool other_id = is_keyed && below(2) == 0;
         const std::string id = (other_id ? std::to_string(n) + "-" : "") + "r" + std::to_string(which);
-        const Time window = which % 4 == 1 ? kSec : 0;
-        if (serving->known.offer(now, is_keyed ? keyed(id, key, window) : unsafe(id)) != Verdict::New) break;
+        const Time deduplication_window = which % 4 == 1 ? kSec : 0;
+        if (serving->known.offer(now, is_keyed ? keyed(id, key, deduplication_window) : unsafe(id)) !=
+            Verdict::New)
+          break;
         const bool ran = below(4) != 0;
         serving->open[id] = ran;
         if (ran) runs[is_keyed ? key : id].push_back(now);
@@ -158,7 +160,7 @@
       case 6: {  // an upgrade; whoever was leaving is killed
         leaving = std::move(serving);
         serving.emplace();
-        serving->known.recall(now, leaving->known.remember(now));
+        serving->known.restore(now, leaving->known.snapshot(now));
         break;
       }
       case 7:  // the one that leaves is killed, with all that it held
--- a/tests/embed_example.cpp
+++ b/tests/embed_example.cpp
@@ -5,7 +5,9 @@
 int main() {
   load_balancer::Settings settings;
   settings.client = 3;  // this client's number
-  settings.classes = {{.aim = 200'000, .deadline = 1'000'000, .effect = load_balancer::Effect::Safe}};
+  settings.classes = {{.latency_objective = 200'000,
+                       .deadline = 1'000'000,
+                       .idempotency = load_balancer::Idempotency::Idempotent}};
   load_balancer::Balancer balancer(settings, /*seed=*/12345);
 
   load_balancer::Actions actions;
--- a/tests/fleet_bytes_test.cpp
+++ b/tests/fleet_bytes_test.cpp
@@ -5,7 +5,7 @@
 
 #include "fleet_property.h"
 #include "fleet_sim.h"
-#include "fleet_transport/remembered.h"
+#include "fleet_transport/membership_snapshot.h"
 
 namespace client_proxy::fleet {
 namespace {
@@ -50,7 +50,7 @@
   sim::World w(6, 4);
   for (std::size_t n = 0; n < 5; ++n) w.start(n);
   w.runFor(5 * kSecond);
-  const std::string text = fleet_transport::toText(w.nodes[1].fleet->remember());
+  const std::string text = fleet_transport::toText(w.nodes[1].fleet->snapshot());
   ASSERT_EQ(fuzz::brokenView(text), "");
   for (std::size_t at = 0; at < text.size(); at += 3) {
     ASSERT_EQ(fuzz::brokenView(std::string_view(text).substr(0, at)), "") << "cut at " << at;
