--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -25,17 +25,18 @@
 inline Settings fleetSettings() {
   Settings s;
   RequestClass safe, unsafe;
-  safe.aim = 800 * kMs, safe.deadline = 2500 * kMs, safe.effect = Effect::Safe;
-  unsafe.aim = kSec, unsafe.deadline = 2500 * kMs, unsafe.effect = Effect::Unsafe;
+  safe.latency_objective = 800 * kMs, safe.deadline = 2500 * kMs, safe.idempotency = Idempotency::Idempotent;
+  unsafe.latency_objective = kSec, unsafe.deadline = 2500 * kMs,
+  unsafe.idempotency = Idempotency::NonIdempotent;
   s.classes = {safe, safe, unsafe};
-  s.discovery = Discovery::Ask;
+  s.discovery = Discovery::Poll;
   s.max_attempts = 6;
-  s.may_probe = s.may_cancel = true;
-  s.cold_from = 0.32;
-  s.cold_time = 8900 * kMs;
-  s.cold_multiple = 3;
-  s.cold_window = 2 * kSec;
-  s.ask_within = 10 * kSec;
+  s.may_health_check = s.may_cancel = true;
+  s.slow_start_initial_capacity = 0.32;
+  s.slow_start_duration = 8900 * kMs;
+  s.slow_start_overload_factor = 3;
+  s.slow_start_overload_window = 2 * kSec;
+  s.poll_interval = 10 * kSec;
   s.tick = 5 * kMs;
   return s;
 }
@@ -139,19 +140,20 @@
     for (Machine& h : hosts_) h.silent = h.listed.zone == zone ? silent : h.silent;
   }
   // What all hold of a zone; a few look after it.
-  void order(std::int32_t zone, ZoneOrder order, std::size_t watchers) {
+  void order(std::int32_t zone, ZoneDirective order, std::size_t watchers) {
     for (std::size_t c = 0; c < clients_.size(); ++c) {
-      const ZoneOrder own = c < watchers && order == ZoneOrder::Away ? ZoneOrder::Watch : order;
+      const ZoneDirective own =
+          c < watchers && order == ZoneDirective::Eject ? ZoneDirective::EjectAndCheck : order;
       tell(clients_[c], [&](Actions& out) { clients_[c].balancer->setZone(now_, zone, own, out); });
     }
   }
   // The same for one client, and what it has seen itself.
-  void order(std::size_t client, std::int32_t zone, ZoneOrder order) {
+  void order(std::size_t client, std::int32_t zone, ZoneDirective order) {
     Client& c = clients_[client];
     tell(c, [&](Actions& out) { c.balancer->setZone(now_, zone, order, out); });
   }
-  ZoneSeen seen(std::size_t client, std::int32_t zone, const ZoneSince& since) {
-    return clients_[client].balancer->zoneSeen(now_, zone, since);
+  ZoneObservation seen(std::size_t client, std::int32_t zone, const ZoneObservedSince& since) {
+    return clients_[client].balancer->observeZone(now_, zone, since);
   }
   Time now() const { return now_; }
   // Cold ones, told to every client that watches in the same moment.
@@ -216,10 +218,10 @@
     });
   }
 
-  std::size_t addHost(Time up_since) {
+  std::size_t addHost(Time started_at) {
     Machine h;
     h.listed = makeHost(static_cast<int>(hosts_.size()));
-    h.listed.up_since = up_since;
+    h.listed.started_at = started_at;
     h.listed.zone = static_cast<std::int32_t>(hosts_.size()) % shape_.zones;
     h.free_at.assign(static_cast<std::size_t>(shape_.cores), 0);
     index_[h.listed.id] = hosts_.size();
@@ -273,7 +275,7 @@
     switch (a.kind) {
       case ActionKind::Send:
         return send(c, a.request, index_.at(std::string(a.server)), a.time);
-      case ActionKind::Probe:
+      case ActionKind::HealthCheck:
         return probe(c, std::string(a.server));
       case ActionKind::Subscribe:
         return subscribe(c);
@@ -281,7 +283,7 @@
         return later(c, a.time, [this, &c, timer = a.timer] {
           tell(c, [&](Actions& out) { c.balancer->onTimer(now_, timer, out); });
         });
-      case ActionKind::Refuse:
+      case ActionKind::Reject:
         return refused_.note(now_ - kStart);
       case ActionKind::Fail:
         return failed_.note(now_ - kStart);
@@ -311,7 +313,7 @@
       ++c.held[host];
     }
     h.sends.note(now_ - kStart);
-    if (now_ - h.listed.up_since < settings_.cold_time && h.listed.up_since != 0)
+    if (now_ - h.listed.started_at < settings_.slow_start_duration && h.listed.started_at != 0)
       h.cold_sends.note(now_ - kStart);
     if (!h.up) return later(c, now_ + round, [=, this, &c] { end(c, id, number, Result::Reset, round); });
     Time& core = *std::min_element(h.free_at.begin(), h.free_at.end());
@@ -333,10 +335,11 @@
   }
 
   double warmth(const Machine& h) const {
-    if (h.listed.up_since == 0) return 1;
+    if (h.listed.started_at == 0) return 1;
     const double age =
-        static_cast<double>(now_ - h.listed.up_since) / static_cast<double>(settings_.cold_time);
-    return std::min(1.0, settings_.cold_from + (1 - settings_.cold_from) * age);
+        static_cast<double>(now_ - h.listed.started_at) / static_cast<double>(settings_.slow_start_duration);
+    return std::min(
+        1.0, settings_.slow_start_initial_capacity + (1 - settings_.slow_start_initial_capacity) * age);
   }
 
   void end(Client& c, RequestId id, std::int32_t number, Result result, Time latency) {
@@ -372,7 +375,7 @@
     Machine& h = hosts_[index_.at(id)];
     h.probes.note(now_ - kStart);
     later(c, now_ + (h.silent ? shape_.connect : 2 * shape_.network), [this, &c, id, up = h.up && !h.silent] {
-      tell(c, [&](Actions& out) { c.balancer->onProbe(now_, id, up, 2 * shape_.network, {}, out); });
+      tell(c, [&](Actions& out) { c.balancer->onHealthCheck(now_, id, up, 2 * shape_.network, {}, out); });
     });
   }
 
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -74,7 +74,7 @@
     start(nodes.size() - 1);
     return nodes.size() - 1;
   }
-  void start(std::size_t n, const Remembered* remembered = nullptr) {
+  void start(std::size_t n, const MembershipSnapshot* remembered = nullptr) {
     Node& node = nodes[n];
     Settings own = settings;
     own.self = node.number;
@@ -87,7 +87,7 @@
     node.held.clear();
     node.seen.clear();
     Out out;
-    if (remembered != nullptr) node.fleet->recall(*remembered, local(node, now));
+    if (remembered != nullptr) node.fleet->restore(*remembered, local(node, now));
     node.fleet->tell(local(node, now),
                      Facts{1, "zone-" + std::to_string(n % 3), "south", static_cast<double>(n), {}});
     node.fleet->start(local(node, now), out);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -320,7 +320,7 @@
 TEST_P(FleetTest, TheNextProcessOfAMemberIsNoNewMember) {
   const auto w = settled(10);
   const Incarnation before = w->nodes[4].fleet->incarnation();
-  const Remembered remembered = w->nodes[4].fleet->remember();
+  const MembershipSnapshot remembered = w->nodes[4].fleet->snapshot();
   for (auto& n : w->nodes) n.changes.clear();
   w->start(4, &remembered);
   EXPECT_EQ(w->nodes[4].fleet->roster().live(), 10U) << "it knows all from its first moment";
--- a/tests/generated_settings_test.cpp
+++ b/tests/generated_settings_test.cpp
@@ -85,11 +85,11 @@
     }
   };
   for (const json& c : file.doc["settings"]["request_classes"]) {
-    const std::string name = c["name"], effect = c["effect"];
-    std::string text = (effect == "retryable" ? "GET /" : "POST /") + name +
+    const std::string name = c["name"], idempotency = c["effect"];
+    std::string text = (idempotency == "retryable" ? "GET /" : "POST /") + name +
                        "/7 HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: id-" + name + "\r\n";
-    if (effect == "dedup") text += "Idempotency-Key: key-" + name + "\r\n";
-    if (effect != "retryable") text += "Content-Length: 0\r\n";
+    if (idempotency == "dedup") text += "Idempotency-Key: key-" + name + "\r\n";
+    if (idempotency != "retryable") text += "Content-Length: 0\r\n";
     clients.push_back(Peer::connect(loop, listen));
     clients.back()->say(text + "\r\n");
   }
--- a/tests/herd_test.cpp
+++ b/tests/herd_test.cpp
@@ -65,14 +65,15 @@
   for (std::size_t h = first; h < fleet.hosts().size(); ++h) {
     const auto& host = fleet.hosts()[h];
     sent += host.cold_sends.all();
-    EXPECT_LE(host.cold_sends.most(s.cold_window),
-              s.cold_multiple * s.cold_from * fleet.capacity(s.cold_window))
+    EXPECT_LE(host.cold_sends.most(s.slow_start_overload_window),
+              s.slow_start_overload_factor * s.slow_start_initial_capacity *
+                  fleet.capacity(s.slow_start_overload_window))
         << host.listed.id;
   }
   EXPECT_GT(sent, 0U) << "they are not left alone either";
-  fleet.runFor(2 * s.cold_time);
+  fleet.runFor(2 * s.slow_start_duration);
   for (std::size_t h = first; h < fleet.hosts().size(); ++h) {
-    EXPECT_GT(fleet.hosts()[h].sends.all(), fleet.capacity(s.cold_time) / 4) << "warm, and used";
+    EXPECT_GT(fleet.hosts()[h].sends.all(), fleet.capacity(s.slow_start_duration) / 4) << "warm, and used";
   }
 }
 
@@ -106,9 +107,9 @@
 // start, so that many clients begin as a stream and not with a burst.
 struct ColdFleet {
   std::uint32_t clients, hosts;
-  double load, hot;            // of what all hosts can do; times the ordinary rate, of every tenth client
-  double cold_from, multiple;  // as the settings say
-  Time cold_time, window;
+  double load, hot;  // of what all hosts can do; times the ordinary rate, of every tenth client
+  double slow_start_initial_capacity, multiple;  // as the settings say
+  Time slow_start_duration, window;
 };
 
 void PrintTo(const ColdFleet& f, std::ostream* out) {
@@ -120,8 +121,8 @@
 TEST_P(ColdHosts, AreSentNoMoreThanTheirBudgetAndChanceByAllClientsTogether) {
   const ColdFleet& f = GetParam();
   Settings s = fleetSettings();
-  s.cold_from = f.cold_from, s.cold_multiple = f.multiple, s.cold_time = f.cold_time,
-  s.cold_window = f.window;
+  s.slow_start_initial_capacity = f.slow_start_initial_capacity, s.slow_start_overload_factor = f.multiple,
+  s.slow_start_duration = f.slow_start_duration, s.slow_start_overload_window = f.window;
   std::uint32_t sent = 0;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     FleetModel::Shape shape;
@@ -140,8 +141,9 @@
       const auto& host = fleet.hosts()[h];
       sent += host.sends.all();
       for (int w = 0; w < 4; ++w) {
-        const double age = static_cast<double>(w * f.window) / static_cast<double>(f.cold_time);
-        const double part = f.cold_from + (1 - f.cold_from) * std::min(1.0, age);
+        const double age = static_cast<double>(w * f.window) / static_cast<double>(f.slow_start_duration);
+        const double part =
+            f.slow_start_initial_capacity + (1 - f.slow_start_initial_capacity) * std::min(1.0, age);
         const double budget = f.multiple * part * fleet.capacity(f.window);
         EXPECT_LE(host.sends.between(cold + w * f.window, cold + (w + 1) * f.window),
                   budget + 2 * std::sqrt(budget) + 2)
--- a/tests/hollow_test.cpp
+++ b/tests/hollow_test.cpp
@@ -97,7 +97,7 @@
     EXPECT_GT(real, 0) << name;
     EXPECT_NEAR(hollow, real, kTolerance * real) << name;
   };
-  using Traffic = fleet_transport::Neighbours::Traffic;
+  using Traffic = fleet_transport::MembershipService::Traffic;
   expectAlike("bytes out", [](const Traffic& t) { return static_cast<double>(t.bytes_out); });
   expectAlike("bytes in", [](const Traffic& t) { return static_cast<double>(t.bytes_in); });
   expectAlike("datagrams out", [](const Traffic& t) { return static_cast<double>(t.datagrams_out); });
--- a/tests/handover_test.cpp
+++ b/tests/hot_restart_test.cpp
@@ -7,10 +7,10 @@
 #include <filesystem>
 #include <fstream>
 
-#include "handover/link.h"
+#include "hot_restart/link.h"
 #include "net_support.h"
 
-namespace client_proxy::handover {
+namespace client_proxy::hot_restart {
 namespace {
 
 using client_proxy::test::Loop;
@@ -42,13 +42,18 @@
   EXPECT_THROW(encode({Type::StatePart, std::string(kMostPayload + 1, 'x')}), std::invalid_argument);
 }
 
-load_balancer::Remembered remembered(const std::string& id, int n) {
+load_balancer::HostSnapshot remembered(const std::string& id, int n) {
   return {id, n, n % 2 == 0, n % 3 == 0, n % 5 == 0, 10 * n, 20 * n, 0.5 * n, 30 * n, 40 * n, 1.0 + n};
 }
 
-admission::Tried tried(const std::string& id) {
-  return {
-      .id = id, .key = "k-" + id, .safe = false, .window = 7, .began = 11, .ended = 13, .never_ran = true};
+admission::RequestRecord tried(const std::string& id) {
+  return {.id = id,
+          .key = "k-" + id,
+          .safe = false,
+          .deduplication_window = 7,
+          .began = 11,
+          .ended = 13,
+          .never_ran = true};
 }
 
 TEST(HandoverState, ItsTextReadsAsTheSame) {
@@ -73,7 +78,7 @@
 }
 
 TEST(HandoverState, WhatWasTriedGoesInPiecesThatFit) {
-  std::vector<admission::Tried> many(500, tried(std::string(300, 'x')));
+  std::vector<admission::RequestRecord> many(500, tried(std::string(300, 'x')));
   many.push_back(tried(std::string(kMostPayload, 'y')));  // fits nowhere
   std::size_t read = 0;
   for (const std::string& text : triedToTexts(many)) {
@@ -96,22 +101,22 @@
 
 // ---- roles ----
 
-using Give = Giver::Step;
-using Take = Taker::Step;
+using Give = PredecessorRole::Step;
+using Take = SuccessorRole::Step;
 
 TEST(HandoverGiver, GoesOnUntilOneThatHasTheStateIsReady) {
-  Giver g("n0");
+  PredecessorRole g("n0");
   g.onPeer(1);
   EXPECT_FALSE(g.informed(1));
   EXPECT_EQ(g.onFrame(1, {Type::Hello, "n0"}), Give::SendState);
   EXPECT_TRUE(g.informed(1));
-  EXPECT_FALSE(g.giving());
+  EXPECT_FALSE(g.handingOver());
   EXPECT_EQ(g.onFrame(1, {Type::Ready, ""}), Give::Give);
   EXPECT_EQ(g.successor(), PeerId{1});
 }
 
 TEST(HandoverGiver, WhatIsOutOfTurnOrOfAnotherNameIsDismissed) {
-  Giver g("n0");
+  PredecessorRole g("n0");
   g.onPeer(1);
   g.onPeer(2);
   EXPECT_EQ(g.onFrame(1, {Type::Hello, "n1"}), Give::Dismiss);
@@ -119,11 +124,11 @@
   EXPECT_EQ(g.onFrame(2, {Type::TakeOut, "s-1"}), Give::Dismiss);
   EXPECT_EQ(g.onFrame(2, {Type::Client, ""}), Give::Dismiss);
   EXPECT_EQ(g.onFrame(9, {Type::Hello, "n0"}), Give::None);  // gone before
-  EXPECT_FALSE(g.giving());
+  EXPECT_FALSE(g.handingOver());
 }
 
 TEST(HandoverGiver, OfSeveralTheFirstThatIsReadyGetsItAndOneThatGoesGivesItBack) {
-  Giver g("n0");
+  PredecessorRole g("n0");
   for (const PeerId p : {1U, 2U, 3U}) {
     g.onPeer(p);
     g.onFrame(p, {Type::Hello, "n0"});
@@ -135,14 +140,14 @@
   g.onPeer(4);
   EXPECT_EQ(g.onFrame(4, {Type::Hello, "n0"}), Give::Dismiss);
   EXPECT_EQ(g.onFrame(2, {Type::TakeOut, "s-1"}), Give::Pass);
-  EXPECT_EQ(g.onPeerGone(2), Give::TakeBack);
-  EXPECT_FALSE(g.giving());
+  EXPECT_EQ(g.onPeerGone(2), Give::RollBack);
+  EXPECT_FALSE(g.handingOver());
   g.onPeer(5);
   EXPECT_EQ(g.onFrame(5, {Type::Hello, "n0"}), Give::SendState);
 }
 
 TEST(HandoverTaker, LoadsAWholeStateAndNothingElse) {
-  Taker t;
+  SuccessorRole t;
   EXPECT_EQ(t.onFrame({Type::StatePart, "abc"}), Take::None);
   EXPECT_EQ(t.onFrame({Type::StatePart, "de"}), Take::None);
   EXPECT_FALSE(t.settled());
@@ -159,16 +164,16 @@
 TEST(HandoverTaker, AnythingElseMeansFromNothingOnce) {
   for (const Frame& bad : {Frame{Type::StateEnd, "4"}, Frame{Type::StateEnd, ""}, Frame{Type::StateEnd, "5x"},
                            Frame{Type::Client, ""}, Frame{Type::Hello, "n0"}}) {
-    Taker t;
+    SuccessorRole t;
     t.onFrame({Type::StatePart, "abcde"});
     EXPECT_EQ(t.onFrame(bad), Take::Fresh) << bad.payload;
     EXPECT_EQ(t.onFrame({Type::StateEnd, "5"}), Take::None);
     EXPECT_EQ(t.onGone(), Take::None);
   }
-  Taker gone, late;
+  SuccessorRole gone, late;
   EXPECT_EQ(gone.onGone(), Take::Fresh);
   EXPECT_EQ(late.onTimeUp(), Take::Fresh);
-  Taker flooded;
+  SuccessorRole flooded;
   const Frame part{Type::StatePart, std::string(kMostPayload, 'x')};
   Take last = Take::None;
   for (std::size_t n = 0; n <= kMostState / kMostPayload && last == Take::None; ++n)
@@ -178,7 +183,7 @@
 
 // ---- sockets ----
 
-struct Side : Holder {
+struct Side : HotRestartHandler {
   void begin(std::optional<State> s) override { ++begun, got = std::move(s); }
   State state() override { return known; }
   void give(Successor s) override {
@@ -189,9 +194,9 @@
     }
     for (const int fd : clients) given += successor.give(fd) ? 1 : 0;
   }
-  void takeBack() override { ++taken_back; }
+  void rollBack() override { ++taken_back; }
   void adopt(int descriptor) override { adopted.push_back(descriptor); }
-  void triedThere(const std::vector<admission::Tried>& t) override {
+  void recordPredecessorRequests(const std::vector<admission::RequestRecord>& t) override {
     told_tried.insert(told_tried.end(), t.begin(), t.end());
   }
   std::size_t descriptorsHeld() override { return held; }
@@ -206,7 +211,7 @@
   State known;
   std::optional<State> got;
   Successor successor;
-  std::vector<admission::Tried> tried, told_tried;
+  std::vector<admission::RequestRecord> tried, told_tried;
   std::vector<int> clients, adopted;
   std::vector<std::size_t> other;
   std::vector<Frame> calls;
@@ -224,8 +229,8 @@
     path = socketPath(folder, "n0");
   }
   ~HandoverLink() override { std::filesystem::remove_all(folder); }
-  std::unique_ptr<Link> link(Side& side, const char* name = "n0") {
-    auto made = std::make_unique<Link>(loop.io, path, name, side, limits);
+  std::unique_ptr<HotRestartLink> link(Side& side, const char* name = "n0") {
+    auto made = std::make_unique<HotRestartLink>(loop.io, path, name, side, limits);
     made->begin();
     return made;
   }
@@ -243,8 +248,8 @@
     return fake;
   }
   Loop loop;
-  Link::Limits limits{std::chrono::milliseconds(200), std::chrono::milliseconds(5),
-                      std::chrono::milliseconds(0)};
+  HotRestartLink::Limits limits{std::chrono::milliseconds(200), std::chrono::milliseconds(5),
+                                std::chrono::milliseconds(0)};
   std::string folder, path;
   Side a, b, c;
 };
@@ -317,7 +322,7 @@
 TEST_F(HandoverLink, ANewOneThatGoesAfterwardsGivesAllBackAndTheNextIsServed) {
   const auto first = link(a);
   auto second = link(b);
-  ASSERT_TRUE(loop.until([&] { return first->giving() && b.begun == 1; }));
+  ASSERT_TRUE(loop.until([&] { return first->handingOver() && b.begun == 1; }));
   second.reset();
   ASSERT_TRUE(loop.until([&] { return a.taken_back == 1; }));
   const auto third = link(c);
@@ -328,21 +333,21 @@
 TEST_F(HandoverLink, AThirdFindsTheSecondNotTheFirst) {
   b.known.drained = true;
   const auto first = link(a), second = link(b);
-  ASSERT_TRUE(loop.until([&] { return first->giving() && b.begun == 1; }));
+  ASSERT_TRUE(loop.until([&] { return first->handingOver() && b.begun == 1; }));
   const auto third = link(c);
-  ASSERT_TRUE(loop.until([&] { return c.begun == 1 && second->giving(); }));
+  ASSERT_TRUE(loop.until([&] { return c.begun == 1 && second->handingOver(); }));
   EXPECT_TRUE(c.got->drained);
 }
 
 TEST_F(HandoverLink, TwoAtOnceLoseNothingAndOneOfThemIsReadyFirst) {
   const auto first = link(a), second = link(b), third = link(c);
-  ASSERT_TRUE(loop.until([&] { return b.begun == 1 && c.begun == 1 && first->giving(); }));
+  ASSERT_TRUE(loop.until([&] { return b.begun == 1 && c.begun == 1 && first->handingOver(); }));
   EXPECT_EQ(a.taken_back, 0);
 }
 
 TEST_F(HandoverLink, AnOldOneThatIsSilentTornOrOfAnotherNameMeansFromNothingInTime) {
   {
-    const OwnedDescriptor silent = listenAt(path);
+    const OwnedDescriptor unresponsive = listenAt(path);
     const auto made = link(b);
     ASSERT_TRUE(loop.until([&] { return b.begun == 1; }));
     EXPECT_FALSE(b.got);
@@ -352,7 +357,7 @@
   const auto stranger = link(other, "n7");
   ASSERT_TRUE(loop.until([&] { return other.begun == 1; }));
   EXPECT_FALSE(other.got);
-  EXPECT_FALSE(first->giving());
+  EXPECT_FALSE(first->handingOver());
 }
 
 TEST_F(HandoverLink, AStateThatCantBeReadIsNotUsedButThePlaceIsTaken) {
@@ -360,7 +365,7 @@
     State state() override { return {std::string("\xff\xfe"), {}, false, {}}; }
   } torn;
   const auto first = link(torn), second = link(b);
-  ASSERT_TRUE(loop.until([&] { return b.begun == 1 && first->giving(); }));
+  ASSERT_TRUE(loop.until([&] { return b.begun == 1 && first->handingOver(); }));
 }
 
 TEST_F(HandoverLink, WhatIsLeftOfAKilledOneIsTakenOver) {
@@ -376,7 +381,7 @@
   ASSERT_EQ(::send(noisy.get(), "what is this", 12, 0), 12);
   char byte = 0;
   ASSERT_TRUE(loop.until([&] { return ::recv(noisy.get(), &byte, 1, MSG_DONTWAIT) == 0; }));
-  EXPECT_FALSE(first->giving());
+  EXPECT_FALSE(first->handingOver());
 }
 
 TEST_F(HandoverLink, APathTooLongForAnAddressIsReachedAllTheSame) {
@@ -384,8 +389,8 @@
   std::filesystem::create_directory(deep);
   path = socketPath(deep, "n0");
   const auto first = link(a), second = link(b);
-  ASSERT_TRUE(loop.until([&] { return b.begun == 1 && first->giving(); }));
+  ASSERT_TRUE(loop.until([&] { return b.begun == 1 && first->handingOver(); }));
 }
 
 }  // namespace
-}  // namespace client_proxy::handover
+}  // namespace client_proxy::hot_restart
--- a/tests/late_connection_test.cpp
+++ b/tests/late_connection_test.cpp
@@ -13,8 +13,8 @@
 namespace client_proxy::test {
 namespace {
 
-using load_balancer::Effect;
 using load_balancer::HostState;
+using load_balancer::Idempotency;
 
 // Its queue of connections is full until open(): the system drops what would begin another, and the other
 // side tries again a second later. So a connection comes up late, and is never refused.
@@ -76,19 +76,19 @@
 
 struct Recorder : PoolSink {
   void onDispatched(std::int32_t) override { ++dispatched; }
-  void onAnswer(const Taken& request, Answer answer) override {
+  void onAnswer(const AdmittedRequest& request, Answer answer) override {
     ++answers;
     last = std::move(answer);
     static_cast<void>(request);
   }
-  void onOver(const Taken&) override { ++over; }
+  void onCompleted(const AdmittedRequest&) override { ++over; }
   int dispatched = 0, answers = 0, over = 0;
   Answer last;
 };
 
 // One service, whose owner and term the test says.
 struct Owners : ServiceGate {
-  Match serviceOf(const RequestHead&, std::string_view, Effect) const override { return {0U, false}; }
+  Match serviceOf(const RequestHead&, std::string_view, Idempotency) const override { return {0U, false}; }
   Leave leave(Service) const override { return {true, zone, term, 0}; }
   std::optional<Time> heldBack(const load_balancer::RequestClass&, bool) const override { return {}; }
   void ended(const Ended&) override {}
@@ -100,18 +100,19 @@
 // Classes: 0 safe, 1 unsafe, 2 keyed with a short window.
 load_balancer::Settings settings() {
   load_balancer::Settings s;
-  for (const Effect effect : {Effect::Safe, Effect::Unsafe, Effect::Keyed}) {
+  for (const Idempotency idempotency :
+       {Idempotency::Idempotent, Idempotency::NonIdempotent, Idempotency::IdempotentWithKey}) {
     load_balancer::RequestClass c;
-    c.aim = c.deadline = 3 * kSecond;
-    c.effect = effect;
-    c.window = 700 * kMillisecond;
+    c.latency_objective = c.deadline = 3 * kSecond;
+    c.idempotency = idempotency;
+    c.deduplication_window = 700 * kMillisecond;
     s.classes.push_back(c);
   }
   s.max_attempts = 2;
   s.may_cancel = false;  // what has begun goes on: it must not begin
-  s.cold_from = 0.3;
-  s.cold_time = 20 * kSecond;
-  s.cold_multiple = 3;
+  s.slow_start_initial_capacity = 0.3;
+  s.slow_start_duration = 20 * kSecond;
+  s.slow_start_overload_factor = 3;
   return s;
 }
 
@@ -127,21 +128,21 @@
     pool = std::make_unique<Pool>(loop.io, loop.timers, loop.descriptors, loop.log, zones, sink, config);
   }
   static void add(HostList& list, const std::string& id, const tcp::endpoint& at,
-                  HostState state = HostState::Healthy, Time up_since = 0) {
+                  HostState state = HostState::Healthy, Time started_at = 0) {
     load_balancer::Host host;
     host.id = id;
     host.state = state;
-    host.up_since = up_since;
+    host.started_at = started_at;
     list.hosts.push_back(host);
     list.endpoints.push_back(at);
   }
-  HostList onlyLate(HostState state = HostState::Healthy, Time up_since = 0) const {
+  HostList onlyLate(HostState state = HostState::Healthy, Time started_at = 0) const {
     HostList list;
-    add(list, "s-late", late.endpoint(), state, up_since);
+    add(list, "s-late", late.endpoint(), state, started_at);
     return list;
   }
   void ask(std::int32_t request_class, std::optional<ServiceGate::Service> service = {}) {
-    Taken t;
+    AdmittedRequest t;
     t.service = service;
     if (service) t.zone = owners.zone;
     t.exchange = 1;
@@ -149,7 +150,7 @@
     t.request.head.target = "/a/7";
     t.request.head.forward = "X-Correlation-Id: x\r\n";
     t.request_class = request_class;
-    t.effect = settings().classes[static_cast<std::size_t>(request_class)].effect;
+    t.idempotency = settings().classes[static_cast<std::size_t>(request_class)].idempotency;
     t.deadline = deadline = loop.clock.now() + kPatience;
     pool->open(std::move(t));
     loop.turn();  // its connection is under way
@@ -297,7 +298,7 @@
   pool->start(onlyLate());
   ask(1);
   const Time last = loop.clock.now() + 300 * kMillisecond;
-  pool->endBy(last);
+  pool->finishBy(last);
   ASSERT_TRUE(loop.until([&] { return sink.answers == 1; }));
   EXPECT_GE(loop.clock.now(), last);
   late.open();
--- a/tests/lifecycle_test.cpp
+++ b/tests/lifecycle_test.cpp
@@ -32,7 +32,7 @@
     if (event == "drain") machine.onDrain(now, steps);
     if (event == "undrain") machine.onUndrain(steps);
     if (event == "hand-on") machine.onHandOn(steps);
-    if (event == "take-back") machine.onTakeBack(steps);
+    if (event == "take-back") machine.onRollBack(steps);
     if (event == "end") machine.onEnd(now, steps);
     return textOf(steps);
   }
--- a/tests/long_bodies_test.cpp
+++ b/tests/long_bodies_test.cpp
@@ -182,8 +182,8 @@
   std::shared_ptr<Peer> begin(const std::string& more = "") {
     start(json::array({entry("s-1", host.endpoint())}), [](Config& config) {
       for (load_balancer::RequestClass& k : config.site.settings.classes) {
-        k.aim = 200 * kMillisecond;
-        k.late_worth = 0;
+        k.latency_objective = 200 * kMillisecond;
+        k.late_weight = 0;
       }
       config.own.answer = kSecond;  // it may stand still for
     });
--- a/tests/maintenance_test.cpp
+++ b/tests/maintenance_test.cpp
@@ -40,7 +40,7 @@
   EXPECT_EQ(used(40).count("server-001"), 0U);
   d->servers(ListKind::Full, makeHosts(4));
   Host restarted = makeHost(1);
-  restarted.up_since = d->now;
+  restarted.started_at = d->now;
   d->servers(ListKind::Changes, {restarted});
   EXPECT_EQ(used(40).count("server-001"), 0U);
   d->servers(ListKind::Changes, {makeHost(1, HostState::Gone)});
@@ -61,7 +61,7 @@
 
 TEST_F(Maintenance, AnEjectedServerThatIsOutIsNotProbed) {
   Settings settings = makeSettings();
-  settings.may_probe = true;
+  settings.may_health_check = true;
   start(4, settings);
   d->request(1, 0);
   const std::string at = d->sentTo();
@@ -131,7 +131,7 @@
   EXPECT_EQ(d->balancer.knownServers(), 4U);
   EXPECT_TRUE(maintain(3, false));
   EXPECT_EQ(d->balancer.knownServers(), 3U);
-  EXPECT_EQ(d->balancer.rememberedSlots(), 3U);
+  EXPECT_EQ(d->balancer.slotCount(), 3U);
   EXPECT_FALSE(maintain(3, true));
 }
 
@@ -144,24 +144,24 @@
   maintain(1, true);
   for (const std::int32_t cls : {0, 1, 2, 3, 4}) {
     d->request(static_cast<RequestId>(10 + cls), cls);
-    ASSERT_EQ(d->count(ActionKind::Refuse), 1) << cls;
+    ASSERT_EQ(d->count(ActionKind::Reject), 1) << cls;
     EXPECT_GT(d->actions.back().time, 0);
   }
 }
 
 TEST_F(Maintenance, StandingCountsWhoIsAvoidedAndWhy) {
   start(5);
-  EXPECT_EQ(d->balancer.standing().listed, 5U);
-  EXPECT_EQ(d->balancer.standing().avoided, 0U);
+  EXPECT_EQ(d->balancer.hostCounts().listed, 5U);
+  EXPECT_EQ(d->balancer.hostCounts().avoided, 0U);
   maintain(0, true);
   d->servers(ListKind::Changes, {makeHost(1, HostState::Draining)});
-  EXPECT_EQ(d->balancer.standing().avoided, 2U);
+  EXPECT_EQ(d->balancer.hostCounts().avoided, 2U);
   d->request(1, 0);
   d->outcome(1, 0, Result::ConnectFailed);  // ejected
-  EXPECT_EQ(d->balancer.standing().avoided, 3U);
+  EXPECT_EQ(d->balancer.hostCounts().avoided, 3U);
   d->servers(ListKind::Changes, {makeHost(0, HostState::Gone)});
-  EXPECT_EQ(d->balancer.standing().listed, 4U);
-  EXPECT_EQ(d->balancer.standing().avoided, 2U);
+  EXPECT_EQ(d->balancer.hostCounts().listed, 4U);
+  EXPECT_EQ(d->balancer.hostCounts().avoided, 2U);
 }
 
 // ---- how much one that comes back cold gets, and one that is slow ----
@@ -224,7 +224,7 @@
 
 TEST_F(Maintenance, AnotherBalancerKnowsBansEjectionsSlotsAndColdMarks) {
   Settings settings = makeSettings();
-  settings.may_probe = true;
+  settings.may_health_check = true;
   start(30, settings);
   d->servers(ListKind::Changes, {makeHost(4, HostState::Gone), makeHost(9, HostState::Gone)});
   d->servers(ListKind::Changes, {makeHost(77), makeHost(9)});  // slots are no longer in the order of ids
@@ -238,14 +238,14 @@
   std::vector<Host> listed = makeHosts(30);
   listed.erase(listed.begin() + 4);
   listed.push_back(makeHost(77));
-  const auto known = d->balancer.remember();
+  const auto known = d->balancer.snapshot();
 
   Driver after(settings, 99);
   after.now = d->now + kMs;
   after.servers(ListKind::Restored, listed);
   after.actions.clear();
-  after.balancer.recall(after.now, known, after.actions);
-  EXPECT_EQ(after.balancer.remember(), known);
+  after.balancer.restore(after.now, known, after.actions);
+  EXPECT_EQ(after.balancer.snapshot(), known);
   EXPECT_EQ(after.balancer.subset(after.now), d->balancer.subset(d->now));
   std::set<std::string> sent;
   for (RequestId id = 1; id <= 100; ++id) {
@@ -261,10 +261,10 @@
 TEST_F(Maintenance, ABanIsRecalledOfAServerThatIsNotListedAndWhatIsImpossibleIsPassedOver) {
   start(3);
   Actions out;
-  std::vector<Remembered> known(6);
+  std::vector<HostSnapshot> known(6);
   known[0].id = "server-000";
   known[0].slot = -7;
-  known[0].slowness = -1;
+  known[0].latency_ratio = -1;
   known[1].id = "server-001";
   known[1].slot = std::numeric_limits<std::int32_t>::max();
   known[1].ejected_until = std::numeric_limits<Time>::max();
@@ -275,9 +275,9 @@
   known[3].slot = 6;
   known[4].id = "server-050";
   known[4].slot = 5;
-  known[4].out_of_use = true;
+  known[4].in_maintenance = true;
   known[5].id = "server-060";
-  d->balancer.recall(d->now, known, out);
+  d->balancer.restore(d->now, known, out);
   EXPECT_EQ(d->balancer.knownServers(), 4U);
   d->servers(ListKind::Changes, {makeHost(50)});
   EXPECT_EQ(used(60).count("server-050"), 0U);
--- a/tests/figures_test.cpp
+++ b/tests/metrics_test.cpp
@@ -1,12 +1,12 @@
 // Figures against a plain recount of the same events.
-#include "figures/figures.h"
+#include "metrics/metrics.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include <sstream>
 
-namespace client_proxy::figures {
+namespace client_proxy::metrics {
 namespace {
 
 // The value on the line that begins with `name`; -1: there is none.
@@ -21,7 +21,7 @@
 RC_GTEST_PROP(Figures, CountsAreThoseOfAPlainRecount, ()) {
   const auto events = *rc::gen::container<std::vector<std::pair<int, int>>>(
       rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::element(0, 200, 429, 503, 404, 500, 502, 504)));
-  Counts counts;
+  RequestCounters counts;
   for (const auto& [of, status] : events)
     status == 0 ? counts.dispatched(static_cast<std::size_t>(of))
                 : counts.ended(static_cast<std::size_t>(of), status);
@@ -39,12 +39,12 @@
 }
 
 TEST(Figures, TheTextNamesEachClassAndFigureOnce) {
-  Page page;
+  ProxyMetrics page;
   page.classes = {{"swap-charge", {7, 2, 1, 12}}, {"slot-status", {100000, 0, 0, 5}}};
   page.concurrent = 14;
   page.targets = 9;
   page.targets_disabled = 2;
-  const std::string text = textOf(page);
+  const std::string text = toPrometheusText(page);
   EXPECT_EQ(valueOf(text, "app_success{type=\"swap-charge\"}"), 7);
   EXPECT_EQ(valueOf(text, "app_overload{type=\"swap-charge\"}"), 2);
   EXPECT_EQ(valueOf(text, "app_error{type=\"swap-charge\"}"), 1);
@@ -58,13 +58,13 @@
 
 // A class that a reload has changed has a new number and its old name.
 TEST(Figures, ClassesOfOneNameAreOneFigure) {
-  Page page;
+  ProxyMetrics page;
   page.classes = {{"a", {1, 2, 3, 4}}, {"b", {}}, {"a", {10, 20, 30, 40}}};
-  const std::string text = textOf(page);
+  const std::string text = toPrometheusText(page);
   EXPECT_EQ(valueOf(text, "app_success{type=\"a\"}"), 11);
   EXPECT_EQ(valueOf(text, "app_dispatches{type=\"a\"}"), 44);
   EXPECT_EQ(text.find("type=\"a\""), text.find("app_success{type=\"a\"}") + 12);
 }
 
 }  // namespace
-}  // namespace client_proxy::figures
+}  // namespace client_proxy::metrics
--- a/tests/operator_reload_test.cpp
+++ b/tests/operator_reload_test.cpp
@@ -319,8 +319,9 @@
   // Signals that come together are one.
   ASSERT_TRUE(serveUntil([&] {
     if (++turns % 20 != 0 || reloads >= 100) return reloads >= 100;
-    const std::string aim = "aim " + std::to_string(2000 + reloads) + (reloads % 3 == 1 ? "" : "ms");
-    files.write("op.conf", replaced(text, "aim 800ms", aim));
+    const std::string latency_objective =
+        "aim " + std::to_string(2000 + reloads) + (reloads % 3 == 1 ? "" : "ms");
+    files.write("op.conf", replaced(text, "aim 800ms", latency_objective));
     program->signal(SIGHUP);
     return ++reloads >= 100;
   }));
--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -82,7 +82,7 @@
        {o.connections, o.connections_per_address, o.idle_kept, o.open, o.waiting, o.retries_least})
     all << '|' << shown(v);
   for (const auto& v : {o.first_byte, o.request, o.idle, o.write, o.linger, o.connect, o.upstream_idle,
-                        o.probe_timeout, o.answer})
+                        o.health_check_timeout, o.answer})
     all << '|' << shown(v);
   all << '|' << shown(o.retries_part);
   for (const auto* const shares : {&o.classes, &o.tenants}) {
@@ -92,13 +92,13 @@
   for (const std::string& name : c.site.classes) all << '|' << name;
   for (const std::string& name : c.site.tenants) all << '|' << name;
   for (const auto& k : s.classes)
-    all << '|' << k.aim << ',' << k.deadline << ',' << static_cast<int>(k.effect) << ','
-        << static_cast<int>(k.group) << ',' << k.window << ',' << k.worth << ',' << k.late_worth << ','
-        << k.max_attempts;
-  for (const auto& t : s.tenants) all << '|' << t.fraction;
-  all << '|' << s.client << ',' << s.zone << ',' << s.max_attempts << s.may_cancel << s.may_probe
-      << s.retry_after << s.max_retry_after << ',' << s.drain_grace << ',' << s.cold_from << ','
-      << s.cold_time << ',' << s.cold_multiple;
+    all << '|' << k.latency_objective << ',' << k.deadline << ',' << static_cast<int>(k.idempotency) << ','
+        << static_cast<int>(k.deduplication_scope) << ',' << k.deduplication_window << ','
+        << k.priority_weight << ',' << k.late_weight << ',' << k.max_attempts;
+  for (const auto& t : s.tenants) all << '|' << t.quota;
+  all << '|' << s.client << ',' << s.zone << ',' << s.max_attempts << s.may_cancel << s.may_health_check
+      << s.retry_after << s.max_retry_after << ',' << s.drain_grace << ',' << s.slow_start_initial_capacity
+      << ',' << s.slow_start_duration << ',' << s.slow_start_overload_factor;
   for (std::size_t i = 0; i < c.known.hosts.size(); ++i) {
     const auto& h = c.known.hosts[i];
     all << '|' << h.id << ',' << h.zone << ',' << h.cell << ',' << h.capacity << ',' << c.known.endpoints[i];
@@ -229,7 +229,7 @@
   EXPECT_EQ(fallback("clients", "idle"), clients.idle);
   EXPECT_EQ(fallback("clients", "write"), clients.write);
   EXPECT_EQ(fallback("clients", "linger"), clients.linger);
-  EXPECT_EQ(fallback("upstream", "probe"), Upstream::Limits{}.probe_timeout);
+  EXPECT_EQ(fallback("upstream", "probe"), Upstream::Limits{}.health_check_timeout);
   Loop loop;
   Config c = read("");
   Proxy proxy(loop.io, c, loop.log, loop.clock);
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -26,10 +26,10 @@
 Settings patientSettings() {
   Settings s = makeSettings();
   RequestClass c;
-  c.aim = 1200 * kMs, c.deadline = 3 * kSec, c.effect = Effect::Safe;
+  c.latency_objective = 1200 * kMs, c.deadline = 3 * kSec, c.idempotency = Idempotency::Idempotent;
   s.classes = {c};
   s.max_attempts = 4;
-  s.may_cancel = s.may_probe = s.retry_after = true;
+  s.may_cancel = s.may_health_check = s.retry_after = true;
   s.max_retry_after = 2 * kSec;
   return s;
 }
@@ -143,14 +143,14 @@
     switch (a.kind) {
       case ActionKind::Send:
         return send(client, id, std::stoi(std::string(a.server.substr(7))), a.time);
-      case ActionKind::Refuse:
+      case ActionKind::Reject:
       case ActionKind::Fail:
         return giveUp(client, id);
       case ActionKind::Cancel:
         return end(client, id, a.attempt, Result::Cancelled);
-      case ActionKind::Probe:
+      case ActionKind::HealthCheck:
         return after(kMs, [=, this, server = std::string(a.server)] {
-          tell(client, [&](Balancer& b, Actions& out) { b.onProbe(now_, server, true, kMs, {}, out); });
+          tell(client, [&](Balancer& b, Actions& out) { b.onHealthCheck(now_, server, true, kMs, {}, out); });
         });
       case ActionKind::SetTimer:
         return after(a.time - now_, [=, this, timer = a.timer] {
@@ -205,7 +205,7 @@
     Outcome o;
     o.request = id, o.attempt = attempt, o.result = result, o.latency = now_ - t.sent[n];
     if (result == Result::Ok && std::exchange(t.open, false)) {
-      const bool in_time = now_ - t.user.came <= patientSettings().classes[0].aim;
+      const bool in_time = now_ - t.user.came <= patientSettings().classes[0].latency_objective;
       in_time_[static_cast<std::size_t>((t.user.came - kStart) / kSec)] += in_time ? 1 : 0;
     }
     o.final = !t.open;
--- a/tests/ownership_processes_test.cpp
+++ b/tests/ownership_processes_test.cpp
@@ -18,10 +18,12 @@
     Plan plan;
     plan.seed = 43;
     plan.callers.rate = 8;
-    plan.classes = {
-        {.name = "slot-status", .share = 2},
-        {.name = "swap-charge", .effect = Effect::Keyed, .aim = Span(400'000), .deadline = Span(800'000)},
-        {.name = "battery-report", .effect = Effect::Unsafe}};
+    plan.classes = {{.name = "slot-status", .share = 2},
+                    {.name = "swap-charge",
+                     .idempotency = Idempotency::IdempotentWithKey,
+                     .latency_objective = Span(400'000),
+                     .deadline = Span(800'000)},
+                    {.name = "battery-report", .idempotency = Idempotency::NonIdempotent}};
     for (const char* name : {"a", "b", "c"}) plan.zones.push_back({.name = name, .region = ""});
     plan.services = {{.name = "charges", .request_class = "swap-charge", .home = 0, .stand_by = 1}};
     return plan;
@@ -88,7 +90,7 @@
       ASSERT_TRUE(FleetRig::until([&] {
         return FleetRig::getAt(fleet.listensForCalls(n), "/healthz").rfind("HTTP/1.1 200", 0) == 0;
       }));
-      callers->goOn(n);
+      callers->resume(n);
     }
   }
   std::string state() const {
@@ -169,7 +171,7 @@
   for (const std::size_t n : of(0)) {
     callers->excuse(n);
     fleet.thaw(n);
-    callers->goOn(n);
+    callers->resume(n);
   }
   ASSERT_TRUE(FleetRig::until([&] { return owned(fleet.all(), "b"); })) << state();
   // What they had taken before the pause may not be sent any more.
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -12,12 +12,12 @@
 
 struct Recorder : PoolSink {
   void onDispatched(std::int32_t) override { ++dispatched; }
-  void onAnswer(const Taken& request, Answer answer) override {
+  void onAnswer(const AdmittedRequest& request, Answer answer) override {
     const ExchangeId id = request.exchange;
     ++answers[id];
     last[id] = std::move(answer);
   }
-  void onOver(const Taken& request) override { ++over[request.exchange]; }
+  void onCompleted(const AdmittedRequest& request) override { ++over[request.exchange]; }
   int status(ExchangeId id) const {
     const auto it = last.find(id);
     return it == last.end() ? 0 : it->second.status;
@@ -30,9 +30,9 @@
 load_balancer::Settings settings() {
   load_balancer::Settings s;
   load_balancer::RequestClass safe, unsafe;
-  safe.aim = unsafe.aim = 400 * kMillisecond;
+  safe.latency_objective = unsafe.latency_objective = 400 * kMillisecond;
   safe.deadline = unsafe.deadline = 600 * kMillisecond;
-  safe.effect = load_balancer::Effect::Safe;
+  safe.idempotency = load_balancer::Idempotency::Idempotent;
   s.classes = {safe, unsafe};
   s.max_attempts = 3;
   s.may_cancel = true;
@@ -59,15 +59,15 @@
     }
     return list;
   }
-  Taken taken(ExchangeId id, bool safe, const std::string& correlation = "x") {
-    Taken t;
+  AdmittedRequest taken(ExchangeId id, bool safe, const std::string& correlation = "x") {
+    AdmittedRequest t;
     t.exchange = id;
     t.request.head.method = safe ? "GET" : "POST";
     t.request.head.target = "/a/7";
     t.request.head.correlation = correlation;
     t.request.head.forward = "X-Correlation-Id: " + correlation + "\r\n";
     t.request_class = safe ? 0 : 1;
-    t.effect = safe ? load_balancer::Effect::Safe : load_balancer::Effect::Unsafe;
+    t.idempotency = safe ? load_balancer::Idempotency::Idempotent : load_balancer::Idempotency::NonIdempotent;
     t.deadline = loop.clock.now() + 600 * kMillisecond;
     return t;
   }
--- a/tests/reconfigure_test.cpp
+++ b/tests/reconfigure_test.cpp
@@ -11,7 +11,7 @@
 
 TEST(Reconfigure, SlotsAndEjectionsStay) {
   Settings settings = makeSettings();
-  settings.may_probe = true;
+  settings.may_health_check = true;
   Driver d(settings);
   d.servers(ListKind::Restored, makeHosts(60));
   d.request(1, 4);
@@ -19,8 +19,8 @@
   d.outcome(1, 0, Result::ConnectFailed);
   d.outcome(1, 1, Result::Ok, kMs);
   const auto before = d.balancer.subset(d.now);
-  settings.classes.push_back(makeClass(Effect::Safe));
-  settings.cold_time = 5 * kSec;
+  settings.classes.push_back(makeClass(Idempotency::Idempotent));
+  settings.slow_start_duration = 5 * kSec;
   d.balancer.reconfigure(settings);
   EXPECT_EQ(d.balancer.subset(d.now), before);
   for (RequestId id = 10; id < 40; ++id) {
@@ -36,7 +36,7 @@
     Settings settings = makeSettings();
     Driver d(settings);
     std::vector<Host> hosts = makeHosts(4);
-    hosts[0].up_since = d.now - kMs;
+    hosts[0].started_at = d.now - kMs;
     d.servers(ListKind::Full, hosts);
     int cold = 0;
     for (RequestId id = 1; id <= 200; ++id) {
@@ -45,7 +45,7 @@
       cold += d.sentTo() == hosts[0].id ? 1 : 0;
       d.outcome(id, 0, Result::Ok, kMs);
       if (!reload) continue;
-      settings.classes[1].aim += 1;  // no request of it is in flight
+      settings.classes[1].latency_objective += 1;  // no request of it is in flight
       d.balancer.reconfigure(settings);
     }
     return cold;
@@ -64,9 +64,9 @@
   Actions out;
   d.balancer.onRequest(d.now, unknown, out);
   ASSERT_EQ(out.size(), 1U);
-  EXPECT_EQ(out[0].kind, ActionKind::Refuse) << "not known yet";
-  settings.classes.push_back(makeClass(Effect::Safe));
-  settings.tenants.push_back({.fraction = 1});
+  EXPECT_EQ(out[0].kind, ActionKind::Reject) << "not known yet";
+  settings.classes.push_back(makeClass(Idempotency::Idempotent));
+  settings.tenants.push_back({.quota = 1});
   d.balancer.reconfigure(settings);
   d.checker = RuleChecker(settings);
   d.checker.servers(d.now, ListKind::Full, makeHosts(4));
@@ -121,8 +121,8 @@
   refused("classes", [](Settings& s) { s.classes.pop_back(); });
   refused("client", [](Settings& s) { s.client += 1; });
   refused("zone", [](Settings& s) { s.zone += 1; });
-  refused("discovery", [](Settings& s) { s.discovery = Discovery::Ask; });
-  refused("aim", [](Settings& s) { s.classes[0].aim = 0; });
+  refused("discovery", [](Settings& s) { s.discovery = Discovery::Poll; });
+  refused("aim", [](Settings& s) { s.classes[0].latency_objective = 0; });
   refused("max_attempts", [](Settings& s) { s.classes[0].max_attempts = -1; });
   EXPECT_EQ(d.balancer.subset(d.now), before);
   d.request(1, 4);
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -6,15 +6,16 @@
 namespace client_proxy::recovery {
 namespace {
 
-using load_balancer::Effect;
-using load_balancer::Group;
+using load_balancer::DeduplicationScope;
+using load_balancer::Idempotency;
 
 constexpr Time kSecond = 1'000'000;
 
-load_balancer::RequestClass of(Effect effect, Group group = Group::Zone) {
+load_balancer::RequestClass of(Idempotency idempotency,
+                               DeduplicationScope deduplication_scope = DeduplicationScope::Zone) {
   load_balancer::RequestClass c;
-  c.effect = effect;
-  c.group = group;
+  c.idempotency = idempotency;
+  c.deduplication_scope = deduplication_scope;
   return c;
 }
 Facts facts(leases::Denial bar) {
@@ -27,47 +28,49 @@
 
 TEST(Recovery, StagesFollowWhatIsKnownAndNotTheClock) {
   Recovery r(3 * kSecond);
-  r.start(0, Before::CutShort);
+  r.start(0, PreviousRun::Interrupted);
   Facts f;
   f.services = {{"charges", {}, 1}};
   const Time late = 1000 * kSecond;
-  EXPECT_EQ(r.stage(late, f), Stage::Dark);
+  EXPECT_EQ(r.stage(late, f), Stage::NoEndpoints);
   f.listed = true;
-  EXPECT_EQ(r.stage(late, f), Stage::Alone) << "however long it has been there";
+  EXPECT_EQ(r.stage(late, f), Stage::IdempotentOnly) << "however long it has been there";
   f.heard = true;
-  EXPECT_EQ(r.stage(late, f), Stage::Heard);
+  EXPECT_EQ(r.stage(late, f), Stage::QuorumReached);
   f.services[0].permit.denial = leases::Denial::None;
-  EXPECT_EQ(r.stage(kSecond, f), Stage::Keyed);
-  EXPECT_EQ(r.stage(3 * kSecond, f), Stage::Whole);
+  EXPECT_EQ(r.stage(kSecond, f), Stage::IdempotencyKeys);
+  EXPECT_EQ(r.stage(3 * kSecond, f), Stage::FullService);
 }
 
 TEST(Recovery, AfterACutWhatClientsMayAskAgainIsHeldBackByWhoTellsRepeatsApart) {
   Recovery r(3 * kSecond);
-  r.start(10, Before::CutShort);
-  EXPECT_EQ(r.heldBack(10, of(Effect::Unsafe), true), 3 * kSecond) << "no host tells it from a new one";
-  EXPECT_EQ(r.heldBack(10, of(Effect::Keyed, Group::Zone), false), 3 * kSecond)
+  r.start(10, PreviousRun::Interrupted);
+  EXPECT_EQ(r.heldBack(10, of(Idempotency::NonIdempotent), true), 3 * kSecond)
+      << "no host tells it from a new one";
+  EXPECT_EQ(r.heldBack(10, of(Idempotency::IdempotentWithKey, DeduplicationScope::Zone), false), 3 * kSecond)
       << "it may go to another zone";
-  EXPECT_EQ(r.heldBack(10, of(Effect::Keyed, Group::Cell), true), 3 * kSecond) << "or to another cell";
-  EXPECT_EQ(r.heldBack(10, of(Effect::Keyed, Group::Zone), true), std::nullopt);
-  EXPECT_EQ(r.heldBack(10, of(Effect::Keyed, Group::All), false), std::nullopt);
-  EXPECT_EQ(r.heldBack(10, of(Effect::Safe), false), std::nullopt);
-  EXPECT_EQ(r.heldBack(10 + kSecond, of(Effect::Unsafe), false), 2 * kSecond);
-  EXPECT_EQ(r.heldBack(10 + 3 * kSecond, of(Effect::Unsafe), false), std::nullopt);
+  EXPECT_EQ(r.heldBack(10, of(Idempotency::IdempotentWithKey, DeduplicationScope::Cell), true), 3 * kSecond)
+      << "or to another cell";
+  EXPECT_EQ(r.heldBack(10, of(Idempotency::IdempotentWithKey, DeduplicationScope::Zone), true), std::nullopt);
+  EXPECT_EQ(r.heldBack(10, of(Idempotency::IdempotentWithKey, DeduplicationScope::All), false), std::nullopt);
+  EXPECT_EQ(r.heldBack(10, of(Idempotency::Idempotent), false), std::nullopt);
+  EXPECT_EQ(r.heldBack(10 + kSecond, of(Idempotency::NonIdempotent), false), 2 * kSecond);
+  EXPECT_EQ(r.heldBack(10 + 3 * kSecond, of(Idempotency::NonIdempotent), false), std::nullopt);
 }
 
 TEST(Recovery, WithoutACutNothingIsHeldBack) {
-  for (const Before before : {Before::Unknown, Before::Nothing, Before::Ended}) {
+  for (const PreviousRun before : {PreviousRun::Unknown, PreviousRun::None, PreviousRun::Clean}) {
     Recovery r(3 * kSecond);
     r.start(0, before);
-    EXPECT_EQ(r.heldBack(0, of(Effect::Unsafe), false), std::nullopt) << nameOf(before);
-    EXPECT_EQ(r.stage(0, facts(leases::Denial::None)), Stage::Whole);
+    EXPECT_EQ(r.heldBack(0, of(Idempotency::NonIdempotent), false), std::nullopt) << nameOf(before);
+    EXPECT_EQ(r.stage(0, facts(leases::Denial::None)), Stage::FullService);
     EXPECT_TRUE(r.waits(0, facts(leases::Denial::None)).empty());
   }
 }
 
 TEST(Recovery, EveryWaitNamesWhatItWaitsForTheWorthiestFirst) {
   Recovery r(3 * kSecond);
-  r.start(0, Before::CutShort);
+  r.start(0, PreviousRun::Interrupted);
   Facts f = facts(leases::Denial::Draining);
   f.services[1].permit.denial = leases::Denial::LeaseExpired;
   f.heard = false;
--- a/tests/rig_processes_test.cpp
+++ b/tests/rig_processes_test.cpp
@@ -16,7 +16,8 @@
   plan.proxies = 12;
   plan.lasting = seconds(9);
   plan.callers = {.rate = 6, .busy_every = 6, .busy_times = 5};
-  plan.classes = {{.name = "slot-status", .share = 3}, {.name = "swap-charge", .effect = Effect::Unsafe}};
+  plan.classes = {{.name = "slot-status", .share = 3},
+                  {.name = "swap-charge", .idempotency = Idempotency::NonIdempotent}};
   for (const char* name : {"a", "b", "c"}) plan.zones.push_back({.name = name, .region = "south"});
   return plan;
 }
--- a/tests/rule_checker.h
+++ b/tests/rule_checker.h
@@ -50,8 +50,8 @@
       if (h.state != HostState::Healthy && k.left == kNever) k.left = now;
       if (h.state == HostState::Healthy) k.left = kNever;
       k.state = h.state;
-      if (h.up_since != k.up_since) k.cold_sends.clear();
-      k.up_since = h.up_since;
+      if (h.started_at != k.started_at) k.cold_sends.clear();
+      k.started_at = h.started_at;
       k.zone = h.zone;
       k.cell = h.cell;
     }
@@ -72,7 +72,7 @@
         case ActionKind::Send:
           send(now, a);
           break;
-        case ActionKind::Refuse:
+        case ActionKind::Reject:
         case ActionKind::Fail:
           answer(now, a);
           break;
@@ -82,12 +82,12 @@
         case ActionKind::SetTimer:
           if (a.time <= now) broken.push_back("timer in the past");
           break;
-        case ActionKind::Probe:
-          if (!settings_.may_probe) broken.push_back("probe is not permitted");
+        case ActionKind::HealthCheck:
+          if (!settings_.may_health_check) broken.push_back("probe is not permitted");
           if (!known_.contains(std::string(a.server))) broken.push_back("probe of an unknown server");
           break;
         case ActionKind::Subscribe:
-        case ActionKind::Trace:
+        case ActionKind::Log:
           break;
       }
     }
@@ -106,13 +106,13 @@
   static constexpr Time kSlack = 20'000;
   struct Known {
     HostState state = HostState::Healthy;
-    Time left = kNever, up_since = 0;
+    Time left = kNever, started_at = 0;
     std::int32_t zone = 0, cell = 0;
     std::vector<Time> cold_sends;
   };
 
   static bool proves(Result r) {
-    return r == Result::Rejected || r == Result::ConnectFailed || r == Result::CutShort ||
+    return r == Result::Rejected || r == Result::ConnectFailed || r == Result::RequestIncomplete ||
            r == Result::NotSent;
   }
 
@@ -141,33 +141,38 @@
     for (const Attempt& a : t.attempts) {
       if (a.run == Run::NeverRan) continue;
       if (a.run == Run::Outstanding) broken.push_back("rule 2: two attempts out");
-      if (c.effect == Effect::Unsafe) broken.push_back("rule 2: unsafe request sent again");
-      if (c.effect != Effect::Keyed) continue;
+      if (c.idempotency == Idempotency::NonIdempotent) broken.push_back("rule 2: unsafe request sent again");
+      if (c.idempotency != Idempotency::IdempotentWithKey) continue;
       if (first == kNever) first = a.sent;
-      if (c.group == Group::Zone && a.zone != host.zone) broken.push_back("rule 2: another zone");
-      if (c.group == Group::Cell && a.cell != host.cell) broken.push_back("rule 2: another cell");
+      if (c.deduplication_scope == DeduplicationScope::Zone && a.zone != host.zone)
+        broken.push_back("rule 2: another zone");
+      if (c.deduplication_scope == DeduplicationScope::Cell && a.cell != host.cell)
+        broken.push_back("rule 2: another cell");
     }
-    if (first != kNever && now > first + c.window) broken.push_back("rule 2: after the window");
+    if (first != kNever && now > first + c.deduplication_window) broken.push_back("rule 2: after the window");
   }
 
   // What one client may send to a cold server within one window: if every client keeps to its own ordinary
   // rate for each member of its subset, times the multiple of the capacity that is there at least, the sum
   // over all clients stays within the budget. A few requests of slack for the bucket.
   void cold(Time now, Known& host) {
-    if (host.up_since == 0 || now - host.up_since >= settings_.cold_time) return;
+    if (host.started_at == 0 || now - host.started_at >= settings_.slow_start_duration) return;
     host.cold_sends.push_back(now);
     if (cold_rate <= 0) return;
-    const auto since =
-        std::lower_bound(host.cold_sends.begin(), host.cold_sends.end(), now - settings_.cold_window);
+    const auto since = std::lower_bound(host.cold_sends.begin(), host.cold_sends.end(),
+                                        now - settings_.slow_start_overload_window);
     const auto sent = static_cast<double>(host.cold_sends.end() - since);
     const auto healthy = std::count_if(known_.begin(), known_.end(),
                                        [](const auto& k) { return k.second.state == HostState::Healthy; });
     const double members =
         std::max(1.0, std::min(16.0, static_cast<double>(healthy)) * 0.6);  // ejections are capped
-    const double age = static_cast<double>(now - host.up_since) / static_cast<double>(settings_.cold_time);
-    const double capacity = settings_.cold_from + (1 - settings_.cold_from) * age;
-    const double seconds = static_cast<double>(settings_.cold_window) / 1e6;
-    const double limit = cold_rate / members * settings_.cold_multiple * capacity * seconds + cold_slack;
+    const double age =
+        static_cast<double>(now - host.started_at) / static_cast<double>(settings_.slow_start_duration);
+    const double capacity =
+        settings_.slow_start_initial_capacity + (1 - settings_.slow_start_initial_capacity) * age;
+    const double seconds = static_cast<double>(settings_.slow_start_overload_window) / 1e6;
+    const double limit =
+        cold_rate / members * settings_.slow_start_overload_factor * capacity * seconds + cold_slack;
     if (sent > limit) broken.push_back("rule 4: too much for a cold server");
   }
 
@@ -189,7 +194,9 @@
     }
     ++refusals;
     const RequestClass& c = settings_.classes.at(static_cast<std::size_t>(t.request.request_class));
-    if (c.effect == Effect::Safe || (c.effect == Effect::Keyed && c.group == Group::All)) return;
+    if (c.idempotency == Idempotency::Idempotent ||
+        (c.idempotency == Idempotency::IdempotentWithKey && c.deduplication_scope == DeduplicationScope::All))
+      return;
     for (const Attempt& at : t.attempts) {
       if (at.run != Run::NeverRan) broken.push_back("rule 2: refused though it may have run");
     }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -30,7 +30,8 @@
 TEST_P(Gate, SecondAttemptOrAnswer) {
   const GateCase& c = GetParam();
   Settings settings = makeSettings();
-  for (RequestClass& k : settings.classes) k.aim = k.deadline;  // so that the window decides, not the aim
+  for (RequestClass& k : settings.classes)
+    k.latency_objective = k.deadline;  // so that the window decides, not the aim
   Driver d(settings);
   d.servers(ListKind::Restored, makeHosts(24));
   d.request(7, c.cls);
@@ -48,13 +49,13 @@
   EXPECT_EQ(d.checker.broken, std::vector<std::string>{});
 }
 
-constexpr auto kRefuse = ActionKind::Refuse;
+constexpr auto kRefuse = ActionKind::Reject;
 constexpr auto kFail = ActionKind::Fail;
 INSTANTIATE_TEST_SUITE_P(Table, Gate,
                          testing::Values(
                              // a spoilt answer may have run; a request found at fault is not repeated
-                             GateCase{0, Result::Spoilt, 100 * kMs, true, kRefuse},
-                             GateCase{4, Result::Spoilt, 100 * kMs, false, kFail},
+                             GateCase{0, Result::InvalidResponse, 100 * kMs, true, kRefuse},
+                             GateCase{4, Result::InvalidResponse, 100 * kMs, false, kFail},
                              GateCase{0, Result::BadRequest, 100 * kMs, false, kFail},
                              GateCase{4, Result::BadRequest, 100 * kMs, false, kFail},
                              // never ran: every class may go on
@@ -63,7 +64,7 @@
                              GateCase{2, Result::Rejected, 1200 * kMs, true, kRefuse},
                              GateCase{3, Result::NotSent, 1200 * kMs, true, kRefuse},
                              GateCase{4, Result::Rejected, 100 * kMs, true, kRefuse},
-                             GateCase{4, Result::CutShort, 100 * kMs, true, kRefuse},
+                             GateCase{4, Result::RequestIncomplete, 100 * kMs, true, kRefuse},
                              GateCase{4, Result::ConnectFailed, 100 * kMs, true, kRefuse},
                              GateCase{4, Result::NotSent, 100 * kMs, true, kRefuse},
                              // may have run: safe goes on
@@ -94,7 +95,7 @@
   ASSERT_EQ(d.count(ActionKind::Send), 1);
   d.outcome(7, 1, Result::ConnectFailed);
   EXPECT_EQ(d.count(ActionKind::Send), 0);
-  EXPECT_EQ(d.count(ActionKind::Refuse), 1);
+  EXPECT_EQ(d.count(ActionKind::Reject), 1);
 }
 
 TEST(GateTest, NeverTwoAttemptsAtOnce) {
@@ -142,17 +143,17 @@
   EXPECT_TRUE(checker.broken.empty());
 }
 TEST_F(Checker, CatchesASecondAnswer) {
-  checker.check(kStart, one({.kind = ActionKind::Refuse, .request = 1}));
+  checker.check(kStart, one({.kind = ActionKind::Reject, .request = 1}));
   checker.check(kStart, one({.kind = ActionKind::Fail, .request = 1}));
   EXPECT_TRUE(caught("rule 1: a second answer"));
 }
 TEST_F(Checker, CatchesASendAfterTheAnswer) {
-  checker.check(kStart, one({.kind = ActionKind::Refuse, .request = 1}));
+  checker.check(kStart, one({.kind = ActionKind::Reject, .request = 1}));
   send(1, "server-000");
   EXPECT_TRUE(caught("rule 1: send after"));
 }
 TEST_F(Checker, CatchesALateAndAMissingAnswer) {
-  checker.check(kStart + 2 * kSec, one({.kind = ActionKind::Refuse, .request = 1}));
+  checker.check(kStart + 2 * kSec, one({.kind = ActionKind::Reject, .request = 1}));
   EXPECT_TRUE(caught("rule 1: answered too late"));
   checker.finish(kStart + 2 * kSec);
   EXPECT_TRUE(caught("rule 1: never answered"));
@@ -161,7 +162,7 @@
   send(5, "server-000");
   send(5, "server-001");
   EXPECT_TRUE(caught("rule 2: unsafe"));
-  checker.check(kStart, one({.kind = ActionKind::Refuse, .request = 5}));
+  checker.check(kStart, one({.kind = ActionKind::Reject, .request = 5}));
   EXPECT_TRUE(caught("rule 2: refused"));
 }
 TEST_F(Checker, CatchesAnotherZoneCellAndALateRepeat) {
@@ -187,7 +188,7 @@
 }
 TEST_F(Checker, CatchesTooMuchForAColdServer) {
   Host cold = makeHost(0);
-  cold.up_since = kStart;
+  cold.started_at = kStart;
   checker.cold_rate = 1;  // over 4.8 members, times 3, a quarter of the capacity, two seconds: 0.3
   checker.cold_slack = 1;
   checker.servers(kStart, ListKind::Changes, {cold});
@@ -218,12 +219,12 @@
   const auto roll = [&](std::uint64_t n) { return static_cast<Time>(dice() % n); };
   Settings settings = makeSettings();
   settings.may_cancel = roll(2) == 0;
-  settings.may_probe = roll(2) == 0;
-  settings.discovery = roll(2) == 0 ? Discovery::Ask : Discovery::Push;
+  settings.may_health_check = roll(2) == 0;
+  settings.discovery = roll(2) == 0 ? Discovery::Poll : Discovery::Push;
   settings.max_attempts = static_cast<std::int32_t>(1 + roll(6));
   settings.client = static_cast<std::uint32_t>(roll(40));
   settings.tenants = {{0.7}, {0.3}};
-  for (RequestClass& c : settings.classes) c.late_worth = roll(2) == 0 ? 0.5 : 0;
+  for (RequestClass& c : settings.classes) c.late_weight = roll(2) == 0 ? 0.5 : 0;
   Driver d(settings, GetParam());
   d.checker.cold_rate = 50;  // one arrival in 20 ms on average
   const int fleet = static_cast<int>(1 + roll(40));
@@ -235,7 +236,7 @@
     for (const Action& a : d.actions) {
       if (a.kind == ActionKind::SetTimer) {
         pending.push({a.time + roll(6 * kMs), order++, Pending::What::Timer, 0, 0, Result::Ok, a.timer, 0});
-      } else if (a.kind == ActionKind::Probe) {
+      } else if (a.kind == ActionKind::HealthCheck) {
         // answered below at once or never: both are legal for a checker of rules
       } else if (a.kind == ActionKind::Send) {
         static constexpr Result kAll[] = {Result::Ok,    Result::Ok,           Result::Ok,
@@ -273,7 +274,7 @@
           const auto mood = roll(10);
           Host h = makeHost(n, mood == 0 ? HostState::Draining : HostState::Healthy);
           if (mood == 1 && kind == 0) h.state = HostState::Gone;
-          if (mood < 4) h.up_since = d.now - roll(20 * kSec);
+          if (mood < 4) h.started_at = d.now - roll(20 * kSec);
           hosts.push_back(h);
         }
         if (kind <= 1) d.servers(kind == 0 ? ListKind::Changes : ListKind::Full, hosts);
--- a/tests/support.h
+++ b/tests/support.h
@@ -13,31 +13,34 @@
 constexpr Time kSec = 1'000'000;
 constexpr Time kStart = 5'000'000'000;
 
-inline RequestClass makeClass(Effect effect, Group group = Group::All) {
+inline RequestClass makeClass(Idempotency idempotency,
+                              DeduplicationScope deduplication_scope = DeduplicationScope::All) {
   RequestClass c;
-  c.aim = 500 * kMs;
+  c.latency_objective = 500 * kMs;
   c.deadline = 2 * kSec;
-  c.effect = effect;
-  c.group = group;
-  c.window = 900 * kMs;
-  c.worth = 2;
+  c.idempotency = idempotency;
+  c.deduplication_scope = deduplication_scope;
+  c.deduplication_window = 900 * kMs;
+  c.priority_weight = 2;
   return c;
 }
 
 // Classes: 0 safe, 1 keyed (all), 2 keyed (zone), 3 keyed (cell), 4 unsafe.
 inline Settings makeSettings() {
   Settings s;
-  s.classes = {makeClass(Effect::Safe), makeClass(Effect::Keyed, Group::All),
-               makeClass(Effect::Keyed, Group::Zone), makeClass(Effect::Keyed, Group::Cell),
-               makeClass(Effect::Unsafe)};
+  s.classes = {makeClass(Idempotency::Idempotent),
+               makeClass(Idempotency::IdempotentWithKey, DeduplicationScope::All),
+               makeClass(Idempotency::IdempotentWithKey, DeduplicationScope::Zone),
+               makeClass(Idempotency::IdempotentWithKey, DeduplicationScope::Cell),
+               makeClass(Idempotency::NonIdempotent)};
   s.max_attempts = 5;
   s.may_cancel = true;
   s.drain_grace = 500 * kMs;
-  s.cold_from = 0.25;
-  s.cold_time = 10 * kSec;
-  s.cold_multiple = 3;
-  s.cold_window = 2 * kSec;
-  s.ask_within = 10 * kSec;
+  s.slow_start_initial_capacity = 0.25;
+  s.slow_start_duration = 10 * kSec;
+  s.slow_start_overload_factor = 3;
+  s.slow_start_overload_window = 2 * kSec;
+  s.poll_interval = 10 * kSec;
   s.tick = 5 * kMs;
   return s;
 }
@@ -97,7 +100,7 @@
   const Actions& probe(const std::string& server, bool ok, double holds = -1) {
     LoadReport load;
     load.in_flight = holds;
-    return act([&](Actions& out) { balancer.onProbe(now, server, ok, kMs, load, out); });
+    return act([&](Actions& out) { balancer.onHealthCheck(now, server, ok, kMs, load, out); });
   }
 
   // The server of the only Send in the last actions; empty if there was none.
@@ -116,13 +119,13 @@
   std::vector<std::string> probed() const {
     std::vector<std::string> ids;
     for (const Action& a : actions) {
-      if (a.kind == ActionKind::Probe) ids.emplace_back(a.server);
+      if (a.kind == ActionKind::HealthCheck) ids.emplace_back(a.server);
     }
     return ids;
   }
   bool traced(const std::string& text) const {
     for (const Action& a : actions) {
-      if (a.kind == ActionKind::Trace && a.text.find(text) == 0) return true;
+      if (a.kind == ActionKind::Log && a.text.find(text) == 0) return true;
     }
     return false;
   }
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -29,7 +29,7 @@
     EXPECT_EQ(ends.count(id), 0U) << "answered after its end: " << id;
     EXPECT_TRUE(begun.emplace(id, std::move(answer)).second);
   }
-  void onProbeEnd(const std::string&, bool, Time, const std::string&) override {}
+  void onHealthCheckEnd(const std::string&, bool, Time, const std::string&) override {}
   std::map<AttemptId, AttemptEnd> ends;
   std::set<AttemptId> begin_refused, posts;
   std::map<AttemptId, int> written;
@@ -89,7 +89,7 @@
     const Time said = loop.clock.now();
     peer->say(texts[i]);
     ASSERT_TRUE(ended(i)) << i;
-    EXPECT_EQ(reports.ends[i].result, Result::Spoilt) << i;
+    EXPECT_EQ(reports.ends[i].result, Result::InvalidResponse) << i;
     EXPECT_TRUE(reports.ends[i].body.empty());
     EXPECT_LT(loop.clock.now() - said, 20 * kSecond) << i;
   }
@@ -107,7 +107,7 @@
   };
   trickle();
   ASSERT_TRUE(ended(1));
-  EXPECT_EQ(reports.ends[1].result, Result::Spoilt);
+  EXPECT_EQ(reports.ends[1].result, Result::InvalidResponse);
 }
 
 TEST_F(UpstreamTest, InterimAnswersAheadAndBytesBehindTakeNothingFromAGoodOne) {
--- a/tests/verdict_day.h
+++ b/tests/zone_health_day.h
@@ -7,20 +7,20 @@
 #include <vector>
 
 #include "fleet_model.h"
-#include "locality/verdict.h"
+#include "zone_health/zone_health_quorum.h"
 
 namespace load_balancer::test {
 
 class VerdictDay {
  public:
-  using Court = client_proxy::locality::Court;
-  using State = client_proxy::locality::State;
-  using Witness = client_proxy::locality::Witness;
+  using ZoneHealthQuorum = client_proxy::zone_health::ZoneHealthQuorum;
+  using ZoneState = client_proxy::zone_health::ZoneState;
+  using ObserverReport = client_proxy::zone_health::ObserverReport;
   struct Shape {
     std::uint32_t clients = 24, hosts = 12;
-    double load = 0.54;  // of what the hosts can
-    double loss = 0;     // of a word, which then comes half a second later
-    bool told = true;    // false: each for itself
+    double load = 0.54;    // of what the hosts can
+    double loss = 0;       // of a word, which then comes half a second later
+    bool reported = true;  // false: each for itself
   };
   static constexpr std::size_t kZones = 3;
   static constexpr Time kLook = 100 * kMs;
@@ -29,30 +29,31 @@
       : shape_(shape), fleet_(model(shape), fleetSettings(), seed), random_(seed ^ 0x5A5A) {
     for (std::size_t c = 0; c < shape.clients; ++c) courts_.emplace_back(kZones, c % kZones);
     words_.resize(shape.clients);
-    orders_.assign(shape.clients, std::vector<ZoneOrder>(kZones, ZoneOrder::Free));
+    orders_.assign(shape.clients, std::vector<ZoneDirective>(kZones, ZoneDirective::None));
   }
 
   FleetModel& fleet() { return fleet_; }
   void runFor(Time time) {
     for (const Time end = fleet_.now() + time; fleet_.now() < end;) {
       fleet_.runFor(kLook);
-      if (!shape_.told) continue;
+      if (!shape_.reported) continue;
       for (std::size_t c = 0; c < courts_.size(); ++c) look(c);
     }
   }
-  std::size_t holding(std::size_t zone, State state) const {
-    return static_cast<std::size_t>(std::count_if(
-        courts_.begin(), courts_.end(), [&](const Court& c) { return c.verdict(zone).state == state; }));
+  std::size_t holding(std::size_t zone, ZoneState state) const {
+    return static_cast<std::size_t>(
+        std::count_if(courts_.begin(), courts_.end(),
+                      [&](const ZoneHealthQuorum& c) { return c.status(zone).state == state; }));
   }
   // Losses called by any client.
   int callsOn(std::size_t zone) const { return calls_[zone]; }
   int calls() const { return calls_[0] + calls_[1] + calls_[2]; }
-  const std::string& told() const { return log_; }
+  const std::string& reported() const { return log_; }
 
  private:
   struct Word {
     std::vector<Time> heard;  // by client
-    Witness witness;
+    ObserverReport report;
   };
   static FleetModel::Shape model(const Shape& shape) {
     FleetModel::Shape s;
@@ -62,12 +63,12 @@
   }
   double chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
 
-  std::vector<Witness> heardBy(std::size_t c) {
-    std::vector<Witness> all;
+  std::vector<ObserverReport> heardBy(std::size_t c) {
+    std::vector<ObserverReport> all;
     for (std::size_t o = 0; o < words_.size(); ++o) {
-      const Witness* newest = nullptr;
+      const ObserverReport* newest = nullptr;
       for (const Word& w : words_[o]) {
-        if (o == c || w.heard[c] <= fleet_.now()) newest = &w.witness;
+        if (o == c || w.heard[c] <= fleet_.now()) newest = &w.report;
       }
       if (newest != nullptr) all.push_back(*newest);
     }
@@ -75,22 +76,23 @@
   }
 
   void look(std::size_t c) {
-    Court& court = courts_[c];
+    ZoneHealthQuorum& zone_health = courts_[c];
     const Time now = fleet_.now();
     for (std::size_t z = 0; z < kZones; ++z)
-      court.saw(z, fleet_.seen(c, static_cast<std::int32_t>(z), court.since(z)));
+      zone_health.observe(z, fleet_.seen(c, static_cast<std::int32_t>(z), zone_health.since(z)));
     if (words_[c].empty()) say(c);
-    std::vector<State> before;
-    for (std::size_t z = 0; z < kZones; ++z) before.push_back(court.verdict(z).state);
-    const std::vector<Witness> all = heardBy(c);
-    court.judge(now, all, true);
+    std::vector<ZoneState> before;
+    for (std::size_t z = 0; z < kZones; ++z) before.push_back(zone_health.status(z).state);
+    const std::vector<ObserverReport> all = heardBy(c);
+    zone_health.evaluate(now, all, true);
     say(c);
     for (std::size_t z = 0; z < kZones; ++z) {
       note(c, z, before[z]);
-      ZoneOrder wanted = ZoneOrder::Free;
-      if (c % kZones != z && !court.goes(z, number(c), now))
-        wanted =
-            Court::watches(z, court.verdict(z).epoch, number(c), all) ? ZoneOrder::Watch : ZoneOrder::Away;
+      ZoneDirective wanted = ZoneDirective::None;
+      if (c % kZones != z && !zone_health.goes(z, number(c), now))
+        wanted = ZoneHealthQuorum::watches(z, zone_health.status(z).epoch, number(c), all)
+                     ? ZoneDirective::EjectAndCheck
+                     : ZoneDirective::Eject;
       if (std::exchange(orders_[c][z], wanted) != wanted)
         fleet_.order(c, static_cast<std::int32_t>(z), wanted);
     }
@@ -101,14 +103,14 @@
 
   // A new word reaches each of the others a while later; older ones that all have heard are forgotten.
   void say(std::size_t c) {
-    const Court& court = courts_[c];
-    Witness w{number(c), c % kZones, {}, {}};
+    const ZoneHealthQuorum& zone_health = courts_[c];
+    ObserverReport w{number(c), c % kZones, {}, {}};
     for (std::size_t z = 0; z < kZones; ++z) {
-      w.seen.push_back(court.tells(z));
-      w.verdicts.push_back(court.verdict(z));
+      w.seen.push_back(zone_health.reports(z));
+      w.statuses.push_back(zone_health.status(z));
     }
     auto& mine = words_[c];
-    if (!mine.empty() && mine.back().witness.seen == w.seen && mine.back().witness.verdicts == w.verdicts)
+    if (!mine.empty() && mine.back().report.seen == w.seen && mine.back().report.statuses == w.statuses)
       return;
     Word word{{}, std::move(w)};
     for (std::size_t o = 0; o < courts_.size(); ++o) {
@@ -120,17 +122,17 @@
     if (mine.size() > 8) mine.pop_front();
   }
 
-  void note(std::size_t c, std::size_t z, State before) {
-    const auto& v = courts_[c].verdict(z);
+  void note(std::size_t c, std::size_t z, ZoneState before) {
+    const auto& v = courts_[c].status(z);
     if (v.state == before) return;
     // Who adopts it has not called it: the epoch is known then.
-    if (v.state == State::Lost && v.epoch > epochs_[z]) {
+    if (v.state == ZoneState::Down && v.epoch > epochs_[z]) {
       epochs_[z] = v.epoch;
       ++calls_[z];
     }
     log_ += "\n  " + std::to_string(static_cast<double>(fleet_.now() - kStart) / 1e6) + " client " +
             std::to_string(c) + ": zone " + std::to_string(z) + " " +
-            std::string(client_proxy::locality::nameOf(v.state)) + " " + std::to_string(v.epoch) +
+            std::string(client_proxy::zone_health::nameOf(v.state)) + " " + std::to_string(v.epoch) +
             ", silent to " + std::to_string(courts_[c].silent(z)) + ", answers " +
             std::to_string(courts_[c].answered(z));
   }
@@ -138,9 +140,9 @@
   const Shape shape_;
   FleetModel fleet_;
   std::mt19937_64 random_;
-  std::vector<Court> courts_;
+  std::vector<ZoneHealthQuorum> courts_;
   std::vector<std::deque<Word>> words_;
-  std::vector<std::vector<ZoneOrder>> orders_;
+  std::vector<std::vector<ZoneDirective>> orders_;
   int calls_[kZones] = {}, epochs_[kZones] = {};
   std::string log_;
 };
--- a/tests/verdict_days_test.cpp
+++ b/tests/zone_health_days_test.cpp
@@ -2,7 +2,7 @@
 // what it has seen told to the others late and with losses, and no verdict but where a zone is lost.
 #include <gtest/gtest.h>
 
-#include "verdict_day.h"
+#include "zone_health_day.h"
 
 namespace load_balancer::test {
 namespace {
@@ -16,7 +16,7 @@
     day.runFor(3 * kSec);
     day.fleet().stopHost(seed % 12);
     day.runFor(9 * kSec);
-    ASSERT_EQ(day.calls(), 0) << "seed " << seed << day.told();
+    ASSERT_EQ(day.calls(), 0) << "seed " << seed << day.reported();
   }
 }
 
@@ -26,11 +26,13 @@
     day.runFor(3 * kSec);
     day.fleet().silence(1, true);
     day.runFor(6 * kSec);
-    EXPECT_EQ(day.holding(1, client_proxy::locality::State::Lost), 24U) << "seed " << seed << day.told();
+    EXPECT_EQ(day.holding(1, client_proxy::zone_health::ZoneState::Down), 24U)
+        << "seed " << seed << day.reported();
     day.fleet().silence(1, false);
     day.runFor(16 * kSec);
-    EXPECT_EQ(day.holding(1, client_proxy::locality::State::Up), 24U) << "seed " << seed << day.told();
-    EXPECT_EQ(day.callsOn(0) + day.callsOn(2), 0) << "seed " << seed << day.told();
+    EXPECT_EQ(day.holding(1, client_proxy::zone_health::ZoneState::Up), 24U)
+        << "seed " << seed << day.reported();
+    EXPECT_EQ(day.callsOn(0) + day.callsOn(2), 0) << "seed " << seed << day.reported();
   }
 }
 
--- a/tests/zone_loss_test.cpp
+++ b/tests/zone_loss_test.cpp
@@ -41,14 +41,14 @@
     fleet.runFor(20 * kSec);
     fleet.silence(1, true);
     fleet.runFor(kVerdict);
-    if (told) fleet.order(1, ZoneOrder::Away, 3);
+    if (told) fleet.order(1, ZoneDirective::Eject, 3);
     const std::uint32_t before = lost(), probes = at([](auto&h) { return h.probes.all(); });
     fleet.runFor(10 * kSec - kVerdict);
     Course c;
     c.lost = lost() - before;
     c.probes = at([](auto& h) { return h.probes.all(); }) - probes;
     fleet.silence(1, false);
-    if (told) fleet.order(1, ZoneOrder::Free, 0);
+    if (told) fleet.order(1, ZoneDirective::None, 0);
     const std::uint32_t sends = at([](auto& h) { return h.sends.all(); });
     fleet.runFor(10 * kSec);
     c.used = at([](auto& h) { return h.sends.all(); }) - sends;
--- a/tests/zone_processes_test.cpp
+++ b/tests/zone_processes_test.cpp
@@ -15,7 +15,8 @@
     Plan plan;
     plan.seed = 41;
     plan.callers.rate = 8;
-    plan.classes = {{.name = "slot-status", .share = 3}, {.name = "swap-charge", .effect = Effect::Unsafe}};
+    plan.classes = {{.name = "slot-status", .share = 3},
+                    {.name = "swap-charge", .idempotency = Idempotency::NonIdempotent}};
     for (const char* name : {"a", "b", "c"}) plan.zones.push_back({.name = name, .region = "south"});
     return plan;
   }
