--- a/include/load_balancer/balancer.h
+++ b/include/load_balancer/balancer.h
@@ -21,31 +21,31 @@
 constexpr std::int32_t kUnset = -1;  // an index that was not given
 
 enum class Idempotency : std::uint8_t {
-  Idempotent,         // may be repeated and refused without limit
-  IdempotentWithKey,  // a group of servers discards repeats for a while
+  Idempotent,         // may be retried and rejected without limit
+  IdempotentWithKey,  // some hosts discard repeats of its idempotency key for a while
   NonIdempotent,      // must never run twice
 };
-enum class DeduplicationScope : std::uint8_t {
-  All,
-  Zone,
-  Cell
-};  // which servers discard a keyed request's repeats
+enum class DeduplicationScope : std::uint8_t { All, Zone, Cell };  // which hosts discard the repeats of a key
 
 struct RequestClass {
-  Time latency_objective = 0;  // an answer within this time earns the full worth; > 0
+  Time latency_objective = 0;  // a response within this time earns the full weight; > 0
   Time deadline = 0;           // how long clients of this class wait at most; > 0
   Idempotency idempotency = Idempotency::NonIdempotent;
-  DeduplicationScope deduplication_scope = DeduplicationScope::All;  // read for Keyed
-  Time deduplication_window = 0;  // read for Keyed: repeats are discarded this long after the first send; > 0
-  double priority_weight = 1;     // what one answer in time is worth; >= 0
-  double late_weight = 0;         // fraction of the worth for an answer between aim and deadline
-  double objective_per_work = 0;  // the aim grows by this multiple of the request's own work
+  DeduplicationScope deduplication_scope = DeduplicationScope::All;  // with a key
+  Time deduplication_window = 0;  // with a key: repeats are discarded this long after the first send; > 0
+  double priority_weight = 1;     // of a response in time; >= 0
+  double late_weight = 0;         // part of the weight for a response between objective and deadline
+  double objective_per_work = 0;  // the objective grows by this multiple of the request's own work
   std::int32_t max_attempts = 0;  // per request; 0: Settings::max_attempts
+  // The latency objective of a request of this much work.
+  Time objectiveFor(Time work) const {
+    return latency_objective + static_cast<Time>(objective_per_work * static_cast<double>(work));
+  }
   bool operator==(const RequestClass&) const = default;
 };
 
 struct Tenant {
-  double quota = 0;  // its portion of the service, 0 to 1; its requests beyond that are shed first
+  double quota = 0;  // its part of the service, 0 to 1; its requests beyond that are shed first
 };
 
 enum class Discovery : std::uint8_t { Push, Poll };
@@ -59,25 +59,25 @@
   Discovery discovery = Discovery::Push;
   ReportSource reports = ReportSource::None;
   bool weighted = false;              // Host::capacity tells sizes apart
-  bool warm_keys = false;             // a server that met a key lately needs less work for it
+  bool warm_keys = false;             // a host that served a key lately needs less work for it
   std::vector<RequestClass> classes;  // at least one
   std::vector<Tenant> tenants;        // may be empty
-  double over_quota_weight = 1;       // worth of a request beyond its tenant's share, as a fraction
+  double over_quota_weight = 1;       // weight of a request beyond its tenant's quota, as a factor
   // What the deployment permits.
   std::int32_t max_attempts = 1;  // per request, >= 1
   bool may_cancel = false;
   bool may_health_check = false;
-  bool retry_after = false;  // clients are told how long to stay away after a refusal
+  bool retry_after = false;  // clients are told when to retry after a rejection
   Time max_retry_after = 0;
   // The figures of the rules.
-  Time drain_grace = 0;  // sends to a draining server must have stopped after this; here they stop at once
+  Time drain_grace = 0;  // sends to a draining host must have stopped after this; here they stop at once
   double slow_start_initial_capacity =
-      1;                         // a server starts with at least this fraction of its capacity; in (0, 1]
+      1;                         // a host starts with at least this fraction of its capacity; in (0, 1]
   Time slow_start_duration = 0;  // and is warm no later than this
   double slow_start_overload_factor = 1;  // sent more than this multiple of its present capacity ...
   Time slow_start_overload_window =
-      0;                   // ... for this long, a cold server falls over; here no burst of two is saved up
-  Time poll_interval = 0;  // Discovery::Ask: silence this long counts as knowing what was listed then
+      0;  // ... for this long, a host in slow start is overloaded; here no burst of two is saved up
+  Time poll_interval = 0;  // Discovery::Poll: silence this long counts as knowing what was listed then
   Time tick = 1000;        // the least time between two rounds of events
   bool explain = false;    // fill in Action::reason; costs a walk along the subset for each Send
 };
@@ -114,25 +114,31 @@
 enum class Result : std::uint8_t {
   Ok,
   Error,              // may have run
-  Rejected,           // never ran: turned away unseen
+  Rejected,           // never ran: rejected unseen
   TimedOut,           // may have run
   ConnectFailed,      // never ran
   Reset,              // may have run
-  InvalidResponse,    // may have run: what came back is no answer to it
-  BadRequest,         // may have run: the server finds fault with the request itself
+  InvalidResponse,    // may have run: what came back is no response to it
+  BadRequest,         // may have run: the host finds fault with the request itself
   Cancelled,          // may have run
   NotSent,            // never ran: the embedder did not send it
-  RequestIncomplete,  // never ran: the connection broke before the server had all of it
+  RequestIncomplete,  // never ran: the connection broke before the host had all of it
 };
 
-// No server can have had the whole request.
+// No host can have had the whole request.
 constexpr bool provesNotProcessed(Result r) {
   return r == Result::Rejected || r == Result::ConnectFailed || r == Result::NotSent ||
          r == Result::RequestIncomplete;
 }
 
-// What a server says about its own load; a negative value was not reported. Read from probes where
-// Settings::reports is Probe.
+// A host has answered the request, in whatever way.
+constexpr bool isResponse(Result r) {
+  return r == Result::Ok || r == Result::Rejected || r == Result::Error || r == Result::InvalidResponse ||
+         r == Result::BadRequest;
+}
+
+// What a host says about its own load; a negative value was not reported. Read from health checks where
+// Settings::reports is HealthChecks.
 struct LoadReport {
   double in_flight = -1;  // requests it holds
 };
@@ -142,7 +148,7 @@
   RequestId request = 0;
   std::int32_t attempt = 0;  // 0, 1, 2 … in the order of the request's Sends
   Result result = Result::Ok;
-  bool final = false;  // the client has its answer (an Ok always is one); nothing is owed any more
+  bool final = false;  // the client has its final answer (an Ok always is one)
   Time latency = 0;
   LoadReport load;
 };
@@ -151,34 +157,34 @@
 enum class ActionKind : std::uint8_t {
   Send,    // start an attempt of `request` at `server` now, give it up after `time` microseconds (0: when
            // the client gives up) and report exactly one Outcome; if it cannot be sent, Result::NotSent.
-           // One whose answer is being written then, and keeps coming, may take `longest` in all
+           // One whose response is being received then, and keeps coming, may take `longest` in all
   Cancel,  // stop waiting for `attempt` of `request`; its Outcome still follows, Cancelled or as it ended
   Reject,  // final answer to the client of `request`: not done, repeating is harmless; `time` advises how
            // many microseconds to stay away (0: no advice)
   Fail,    // final answer to the client of `request`: failed, effect unknown
-  HealthCheck,  // check `server` once and report with onHealthCheck, also if it fails or takes long
-  Subscribe,    // ask discovery for all changes from now on; report with onServers, failures as Unavailable
+  HealthCheck,  // check `server` once; report with onHealthCheck, also if it fails or takes long
+  Subscribe,    // watch discovery from now on; report with onServers, failures as Unavailable
   SetTimer,  // call onTimer(`timer`) at or soon after clock time `time`; timers are never withdrawn, and one
              // that is no longer needed does nothing
   Log,       // a line for staff: `text`; dropping it is harmless
 };
 
-// How many servers the list has, and how many of them nothing goes to as a matter of course: they drain, are
-// ejected, or staff have taken them out.
+// How many hosts are listed, and how many of them get nothing as a matter of course: they drain, are ejected
+// or in maintenance.
 struct HostCounts {
   std::size_t listed = 0, avoided = 0;
 };
 
-// What a Balancer has found out of a server, for the one that takes its place. Times are of the same clock.
+// What a Balancer has found out about a host, for the one that takes its place. Times are of the same clock.
 struct HostSnapshot {
   std::string id;
   std::int32_t slot = kUnset;
-  bool in_maintenance = false;                 // staff have taken it out
-  bool ejected = false, unresponsive = false;  // silent: ejected for silence, so it may come back cold
+  bool in_maintenance = false;                 // staff have taken it out of service
+  bool ejected = false, unresponsive = false;  // unresponsive: it may return cold
   Time ejected_since = 0, ejected_until = 0;
-  double failure_score = 0;  // evidence of failure
+  double failure_score = 0;  // decaying evidence of failure
   Time failure_score_at = 0;
-  Time cold_since = 0;  // 0: warm
+  Time slow_start_since = 0;  // 0: it is warm
   double latency_ratio = 1;
   bool operator==(const HostSnapshot&) const = default;
 };
@@ -186,13 +192,13 @@
 // Why a Send goes where it goes; toString gives the words.
 enum class Reason : std::uint8_t {
   None,               // not a Send, or Settings::explain is off
-  LeastLoaded,        // fewest own requests in flight within the subset, ties by turn
+  LeastLoaded,        // fewest own requests in flight within the subset, ties by weighted turns
   ExtendedSubset,     // the same, beyond the subset's ordinary length: own demand has outgrown it
-  Substitute,         // the same, in place of a member that drains, is ejected or may not take it now
-  LeastReportedLoad,  // of the tied members that were asked for their load
-  EjectionTrial,      // an ejected server's time is over and it may prove itself
-  ScopedRetry,        // a repeat that only the group of its first attempt may take
-  SlowStart,          // this client's part of what a server that started lately can take
+  Substitute,         // the same, in place of a member that drains, is ejected or may not have it now
+  LeastReportedLoad,  // of the tied members whose load was asked
+  EjectionTrial,      // the ejection of a host is over and it may prove itself
+  ScopedRetry,        // a retry that only the scope of its first attempt may have
+  SlowStart,          // this client's part of what a host in slow start can take
 };
 std::string_view toString(Reason reason);
 
@@ -210,9 +216,9 @@
 using Actions = std::vector<Action>;
 
 enum class ZoneDirective : std::uint8_t {
-  None,           // as its own attempts show
-  EjectAndCheck,  // away, but its servers may prove themselves here
-  Eject,          // away, and others look after it
+  None,           // as this client's own attempts show
+  EjectAndCheck,  // nothing goes there, but its hosts are checked from here
+  Eject,          // nothing goes there, and other clients check its hosts
 };
 enum class ZoneObservation : std::uint8_t { None, Responding, Unresponsive };
 struct ZoneObservedSince {
@@ -235,48 +241,48 @@
   // taken out. Client, zone and discovery must be the same. Throws std::invalid_argument that names the
   // field, and then nothing has changed.
   void reconfigure(Settings settings);
-  // Discovery's news. The first call should be the Restored list (it may be empty).
+  // A list from discovery. The first call should be the Restored one (it may be empty).
   void onServers(Time now, ListKind kind, std::span<const Host> hosts, Actions& out);
   // A client's request. It gets exactly one final answer: an Outcome with `final`, Refuse or Fail.
   void onRequest(Time now, const Request& request, Actions& out);
-  // For an attempt that could not be written at once, when its connection has come up: may its first byte go
-  // now? If not it ends as Result::NotSent. Since it was chosen its client may have left, its time or its
-  // key's window may be over, its server may drain, be gone or have started anew.
+  // For an attempt that could not be written at once: may its first byte be written now? If not it ends as
+  // Result::NotSent. Since its host was chosen the client may have disconnected, its deadline or its key's
+  // window may have passed, the host may drain, be gone or have restarted.
   bool mayStart(Time now, RequestId request, std::int32_t attempt);
   // The process has to leave: all that is open is to have its answer by `last`. What comes later is to have
   // no more time than that either.
   void finishBy(Time now, Time last, Actions& out);
-  // An attempt has ended, also one whose request was answered long ago.
+  // An attempt has ended, also one whose request was answered before.
   void onOutcome(Time now, const Outcome& outcome, Actions& out);
-  // The answer of a streamed class has begun: it belongs to the client now.
+  // The response has begun to reach the client: it can't be retried any more.
   void onResponseStarted(Time now, RequestId request, std::int32_t attempt, Actions& out);
-  // The client has gone; no answer is owed.
+  // The client has disconnected; no answer is owed.
   void onClientGone(Time now, RequestId request, Actions& out);
-  // A probe has ended. `ok`: the server answered; `load`: what it said of itself, if anything.
+  // A health check has ended. `ok`: the host responded; `load`: its load report, if any.
   void onHealthCheck(Time now, std::string_view server, bool ok, Time latency, const LoadReport& load,
                      Actions& out);
-  // Staff take a server out: nothing new goes to it, whatever is listed, also if it leaves the list and comes
-  // back, until they put it back. Then it counts as started now. False: no server has this id.
+  // Maintenance: nothing new goes to the host, whatever is listed, also if it leaves the list and comes back,
+  // until staff put it back. Then it counts as started now. False: no host has this id.
   bool setMaintenance(Time now, std::string_view server, bool in_maintenance);
   // A timer that SetTimer asked for is due.
   void onTimer(Time now, std::uint64_t timer, Actions& out);
 
   HostCounts hostCounts() const;
-  // What the clients together hold of a zone: nothing goes there but where nobody else is left. A verdict on
-  // a zone where this client sends nothing to be answered never makes it send.
+  // What the fleet holds of a zone: nothing goes there but where no other is left. A directive never makes a
+  // client send to a zone that it does not use.
   void setZone(Time now, std::int32_t zone, ZoneDirective order, Actions& out);
-  // What this client has seen of a zone's servers: answers since one time, silence on sends since the other.
+  // What this client has observed of a zone: responses since one time, attempts without one since the other.
   ZoneObservation observeZone(Time now, std::int32_t zone, const ZoneObservedSince& since);
-  // All that is known of servers, by id.
+  // All that is known of hosts, by id.
   std::vector<HostSnapshot> snapshot() const;
-  // What another Balancer of this client has found out; to be called once, after the Restored list. Servers
-  // that are not listed are passed over, but for those that staff have taken out. Impossible values are
-  // passed over too. A cold server gets nothing at first: the other may have spent its share.
+  // What another Balancer of this client has found out; to be called once, after the Restored list. Hosts
+  // that are not listed are ignored, but for those in maintenance. Impossible values are ignored too. A host
+  // in slow start gets nothing at first: the other may have spent its share.
   void restore(Time now, std::span<const HostSnapshot> servers, Actions& out);
   // For tests and operators: the ids of the present subset, in order of preference.
   std::vector<std::string> subset(Time now);
-  // How much is remembered and how much was done: requests without an answer or with an attempt out, servers
-  // that are listed or still owe an outcome, slots, and servers weighed in all picks so far.
+  // For tests: requests without an answer or with an attempt in flight, hosts that are listed or have one in
+  // flight, slots, and hosts examined in all choices so far.
   std::size_t liveRequests() const;
   std::size_t knownServers() const;
   std::size_t slotCount() const;
--- /dev/null
+++ b/src/decision/zone_ejection.h
@@ -0,0 +1,96 @@
+// Ejection of a whole zone: by this client's own attempts, or since the fleet holds the zone to be down.
+#pragma once
+
+#include "outlier_detection.h"
+#include "zone_observations/zone_observations.h"
+
+namespace load_balancer::policy {
+
+class ZoneEjection {
+ public:
+  ZoneEjection(const PolicyContext& context, RateLimitedLog& log, Subset& subset, OutlierDetector& outliers)
+      : context_(context), log_(log), subset_(subset), outliers_(outliers) {}
+
+  // An attempt sent at `sent` got no response. Where other zones respond the fault is the zone's, or the
+  // path's to it, and no bound on ejected endpoints holds. A late response may be load: a health check tells.
+  void onNoResponse(Endpoint& endpoint, Time sent, bool unreachable, Actions& out) {
+    const std::int32_t zone = endpoint.host.zone;
+    observations_.note(zone, endpoint.host.id, sent, context_.now, unreachable);
+    if (!observations_.unresponsive(zone, endpoint.host.id, sent)) return;
+    if (context_.settings.may_health_check && !unreachable)
+      return OutlierDetector::checkHealth(endpoint, out);
+    eject(zone, outliers_.earliestReturn(), false, out);
+  }
+  void onResponse(const Endpoint& endpoint, Time asked, Actions& out) {
+    const std::int32_t zone = endpoint.host.zone;
+    observations_.answered(zone, asked, context_.now);
+    if (endpoint.ejected_with_zone && !directives_.contains(zone)) readmit(zone, asked, out);
+  }
+  // A health check of an endpoint that is not ejected has succeeded or failed.
+  void onHealthCheck(Endpoint& endpoint, bool healthy, Time asked, Actions& out) {
+    if (healthy) observations_.answered(endpoint.host.zone, asked, context_.now);
+    if (!healthy && observations_.suspected(endpoint.host.zone)) onNoResponse(endpoint, asked, true, out);
+  }
+  // One of an ejected endpoint has failed: its zone, if that was ejected, stays away as long.
+  void onFailedReturn(const Endpoint& endpoint, Time asked) {
+    observations_.note(endpoint.host.zone, endpoint.host.id, asked, context_.now, true);
+    if (!endpoint.ejected_with_zone) return;
+    observations_.unresponsive(endpoint.host.zone, endpoint.host.id, context_.now);
+    for (Endpoint* other : subset_.order()) {
+      if (other->ejected_with_zone && other->host.zone == endpoint.host.zone)
+        other->ejected_until = endpoint.ejected_until;
+    }
+  }
+
+  // What the fleet holds of a zone.
+  void setDirective(std::int32_t zone, ZoneDirective directive, Actions& out) {
+    const auto it = directives_.find(zone);
+    if (directive == (it == directives_.end() ? ZoneDirective::None : it->second)) return;
+    directives_.erase(zone);
+    if (directive == ZoneDirective::None) {
+      observations_.forget(zone);
+      return readmit(zone, context_.now, out);
+    }
+    directives_[zone] = directive;
+    const Time checked_from = outliers_.earliestReturn();
+    const bool checked = directive == ZoneDirective::EjectAndCheck;
+    eject(zone, checked ? checked_from : std::numeric_limits<Time>::max(), true, out);
+  }
+  ZoneObservation observe(std::int32_t zone, const ZoneObservedSince& since) const {
+    return observations_.seen(zone, context_.now, since);
+  }
+
+ private:
+  // `all`: also the endpoints that are ejected by themselves.
+  void eject(std::int32_t zone, Time until, bool all, Actions& out) {
+    const std::vector<Endpoint*>& order = subset_.order();
+    const bool others =
+        std::any_of(order.begin(), order.end(), [&](auto* e) { return e->usable() && e->host.zone != zone; });
+    if (!others) return;
+    for (Endpoint* endpoint : order) {
+      if (endpoint->host.zone != zone) continue;
+      if (endpoint->ejected && !endpoint->ejected_with_zone && !all) continue;
+      if (!endpoint->ejected) endpoint->ejected_since = context_.now;
+      endpoint->ejected = endpoint->unresponsive = endpoint->ejected_with_zone = true;
+      endpoint->ejected_until = until;
+    }
+    outliers_.scheduleReturn(until);
+    subset_.recompute();
+    log_.write(RateLimitedLog::Kind::Zone, "ejected zone " + std::to_string(zone), out);
+  }
+  void readmit(std::int32_t zone, Time asked, Actions& out) {
+    for (Endpoint* endpoint : subset_.order()) {
+      if (endpoint->ejected_with_zone && endpoint->host.zone == zone)
+        outliers_.readmit(*endpoint, asked, out);
+    }
+  }
+
+  const PolicyContext& context_;
+  RateLimitedLog& log_;
+  Subset& subset_;
+  OutlierDetector& outliers_;
+  client_proxy::zone_health::ZoneObservations observations_;
+  std::map<std::int32_t, ZoneDirective> directives_;  // other than None
+};
+
+}  // namespace load_balancer::policy
--- a/src/hot_restart/state.cpp
+++ b/src/hot_restart/state.cpp
@@ -58,7 +58,7 @@
                        {"ejected_until", s.ejected_until},
                        {"strikes", s.failure_score},
                        {"struck_at", s.failure_score_at},
-                       {"cold_since", s.cold_since},
+                       {"cold_since", s.slow_start_since},
                        {"slowness", s.latency_ratio}});
   }
   json tried = json::array();
@@ -89,7 +89,7 @@
       r.ejected_until = whole<load_balancer::Time>(s, "ejected_until");
       r.failure_score = s.at("strikes").get<double>();
       r.failure_score_at = whole<load_balancer::Time>(s, "struck_at");
-      r.cold_since = whole<load_balancer::Time>(s, "cold_since");
+      r.slow_start_since = whole<load_balancer::Time>(s, "cold_since");
       r.latency_ratio = s.at("slowness").get<double>();
       state.servers.push_back(std::move(r));
     }
--- a/src/recovery/include/recovery/recovery.h
+++ b/src/recovery/include/recovery/recovery.h
@@ -23,7 +23,7 @@
   QuorumReached,    // a majority of the others has told what it knows
   IdempotencyKeys,  // keyed requests of each service that has an owner; what was asked before the cut is told
                     // apart by the hosts
-  FullService,  // nothing is held back: no client can ask again what ran before the cut
+  FullService,      // nothing is held back: no client can ask again what ran before the cut
 };
 constexpr std::string_view nameOf(Stage s) {
   constexpr std::string_view kNames[] = {"dark", "alone", "heard", "keyed", "whole"};
