--- a/bench/zones.cpp
+++ b/bench/zones.cpp
@@ -80,7 +80,7 @@
   std::printf("\n");
   // Members that held a zone lost, and how often in all; only b's hosts were ever silent.
   for (const char* zone : {"a", "b", "c"}) {
-    const std::string line = std::string("zones: ") + zone + " is lost";
+    const std::string line = std::string("zone state changed zone=") + zone + " state=lost ";
     std::size_t times = 0;
     for (std::size_t at = o.logs.find(line); at != std::string::npos; at = o.logs.find(line, at + 1)) ++times;
     std::printf("  %s held lost %zu times\n", zone, times);
--- a/include/load_balancer/balancer.h
+++ b/include/load_balancer/balancer.h
@@ -222,7 +222,7 @@
 };
 enum class ZoneObservation : std::uint8_t { None, Responding, Unresponsive };
 struct ZoneObservedSince {
-  Time answers = 0, silence = 0;
+  Time responses = 0, no_responses = 0;  // since when each counts
 };
 
 class Balancer {
--- a/src/decision/zone_ejection.h
+++ b/src/decision/zone_ejection.h
@@ -15,27 +15,27 @@
   // path's to it, and no bound on ejected endpoints holds. A late response may be load: a health check tells.
   void onNoResponse(Endpoint& endpoint, Time sent, bool unreachable, Actions& out) {
     const std::int32_t zone = endpoint.host.zone;
-    observations_.note(zone, endpoint.host.id, sent, context_.now, unreachable);
-    if (!observations_.unresponsive(zone, endpoint.host.id, sent)) return;
+    observations_.recordForReport(zone, endpoint.host.id, sent, context_.now, unreachable);
+    if (!observations_.recordNoResponse(zone, endpoint.host.id, sent)) return;
     if (context_.settings.may_health_check && !unreachable)
       return OutlierDetector::checkHealth(endpoint, out);
     eject(zone, outliers_.earliestReturn(), false, out);
   }
   void onResponse(const Endpoint& endpoint, Time asked, Actions& out) {
     const std::int32_t zone = endpoint.host.zone;
-    observations_.answered(zone, asked, context_.now);
+    observations_.recordResponse(zone, asked, context_.now);
     if (endpoint.ejected_with_zone && !directives_.contains(zone)) readmit(zone, asked, out);
   }
   // A health check of an endpoint that is not ejected has succeeded or failed.
   void onHealthCheck(Endpoint& endpoint, bool healthy, Time asked, Actions& out) {
-    if (healthy) observations_.answered(endpoint.host.zone, asked, context_.now);
+    if (healthy) observations_.recordResponse(endpoint.host.zone, asked, context_.now);
     if (!healthy && observations_.suspected(endpoint.host.zone)) onNoResponse(endpoint, asked, true, out);
   }
   // One of an ejected endpoint has failed: its zone, if that was ejected, stays away as long.
   void onFailedReturn(const Endpoint& endpoint, Time asked) {
-    observations_.note(endpoint.host.zone, endpoint.host.id, asked, context_.now, true);
+    observations_.recordForReport(endpoint.host.zone, endpoint.host.id, asked, context_.now, true);
     if (!endpoint.ejected_with_zone) return;
-    observations_.unresponsive(endpoint.host.zone, endpoint.host.id, context_.now);
+    observations_.recordNoResponse(endpoint.host.zone, endpoint.host.id, context_.now);
     for (Endpoint* other : subset_.order()) {
       if (other->ejected_with_zone && other->host.zone == endpoint.host.zone)
         other->ejected_until = endpoint.ejected_until;
@@ -57,7 +57,7 @@
     eject(zone, checked ? checked_from : std::numeric_limits<Time>::max(), true, out);
   }
   ZoneObservation observe(std::int32_t zone, const ZoneObservedSince& since) const {
-    return observations_.seen(zone, context_.now, since);
+    return observations_.report(zone, context_.now, since);
   }
 
  private:
--- a/src/fleet_transport/zone_watch.cpp
+++ b/src/fleet_transport/zone_watch.cpp
@@ -64,7 +64,7 @@
 }
 
 bool ZoneWatch::calm() const {
-  if (!zone_health_->quiet()) return false;
+  if (!zone_health_->settledEverywhere()) return false;
   for (std::size_t z = 0; z < names_.size(); ++z) {
     if (zone_health_->observation(z) == ZoneObservation::Unresponsive) return false;
   }
@@ -109,19 +109,19 @@
   for (std::size_t z = 0; z < names_.size(); ++z) {
     ZoneDirective wanted = ZoneDirective::None;
     // Lost to the others is not lost to those inside, who see it best: it may be all that they have.
-    if (z != indexOf(zone_) && !zone_health_->goes(z, self_, now)) {
+    if (z != indexOf(zone_) && !zone_health_->sendsTraffic(z, self_, now)) {
       // Without a view to rely on nobody can tell who looks after the zone: each does.
       const bool looks =
-          !sure || zone_health::ZoneHealthQuorum::watches(z, zone_health_->status(z).epoch, self_, all);
+          !sure || zone_health::ZoneHealthQuorum::checksHealth(z, zone_health_->status(z).epoch, self_, all);
       wanted = looks ? ZoneDirective::EjectAndCheck : ZoneDirective::Eject;
     }
     if (std::exchange(orders_[z], wanted) != wanted) local_.setZone(names_[z], wanted);
     const ZoneState state = zone_health_->state(z);
     if (std::exchange(shown_[z], state) == state) continue;
-    log_.line("zones: " + names_[z] + " is " + std::string(zone_health::nameOf(state)) + ", epoch " +
-                  std::to_string(zone_health_->status(z).epoch) + ": silent to " +
-                  std::to_string(zone_health_->silent(z)) + ", answers " +
-                  std::to_string(zone_health_->answered(z)),
+    log_.line("zone state changed zone=" + names_[z] + " state=" + std::string(zone_health::nameOf(state)) +
+                  " epoch=" + std::to_string(zone_health_->status(z).epoch) +
+                  " unresponsive_to=" + std::to_string(zone_health_->unresponsiveReports(z)) +
+                  " responding_to=" + std::to_string(zone_health_->respondingReports(z)),
               state == ZoneState::Down ? LogLevel::Warning : LogLevel::Info);
   }
 }
@@ -144,7 +144,7 @@
 std::vector<std::string> ZoneWatch::lost() const {
   std::vector<std::string> all;
   for (std::size_t z = 0; zone_health_ && z < names_.size(); ++z) {
-    if (zone_health_->away(z)) all.push_back(names_[z]);
+    if (zone_health_->excluded(z)) all.push_back(names_[z]);
   }
   return all;
 }
@@ -159,8 +159,8 @@
                         {"state", zone_health::nameOf(zone_health_->state(z))},
                         {"epoch", zone_health_->status(z).epoch},
                         {"seen_here", kSeen[static_cast<std::size_t>(zone_health_->observation(z))]},
-                        {"silent_to", zone_health_->silent(z)},
-                        {"answers", zone_health_->answered(z)},
+                        {"silent_to", zone_health_->unresponsiveReports(z)},
+                        {"answers", zone_health_->respondingReports(z)},
                         {"order", kOrders[static_cast<std::size_t>(orders_[z])]},
                         {"flaps", zone_health_->flaps(z)}};
     ordered_json by = ordered_json::array();
@@ -169,7 +169,7 @@
     }
     one["silence_told_by"] = by;
     if (zone_health_->status(z).state == ZoneState::Down)
-      one["away_for_s"] = static_cast<double>(std::max<Time>(0, zone_health_->awayUntil(z) - now)) / 1e6;
+      one["away_for_s"] = static_cast<double>(std::max<Time>(0, zone_health_->downUntil(z) - now)) / 1e6;
     zones.push_back(std::move(one));
   }
   return ordered_json{{"cut_off", zone_health_ && zone_health_->isolated()}, {"zones", zones}}.dump(
--- a/src/zone_health/include/zone_health/traffic_plan.h
+++ b/src/zone_health/include/zone_health/traffic_plan.h
@@ -1,6 +1,6 @@
-// How much of each zone's traffic goes to which zone: near while that is safe. Everybody computes it alike
-// from the same facts, so that the sum over all proxies stays within what each zone bears. No I/O, no clock.
-// docs/design-zones.md says why it is so.
+// Locality-aware load distribution: how much of each zone's traffic goes to which zone, its own while that is
+// safe. All members compute it alike from the same inputs, so that the sum stays within each zone's capacity.
+// No I/O, no clock. docs/design-zones.md says why it is so.
 #pragma once
 
 #include <cstddef>
@@ -21,22 +21,22 @@
 
 // What a zone may be asked to bear, in requests a second.
 //
-// `bears`: what one unit of capacity bears, if somebody knows; 0: nobody does. Then a zone may have so much
-// more than its even part of all the demand as kept even load away from it would not show: a quarter for many
-// hosts, less for few, nothing for a single one (bounded loads: Mirrokni, Thorup, Zadimoghaddam, "Consistent
-// Hashing with Bounded Loads", applied to zones).
-std::vector<double> capacitiesOf(const std::vector<ZoneLoad>& zones, double bears = 0);
+// `requests_per_capacity`: what one unit of capacity bears, if somebody knows; 0: nobody does. Then a zone
+// may have so much more than its even part of all the demand as kept even load away from it would not show: a
+// quarter for many hosts, less for few, nothing for a single one (bounded loads: Mirrokni, Thorup,
+// Zadimoghaddam, "Consistent Hashing with Bounded Loads", applied to zones).
+std::vector<double> capacitiesOf(const std::vector<ZoneLoad>& zones, double requests_per_capacity = 0);
 
 struct TrafficPlan {
   std::vector<std::vector<double>> shares;  // [from][to], parts of one of what arises in `from`
   std::vector<double> load;                 // by zone, requests a second
-  double beyond = 0;                        // requests a second for which nobody has room
+  double overflow = 0;                      // requests a second for which nobody has room
 };
 
 // First the zone's own traffic up to its room; what is beyond goes to the spare room of its region, then to
 // that of all; what nobody has room for lies on all open zones by their room, and is theirs to refuse. Zones
 // without demand get the row that a small demand would.
-TrafficPlan waterfall(const std::vector<ZoneLoad>& zones, const std::vector<double>& rooms);
+TrafficPlan waterfall(const std::vector<ZoneLoad>& zones, const std::vector<double>& capacities);
 
 // One row as it is followed: towards the plan by a bounded step, so that no change of facts is a cliff, and
 // not for differences that are noise. What is closed is left at once.
@@ -47,7 +47,7 @@
   static constexpr double kClose = 0.002;  // near enough: the move is over
 
   // `seconds` since the call before; the first call takes the row as it is.
-  const std::vector<double>& follow(const std::vector<double>& wanted, const std::vector<bool>& open,
+  const std::vector<double>& follow(const std::vector<double>& target, const std::vector<bool>& open,
                                     double seconds);
   const std::vector<double>& row() const { return row_; }
 
--- a/src/zone_health/include/zone_health/zone_report.h
+++ b/src/zone_health/include/zone_health/zone_report.h
@@ -1,4 +1,5 @@
-// What a member tells of zones in its record of facts: verdicts and what it has seen. No I/O, no clock.
+// The encoding of what a member reports of zones in its gossip record: their status and its observations. No
+// I/O, no clock.
 #pragma once
 
 #include <string>
@@ -10,17 +11,17 @@
 namespace client_proxy::zone_health {
 
 constexpr std::uint8_t kZonesNote = 16;  // the note's tag: see fleet::Facts
-constexpr std::size_t kMostTold = 8;     // zones in one note
+constexpr std::size_t kMostZones = 8;    // in one note
 
 struct ZoneReport {
   std::vector<ZoneObservation> seen;  // by zone
   std::vector<ZoneStatus> statuses;   // by zone
 };
 
-// `names` by zone; members may number their zones differently, so these go by a hash of 16 bits. Empty: there
-// is nothing to tell.
+// `names` by zone: members may number zones differently, so that an entry carries a 16-bit hash of the name.
+// Empty: there is nothing to report.
 std::string encode(const std::vector<std::string>& names, const ZoneReport& reported);
-// What is not whole or of an unknown zone is passed over.
+// Entries that are incomplete or of an unknown zone are ignored.
 ZoneReport decode(std::string_view bytes, const std::vector<std::string>& names);
 
 }  // namespace client_proxy::zone_health
--- a/src/zone_health/traffic_plan.cpp
+++ b/src/zone_health/traffic_plan.cpp
@@ -8,36 +8,36 @@
 namespace client_proxy::zone_health {
 namespace {
 
-constexpr double kMostOver = 0.25;  // of a zone's even part, near traffic may add to it
-constexpr double kLittle = 1e-9;    // requests a second
+constexpr double kMaxExcess = 0.25;   // of a zone's even part, near traffic may add to it
+constexpr double kNegligible = 1e-9;  // requests a second
 
 double sum(const std::vector<double>& all) { return std::accumulate(all.begin(), all.end(), 0.0); }
 
 // Spreads what is left of each zone's demand over the spare room of those zones that `reaches` allows: all
 // zones by the same part of what they lack, each taker by its spare room.
 template <typename Reaches>
-void pour(std::vector<double>& left, std::vector<double>& spare, std::vector<std::vector<double>>& sent,
-          Reaches reaches) {
+void distribute(std::vector<double>& left, std::vector<double>& spare, std::vector<std::vector<double>>& sent,
+                Reaches reaches) {
   const std::size_t n = left.size();
-  const std::vector<double> had = spare, lacked = left;
+  const std::vector<double> spare_before = spare, overflow_before = left;
   // A taker's askers, weighed by what they lack; it gives each its part of the spare room.
-  std::vector<std::vector<double>> wish(n, std::vector<double>(n, 0));
-  std::vector<double> asked(n, 0);
+  std::vector<std::vector<double>> demanded(n, std::vector<double>(n, 0));
+  std::vector<double> demanded_of(n, 0);
   for (std::size_t from = 0; from < n; ++from) {
     double reachable = 0;
-    for (std::size_t to = 0; to < n; ++to) reachable += reaches(from, to) ? had[to] : 0;
-    if (reachable <= 0 || lacked[from] <= 0) continue;
+    for (std::size_t to = 0; to < n; ++to) reachable += reaches(from, to) ? spare_before[to] : 0;
+    if (reachable <= 0 || overflow_before[from] <= 0) continue;
     for (std::size_t to = 0; to < n; ++to) {
       if (!reaches(from, to)) continue;
-      wish[from][to] = lacked[from] * had[to] / reachable;
-      asked[to] += wish[from][to];
+      demanded[from][to] = overflow_before[from] * spare_before[to] / reachable;
+      demanded_of[to] += demanded[from][to];
     }
   }
   for (std::size_t to = 0; to < n; ++to) {
-    if (asked[to] <= 0) continue;
-    const double part = std::min(1.0, had[to] / asked[to]);
+    if (demanded_of[to] <= 0) continue;
+    const double part = std::min(1.0, spare_before[to] / demanded_of[to]);
     for (std::size_t from = 0; from < n; ++from) {
-      const double given = wish[from][to] * part;
+      const double given = demanded[from][to] * part;
       sent[from][to] += given;
       left[from] -= given;
       spare[to] -= given;
@@ -47,32 +47,32 @@
 
 }  // namespace
 
-std::vector<double> capacitiesOf(const std::vector<ZoneLoad>& zones, double bears) {
+std::vector<double> capacitiesOf(const std::vector<ZoneLoad>& zones, double requests_per_capacity) {
   double demand = 0, capacity = 0;
   for (const ZoneLoad& z : zones) {
     demand += z.demand;
     capacity += z.open ? z.capacity : 0;
   }
-  demand = std::max(demand, kLittle);  // an idle fleet has a plan too
-  std::vector<double> rooms(zones.size(), 0);
+  demand = std::max(demand, kNegligible);  // an idle fleet has a plan too
+  std::vector<double> capacities(zones.size(), 0);
   for (std::size_t i = 0; i < zones.size(); ++i) {
     const ZoneLoad& z = zones[i];
     if (!z.open || z.capacity <= 0 || z.hosts == 0) continue;
     const double even = demand * z.capacity / capacity;
-    const double over = kMostOver * (1 - 1 / static_cast<double>(z.hosts));
-    rooms[i] = bears > 0 ? z.capacity * bears : even * (1 + over);
+    const double over = kMaxExcess * (1 - 1 / static_cast<double>(z.hosts));
+    capacities[i] = requests_per_capacity > 0 ? z.capacity * requests_per_capacity : even * (1 + over);
   }
-  return rooms;
+  return capacities;
 }
 
-TrafficPlan waterfall(const std::vector<ZoneLoad>& zones, const std::vector<double>& rooms) {
+TrafficPlan waterfall(const std::vector<ZoneLoad>& zones, const std::vector<double>& capacities) {
   const std::size_t n = zones.size();
-  std::vector<double> left(n), spare = rooms;
+  std::vector<double> left(n), spare = capacities;
   std::vector<std::vector<double>> sent(n, std::vector<double>(n, 0));
   double all = 0;
   for (const ZoneLoad& z : zones) all += z.demand;
   // A trace of demand everywhere, so that every row is a plan.
-  const double trace = std::max(all, kLittle) * 1e-6;
+  const double trace = std::max(all, kNegligible) * 1e-6;
   for (std::size_t i = 0; i < n; ++i) left[i] = zones[i].demand + trace;
   const std::vector<double> demand = left;
 
@@ -83,17 +83,18 @@
   const auto sameRegion = [&](std::size_t a, std::size_t b) {
     return a != b && !zones[a].region.empty() && zones[a].region == zones[b].region;
   };
-  pour(left, spare, sent, sameRegion);
+  distribute(left, spare, sent, sameRegion);
   // Spare room is not the same for all any more: a second time finds what the first left.
-  pour(left, spare, sent, sameRegion);
-  for (int i = 0; i < 2; ++i) pour(left, spare, sent, [](std::size_t, std::size_t) { return true; });
+  distribute(left, spare, sent, sameRegion);
+  for (int i = 0; i < 2; ++i) distribute(left, spare, sent, [](std::size_t, std::size_t) { return true; });
 
   TrafficPlan plan;
-  const double room = sum(rooms);
+  const double total_capacity = sum(capacities);
   for (std::size_t from = 0; from < n; ++from) {
     if (left[from] <= 1e-9 * demand[from]) continue;  // rounding
-    if (zones[from].demand > 0) plan.beyond += left[from];
-    for (std::size_t to = 0; to < n && room > 0; ++to) sent[from][to] += left[from] * rooms[to] / room;
+    if (zones[from].demand > 0) plan.overflow += left[from];
+    for (std::size_t to = 0; to < n && total_capacity > 0; ++to)
+      sent[from][to] += left[from] * capacities[to] / total_capacity;
   }
   plan.shares.assign(n, std::vector<double>(n, 0));
   plan.load.assign(n, 0);
@@ -107,9 +108,9 @@
   return plan;
 }
 
-const std::vector<double>& GradualShift::follow(const std::vector<double>& wanted,
+const std::vector<double>& GradualShift::follow(const std::vector<double>& target,
                                                 const std::vector<bool>& open, double seconds) {
-  if (row_.size() != wanted.size()) return row_ = wanted;
+  if (row_.size() != target.size()) return row_ = target;
   // What is closed now goes to the others as they stand, or as they are wanted where they have nothing.
   double closed = 0, rest = 0;
   for (std::size_t i = 0; i < row_.size(); ++i) {
@@ -118,16 +119,16 @@
     else
       closed += std::exchange(row_[i], 0.0);
   }
-  if (rest <= kLittle) return row_ = wanted;
+  if (rest <= kNegligible) return row_ = target;
   if (closed > 0) {
     for (double& part : row_) part *= (rest + closed) / rest;
   }
-  double far = 0;
-  for (std::size_t i = 0; i < row_.size(); ++i) far += std::abs(wanted[i] - row_[i]) / 2;
-  moving_ = far > (moving_ ? kClose : kNoise);
+  double distance = 0;
+  for (std::size_t i = 0; i < row_.size(); ++i) distance += std::abs(target[i] - row_[i]) / 2;
+  moving_ = distance > (moving_ ? kClose : kNoise);
   if (!moving_) return row_;
-  const double part = std::min(1.0, kStep * std::max(0.0, seconds) / far);
-  for (std::size_t i = 0; i < row_.size(); ++i) row_[i] += part * (wanted[i] - row_[i]);
+  const double part = std::min(1.0, kStep * std::max(0.0, seconds) / distance);
+  for (std::size_t i = 0; i < row_.size(); ++i) row_[i] += part * (target[i] - row_[i]);
   return row_;
 }
 
--- a/src/zone_health/zone_health_quorum.cpp
+++ b/src/zone_health/zone_health_quorum.cpp
@@ -10,171 +10,175 @@
 namespace client_proxy::zone_health {
 namespace {
 
-constexpr std::size_t kWatchers = 3;
+constexpr std::size_t kHealthCheckers = 3;  // members that check the hosts of a zone that is down
 
-// Between 0 and 1, the same for all who ask.
-double lot(std::size_t zone, std::uint16_t epoch, Number member) {
+// Between 0 and 1, the same at all members: chooses some of them without coordination.
+double uniformHash(std::size_t zone, std::uint16_t epoch, Number member) {
   const std::uint64_t seed = std::uint64_t{zone} << 32 | std::uint64_t{epoch} << 16 | member;
   return load_balancer::Random(seed).unit();
 }
 
 }  // namespace
 
-bool ZoneStatus::over(const ZoneStatus& other) const {
-  // Epochs go round: what is less than half a circle ahead is later.
+bool ZoneStatus::supersedes(const ZoneStatus& other) const {
+  // Serial number arithmetic (RFC 1982): what is less than half the range ahead is later.
   const auto ahead = static_cast<std::int16_t>(static_cast<std::uint16_t>(epoch - other.epoch));
   return ahead != 0 ? ahead > 0 : state > other.state;
 }
 
 ZoneHealthQuorum::ZoneHealthQuorum(std::size_t zones, std::size_t own, const Rules& rules)
-    : rules_(rules), own_(own), own_seen_(zones, ZoneObservation::None), zones_(zones) {}
+    : rules_(rules), own_(own), own_observations_(zones, ZoneObservation::None), zones_(zones) {}
 
 load_balancer::ZoneObservedSince ZoneHealthQuorum::since(std::size_t zone) const {
   const Zone& asked = zones_[zone];
   if (asked.status.state != ZoneState::Up) return {asked.since, asked.since};
-  if (suspected(asked)) return {asked.silent_since, fleet::kLongAgo};
+  if (suspected(asked)) return {asked.suspected_since, fleet::kLongAgo};
   Time latest = fleet::kLongAgo;
   for (const Zone& z : zones_) {
-    if (suspected(z)) latest = std::max(latest, z.silent_since);
+    if (suspected(z)) latest = std::max(latest, z.suspected_since);
   }
   return {latest, fleet::kLongAgo};
 }
 
 bool ZoneHealthQuorum::isolated() const {
-  std::size_t others = 0;
+  std::size_t other_zones = 0;
   for (std::size_t z = 0; z < zones_.size(); ++z) {
     if (z == own_) continue;
-    if (own_seen_[z] != ZoneObservation::Unresponsive) return false;
-    ++others;
+    if (own_observations_[z] != ZoneObservation::Unresponsive) return false;
+    ++other_zones;
   }
-  return others > 1;
+  return other_zones > 1;
 }
 
-// A member has no say on its own zone: from inside, a zone that is cut off looks well.
-// Once a verdict holds, only what is told by members that hold it too: others speak of the time before.
-void ZoneHealthQuorum::count(Time now, std::size_t zone, const std::vector<ObserverReport>& reports) {
+// Reports of a zone's own members do not count: from inside, a zone that is partitioned looks healthy. Once
+// its state has changed only members that know of the change count: others report the time before.
+void ZoneHealthQuorum::countReports(Time now, std::size_t zone, const std::vector<ObserverReport>& reports) {
   Zone& z = zones_[zone];
-  const bool before = z.silent > 0;
-  z.silent = z.answered = z.could = 0;
-  std::set<std::size_t> places, others;
-  for (const ObserverReport& w : reports) {
-    if (w.zone == zone) continue;
-    ++z.could;
-    others.insert(w.zone);
-    if (z.status.state != ZoneState::Up && !(w.statuses[zone] == z.status)) continue;
-    if (w.seen[zone] == ZoneObservation::Unresponsive) {
-      ++z.silent;
-      places.insert(w.zone);
-    } else if (w.seen[zone] == ZoneObservation::Responding) {
-      ++z.answered;
+  const bool before = z.unresponsive_reports > 0;
+  z.unresponsive_reports = z.responding_reports = z.observers = 0;
+  std::set<std::size_t> reporting_zones, other_zones;
+  for (const ObserverReport& report : reports) {
+    if (report.zone == zone) continue;
+    ++z.observers;
+    other_zones.insert(report.zone);
+    if (z.status.state != ZoneState::Up && !(report.statuses[zone] == z.status)) continue;
+    if (report.seen[zone] == ZoneObservation::Unresponsive) {
+      ++z.unresponsive_reports;
+      reporting_zones.insert(report.zone);
+    } else if (report.seen[zone] == ZoneObservation::Responding) {
+      ++z.responding_reports;
     }
   }
-  z.places = places.size();
-  z.others = others.size();
-  if (z.silent > 0 && !before) beginComparison(now, zone);
+  z.reporting_zones = reporting_zones.size();
+  z.other_zones = other_zones.size();
+  if (z.unresponsive_reports > 0 && !before) beginComparison(now, zone);
 }
 
-// Answers that this member has seen until now were to what was sent before.
+// What this member observed until now responded to what was sent before the suspicion.
 void ZoneHealthQuorum::beginComparison(Time now, std::size_t zone) {
   Zone& z = zones_[zone];
-  z.silent_since = now;
-  z.compared = false;
+  z.suspected_since = now;
+  z.comparison_done = false;
   for (std::size_t other = 0; other < zones_.size(); ++other) {
-    const bool of_another_doubt = other != zone && suspected(zones_[other]);
-    if (!of_another_doubt && own_seen_[other] == ZoneObservation::Responding)
-      own_seen_[other] = ZoneObservation::None;
+    const bool of_another_suspicion = other != zone && suspected(zones_[other]);
+    if (!of_another_suspicion && own_observations_[other] == ZoneObservation::Responding)
+      own_observations_[other] = ZoneObservation::None;
   }
 }
 
 void ZoneHealthQuorum::compare(Time now, std::size_t zone) {
   Zone& z = zones_[zone];
-  if (z.compared || !suspected(z)) return;
-  if (!othersAnswer(zone) && now - z.silent_since < rules_.longest_comparison) return;
-  z.compared = true;
-  z.compared_at = now;
+  if (z.comparison_done || !suspected(z)) return;
+  if (!othersRespond(zone) && now - z.suspected_since < rules_.comparison_timeout) return;
+  z.comparison_done = true;
+  z.comparison_done_at = now;
 }
 
-// All that are up and in no doubt; so a second zone that is lost holds up nothing.
-bool ZoneHealthQuorum::othersAnswer(std::size_t zone) const {
+// All zones that are up and not suspected; so a second zone that is down delays nothing.
+bool ZoneHealthQuorum::othersRespond(std::size_t zone) const {
   for (std::size_t other = 0; other < zones_.size(); ++other) {
     const Zone& z = zones_[other];
-    const bool sound = other != zone && z.status.state == ZoneState::Up && !suspected(z);
-    if (sound && own_seen_[other] != ZoneObservation::Responding) return false;
+    const bool healthy = other != zone && z.status.state == ZoneState::Up && !suspected(z);
+    if (healthy && own_observations_[other] != ZoneObservation::Responding) return false;
   }
   return true;
 }
 
-std::size_t ZoneHealthQuorum::needed(const Zone& z) const {
-  // Of those that go to a returning zone few can tell.
-  const std::size_t part = z.status.state == ZoneState::Up ? z.could / rules_.one_in : 0;
-  return std::min(std::clamp(part, rules_.least, rules_.most), z.could);
+std::size_t ZoneHealthQuorum::quorumSize(const Zone& z) const {
+  // Few members send to a zone that recovers, so few can report.
+  const std::size_t part = z.status.state == ZoneState::Up ? z.observers / rules_.members_per_observer : 0;
+  return std::min(std::clamp(part, rules_.min_observers, rules_.max_observers), z.observers);
 }
 
-// Where a zone is lost nobody is answered; where it is full, or some of its hosts are gone, many are.
+// Of a zone that is down nobody has responses; of one that is overloaded, or has lost some hosts, many have.
 bool ZoneHealthQuorum::unopposed(const Zone& z) const {
-  return z.silent > 0 && z.silent >= rules_.objection * z.answered;
+  return z.unresponsive_reports > 0 &&
+         z.unresponsive_reports >= rules_.objection_weight * z.responding_reports;
 }
 
-// Several, in at least two zones where there are two others.
-bool ZoneHealthQuorum::enough(const Zone& z) const {
-  return unopposed(z) && z.silent >= needed(z) && z.places >= std::min<std::size_t>(2, z.others);
+// Several observers, in at least two zones where there are two others.
+bool ZoneHealthQuorum::quorumReached(const Zone& z) const {
+  return unopposed(z) && z.unresponsive_reports >= quorumSize(z) &&
+         z.reporting_zones >= std::min<std::size_t>(2, z.other_zones);
 }
 
-// A zone that is given up sends its load to the others: what is seen of them then is no reason to give up
-// one more. If two are lost at once, each member finds the second by itself.
-bool ZoneHealthQuorum::settled(Time now, const Zone& but) const {
+// The load of a zone that went down moves to the others: what is observed of them then is no reason to
+// declare one more down. If two go down at once, each client finds the second by its own attempts.
+bool ZoneHealthQuorum::othersStable(Time now, const Zone& but) const {
   return std::all_of(zones_.begin(), zones_.end(), [&](const Zone& z) {
-    return &z == &but || (z.status.state == ZoneState::Up && now - z.called >= rules_.settle);
+    return &z == &but || (z.status.state == ZoneState::Up && now - z.declared_at >= rules_.settle_time);
   });
 }
 
-void ZoneHealthQuorum::enter(Time now, Zone& zone, const ZoneStatus& status) {
+void ZoneHealthQuorum::adopt(Time now, Zone& zone, const ZoneStatus& status) {
   const ZoneState was = zone.status.state;
-  const Time up_for = zone.doubtful ? zone.up_for : now - zone.since;
+  const Time up_before_suspicion = zone.suspected_now ? zone.up_before_suspicion : now - zone.since;
   zone.status = status;
   if (status.state == was) return;
-  zone.called = now;
+  zone.declared_at = now;
   if (status.state == ZoneState::Down) {
-    // The longer away the oftener it went of late.
-    const bool steady = was == ZoneState::Up && up_for >= rules_.steady;
-    zone.flaps = steady ? 1 : zone.flaps + 1;
+    // Exponential backoff of a zone that flaps.
+    const bool was_steady = was == ZoneState::Up && up_before_suspicion >= rules_.flap_reset_after;
+    zone.flaps = was_steady ? 1 : zone.flaps + 1;
     const auto doubled = std::min<std::uint32_t>(zone.flaps - 1, 10);
-    zone.away_until = now + std::min(rules_.longest_away, rules_.first_away << doubled);
+    zone.down_until = now + std::min(rules_.max_downtime, rules_.first_downtime << doubled);
   }
-  zone.doubtful = false;
-  zone.since = zone.silent_since = now;
-  zone.compared = false;
+  zone.suspected_now = false;
+  zone.since = zone.suspected_since = now;
+  zone.comparison_done = false;
 }
 
-void ZoneHealthQuorum::call(Time now, Zone& zone, ZoneState state) {
-  enter(now, zone, {static_cast<std::uint16_t>(zone.status.epoch + 1), state});
+void ZoneHealthQuorum::declare(Time now, Zone& zone, ZoneState state) {
+  adopt(now, zone, {static_cast<std::uint16_t>(zone.status.epoch + 1), state});
 }
 
-void ZoneHealthQuorum::step(Time now, Zone& z) {
+void ZoneHealthQuorum::advance(Time now, Zone& z) {
   const Time age = now - z.since;
   switch (z.status.state) {
     case ZoneState::Down:
-      if (now >= z.away_until && z.answered > z.silent) call(now, z, ZoneState::Recovering);
+      if (now >= z.down_until && z.responding_reports > z.unresponsive_reports)
+        declare(now, z, ZoneState::Recovering);
       return;
     case ZoneState::Recovering:
-      if (enough(z))
-        call(now, z, ZoneState::Down);
-      else if (age >= rules_.stage * static_cast<Time>(std::size(kStages)))
-        call(now, z, ZoneState::Up);
+      if (quorumReached(z))
+        declare(now, z, ZoneState::Down);
+      else if (age >= rules_.recovery_stage * static_cast<Time>(std::size(kRecoveryStages)))
+        declare(now, z, ZoneState::Up);
       return;
     default:
       break;
   }
-  const bool doubt = unopposed(z);
+  const bool suspicion_timeout = unopposed(z);
   const Time wait =
-      rules_.doubt + rules_.doubt_each * static_cast<Time>(std::bit_width(static_cast<unsigned>(z.could)));
-  if (doubt != z.doubtful) {
-    if (doubt) z.up_for = age;
-    z.doubtful = doubt;
+      rules_.suspicion_timeout + rules_.suspicion_timeout_per_doubling *
+                                     static_cast<Time>(std::bit_width(static_cast<unsigned>(z.observers)));
+  if (suspicion_timeout != z.suspected_now) {
+    if (suspicion_timeout) z.up_before_suspicion = age;
+    z.suspected_now = suspicion_timeout;
     z.since = now;
-  } else if (doubt && age >= wait && z.compared && now - z.compared_at >= wait && enough(z) &&
-             settled(now, z)) {
-    call(now, z, ZoneState::Down);
+  } else if (suspicion_timeout && age >= wait && z.comparison_done && now - z.comparison_done_at >= wait &&
+             quorumReached(z) && othersStable(now, z)) {
+    declare(now, z, ZoneState::Down);
   }
 }
 
@@ -183,65 +187,73 @@
   for (std::size_t zone = 0; zone < zones_.size(); ++zone) {
     Zone& z = zones_[zone];
     const ZoneStatus before = z.status;
-    for (const ObserverReport& w : reports) {
-      if (w.statuses[zone].over(z.status)) enter(now, z, w.statuses[zone]);
+    for (const ObserverReport& report : reports) {
+      if (report.statuses[zone].supersedes(z.status)) adopt(now, z, report.statuses[zone]);
     }
-    count(now, zone, reports);
+    countReports(now, zone, reports);
     compare(now, zone);
-    if (sure && !isolated()) step(now, z);
-    if (z.status.state != before.state) own_seen_[zone] = ZoneObservation::None;  // what was seen before it
+    if (sure && !isolated()) advance(now, z);
+    if (z.status.state != before.state)
+      own_observations_[zone] = ZoneObservation::None;  // observed before the change
     changed = changed || !(z.status == before);
   }
   for (std::size_t zone = 0; zone < zones_.size(); ++zone) zones_[zone].reported = worthReporting(zone);
   return changed;
 }
 
-bool ZoneHealthQuorum::quiet() const {
+bool ZoneHealthQuorum::settledEverywhere() const {
   return std::all_of(zones_.begin(), zones_.end(), [](const Zone& z) {
-    return z.status.state == ZoneState::Up && !z.doubtful && z.silent == 0 &&
+    return z.status.state == ZoneState::Up && !z.suspected_now && z.unresponsive_reports == 0 &&
            z.reported == ZoneObservation::None;
   });
 }
 
-bool ZoneHealthQuorum::goes(std::size_t zone, Number self, Time now) const {
+bool ZoneHealthQuorum::sendsTraffic(std::size_t zone, Number self, Time now) const {
   const Zone& z = zones_[zone];
-  if (z.status.state != ZoneState::Recovering) return !away(zone);
-  const auto stage = static_cast<std::size_t>(std::max<Time>(0, now - z.since) / rules_.stage);
-  return stage >= std::size(kStages) || lot(zone, z.status.epoch, self) < kStages[stage];
+  if (z.status.state != ZoneState::Recovering) return !excluded(zone);
+  const auto recovery_stage =
+      static_cast<std::size_t>(std::max<Time>(0, now - z.since) / rules_.recovery_stage);
+  return recovery_stage >= std::size(kRecoveryStages) ||
+         uniformHash(zone, z.status.epoch, self) < kRecoveryStages[recovery_stage];
 }
 
-bool ZoneHealthQuorum::watches(std::size_t zone, std::uint16_t epoch, Number self,
-                               const std::vector<ObserverReport>& live) {
+bool ZoneHealthQuorum::checksHealth(std::size_t zone, std::uint16_t epoch, Number self,
+                                    const std::vector<ObserverReport>& live) {
   std::size_t before = 0;
-  const double own = lot(zone, epoch, self);
-  for (const ObserverReport& w : live) {
-    if (w.zone == zone && w.member == self) return false;
-    const double other = lot(zone, epoch, w.member);
-    if (w.zone != zone && w.member != self && (other < own || (other == own && w.member < self))) ++before;
+  const double own = uniformHash(zone, epoch, self);
+  for (const ObserverReport& report : live) {
+    if (report.zone == zone && report.member == self) return false;
+    const double other = uniformHash(zone, epoch, report.member);
+    if (report.zone != zone && report.member != self &&
+        (other < own || (other == own && report.member < self)))
+      ++before;
   }
-  return before < kWatchers;
+  return before < kHealthCheckers;
 }
 
-bool ZoneHealthQuorum::away(std::size_t zone) const {
-  const auto lost = [](const Zone& z) { return z.status.state == ZoneState::Down; };
-  return lost(zones_[zone]) && std::find_if(zones_.begin(), zones_.end(), lost) - zones_.begin() ==
-                                   static_cast<std::ptrdiff_t>(zone);
+bool ZoneHealthQuorum::excluded(std::size_t zone) const {
+  const auto is_down = [](const Zone& z) { return z.status.state == ZoneState::Down; };
+  return is_down(zones_[zone]) && std::find_if(zones_.begin(), zones_.end(), is_down) - zones_.begin() ==
+                                      static_cast<std::ptrdiff_t>(zone);
 }
 
-// Hundreds that all say the same would fill the fleet's datagrams: silence is told by as many as settle it
-// and some more, an answer by as many as outweigh them. Of a zone that is lost silence is no news; of one
-// that nobody doubts answers are none.
+// Suppresses reports that settle nothing, since hundreds of equal ones would fill the fleet's datagrams: as
+// many members report an unresponsive zone as make a quorum and some more, as many report responses as
+// outweigh them. Of a zone that is down only responses are news; of one that nobody suspects none are.
 ZoneObservation ZoneHealthQuorum::worthReporting(std::size_t zone) const {
   const Zone& z = zones_[zone];
-  const ZoneObservation seen = own_seen_[zone];
+  const ZoneObservation seen = own_observations_[zone];
   if (zone == own_ || seen == ZoneObservation::None || isolated()) return ZoneObservation::None;
   const ZoneState state = z.status.state;
   if (seen == ZoneObservation::Unresponsive) {
     if (state == ZoneState::Down) return ZoneObservation::None;
-    return z.reported == seen || z.silent < needed(z) + rules_.least ? seen : ZoneObservation::None;
+    return z.reported == seen || z.unresponsive_reports < quorumSize(z) + rules_.min_observers
+               ? seen
+               : ZoneObservation::None;
   }
-  if (state == ZoneState::Up && z.silent == 0) return ZoneObservation::None;
-  return z.reported == seen || z.answered < rules_.least + 2 * z.silent / rules_.objection
+  if (state == ZoneState::Up && z.unresponsive_reports == 0) return ZoneObservation::None;
+  return z.reported == seen || z.responding_reports <
+                                   rules_.min_observers + 2 * z.unresponsive_reports / rules_.objection_weight
              ? seen
              : ZoneObservation::None;
 }
--- a/tests/zone_health_day.h
+++ b/tests/zone_health_day.h
@@ -27,7 +27,7 @@
 
   VerdictDay(const Shape& shape, std::uint64_t seed)
       : shape_(shape), fleet_(model(shape), fleetSettings(), seed), random_(seed ^ 0x5A5A) {
-    for (std::size_t c = 0; c < shape.clients; ++c) courts_.emplace_back(kZones, c % kZones);
+    for (std::size_t c = 0; c < shape.clients; ++c) quorums_.emplace_back(kZones, c % kZones);
     words_.resize(shape.clients);
     orders_.assign(shape.clients, std::vector<ZoneDirective>(kZones, ZoneDirective::None));
   }
@@ -37,12 +37,12 @@
     for (const Time end = fleet_.now() + time; fleet_.now() < end;) {
       fleet_.runFor(kLook);
       if (!shape_.reported) continue;
-      for (std::size_t c = 0; c < courts_.size(); ++c) look(c);
+      for (std::size_t c = 0; c < quorums_.size(); ++c) look(c);
     }
   }
   std::size_t holding(std::size_t zone, ZoneState state) const {
     return static_cast<std::size_t>(
-        std::count_if(courts_.begin(), courts_.end(),
+        std::count_if(quorums_.begin(), quorums_.end(),
                       [&](const ZoneHealthQuorum& c) { return c.status(zone).state == state; }));
   }
   // Losses called by any client.
@@ -76,7 +76,7 @@
   }
 
   void look(std::size_t c) {
-    ZoneHealthQuorum& zone_health = courts_[c];
+    ZoneHealthQuorum& zone_health = quorums_[c];
     const Time now = fleet_.now();
     for (std::size_t z = 0; z < kZones; ++z)
       zone_health.observe(z, fleet_.seen(c, static_cast<std::int32_t>(z), zone_health.since(z)));
@@ -89,8 +89,8 @@
     for (std::size_t z = 0; z < kZones; ++z) {
       note(c, z, before[z]);
       ZoneDirective wanted = ZoneDirective::None;
-      if (c % kZones != z && !zone_health.goes(z, number(c), now))
-        wanted = ZoneHealthQuorum::watches(z, zone_health.status(z).epoch, number(c), all)
+      if (c % kZones != z && !zone_health.sendsTraffic(z, number(c), now))
+        wanted = ZoneHealthQuorum::checksHealth(z, zone_health.status(z).epoch, number(c), all)
                      ? ZoneDirective::EjectAndCheck
                      : ZoneDirective::Eject;
       if (std::exchange(orders_[c][z], wanted) != wanted)
@@ -103,7 +103,7 @@
 
   // A new word reaches each of the others a while later; older ones that all have heard are forgotten.
   void say(std::size_t c) {
-    const ZoneHealthQuorum& zone_health = courts_[c];
+    const ZoneHealthQuorum& zone_health = quorums_[c];
     ObserverReport w{number(c), c % kZones, {}, {}};
     for (std::size_t z = 0; z < kZones; ++z) {
       w.seen.push_back(zone_health.reports(z));
@@ -113,7 +113,7 @@
     if (!mine.empty() && mine.back().report.seen == w.seen && mine.back().report.statuses == w.statuses)
       return;
     Word word{{}, std::move(w)};
-    for (std::size_t o = 0; o < courts_.size(); ++o) {
+    for (std::size_t o = 0; o < quorums_.size(); ++o) {
       Time at = fleet_.now() + static_cast<Time>(chance() * 400) * kMs;
       while (chance() < shape_.loss) at += 500 * kMs;
       word.heard.push_back(at);
@@ -123,7 +123,7 @@
   }
 
   void note(std::size_t c, std::size_t z, ZoneState before) {
-    const auto& v = courts_[c].status(z);
+    const auto& v = quorums_[c].status(z);
     if (v.state == before) return;
     // Who adopts it has not called it: the epoch is known then.
     if (v.state == ZoneState::Down && v.epoch > epochs_[z]) {
@@ -133,14 +133,14 @@
     log_ += "\n  " + std::to_string(static_cast<double>(fleet_.now() - kStart) / 1e6) + " client " +
             std::to_string(c) + ": zone " + std::to_string(z) + " " +
             std::string(client_proxy::zone_health::nameOf(v.state)) + " " + std::to_string(v.epoch) +
-            ", silent to " + std::to_string(courts_[c].silent(z)) + ", answers " +
-            std::to_string(courts_[c].answered(z));
+            ", silent to " + std::to_string(quorums_[c].unresponsiveReports(z)) + ", answers " +
+            std::to_string(quorums_[c].respondingReports(z));
   }
 
   const Shape shape_;
   FleetModel fleet_;
   std::mt19937_64 random_;
-  std::vector<ZoneHealthQuorum> courts_;
+  std::vector<ZoneHealthQuorum> quorums_;
   std::vector<std::deque<Word>> words_;
   std::vector<std::vector<ZoneDirective>> orders_;
   int calls_[kZones] = {}, epochs_[kZones] = {};
--- a/tests/zone_health_test.cpp
+++ b/tests/zone_health_test.cpp
@@ -25,7 +25,7 @@
   const auto zones = three(100, 100, 100);
   const TrafficPlan p = waterfall(zones, capacitiesOf(zones));
   for (std::size_t z = 0; z < 3; ++z) EXPECT_GT(p.shares[z][z], 0.999);
-  EXPECT_EQ(p.beyond, 0);
+  EXPECT_EQ(p.overflow, 0);
 }
 
 TEST(Waterfall, WhatIsBeyondGoesToTheRegionFirst) {
@@ -45,7 +45,7 @@
   // 44 and 44 find room; 12 find none, and are for both to refuse.
   EXPECT_NEAR(p.shares[0][1], 0.5, 1e-3);
   EXPECT_NEAR(p.shares[0][2], 0.5, 1e-3);
-  EXPECT_NEAR(p.beyond, 12, 0.1);
+  EXPECT_NEAR(p.overflow, 12, 0.1);
   const TrafficPlan less = waterfall(three(60, 100, 100), {0, 144, 144});
   EXPECT_NEAR(less.shares[0][1], 44.0 / 60, 1e-3) << "its region first";
 }
@@ -69,7 +69,7 @@
     for (std::size_t z = 0; z < zones.size(); ++z) {
       EXPECT_NEAR(total(p.shares[z]), any ? 1 : 0, 1e-9) << round;
       EXPECT_TRUE(zones[z].open || p.load[z] == 0) << round;
-      EXPECT_TRUE(p.beyond >= 1e-6 || p.load[z] <= rooms[z] * 1.001 + 1e-6) << round;
+      EXPECT_TRUE(p.overflow >= 1e-6 || p.load[z] <= rooms[z] * 1.001 + 1e-6) << round;
     }
   }
 }
@@ -97,7 +97,7 @@
 class Members {
  public:
   explicit Members(std::size_t n, std::size_t zones = 3) : zones_(zones) {
-    for (std::size_t i = 0; i < n; ++i) courts.emplace_back(zones, i % zones);
+    for (std::size_t i = 0; i < n; ++i) quorums.emplace_back(zones, i % zones);
     told_.resize(n);
   }
   // What a member sees of a zone by its own requests.
@@ -106,44 +106,45 @@
   };
   std::function<bool(std::size_t from, std::size_t to)> hears = [](auto, auto) { return true; };
   std::function<bool(std::size_t)> sure = [](auto) { return true; };
-  std::vector<ZoneHealthQuorum> courts;
+  std::vector<ZoneHealthQuorum> quorums;
   Time now = 100 * kSecond;
 
   void runFor(Time time) {
     for (const Time end = now + time; now < end; now += 100 * kMillisecond) {
       std::vector<ObserverReport> all;
-      for (std::size_t m = 0; m < courts.size(); ++m) {
-        ZoneHealthQuorum& c = courts[m];
+      for (std::size_t m = 0; m < quorums.size(); ++m) {
+        ZoneHealthQuorum& c = quorums[m];
         ObserverReport w{static_cast<Number>(m), m % zones_, {}, {}};
         for (std::size_t z = 0; z < zones_; ++z) {
           // Who does not go there sees nothing, but for the few that look after it.
-          const bool goes = c.goes(z, w.member, now) || c.watches(z, c.status(z).epoch, w.member, told_);
+          const bool goes =
+              c.sendsTraffic(z, w.member, now) || c.checksHealth(z, c.status(z).epoch, w.member, told_);
           c.observe(z, goes ? sees(m, z) : ZoneObservation::None);
           w.seen.push_back(c.reports(z));
           w.statuses.push_back(c.status(z));
         }
         all.push_back(w);
       }
-      for (std::size_t m = 0; m < courts.size(); ++m) {
+      for (std::size_t m = 0; m < quorums.size(); ++m) {
         std::vector<ObserverReport> heard;
-        for (std::size_t o = 0; o < courts.size(); ++o) {
+        for (std::size_t o = 0; o < quorums.size(); ++o) {
           if (o == m || hears(o, m))
             heard.push_back(o == m ? all[o] : told_[o].seen.empty() ? all[o] : told_[o]);
         }
-        courts[m].evaluate(now, heard, sure(m));
-        for (std::size_t z = 0; z < zones_; ++z) most_ = std::max<int>(most_, courts[m].status(z).epoch);
+        quorums[m].evaluate(now, heard, sure(m));
+        for (std::size_t z = 0; z < zones_; ++z) most_ = std::max<int>(most_, quorums[m].status(z).epoch);
       }
       told_ = all;
     }
   }
   std::size_t holding(std::size_t zone, ZoneState state) const {
     return static_cast<std::size_t>(
-        std::count_if(courts.begin(), courts.end(),
+        std::count_if(quorums.begin(), quorums.end(),
                       [&](const ZoneHealthQuorum& c) { return c.status(zone).state == state; }));
   }
   bool oneVerdict(std::size_t zone) const {
-    return std::all_of(courts.begin(), courts.end(),
-                       [&](const ZoneHealthQuorum& c) { return c.status(zone) == courts[0].status(zone); });
+    return std::all_of(quorums.begin(), quorums.end(),
+                       [&](const ZoneHealthQuorum& c) { return c.status(zone) == quorums[0].status(zone); });
   }
   int most() const { return most_; }
 
@@ -167,7 +168,8 @@
   EXPECT_EQ(m.holding(1, ZoneState::Recovering), 30U);
   const auto going = [&] {
     std::size_t n = 0;
-    for (std::size_t i = 0; i < 30; ++i) n += m.courts[i].goes(1, static_cast<Number>(i), m.now) ? 1U : 0U;
+    for (std::size_t i = 0; i < 30; ++i)
+      n += m.quorums[i].sendsTraffic(1, static_cast<Number>(i), m.now) ? 1U : 0U;
     return n;
   };
   EXPECT_LE(going(), 6U);
@@ -201,8 +203,8 @@
   };
   m.runFor(3 * kSecond);
   for (std::size_t i = 2; i < 30; i += 3) {
-    EXPECT_TRUE(m.courts[i].isolated());
-    EXPECT_EQ(m.courts[i].status(0).epoch, 0) << "of the others it thinks no ill";
+    EXPECT_TRUE(m.quorums[i].isolated());
+    EXPECT_EQ(m.quorums[i].status(0).epoch, 0) << "of the others it thinks no ill";
   }
   EXPECT_EQ(m.holding(2, ZoneState::Down), 20U) << "the others go on without it";
   m.hears = [](auto, auto) { return true; };
@@ -231,14 +233,14 @@
     silent = true;
     m.runFor(2 * kSecond);
     ASSERT_EQ(m.holding(1, ZoneState::Down), 12U);
-    const Time away = m.courts[0].awayUntil(1) - m.now;
+    const Time away = m.quorums[0].downUntil(1) - m.now;
     EXPECT_GT(away, before);
     before = away;
     silent = false;
     while (m.holding(1, ZoneState::Recovering) == 0) m.runFor(kSecond / 2);
     m.runFor(4 * kSecond);
   }
-  EXPECT_LE(m.courts[0].awayUntil(1) - m.now, 60 * kSecond);
+  EXPECT_LE(m.quorums[0].downUntil(1) - m.now, 60 * kSecond);
 }
 
 // Seeded calm days: one in fifty sights is a silence that was none, and words are lost.
@@ -264,7 +266,7 @@
   }
   const auto merged = [&] {
     ZoneStatus v = all[0];
-    for (const ZoneStatus& o : all) v = o.over(v) ? o : v;
+    for (const ZoneStatus& o : all) v = o.supersedes(v) ? o : v;
     return v;
   };
   const ZoneStatus first = merged();
@@ -331,7 +333,7 @@
   };
   m.runFor(20 * kSecond);
   EXPECT_EQ(m.holding(2, ZoneState::Up), 30U);
-  for (const ZoneHealthQuorum& c : m.courts) EXPECT_FALSE(c.away(2));
+  for (const ZoneHealthQuorum& c : m.quorums) EXPECT_FALSE(c.excluded(2));
 }
 
 TEST(Verdicts, OfTwoCalledInOneMomentTheFirstIsAwayForAll) {
@@ -343,9 +345,9 @@
   all[0].statuses[1] = {1, ZoneState::Down};
   all[1].statuses[0] = {1, ZoneState::Down};
   EXPECT_TRUE(c.evaluate(kSecond, all, true));
-  EXPECT_TRUE(c.away(0));
-  EXPECT_FALSE(c.away(1));
-  EXPECT_TRUE(c.goes(1, 7, kSecond));
+  EXPECT_TRUE(c.excluded(0));
+  EXPECT_FALSE(c.excluded(1));
+  EXPECT_TRUE(c.sendsTraffic(1, 7, kSecond));
 }
 
 TEST(Verdicts, NoAnswerFromBeforeTheLossLeadsBack) {
@@ -353,11 +355,11 @@
   m.sees = [](auto, auto z) { return z == 1 ? ZoneObservation::Unresponsive : ZoneObservation::Responding; };
   m.runFor(2 * kSecond);
   ASSERT_EQ(m.holding(1, ZoneState::Down), 30U);
-  EXPECT_GT(m.courts[0].since(1).answers, 100 * kSecond) << "only what was sent since then counts";
+  EXPECT_GT(m.quorums[0].since(1).responses, 100 * kSecond) << "only what was sent since then counts";
   // One that has not heard of the verdict tells what it saw before.
   std::vector<ObserverReport> late = {
       {3, 0, std::vector<ZoneObservation>(3, ZoneObservation::Responding), std::vector<ZoneStatus>(3)}};
-  ZoneHealthQuorum c = m.courts[0];
+  ZoneHealthQuorum c = m.quorums[0];
   for (int i = 0; i < 100; ++i) c.evaluate(m.now + i * kSecond / 10, late, true);
   EXPECT_EQ(c.status(1).state, ZoneState::Down);
   late[0].statuses[1] = c.status(1);
@@ -385,7 +387,8 @@
   m.sees = [](auto, auto z) { return z == 1 ? ZoneObservation::Unresponsive : ZoneObservation::None; };
   m.runFor(2 * kSecond);
   EXPECT_EQ(m.most(), 0);
-  EXPECT_GE(m.courts[0].since(2).answers, began) << "an answer to what was sent before says nothing of now";
+  EXPECT_GE(m.quorums[0].since(2).responses, began)
+      << "an answer to what was sent before says nothing of now";
   m.runFor(2 * kSecond);
   EXPECT_EQ(m.holding(1, ZoneState::Down), 30U);
 }
@@ -404,7 +407,7 @@
   while (m.now - began < 5 * kSecond) {
     m.runFor(kSecond / 10);
     std::size_t telling = 0;
-    for (const ZoneHealthQuorum& c : m.courts) telling += c.reports(1) != ZoneObservation::None ? 1U : 0U;
+    for (const ZoneHealthQuorum& c : m.quorums) telling += c.reports(1) != ZoneObservation::None ? 1U : 0U;
     most = std::max(most, telling);
   }
   EXPECT_EQ(m.holding(1, ZoneState::Down), 300U);
@@ -412,43 +415,43 @@
   EXPECT_LE(most, 40U);
 }
 
-TEST(SightTest, TwoServersSilentWhileOthersAnswerAreTheZones) {
+TEST(ZoneObservationsTest, TwoServersSilentWhileOthersAnswerAreTheZones) {
   ZoneObservations s;
-  s.answered(0, 8, 10);
-  EXPECT_FALSE(s.unresponsive(1, "x", 5));
-  EXPECT_FALSE(s.unresponsive(1, "x", 6));
-  EXPECT_TRUE(s.unresponsive(1, "y", 7));
-  s.answered(1, 30, 40);
-  EXPECT_FALSE(s.unresponsive(1, "y", 39)) << "it was asked before the answer";
-  EXPECT_FALSE(s.unresponsive(1, "x", 45)) << "nobody answered since: it may be us";
+  s.recordResponse(0, 8, 10);
+  EXPECT_FALSE(s.recordNoResponse(1, "x", 5));
+  EXPECT_FALSE(s.recordNoResponse(1, "x", 6));
+  EXPECT_TRUE(s.recordNoResponse(1, "y", 7));
+  s.recordResponse(1, 30, 40);
+  EXPECT_FALSE(s.recordNoResponse(1, "y", 39)) << "it was asked before the answer";
+  EXPECT_FALSE(s.recordNoResponse(1, "x", 45)) << "nobody answered since: it may be us";
 }
 
-TEST(SightTest, SilenceIsToldOfTwoServersOfWhichOneCannotBeReached) {
+TEST(ZoneObservationsTest, SilenceIsToldOfTwoServersOfWhichOneCannotBeReached) {
   ZoneObservations s;
-  s.note(1, "x", 10, 20, true);
-  s.note(1, "x", 21, 30, true);
-  EXPECT_EQ(s.seen(1, 30, {0, 0}), ZoneObservation::None) << "one machine may be gone";
-  s.answered(1, 9, 31);
-  s.note(1, "y", 32, 40, false);
-  EXPECT_EQ(s.seen(1, 40, {0, 0}), ZoneObservation::Unresponsive)
+  s.recordForReport(1, "x", 10, 20, true);
+  s.recordForReport(1, "x", 21, 30, true);
+  EXPECT_EQ(s.report(1, 30, {0, 0}), ZoneObservation::None) << "one machine may be gone";
+  s.recordResponse(1, 9, 31);
+  s.recordForReport(1, "y", 32, 40, false);
+  EXPECT_EQ(s.report(1, 40, {0, 0}), ZoneObservation::Unresponsive)
       << "what was sent before says nothing against it";
-  EXPECT_EQ(s.seen(1, 40, {0, 11}), ZoneObservation::None) << "x was tried before that";
-  EXPECT_EQ(s.seen(1, 39 + ZoneObservations::kSilenceLasts, {0, 0}), ZoneObservation::Unresponsive);
-  EXPECT_EQ(s.seen(1, 40 + ZoneObservations::kSilenceLasts, {0, 0}), ZoneObservation::None);
-  s.answered(1, 41, 50);
-  EXPECT_EQ(s.seen(1, 50, {50, 0}), ZoneObservation::Responding) << "whenever what it answers was sent";
-  EXPECT_EQ(s.seen(1, 50, {51, 0}), ZoneObservation::None) << "it came before";
-  EXPECT_EQ(s.seen(1, 50 + ZoneObservations::kFresh, {0, 0}), ZoneObservation::None);
-  s.note(1, "y", 51, 60, true);
-  const ZoneObservations::Time later = 60 + ZoneObservations::kSilenceLasts;
-  s.note(1, "x", later, later + 1, true);
-  EXPECT_EQ(s.seen(1, later + 1, {0, 0}), ZoneObservation::None) << "the two were not of one time";
+  EXPECT_EQ(s.report(1, 40, {0, 11}), ZoneObservation::None) << "x was tried before that";
+  EXPECT_EQ(s.report(1, 39 + ZoneObservations::kNoResponseLifetime, {0, 0}), ZoneObservation::Unresponsive);
+  EXPECT_EQ(s.report(1, 40 + ZoneObservations::kNoResponseLifetime, {0, 0}), ZoneObservation::None);
+  s.recordResponse(1, 41, 50);
+  EXPECT_EQ(s.report(1, 50, {50, 0}), ZoneObservation::Responding) << "whenever what it answers was sent";
+  EXPECT_EQ(s.report(1, 50, {51, 0}), ZoneObservation::None) << "it came before";
+  EXPECT_EQ(s.report(1, 50 + ZoneObservations::kResponseLifetime, {0, 0}), ZoneObservation::None);
+  s.recordForReport(1, "y", 51, 60, true);
+  const ZoneObservations::Time later = 60 + ZoneObservations::kNoResponseLifetime;
+  s.recordForReport(1, "x", later, later + 1, true);
+  EXPECT_EQ(s.report(1, later + 1, {0, 0}), ZoneObservation::None) << "the two were not of one time";
 }
 
-TEST(SightTest, LatenessAloneIsNeverTold) {
+TEST(ZoneObservationsTest, LatenessAloneIsNeverTold) {
   ZoneObservations s;
-  for (int i = 0; i < 9; ++i) s.note(1, i % 2 == 0 ? "x" : "y", 10 * i, 10 * i + 9, false);
-  EXPECT_EQ(s.seen(1, 90, {0, 0}), ZoneObservation::None);
+  for (int i = 0; i < 9; ++i) s.recordForReport(1, i % 2 == 0 ? "x" : "y", 10 * i, 10 * i + 9, false);
+  EXPECT_EQ(s.report(1, 90, {0, 0}), ZoneObservation::None);
 }
 
 }  // namespace
