One package for SQLite files in place of two wrappers, with a typed error

Need: storage and replica each had their own statement, open, check and mapping of result codes, line for line alike.

Change: package sqlite with Database, Statement and Error, which carries the Fault; both use it. Their words for a fault, the tables and the files are as before.

--- a/src/replica/disk_task.cpp
+++ b/src/replica/disk_task.cpp
@@ -73,7 +73,7 @@
     if (!whole) loaded.newest = store_->changesFrom(newest, 1, 0);
     usable_ = true;
     return [this, loaded = std::move(loaded)] { reports_.opened(loaded); };
-  } catch (const DiskError& e) {
+  } catch (const sqlite::Error& e) {
     store_.reset();
     return [this, e] { reports_.not_opened(e); };
   }
@@ -86,7 +86,7 @@
   try {
     store_->write(order.writes);
     report([this] { reports_.written(); });
-  } catch (const DiskError& e) {
+  } catch (const sqlite::Error& e) {
     usable_ = false;
     report([this, e] { reports_.failed(e); });
   }
@@ -96,7 +96,7 @@
   std::vector<Change> changes;
   try {
     if (store_) changes = store_->changesFrom(order.from, order.max_count, order.max_text_bytes);
-  } catch (const DiskError&) {
+  } catch (const sqlite::Error&) {
     // Whoever asked asks another replica; the next opening names the row.
   }
   report([this, token = order.token, changes = std::move(changes)]() mutable {
--- a/src/replica/engine.cpp
+++ b/src/replica/engine.cpp
@@ -26,12 +26,12 @@
     outputs_.written();
     carryOutWhatMay();
   };
-  disk.failed = [this](const DiskError& error) { failed(error); };
+  disk.failed = [this](const sqlite::Error& error) { failed(error); };
   disk.changes = [this](std::uint64_t token, std::vector<Change> changes) {
     changesRead(token, std::move(changes));
   };
   disk.opened = [this](Loaded loaded) { opened(std::move(loaded)); };
-  disk.not_opened = [this](const DiskError& error) { failed(error); };
+  disk.not_opened = [this](const sqlite::Error& error) { failed(error); };
   disk_ = std::make_unique<DiskTask>(io_, folder, rules_.self, rules_.kept, std::move(disk));
   disk_->openHere();
 }
@@ -66,8 +66,8 @@
 }
 
 // Whatever was not said yet is never said; the node begins anew with what is on disk.
-void Engine::failed(const DiskError& error) {
-  DiskRefused refused{error.fault, std::string(nameOf(error.fault)) + ": " + error.what()};
+void Engine::failed(const sqlite::Error& error) {
+  DiskRefused refused{error.fault(), std::string(nameOf(error.fault())) + ": " + error.what()};
   if (!disk_fault_ || disk_fault_->detail != refused.detail) reports_.log(refused.detail);
   disk_fault_ = refused;
   node_.reset();
@@ -93,7 +93,7 @@
   consensus::Output output;
   event(output);
   if (!output.empty() && outputs_.add(std::move(output)) && !disk_->write(outputs_.newestWrites()))
-    return failed(DiskError(DiskFault::Other, "too much waits for the disk"));
+    return failed(sqlite::Error(sqlite::Fault::Other, "too much waits for the disk"));
   carryOutWhatMay();
   setTimer();
 }
@@ -103,7 +103,8 @@
 }
 
 void Engine::publish(distribution::PublishRequest request, std::int64_t published_ms, PublishDone done) {
-  if (!node_) return done(disk_fault_.value_or(DiskRefused{DiskFault::Other, "the database is not open"}));
+  if (!node_)
+    return done(disk_fault_.value_or(DiskRefused{sqlite::Fault::Other, "the database is not open"}));
   const consensus::PublishToken token = ++next_token_;
   publishes_.emplace(token, std::move(done));
   work([&](consensus::Output& out) { node_->publish(now(), token, std::move(request), published_ms, out); });
--- a/src/replica/include/replica/disk_task.h
+++ b/src/replica/include/replica/disk_task.h
@@ -28,11 +28,11 @@
   /// What it reports, on the loop that it was given, in the order of the calls.
   struct Reports {
     std::function<void()> written;
-    std::function<void(const DiskError&)> failed;  ///< of a write: none of it is on disk
+    std::function<void(const sqlite::Error&)> failed;  ///< of a write: none of it is on disk
     std::function<void(std::uint64_t token, std::vector<Change>)>
         changes;  ///< of a read; empty: none, or it failed
     std::function<void(Loaded)> opened;
-    std::function<void(const DiskError&)> not_opened;
+    std::function<void(const sqlite::Error&)> not_opened;
   };
 
   DiskTask(boost::asio::io_context& home, std::string folder, ReplicaId self, std::size_t kept,
--- a/src/replica/include/replica/engine.h
+++ b/src/replica/include/replica/engine.h
@@ -9,17 +9,26 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "consensus/node.h"
 #include "replica/disk_task.h"
 #include "replica/output_queue.h"
+#include "sqlite/database.h"
 
 namespace client_proxy::replica {
 
+/// As answers to calls show it.
+constexpr std::string_view nameOf(sqlite::Fault fault) {
+  constexpr std::string_view kNames[] = {"broken database", "another replica's database", "read-only disk",
+                                         "full disk", "failing disk"};
+  return kNames[static_cast<std::size_t>(fault)];
+}
+
 /// The disk can't keep the change; it is not published.
 struct DiskRefused {
-  DiskFault fault = DiskFault::Other;
+  sqlite::Fault fault = sqlite::Fault::Other;
   std::string detail;
 };
 using PublishReply =
@@ -62,7 +71,7 @@
 
  private:
   void opened(Loaded loaded);
-  void failed(const DiskError& error);
+  void failed(const sqlite::Error& error);
   void openLater();
   void changesRead(std::uint64_t token, std::vector<Change> changes);
   // Has the node work on an event, and carries out what may be.
--- a/src/replica/include/replica/store.h
+++ b/src/replica/include/replica/store.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "consensus/types.h"
-#include "replica/database.h"
+#include "sqlite/database.h"
 
 namespace client_proxy::replica {
 
@@ -16,8 +16,8 @@
 
 class Store {
  public:
-  /// Opens the file, or begins one. `kept`: how many changes stay. All calls throw DiskError; a file that is
-  /// broken stays where it is.
+  /// Opens the file, or begins one. `kept`: how many changes stay. All calls throw sqlite::Error; a file that
+  /// is broken stays where it is.
   Store(const std::string& file, ReplicaId self, std::size_t kept);
 
   /// Every row is held against its checksum.
@@ -40,9 +40,9 @@
   void put(const consensus::SaveChosen& chosen);
   void loadRecords(consensus::DurableState& state);
   void loadStart(const std::string& bytes, consensus::DurableState& state);
-  Change changeOf(Statement& row) const;
+  Change changeOf(sqlite::Statement& row) const;
 
-  Database database_;
+  sqlite::Database database_;
   const ReplicaId self_;
   const std::size_t kept_;
   std::vector<std::uint64_t> runs_;  // of starts with this file, the newest last
--- a/src/replica/replica_server.cpp
+++ b/src/replica/replica_server.cpp
@@ -80,7 +80,7 @@
   return failure(503, "no quorum", refused.detail);
 }
 HttpReply replyOf(const DiskRefused& refused) {
-  if (refused.fault == DiskFault::Full) return failure(507, "disk full", refused.detail);
+  if (refused.fault == sqlite::Fault::Full) return failure(507, "disk full", refused.detail);
   return failure(503, std::string(nameOf(refused.fault)), refused.detail);
 }
 
--- a/src/replica/store.cpp
+++ b/src/replica/store.cpp
@@ -43,7 +43,7 @@
       "ROWID");
   database_.run(
       "CREATE TABLE IF NOT EXISTS changes (version INTEGER PRIMARY KEY, change BLOB, checksum INTEGER)");
-  Statement any(database_, "SELECT 1 FROM records");
+  sqlite::Statement any(database_, "SELECT 1 FROM records");
   if (any.step()) return;
   putRecord("owner", distribution::formatJson({{"layout", kLayout}, {"replica", self_}}));
 }
@@ -56,17 +56,18 @@
     runs_.clear();
     vote_slot_ = 0;
     loadRecords(state);
-    Statement changes(database_, "SELECT version, change, checksum FROM changes ORDER BY version");
+    sqlite::Statement changes(database_, "SELECT version, change, checksum FROM changes ORDER BY version");
     while (changes.step()) state.changes.push_back(consensus::headOf(changeOf(changes)));
     return state;
   } catch (const CodecError& e) {
-    throw DiskError(DiskFault::Broken, database_.file() + ": a row is not as it was written: " + e.what());
+    throw sqlite::Error(sqlite::Fault::Corrupt,
+                        database_.file() + ": a row is not as it was written: " + e.what());
   }
 }
 
 void Store::loadRecords(consensus::DurableState& state) {
   bool owned = false;
-  Statement records(database_, "SELECT name, bytes, checksum FROM records");
+  sqlite::Statement records(database_, "SELECT name, bytes, checksum FROM records");
   while (records.step()) {
     const std::string name = records.text(0), bytes = records.text(1);
     if (records.number(2) != checksumOf(name, bytes)) throw CodecError(name, "has another checksum");
@@ -75,11 +76,11 @@
     if (name == "owner") {
       owned = true;
       if (object.number("layout") != kLayout)
-        throw DiskError(DiskFault::Foreign,
-                        database_.file() + ": was written by another version of the program");
+        throw sqlite::Error(sqlite::Fault::Foreign,
+                            database_.file() + ": was written by another version of the program");
       if (object.number("replica") != self_)
-        throw DiskError(DiskFault::Foreign, database_.file() + ": is the database of replica " +
-                                                std::to_string(object.number("replica")));
+        throw sqlite::Error(sqlite::Fault::Foreign, database_.file() + ": is the database of replica " +
+                                                        std::to_string(object.number("replica")));
     } else if (name == "start") {
       loadStart(bytes, state);
     } else if (name == "vote") {
@@ -103,7 +104,7 @@
   state.runs.insert(runs_.begin(), runs_.end());
 }
 
-Change Store::changeOf(Statement& row) const {
+Change Store::changeOf(sqlite::Statement& row) const {
   const std::string version = std::to_string(row.number(0)), bytes = row.text(1);
   if (row.number(2) != checksumOf(version, bytes))
     throw CodecError("change " + version, "has another checksum");
@@ -115,8 +116,8 @@
   try {
     std::vector<Change> changes;
     std::size_t bytes = 0;
-    Statement rows(database_,
-                   "SELECT version, change, checksum FROM changes WHERE version >= ? ORDER BY version");
+    sqlite::Statement rows(
+        database_, "SELECT version, change, checksum FROM changes WHERE version >= ? ORDER BY version");
     rows.bind(from);
     while (changes.size() < max_count && rows.step()) {
       Change change = changeOf(rows);
@@ -126,7 +127,8 @@
     }
     return changes;
   } catch (const CodecError& e) {
-    throw DiskError(DiskFault::Broken, database_.file() + ": a row is not as it was written: " + e.what());
+    throw sqlite::Error(sqlite::Fault::Corrupt,
+                        database_.file() + ": a row is not as it was written: " + e.what());
   }
 }
 
@@ -144,7 +146,7 @@
 }
 
 void Store::putRecord(const std::string& name, const std::string& bytes) {
-  Statement put(database_, "INSERT OR REPLACE INTO records VALUES (?, ?, ?)");
+  sqlite::Statement put(database_, "INSERT OR REPLACE INTO records VALUES (?, ?, ?)");
   put.bind(name).bind(bytes).bind(checksumOf(name, bytes)).step();
 }
 
@@ -171,17 +173,17 @@
 
 void Store::put(const consensus::SaveChosen& save) {
   const std::string bytes = distribution::formatChange(save.change);
-  Statement put(database_, "INSERT OR REPLACE INTO changes VALUES (?, ?, ?)");
+  sqlite::Statement put(database_, "INSERT OR REPLACE INTO changes VALUES (?, ?, ?)");
   put.bind(save.change.version)
       .bind(bytes)
       .bind(checksumOf(std::to_string(save.change.version), bytes))
       .step();
   if (save.change.version > kept_) {
-    Statement drop(database_, "DELETE FROM changes WHERE version <= ?");
+    sqlite::Statement drop(database_, "DELETE FROM changes WHERE version <= ?");
     drop.bind(save.change.version - kept_).step();
   }
   if (vote_slot_ <= save.change.version) {
-    Statement drop(database_, "DELETE FROM records WHERE name = ?");
+    sqlite::Statement drop(database_, "DELETE FROM records WHERE name = ?");
     drop.bind(std::string("vote")).step();
   }
 }
--- a/src/sqlite/database.cpp
+++ b/src/sqlite/database.cpp
@@ -1,29 +1,29 @@
-#include "replica/database.h"
+#include "sqlite/database.h"
 
 #include <sqlite3.h>
 
 #include <utility>
 
-namespace client_proxy::replica {
+namespace client_proxy::sqlite {
 namespace {
 
 constexpr int kNoWait = 0;  // one process has one database: a lock is not waited for
 constexpr std::size_t kMaxSqlInErrors = 40;
 
-DiskFault faultOf(int code) {
+Fault faultOf(int code) {
   constexpr int kPrimaryCode = 0xFF;
   switch (code & kPrimaryCode) {
     case SQLITE_CORRUPT:
     case SQLITE_NOTADB:
-      return DiskFault::Broken;
+      return Fault::Corrupt;
     case SQLITE_READONLY:
     case SQLITE_CANTOPEN:
     case SQLITE_PERM:
-      return DiskFault::ReadOnly;
+      return Fault::ReadOnly;
     case SQLITE_FULL:
-      return DiskFault::Full;
+      return Fault::Full;
     default:
-      return DiskFault::Other;
+      return Fault::Other;
   }
 }
 
@@ -48,13 +48,12 @@
 
 void Database::checkStructure() {
   Statement check(*this, "PRAGMA quick_check(1)");
-  if (!check.step() || check.text(0) != "ok")
-    throw DiskError(DiskFault::Broken, file_ + ": " + check.text(0));
+  if (!check.step() || check.text(0) != "ok") throw Error(Fault::Corrupt, file_ + ": " + check.text(0));
 }
 
 void Database::fail(int code, const std::string& at) const {
   const std::string why = handle_ != nullptr ? sqlite3_errmsg(handle_) : sqlite3_errstr(code);
-  throw DiskError(faultOf(code), file_ + ": " + why + " (" + at.substr(0, kMaxSqlInErrors) + ")");
+  throw Error(faultOf(code), file_ + ": " + why + " (" + at.substr(0, kMaxSqlInErrors) + ")");
 }
 
 void Database::run(const char* sql) {
@@ -71,8 +70,8 @@
 
 Statement::~Statement() { sqlite3_finalize(handle_); }
 
-Statement& Statement::bind(std::uint64_t value) {
-  sqlite3_bind_int64(handle_, ++bound_, static_cast<sqlite3_int64>(value));
+Statement& Statement::bindInteger(std::int64_t value) {
+  sqlite3_bind_int64(handle_, ++bound_, value);
   return *this;
 }
 
@@ -87,9 +86,7 @@
   return code == SQLITE_ROW;
 }
 
-std::uint64_t Statement::number(int column) {
-  return static_cast<std::uint64_t>(sqlite3_column_int64(handle_, column));
-}
+std::int64_t Statement::number(int column) { return sqlite3_column_int64(handle_, column); }
 
 std::string Statement::text(int column) {
   const auto* bytes = static_cast<const char*>(sqlite3_column_blob(handle_, column));
@@ -97,4 +94,4 @@
   return bytes == nullptr ? std::string() : std::string(bytes, size);
 }
 
-}  // namespace client_proxy::replica
+}  // namespace client_proxy::sqlite
--- a/src/sqlite/include/sqlite/database.h
+++ b/src/sqlite/include/sqlite/database.h
@@ -1,38 +1,38 @@
 // A SQLite file (sqlite.org) with every commit on disk before it returns. Blocks.
 #pragma once
 
+#include <concepts>
 #include <cstdint>
 #include <stdexcept>
 #include <string>
-#include <string_view>
 
 struct sqlite3;
 struct sqlite3_stmt;
 
-namespace client_proxy::replica {
+namespace client_proxy::sqlite {
 
 /// Why a database is not used, or not written any more.
-enum class DiskFault : std::uint8_t {
-  Broken,    ///< not as it was written
-  Foreign,   ///< another replica's
+enum class Fault : std::uint8_t {
+  Corrupt,   ///< not as it was written
+  Foreign,   ///< another owner's
   ReadOnly,  ///< it can't be written
-  Full,
+  Full,      ///< the disk is
   Other,
 };
-constexpr std::string_view nameOf(DiskFault fault) {
-  constexpr std::string_view kNames[] = {"broken database", "another replica's database", "read-only disk",
-                                         "full disk", "failing disk"};
-  return kNames[static_cast<std::size_t>(fault)];
-}
 
-struct DiskError : std::runtime_error {
-  DiskError(DiskFault why, const std::string& what) : std::runtime_error(what), fault(why) {}
-  DiskFault fault;
+/// what() names the file and says what is wrong with it.
+class Error : public std::runtime_error {
+ public:
+  Error(Fault fault, const std::string& what) : std::runtime_error(what), fault_(fault) {}
+  Fault fault() const { return fault_; }
+
+ private:
+  Fault fault_;
 };
 
 class Database {
  public:
-  /// Opens the file, or begins one; a damaged structure is found here. All calls throw DiskError.
+  /// Opens the file, or begins one; a damaged structure is found here. All calls throw Error.
   explicit Database(std::string file);
   ~Database();
   Database(const Database&) = delete;
@@ -59,17 +59,22 @@
   Statement(const Statement&) = delete;
   Statement& operator=(const Statement&) = delete;
 
-  Statement& bind(std::uint64_t value);
+  template <std::integral Integer>
+  Statement& bind(Integer value) {
+    return bindInteger(static_cast<std::int64_t>(value));
+  }
   Statement& bind(const std::string& value);
   /// False: there is no further row.
   bool step();
-  std::uint64_t number(int column);
+  std::int64_t number(int column);
   std::string text(int column);
 
  private:
+  Statement& bindInteger(std::int64_t value);
+
   Database& database_;
   sqlite3_stmt* handle_ = nullptr;
   int bound_ = 0;
 };
 
-}  // namespace client_proxy::replica
+}  // namespace client_proxy::sqlite
--- a/src/storage/async_store.cpp
+++ b/src/storage/async_store.cpp
@@ -18,9 +18,9 @@
     std::filesystem::create_directories(folder, ignored);
     store_ = std::make_unique<Store>(folder + "/memory.db", owner);
     contents_ = store_->load();
-  } catch (const StoreFault& e) {
+  } catch (const sqlite::Error& e) {
     store_.reset();
-    fault_ = std::string(nameOf(e.fault)) + ": " + e.what();
+    fault_ = std::string(nameOf(e.fault())) + ": " + e.what();
     return;
   }
   loop_ = std::make_unique<tasks::Loop>("memory");
@@ -64,8 +64,8 @@
       store_->write(changes);
       ++syncs_;
       tell(std::exchange(changes, {}), true, {});
-    } catch (const StoreFault& e) {
-      tell(std::exchange(changes, {}), false, std::string(nameOf(e.fault)) + ": " + e.what());
+    } catch (const sqlite::Error& e) {
+      tell(std::exchange(changes, {}), false, std::string(nameOf(e.fault())) + ": " + e.what());
     }
   };
   for (Request& request : requests) {
@@ -78,8 +78,8 @@
     try {
       store_->discard();
       ++syncs_;
-    } catch (const StoreFault& e) {
-      tell({}, false, std::string(nameOf(e.fault)) + ": " + e.what());
+    } catch (const sqlite::Error& e) {
+      tell({}, false, std::string(nameOf(e.fault())) + ": " + e.what());
     }
   }
   flush();
--- a/src/storage/include/storage/store.h
+++ b/src/storage/include/storage/store.h
@@ -2,17 +2,14 @@
 #pragma once
 
 #include <cstdint>
-#include <memory>
 #include <span>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
 #include "leases/types.h"
-
-struct sqlite3;
+#include "sqlite/database.h"
 
 namespace client_proxy::storage {
 
@@ -29,24 +26,12 @@
   std::vector<Note> notes;
 };
 
-// Why storage is not used, or not written any more.
-enum class Fault : std::uint8_t {
-  Broken,    // not as it was written
-  Foreign,   // another member's, or of another fleet
-  ReadOnly,  // it can't be written
-  Full,      // the disk is
-  Other,
-};
-constexpr std::string_view nameOf(Fault f) {
+// As pages and logs show it.
+constexpr std::string_view nameOf(sqlite::Fault fault) {
   constexpr std::string_view kNames[] = {"broken", "another's", "read-only", "full", "failing"};
-  return kNames[static_cast<std::size_t>(f)];
+  return kNames[static_cast<std::size_t>(fault)];
 }
 
-struct StoreFault : std::runtime_error {
-  StoreFault(Fault why, const std::string& what) : std::runtime_error(what), fault(why) {}
-  Fault fault;
-};
-
 class Store {
  public:
   // Whose storage it is.
@@ -54,32 +39,25 @@
     std::string fleet;
     std::uint16_t member = 0;
   };
-  // Opens the file, or creates it. Throws StoreFault; a broken file is left as it is.
+  // Opens the file, or creates it. Throws sqlite::Error; a broken file is left as it is.
   Store(const std::string& file, const Owner& owner);
-  ~Store();
-  Store(const Store&) = delete;
-  Store& operator=(const Store&) = delete;
 
-  // Everything stored; each row is verified by its checksum. Throws StoreFault.
+  // Everything stored; each row is verified by its checksum. Throws sqlite::Error.
   Contents load();
-  // All of these or none. A grant of a lower term than the stored one changes nothing. Throws StoreFault.
+  // All of these or none. A grant of a lower term than the stored one changes nothing. Throws sqlite::Error.
   void write(std::span<const Change> changes);
   // For tests: limits the size of the file, in pages, as a full disk would.
   void limitPages(int most);
-  // Removes everything and begins anew as another installation. Throws StoreFault.
+  // Removes everything and begins anew as another installation. Throws sqlite::Error.
   void discard();
 
  private:
-  class Statement;
-  void run(const char* sql);
   void begin();
   void put(const leases::StoredGrant& kept);
   void put(const Note& note);
-  [[noreturn]] void fail(int code, const std::string& at) const;
 
-  const std::string file_;
+  sqlite::Database database_;
   const Owner owner_;
-  sqlite3* db_ = nullptr;
   bool fresh_ = false;
 };
 
--- a/src/storage/store.cpp
+++ b/src/storage/store.cpp
@@ -1,7 +1,5 @@
 #include "storage/store.h"
 
-#include <sqlite3.h>
-
 #include <random>
 #include <utility>
 
@@ -11,7 +9,6 @@
 namespace {
 
 constexpr std::int64_t kLayout = 1;
-constexpr int kNever = 0;  // a lock is nobody's to wait for: one process has one memory
 
 std::int64_t checksumOf(const leases::StoredGrant& k) {
   return static_cast<std::int64_t>(load_balancer::fnv64(
@@ -22,104 +19,19 @@
   return static_cast<std::int64_t>(load_balancer::fnv64(n.name + "=" + n.bytes));
 }
 
-Fault faultOf(int code) {
-  switch (code & 0xFF) {
-    case SQLITE_CORRUPT:
-    case SQLITE_NOTADB:
-      return Fault::Broken;
-    case SQLITE_READONLY:
-    case SQLITE_CANTOPEN:
-    case SQLITE_PERM:
-      return Fault::ReadOnly;
-    case SQLITE_FULL:
-      return Fault::Full;
-    default:
-      return Fault::Other;
-  }
-}
-
 }  // namespace
 
-// A prepared statement, its values bound in order.
-class Store::Statement {
- public:
-  Statement(const Store& store, const char* sql) : store_(store) {
-    const int code = sqlite3_prepare_v2(store.db_, sql, -1, &handle_, nullptr);
-    if (code != SQLITE_OK) store.fail(code, sql);
-  }
-  ~Statement() { sqlite3_finalize(handle_); }
-  Statement(const Statement&) = delete;
-  Statement& operator=(const Statement&) = delete;
-
-  Statement& bind(std::int64_t value) {
-    sqlite3_bind_int64(handle_, ++bound_, value);
-    return *this;
-  }
-  Statement& bind(const std::string& value) {
-    sqlite3_bind_blob64(handle_, ++bound_, value.data(), value.size(), SQLITE_TRANSIENT);
-    return *this;
-  }
-  // False: there is no further row.
-  bool step() {
-    const int code = sqlite3_step(handle_);
-    if (code != SQLITE_ROW && code != SQLITE_DONE) store_.fail(code, sqlite3_sql(handle_));
-    return code == SQLITE_ROW;
-  }
-  std::int64_t number(int column) { return sqlite3_column_int64(handle_, column); }
-  std::string text(int column) {
-    const auto* bytes = static_cast<const char*>(sqlite3_column_blob(handle_, column));
-    const auto size = static_cast<std::size_t>(sqlite3_column_bytes(handle_, column));
-    return bytes == nullptr ? std::string() : std::string(bytes, size);
-  }
-
- private:
-  const Store& store_;
-  sqlite3_stmt* handle_ = nullptr;
-  int bound_ = 0;
-};
-
-Store::Store(const std::string& file, const Owner& owner) : file_(file), owner_(owner) {
-  try {
-    const int code = sqlite3_open_v2(file.c_str(), &db_, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE, nullptr);
-    if (code != SQLITE_OK) fail(code, "open");
-    sqlite3_busy_timeout(db_, kNever);
-    run("PRAGMA journal_mode=WAL");
-    run("PRAGMA synchronous=FULL");
-    {
-      Statement check(*this, "PRAGMA quick_check(1)");
-      if (!check.step() || check.text(0) != "ok")
-        throw StoreFault(Fault::Broken, file_ + ": " + check.text(0));
-    }
-    run("BEGIN IMMEDIATE");
-    run("CREATE TABLE IF NOT EXISTS meta (name BLOB PRIMARY KEY, value BLOB) WITHOUT ROWID");
-    run("CREATE TABLE IF NOT EXISTS deeds (service INTEGER PRIMARY KEY, term INTEGER, site INTEGER, ground "
-        "INTEGER, "
-        "ready INTEGER, checksum INTEGER)");
-    run("CREATE TABLE IF NOT EXISTS notes (name BLOB PRIMARY KEY, bytes BLOB, checksum INTEGER) WITHOUT "
-        "ROWID");
-    bool there = false;
-    {
-      Statement meta(*this, "SELECT 1 FROM meta");
-      there = meta.step();
-    }
-    if (!there) begin();
-    run("COMMIT");
-  } catch (...) {
-    sqlite3_close_v2(db_);
-    throw;
-  }
-}
-
-Store::~Store() { sqlite3_close_v2(db_); }
-
-void Store::fail(int code, const std::string& at) const {
-  const std::string why = db_ != nullptr ? sqlite3_errmsg(db_) : sqlite3_errstr(code);
-  throw StoreFault(faultOf(code), file_ + ": " + why + " (" + at.substr(0, 40) + ")");
-}
-
-void Store::run(const char* sql) {
-  const int code = sqlite3_exec(db_, sql, nullptr, nullptr, nullptr);
-  if (code != SQLITE_OK) fail(code, sql);
+Store::Store(const std::string& file, const Owner& owner) : database_(file), owner_(owner) {
+  database_.run("BEGIN IMMEDIATE");
+  database_.run("CREATE TABLE IF NOT EXISTS meta (name BLOB PRIMARY KEY, value BLOB) WITHOUT ROWID");
+  database_.run(
+      "CREATE TABLE IF NOT EXISTS deeds (service INTEGER PRIMARY KEY, term INTEGER, site INTEGER, ground "
+      "INTEGER, "
+      "ready INTEGER, checksum INTEGER)");
+  database_.run(
+      "CREATE TABLE IF NOT EXISTS notes (name BLOB PRIMARY KEY, bytes BLOB, checksum INTEGER) WITHOUT ROWID");
+  if (!sqlite::Statement(database_, "SELECT 1 FROM meta").step()) begin();
+  database_.run("COMMIT");
 }
 
 void Store::begin() {
@@ -131,7 +43,7 @@
                                                      {"fleet", owner_.fleet},
                                                      {"member", std::to_string(owner_.member)}};
   for (const auto& [name, value] : all) {
-    Statement put(*this, "INSERT OR REPLACE INTO meta VALUES (?, ?)");
+    sqlite::Statement put(database_, "INSERT OR REPLACE INTO meta VALUES (?, ?)");
     put.bind(std::string(name)).bind(value).step();
   }
   fresh_ = true;
@@ -141,21 +53,23 @@
   Contents m;
   m.fresh = fresh_;
   const auto meta = [&](const char* name) {
-    Statement get(*this, "SELECT value FROM meta WHERE name = ?");
+    sqlite::Statement get(database_, "SELECT value FROM meta WHERE name = ?");
     get.bind(std::string(name));
-    if (!get.step()) throw StoreFault(Fault::Broken, file_ + ": lacks its " + name);
+    if (!get.step()) throw sqlite::Error(sqlite::Fault::Corrupt, database_.file() + ": lacks its " + name);
     return get.text(0);
   };
   if (meta("layout") != std::to_string(kLayout))
-    throw StoreFault(Fault::Other, file_ + ": was written by another version of the program");
+    throw sqlite::Error(sqlite::Fault::Other,
+                        database_.file() + ": was written by another version of the program");
   if (meta("fleet") != owner_.fleet || meta("member") != std::to_string(owner_.member))
-    throw StoreFault(Fault::Foreign, file_ + ": is the memory of member " + meta("member") +
-                                         " of the fleet '" + meta("fleet") + "'");
+    throw sqlite::Error(sqlite::Fault::Foreign, database_.file() + ": is the memory of member " +
+                                                    meta("member") + " of the fleet '" + meta("fleet") + "'");
   m.installation = static_cast<std::uint32_t>(std::stoul(meta("installation")));
   const auto sound = [&](std::int64_t is, std::int64_t should) {
-    if (is != should) throw StoreFault(Fault::Broken, file_ + ": a row is not as it was written");
+    if (is != should)
+      throw sqlite::Error(sqlite::Fault::Corrupt, database_.file() + ": a row is not as it was written");
   };
-  Statement grants(*this, "SELECT service, term, site, ground, ready, checksum FROM deeds");
+  sqlite::Statement grants(database_, "SELECT service, term, site, ground, ready, checksum FROM deeds");
   while (grants.step()) {
     leases::StoredGrant k;
     k.service = static_cast<leases::ServiceId>(grants.number(0));
@@ -167,7 +81,7 @@
     sound(grants.number(5), checksumOf(k));
     m.grants.push_back(k);
   }
-  Statement notes(*this, "SELECT name, bytes, checksum FROM notes");
+  sqlite::Statement notes(database_, "SELECT name, bytes, checksum FROM notes");
   while (notes.step()) {
     Note n{notes.text(0), notes.text(1)};
     sound(notes.number(2), checksumOf(n));
@@ -177,8 +91,8 @@
 }
 
 void Store::put(const leases::StoredGrant& k) {
-  Statement put(
-      *this,
+  sqlite::Statement put(
+      database_,
       "INSERT INTO deeds VALUES (?1, ?2, ?3, ?4, ?5, ?6) ON CONFLICT (service) DO UPDATE SET term = ?2, "
       "site = ?3, ground = ?4, ready = ?5, checksum = ?6 WHERE ?2 >= term");
   put.bind(k.service)
@@ -191,30 +105,30 @@
 }
 
 void Store::put(const Note& n) {
-  Statement put(*this, "INSERT OR REPLACE INTO notes VALUES (?, ?, ?)");
+  sqlite::Statement put(database_, "INSERT OR REPLACE INTO notes VALUES (?, ?, ?)");
   put.bind(n.name).bind(n.bytes).bind(checksumOf(n)).step();
 }
 
 void Store::write(std::span<const Change> changes) {
-  run("BEGIN IMMEDIATE");
+  database_.run("BEGIN IMMEDIATE");
   try {
     for (const Change& c : changes) std::visit([this](const auto& one) { put(one); }, c);
-    run("COMMIT");
+    database_.run("COMMIT");
   } catch (...) {
-    sqlite3_exec(db_, "ROLLBACK", nullptr, nullptr, nullptr);
+    database_.rollBack();
     throw;
   }
 }
 
-void Store::limitPages(int most) { run(("PRAGMA max_page_count=" + std::to_string(most)).c_str()); }
+void Store::limitPages(int most) { database_.run(("PRAGMA max_page_count=" + std::to_string(most)).c_str()); }
 
 void Store::discard() {
-  run("BEGIN IMMEDIATE");
-  run("DELETE FROM deeds");
-  run("DELETE FROM notes");
-  run("DELETE FROM meta");
+  database_.run("BEGIN IMMEDIATE");
+  database_.run("DELETE FROM deeds");
+  database_.run("DELETE FROM notes");
+  database_.run("DELETE FROM meta");
   begin();
-  run("COMMIT");
+  database_.run("COMMIT");
 }
 
 }  // namespace client_proxy::storage
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -472,14 +472,14 @@
       const auto state = store.load();
       EXPECT_EQ(state.changes.size(), kChanges) << at;
       EXPECT_EQ(state.start_count, 3U) << at;
-    } catch (const DiskError& e) {
+    } catch (const sqlite::Error& e) {
       EXPECT_NE(std::string(e.what()).find(fileOf(1)), std::string::npos) << e.what();
       ++told;
     }
   }
   EXPECT_GT(told, 10);
   fs::copy_file(whole, fileOf(1), fs::copy_options::overwrite_existing);
-  EXPECT_THROW(Store(fileOf(1), 2, 1000).load(), DiskError) << "another replica's";
+  EXPECT_THROW(Store(fileOf(1), 2, 1000).load(), sqlite::Error) << "another replica's";
 }
 
 }  // namespace
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -30,15 +30,15 @@
     fs::remove_all(folder, ignored);
   }
   std::string file() const { return folder + "/memory.db"; }
-  Fault faultOf(const Store::Owner& owner) {
+  sqlite::Fault faultOf(const Store::Owner& owner) {
     try {
       Store(file(), owner).load();
-    } catch (const StoreFault& e) {
+    } catch (const sqlite::Error& e) {
       EXPECT_NE(std::string(e.what()).find(file()), std::string::npos) << e.what();
-      return e.fault;
+      return e.fault();
     }
     ADD_FAILURE() << "it was read";
-    return Fault::Other;
+    return sqlite::Fault::Other;
   }
   void damage(std::streamoff at, const std::string& with) {
     std::fstream f(file(), std::ios::in | std::ios::out | std::ios::binary);
@@ -75,8 +75,8 @@
 
 TEST_F(KeepTest, AnothersMemoryIsNotUsed) {
   Store(file(), kOwner).load();
-  EXPECT_EQ(faultOf({"fleet", 8}), Fault::Foreign);
-  EXPECT_EQ(faultOf({"other", 7}), Fault::Foreign);
+  EXPECT_EQ(faultOf({"fleet", 8}), sqlite::Fault::Foreign);
+  EXPECT_EQ(faultOf({"other", 7}), sqlite::Fault::Foreign);
 }
 
 // Every page of the file in turn: what is damaged is either told or has changed nothing.
@@ -100,8 +100,9 @@
       EXPECT_EQ(m.grants.size(), 300U) << at;
       for (const StoredGrant& k : m.grants)
         EXPECT_EQ(k.grant, (Grant{k.service + 1, 77, ClaimReason::Home})) << at;
-    } catch (const StoreFault& e) {
-      EXPECT_TRUE(e.fault == Fault::Broken || e.fault == Fault::Other || e.fault == Fault::Foreign)
+    } catch (const sqlite::Error& e) {
+      EXPECT_TRUE(e.fault() == sqlite::Fault::Corrupt || e.fault() == sqlite::Fault::Other ||
+                  e.fault() == sqlite::Fault::Foreign)
           << e.what();
       ++told;
     }
@@ -109,7 +110,7 @@
   EXPECT_GT(told, 3);
   fs::copy_file(whole, file(), fs::copy_options::overwrite_existing);
   fs::resize_file(file(), 5000);
-  EXPECT_EQ(faultOf(kOwner), Fault::Broken);
+  EXPECT_EQ(faultOf(kOwner), sqlite::Fault::Corrupt);
 }
 
 TEST_F(KeepTest, AFolderThatIsAFileIsNamed) {
@@ -181,8 +182,8 @@
   try {
     s.write(all);
     FAIL() << "it was written";
-  } catch (const StoreFault& e) {
-    EXPECT_EQ(e.fault, Fault::Full) << e.what();
+  } catch (const sqlite::Error& e) {
+    EXPECT_EQ(e.fault(), sqlite::Fault::Full) << e.what();
   }
   EXPECT_TRUE(s.load().notes.empty()) << "all or nothing";
   const std::vector<Change> one = {kCharge};
