--- a/rig/hollow_clients.cpp
+++ b/rig/hollow_clients.cpp
@@ -23,7 +23,7 @@
   std::string name() const override { return "leases"; }
   nlohmann::ordered_json report() const override {
     const auto served = std::count_if(services_.begin(), services_.end(), [&](const ServiceSetting& service) {
-      return ownership_.leave(leases::serviceId(service.name)).may;
+      return ownership_.permission(leases::serviceId(service.name)).allowed;
     });
     return {{"served", served}, {"services", services_.size()}};
   }
--- a/src/admission/include/admission/index_registry.h
+++ b/src/admission/include/admission/index_registry.h
@@ -49,7 +49,7 @@
   bool current(std::size_t number) const { return entries_[number].current; }
 
   // Something is in flight under it, or no longer. Less than 0 (not known) is passed over.
-  void use(std::int32_t number) {
+  void acquire(std::int32_t number) {
     if (number >= 0) ++entries_[static_cast<std::size_t>(number)].used;
   }
   void release(std::int32_t number) {
--- a/src/change_preview/include/change_preview/change_preview.h
+++ b/src/change_preview/include/change_preview/change_preview.h
@@ -56,7 +56,7 @@
 // What a judgement rests on beside the tally. When any of it is another than before, the judgement is void.
 struct PreviewInputs {
   std::uint32_t file = 0, pending = 0;  // hashes
-  std::uint32_t deeds = 0;              // digest of services, owners and terms
+  std::uint32_t services = 0;           // digest of services, owners and terms
   std::uint32_t members = 0;            // hash of who is live
   bool operator==(const PreviewInputs&) const = default;
 };
--- a/src/console/console_server.cpp
+++ b/src/console/console_server.cpp
@@ -186,14 +186,13 @@
       actor_.takeClients();
       return said(true, 500, "taking clients");
     case Call::Rehearse: {
-      std::string what;
-      const bool yes = actor_.rehearse(what);
-      return said(yes, 409, yes ? "begun" : what);
+      const std::optional<std::string> fault = actor_.beginChangePreview();
+      return said(!fault, 409, fault.value_or("begun"));
     }
     case Call::Give: {
-      std::string what;
-      const bool yes = actor_.give(read.service, read.zone, what);
-      return said(yes, 404, yes ? "given: " + what : "no such service or zone");
+      const std::optional<std::string> overridden = actor_.overrideOwner(read.service, read.zone);
+      return said(overridden.has_value(), 404,
+                  overridden ? "given: " + *overridden : "no such service or zone");
     }
     case Call::Page:
       break;
--- a/src/console/include/console/console_server.h
+++ b/src/console/include/console/console_server.h
@@ -12,6 +12,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "console/calls.h"
@@ -29,10 +30,12 @@
   virtual bool putBack(const std::string& host) = 0;
   virtual void drainClients() = 0;
   virtual void takeClients() = 0;
-  // Tries the pending file on recorded traffic. False: `said` is what is wrong with it.
-  virtual bool rehearse(std::string& said) = 0;
-  // An operator gives a service to a zone; `said`: what that overrides. False: there is none such.
-  virtual bool give(const std::string& service, const std::string& zone, std::string& said) = 0;
+  // Begins a preview of the pending file on recorded traffic. Returns what is wrong with it; nothing: it has
+  // begun.
+  virtual std::optional<std::string> beginChangePreview() = 0;
+  // Makes a zone the owner of a service. Returns what that overrides; nothing: there is no such service or
+  // zone.
+  virtual std::optional<std::string> overrideOwner(const std::string& service, const std::string& zone) = 0;
 };
 
 class ConsoleServer {
--- a/src/daemon/serve.cpp
+++ b/src/daemon/serve.cpp
@@ -116,7 +116,7 @@
   return {e.what()};
 }
 
-void complain(Log& log, const std::string& what, const std::exception& e) {
+void logErrors(Log& log, const std::string& what, const std::exception& e) {
   for (const std::string& line : linesOf(e)) log.line(what + line, LogLevel::Error);
 }
 
@@ -128,19 +128,19 @@
   Daemon(Source& source, Config config)
       : source_(source),
         log_(clock_, config.name),
-        shared_at_(config.inherited && !config.shared_folder.empty()
-                       ? hot_restart::socketPath(config.shared_folder, config.name)
-                       : std::string()),
+        restart_socket_(config.inherited && !config.shared_folder.empty()
+                            ? hot_restart::socketPath(config.shared_folder, config.name)
+                            : std::string()),
         name_(config.name),
-        status_at_(config.own.status),
-        console_at_(config.console),
+        status_endpoint_(config.own.status),
+        console_endpoint_(config.console),
         hosts_file_(config.hosts_file),
         fleet_(config.fleet),
         services_(config.services),
         subscription_(config.subscription),
         settings_(config.site.settings),
         class_names_(config.site.classes),
-        proxy_(io_, levelled(std::move(config)), log_, clock_),
+        proxy_(io_, withLogLevel(std::move(config)), log_, clock_),
         end_(io_, SIGTERM, SIGINT),
         reload_(io_, SIGHUP),
         console_(io_, *this)
@@ -151,8 +151,8 @@
 #endif
   {
     if (fleet_)
-      others_ = fleet_transport::makeMembershipService(io_, clock_, log_, *fleet_,
-                                                       static_cast<fleet_transport::LocalNode&>(*this));
+      membership_ = fleet_transport::makeMembershipService(io_, clock_, log_, *fleet_,
+                                                           static_cast<fleet_transport::LocalNode&>(*this));
     makeOwnershipService();
     makeSharedConfiguration();
   }
@@ -161,7 +161,7 @@
     for (const std::string& note : source_.taken()) log_.line(note, LogLevel::Warning);
     end_.async_wait([this](boost::system::error_code ec, int) {
       if (ec) return;
-      if (others_) others_->leave();
+      if (membership_) membership_->leave();
 #ifdef CLIENT_PROXY_OWNERSHIP
       if (ownership_) ownership_->end();
 #endif
@@ -171,8 +171,8 @@
       proxy_.shutdown([this] { io_.stop(); });
     });
     awaitReload();
-    if (!shared_at_.empty())
-      link_.emplace(io_, shared_at_, name_, static_cast<hot_restart::HotRestartHandler&>(*this));
+    if (!restart_socket_.empty())
+      link_.emplace(io_, restart_socket_, name_, static_cast<hot_restart::HotRestartHandler&>(*this));
     listenToStaff();
 #ifdef CLIENT_PROXY_OPERATOR
     hosts_watch_.follow(hosts_file_);
@@ -186,7 +186,7 @@
   bool canServe() override { return proxy_.canServe(); }
   std::string stats() override {
     std::string figures = proxy_.stats();
-    if (others_) figures += others_->figures();
+    if (membership_) figures += membership_->figures();
 #ifdef CLIENT_PROXY_SUBSCRIPTION
     if (shared_) figures += shared_->figures();
 #endif
@@ -241,7 +241,7 @@
 
   void begin(std::optional<hot_restart::State> state) override {
     state ? proxy_.start(*state) : proxy_.start();
-    if (others_) others_->start(state ? state->fleet : std::string());
+    if (membership_) membership_->start(state ? state->fleet : std::string());
 #ifdef CLIENT_PROXY_OWNERSHIP
     if (ownership_) ownership_->start(state.has_value());
 #endif
@@ -251,11 +251,11 @@
   }
   hot_restart::State state() override {
     hot_restart::State state = proxy_.state();
-    if (others_) state.fleet = others_->handOn();
+    if (membership_) state.fleet = membership_->handOn();
     return state;
   }
   void give(hot_restart::Successor successor) override {
-    if (others_) others_->stop();
+    if (membership_) membership_->stop();
 #ifdef CLIENT_PROXY_OWNERSHIP
     if (ownership_) ownership_->stop();
 #endif
@@ -268,7 +268,7 @@
     proxy_.recordPredecessorRequests(tried);
   }
   void rollBack() override {
-    if (others_) others_->resume();
+    if (membership_) membership_->resume();
 #ifdef CLIENT_PROXY_OWNERSHIP
     if (ownership_) ownership_->resume();
 #endif
@@ -289,29 +289,29 @@
 
   void listenToStaff() {
     console_.page("/admission", [this] { return proxy_.admissionReport(); });
-    if (others_) console_.page("/fleet", [this] { return others_->page(); });
-    if (others_) console_.page("/fleet/brief", [this] { return others_->summary(); });
+    if (membership_) console_.page("/fleet", [this] { return membership_->page(); });
+    if (membership_) console_.page("/fleet/brief", [this] { return membership_->summary(); });
 #ifdef CLIENT_PROXY_OWNERSHIP
     if (ownership_) console_.page("/deeds", [this] { return ownership_->page(); });
-    if (ownership_) console_.page("/rehearsal", [this] { return ownership_->rehearsalPage(); });
+    if (ownership_) console_.page("/rehearsal", [this] { return ownership_->changePreviewPage(); });
     if (ownership_) console_.page("/recovery", [this] { return ownership_->recoveryPage(); });
 #endif
 #ifdef CLIENT_PROXY_SUBSCRIPTION
     if (shared_) console_.page("/configuration", [this] { return shared_->page(); });
 #endif
-    if (others_) console_.page("/zones", [this] { return others_->zones(); });
-    if (console_at_) console_.listen(*console_at_);
-    if (!status_at_) return;
-    if (!status_at_->address().is_loopback())
-      throw std::runtime_error(status_at_->address().to_string() + " is not a loopback address");
-    console_.listen(*status_at_);
+    if (membership_) console_.page("/zones", [this] { return membership_->zones(); });
+    if (console_endpoint_) console_.listen(*console_endpoint_);
+    if (!status_endpoint_) return;
+    if (!status_endpoint_->address().is_loopback())
+      throw std::runtime_error(status_endpoint_->address().to_string() + " is not a loopback address");
+    console_.listen(*status_endpoint_);
   }
 
   // Where services are, requests of theirs pass it.
   void makeOwnershipService() {
     if (!services_) return;
 #ifdef CLIENT_PROXY_OWNERSHIP
-    if (!others_) throw std::runtime_error("services: this instance has no fleet to ask");
+    if (!membership_) throw std::runtime_error("services: this instance has no fleet to ask");
     ownership::OwnershipService::Settings s;
     s.own = *services_;
     s.fleet = fleet_->name;
@@ -325,7 +325,7 @@
     }
     s.pending = [this] { return source_.pendingServices(); };
     s.rooms = [this] { return proxy_.zoneRooms(); };
-    ownership_ = std::make_unique<ownership::OwnershipService>(io_, clock_, log_, std::move(s), *others_,
+    ownership_ = std::make_unique<ownership::OwnershipService>(io_, clock_, log_, std::move(s), *membership_,
                                                                [this] { return proxy_.canServe(); });
     proxy_.setGate(ownership_.get());
 #else
@@ -354,22 +354,21 @@
                                " any more: restart");
   }
 #endif
-  bool rehearse(std::string& said) override {
+  std::optional<std::string> beginChangePreview() override {
 #ifdef CLIENT_PROXY_OWNERSHIP
-    if (ownership_) return (said = ownership_->rehearse()).empty();
+    if (ownership_) return ownership_->beginChangePreview();
 #endif
-    said = "there are no services";
-    return false;
+    return "there are no services";
   }
-  bool give(const std::string& service, const std::string& zone, std::string& said) override {
+  std::optional<std::string> overrideOwner([[maybe_unused]] const std::string& service,
+                                           [[maybe_unused]] const std::string& zone) override {
 #ifdef CLIENT_PROXY_OWNERSHIP
-    if (ownership_) return ownership_->give(service, zone, said);
+    if (ownership_) return ownership_->overrideOwner(service, zone);
 #endif
-    static_cast<void>(service), static_cast<void>(zone), static_cast<void>(said);
-    return false;
+    return std::nullopt;
   }
 
-  Config levelled(Config config) {
+  Config withLogLevel(Config config) {
     log_.setLevel(config.own.log_level);
     return config;
   }
@@ -385,7 +384,7 @@
         if (shared_) shared_->reread();
 #endif
       } catch (const std::exception& e) {
-        complain(log_, "configuration not taken: ", e);
+        logErrors(log_, "configuration not taken: ", e);
       }
       awaitReload();
     });
@@ -411,9 +410,9 @@
     if (!fleet_ || !next) return;
     fleet_->members_file = next->members_file;
     try {
-      if (others_) others_->setMembers(next->members);
+      if (membership_) membership_->setMembers(next->members);
     } catch (const std::exception& e) {
-      complain(log_, "fleet: members not taken: ", e);
+      logErrors(log_, "fleet: members not taken: ", e);
     }
 #ifdef CLIENT_PROXY_OPERATOR
     members_watch_.follow(fleet_->members_file);
@@ -424,10 +423,10 @@
   void takeMembers() {
     try {
       const std::vector<FleetPeer> members = source_.members(fleet_->members_file);
-      if (others_) others_->setMembers(members);
+      if (membership_) membership_->setMembers(members);
       log_.line("members file taken: " + std::to_string(members.size()) + " members");
     } catch (const std::exception& e) {
-      complain(log_, "members file not taken: ", e);
+      logErrors(log_, "members file not taken: ", e);
     }
   }
   void takeHosts() {
@@ -436,7 +435,7 @@
       log_.line("hosts file taken: " + std::to_string(list.hosts.size()) + " hosts");
       proxy_.setHosts(std::move(list));
     } catch (const std::exception& e) {
-      complain(log_, "hosts file not taken: ", e);
+      logErrors(log_, "hosts file not taken: ", e);
     }
   }
   static constexpr std::chrono::milliseconds kLook{500};
@@ -445,9 +444,9 @@
   Source& source_;
   const Clock clock_;
   Log log_;
-  std::string shared_at_;  // where a process that takes this one's place finds it; empty: nowhere
+  std::string restart_socket_;  // where a process that takes this one's place finds it; empty: nowhere
   std::string name_;
-  std::optional<Endpoint> status_at_, console_at_;
+  std::optional<Endpoint> status_endpoint_, console_endpoint_;
   std::string hosts_file_;
   std::optional<FleetSettings> fleet_;
   std::optional<ServiceSettings> services_;
@@ -459,7 +458,7 @@
   boost::asio::signal_set end_, reload_;
   console::ConsoleServer console_;
   std::optional<hot_restart::HotRestartLink> link_;
-  std::unique_ptr<fleet_transport::MembershipService> others_;  // null: no word is sent to any
+  std::unique_ptr<fleet_transport::MembershipService> membership_;  // null: no word is sent to any
 #ifdef CLIENT_PROXY_OWNERSHIP
   std::unique_ptr<ownership::OwnershipService> ownership_;  // null: there are no services
 #endif
--- a/src/front/include/front/proxy.h
+++ b/src/front/include/front/proxy.h
@@ -48,11 +48,11 @@
   // A client's connection at rest, from the process before this one.
   void adopt(int descriptor) { server_.adopt(descriptor); }
   // What may not run a second time here, from the process before this one.
-  void recordPredecessorRequests(const std::vector<admission::RequestRecord>& tried) {
-    duplicates_.restore(clock_.now(), tried);
+  void recordPredecessorRequests(const std::vector<admission::RequestRecord>& record) {
+    duplicates_.restore(clock_.now(), record);
   }
   // Nothing is left here.
-  bool idle() const { return clientsHere() == 0 && pool_.openRequests() == 0; }
+  bool idle() const { return remainingConnections() == 0 && pool_.openRequests() == 0; }
   // Of clients and hosts, and the process's own.
   std::size_t descriptorsHeld() const;
   // Another process holds so many of those that both may hold together.
@@ -72,7 +72,7 @@
   // ---- by hand (docs/on-call.md) ----
 
   // This process can serve: it listens and has had a list of hosts.
-  bool canServe() const { return life_.serves() && pool_.hostCounts().listed > 0; }
+  bool canServe() const { return lifecycle_.serves() && pool_.hostCounts().listed > 0; }
   // Nothing new to this host, or again. False: no host has this id.
   bool takeOut(const std::string& host) { return pool_.takeOut(host); }
   bool putBack(const std::string& host) { return pool_.putBack(host); }
@@ -97,7 +97,7 @@
   // that rest before long. Listening goes on. Either may be called twice.
   void drainClients();
   void takeClients();
-  bool drained() const { return life_.drained(); }
+  bool drained() const { return lifecycle_.drained(); }
   // In Prometheus' text format.
   std::string stats() const;
   // Requests that were let in since the start.
@@ -120,24 +120,24 @@
   struct TenantInfo {  // what changes of a tenant is taken at once
     bool operator==(const TenantInfo&) const = default;
   };
-  struct Known {  // classes by the path's first part, tenants by account
+  struct Registry {  // classes by the path's first part, tenants by account
     admission::IndexRegistry<load_balancer::RequestClass> classes;
     admission::IndexRegistry<TenantInfo> tenants;
-    explicit Known(const Config& config) { assign(config); }
+    explicit Registry(const Config& config) { assign(config); }
     void assign(const Config& config);
     load_balancer::Settings settings(const Config& config) const;
     admission::RequestGate::Limits limits(const Config& config) const;
   };
-  struct Claimed {  // by a service, and where it may run
+  struct ServiceClaim {  // by a service, and where it may run
     ServiceGate::Service service = 0;
     std::string zone;
   };
-  struct Held {  // waits for a place
+  struct QueuedRequest {  // waits for a place
     ClientRequest request;
     ClassInfo info;
-    admission::AdmissionRequest ask;
+    admission::AdmissionRequest admission_request;
     Time uploaded = 0;  // when the last byte of a long one came; 0: not yet
-    std::optional<Claimed> claimed = {};
+    std::optional<ServiceClaim> service_claim = {};
   };
 
   // What server and pool report.
@@ -159,38 +159,38 @@
   void conclude(ExchangeId id, std::int32_t request_class, Answer answer);
   // Tells the life cycle, and carries out what follows.
   template <typename Event>
-  void live(Event event);
+  void withLifecycle(Event event);
   void carryOut(const lifecycle::Step& step);
   // Connections that would be lost if this process left.
-  std::size_t clientsHere() const {
+  std::size_t remainingConnections() const {
     return server_.connections() + (successor_.waiting ? successor_.waiting() : 0);
   }
-  void awaitLife();
+  void awaitLifecycle();
   void answerAll(Time by);
-  Answer refusal(const admission::AdmissionRequest& ask, admission::RejectionReason reason);
+  Answer rejection(const admission::AdmissionRequest& admission_request, admission::RejectionReason reason);
   // By its service: nothing, or why it is refused at once.
   std::optional<Answer> rejectionBeforeAdmission(const RequestHead& head, const ClassInfo& info,
-                                                 const admission::AdmissionRequest& ask,
-                                                 std::optional<Claimed>& claimed);
-  void refuseWaiting(const std::vector<admission::Refusal>& refused);
+                                                 const admission::AdmissionRequest& admission_request,
+                                                 std::optional<ServiceClaim>& service_claim);
+  void rejectWaiting(const std::vector<admission::Refusal>& rejected);
   void admitWaiting();
-  void awaitPlaces();
-  void settled(ExchangeId id);
-  void summarize();
+  void awaitPermits();
+  void releasePermit(ExchangeId id);
+  void logSummary();
   void listen();
   std::optional<ClassInfo> classOf(std::string_view target) const;
-  void open(const admission::AdmissionRequest& ask, ClientRequest request, const ClassInfo& info,
-            const std::optional<Claimed>& claimed);
-  void use(const admission::AdmissionRequest& ask);
-  void releaseNumbers(const ClientRequest& request, std::int32_t request_class, std::int32_t tenant,
+  void open(const admission::AdmissionRequest& admission_request, ClientRequest request,
+            const ClassInfo& info, const std::optional<ServiceClaim>& service_claim);
+  void acquireIndices(const admission::AdmissionRequest& admission_request);
+  void releaseIndices(const ClientRequest& request, std::int32_t request_class, std::int32_t tenant,
                       bool may_have_run = false);
-  void over(const std::string& correlation, bool may_have_run);
+  void onRequestDone(const std::string& correlation, bool may_have_run);
   admission::RequestRecord requestRecordOf(const RequestHead& head, std::int32_t request_class) const;
   static Pool::Config poolConfig(const Config& config, load_balancer::Settings settings);
 
   boost::asio::io_context& io_;
   Config config_;
-  Known known_;
+  Registry registry_;
   Log& log_;
   const Clock& clock_;
   Timers timers_;
@@ -202,14 +202,14 @@
   admission::RequestGate requests_;  // by exchange
   admission::RejectionCounters rejection_counters_;
   metrics::RequestCounters counts_;
-  std::unordered_map<ExchangeId, Held> waiting_;
+  std::unordered_map<ExchangeId, QueuedRequest> waiting_;
   std::unordered_map<ExchangeId, Time> uploads_;           // how long each client waits after its last byte
   std::unordered_map<ExchangeId, std::int32_t> streamed_;  // classes of the long answers on their way
-  Time places_due_ = kNever;                               // when the gate is asked again for sure
-  bool places_freed_ = false;                              // it will be asked in this turn of the loop
-  lifecycle::Lifecycle life_;
-  Time last_ = kNever;                // nothing may be open longer: the process has to leave
-  Time life_due_ = kNever;            // when it is asked again for sure
+  Time permits_due_ = kNever;                              // when the gate is asked again for sure
+  bool permits_released_ = false;                          // it will be asked in this turn of the loop
+  lifecycle::Lifecycle lifecycle_;
+  Time shutdown_deadline_ = kNever;   // nothing may be open longer: the process has to leave
+  Time lifecycle_due_ = kNever;       // when it is asked again for sure
   hot_restart::Successor successor_;  // while another process serves
   std::function<void()> done_;
   ServiceGate* gate_ = nullptr;
--- a/src/front/limits.cpp
+++ b/src/front/limits.cpp
@@ -122,7 +122,7 @@
   return config.sockets > 2 * own ? config.sockets - own : own;
 }
 
-void Proxy::Known::assign(const Config& config) {
+void Proxy::Registry::assign(const Config& config) {
   const load_balancer::Settings& settings = config.site.settings;
   admission::IndexRegistry<load_balancer::RequestClass>::Named classes_now;
   for (std::size_t i = 0; i < config.site.classes.size(); ++i) {
@@ -138,7 +138,7 @@
 }
 
 // By number. One that no name means any more is what it was, for the requests that came under it.
-load_balancer::Settings Proxy::Known::settings(const Config& config) const {
+load_balancer::Settings Proxy::Registry::settings(const Config& config) const {
   load_balancer::Settings s = config.site.settings;
   s.classes.clear();
   for (std::size_t i = 0; i < classes.size(); ++i)
@@ -151,7 +151,7 @@
   return s;
 }
 
-admission::RequestGate::Limits Proxy::Known::limits(const Config& config) const {
+admission::RequestGate::Limits Proxy::Registry::limits(const Config& config) const {
   admission::RequestGate::Limits limits = requestLimits(config);
   const auto byNumber = [](const auto& indices, const std::vector<std::string>& names, const auto& shares) {
     std::vector<admission::RequestGate::Share> out(indices.size());
--- a/src/front/proxy.cpp
+++ b/src/front/proxy.cpp
@@ -39,18 +39,18 @@
 Proxy::Proxy(boost::asio::io_context& io, Config config, Log& log, const Clock& clock)
     : io_(io),
       config_(std::move(config)),
-      known_(config_),
+      registry_(config_),
       log_(log),
       clock_(clock),
       timers_(io, clock),
       descriptors_(clock, budgetOf(config_)),
       server_(io, timers_, descriptors_, log, *this, serverLimits(config_, descriptors_.limit())),
       pool_(io, timers_, descriptors_, log, config_.zones, *this,
-            poolConfig(config_, known_.settings(config_))),
+            poolConfig(config_, registry_.settings(config_))),
       duplicates_(repeatLimits(config_)),
-      requests_(known_.limits(config_)),
-      rejection_counters_(known_.classes.size(), known_.tenants.size()),
-      life_(longestDeadline(config_.site.settings)) {
+      requests_(registry_.limits(config_)),
+      rejection_counters_(registry_.classes.size(), registry_.tenants.size()),
+      lifecycle_(longestDeadline(config_.site.settings)) {
   // Clients that only stay are cheaper to lose than connections to hosts, which cost these work to open.
   descriptors_.addReclaimer(Side::Clients, [this] { return server_.closeOneIdle(kMayBeClosed); });
   descriptors_.addReclaimer(Side::Hosts, [this] { return pool_.closeOneIdle(); });
@@ -61,8 +61,8 @@
 
 void Proxy::listen() {
   config_.inherited ? server_.listenOn(*config_.inherited) : server_.listen(config_.listen);
-  life_.onListening();
-  timers_.after(kSummary, [this] { summarize(); });
+  lifecycle_.onListening();
+  timers_.after(kSummary, [this] { logSummary(); });
 }
 
 void Proxy::start() {
@@ -80,41 +80,41 @@
 // ---- requests ----
 
 std::optional<Proxy::ClassInfo> Proxy::classOf(std::string_view target) const {
-  const auto index = known_.classes.find(firstPart(pathOf(target)));
+  const auto index = registry_.classes.find(firstPart(pathOf(target)));
   if (!index) return std::nullopt;
-  const load_balancer::RequestClass& c = known_.classes.at(*index);
+  const load_balancer::RequestClass& c = registry_.classes.at(*index);
   return ClassInfo{*index, c.deadline, c.idempotency};
 }
 
 // What is in flight or waits goes by these numbers to its end.
-void Proxy::use(const admission::AdmissionRequest& ask) {
-  known_.classes.use(ask.request_class);
-  known_.tenants.use(ask.tenant);
+void Proxy::acquireIndices(const admission::AdmissionRequest& admission_request) {
+  registry_.classes.acquire(admission_request.request_class);
+  registry_.tenants.acquire(admission_request.tenant);
 }
 
 // It is over, or was never let in: its numbers are free.
-void Proxy::releaseNumbers(const ClientRequest& request, std::int32_t request_class, std::int32_t tenant,
+void Proxy::releaseIndices(const ClientRequest& request, std::int32_t request_class, std::int32_t tenant,
                            bool may_have_run) {
-  over(request.head.correlation, may_have_run);
-  known_.classes.release(request_class);
-  known_.tenants.release(tenant);
+  onRequestDone(request.head.correlation, may_have_run);
+  registry_.classes.release(request_class);
+  registry_.tenants.release(tenant);
 }
 
-void Proxy::over(const std::string& correlation, bool may_have_run) {
-  const admission::RequestRecord tried = duplicates_.end(clock_.now(), correlation, may_have_run);
-  if (successor_.tell && !tried.id.empty()) successor_.tell({tried});
+void Proxy::onRequestDone(const std::string& correlation, bool may_have_run) {
+  const admission::RequestRecord record = duplicates_.end(clock_.now(), correlation, may_have_run);
+  if (successor_.tell && !record.id.empty()) successor_.tell({record});
 }
 
 admission::RequestRecord Proxy::requestRecordOf(const RequestHead& head, std::int32_t request_class) const {
-  const load_balancer::RequestClass& c = known_.classes.at(request_class);
-  admission::RequestRecord tried;
-  tried.id = head.correlation;
-  tried.safe = c.idempotency == Idempotency::Idempotent;
-  if (c.idempotency == Idempotency::IdempotentWithKey) tried.key = head.key;
+  const load_balancer::RequestClass& c = registry_.classes.at(request_class);
+  admission::RequestRecord record;
+  record.id = head.correlation;
+  record.safe = c.idempotency == Idempotency::Idempotent;
+  if (c.idempotency == Idempotency::IdempotentWithKey) record.key = head.key;
   if (c.idempotency == Idempotency::IdempotentWithKey &&
       c.deduplication_scope == load_balancer::DeduplicationScope::All)
-    tried.deduplication_window = c.deduplication_window;
-  return tried;
+    record.deduplication_window = c.deduplication_window;
+  return record;
 }
 
 std::optional<Answer> Proxy::onHead(const RequestHead& head, bool room) {
@@ -127,11 +127,11 @@
     return answer;
   };
   if (const auto fault = faultOf(head, info->idempotency)) return counted(plainAnswer(fault->status));
-  const admission::AdmissionRequest ask = admissionRequestOf(0, head, *info, 0, 0);
-  const RejectionReason reason = room ? requests_.early(ask) : RejectionReason::ConnectionLimit;
+  const admission::AdmissionRequest admission_request = admissionRequestOf(0, head, *info, 0, 0);
+  const RejectionReason reason = room ? requests_.early(admission_request) : RejectionReason::ConnectionLimit;
   if (reason == RejectionReason::None) return std::nullopt;
   requests_.noteRefused(clock_.now());
-  return counted(refusal(ask, reason));
+  return counted(rejection(admission_request, reason));
 }
 
 void Proxy::onRequest(ExchangeId id, ClientRequest request) {
@@ -146,44 +146,47 @@
       std::min(request.head.has_time_left ? parseSeconds(request.head.time_left).value_or(0) : info->deadline,
                info->deadline);
   // Of a long request only the beginning is here; its client's time runs from its last byte.
-  const Time deadline = std::min(request.received + (request.rest ? kLongestUpload : left), last_);
-  if (left > 0 && clock_.now() >= last_)
+  const Time deadline =
+      std::min(request.received + (request.rest ? kLongestUpload : left), shutdown_deadline_);
+  if (left > 0 && clock_.now() >= shutdown_deadline_)
     return conclude(id, info->index,
-                    refusal(admissionRequestOf(id, request.head, *info, 0, 0), RejectionReason::Shutdown));
+                    rejection(admissionRequestOf(id, request.head, *info, 0, 0), RejectionReason::Shutdown));
   if (left <= 0 || deadline <= clock_.now())
     return conclude(id, info->index, plainAnswer(504));  // over before it was read
   const std::size_t bytes = (request.body ? request.body->size() : 0) + request.head.forward.size();
-  const admission::AdmissionRequest ask = admissionRequestOf(id, request.head, *info, bytes, deadline);
-  std::optional<Claimed> claimed;
-  if (auto answer = rejectionBeforeAdmission(request.head, *info, ask, claimed))
+  const admission::AdmissionRequest admission_request =
+      admissionRequestOf(id, request.head, *info, bytes, deadline);
+  std::optional<ServiceClaim> service_claim;
+  if (auto answer = rejectionBeforeAdmission(request.head, *info, admission_request, service_claim))
     return conclude(id, info->index, std::move(*answer));
   // Two open requests of one id: hosts could not tell them apart, nor could their answers be told apart. The
   // first one's attempts count too, also after its answer; and what may have run must not run again. It would
   // harm clients that reuse an id, or a key for another request, within seconds.
-  const admission::RequestRecord tried = requestRecordOf(request.head, info->index);
-  if (duplicates_.offer(clock_.now(), tried) != admission::DuplicateDetector::Verdict::New)
+  const admission::RequestRecord record = requestRecordOf(request.head, info->index);
+  if (duplicates_.offer(clock_.now(), record) != admission::DuplicateDetector::Verdict::New)
     return conclude(id, info->index, plainAnswer(409));
   if (request.rest) uploads_[id] = left;
   std::vector<admission::Refusal> displaced;
-  const admission::Verdict verdict = requests_.offer(clock_.now(), ask, displaced);
+  const admission::Verdict verdict = requests_.offer(clock_.now(), admission_request, displaced);
   switch (verdict.entry) {
     case admission::Entry::Admitted:
-      use(ask);
-      rejection_counters_.note(RejectionReason::None, ask.request_class, ask.tenant);
-      open(ask, std::move(request), *info, claimed);
+      acquireIndices(admission_request);
+      rejection_counters_.note(RejectionReason::None, admission_request.request_class,
+                               admission_request.tenant);
+      open(admission_request, std::move(request), *info, service_claim);
       break;
     case admission::Entry::Waits:
-      use(ask);
-      waiting_.emplace(id, Held{std::move(request), *info, ask, 0, claimed});
+      acquireIndices(admission_request);
+      waiting_.emplace(id, QueuedRequest{std::move(request), *info, admission_request, 0, service_claim});
       break;
     case admission::Entry::Refused:
-      over(request.head.correlation, false);
+      onRequestDone(request.head.correlation, false);
       uploads_.erase(id);
-      conclude(id, info->index, refusal(ask, verdict.reason));
+      conclude(id, info->index, rejection(admission_request, verdict.reason));
       break;
   }
-  refuseWaiting(displaced);
-  awaitPlaces();
+  rejectWaiting(displaced);
+  awaitPermits();
 }
 
 // ---- admission: who gets a place, before the module hears of a request ----
@@ -193,108 +196,109 @@
                                                       Time deadline) const {
   return {.id = id,
           .request_class = info.index,
-          .tenant = known_.tenants.find(head.account).value_or(load_balancer::kUnset),
+          .tenant = registry_.tenants.find(head.account).value_or(load_balancer::kUnset),
           .bytes = bytes + kRequestCost,
           .deadline = deadline,
           .retry = head.repeat};
 }
 
 // Nothing was sent for it yet: trying again is harmless, whatever its class.
-Answer Proxy::refusal(const admission::AdmissionRequest& ask, RejectionReason reason) {
-  rejection_counters_.note(reason, ask.request_class, ask.tenant);
+Answer Proxy::rejection(const admission::AdmissionRequest& admission_request, RejectionReason reason) {
+  rejection_counters_.note(reason, admission_request.request_class, admission_request.tenant);
   Answer answer = plainAnswer(503);
   if (const Time advice = requests_.advice(clock_.now()); advice > 0) answer.retry_after = advice;
   return answer;
 }
 
 std::optional<Answer> Proxy::rejectionBeforeAdmission(const RequestHead& head, const ClassInfo& info,
-                                                      const admission::AdmissionRequest& ask,
-                                                      std::optional<Claimed>& claimed) {
+                                                      const admission::AdmissionRequest& admission_request,
+                                                      std::optional<ServiceClaim>& service_claim) {
   if (gate_ == nullptr) return std::nullopt;
   const auto later = [&](RejectionReason reason, Time wait) {
-    Answer answer = refusal(ask, reason);
+    Answer answer = rejection(admission_request, reason);
     const Time most = config_.site.settings.max_retry_after;
     if (config_.site.settings.retry_after && wait > 0) answer.retry_after = std::min(wait, most);
     return answer;
   };
-  const std::string& name = known_.classes.name(static_cast<std::size_t>(info.index));
+  const std::string& name = registry_.classes.name(static_cast<std::size_t>(info.index));
   const ServiceGate::Match match = gate_->serviceOf(head, name, info.idempotency);
   if (match.malformed) return plainAnswer(400);
-  if (const auto wait = gate_->heldBack(known_.classes.at(info.index), match.service.has_value()))
+  if (const auto wait = gate_->delayAfterRestart(registry_.classes.at(info.index), match.service.has_value()))
     return later(RejectionReason::StagedRestart, *wait);
   if (!match.service) return std::nullopt;
-  const ServiceGate::Leave leave = gate_->leave(*match.service);
-  if (!leave.may) return later(RejectionReason::NoLease, leave.wait);
-  claimed = Claimed{*match.service, leave.zone};
+  const ServiceGate::Permission permission = gate_->permission(*match.service);
+  if (!permission.allowed) return later(RejectionReason::NoLease, permission.retry_after);
+  service_claim = ServiceClaim{*match.service, permission.zone};
   return std::nullopt;
 }
 
-void Proxy::refuseWaiting(const std::vector<admission::Refusal>& refused) {
-  for (const admission::Refusal& r : refused) {
+void Proxy::rejectWaiting(const std::vector<admission::Refusal>& rejected) {
+  for (const admission::Refusal& r : rejected) {
     const auto it = waiting_.find(r.id);
     if (it == waiting_.end()) continue;
-    const Held held = std::move(it->second);
+    const QueuedRequest queued = std::move(it->second);
     waiting_.erase(it);
-    releaseNumbers(held.request, held.ask.request_class, held.ask.tenant);
+    releaseIndices(queued.request, queued.admission_request.request_class, queued.admission_request.tenant);
     uploads_.erase(r.id);
-    conclude(r.id, held.ask.request_class, refusal(held.ask, r.reason));
+    conclude(r.id, queued.admission_request.request_class, rejection(queued.admission_request, r.reason));
   }
 }
 
 void Proxy::admitWaiting() {
-  places_freed_ = false;
+  permits_released_ = false;
   std::vector<admission::RequestKey> admitted;
-  std::vector<admission::Refusal> refused;
-  requests_.next(clock_.now(), admitted, refused);
-  refuseWaiting(refused);
+  std::vector<admission::Refusal> rejected;
+  requests_.next(clock_.now(), admitted, rejected);
+  rejectWaiting(rejected);
   for (const ExchangeId id : admitted) {
     const auto it = waiting_.find(id);
-    Held held = std::move(it->second);
+    QueuedRequest queued = std::move(it->second);
     waiting_.erase(it);
-    rejection_counters_.note(RejectionReason::None, held.ask.request_class, held.ask.tenant);
-    open(held.ask, std::move(held.request), held.info, held.claimed);
-    if (held.uploaded != 0) pool_.uploaded(id, held.uploaded, held.ask.deadline);
+    rejection_counters_.note(RejectionReason::None, queued.admission_request.request_class,
+                             queued.admission_request.tenant);
+    open(queued.admission_request, std::move(queued.request), queued.info, queued.service_claim);
+    if (queued.uploaded != 0) pool_.uploaded(id, queued.uploaded, queued.admission_request.deadline);
   }
-  awaitPlaces();
+  awaitPermits();
 }
 
 // Timers are never withdrawn: a new one is set only where the next is due earlier than any that is set.
-void Proxy::awaitPlaces() {
+void Proxy::awaitPermits() {
   const Time due = requests_.due();
-  if (due >= places_due_) return;
-  places_due_ = due;
+  if (due >= permits_due_) return;
+  permits_due_ = due;
   timers_.at(due, [this, due] {
-    if (places_due_ == due) places_due_ = kNever;
+    if (permits_due_ == due) permits_due_ = kNever;
     admitWaiting();
   });
 }
 
 // The client has its answer, or has gone: the place is free. Whoever waits for it gets it in the same turn of
 // the loop, but not from within what is going on now.
-void Proxy::settled(ExchangeId id) {
+void Proxy::releasePermit(ExchangeId id) {
   requests_.release(clock_.now(), id);
-  if (requests_.waiting() == 0 || std::exchange(places_freed_, true)) return;
+  if (requests_.waiting() == 0 || std::exchange(permits_released_, true)) return;
   asio::post(io_, [this] { admitWaiting(); });
 }
 
-void Proxy::summarize() {
+void Proxy::logSummary() {
   const std::string news = rejection_counters_.newsSinceLast(server_.gate().closed());
   if (!news.empty()) log_.line("admission, last 10 s: " + news);
-  timers_.after(kSummary, [this] { summarize(); });
+  timers_.after(kSummary, [this] { logSummary(); });
 }
 
 // ---- requests that were let in ----
 
-void Proxy::open(const admission::AdmissionRequest& ask, ClientRequest request, const ClassInfo& info,
-                 const std::optional<Claimed>& claimed) {
-  AdmittedRequest taken{.exchange = ask.id,
+void Proxy::open(const admission::AdmissionRequest& admission_request, ClientRequest request,
+                 const ClassInfo& info, const std::optional<ServiceClaim>& service_claim) {
+  AdmittedRequest taken{.exchange = admission_request.id,
                         .request = std::move(request),
-                        .request_class = ask.request_class,
-                        .tenant = ask.tenant,
+                        .request_class = admission_request.request_class,
+                        .tenant = admission_request.tenant,
                         .idempotency = info.idempotency,
-                        .deadline = ask.deadline,
+                        .deadline = admission_request.deadline,
                         .patience = info.deadline};
-  if (claimed) taken.service = claimed->service, taken.zone = claimed->zone;
+  if (service_claim) taken.service = service_claim->service, taken.zone = service_claim->zone;
   pool_.open(std::move(taken));
 }
 
@@ -302,22 +306,22 @@
   const ExchangeId id = request.exchange;
   const std::int32_t request_class = request.request_class;
   uploads_.erase(id);
-  settled(id);
+  releasePermit(id);
   if (gate_ != nullptr)
-    gate_->ended({request.request.head, known_.classes.name(static_cast<std::size_t>(request_class)),
-                  request.idempotency, known_.classes.at(request_class).priority_weight, request.ran_in,
-                  request.ran_for, answer.status});
+    gate_->onCompleted({request.request.head, registry_.classes.name(static_cast<std::size_t>(request_class)),
+                        request.idempotency, registry_.classes.at(request_class).priority_weight,
+                        request.last_zone, request.last_duration, answer.status});
   conclude(id, request_class, std::move(answer));
 }
 
 void Proxy::onUploaded(ExchangeId id, Time received) {
   const auto it = uploads_.find(id);
   if (it == uploads_.end()) return;
-  const Time deadline = std::min(received + it->second, last_);
+  const Time deadline = std::min(received + it->second, shutdown_deadline_);
   uploads_.erase(it);
-  if (const auto held = waiting_.find(id); held != waiting_.end()) {
-    held->second.ask.deadline = deadline;
-    held->second.uploaded = received;
+  if (const auto queued = waiting_.find(id); queued != waiting_.end()) {
+    queued->second.admission_request.deadline = deadline;
+    queued->second.uploaded = received;
     return;
   }
   pool_.uploaded(id, received, deadline);
@@ -341,18 +345,19 @@
 }
 
 void Proxy::onCompleted(const AdmittedRequest& request) {
-  releaseNumbers(request.request, request.request_class, request.tenant, request.may_have_run);
+  releaseIndices(request.request, request.request_class, request.tenant, request.may_have_run);
 }
 
 void Proxy::onClientGone(ExchangeId id) {
   uploads_.erase(id);
-  if (const auto held = waiting_.find(id); held != waiting_.end()) {
-    releaseNumbers(held->second.request, held->second.ask.request_class, held->second.ask.tenant);
-    waiting_.erase(held);
+  if (const auto queued = waiting_.find(id); queued != waiting_.end()) {
+    releaseIndices(queued->second.request, queued->second.admission_request.request_class,
+                   queued->second.admission_request.tenant);
+    waiting_.erase(queued);
     requests_.release(clock_.now(), id);
     return;
   }
-  if (pool_.clientGone(id)) settled(id);
+  if (pool_.clientGone(id)) releasePermit(id);
 }
 
 // ---- reload ----
@@ -373,18 +378,18 @@
   next.site.settings.client = config_.site.settings.client;
   next.memory_mb = config_.memory_mb;
   next.sockets = config_.sockets;
-  Known known = known_;
+  Registry known = registry_;
   known.assign(next);
   load_balancer::Settings settings = known.settings(next);
   const admission::RequestGate::Limits limits = known.limits(next);
-  const admission::RequestGate tried(limits);  // throws where they can't hold together
+  const admission::RequestGate record(limits);  // throws where they can't hold together
   // Or this; nothing has changed until then.
   pool_.reconfigure(std::move(settings), upstreamLimits(next));
-  known_ = std::move(known);
+  registry_ = std::move(known);
   requests_.reconfigure(limits);
   duplicates_.reconfigure(repeatLimits(next));
-  life_.setLongest(longestDeadline(next.site.settings));
-  rejection_counters_.grow(known_.classes.size(), known_.tenants.size());
+  lifecycle_.setLongest(longestDeadline(next.site.settings));
+  rejection_counters_.grow(registry_.classes.size(), registry_.tenants.size());
   server_.reconfigure(serverLimits(next, descriptors_.limit()).connections);
   log_.setLevel(next.own.log_level);
   HostList hosts = std::exchange(next.known, {});
--- a/src/front/proxy_life.cpp
+++ b/src/front/proxy_life.cpp
@@ -11,11 +11,11 @@
 using admission::RejectionReason;
 
 template <typename Event>
-void Proxy::live(Event event) {
+void Proxy::withLifecycle(Event event) {
   lifecycle::Steps steps;
   event(steps);
   for (const lifecycle::Step& step : steps) carryOut(step);
-  awaitLife();
+  awaitLifecycle();
 }
 
 void Proxy::start(const hot_restart::State& state) {
@@ -46,15 +46,15 @@
 void Proxy::handOn(hot_restart::Successor successor) {
   successor_ = std::move(successor);
   if (successor_.tell) {  // before any client can repeat something there
-    if (const auto tried = duplicates_.snapshot(clock_.now()); !tried.empty()) successor_.tell(tried);
+    if (const auto record = duplicates_.snapshot(clock_.now()); !record.empty()) successor_.tell(record);
     successor_.tell({});  // that was all
   }
-  live([this](lifecycle::Steps& steps) { life_.onHandOn(steps); });
+  withLifecycle([this](lifecycle::Steps& steps) { lifecycle_.onHandOn(steps); });
 }
 
 void Proxy::rollBack() {
   successor_ = {};
-  live([this](lifecycle::Steps& steps) { life_.onRollBack(steps); });
+  withLifecycle([this](lifecycle::Steps& steps) { lifecycle_.onRollBack(steps); });
 }
 
 void Proxy::carryOut(const lifecycle::Step& step) {
@@ -82,43 +82,44 @@
 }
 
 // As for places: a new timer only where something is due earlier than any that is set.
-void Proxy::awaitLife() {
-  const Time due = life_.due();
-  if (due >= life_due_) return;
-  life_due_ = due;
+void Proxy::awaitLifecycle() {
+  const Time due = lifecycle_.due();
+  if (due >= lifecycle_due_) return;
+  lifecycle_due_ = due;
   timers_.at(due, [this, due] {
-    if (life_due_ == due) life_due_ = kNever;
-    live([this](lifecycle::Steps& steps) { life_.onTime(clock_.now(), clientsHere(), steps); });
+    if (lifecycle_due_ == due) lifecycle_due_ = kNever;
+    withLifecycle(
+        [this](lifecycle::Steps& steps) { lifecycle_.onTime(clock_.now(), remainingConnections(), steps); });
   });
 }
 
 // Whoever waits for a place by then does not get one any more.
 void Proxy::answerAll(Time by) {
-  last_ = by;
+  shutdown_deadline_ = by;
   pool_.finishBy(by);
   timers_.at(by, [this] {
     std::vector<admission::Refusal> left;
-    for (const auto& [id, held] : waiting_) left.push_back({id, RejectionReason::Shutdown});
+    for (const auto& [id, queued] : waiting_) left.push_back({id, RejectionReason::Shutdown});
     for (const admission::Refusal& r : left) requests_.release(clock_.now(), r.id);
-    refuseWaiting(left);
+    rejectWaiting(left);
   });
 }
 
 void Proxy::drainClients() {
-  live([this](lifecycle::Steps& steps) {
-    if (life_.onDrain(clock_.now(), steps)) log_.line("draining clients, by hand");
+  withLifecycle([this](lifecycle::Steps& steps) {
+    if (lifecycle_.onDrain(clock_.now(), steps)) log_.line("draining clients, by hand");
   });
 }
 
 void Proxy::takeClients() {
-  live([this](lifecycle::Steps& steps) {
-    if (life_.onUndrain(steps)) log_.line("taking clients again, by hand");
+  withLifecycle([this](lifecycle::Steps& steps) {
+    if (lifecycle_.onUndrain(steps)) log_.line("taking clients again, by hand");
   });
 }
 
 void Proxy::shutdown(std::function<void()> done) {
-  live([&](lifecycle::Steps& steps) {
-    if (!life_.onEnd(clock_.now(), steps)) return;
+  withLifecycle([&](lifecycle::Steps& steps) {
+    if (!lifecycle_.onEnd(clock_.now(), steps)) return;
     done_ = std::move(done);
     log_.line("shutting down");
   });
--- a/src/front/proxy_report.cpp
+++ b/src/front/proxy_report.cpp
@@ -12,7 +12,7 @@
   using nlohmann::json;
   const admission::ConnectionGate& c = server_.gate();
   const auto bound = [](std::size_t n) { return n == admission::kNoBound ? json() : json(n); };
-  json closed = json::object(), refused = json::object();
+  json closed = json::object(), rejected = json::object();
   const auto named = [](const auto& indices, std::size_t i) {
     return i < indices.size() ? indices.name(i) : "other";
   };
@@ -24,7 +24,7 @@
       for (std::size_t t = 0; t < rejection_counters_.tenants(); ++t) {
         const auto n = rejection_counters_.count(reason, k, t);
         if (n == 0) continue;
-        json& cell = refused[name][named(known_.classes, k)][named(known_.tenants, t)];
+        json& cell = rejected[name][named(registry_.classes, k)][named(registry_.tenants, t)];
         cell = n + (cell.is_number() ? cell.get<std::uint64_t>() : 0);  // a name may have had several numbers
       }
     }
@@ -57,14 +57,14 @@
         {"most_waiting", bound(limits.waiting)},
         {"most_bytes", bound(limits.bytes)},
         {"admitted", rejection_counters_.total(RejectionReason::None)},
-        {"refused", refused}}}};
+        {"refused", rejected}}}};
   return report.dump(2);
 }
 
 std::string Proxy::stats() const {
   metrics::ProxyMetrics page;
-  for (std::size_t i = 0; i < known_.classes.size(); ++i)
-    page.classes.push_back({known_.classes.name(i), counts_.of(i)});
+  for (std::size_t i = 0; i < registry_.classes.size(); ++i)
+    page.classes.push_back({registry_.classes.name(i), counts_.of(i)});
   const load_balancer::HostCounts hosts = pool_.hostCounts();
   page.concurrent = server_.openRequests();
   page.targets = hosts.listed;
--- a/src/leases/claims.cpp
+++ b/src/leases/claims.cpp
@@ -109,7 +109,7 @@
     send(v.to, vote, out);
   }
   if (votes.empty()) return;
-  out.log_lines.push_back("deeds: " + nameOfService(stored.service) + " is promised, " +
+  out.log_lines.push_back("lease granted service=" + nameOfService(stored.service) + " " +
                           describe(stored.grant));
   if (stored.grant.site != site_) invalidate(stored.service);
   if (!own) return;
@@ -128,8 +128,8 @@
   overrides_.push_back({service, grant, now + 3 * settings_.lease});
   learn(now, service, grant, out);
   claim(now, service, grant, out);
-  out.log_lines.push_back("deeds: decree on " + nameOfService(service) + ", " + describe(grant) + "; " +
-                          overrides);
+  out.log_lines.push_back("owner overridden service=" + nameOfService(service) + " " + describe(grant) +
+                          ": " + overrides);
   return overrides;
 }
 
--- a/src/leases/conflict_detection.cpp
+++ b/src/leases/conflict_detection.cpp
@@ -24,8 +24,7 @@
   reportCopy(from, self_);
   if (self_ < from) return;
   out.discard_storage = true;
-  out.log_lines.push_back("deeds: member " + std::to_string(from) +
-                          " has this one's memory: it is given up here");
+  out.log_lines.push_back("storage copied member=" + std::to_string(from) + ": the copy here is discarded");
   start(now, {}, 0);
 }
 
@@ -50,13 +49,13 @@
 }
 
 void Member::report(Time now, const Conflict& conflict, Output& out) {
-  const std::string service = conflict.service == 0 ? "" : " of " + nameOfService(conflict.service);
-  const std::string claim = conflict.claim.term == 0
-                                ? ""
-                                : ", " + describe(conflict.claim) + " against " + describe(conflict.against);
   if (!conflicts_.note(now, conflict)) return;
-  out.log_lines.push_back("deeds: " + std::string(nameOf(conflict.kind)) + " claim" + service +
-                          " by member " + std::to_string(conflict.claimant) + claim);
+  std::string line = "lease conflict kind=" + std::string(nameOf(conflict.kind));
+  if (conflict.service != 0) line += " service=" + nameOfService(conflict.service);
+  line += " claimant=" + std::to_string(conflict.claimant);
+  if (conflict.claim.term != 0)
+    line += " claimed: " + describe(conflict.claim) + " known: " + describe(conflict.against);
+  out.log_lines.push_back(std::move(line));
 }
 
 void Member::onHostTerm(Time now, ServiceId service, Term term, Output& out) {
--- a/src/leases/member.cpp
+++ b/src/leases/member.cpp
@@ -9,7 +9,7 @@
 using fleet::kMillisecond;
 
 std::string describe(const Grant& grant) {
-  return "term " + std::to_string(grant.term) + " (" + std::string(nameOf(grant.reason)) + ")";
+  return "term=" + std::to_string(grant.term) + " reason=" + std::string(nameOf(grant.reason));
 }
 
 Member::Member(const Settings& settings, std::vector<Service> services, std::vector<Listed> listed,
@@ -99,8 +99,7 @@
   if (now >= query_at_) queryLeases(now, out);
   for (const StoredGrant& s : lease_holder_.becomeReady(now)) {
     out.writes.push_back(s);
-    out.log_lines.push_back("deeds: " + nameOfService(s.service) + " may be served here, " +
-                            describe(s.grant));
+    out.log_lines.push_back("lease ready service=" + nameOfService(s.service) + " " + describe(s.grant));
   }
   publishOwnLeases();
   due_ = std::min({renew_at_, claim_at_, query_at_});
--- a/src/net/include/net/service_gate.h
+++ b/src/net/include/net/service_gate.h
@@ -16,11 +16,11 @@
 class ServiceGate {
  public:
   using Service = std::uint32_t;
-  struct Leave {
-    bool may = false;
+  struct Permission {
+    bool allowed = false;
     std::string zone;        // where, if it may
     std::uint32_t term = 0;  // by which; told to the host
-    Time wait = 0;           // if not: when to ask again; 0: nobody can tell
+    Time retry_after = 0;    // if not; 0: not known
   };
   virtual ~ServiceGate() = default;
   struct Match {
@@ -30,12 +30,12 @@
   virtual Match serviceOf(const RequestHead& head, std::string_view request_class,
                           load_balancer::Idempotency idempotency) const = 0;
   // To be asked when a request comes, and again at the moment of each sending.
-  virtual Leave leave(Service service) const = 0;
+  virtual Permission permission(Service service) const = 0;
   // While the proxy comes back from a power cut: how long a request of this class has to stay away yet, since
   // it may be one that ran before. Nothing: it may be served. `served`: by a service's one site.
-  virtual std::optional<Time> heldBack(const load_balancer::RequestClass& of, bool served) const = 0;
+  virtual std::optional<Time> delayAfterRestart(const load_balancer::RequestClass& of, bool served) const = 0;
   // A request that was let in has its answer.
-  struct Ended {
+  struct CompletedRequest {
     const RequestHead& head;
     std::string_view request_class;
     load_balancer::Idempotency idempotency = load_balancer::Idempotency::Idempotent;
@@ -44,9 +44,9 @@
     Time took = 0;          // there
     int status = 0;
   };
-  virtual void ended(const Ended& request) = 0;
+  virtual void onCompleted(const CompletedRequest& request) = 0;
   // A host has turned a request away, unprocessed, since it knows a newer term.
-  virtual void turnedAway(Service service, std::uint32_t term) = 0;
+  virtual void onRejectedByHost(Service service, std::uint32_t term) = 0;
 };
 
 }  // namespace client_proxy
--- a/src/ownership/change_preview_coordinator.cpp
+++ b/src/ownership/change_preview_coordinator.cpp
@@ -85,7 +85,7 @@
       environment_(std::move(environment)),
       record_(kRecorded, kSpan, self + 1U) {}
 
-void ChangePreviewCoordinator::note(const ServiceGate::Ended& r, Time now) {
+void ChangePreviewCoordinator::note(const ServiceGate::CompletedRequest& r, Time now) {
   const routing::Target target = routing::targetOf(r.head.target);
   if (!target.ok()) return;
   traffic_sample::SampledRequest e;
@@ -109,16 +109,15 @@
   record_.note(e);
 }
 
-std::optional<ChangePreviewCoordinator::Pending> ChangePreviewCoordinator::readPending(
-    std::string& fault) const {
+std::variant<ChangePreviewCoordinator::Pending, ChangePreviewCoordinator::InvalidPending>
+ChangePreviewCoordinator::readPending() const {
   try {
     ServiceSettings settings = environment_.pending();
     Services services(settings.services);
     const std::uint32_t hash = services.hash() == 0 ? 1 : services.hash();
     return Pending{hash, std::move(settings.services), std::move(services)};
   } catch (const std::exception& e) {
-    fault = e.what();
-    return std::nullopt;
+    return InvalidPending{e.what()};
   }
 }
 
@@ -156,30 +155,30 @@
   change_preview::PreviewInputs g;
   g.file = now_.hash();
   g.pending = pending_;
-  std::uint32_t deeds = 0, members = 0;
-  for (const leases::Service& s : now_.deeds()) {
+  std::uint32_t services = 0, members = 0;
+  for (const leases::Service& s : now_.services()) {
     const leases::Grant d = environment_.known(s.id);
-    deeds ^= leases::serviceId(s.name + "/" + std::to_string(d.term) + "/" + std::to_string(d.site));
+    services ^= leases::serviceId(s.name + "/" + std::to_string(d.term) + "/" + std::to_string(d.site));
   }
   for (const Number n : environment_.live()) members ^= leases::serviceId("member " + std::to_string(n));
-  g.deeds = deeds;
+  g.services = services;
   g.members = members;
   return g;
 }
 
-std::string ChangePreviewCoordinator::begin(Time now) {
-  std::string fault;
-  const auto pending = readPending(fault);
-  if (!pending) return fault;
+std::optional<std::string> ChangePreviewCoordinator::begin(Time now) {
+  const std::variant<Pending, InvalidPending> read = readPending();
+  if (const auto* const invalid = std::get_if<InvalidPending>(&read)) return invalid->reason;
+  const auto& pending = std::get<Pending>(read);
   ++round_;
-  pending_ = pending->hash;
+  pending_ = pending.hash;
   began_ = now;
   heard_.clear();
-  heard_[self_] = {pending_, {}, 0, replay(*pending, now)};
+  heard_[self_] = {pending_, {}, 0, replay(pending, now)};
   inputs_ = inputs();
   asked_ = now - kAskEvery;
   onTime(now);
-  return {};
+  return std::nullopt;
 }
 
 void ChangePreviewCoordinator::ask(Number to) {
@@ -215,11 +214,11 @@
   const auto pending = in.get<std::uint32_t>();
   if (!in.ok()) return;
   if (kind == kAsk) {
-    std::string fault;
-    const auto own = readPending(fault);
-    const std::uint32_t hash = own ? own->hash : 0;
+    const std::variant<Pending, InvalidPending> read = readPending();
+    const auto* const own = std::get_if<Pending>(&read);
+    const std::uint32_t hash = own != nullptr ? own->hash : 0;
     std::vector<std::string> pieces = {""};
-    if (own && hash == pending) pieces = piecesOf(replay(*own, now), kPiece);
+    if (own != nullptr && hash == pending) pieces = piecesOf(replay(*own, now), kPiece);
     for (std::size_t i = 0; i < pieces.size() && i < 255; ++i) {
       std::string bytes;
       fleet::put(bytes, kTell);
--- a/src/ownership/include/ownership/change_preview_coordinator.h
+++ b/src/ownership/include/ownership/change_preview_coordinator.h
@@ -1,5 +1,5 @@
-// A rehearsal over the fleet: what this member has served, tried on the pending file; and, where it was asked
-// for, the others' sums gathered and judged.
+// A change preview over the fleet: replays what this member has served on the pending file; the member that
+// was asked for the preview gathers the totals of all and assesses them.
 #pragma once
 
 #include <functional>
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 #include "change_preview/change_preview.h"
@@ -37,9 +38,9 @@
                            Environment environment);
 
   static bool isMine(std::string_view parcel) { return !parcel.empty() && (parcel.front() & 0x0F) == 0; }
-  void note(const ServiceGate::Ended& request, Time now);
-  // Asks all live members. What is wrong with the pending file; empty: it has begun.
-  std::string begin(Time now);
+  void note(const ServiceGate::CompletedRequest& request, Time now);
+  // Asks all live members. Returns what is wrong with the pending file; nothing: the preview has begun.
+  std::optional<std::string> begin(Time now);
   void receive(Time now, Number from, std::string_view parcel);
   void onTime(Time now);  // some times a second
   // Whether all that are live have told, or will not.
@@ -52,7 +53,10 @@
     std::vector<ServiceSetting> settings;
     Services services;
   };
-  std::optional<Pending> readPending(std::string& fault) const;
+  struct InvalidPending {
+    std::string reason;
+  };
+  std::variant<Pending, InvalidPending> readPending() const;
   change_preview::PreviewTotals replay(const Pending& pending, Time now) const;
   change_preview::PreviewInputs inputs() const;
   void ask(Number to);
--- a/src/ownership/include/ownership/ownership_service.h
+++ b/src/ownership/include/ownership/ownership_service.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -35,7 +36,7 @@
   };
   // Throws std::runtime_error with what is wrong with the settings. `talk` must outlive it.
   OwnershipService(boost::asio::io_context& io, const Clock& clock, Log& log, Settings settings,
-                   fleet_transport::MembershipService& talk, std::function<bool()> listed);
+                   fleet_transport::MembershipService& membership, std::function<bool()> has_hosts);
   ~OwnershipService() override;
 
   // `handed_on`: the process before this one has passed on its state in an upgrade.
@@ -48,20 +49,21 @@
 
   Match serviceOf(const RequestHead& head, std::string_view request_class,
                   load_balancer::Idempotency idempotency) const override;
-  Leave leave(Service service) const override;
-  std::optional<Time> heldBack(const load_balancer::RequestClass& of, bool served) const override;
-  void turnedAway(Service service, std::uint32_t term) override;
-  void ended(const Ended& request) override { rehearsing_->note(request, clock_.now()); }
+  Permission permission(Service service) const override;
+  std::optional<Time> delayAfterRestart(const load_balancer::RequestClass& of, bool served) const override;
+  void onRejectedByHost(Service service, std::uint32_t term) override;
+  void onCompleted(const CompletedRequest& request) override { change_preview_->note(request, clock_.now()); }
 
   // JSON: docs/ownership.md, docs/recovery.md.
   std::string page() const;
   std::string recoveryPage() const;
-  // Starts a rehearsal on all members: what the pending operator file would do to recorded traffic. Returns
-  // what is wrong with that file; empty if nothing is.
-  std::string rehearse() { return rehearsing_->begin(clock_.now()); }
-  std::string rehearsalPage() const { return rehearsing_->page(clock_.now()); }
-  // An operator gives a service to a zone; `said` is what that overrides. False: no such service or zone.
-  bool give(const std::string& service, const std::string& zone, std::string& said);
+  // Begins a preview on all members: what the pending operator file would do to recorded traffic. Returns
+  // what is wrong with that file; nothing: the preview has begun.
+  std::optional<std::string> beginChangePreview() { return change_preview_->begin(clock_.now()); }
+  std::string changePreviewPage() const { return change_preview_->page(clock_.now()); }
+  // An operator makes a zone the owner of a service. Returns what that overrides; nothing: there is no such
+  // service or zone.
+  std::optional<std::string> overrideOwner(const std::string& service, const std::string& zone);
 
  private:
   void observe();
@@ -74,20 +76,20 @@
   const Clock& clock_;
   Log& log_;
   const Settings settings_;
-  fleet_transport::MembershipService& talk_;
-  const std::function<bool()> listed_;
+  fleet_transport::MembershipService& membership_;
+  const std::function<bool()> has_hosts_;
   const Services services_;
   std::map<leases::SiteId, std::string> zones_;
   leases::Settings lease_settings_;
   std::unique_ptr<storage::AsyncStore> store_;  // null: nothing is stored
   std::unique_ptr<leases::Member> member_;
-  std::unique_ptr<ChangePreviewCoordinator> rehearsing_;
+  std::unique_ptr<ChangePreviewCoordinator> change_preview_;
   recovery::Recovery recovery_;
   recovery::Stage stage_ = recovery::Stage::NoEndpoints;
   boost::asio::steady_timer observe_timer_, due_timer_;
   Time armed_for_ = kNever, started_ = 0;
   std::string storage_fault_;
-  bool slow_logged_ = false, silent_ = false;
+  bool slow_logged_ = false, stopped_ = false;
 };
 
 }  // namespace client_proxy::ownership
--- a/src/ownership/include/ownership/services.h
+++ b/src/ownership/include/ownership/services.h
@@ -24,12 +24,12 @@
     std::size_t route = 0;  // of all services' in order
   };
   Match find(std::string_view target, std::string_view method, std::string_view request_class) const;
-  const std::vector<leases::Service>& deeds() const { return deeds_; }
+  const std::vector<leases::Service>& services() const { return list_; }
   // The same for files that say the same of services, in whatever order.
   std::uint32_t hash() const { return hash_; }
 
  private:
-  std::vector<leases::Service> deeds_;
+  std::vector<leases::Service> list_;
   std::vector<std::size_t> service_of_;  // by route
   std::optional<routing::Routes> routes_;
   std::uint32_t hash_ = 0;
--- a/src/ownership/ownership_service.cpp
+++ b/src/ownership/ownership_service.cpp
@@ -29,13 +29,13 @@
 }  // namespace
 
 OwnershipService::OwnershipService(boost::asio::io_context& io, const Clock& clock, Log& log,
-                                   Settings settings, fleet_transport::MembershipService& talk,
-                                   std::function<bool()> listed)
+                                   Settings settings, fleet_transport::MembershipService& membership,
+                                   std::function<bool()> has_hosts)
     : clock_(clock),
       log_(log),
       settings_(std::move(settings)),
-      talk_(talk),
-      listed_(std::move(listed)),
+      membership_(membership),
+      has_hosts_(std::move(has_hosts)),
       services_(settings_.own.services),
       recovery_(std::max(settings_.longest_deadline, 2 * settings_.longest_window)),
       observe_timer_(io),
@@ -44,7 +44,7 @@
   lease_settings_.drain = settings_.longest_deadline + settings_.longest_window;
   lease_settings_.config_hash = services_.hash();
   std::vector<leases::Listed> listed_members;
-  for (const fleet_transport::MembershipService::Member& m : talk_.members()) {
+  for (const fleet_transport::MembershipService::Member& m : membership_.members()) {
     const leases::SiteId site = leases::siteId(m.zone);
     listed_members.push_back({m.number, site});
     zones_[site] = m.zone;
@@ -56,7 +56,7 @@
   }
   std::random_device random;
   try {
-    member_ = std::make_unique<leases::Member>(lease_settings_, services_.deeds(), listed_members,
+    member_ = std::make_unique<leases::Member>(lease_settings_, services_.services(), listed_members,
                                                settings_.number, random());
   } catch (const std::invalid_argument& e) {
     throw std::runtime_error(std::string("services: ") + e.what());
@@ -67,9 +67,9 @@
   environment.pending = settings_.pending;
   environment.rooms = settings_.rooms;
   environment.live = [this] { return member_->liveness().live; };
-  environment.send = [this](std::uint16_t to, std::string bytes) { talk_.send(to, std::move(bytes)); };
-  rehearsing_ = std::make_unique<ChangePreviewCoordinator>(services_, settings_.own.services,
-                                                           settings_.number, std::move(environment));
+  environment.send = [this](std::uint16_t to, std::string bytes) { membership_.send(to, std::move(bytes)); };
+  change_preview_ = std::make_unique<ChangePreviewCoordinator>(services_, settings_.own.services,
+                                                               settings_.number, std::move(environment));
   if (settings_.own.memory.empty()) return;
   storage::AsyncStore::Callbacks callbacks;
   callbacks.written = [this](const storage::Change& change, bool ok) {
@@ -81,15 +81,14 @@
   };
   callbacks.fault_changed = [this](const std::string& fault) {
     storage_fault_ = fault;
-    log_.line(fault.empty() ? "memory: written again" : "memory: not written: " + fault,
+    log_.line(fault.empty() ? "storage write recovered" : "storage write failed reason=" + fault,
               fault.empty() ? LogLevel::Info : LogLevel::Error);
   };
   store_ = std::make_unique<storage::AsyncStore>(io, settings_.own.memory,
                                                  storage::Store::Owner{settings_.fleet, settings_.number},
                                                  std::move(callbacks));
   storage_fault_ = store_->fault();
-  if (!storage_fault_.empty())
-    log_.line("memory: not used, nothing is remembered: " + storage_fault_, LogLevel::Error);
+  if (!storage_fault_.empty()) log_.line("storage not used reason=" + storage_fault_, LogLevel::Error);
 }
 
 OwnershipService::~OwnershipService() = default;
@@ -101,22 +100,22 @@
   std::vector<leases::StoredGrant> remembered;
   std::uint32_t installation = 0;
   if (store_ && store_->contents()) {
-    const storage::Contents& m = *store_->contents();
-    before = m.fresh ? recovery::PreviousRun::None : recovery::PreviousRun::Clean;
-    for (const storage::Note& n : m.notes) {
-      if (n.name == kRunning && n.bytes == "1") before = recovery::PreviousRun::Interrupted;
+    const storage::Contents& contents = *store_->contents();
+    before = contents.fresh ? recovery::PreviousRun::None : recovery::PreviousRun::Clean;
+    for (const storage::Note& note : contents.notes) {
+      if (note.name == kRunning && note.bytes == "1") before = recovery::PreviousRun::Interrupted;
     }
-    remembered = m.grants;
-    installation = m.installation;
+    remembered = contents.grants;
+    installation = contents.installation;
     store_->write(storage::Note{kRunning, "1"});
-    log_.line("memory: " + std::to_string(remembered.size()) + " deeds remembered; the process before: " +
+    log_.line("storage loaded leases=" + std::to_string(remembered.size()) + " previous_run=" +
               std::string(recovery::nameOf(handed_on ? recovery::PreviousRun::Clean : before)));
   }
   recovery_.start(now, handed_on ? recovery::PreviousRun::Clean : before);
   member_->start(now, remembered, installation);
-  talk_.onApplicationMessage([this](std::uint16_t from, std::string_view bytes) {
-    if (silent_) return;
-    if (ChangePreviewCoordinator::isMine(bytes)) return rehearsing_->receive(clock_.now(), from, bytes);
+  membership_.onApplicationMessage([this](std::uint16_t from, std::string_view bytes) {
+    if (stopped_) return;
+    if (ChangePreviewCoordinator::isMine(bytes)) return change_preview_->receive(clock_.now(), from, bytes);
     leases::Output out;
     member_->receive(clock_.now(), from, bytes, out);
     perform(out);
@@ -128,32 +127,33 @@
   if (store_) store_->write(storage::Note{kRunning, "0"});
 }
 
-void OwnershipService::stop() { silent_ = true; }
+void OwnershipService::stop() { stopped_ = true; }
 void OwnershipService::resume() {
-  if (std::exchange(silent_, false)) armTimer();
+  if (std::exchange(stopped_, false)) armTimer();
 }
 
 // ---- what the front asks ----
 
 ServiceGate::Match OwnershipService::serviceOf(const RequestHead& head, std::string_view request_class,
                                                load_balancer::Idempotency idempotency) const {
-  const Services::Match m = services_.find(head.target, head.method, request_class);
-  if (m.malformed) return {std::nullopt, true};
-  if (!m.service || idempotency == load_balancer::Idempotency::Idempotent) return {};
-  return {services_.deeds()[*m.service].id, false};
+  const Services::Match match = services_.find(head.target, head.method, request_class);
+  if (match.malformed) return {std::nullopt, true};
+  if (!match.service || idempotency == load_balancer::Idempotency::Idempotent) return {};
+  return {services_.services()[*match.service].id, false};
 }
 
-ServiceGate::Leave OwnershipService::leave(Service service) const {
-  const leases::Permit p = member_->permit(service, clock_.now());
-  if (!p.ok()) return {false, {}, 0, p.wait > 0 ? p.wait : lease_settings_.query_interval};
-  return {true, zoneOf(p.site), p.term, 0};
+ServiceGate::Permission OwnershipService::permission(Service service) const {
+  const leases::Permit permit = member_->permit(service, clock_.now());
+  if (!permit.ok()) return {false, {}, 0, permit.wait > 0 ? permit.wait : lease_settings_.query_interval};
+  return {true, zoneOf(permit.site), permit.term, 0};
 }
 
-std::optional<Time> OwnershipService::heldBack(const load_balancer::RequestClass& of, bool served) const {
-  return recovery_.heldBack(clock_.now(), of, served);
+std::optional<Time> OwnershipService::delayAfterRestart(const load_balancer::RequestClass& of,
+                                                        bool served) const {
+  return recovery_.delayAfterRestart(clock_.now(), of, served);
 }
 
-void OwnershipService::turnedAway(Service service, std::uint32_t term) {
+void OwnershipService::onRejectedByHost(Service service, std::uint32_t term) {
   leases::Output out;
   member_->onHostTerm(clock_.now(), service, term, out);
   perform(out);
@@ -167,23 +167,23 @@
 // ---- timers, messages, storage ----
 
 void OwnershipService::observe() {
-  leases::LivenessView outlook;
-  for (const fleet_transport::MembershipService::Member& m : talk_.members()) {
-    if (m.live || m.number == settings_.number) outlook.live.push_back(m.number);
+  leases::LivenessView liveness;
+  for (const fleet_transport::MembershipService::Member& m : membership_.members()) {
+    if (m.live || m.number == settings_.number) liveness.live.push_back(m.number);
   }
-  for (const std::string& zone : talk_.lostZones()) outlook.lost.push_back(leases::siteId(zone));
-  member_->observe(clock_.now(), std::move(outlook));
+  for (const std::string& zone : membership_.lostZones()) liveness.lost.push_back(leases::siteId(zone));
+  member_->observe(clock_.now(), std::move(liveness));
   const recovery::Stage stage = recovery_.stage(clock_.now(), facts());
-  if (std::exchange(stage_, stage) != stage) log_.line("recovery: " + std::string(recovery::nameOf(stage)));
+  if (std::exchange(stage_, stage) != stage)
+    log_.line("recovery stage changed stage=" + std::string(recovery::nameOf(stage)));
   if (store_) {
     const bool slow = store_->busyFor() >= kSlow;
     if (std::exchange(slow_logged_, slow) != slow)
-      log_.line(slow ? "memory: the disk has been at one thing for " +
-                           std::to_string(store_->busyFor().count()) + " ms"
-                     : "memory: the disk goes on",
+      log_.line(slow ? "storage write slow duration_ms=" + std::to_string(store_->busyFor().count())
+                     : "storage write completed",
                 LogLevel::Warning);
   }
-  rehearsing_->onTime(clock_.now());
+  change_preview_->onTime(clock_.now());
   armTimer();
   observe_timer_.expires_after(kObserveInterval);
   observe_timer_.async_wait([this](error_code ec) {
@@ -192,14 +192,14 @@
 }
 
 void OwnershipService::armTimer() {
-  const Time due = silent_ ? kNever : member_->due();
+  const Time due = stopped_ ? kNever : member_->due();
   if (due == kNever || due >= armed_for_) return;
   armed_for_ = due;
   due_timer_.expires_after(std::chrono::microseconds(std::max<Time>(0, due - clock_.now())));
   due_timer_.async_wait([this](error_code ec) {
     if (ec) return;
     armed_for_ = kNever;
-    if (silent_) return;
+    if (stopped_) return;
     leases::Output out;
     member_->onTime(clock_.now(), out);
     perform(out);
@@ -217,7 +217,7 @@
 }
 
 void OwnershipService::perform(leases::Output& out) {
-  for (const leases::OutgoingMessage& p : out.messages) talk_.send(p.to, p.bytes);
+  for (const leases::OutgoingMessage& message : out.messages) membership_.send(message.to, message.bytes);
   for (const std::string& line : out.log_lines) log_.line(line);
   if (out.discard_storage && store_) store_->discard();
   for (const leases::StoredGrant& grant : out.writes) store(grant);
@@ -228,38 +228,39 @@
 
 recovery::Facts OwnershipService::facts() const {
   const Time now = clock_.now();
-  recovery::Facts f;
-  f.listed = listed_();
-  f.heard = member_->synchronized(now);
-  f.heard_of = member_->synchronizedMembers();
-  f.majority = member_->voters().majority();
-  for (const ServiceSetting& s : settings_.own.services) {
+  recovery::Facts facts;
+  facts.listed = has_hosts_();
+  facts.heard = member_->synchronized(now);
+  facts.heard_of = member_->synchronizedMembers();
+  facts.majority = member_->voters().majority();
+  for (const ServiceSetting& service : settings_.own.services) {
     double priority_weight = 0;
-    for (const ServiceRoute& r : s.routes) {
-      if (const auto it = settings_.priority_weight.find(r.request_class);
+    for (const ServiceRoute& route : service.routes) {
+      if (const auto it = settings_.priority_weight.find(route.request_class);
           it != settings_.priority_weight.end())
         priority_weight = std::max(priority_weight, it->second);
     }
-    f.services.push_back({s.name, member_->permit(leases::serviceId(s.name), now), priority_weight});
+    facts.services.push_back(
+        {service.name, member_->permit(leases::serviceId(service.name), now), priority_weight});
   }
-  return f;
+  return facts;
 }
 
 std::string OwnershipService::page() const {
   const Time now = clock_.now();
   ordered_json services = ordered_json::array();
-  for (const leases::Service& s : services_.deeds()) {
+  for (const leases::Service& s : services_.services()) {
     const leases::Grant known = member_->known(s.id);
-    const leases::Permit p = member_->permit(s.id, now);
+    const leases::Permit permit = member_->permit(s.id, now);
     ordered_json one = {{"service", s.name},
                         {"home", zoneOf(s.home)},
                         {"stand_by", zoneOf(s.stand_by)},
                         {"owner", zoneOf(known.site)},
                         {"term", known.term},
                         {"ground", known.term == 0 ? "" : std::string(leases::nameOf(known.reason))},
-                        {"sent", leases::nameOf(p.denial)},
+                        {"sent", leases::nameOf(permit.denial)},
                         {"disputed", member_->disputed(s.id)}};
-    if (p.wait > 0) one["wait_s"] = seconds(p.wait);
+    if (permit.wait > 0) one["wait_s"] = seconds(permit.wait);
     if (const leases::Lease* const lease = member_->lease(s.id)) {
       one["held_here"] = {{"confirmed", lease->confirmed},
                           {"for_s", seconds(std::max<Time>(0, lease->expires_at - now))},
@@ -268,22 +269,24 @@
     services.push_back(std::move(one));
   }
   ordered_json wrong = ordered_json::array();
-  for (const leases::Conflict& f : member_->conflicts().all()) {
-    const leases::Resolution& r = leases::resolutionOf(f.kind);
+  for (const leases::Conflict& conflict : member_->conflicts().all()) {
+    const leases::Resolution& resolution = leases::resolutionOf(conflict.kind);
     std::string service;
-    for (const leases::Service& s : services_.deeds()) service = s.id == f.service ? s.name : service;
-    ordered_json one = {{"kind", leases::nameOf(f.kind)}, {"service", service}, {"claimant", f.claimant}};
-    if (f.kind == leases::ConflictKind::CopiedStorage) one["same_as"] = f.other;
-    if (f.claim.term > 0) {
-      one["claimed"] = {{"zone", zoneOf(f.claim.site)}, {"term", f.claim.term}};
-      one["known"] = {{"zone", zoneOf(f.against.site)}, {"term", f.against.term}};
+    for (const leases::Service& s : services_.services())
+      service = s.id == conflict.service ? s.name : service;
+    ordered_json one = {
+        {"kind", leases::nameOf(conflict.kind)}, {"service", service}, {"claimant", conflict.claimant}};
+    if (conflict.kind == leases::ConflictKind::CopiedStorage) one["same_as"] = conflict.other;
+    if (conflict.claim.term > 0) {
+      one["claimed"] = {{"zone", zoneOf(conflict.claim.site)}, {"term", conflict.claim.term}};
+      one["known"] = {{"zone", zoneOf(conflict.against.site)}, {"term", conflict.against.term}};
     }
-    one["times"] = f.times;
-    one["first_s"] = seconds(now - f.first);
-    one["settled"] = f.settled;
-    one["stands_down"] = r.stands_down;
-    one["meanwhile"] = r.meanwhile;
-    one["ends"] = r.ends;
+    one["times"] = conflict.times;
+    one["first_s"] = seconds(now - conflict.first);
+    one["settled"] = conflict.settled;
+    one["stands_down"] = resolution.stands_down;
+    one["meanwhile"] = resolution.meanwhile;
+    one["ends"] = resolution.ends;
     wrong.push_back(std::move(one));
   }
   return dumped({{"member", settings_.number},
@@ -296,36 +299,37 @@
 
 std::string OwnershipService::recoveryPage() const {
   const Time now = clock_.now();
-  const recovery::Facts f = facts();
+  const recovery::Facts known = facts();
   ordered_json waits = ordered_json::array();
-  for (const recovery::Wait& w : recovery_.waits(now, f)) {
-    ordered_json one = {{"not_served", w.what}, {"until", w.until}};
-    if (w.time > 0) one["s"] = seconds(w.time);
+  for (const recovery::Wait& wait : recovery_.waits(now, known)) {
+    ordered_json one = {{"not_served", wait.what}, {"until", wait.until}};
+    if (wait.time > 0) one["s"] = seconds(wait.time);
     waits.push_back(std::move(one));
   }
   ordered_json memory = {{"used", store_ && store_->contents().has_value()}, {"fault", storage_fault_}};
   if (store_) memory["syncs"] = store_->syncs();
-  return dumped({{"stage", recovery::nameOf(recovery_.stage(now, f))},
+  return dumped({{"stage", recovery::nameOf(recovery_.stage(now, known))},
                  {"process_before", recovery::nameOf(recovery_.before())},
                  {"for_s", seconds(now - started_)},
-                 {"heard", f.heard_of},
-                 {"majority", f.majority},
-                 {"may_promise", f.heard},
+                 {"heard", known.heard_of},
+                 {"majority", known.majority},
+                 {"may_promise", known.heard},
                  {"memory", memory},
                  {"waits", waits}});
 }
 
-bool OwnershipService::give(const std::string& service, const std::string& zone, std::string& said) {
+std::optional<std::string> OwnershipService::overrideOwner(const std::string& service,
+                                                           const std::string& zone) {
   const leases::ServiceId id = leases::serviceId(service);
   const leases::SiteId site = leases::siteId(zone);
-  const auto& all = services_.deeds();
-  if (std::none_of(all.begin(), all.end(), [&](const leases::Service& s) { return s.id == id; }) ||
-      !zones_.contains(site))
-    return false;
+  const std::vector<leases::Service>& all = services_.services();
+  const bool known =
+      std::any_of(all.begin(), all.end(), [&](const leases::Service& s) { return s.id == id; });
+  if (!known || !zones_.contains(site)) return std::nullopt;
   leases::Output out;
-  said = member_->overrideOwner(clock_.now(), id, site, out);
+  std::string overridden = member_->overrideOwner(clock_.now(), id, site, out);
   perform(out);
-  return true;
+  return overridden;
 }
 
 }  // namespace client_proxy::ownership
--- a/src/ownership/services.cpp
+++ b/src/ownership/services.cpp
@@ -19,10 +19,10 @@
   };
   for (std::size_t n = 0; n < settings.size(); ++n) {
     const ServiceSetting& s = settings[n];
-    deeds_.push_back({s.name, leases::serviceId(s.name), leases::siteId(s.home), leases::siteId(s.stand_by)});
-    distinct(ids, deeds_.back().id, s.name);
-    distinct(sites, deeds_.back().home, s.home);
-    if (!s.stand_by.empty()) distinct(sites, deeds_.back().stand_by, s.stand_by);
+    list_.push_back({s.name, leases::serviceId(s.name), leases::siteId(s.home), leases::siteId(s.stand_by)});
+    distinct(ids, list_.back().id, s.name);
+    distinct(sites, list_.back().home, s.home);
+    if (!s.stand_by.empty()) distinct(sites, list_.back().stand_by, s.stand_by);
     std::string all = s.name + "|" + s.home + "|" + s.stand_by;
     for (const ServiceRoute& r : s.routes) {
       rules.push_back({.name = s.name + "/" + r.name,
--- a/src/pools/include/pools/pool.h
+++ b/src/pools/include/pools/pool.h
@@ -35,8 +35,8 @@
   bool may_have_run = false;  // told by onCompleted(): an attempt of it may have
   std::optional<ServiceGate::Service> service = {};  // that one site alone may run
   std::string zone = {};                             // that site's zone
-  std::string ran_in = {};  // where there are services: the zone of its last attempt, and what that took
-  Time ran_for = 0;
+  std::string last_zone = {};  // where there are services: the zone of its last attempt, and what that took
+  Time last_duration = 0;
 };
 
 // What a pool tells. Calls back into it are allowed from each.
@@ -113,13 +113,13 @@
 
   struct Attempt {
     Time sent = 0;
-    Time limit = 0;     // from then, or from a long request's last byte
-    Time longest = 0;   // the same where its answer is being written by then
-    Time answered = 0;  // when its long answer began; 0: it has not
-    bool over = false;  // its outcome is known
+    Time time_limit = 0;       // from then, or from a long request's last byte
+    Time streaming_limit = 0;  // the same where its answer is being written by then
+    Time answered = 0;         // when its long answer began; 0: it has not
+    bool ended = false;        // its outcome is known
   };
   struct Open {  // unanswered, or with an attempt out
-    AdmittedRequest taken;
+    AdmittedRequest admitted;
     std::vector<Attempt> attempts;
     std::int32_t outstanding = 0;
     Time uploaded = 0;       // when the last byte of a long request came; 0: not yet
@@ -141,22 +141,22 @@
 
   // Calls into the Balancer are never nested: what happens while actions are carried out waits in line.
   template <typename Event>
-  void tell(Event event);
-  void carryOut();
-  void act(const load_balancer::Action& action);
+  void dispatch(Event event);
+  void performActions();
+  void perform(const load_balancer::Action& action);
   void send(const load_balancer::Action& action);
   void finish(RequestId id, Answer answer);
   void onAttemptTimeout(RequestId id, std::int32_t attempt);
   void onDeadline(RequestId id);
-  void expectEnd(RequestId id, const Open& request, std::int32_t attempt);
+  void armAttemptTimeout(RequestId id, const Open& request, std::int32_t attempt);
   // When a host could begin with it: a long request's last byte counts.
-  static Time beganAt(const Open& request, const Attempt& attempt) {
+  static Time startedAt(const Open& request, const Attempt& attempt) {
     return std::max(attempt.sent, request.uploaded);
   }
   void outcome(Time now, RequestId id, std::int32_t attempt, AttemptEnd end);
-  void closeIfOver(RequestId id);
+  void forgetIfDone(RequestId id);
   bool maintain(const std::string& host, bool in_maintenance);
-  HostList completed(HostList list) const;
+  HostList mergedWithKnown(HostList list) const;
   void applyHosts(const HostList& list);
   void applyList(HostList list, load_balancer::ListKind kind);
   bool pushed() const;
@@ -187,27 +187,27 @@
   std::unordered_map<RequestId, Open> open_;
   std::map<std::string, Listed, std::less<>> listed_;  // the hosts that upstream knows
   std::deque<std::function<void(Time)>> events_;
-  Time last_ = kNever;  // no request may be open longer
-  bool telling_ = false;
+  Time shutdown_deadline_ = kNever;  // no request may be open longer
+  bool dispatching_ = false;
   load_balancer::Actions actions_;
 };
 
 template <typename Event>
-void Pool::tell(Event event) {
-  if (telling_) {
+void Pool::dispatch(Event event) {
+  if (dispatching_) {
     events_.emplace_back(std::move(event));
     return;
   }
-  telling_ = true;
+  dispatching_ = true;
   event(clock_.now());
-  carryOut();
+  performActions();
   while (!events_.empty()) {
     const std::function<void(Time)> next = std::move(events_.front());
     events_.pop_front();
     next(clock_.now());
-    carryOut();
+    performActions();
   }
-  telling_ = false;
+  dispatching_ = false;
 }
 
 }  // namespace client_proxy
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -71,7 +71,7 @@
   // Where it was asked may have had revisions of its own.
   if (discovery_) discovery_->askFrom(0);
   applyList(std::move(known), discovery_ ? ListKind::Restored : ListKind::Full);
-  tell([this, &servers](Time now) { balancer_.restore(now, servers, actions_); });
+  dispatch([this, &servers](Time now) { balancer_.restore(now, servers, actions_); });
   if (pushed()) discovery_->subscribe();
 }
 
@@ -91,13 +91,13 @@
 
 // ---- events for the module ----
 
-void Pool::carryOut() {
+void Pool::performActions() {
   // Acting adds no actions: what it leads to is told afterwards.
-  for (const Action& action : actions_) act(action);
+  for (const Action& action : actions_) perform(action);
   actions_.clear();
 }
 
-void Pool::act(const Action& action) {
+void Pool::perform(const Action& action) {
   switch (action.kind) {
     case ActionKind::Send:
       return send(action);
@@ -120,7 +120,7 @@
       return;
     case ActionKind::SetTimer:
       timers_.at(action.time, [this, timer = action.timer] {
-        tell([this, timer](Time now) { balancer_.onTimer(now, timer, actions_); });
+        dispatch([this, timer](Time now) { balancer_.onTimer(now, timer, actions_); });
       });
       return;
     case ActionKind::Log:
@@ -130,26 +130,26 @@
 
 // ---- requests ----
 
-void Pool::open(AdmittedRequest taken) {
-  const RequestId id = taken.exchange;
-  const Time deadline = taken.deadline = std::min(taken.deadline, last_);
+void Pool::open(AdmittedRequest admitted) {
+  const RequestId id = admitted.exchange;
+  const Time deadline = admitted.deadline = std::min(admitted.deadline, shutdown_deadline_);
   load_balancer::Request told;
   told.id = id;
-  told.request_class = taken.request_class;
-  told.tenant = taken.tenant;
-  told.key = keyOf(pathOf(taken.request.head.target));
-  if (taken.service) told.required_zone = zones_.indexOf(taken.zone);
-  if (const auto hint = parseSeconds(taken.request.head.weight_hint)) told.expected_work = *hint / kSecond;
+  told.request_class = admitted.request_class;
+  told.tenant = admitted.tenant;
+  told.key = keyOf(pathOf(admitted.request.head.target));
+  if (admitted.service) told.required_zone = zones_.indexOf(admitted.zone);
+  if (const auto hint = parseSeconds(admitted.request.head.weight_hint)) told.expected_work = *hint / kSecond;
   // How long a long one will be on its way nobody knows; the module need not wait for it.
-  const Time most = taken.request.rest ? taken.patience : deadline;
-  if (taken.request.rest) {
-    taken.request.rest->onStarted([this, id] {
-      if (const auto it = open_.find(id); it != open_.end()) it->second.taken.request.body.reset();
+  const Time most = admitted.request.rest ? admitted.patience : deadline;
+  if (admitted.request.rest) {
+    admitted.request.rest->onStarted([this, id] {
+      if (const auto it = open_.find(id); it != open_.end()) it->second.admitted.request.body.reset();
     });
   }
-  open_[id].taken = std::move(taken);
+  open_[id].admitted = std::move(admitted);
   timers_.at(deadline, [this, id] { onDeadline(id); });
-  tell([this, told, deadline, most](Time now) mutable {
+  dispatch([this, told, deadline, most](Time now) mutable {
     told.time_left = std::min(deadline - now, most);
     balancer_.onRequest(now, told, actions_);
   });
@@ -160,33 +160,34 @@
   if (it == open_.end()) return;
   Open& r = it->second;
   const Time now = clock_.now();
-  const Time left = r.taken.deadline - now;
-  const Time limit = action.time > 0 ? std::min(action.time, left) : left;
+  const Time left = r.admitted.deadline - now;
+  const Time time_limit = action.time > 0 ? std::min(action.time, left) : left;
   const auto attempt = static_cast<std::int32_t>(r.attempts.size());
-  r.attempts.push_back({.sent = now, .limit = limit, .longest = std::max(limit, action.longest)});
+  r.attempts.push_back(
+      {.sent = now, .time_limit = time_limit, .streaming_limit = std::max(time_limit, action.longest)});
   ++r.outstanding;
   const AttemptId id = attemptId(action.request, attempt);
   // What has been taken out of a long body is not there any more.
-  const bool whole = !r.taken.request.rest || !r.taken.request.rest->started();
+  const bool whole = !r.admitted.request.rest || !r.admitted.request.rest->started();
   const bool may_go =
-      whole && !r.answered && limit > 0 && action.time >= 0 && r.attempts.size() < kMostAttempts;
+      whole && !r.answered && time_limit > 0 && action.time >= 0 && r.attempts.size() < kMostAttempts;
   if (!may_go) return onAttemptEnd(id, {});
   if (!termFor(r)) return onAttemptEnd(id, {});  // no connection is opened for nothing
   if (gate_ != nullptr) {
     const auto host = listed_.find(action.server);
-    r.taken.ran_in = host == listed_.end() ? std::string() : zones_.nameOf(host->second.host.zone);
+    r.admitted.last_zone = host == listed_.end() ? std::string() : zones_.nameOf(host->second.host.zone);
   }
-  expectEnd(action.request, r, attempt);
+  armAttemptTimeout(action.request, r, attempt);
   upstream_.start(id, action.server,
-                  {r.taken.request.body, r.taken.request.rest,
-                   r.taken.idempotency == load_balancer::Idempotency::NonIdempotent});
+                  {r.admitted.request.body, r.admitted.request.rest,
+                   r.admitted.idempotency == load_balancer::Idempotency::NonIdempotent});
 }
 
 // A host begins when it has the last byte: until a long request's has come, no time runs for its attempts.
-void Pool::expectEnd(RequestId id, const Open& r, std::int32_t attempt) {
-  if (r.taken.request.rest && r.uploaded == 0) return;
+void Pool::armAttemptTimeout(RequestId id, const Open& r, std::int32_t attempt) {
+  if (r.admitted.request.rest && r.uploaded == 0) return;
   const Attempt& a = r.attempts[static_cast<std::size_t>(attempt)];
-  timers_.at(beganAt(r, a) + a.limit, [this, id, attempt] { onAttemptTimeout(id, attempt); });
+  timers_.at(startedAt(r, a) + a.time_limit, [this, id, attempt] { onAttemptTimeout(id, attempt); });
 }
 
 void Pool::uploaded(ExchangeId id, Time received, Time deadline) {
@@ -194,10 +195,10 @@
   if (it == open_.end()) return;
   Open& r = it->second;
   r.uploaded = received;
-  r.taken.deadline = deadline = std::min(deadline, last_);
+  r.admitted.deadline = deadline = std::min(deadline, shutdown_deadline_);
   timers_.at(deadline, [this, id] { onDeadline(id); });
   for (std::size_t a = 0; a < r.attempts.size(); ++a) {
-    if (!r.attempts[a].over) expectEnd(id, r, static_cast<std::int32_t>(a));
+    if (!r.attempts[a].ended) armAttemptTimeout(id, r, static_cast<std::int32_t>(a));
   }
 }
 
@@ -205,16 +206,16 @@
   const auto it = open_.find(id);
   if (it == open_.end() || it->second.answered) return;
   it->second.answered = true;
-  sink_.onAnswer(it->second.taken, std::move(answer));
-  closeIfOver(id);
+  sink_.onAnswer(it->second.admitted, std::move(answer));
+  forgetIfDone(id);
 }
 
-void Pool::closeIfOver(RequestId id) {
+void Pool::forgetIfDone(RequestId id) {
   const auto it = open_.find(id);
   if (it == open_.end() || !it->second.answered || it->second.outstanding > 0) return;
-  const AdmittedRequest over = std::move(it->second.taken);
+  const AdmittedRequest request = std::move(it->second.admitted);
   open_.erase(it);
-  sink_.onCompleted(over);
+  sink_.onCompleted(request);
 }
 
 void Pool::onAttemptTimeout(RequestId id, std::int32_t attempt) {
@@ -223,8 +224,8 @@
   // A long answer that has begun is timed by its first byte.
   const Open& r = it->second;
   const Attempt& a = r.attempts[static_cast<std::size_t>(attempt)];
-  if (a.over || a.answered != 0) return;
-  const Time due = std::min(beganAt(r, a) + a.longest, r.taken.deadline);
+  if (a.ended || a.answered != 0) return;
+  const Time due = std::min(startedAt(r, a) + a.streaming_limit, r.admitted.deadline);
   if (clock_.now() < due && upstream_.answering(attemptId(id, attempt))) {
     timers_.at(due, [this, id, attempt] { onAttemptTimeout(id, attempt); });
     return;
@@ -242,15 +243,15 @@
   // The module owes an answer at the latest now. A client must not wait for a mistake of ours.
   log("defect: no final answer at the deadline of request " + std::to_string(id), LogLevel::Error);
   finish(id, plainAnswer(504));
-  tell([this, id](Time now) { balancer_.onClientGone(now, id, actions_); });
+  dispatch([this, id](Time now) { balancer_.onClientGone(now, id, actions_); });
 }
 
 void Pool::finishBy(Time last) {
-  last_ = last;
+  shutdown_deadline_ = last;
   // The module's timers first: what it holds without an attempt is answered before we look for what is not.
-  tell([this, last](Time now) { balancer_.finishBy(now, last, actions_); });
+  dispatch([this, last](Time now) { balancer_.finishBy(now, last, actions_); });
   for (auto& [id, request] : open_) {
-    request.taken.deadline = std::min(request.taken.deadline, last);
+    request.admitted.deadline = std::min(request.admitted.deadline, last);
     timers_.at(last, [this, id = id] { onDeadline(id); });
   }
 }
@@ -258,15 +259,15 @@
 bool Pool::clientGone(ExchangeId id) {
   const auto it = open_.find(id);
   if (it == open_.end() || std::exchange(it->second.answered, true)) return false;
-  tell([this, id](Time now) { balancer_.onClientGone(now, id, actions_); });
-  closeIfOver(id);
+  dispatch([this, id](Time now) { balancer_.onClientGone(now, id, actions_); });
+  forgetIfDone(id);
   return true;
 }
 
 // ---- attempts and probes ----
 
 void Pool::onAttemptEnd(AttemptId id, AttemptEnd end) {
-  tell([this, id, end = std::move(end)](Time now) mutable {
+  dispatch([this, id, end = std::move(end)](Time now) mutable {
     outcome(now, id / kMostAttempts, static_cast<std::int32_t>(id % kMostAttempts), std::move(end));
   });
 }
@@ -290,23 +291,23 @@
   if (it == open_.end()) return;
   Open& r = it->second;
   Attempt& a = r.attempts[static_cast<std::size_t>(attempt)];
-  if (std::exchange(a.over, true)) return;
+  if (std::exchange(a.ended, true)) return;
   --r.outstanding;
-  r.taken.may_have_run |= !load_balancer::provesNotProcessed(end.result);
+  r.admitted.may_have_run |= !load_balancer::provesNotProcessed(end.result);
   r.timed_out |= end.result == Result::TimedOut;
-  r.taken.ran_for = now - beganAt(r, a);
-  if (r.taken.service && !end.term.empty()) {
+  r.admitted.last_duration = now - startedAt(r, a);
+  if (r.admitted.service && !end.term.empty()) {
     std::uint32_t newer = 0;
     const char* const last = end.term.data() + end.term.size();
     const auto read = std::from_chars(end.term.data(), last, newer);
-    if (read.ec == std::errc{} && read.ptr == last) gate_->turnedAway(*r.taken.service, newer);
+    if (read.ec == std::errc{} && read.ptr == last) gate_->onRejectedByHost(*r.admitted.service, newer);
   }
   if (!r.answered && end.result == Result::Ok) {
     r.answered = true;
     Answer answer = plainAnswer(200);
     answer.body = std::move(end.body);
     answer.content_type = std::move(end.content_type);
-    sink_.onAnswer(r.taken, std::move(answer));
+    sink_.onAnswer(r.admitted, std::move(answer));
   }
   Outcome told;
   told.request = id;
@@ -316,19 +317,19 @@
   // A host's own time: not that of a client that sends or takes a long body.
   // Nor that of an answer that is written in pieces.
   const Time begun = a.answered != 0 ? a.answered : end.begun != 0 ? end.begun : now;
-  told.latency = std::max<Time>(begun - beganAt(r, a), 0);
+  told.latency = std::max<Time>(begun - startedAt(r, a), 0);
   told.load = parseLoad(end.load);
   balancer_.onOutcome(now, told, actions_);
-  closeIfOver(id);
+  forgetIfDone(id);
 }
 
 void Pool::onAttemptWritten(AttemptId id) {
   const auto it = open_.find(id / kMostAttempts);
-  if (it != open_.end()) sink_.onDispatched(it->second.taken.request_class);
+  if (it != open_.end()) sink_.onDispatched(it->second.admitted.request_class);
 }
 
 void Pool::onAttemptAnswers(AttemptId id, LongAnswer answer) {
-  tell([this, id, answer = std::move(answer)](Time now) mutable {
+  dispatch([this, id, answer = std::move(answer)](Time now) mutable {
     const RequestId request = id / kMostAttempts;
     const auto attempt = static_cast<std::int32_t>(id % kMostAttempts);
     const auto it = open_.find(request);
@@ -341,12 +342,12 @@
     begun.body = std::move(answer.body);
     begun.content_type = std::move(answer.content_type);
     begun.rest = std::move(answer.rest);
-    sink_.onAnswer(r.taken, std::move(begun));
+    sink_.onAnswer(r.admitted, std::move(begun));
   });
 }
 
 void Pool::onHealthCheckEnd(const std::string& uid, bool ok, Time latency, const std::string& load) {
-  tell([this, uid, ok, latency, report = parseLoad(load)](Time now) {
+  dispatch([this, uid, ok, latency, report = parseLoad(load)](Time now) {
     balancer_.onHealthCheck(now, uid, ok, latency, report, actions_);
   });
 }
--- a/src/pools/pool_head.cpp
+++ b/src/pools/pool_head.cpp
@@ -30,20 +30,21 @@
 }  // namespace
 
 std::optional<std::uint32_t> Pool::termFor(const Open& r) const {
-  if (!r.taken.service) return 0;
-  const ServiceGate::Leave leave = gate_->leave(*r.taken.service);
-  if (!leave.may || leave.zone != r.taken.zone) return std::nullopt;
-  return leave.term;
+  if (!r.admitted.service) return 0;
+  const ServiceGate::Permission permission = gate_->permission(*r.admitted.service);
+  if (!permission.allowed || permission.zone != r.admitted.zone) return std::nullopt;
+  return permission.term;
 }
 
 Time Pool::timeLeft(const Open& r, const Attempt& a, Time now) {
-  const bool uploading = r.taken.request.rest && r.uploaded == 0;  // the attempt's time has not begun to run
-  const Time end = (uploading ? now : beganAt(r, a)) + a.limit;
-  return std::min(end, r.taken.deadline) - now;
+  const bool uploading =
+      r.admitted.request.rest && r.uploaded == 0;  // the attempt's time has not begun to run
+  const Time end = (uploading ? now : startedAt(r, a)) + a.time_limit;
+  return std::min(end, r.admitted.deadline) - now;
 }
 
 std::string Pool::headFor(const Open& r, Time time_left, std::uint32_t term) const {
-  const RequestHead& from = r.taken.request.head;
+  const RequestHead& from = r.admitted.request.head;
   std::string head;
   head.reserve(from.method.size() + from.target.size() + from.forward.size() + 128);
   head += from.method;
@@ -56,18 +57,18 @@
   head += "X-Time-Left: ";
   head += formatSeconds(time_left);
   head += "\r\n";
-  const std::shared_ptr<BodyPipe>& rest = r.taken.request.rest;
+  const std::shared_ptr<BodyPipe>& rest = r.admitted.request.rest;
   if (rest && !rest->length()) {
     head += "Transfer-Encoding: chunked\r\n\r\n";
-    return head += chunkLine(r.taken.request.body->size());
+    return head += chunkLine(r.admitted.request.body->size());
   }
   if (rest) {
     head += "Content-Length: ";
     head += std::to_string(*rest->length());
     head += "\r\n";
-  } else if (from.method != "GET" || r.taken.request.body) {
+  } else if (from.method != "GET" || r.admitted.request.body) {
     head += "Content-Length: ";
-    head += std::to_string(r.taken.request.body ? r.taken.request.body->size() : 0);
+    head += std::to_string(r.admitted.request.body ? r.admitted.request.body->size() : 0);
     head += "\r\n";
   }
   head += "\r\n";
--- a/src/pools/pool_hosts.cpp
+++ b/src/pools/pool_hosts.cpp
@@ -35,14 +35,14 @@
 }
 
 void Pool::setZone(std::int32_t zone, load_balancer::ZoneDirective order) {
-  tell([this, zone, order](Time now) { balancer_.setZone(now, zone, order, actions_); });
+  dispatch([this, zone, order](Time now) { balancer_.setZone(now, zone, order, actions_); });
 }
 
 // What the list means together with what is known. An entry that could not be read leaves its host as it was.
 // An address has one host, the one that started last: a machine that has been replaced may still be listed
 // beside the new one, and what is sent to it then would come on top of what the new, cold one can take. This
 // would harm a fleet in which hosts share an address, which the protocol does not have.
-HostList Pool::completed(HostList list) const {
+HostList Pool::mergedWithKnown(HostList list) const {
   for (const std::string& uid : list.unread) {
     const auto known = listed_.find(uid);
     if (known == listed_.end()) continue;
@@ -105,15 +105,15 @@
 }
 
 void Pool::applyList(HostList news, ListKind kind) {
-  const HostList list = completed(std::move(news));
+  const HostList list = mergedWithKnown(std::move(news));
   applyHosts(list);
-  tell([this, list, kind](Time now) { balancer_.onServers(now, kind, list.hosts, actions_); });
+  dispatch([this, list, kind](Time now) { balancer_.onServers(now, kind, list.hosts, actions_); });
 }
 
 void Pool::onDiscoveryLost(const std::string& why) {
   log("discovery: " + why, LogLevel::Warning);
   if (pushed()) timers_.after(Discovery::kAgentAgain, [this] { discovery_->subscribe(); });
-  tell([this](Time now) { balancer_.onServers(now, ListKind::Unavailable, {}, actions_); });
+  dispatch([this](Time now) { balancer_.onServers(now, ListKind::Unavailable, {}, actions_); });
 }
 
 }  // namespace client_proxy
--- a/src/recovery/include/recovery/recovery.h
+++ b/src/recovery/include/recovery/recovery.h
@@ -72,7 +72,7 @@
   Stage stage(Time now, const Facts& facts) const;
   // How long a request has to stay away; nothing: it may be served, as far as the cut goes. `served`: by a
   // service, whose hosts drop repeats of keys.
-  std::optional<Time> heldBack(Time now, const load_balancer::RequestClass& of, bool served) const;
+  std::optional<Time> delayAfterRestart(Time now, const load_balancer::RequestClass& of, bool served) const;
   // What is not served yet and why, the worthiest service first.
   std::vector<Wait> waits(Time now, const Facts& facts) const;
 
--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -24,7 +24,8 @@
   return fenceLeft(now) > 0 ? Stage::IdempotencyKeys : Stage::FullService;
 }
 
-std::optional<Time> Recovery::heldBack(Time now, const load_balancer::RequestClass& of, bool served) const {
+std::optional<Time> Recovery::delayAfterRestart(Time now, const load_balancer::RequestClass& of,
+                                                bool served) const {
   const Time left = fenceLeft(now);
   if (left == 0 || of.idempotency == Idempotency::Idempotent) return std::nullopt;
   // Hosts that drop a key's repeats tell them from new ones: all of them, or those of the one site.
--- a/tests/admission_index_registry_test.cpp
+++ b/tests/admission_index_registry_test.cpp
@@ -28,7 +28,7 @@
 TEST(IndexRegistry, ANumberThatIsInUseKeepsItsMeaning) {
   IndexRegistry<int> all;
   all.assign({{"a", 1}});
-  all.use(0);
+  all.acquire(0);
   all.assign({{"a", 7}});
   EXPECT_EQ(all.find("a"), 1);
   EXPECT_EQ(all.at(0), 1);
@@ -68,7 +68,7 @@
     } else if (random() % 2 == 0 && !model.empty()) {
       const auto number = all.find(model.begin()->first);
       ASSERT_TRUE(number);
-      all.use(*number);
+      all.acquire(*number);
       in_flight.emplace(*number, all.at(*number));
     } else if (!in_flight.empty()) {
       all.release(in_flight.begin()->first);
--- a/tests/console_test.cpp
+++ b/tests/console_test.cpp
@@ -66,10 +66,10 @@
   bool putBack(const std::string& host) override { return done.push_back("in " + host), host == "s-1"; }
   void drainClients() override { done.emplace_back("drain"); }
   void takeClients() override { done.emplace_back("take"); }
-  bool rehearse(std::string& said) override { return said = "no file", false; }
-  bool give(const std::string& service, const std::string& zone, std::string& said) override {
-    said = "nothing";
-    return done.push_back("give " + service + " to " + zone), service == "charge";
+  std::optional<std::string> beginChangePreview() override { return "no file"; }
+  std::optional<std::string> overrideOwner(const std::string& service, const std::string& zone) override {
+    done.push_back("give " + service + " to " + zone);
+    return service == "charge" ? std::optional<std::string>("nothing") : std::nullopt;
   }
   bool serves = true;
   std::vector<std::string> done;
--- a/tests/late_connection_test.cpp
+++ b/tests/late_connection_test.cpp
@@ -89,10 +89,12 @@
 // One service, whose owner and term the test says.
 struct Owners : ServiceGate {
   Match serviceOf(const RequestHead&, std::string_view, Idempotency) const override { return {0U, false}; }
-  Leave leave(Service) const override { return {true, zone, term, 0}; }
-  std::optional<Time> heldBack(const load_balancer::RequestClass&, bool) const override { return {}; }
-  void ended(const Ended&) override {}
-  void turnedAway(Service, std::uint32_t) override {}
+  Permission permission(Service) const override { return {true, zone, term, 0}; }
+  std::optional<Time> delayAfterRestart(const load_balancer::RequestClass&, bool) const override {
+    return {};
+  }
+  void onCompleted(const CompletedRequest&) override {}
+  void onRejectedByHost(Service, std::uint32_t) override {}
   std::string zone = "a";
   std::uint32_t term = 1;
 };
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -45,24 +45,28 @@
 TEST(Recovery, AfterACutWhatClientsMayAskAgainIsHeldBackByWhoTellsRepeatsApart) {
   Recovery r(3 * kSecond);
   r.start(10, PreviousRun::Interrupted);
-  EXPECT_EQ(r.heldBack(10, of(Idempotency::NonIdempotent), true), 3 * kSecond)
+  EXPECT_EQ(r.delayAfterRestart(10, of(Idempotency::NonIdempotent), true), 3 * kSecond)
       << "no host tells it from a new one";
-  EXPECT_EQ(r.heldBack(10, of(Idempotency::IdempotentWithKey, DeduplicationScope::Zone), false), 3 * kSecond)
+  EXPECT_EQ(r.delayAfterRestart(10, of(Idempotency::IdempotentWithKey, DeduplicationScope::Zone), false),
+            3 * kSecond)
       << "it may go to another zone";
-  EXPECT_EQ(r.heldBack(10, of(Idempotency::IdempotentWithKey, DeduplicationScope::Cell), true), 3 * kSecond)
+  EXPECT_EQ(r.delayAfterRestart(10, of(Idempotency::IdempotentWithKey, DeduplicationScope::Cell), true),
+            3 * kSecond)
       << "or to another cell";
-  EXPECT_EQ(r.heldBack(10, of(Idempotency::IdempotentWithKey, DeduplicationScope::Zone), true), std::nullopt);
-  EXPECT_EQ(r.heldBack(10, of(Idempotency::IdempotentWithKey, DeduplicationScope::All), false), std::nullopt);
-  EXPECT_EQ(r.heldBack(10, of(Idempotency::Idempotent), false), std::nullopt);
-  EXPECT_EQ(r.heldBack(10 + kSecond, of(Idempotency::NonIdempotent), false), 2 * kSecond);
-  EXPECT_EQ(r.heldBack(10 + 3 * kSecond, of(Idempotency::NonIdempotent), false), std::nullopt);
+  EXPECT_EQ(r.delayAfterRestart(10, of(Idempotency::IdempotentWithKey, DeduplicationScope::Zone), true),
+            std::nullopt);
+  EXPECT_EQ(r.delayAfterRestart(10, of(Idempotency::IdempotentWithKey, DeduplicationScope::All), false),
+            std::nullopt);
+  EXPECT_EQ(r.delayAfterRestart(10, of(Idempotency::Idempotent), false), std::nullopt);
+  EXPECT_EQ(r.delayAfterRestart(10 + kSecond, of(Idempotency::NonIdempotent), false), 2 * kSecond);
+  EXPECT_EQ(r.delayAfterRestart(10 + 3 * kSecond, of(Idempotency::NonIdempotent), false), std::nullopt);
 }
 
 TEST(Recovery, WithoutACutNothingIsHeldBack) {
   for (const PreviousRun before : {PreviousRun::Unknown, PreviousRun::None, PreviousRun::Clean}) {
     Recovery r(3 * kSecond);
     r.start(0, before);
-    EXPECT_EQ(r.heldBack(0, of(Idempotency::NonIdempotent), false), std::nullopt) << nameOf(before);
+    EXPECT_EQ(r.delayAfterRestart(0, of(Idempotency::NonIdempotent), false), std::nullopt) << nameOf(before);
     EXPECT_EQ(r.stage(0, facts(leases::Denial::None)), Stage::FullService);
     EXPECT_TRUE(r.waits(0, facts(leases::Denial::None)).empty());
   }
