--- a/tests/herd_test.cpp
+++ b/tests/herd_test.cpp
@@ -155,7 +155,10 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Fleets, ColdHosts,
-                         ::testing::Values(ColdFleet{20, 8, 0.7, 1, 0.32, 3, 8900 * kMs, 2 * kSec},
+                         ::testing::Values(ColdFleet{1, 8, 0.7, 1, 0.32, 3, 8900 * kMs, 2 * kSec},
+                                           ColdFleet{3, 8, 0.9, 1, 0.12, 4, 22 * kSec, 2 * kSec},
+                                           ColdFleet{6, 10, 0.9, 3, 0.25, 2.5, 12 * kSec, 1500 * kMs},
+                                           ColdFleet{20, 8, 0.7, 1, 0.32, 3, 8900 * kMs, 2 * kSec},
                                            ColdFleet{24, 10, 0.9, 8, 0.32, 3, 8900 * kMs, 2 * kSec},
                                            ColdFleet{30, 12, 0.9, 1, 0.12, 4, 22 * kSec, 2 * kSec},
                                            ColdFleet{30, 6, 0.8, 5, 0.1, 2, 25 * kSec, 3 * kSec},
