--- a/src/admission/duplicate_detector.cpp
+++ b/src/admission/duplicate_detector.cpp
@@ -63,6 +63,7 @@
   }
   std::sort(entries.begin(), entries.end(), [](auto* a, auto* b) { return a->order < b->order; });
   std::vector<RequestRecord> out;
+  out.reserve(entries.size());
   for (const Entry* e : entries) out.push_back(e->tried);
   return out;
 }
--- a/src/admission/include/admission/duplicate_detector.h
+++ b/src/admission/include/admission/duplicate_detector.h
@@ -31,8 +31,8 @@
 class DuplicateDetector {
  public:
   struct Limits {
-    Time kept = 5'000'000;           // after its end: no client repeats later, and no window is longer
-    std::size_t bytes = 512 * 1024;  // of all that has ended; the oldest is forgotten first
+    Time kept = 5'000'000;  // after its end: no client repeats later, and no window is longer
+    std::size_t bytes = std::size_t{512} * 1024;  // of all that has ended; the oldest is forgotten first
   };
   enum class Verdict : std::uint8_t {
     New,         // it is open from now on
--- a/src/change_preview/change_preview.cpp
+++ b/src/change_preview/change_preview.cpp
@@ -49,7 +49,7 @@
     const Placement before = now.place(e), after = pending.place(e);
     if (after.route >= 0) t.routes[pending.routes[static_cast<std::size_t>(after.route)]] += weight;
     const bool bound = e.idempotency != Idempotency::Idempotent;
-    const std::string went = names.at(e.zone);
+    const std::string& went = names.at(e.zone);
     const std::string goes = bound && !after.zone.empty() ? std::string(after.zone) : went;
     t.work[goes] += weight * static_cast<double>(e.work);
     if (!bound) continue;
--- a/src/consensus/history.cpp
+++ b/src/consensus/history.cpp
@@ -8,7 +8,7 @@
 
 ChangeHead headOf(const Change& change) { return {change.version, change.id, change.author, change.digest}; }
 
-History::History(std::vector<ChangeHead> changes, std::size_t kept) : kept_(kept) {
+History::History(const std::vector<ChangeHead>& changes, std::size_t kept) : kept_(kept) {
   for (const ChangeHead& head : changes) add(head);
 }
 
--- a/src/consensus/include/consensus/history.h
+++ b/src/consensus/include/consensus/history.h
@@ -10,7 +10,7 @@
 
 class History {
  public:
-  History(std::vector<ChangeHead> changes, std::size_t kept);
+  History(const std::vector<ChangeHead>& changes, std::size_t kept);
 
   Version version() const { return changes_.empty() ? 0 : changes_.back().version; }
   /// Of the newest text; of the empty one before the first change.
--- a/src/console/calls.cpp
+++ b/src/console/calls.cpp
@@ -1,6 +1,7 @@
 #include "console/calls.h"
 
 #include <optional>
+#include <utility>
 
 namespace client_proxy::console {
 namespace {
@@ -36,7 +37,7 @@
 
 Read only(std::string_view method, std::string_view wanted, Read read) {
   const bool head = wanted == "GET" && method == "HEAD";
-  return method == wanted || head ? read : fault(405, wanted);
+  return method == wanted || head ? std::move(read) : fault(405, wanted);
 }
 
 Read readHostCall(std::string_view method, std::string_view rest) {
--- a/src/distribution/include/distribution/types.h
+++ b/src/distribution/include/distribution/types.h
@@ -27,7 +27,7 @@
 constexpr std::size_t kMaxSplices = 64;
 /// The longest JSON body of a call. JSON writes each line break and quote of a text with two bytes; a text
 /// with so many control characters that it exceeds this is refused.
-constexpr std::size_t kMaxBodyBytes = 2 * kMaxTextBytes + 16 * 1024;
+constexpr std::size_t kMaxBodyBytes = 2 * kMaxTextBytes + std::size_t{16} * 1024;
 
 /// One published version of the shared configuration.
 struct Change {
--- a/src/fleet/facts.cpp
+++ b/src/fleet/facts.cpp
@@ -8,7 +8,7 @@
 namespace client_proxy::fleet {
 namespace {
 
-enum Tag : std::uint8_t { kVersion = 1, kZone, kRegion, kTraffic };
+constexpr std::uint8_t kVersion = 1, kZone = 2, kRegion = 3, kTraffic = 4;  // tags
 
 constexpr double kStep = 1.1, kLeastTraffic = 0.1;
 
--- a/src/fleet/gossip_queue.cpp
+++ b/src/fleet/gossip_queue.cpp
@@ -12,18 +12,25 @@
 constexpr int kSendsOfRecords = 3;                             // that are not urgent
 constexpr std::size_t kLeastStanding = 12, kLeastRecord = 19;  // bytes that an item takes at least
 
+// Standings or records.
+struct ItemKind {
+  int Member::*sends_left = nullptr;
+  int cost = 1;                // of one send, in sends
+  std::size_t least_size = 0;  // bytes
+};
+
 // Moves as many items into the datagram as fit, those to be sent most often first, equal ones by chance.
 template <typename ItemOf>
-void passOn(Writer& writer, Roster& roster, std::size_t to, std::vector<std::size_t>& slots,
-            int Member::*sends_left, int cost, std::size_t least_room, load_balancer::Random& random,
-            ItemOf itemOf) {
+void addItems(Writer& writer, Roster& roster, std::size_t to, std::vector<std::size_t>& slots,
+              const ItemKind& kind, load_balancer::Random& random, ItemOf item_of) {
+  int Member::*const sends_left = kind.sends_left;
   shuffle(slots, random);
   std::stable_sort(slots.begin(), slots.end(), [&](std::size_t a, std::size_t b) {
     return roster.at(a).*sends_left > roster.at(b).*sends_left;
   });
   for (const std::size_t slot : slots) {
-    if (writer.room() < least_room) break;
-    if (slot != to && writer.add(itemOf(roster.at(slot)))) roster.at(slot).*sends_left -= cost;
+    if (writer.room() < kind.least_size) break;
+    if (slot != to && writer.add(item_of(roster.at(slot)))) roster.at(slot).*sends_left -= kind.cost;
   }
   std::erase_if(slots, [&](std::size_t slot) { return roster.at(slot).*sends_left <= 0; });
 }
@@ -79,12 +86,13 @@
                        load_balancer::Random& random) {
   const Member& receiver = roster.at(to);
   if (receiver.standing.state > State::Alive) writer.add(rumourOf(receiver));
-  passOn(writer, roster, to, standings_, &Member::tell_standing, sendCost(), kLeastStanding, random,
-         [](const Member& of) { return Item(rumourOf(of)); });
+  addItems(writer, roster, to, standings_, {&Member::tell_standing, sendCost(), kLeastStanding}, random,
+           [](const Member& of) { return Item(rumourOf(of)); });
   if (!with_records) return;
-  passOn(writer, roster, to, records_, &Member::tell_record, 1, kLeastRecord, random, [](const Member& of) {
-    return Item(Record{of.listed.number, of.version, of.urgent, of.facts});
-  });
+  addItems(writer, roster, to, records_, {&Member::tell_record, 1, kLeastRecord}, random,
+           [](const Member& of) {
+             return Item(Record{of.listed.number, of.version, of.urgent, of.facts});
+           });
 }
 
 }  // namespace client_proxy::fleet
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -13,7 +13,9 @@
 constexpr std::uint16_t kMagic = 0xB17D;
 constexpr std::size_t kChecked = 8;  // where the checksum's part begins
 
-enum Tag : std::uint8_t { kSubject = 1, kRumours, kRecord, kDigest, kBlock, kHeld, kCarried };
+// Tags of items.
+constexpr std::uint8_t kSubject = 1, kRumours = 2, kRecord = 3, kDigest = 4, kBlock = 5, kHeld = 6,
+                       kCarried = 7;
 
 // No time of this century fills an incarnation's highest bits: they hold a rumour's state.
 constexpr unsigned kStateShift = 61;
@@ -69,68 +71,90 @@
   }
 };
 
-// False: malformed.
+// Each reads the items of one tag. False: malformed.
+bool readRumours(Reader& in, std::vector<Item>& items) {
+  while (in.left() > 0) {
+    Rumour rumour;
+    rumour.member = in.get<Number>();
+    const auto packed = in.get<Incarnation>();
+    const Incarnation state = packed >> kStateShift;
+    if (state < static_cast<Incarnation>(State::Alive) || state > static_cast<Incarnation>(State::Left))
+      return false;
+    rumour.standing = {packed & ~(~Incarnation{0} << kStateShift), static_cast<State>(state)};
+    if (rumour.standing.state == State::Suspect) rumour.by = in.get<Number>();
+    if (!in.ok()) return false;
+    items.emplace_back(rumour);
+  }
+  return true;
+}
+
+bool readRecord(Reader& in, std::vector<Item>& items) {
+  Record record;
+  record.member = in.get<Number>();
+  record.version.incarnation = in.get<Incarnation>();
+  record.version.sequence = in.get<std::uint32_t>();
+  record.urgent = in.get<std::uint8_t>() != 0;
+  record.facts = in.take(in.left());
+  items.emplace_back(std::move(record));
+  return true;
+}
+
+bool readDigest(Reader& in, std::vector<Item>& items) {
+  Digest digest;
+  digest.first = in.get<std::uint16_t>();
+  const auto of = in.get<std::uint8_t>();
+  if (of > static_cast<std::uint8_t>(Digest::Of::Records)) return false;
+  digest.of = static_cast<Digest::Of>(of);
+  while (in.left() > 0) digest.hashes.push_back(in.get<std::uint32_t>());
+  items.emplace_back(std::move(digest));
+  return true;
+}
+
+bool readBlock(Reader& in, std::vector<Item>& items) {
+  const auto block = in.get<std::uint16_t>();
+  items.emplace_back(Block{block, in.get<std::uint8_t>() != 0});
+  return true;
+}
+
+bool readHeld(Reader& in, std::vector<Item>& items) {
+  Held held;
+  held.member = in.get<Number>();
+  held.version.incarnation = in.get<Incarnation>();
+  held.version.sequence = in.get<std::uint32_t>();
+  held.wants = in.get<std::uint8_t>() != 0;
+  items.emplace_back(held);
+  return true;
+}
+
 bool readItem(std::uint8_t tag, std::string_view value, std::vector<Item>& items) {
   Reader in(value);
+  bool valid = true;
   switch (tag) {
     case kSubject:
       items.emplace_back(Subject{in.get<Number>()});
       break;
     case kRumours:
-      while (in.left() > 0) {
-        Rumour r;
-        r.member = in.get<Number>();
-        const auto packed = in.get<Incarnation>();
-        const Incarnation state = packed >> kStateShift;
-        if (state < static_cast<Incarnation>(State::Alive) || state > static_cast<Incarnation>(State::Left))
-          return false;
-        r.standing = {packed & ~(~Incarnation{0} << kStateShift), static_cast<State>(state)};
-        if (r.standing.state == State::Suspect) r.by = in.get<Number>();
-        if (!in.ok()) return false;
-        items.emplace_back(r);
-      }
+      valid = readRumours(in, items);
       break;
-    case kRecord: {
-      Record r;
-      r.member = in.get<Number>();
-      r.version.incarnation = in.get<Incarnation>();
-      r.version.sequence = in.get<std::uint32_t>();
-      r.urgent = in.get<std::uint8_t>() != 0;
-      r.facts = in.take(in.left());
-      items.emplace_back(std::move(r));
+    case kRecord:
+      valid = readRecord(in, items);
       break;
-    }
-    case kDigest: {
-      Digest d;
-      d.first = in.get<std::uint16_t>();
-      const auto of = in.get<std::uint8_t>();
-      if (of > static_cast<std::uint8_t>(Digest::Of::Records)) return false;
-      d.of = static_cast<Digest::Of>(of);
-      while (in.left() > 0) d.hashes.push_back(in.get<std::uint32_t>());
-      items.emplace_back(std::move(d));
+    case kDigest:
+      valid = readDigest(in, items);
       break;
-    }
-    case kBlock: {
-      const auto block = in.get<std::uint16_t>();
-      items.emplace_back(Block{block, in.get<std::uint8_t>() != 0});
+    case kBlock:
+      valid = readBlock(in, items);
       break;
-    }
-    case kHeld: {
-      Held h;
-      h.member = in.get<Number>();
-      h.version.incarnation = in.get<Incarnation>();
-      h.version.sequence = in.get<std::uint32_t>();
-      h.wants = in.get<std::uint8_t>() != 0;
-      items.emplace_back(h);
+    case kHeld:
+      valid = readHeld(in, items);
       break;
-    }
     case kCarried:
       items.emplace_back(Carried{std::string(in.take(in.left()))});
       break;
     default:
       return true;  // a later program's
   }
-  return in.ok();
+  return valid && in.ok();
 }
 
 template <typename... Parts>
--- a/src/front/configured_limits.cpp
+++ b/src/front/configured_limits.cpp
@@ -1,4 +1,4 @@
-#include "limits.h"
+#include "configured_limits.h"
 
 #include <algorithm>
 
@@ -13,7 +13,7 @@
 // The console's: its connections, its listener, and one that is about to make room for another.
 constexpr std::size_t kConsoleDescriptors = console::ConsoleServer::kMostConnections + 2;
 
-constexpr std::size_t kMegabyte = 1024 * 1024;
+constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
 
 // Clients' own repeats that may be open whatever else is: what a few failing hosts lead to.
 constexpr std::size_t kLeastRetries = 64;
@@ -153,15 +153,15 @@
 
 admission::RequestGate::Limits Proxy::Registry::limits(const Config& config) const {
   admission::RequestGate::Limits limits = requestLimits(config);
-  const auto byNumber = [](const auto& indices, const std::vector<std::string>& names, const auto& shares) {
+  const auto by_number = [](const auto& indices, const std::vector<std::string>& names, const auto& shares) {
     std::vector<admission::RequestGate::Share> out(indices.size());
     for (std::size_t i = 0; i < std::min(names.size(), shares.size()); ++i) {
       if (const auto number = indices.find(names[i])) out[static_cast<std::size_t>(*number)] = shares[i];
     }
     return out;
   };
-  limits.classes = byNumber(classes, config.site.classes, limits.classes);
-  limits.tenants = byNumber(tenants, config.site.tenants, limits.tenants);
+  limits.classes = by_number(classes, config.site.classes, limits.classes);
+  limits.tenants = by_number(tenants, config.site.tenants, limits.tenants);
   return limits;
 }
 
--- a/src/front/proxy.cpp
+++ b/src/front/proxy.cpp
@@ -6,7 +6,7 @@
 #include <stdexcept>
 #include <utility>
 
-#include "limits.h"
+#include "configured_limits.h"
 #include "net/head_rules.h"
 
 namespace client_proxy {
--- a/src/hot_restart/channel.cpp
+++ b/src/hot_restart/channel.cpp
@@ -91,9 +91,9 @@
 
 Channel::Channel(asio::io_context& io, OwnedDescriptor socket) : socket_(io, socket.release()) {}
 
-void Channel::start(OnFrame onFrame, OnGone onGone) {
-  on_frame_ = std::move(onFrame);
-  on_gone_ = std::move(onGone);
+void Channel::start(OnFrame on_frame, OnGone on_gone) {
+  on_frame_ = std::move(on_frame);
+  on_gone_ = std::move(on_gone);
   awaitFrame();
 }
 
--- a/src/hot_restart/include/hot_restart/channel.h
+++ b/src/hot_restart/include/hot_restart/channel.h
@@ -35,13 +35,13 @@
 
 class Channel : public std::enable_shared_from_this<Channel> {
  public:
-  // `onFrame` may get a descriptor with it. `onGone`: once, when the other side has closed or said what can't
-  // be read; not after close().
+  // `on_frame` may get a descriptor with it. `on_gone`: once, when the other side has closed or said what
+  // can't be read; not after close().
   using OnFrame = std::function<void(const Frame&, OwnedDescriptor)>;
   using OnGone = std::function<void()>;
 
   Channel(boost::asio::io_context& io, OwnedDescriptor socket);
-  void start(OnFrame onFrame, OnGone onGone);
+  void start(OnFrame on_frame, OnGone on_gone);
   // In order; what the kernel does not take yet waits here. False: the channel is closed, or too much waits
   // for a descriptor to be taken along.
   bool send(const Frame& frame);
--- a/src/hot_restart/include/hot_restart/frame.h
+++ b/src/hot_restart/include/hot_restart/frame.h
@@ -13,8 +13,8 @@
 
 // Both sides refuse a peer of another version: it then starts from nothing.
 constexpr std::uint8_t kVersion = 1;
-constexpr std::size_t kMostPayload = 32 * 1024;       // of one frame
-constexpr std::size_t kMostState = 16 * 1024 * 1024;  // of all StatePart frames together
+constexpr std::size_t kMostPayload = std::size_t{32} * 1024;       // of one frame
+constexpr std::size_t kMostState = std::size_t{16} * 1024 * 1024;  // of all StatePart frames together
 
 enum class Type : std::uint8_t {
   Hello = 1,     // the new one: I am of this name, tell me what you know
--- a/src/leases/conflict_detection.cpp
+++ b/src/leases/conflict_detection.cpp
@@ -10,7 +10,7 @@
 void Member::checkInstallation(Time now, Number from, std::uint32_t installation, Output& out) {
   if (installation == 0) return;
   installations_[from] = installation;
-  const auto reportCopy = [&](Number one, Number other) {
+  const auto report_copy = [&](Number one, Number other) {
     report(now,
            {.kind = ConflictKind::CopiedStorage,
             .claimant = std::max(one, other),
@@ -18,10 +18,10 @@
            out);
   };
   for (const auto& [other, held] : installations_) {
-    if (other != from && held == installation) reportCopy(from, other);
+    if (other != from && held == installation) report_copy(from, other);
   }
   if (installation != installation_) return;
-  reportCopy(from, self_);
+  report_copy(from, self_);
   if (self_ < from) return;
   out.discard_storage = true;
   out.log_lines.push_back("storage copied member=" + std::to_string(from) + ": the copy here is discarded");
--- a/src/net/include/net/body_budget.h
+++ b/src/net/include/net/body_budget.h
@@ -21,8 +21,8 @@
 // their number is bounded by that of connections, and they must not stand behind uploads.
 class BodyBudget {
  public:
-  static constexpr std::size_t kPiece = 32 * 1024;  // asked for at a time
-  static constexpr std::size_t kFree = 16 * 1024;
+  static constexpr std::size_t kPiece = std::size_t{32} * 1024;  // asked for at a time
+  static constexpr std::size_t kFree = std::size_t{16} * 1024;
 
   explicit BodyBudget(std::size_t bytes) : shared_limit_(bytes > kMostBody ? bytes - kMostBody : 0) {}
 
--- a/src/net/include/net/body_pipe.h
+++ b/src/net/include/net/body_pipe.h
@@ -16,7 +16,7 @@
 // like, and may call back; each side sets its own and takes it away before it goes.
 class BodyPipe {
  public:
-  static constexpr std::size_t kWindow = 32 * 1024;
+  static constexpr std::size_t kWindow = std::size_t{32} * 1024;
   enum class End : std::uint8_t { Open, Whole, Broken };
 
   // `length`: of the whole body, with what was held before the pipe; nothing: it is not known beforehand.
--- a/src/net/include/net/descriptors.h
+++ b/src/net/include/net/descriptors.h
@@ -20,8 +20,8 @@
   Descriptors(const Clock& clock, std::size_t limit)
       : clock_(clock), permits_({.all = limit, .least_clients = limit / 8, .least_hosts = limit / 4}) {}
 
-  void addReclaimer(Side side, std::function<bool()> closeOne) {
-    reclaimers_.push_back({side, std::move(closeOne)});
+  void addReclaimer(Side side, std::function<bool()> close_one) {
+    reclaimers_.push_back({side, std::move(close_one)});
   }
 
   // False: there is no place, and nobody can give way.
@@ -46,14 +46,14 @@
  private:
   struct Reclaimer {
     Side side;
-    std::function<bool()> closeOne;
+    std::function<bool()> close_one;
   };
 
   // Where a side is at its own bound, only its own connections make room for it.
   bool reclaim(Side side) {
     const bool own = permits_.used(side) >= permits_.most(clock_.now(), side);
     for (const Reclaimer& r : reclaimers_) {
-      if ((!own || r.side == side) && r.closeOne()) return true;
+      if ((!own || r.side == side) && r.close_one()) return true;
     }
     return false;
   }
--- a/src/net/include/net/http.h
+++ b/src/net/include/net/http.h
@@ -21,9 +21,10 @@
 namespace http = boost::beast::http;
 using Text = boost::beast::string_view;
 
-constexpr std::size_t kMostHead = 16 * 1024;
-constexpr std::uint64_t kMostBody = 64 * 1024;         // held whole, so that it can be sent again
-constexpr std::uint64_t kMostLong = 40 * 1024 * 1024;  // passed on as it comes; more is refused or spoilt
+constexpr std::size_t kMostHead = std::size_t{16} * 1024;
+constexpr std::uint64_t kMostBody = std::uint64_t{64} * 1024;  // held whole, so that it can be sent again
+constexpr std::uint64_t kMostLong =
+    std::uint64_t{40} * 1024 * 1024;  // passed on as it comes; more is refused or spoilt
 
 // Seconds with decimals ("0.480") as microseconds; nothing if it is not such a number.
 std::optional<Time> parseSeconds(std::string_view text);
--- a/src/net/include/net/server.h
+++ b/src/net/include/net/server.h
@@ -43,7 +43,7 @@
 class Server {
  public:
   struct Limits {
-    std::size_t body_bytes = 64 * 1024 * 1024;  // all request bodies together
+    std::size_t body_bytes = std::size_t{64} * 1024 * 1024;  // all request bodies together
     admission::ConnectionGate::Limits connections;
   };
 
@@ -115,7 +115,7 @@
   admission::ConnectionGate gate_;
   std::unordered_map<ConnectionId, std::shared_ptr<Connection>> connections_;
   std::unordered_map<ExchangeId, Connection*> exchanges_;  // those that wait for their answer
-  std::array<char, 64 * 1024> discarded_;                  // where unwanted input goes, of all connections
+  std::array<char, std::size_t{64} * 1024> discarded_;     // where unwanted input goes, of all connections
   std::vector<admission::ConnectionGate::Overdue> overdue_;
   ExchangeId next_exchange_ = 1;
   std::function<bool(int)> give_;  // not set: nothing is handed on
--- a/src/replica/http_session.cpp
+++ b/src/replica/http_session.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr std::uint32_t kMaxHead = 8192;
-constexpr std::size_t kMaxBuffer = 64 * 1024;
+constexpr std::size_t kMaxBuffer = std::size_t{64} * 1024;
 
 // The path and what is behind the question mark.
 std::pair<std::string, std::string> split(std::string_view target) {
--- a/src/replica/replica_server.cpp
+++ b/src/replica/replica_server.cpp
@@ -27,7 +27,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kAcceptAgain{20};
-constexpr std::size_t kMaxAcknowledgementBytes = 16 * 1024;
+constexpr std::size_t kMaxAcknowledgementBytes = std::size_t{16} * 1024;
 constexpr std::string_view kChanges = "/v1/changes/";
 
 std::int64_t systemClock() {
--- a/src/replica/store.cpp
+++ b/src/replica/store.cpp
@@ -70,7 +70,8 @@
   sqlite::Statement records(database_, "SELECT name, bytes, checksum FROM records");
   while (records.step()) {
     const std::string name = records.text(0), bytes = records.text(1);
-    if (records.number(2) != checksumOf(name, bytes)) throw CodecError(name, "has another checksum");
+    if (static_cast<std::uint64_t>(records.number(2)) != checksumOf(name, bytes))
+      throw CodecError(name, "has another checksum");
     const json value = distribution::parseJson(bytes, kMaxRecordBytes);
     const JsonObject object(value, name);
     if (name == "owner") {
@@ -106,7 +107,7 @@
 
 Change Store::changeOf(sqlite::Statement& row) const {
   const std::string version = std::to_string(row.number(0)), bytes = row.text(1);
-  if (row.number(2) != checksumOf(version, bytes))
+  if (static_cast<std::uint64_t>(row.number(2)) != checksumOf(version, bytes))
     throw CodecError("change " + version, "has another checksum");
   const json value = distribution::parseJson(bytes, kMaxRecordBytes);
   return distribution::changeFromJson(JsonObject(value, "change " + version));
--- a/src/subscription/watch_connection.cpp
+++ b/src/subscription/watch_connection.cpp
@@ -10,7 +10,7 @@
 
 using boost::system::error_code;
 
-constexpr std::size_t kReadBytes = 4 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{4} * 1024;
 constexpr int kOk = 200;
 
 }  // namespace
--- a/src/zone_health/traffic_plan.cpp
+++ b/src/zone_health/traffic_plan.cpp
@@ -80,12 +80,12 @@
     const double near = std::min(left[i], spare[i]);
     sent[i][i] = near, left[i] -= near, spare[i] -= near;
   }
-  const auto sameRegion = [&](std::size_t a, std::size_t b) {
+  const auto same_region = [&](std::size_t a, std::size_t b) {
     return a != b && !zones[a].region.empty() && zones[a].region == zones[b].region;
   };
-  distribute(left, spare, sent, sameRegion);
+  distribute(left, spare, sent, same_region);
   // Spare room is not the same for all any more: a second time finds what the first left.
-  distribute(left, spare, sent, sameRegion);
+  distribute(left, spare, sent, same_region);
   for (int i = 0; i < 2; ++i) distribute(left, spare, sent, [](std::size_t, std::size_t) { return true; });
 
   TrafficPlan plan;
