--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -97,6 +97,8 @@
   };
   struct Machine {
     Host listed;
+    Time started = 0;        // in true time, which `listed` may not tell; 0: long ago
+    std::uint64_t life = 0;  // restarts so far: what an earlier life had in work is reset
     bool up = true, silent = false;
     std::vector<Time> free_at;  // by core
     std::size_t open = 0, most_open = 0;
@@ -135,6 +137,22 @@
     }
   }
   void stopHost(std::size_t host) { hosts_[host].up = false; }
+  // Arrivals at all clients from now on, as a multiple of the ordinary ones.
+  void setLoad(double factor) { load_ = factor; }
+  // They start anew at once, cold, and every client that watches is told. `clock_error`: of the clock that
+  // tells when they started, against the clients' own.
+  void restartHosts(std::size_t from, std::size_t to, Time clock_error = 0) {
+    std::vector<Host> news;
+    for (std::size_t h = from; h < to; ++h) {
+      Machine& host = hosts_[h];
+      ++host.life;
+      host.started = now_;
+      host.listed.started_at = now_ + clock_error;
+      std::fill(host.free_at.begin(), host.free_at.end(), now_);
+      news.push_back(host.listed);
+    }
+    tellWatchers(news);
+  }
   // Nothing comes from there any more, no reset either; or again.
   void silence(std::int32_t zone, bool silent) {
     for (Machine& h : hosts_) h.silent = h.listed.zone == zone ? silent : h.silent;
@@ -160,10 +178,7 @@
   void addColdHosts(std::size_t count) {
     std::vector<Host> news;
     for (std::size_t i = 0; i < count; ++i) news.push_back(hosts_[addHost(now_)].listed);
-    for (Client& c : clients_) {
-      if (c.watches)
-        tell(c, [&](Actions& out) { c.balancer->onServers(now_, ListKind::Changes, news, out); });
-    }
+    tellWatchers(news);
   }
 
   // ---- what came of it ----
@@ -221,7 +236,7 @@
   std::size_t addHost(Time started_at) {
     Machine h;
     h.listed = makeHost(static_cast<int>(hosts_.size()));
-    h.listed.started_at = started_at;
+    h.listed.started_at = h.started = started_at;
     h.listed.zone = static_cast<std::int32_t>(hosts_.size()) % shape_.zones;
     h.free_at.assign(static_cast<std::size_t>(shape_.cores), 0);
     index_[h.listed.id] = hosts_.size();
@@ -229,6 +244,13 @@
     return hosts_.size() - 1;
   }
 
+  void tellWatchers(const std::vector<Host>& news) {
+    for (Client& c : clients_) {
+      if (c.watches)
+        tell(c, [&](Actions& out) { c.balancer->onServers(now_, ListKind::Changes, news, out); });
+    }
+  }
+
   std::vector<Host> list() const {
     std::vector<Host> all;
     for (const Machine& h : hosts_) all.push_back(h.listed);
@@ -251,7 +273,7 @@
 
   void arrive(std::uint32_t number) {
     const double rate = shape_.rate * (number % 10 == 0 ? shape_.hot : 1);
-    at(now_ + drawn(1e6 / rate), [this, number] {
+    at(now_ + drawn(1e6 / (rate * load_)), [this, number] {
       Client& c = clients_[number];
       Request r;
       r.id = ++asked_;
@@ -313,8 +335,7 @@
       ++c.held[host];
     }
     h.sends.note(now_ - kStart);
-    if (now_ - h.listed.started_at < settings_.slow_start_duration && h.listed.started_at != 0)
-      h.cold_sends.note(now_ - kStart);
+    if (h.started != 0 && now_ - h.started < settings_.slow_start_duration) h.cold_sends.note(now_ - kStart);
     if (!h.up) return later(c, now_ + round, [=, this, &c] { end(c, id, number, Result::Reset, round); });
     Time& core = *std::min_element(h.free_at.begin(), h.free_at.end());
     const Time begins = std::max(now_ + shape_.network, core);
@@ -325,7 +346,8 @@
     const Time taken = core - now_ + shape_.network;
     const Time sent = now_;
     if (taken <= limit) {
-      later(c, now_ + taken, [=, this, &c] {
+      later(c, now_ + taken, [=, this, &c, life = h.life] {
+        if (hosts_[host].life != life) return end(c, id, number, Result::Reset, taken);
         if (!hosts_[host].silent) return end(c, id, number, Result::Ok, taken);
         later(c, sent + limit, [=, this, &c] { end(c, id, number, Result::TimedOut, limit); });
       });
@@ -335,9 +357,9 @@
   }
 
   double warmth(const Machine& h) const {
-    if (h.listed.started_at == 0) return 1;
+    if (h.started == 0) return 1;
     const double age =
-        static_cast<double>(now_ - h.listed.started_at) / static_cast<double>(settings_.slow_start_duration);
+        static_cast<double>(now_ - h.started) / static_cast<double>(settings_.slow_start_duration);
     return std::min(
         1.0, settings_.slow_start_initial_capacity + (1 - settings_.slow_start_initial_capacity) * age);
   }
@@ -400,6 +422,7 @@
   Time now_;
   std::uint64_t order_ = 0, asked_ = 0, answered_ = 0;
   std::uint32_t restarted_ = 0;
+  double load_ = 1;
   std::priority_queue<Event> events_;
   std::vector<Machine> hosts_;
   std::unordered_map<std::string, std::size_t> index_;
--- /dev/null
+++ b/tests/slow_start_fleet_test.cpp
@@ -0,0 +1,186 @@
+// Slow start under faults that meet: what all clients together send to each host that has restarted, held to
+// the budget that the settings and the capacity of a warm host give, over every window of their length.
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <functional>
+#include <iostream>
+#include <ostream>
+#include <string>
+
+#include "fleet_model.h"
+
+namespace load_balancer::test {
+namespace {
+
+constexpr Time kOrdinary = 15 * kSec;  // before the faults
+constexpr double kLoad = 0.7;
+constexpr std::uint64_t kSeed = 1;
+
+// The slow start that the settings state.
+struct SlowStartPlan {
+  const char* name;
+  double initial_capacity, overload_factor;
+  Time duration, window;
+};
+constexpr SlowStartPlan kSite{"site", 0.32, 3, 8900 * kMs, 2 * kSec};
+constexpr SlowStartPlan kTight{"tight", 0.2, 2, 15 * kSec, 2 * kSec};
+
+struct FleetPlan {
+  const char* name;
+  std::uint32_t clients, hosts;
+  int cores;
+  Time work;
+  double hot;  // times the ordinary rate, of every tenth client
+};
+constexpr FleetPlan kSmall{"30 clients at 8 hosts", 30, 8, 2, 85 * kMs, 4};
+constexpr FleetPlan kCrowded{"300 clients at 60 hosts", 300, 60, 2, 85 * kMs, 4};
+constexpr FleetPlan kWide{"300 clients at 200 hosts", 300, 200, 2, 85 * kMs, 4};
+constexpr FleetPlan kSlowHosts{"900 clients at 100 slow hosts", 900, 100, 1, 250 * kMs, 1};
+
+struct Fault {
+  const char* name;
+  std::function<void(FleetModel&)> inject;  // at the end of ordinary load; returns when hosts are warm again
+};
+
+void runUntilWarm(FleetModel& fleet) { fleet.runFor(10 * kSec); }
+
+void restartAllInABurst(FleetModel& fleet) {
+  fleet.setLoad(3);
+  fleet.restartHosts(0, fleet.hosts().size());
+  fleet.runFor(4 * kSec);
+  fleet.setLoad(1);
+  runUntilWarm(fleet);
+}
+void restartHostsWhoseClockIsBehind(FleetModel& fleet) {
+  fleet.restartHosts(0, fleet.hosts().size() / 3, -3600 * kSec);
+  runUntilWarm(fleet);
+}
+void restartHostsWhoseClockIsAhead(FleetModel& fleet) {
+  fleet.restartHosts(0, fleet.hosts().size() / 3, 3600 * kSec);
+  runUntilWarm(fleet);
+}
+void restartClientsAndThenHostsWhoseClockIsBehind(FleetModel& fleet) {
+  fleet.restartClients(0.7);
+  fleet.runFor(3 * kSec);
+  restartHostsWhoseClockIsBehind(fleet);
+}
+void restartHostsTwiceAndClientsBetween(FleetModel& fleet) {
+  fleet.restartHosts(0, fleet.hosts().size());
+  fleet.runFor(1200 * kMs);
+  fleet.restartClients(0.5);
+  fleet.runFor(1300 * kMs);
+  fleet.restartHosts(0, fleet.hosts().size());
+  runUntilWarm(fleet);
+}
+void restartClientsInWaves(FleetModel& fleet) {
+  fleet.restartHosts(0, fleet.hosts().size() / 2);
+  for (int wave = 0; wave < 20; ++wave) {
+    fleet.runFor(250 * kMs);
+    fleet.restartClients(0.1);
+  }
+  runUntilWarm(fleet);
+}
+void restartEverythingInABurst(FleetModel& fleet) {
+  fleet.setLoad(3);
+  fleet.restartHosts(0, fleet.hosts().size());
+  fleet.restartClients(1);
+  fleet.runFor(4 * kSec);
+  fleet.setLoad(1);
+  runUntilWarm(fleet);
+}
+void restartMostHostsInABurst(FleetModel& fleet) {
+  fleet.setLoad(2);
+  fleet.restartHosts(0, fleet.hosts().size() * 6 / 10);
+  fleet.runFor(4 * kSec);
+  fleet.setLoad(1);
+  runUntilWarm(fleet);
+}
+
+const Fault kFaults[] = {{"AllHostsInABurst", restartAllInABurst},
+                         {"MostHostsInABurst", restartMostHostsInABurst},
+                         {"HostClocksBehind", restartHostsWhoseClockIsBehind},
+                         {"HostClocksAhead", restartHostsWhoseClockIsAhead},
+                         {"ClientsThenHostClocksBehind", restartClientsAndThenHostsWhoseClockIsBehind},
+                         {"HostsTwiceClientsBetween", restartHostsTwiceAndClientsBetween},
+                         {"ClientsInWaves", restartClientsInWaves},
+                         {"EverythingInABurst", restartEverythingInABurst}};
+
+// Beyond the budget only so much is put down to chance.
+double bound(double budget) {
+  return budget < 30 ? budget + 3 * std::sqrt(budget) + 3 : budget + 2 * std::sqrt(budget) + 2;
+}
+
+// The worst window of a host's slow start, as a part of its bound; by the capacity at the window's end.
+double worstWindow(const FleetModel& fleet, const FleetModel::Machine& host, const SlowStartPlan& plan) {
+  if (host.started == 0) return 0;
+  const Time start = host.started - kStart;
+  double worst = 0;
+  for (Time age = FleetModel::kStep; age <= plan.duration; age += FleetModel::kStep) {
+    const double part = static_cast<double>(age) / static_cast<double>(plan.duration);
+    const double capacity = plan.initial_capacity + (1 - plan.initial_capacity) * part;
+    const double budget = plan.overload_factor * capacity * fleet.capacity(plan.window);
+    const std::uint32_t sent = host.cold_sends.between(start + age - std::min(age, plan.window), start + age);
+    worst = std::max(worst, sent / bound(budget));
+  }
+  return worst;
+}
+
+void PrintTo(const Fault& fault, std::ostream* out) { *out << fault.name; }
+
+class SlowStartFaults : public ::testing::TestWithParam<Fault> {
+ protected:
+  // All clients together ask for `kLoad` of what the warm hosts can do.
+  static FleetModel::Shape shapeOf(const FleetPlan& plan) {
+    FleetModel::Shape shape;
+    shape.clients = plan.clients, shape.hosts = plan.hosts;
+    shape.cores = plan.cores, shape.work = plan.work;
+    shape.hot = plan.hot;
+    const double all = kLoad * shape.hosts * shape.cores / (static_cast<double>(shape.work) / 1e6);
+    shape.rate = all / (shape.clients * (0.9 + 0.1 * shape.hot));
+    return shape;
+  }
+  static Settings settingsOf(const SlowStartPlan& plan) {
+    Settings settings = fleetSettings();
+    settings.slow_start_initial_capacity = plan.initial_capacity;
+    settings.slow_start_overload_factor = plan.overload_factor;
+    settings.slow_start_duration = plan.duration;
+    settings.slow_start_overload_window = plan.window;
+    return settings;
+  }
+  static void expectWithinBudget(const FleetModel& fleet, const SlowStartPlan& plan) {
+    double worst = 0;
+    std::size_t over = 0;
+    std::uint32_t sent = 0;
+    for (const FleetModel::Machine& host : fleet.hosts()) {
+      const double window = worstWindow(fleet, host, plan);
+      worst = std::max(worst, window);
+      over += window > 1 ? 1U : 0U;
+      sent += host.cold_sends.all();
+    }
+    std::cout << "worst window " << worst << " of its bound; over it " << over << " of "
+              << fleet.hosts().size() << " hosts; sent " << sent << ", answered " << fleet.answered()
+              << " of " << fleet.asked() << '\n';
+    EXPECT_LE(worst, 1) << over << " of " << fleet.hosts().size() << " hosts";
+    EXPECT_GT(sent, 0U) << "hosts in slow start are used";
+  }
+};
+
+TEST_P(SlowStartFaults, NoHostIsSentMoreThanItsBudgetByAllClientsTogether) {
+  for (const FleetPlan& fleet_plan : {kSmall, kCrowded, kWide, kSlowHosts}) {
+    for (const SlowStartPlan& plan : {kSite, kTight}) {
+      SCOPED_TRACE(std::string(fleet_plan.name) + ", " + plan.name);
+      std::cout << fleet_plan.name << ", " << plan.name << ": ";
+      FleetModel fleet(shapeOf(fleet_plan), settingsOf(plan), kSeed);
+      fleet.runFor(kOrdinary);
+      GetParam().inject(fleet);
+      expectWithinBudget(fleet, plan);
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, SlowStartFaults, ::testing::ValuesIn(kFaults),
+                         [](const auto& p) { return std::string(p.param.name); });
+
+}  // namespace
+}  // namespace load_balancer::test
