--- a/rig/callers.cpp
+++ b/rig/callers.cpp
@@ -96,6 +96,10 @@
   carryOut([&] { proxies_[proxy].paused = false; });
 }
 
+void Callers::setLoad(double factor) {
+  carryOut([&] { load_ = factor; });
+}
+
 bool Callers::waits() const {
   for (const Proxy& p : proxies_) {
     if (!p.calls.empty()) return true;
@@ -115,7 +119,7 @@
 }
 
 void Callers::next(std::size_t proxy) {
-  const std::chrono::duration<double> span(-std::log(1 - random_.unit()) / proxies_[proxy].rate);
+  const std::chrono::duration<double> span(-std::log(1 - random_.unit()) / (proxies_[proxy].rate * load_));
   auto timer = std::make_shared<asio::steady_timer>(io_, std::chrono::duration_cast<Clock::duration>(span));
   timer->async_wait([this, timer, proxy](error_code ec) {
     if (ec || stopped_) return;
--- a/rig/callers.h
+++ b/rig/callers.h
@@ -31,6 +31,8 @@
   // goes on.
   void pause(std::size_t proxy, Span after = Span(0));
   void resume(std::size_t proxy);
+  // From now on calls come so many times as often as the plan says.
+  void setLoad(double factor);
   // No further calls; returns when each has its answer or has waited its time.
   void stop();
 
@@ -62,6 +64,7 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
   load_balancer::Random random_;
   std::vector<Proxy> proxies_;
+  double load_ = 1;
   bool stopped_ = false;
   std::thread thread_;
 };
--- a/rig/events.cpp
+++ b/rig/events.cpp
@@ -12,7 +12,8 @@
 
 using nlohmann::json;
 
-constexpr std::array kNames = {"asked", "ran", "answered", "lost", "left", "back", "fault", "undone"};
+constexpr std::array kNames = {"asked",   "reached", "ran",  "answered", "lost",
+                               "started", "left",    "back", "fault",    "undone"};
 
 Event::What whatOf(const std::string& name) {
   for (std::size_t i = 0; i < kNames.size(); ++i) {
--- a/rig/events.h
+++ b/rig/events.h
@@ -10,7 +10,18 @@
 namespace client_proxy::rig {
 
 struct Event {
-  enum class What : std::uint8_t { Asked, Ran, Answered, Lost, Left, Back, Fault, Undone };
+  enum class What : std::uint8_t {
+    Asked,
+    Reached,  // a host has all of a request, whether or not it runs
+    Ran,
+    Answered,
+    Lost,
+    Started,  // a host, which is in slow start from here
+    Left,
+    Back,
+    Fault,
+    Undone
+  };
   double at = 0;  // seconds since the run began
   What what = What::Fault;
   std::string id{};           // of the request
--- a/rig/fleet_rig.cpp
+++ b/rig/fleet_rig.cpp
@@ -62,10 +62,10 @@
             {"connect_timeout_us", 250000}}},
           {"rules",
            {{"drain_grace_us", kDrainGrace.count()},
-            {"cold_from", kColdFrom},
-            {"cold_us", kColdFor.count()},
-            {"tip_multiple", 3},
-            {"fall_us", 2000000},
+            {"cold_from", plan.slow_start.initial_capacity},
+            {"cold_us", plan.slow_start.duration.count()},
+            {"tip_multiple", plan.slow_start.overload_factor},
+            {"fall_us", plan.slow_start.overload_window.count()},
             {"ask_within_us", 10000000}}}};
 }
 
--- a/rig/plan.h
+++ b/rig/plan.h
@@ -48,19 +48,28 @@
   HostKill,   // a host ends with resets; then its cold start
   HostLeave,  // a host drains; then it is active again
   Discovery,  // discovery is down; then up
+  Burst,      // applications call `part` times as often; then as before
 };
 
 struct Step {
   std::string name;
   Fault fault = Fault::Kill;
   std::size_t subject = 0;  // the proxy, zone or host
-  double part = 0;          // of a loss
+  double part = 0;          // of a loss; of a burst its factor
   Span at{0};
   Span lasting{0};  // then it is undone; 0: it stays
   std::size_t times = 1;
   Span every{0};
 };
 
+// How hosts start, and what overloads one that has just started; as the settings state it.
+struct SlowStartPlan {
+  double initial_capacity = 0.3;
+  Span duration{8'000'000};
+  double overload_factor = 3;
+  Span overload_window{2'000'000};
+};
+
 // What one zone alone may run at a time.
 struct ServicePlan {
   std::string name, request_class;
@@ -75,6 +84,8 @@
   CallersPlan callers;
   std::vector<ClassPlan> classes;
   std::vector<ZonePlan> zones;
+  SlowStartPlan slow_start;
+  Span host_clock_error{0};  // of the clocks by which hosts tell when they started
   std::vector<Step> steps;
   std::vector<ServicePlan> services;
   Span lease{1'000'000};
@@ -100,9 +111,6 @@
   std::size_t zoneOfProxy(std::size_t proxy) const { return proxy % zones.size(); }
 };
 
-// Of a host that has just started; by the rules' own figures.
-constexpr double kColdFrom = 0.3;
-constexpr Span kColdFor{8'000'000};
 constexpr Span kDrainGrace{2'000'000};
 
 }  // namespace client_proxy::rig
--- a/rig/rules.cpp
+++ b/rig/rules.cpp
@@ -45,6 +45,8 @@
       case Event::What::Back:
         leaves_.erase(e.host);
         break;
+      case Event::What::Reached:
+      case Event::What::Started:
       case Event::What::Fault:
       case Event::What::Undone:
         break;
--- a/rig/run.cpp
+++ b/rig/run.cpp
@@ -72,6 +72,7 @@
     outcome.agreed = allowed_ && FleetRig::until([&] { return fleet_.agree(live_); });
     outcome.events = record_.events();
     outcome.verdict = judge(outcome.events);
+    outcome.slow_start = judgeSlowStart(outcome.events, plan_);
     outcome.ran = site_.ran();
     outcome.logs = fleet_.logs();
     return outcome;
@@ -168,6 +169,8 @@
         return site_.leave(n, broken);
       case Fault::Discovery:
         return site_.discovery(!broken);
+      case Fault::Burst:
+        return callers_->setLoad(broken ? s.part : 1);
       default:
         return;
     }
--- a/rig/run.h
+++ b/rig/run.h
@@ -8,12 +8,14 @@
 #include "events.h"
 #include "plan.h"
 #include "rules.h"
+#include "slow_start_rule.h"
 
 namespace client_proxy::rig {
 
 struct Outcome {
   std::vector<Event> events;
   Verdict verdict;
+  SlowStartVerdict slow_start;
   std::vector<std::size_t> ran;  // by host
   bool agreed = false;           // all that run held one view at the end
   std::string logs;              // of the proxies
--- a/rig/site.cpp
+++ b/rig/site.cpp
@@ -15,6 +15,8 @@
 #include <set>
 #include <utility>
 
+#include "slow_start_budget.h"
+
 namespace client_proxy::rig {
 namespace {
 
@@ -194,6 +196,8 @@
         ways_(ways),
         zone_(plan.zoneOfHost(number)),
         plan_(plan.zones[zone_]),
+        slow_start_(plan.slow_start),
+        clock_error_(plan.host_clock_error),
         number_(number),
         random_(random),
         record_(record),
@@ -228,8 +232,9 @@
   void start() {
     up_ = true;
     started_ = Clock::now();
+    record_.add({.what = Event::What::Started, .host = static_cast<int>(number_)});
     boot_ = std::chrono::duration_cast<std::chrono::milliseconds>(
-                std::chrono::system_clock::now().time_since_epoch())
+                std::chrono::system_clock::now().time_since_epoch() + clock_error_)
                 .count();
     settle();
   }
@@ -242,6 +247,9 @@
 
   void take(const std::shared_ptr<Session>& session, Session::Request request) {
     if (request["X-Correlation-Id"].empty()) return session->answer(http::status::not_found, "");
+    record_.add({.what = Event::What::Reached,
+                 .id = std::string(request["X-Correlation-Id"]),
+                 .host = static_cast<int>(number_)});
     if (!mine(session, request)) return;
     if (busy_ < plan_.cores) return work({session, std::move(request)});
     if (waiting_.size() >= plan_.queue) return session->answer(http::status::service_unavailable, "", true);
@@ -295,14 +303,15 @@
 
   double speed() const {
     if (!started_) return 1;
-    const double age = std::chrono::duration<double>(Clock::now() - *started_) / kColdFor;
-    return std::min(1.0, kColdFrom + (1 - kColdFrom) * age);
+    return capacityAt(slow_start_, std::chrono::duration_cast<Span>(Clock::now() - *started_));
   }
 
   asio::io_context& io_;
   Ways& ways_;
   const std::size_t zone_;
   const ZonePlan plan_;
+  const SlowStartPlan slow_start_;
+  const Span clock_error_;
   const std::size_t number_;
   load_balancer::Random& random_;
   Record& record_;
--- a/src/decision/endpoint.h
+++ b/src/decision/endpoint.h
@@ -28,13 +28,16 @@
   bool unproven = false;           // readmitted by a health check, and no request was answered since
   bool health_check_pending = false;
   Time ejected_since = 0, ejected_until = 0;  // after the second a health check or a trial may readmit it
-  Time slow_start_since = 0;                  // 0: it is warm
+  Time slow_start_since = 0;                  // 0: it is warm; it is, too, when the time is over
   double slow_start_tokens = 0;
   Time slow_start_refilled = 0;
   double reported_load = 0;  // requests it held, by its last load report
   Time reported_at = std::numeric_limits<Time>::min();
 
   bool inService() const { return listed && host.state == HostState::Healthy && !in_maintenance; }
+  bool inSlowStart(Time now, Time duration) const {
+    return slow_start_since != 0 && now - slow_start_since < duration;
+  }
   // New requests may go there as a matter of course.
   bool usable() const { return inService() && !ejected; }
   // What a process before a restart did says nothing of the one after it.
--- a/src/decision/endpoint_selection.h
+++ b/src/decision/endpoint_selection.h
@@ -8,7 +8,7 @@
 
 class EndpointSelector {
  public:
-  EndpointSelector(const PolicyContext& context, Subset& subset, const SlowStart& slow_start,
+  EndpointSelector(const PolicyContext& context, Subset& subset, SlowStart& slow_start,
                    const RetryPolicy& retries)
       : context_(context), subset_(subset), slow_start_(slow_start), retries_(retries) {}
 
@@ -31,10 +31,10 @@
 
   bool eligible(const PendingRequest& request, Endpoint& endpoint, bool last_resort = false) const {
     if (!retries_.maySend(request, endpoint)) return false;
-    if (last_resort) return slow_start_.allows(endpoint, true);
+    if (last_resort) return slow_start_.allows(endpoint);
     if (request.tried(endpoint)) return false;
     if (endpoint.ejected) return mayTry(request, endpoint);
-    if (slow_start_.allows(endpoint, false)) return true;
+    if (slow_start_.allows(endpoint)) return true;
     subset_.dropMissedTurns(endpoint);
     return false;
   }
@@ -79,7 +79,7 @@
 
   const PolicyContext& context_;
   Subset& subset_;
-  const SlowStart& slow_start_;
+  SlowStart& slow_start_;
   const RetryPolicy& retries_;
   std::uint64_t examined_ = 0;  // endpoints, in all choices
 };
--- a/src/decision/request_lifecycle.h
+++ b/src/decision/request_lifecycle.h
@@ -40,7 +40,7 @@
     if (attempt == nullptr || !policy_.retries.maySend(*request, *attempt->endpoint, attempt)) return false;
     Endpoint& endpoint = *attempt->endpoint;
     if (endpoint.slow_start_since == 0 || endpoint.slow_start_since == attempt->slow_start_since) return true;
-    if (!policy_.slow_start.allows(endpoint, false)) return false;  // it has restarted since it was chosen
+    if (!policy_.slow_start.allows(endpoint)) return false;  // it has restarted since it was chosen
     attempt->slow_start_since = endpoint.slow_start_since;
     policy_.slow_start.spend(endpoint);
     return true;
@@ -192,10 +192,12 @@
         policy_.shedder.recordLatency(endpoint, request.request_class, outcome);
         policy_.outliers.readmit(endpoint, attempt.sent, out);
         OutlierDetector::recordSuccess(endpoint);
+        policy_.slow_start.onServed(endpoint);
         return policy_.shedder.adapt(
             LoadShedder::lateness(policy_.context.classOf(request.request_class), outcome), endpoint, out);
       case Result::Rejected:
         policy_.selector.takeTurn(endpoint);  // it is full: others are next
+        SlowStart::onRejected(endpoint);
         return policy_.shedder.adapt(LoadShedder::kRejectedLateness, endpoint, out);
       case Result::Error:
         policy_.outliers.recordFailure(endpoint, OutlierDetector::kClearFailure, false, out);
--- a/src/decision/slow_start.h
+++ b/src/decision/slow_start.h
@@ -2,59 +2,90 @@
 #pragma once
 
 #include "statistics/rate_estimator.h"
-#include "subset.h"
+#include "warm_throughput.h"
 
 namespace load_balancer::policy {
 
-// Each client holds itself to its ordinary share of a cold endpoint times the least capacity that this has by
-// now, by a token bucket for one request: so the sum over all clients stays within it without coordination.
+// Each client holds itself to the part of an endpoint's capacity that it uses of a warm one, by a token
+// bucket for one request. The sum over all clients is then within the endpoint's present capacity, whatever
+// arrives, since each client has a share of its members alone and measures it by what is served.
 class SlowStart {
  public:
-  SlowStart(PolicyContext& context, const Subset& subset) : context_(context), subset_(subset) {}
+  SlowStart(PolicyContext& context, const Subset& subset)
+      : context_(context), subset_(subset), warm_(context, subset) {}
 
-  void start(Time now) { arrivals_.begin(now); }
-  void onArrival() { arrivals_.note(context_.now); }
+  void start(Time now) {
+    arrivals_.begin(now);
+    warm_.start(now);
+  }
+  void onArrival() {
+    arrivals_.note(context_.now);
+    warm_.update();
+  }
+  void onServed(const Endpoint& endpoint) { warm_.onServed(endpoint); }
+  // It rejects what it can't take.
+  static void onRejected(Endpoint& endpoint) { endpoint.slow_start_tokens = 0; }
 
   void begin(Endpoint& endpoint, Time since) const {
     endpoint.slow_start_since = since;
     endpoint.slow_start_refilled = context_.now;
-    // Clients that learn of it together do not come together.
-    endpoint.slow_start_tokens = context_.random.unit() * headroom();
+    // Clients that learn of it together do not come together, and a restarted client gains nothing on
+    // average.
+    endpoint.slow_start_tokens = context_.random.unit();
   }
 
-  // `last_resort`: nothing but cold endpoints is left.
-  bool allows(Endpoint& endpoint, bool last_resort) const {
-    if (endpoint.slow_start_since == 0) return true;
-    const auto age = static_cast<double>(context_.now - endpoint.slow_start_since);
-    const auto duration = static_cast<double>(context_.settings.slow_start_duration);
-    if (age >= duration) {
+  bool allows(Endpoint& endpoint) {
+    if (!endpoint.inSlowStart(context_.now, context_.settings.slow_start_duration)) {
       endpoint.slow_start_since = 0;
       return true;
     }
-    const double initial = context_.settings.slow_start_initial_capacity;
-    const double capacity = initial + (1 - initial) * std::max(0.0, age) / duration;
-    const bool spare = hasSpareCapacity(endpoint);
-    const double rate = arrivals_.perSecond(context_.now) / std::max(1U, subset_.usable()) *
-                        relativeSize(endpoint) * capacity * headroom() * (spare ? kSpareGain : 1);
-    endpoint.slow_start_tokens +=
-        rate * static_cast<double>(context_.now - endpoint.slow_start_refilled) / 1e6;
-    endpoint.slow_start_tokens = std::min(endpoint.slow_start_tokens, headroom());
-    endpoint.slow_start_refilled = context_.now;
-    return endpoint.slow_start_tokens >= (last_resort || spare ? 1 : headroom());
+    if (!endpoint.in_subset) return false;  // this client has no share of it
+    warm_.update();
+    const bool any_warm = warm_.anyWarm();
+    const bool by_arrivals = !any_warm && !warm_.known();
+    refill(endpoint, by_arrivals ? shareOfArrivals() : warm_.perSecond(), any_warm);
+    // What no measure bounds, the responses do: the next request waits for that of the last.
+    if (by_arrivals && context_.attempts_in_flight > 0) return false;
+    return endpoint.slow_start_tokens >= 1;
   }
   void spend(Endpoint& endpoint) const {
     if (endpoint.slow_start_since != 0)
-      endpoint.slow_start_tokens = std::max(0.0, endpoint.slow_start_tokens - headroom());
+      endpoint.slow_start_tokens = std::max(0.0, endpoint.slow_start_tokens - 1);
   }
 
  private:
   static constexpr double kRateMemory = 4e6;   // microseconds that arrivals are averaged over; exceeds bursts
   static constexpr double kFastLatency = 0.7;  // of the others' latency: such an endpoint has spare capacity
-  static constexpr double kSpareGain = 1.5;    // of its share
+  static constexpr double kSpareGain = 1.5;    // of the headroom
+  static constexpr double kArrivalsGain = 0.5;  // a burst of several times the ordinary fits
 
-  // How far above its ordinary share a client may go.
+  // How far above its ordinary share a client may go: half of what an endpoint bears, the rest is for chance.
   double headroom() const { return std::max(1.0, context_.settings.slow_start_overload_factor / 2); }
 
+  // The least part of its capacity that it has by now.
+  double capacity(const Endpoint& endpoint) const {
+    const auto age = static_cast<double>(context_.now - endpoint.slow_start_since);
+    const double initial = context_.settings.slow_start_initial_capacity;
+    return initial +
+           (1 - initial) * std::max(0.0, age) / static_cast<double>(context_.settings.slow_start_duration);
+  }
+  // For a client that is new or was idle, and finds nothing warm.
+  double shareOfArrivals() const {
+    return kArrivalsGain * arrivals_.perSecond(context_.now) / std::max(1U, subset_.usable());
+  }
+  // The headroom is for endpoints that respond fast, and for requests that have nowhere else to go.
+  double gain(const Endpoint& endpoint, bool any_warm) const {
+    if (hasSpareCapacity(endpoint)) return headroom() * kSpareGain;
+    return any_warm ? 1 : headroom();
+  }
+  // `share`: requests a second that this client may send to a warm endpoint of mean size.
+  void refill(Endpoint& endpoint, double share, bool any_warm) const {
+    const double rate = share * relativeSize(endpoint) * capacity(endpoint) * gain(endpoint, any_warm);
+    const double elapsed = static_cast<double>(context_.now - endpoint.slow_start_refilled) / kSecond;
+    endpoint.slow_start_tokens = std::min(1.0, endpoint.slow_start_tokens + rate * elapsed);
+    endpoint.slow_start_refilled = context_.now;
+  }
+
   // To the mean of the subset, where sizes are known.
   double relativeSize(const Endpoint& endpoint) const {
     if (!context_.settings.weighted || endpoint.host.capacity <= 0) return 1;
@@ -71,6 +102,7 @@
 
   PolicyContext& context_;
   const Subset& subset_;
+  WarmThroughput warm_;
   client_proxy::statistics::RateEstimator arrivals_{kRateMemory};
 };
 
--- a/src/statistics/include/statistics/rate_estimator.h
+++ b/src/statistics/include/statistics/rate_estimator.h
@@ -14,10 +14,16 @@
   // `memory`: the time, in microseconds, in which an event's weight falls to 1/e.
   explicit RateEstimator(double memory) : memory_(memory) {}
   void begin(Time now) { began_ = last_ = now; }
-  void note(Time now) {
-    faded_ = faded_ * std::exp(-static_cast<double>(now - last_) / memory_) + 1;
+  // `weight`: of the event, where events count for more or less than one.
+  void note(Time now, double weight = 1) {
+    faded_ = faded_ * std::exp(-static_cast<double>(now - last_) / memory_) + weight;
     last_ = now;
   }
+  // A span that has just passed and in which nothing could be observed: it counts for nothing.
+  void pause(Time span) {
+    began_ += span;
+    last_ += span;
+  }
   // Early on over the time since the beginning, but for half a second at least.
   double perSecond(Time now) const {
     const double age = std::max(0.5e6, static_cast<double>(now - began_));
