A start that the list tells is one whatever the clocks say; no age from two machines' clocks

Callers saw hosts in slow start take the load of warm ones where the clock that tells their start is not the clients'. DiscoveryUpdates subtracted `boot_ms`, another machine's Unix time, from its own clock: an hour behind, a host was warm at once; an hour ahead, it was in slow start an hour longer than its time. A restart with an earlier time than the last was no restart at all.

Now a start that an earlier list of discovery did not have begins slow start when it is told, by this client's own clock. A process has no earlier list at its beginning: there the age is taken to the newest start of the list, or to the own clock where that is earlier, so that an error of a clock makes an endpoint younger and never warm. What returns to the list with the start that it had is as it was (the last 1,024 are remembered).

--- a/src/decision/discovery_updates.h
+++ b/src/decision/discovery_updates.h
@@ -23,7 +23,9 @@
     }
     if (kind != ListKind::Restored && std::exchange(stale_, false))
       log_.write(RateLimitedLog::Kind::Discovery, "list fresh again", out);
-    return applyList(kind == ListKind::Changes, hosts);
+    const bool changed = applyList(kind == ListKind::Changes, hosts);
+    synchronized_ = synchronized_ || kind != ListKind::Restored;
+    return changed;
   }
   // Clients that restart together must not call together: the first call waits at random.
   void scheduleFirstCall(ListKind kind, Actions& out) {
@@ -42,6 +44,18 @@
   }
 
  private:
+  void noteNewestStart(std::span<const Host> hosts) {
+    for (const Host& host : hosts) newest_start_ = std::max(newest_start_, host.started_at);
+  }
+  // How long a host has run that this client knew nothing of, or before its restart; rather too short. What
+  // was not in an earlier list of discovery's has started since, whatever any clock says. Else starts are
+  // compared with the newest of them, and with this client's clock, which may be another than that which
+  // tells them.
+  Time ageOf(const Host& host) const {
+    if (synchronized_) return 0;
+    return std::max<Time>(0, std::min(context_.now, newest_start_) - host.started_at);
+  }
+
   // A change counts as known 6 s after discovery had it and could be reached (net/discovery.h adds it up).
   static constexpr double kReconnectWithin = 0.7e6;                 // microseconds, after a broken watch
   static constexpr double kFirstBackoff = 0.8e6, kBackoff = 1.6e6;  // after a failed call
@@ -58,6 +72,7 @@
   // `changes`: what the list lacks stays; else it is gone.
   bool applyList(bool changes, std::span<const Host> hosts) {
     bool changed = false;
+    noteNewestStart(hosts);
     std::vector<Endpoint*> added;
     for (auto& [id, endpoint] : endpoints_.all()) endpoint.in_update = changes;
     for (const Host& host : hosts) changed |= applyEntry(host, added);
@@ -79,13 +94,14 @@
       return was_listed;
     }
     Endpoint& endpoint = endpoints_.findOrAdd(host.id);
-    const bool restarted = endpoint.listed && host.started_at > endpoint.host.started_at;
+    const bool restarted = host.started_at != 0 && host.started_at != endpoint.host.started_at;
     const bool changed = !endpoint.listed || endpoint.host.state != host.state || restarted;
     endpoint.host = host;
-    const bool later = endpoint.slow_start_since == 0 || host.started_at > endpoint.slow_start_since;
-    const bool cold = context_.now - host.started_at < context_.settings.slow_start_duration;
-    if (host.started_at != 0 && later && cold) slow_start_.begin(endpoint, host.started_at);
-    if (restarted) endpoint.forgetFailures();
+    if (restarted) {
+      const Time age = ageOf(host);
+      if (age < context_.settings.slow_start_duration) slow_start_.begin(endpoint, context_.now - age);
+      endpoint.forgetFailures();
+    }
     if (!endpoint.listed) added.push_back(&endpoint);
     endpoint.listed = endpoint.in_update = true;
     return changed;
@@ -97,6 +113,8 @@
   SlowStart& slow_start_;
   double backoff_ = kFirstBackoff;
   bool subscribed_ = false, stale_ = false;
+  bool synchronized_ = false;  // discovery itself has told the list, not only the process before this one
+  Time newest_start_ = 0;      // of all hosts, by the clock that tells them
 };
 
 }  // namespace load_balancer::policy
--- a/src/decision/endpoint_table.h
+++ b/src/decision/endpoint_table.h
@@ -19,7 +19,16 @@
     const auto it = by_id_.find(id);
     return it == by_id_.end() ? nullptr : &it->second;
   }
-  Endpoint& findOrAdd(const std::string& id) { return by_id_[id]; }
+  // One that returns to the list is known by its last start.
+  Endpoint& findOrAdd(const std::string& id) {
+    const auto [it, added] = by_id_.try_emplace(id);
+    if (!added) return it->second;
+    if (const auto removed = removed_.find(id); removed != removed_.end()) {
+      it->second = std::move(removed->second);
+      removed_.erase(removed);
+    }
+    return it->second;
+  }
   ById& all() { return by_id_; }
   const ById& all() const { return by_id_; }
 
@@ -47,14 +56,29 @@
   }
   // Erases what nobody lists, nothing waits for and staff have said nothing of.
   void eraseRemoved() {
-    std::erase_if(by_id_, [](const auto& entry) {
+    std::erase_if(by_id_, [this](const auto& entry) {
       const Endpoint& e = entry.second;
-      return !e.listed && !e.in_maintenance && e.in_flight == 0 && !e.health_check_pending;
+      const bool over = !e.listed && !e.in_maintenance && e.in_flight == 0 && !e.health_check_pending;
+      if (over && e.host.started_at != 0) remember(e);
+      return over;
     });
   }
 
  private:
+  static constexpr std::size_t kMostRemoved = 1024;  // starts that are remembered
+
+  void remember(const Endpoint& endpoint) {
+    if (removed_.size() >= kMostRemoved) removed_.clear();
+    Endpoint& removed = removed_[endpoint.host.id];
+    removed = {};
+    removed.host.started_at = endpoint.host.started_at;
+    removed.slow_start_since = endpoint.slow_start_since;
+    removed.slow_start_tokens = endpoint.slow_start_tokens;
+    removed.slow_start_refilled = endpoint.slow_start_refilled;
+  }
+
   ById by_id_;
+  ById removed_;  // with their starts alone
   Slots slots_;
 };
 
--- a/tests/slow_start_processes_test.cpp
+++ b/tests/slow_start_processes_test.cpp
@@ -55,5 +55,13 @@
   expectWithinBudget(plan);
 }
 
+TEST(SlowStartProcesses, HostsRestartWhoseClockIsAnHourBehind) {
+  Plan plan = fleetPlan(42);
+  plan.callers.rate = 6.4;
+  plan.host_clock_error = -std::chrono::hours(1);
+  restartHosts(plan, 0, plan.hosts() / 3, seconds(6));
+  expectWithinBudget(plan);
+}
+
 }  // namespace
 }  // namespace client_proxy::rig
--- a/tests/slow_start_test.cpp
+++ b/tests/slow_start_test.cpp
@@ -123,5 +123,76 @@
   EXPECT_FALSE(rejected.empty());
 }
 
+// Incident 4e2499: an age taken from two machines' clocks.
+TEST(SlowStart, ARestartThatTheListTellsIsOneWhateverTheClocksSay) {
+  for (const Time error : {-3600 * kSec, -20 * kSec, 0 * kSec, 20 * kSec, 3600 * kSec}) {
+    Client client;
+    client.startWith(makeHosts(kHosts));
+    client.play(100);
+    const std::string host = client.member();
+    client.driver.servers(ListKind::Changes,
+                          {Client::startedAt(Client::numberOf(host), client.driver.now + error)});
+    EXPECT_TRUE(client.inSlowStart(host)) << "clock error of " << error << " us";
+    client.play(1100);  // 11 s, where slow start lasts 10
+    EXPECT_FALSE(client.inSlowStart(host)) << "clock error of " << error << " us";
+  }
+}
+
+TEST(SlowStart, ARestartAtAnEarlierTimeThanTheLastIsOneToo) {
+  Client client;
+  client.startWith(client.allStartedAt(client.driver.now - 100 * kSec));
+  const std::string host = client.member();
+  client.driver.servers(ListKind::Changes,
+                        {Client::startedAt(Client::numberOf(host), client.driver.now - 7200 * kSec)});
+  EXPECT_TRUE(client.inSlowStart(host));
+}
+
+TEST(SlowStart, ANewHostIsInSlowStartWhateverTheClocksSay) {
+  Client client;
+  client.startWith(makeHosts(kHosts));
+  client.driver.servers(ListKind::Changes, {Client::startedAt(kHosts, client.driver.now - 3600 * kSec)});
+  EXPECT_TRUE(client.inSlowStart(makeHost(kHosts).id));
+}
+
+// A discovery that has lost entries and finds them again has restarted no host.
+TEST(SlowStart, AHostThatReturnsToTheListAsItWasIsWarm) {
+  Client client;
+  const std::vector<Host> hosts = client.allStartedAt(client.driver.now - 100 * kSec);
+  client.startWith(hosts);
+  client.play(1100);
+  std::vector<Host> half(hosts.begin(), hosts.begin() + kHosts / 2);
+  client.driver.servers(ListKind::Full, half);
+  client.driver.servers(ListKind::Full, hosts);
+  for (const Host& host : hosts) EXPECT_FALSE(client.inSlowStart(host.id)) << host.id;
+}
+
+TEST(SlowStart, AHostThatLeavesTheListInSlowStartReturnsInIt) {
+  Client client;
+  client.startWith(makeHosts(kHosts));
+  const Host host = Client::startedAt(3, client.driver.now);
+  client.driver.servers(ListKind::Changes, {host});
+  client.driver.servers(ListKind::Changes, {makeHost(3, HostState::Gone)});
+  client.driver.servers(ListKind::Changes, {host});
+  EXPECT_TRUE(client.inSlowStart(host.id));
+}
+
+// A process has no earlier list of its own: starts are compared with the newest, and with its clock.
+TEST(SlowStart, TheFirstListTellsTheAgeByTheNewestStart) {
+  Client client;
+  std::vector<Host> hosts = client.allStartedAt(client.driver.now - 100 * kSec);
+  hosts[0].started_at = client.driver.now - 3600 * kSec;
+  client.startWith(hosts);
+  EXPECT_FALSE(client.inSlowStart(hosts[0].id));
+  EXPECT_TRUE(client.inSlowStart(hosts[1].id)) << "nothing shows that these are older than a moment";
+}
+
+TEST(SlowStart, AClockThatIsBehindTheStartsMakesNoSlowStartLonger) {
+  Client client;
+  client.startWith(client.allStartedAt(client.driver.now + 3600 * kSec));
+  EXPECT_TRUE(client.inSlowStart(makeHost(0).id));
+  client.play(1100);
+  EXPECT_FALSE(client.inSlowStart(client.member()));
+}
+
 }  // namespace
 }  // namespace load_balancer::test
