A lone request goes to an endpoint in slow start where the rule leaves room for it

Found by Upgrade.ABanHoldsOverItAndMayBeCalledAtEitherAddress on: a new process, one host out and the other just put back, a single request: 503, since its bucket began with less than a token and half of the arrivals of one client refills it too late. Two requests of all clients together are within what the rule puts down to chance at any budget, so a bucket begins with that much more, divided by the clients that have the endpoint in their subset; `peers_total` in the settings tells how many clients there are.

--- a/include/load_balancer/balancer.h
+++ b/include/load_balancer/balancer.h
@@ -54,8 +54,9 @@
 // What the deployment states once, at start. The constructor throws std::invalid_argument naming the field
 // if a value is impossible.
 struct Settings {
-  std::uint32_t client = 0;  // this client's number among all clients, from 0
-  std::int32_t zone = 0;     // the zone this client is in
+  std::uint32_t client = 0;   // this client's number among all clients, from 0
+  std::uint32_t clients = 0;  // how many there are; 0: not told, and those with lower numbers are counted
+  std::int32_t zone = 0;      // the zone this client is in
   Discovery discovery = Discovery::Push;
   ReportSource reports = ReportSource::None;
   bool weighted = false;              // Host::capacity tells sizes apart
--- a/src/decision/slow_start.h
+++ b/src/decision/slow_start.h
@@ -30,8 +30,8 @@
     endpoint.slow_start_since = since;
     endpoint.slow_start_refilled = context_.now;
     // Clients that learn of it together do not come together, and a restarted client gains nothing on
-    // average.
-    endpoint.slow_start_tokens = context_.random.unit();
+    // average but its part of what any endpoint bears.
+    endpoint.slow_start_tokens = std::min(1.0, context_.random.unit() + kAlwaysBorne / holders());
   }
 
   bool allows(Endpoint& endpoint) {
@@ -54,6 +54,7 @@
   }
 
  private:
+  static constexpr double kAlwaysBorne = 2;  // requests, of all clients: those that the rule leaves to chance
   static constexpr double kRateMemory = 4e6;   // microseconds that arrivals are averaged over; exceeds bursts
   static constexpr double kFastLatency = 0.7;  // of the others' latency: such an endpoint has spare capacity
   static constexpr double kSpareGain = 1.5;    // of the headroom
@@ -69,6 +70,12 @@
     return initial +
            (1 - initial) * std::max(0.0, age) / static_cast<double>(context_.settings.slow_start_duration);
   }
+  // Clients that have an endpoint in their subset, on average; this one has.
+  double holders() const {
+    const double clients = std::max(context_.settings.clients, context_.settings.client + 1);
+    const double listed = std::max<double>(Subset::kSize, static_cast<double>(subset_.order().size()));
+    return std::max(1.0, clients * Subset::kSize / listed);
+  }
   // For a client that is new or was idle, and finds nothing warm.
   double shareOfArrivals() const {
     return kArrivalsGain * arrivals_.perSecond(context_.now) / std::max(1U, subset_.usable());
--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -56,6 +56,7 @@
 Settings settingsOf(const Node& root) {
   Settings s;
   s.client = static_cast<std::uint32_t>(root.at("me").whole(0));
+  if (root.has("peers_total")) s.clients = static_cast<std::uint32_t>(root.at("peers_total").whole(1));
   s.zone = root.has("my_zone") ? root.at("my_zone").whole(0) : 0;
   const Node discovery = root.at("discovery");
   const std::string how = discovery.text();
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -266,6 +266,7 @@
     c.attempts.clear();
     Settings s = settings_;
     s.client = number;
+    s.clients = shape_.clients;
     c.balancer = std::make_unique<Balancer>(s, random_());
     const std::vector<Host> known = list();
     tell(c, [&](Actions& out) { c.balancer->onServers(now_, ListKind::Restored, known, out); });
