Hot restart moves times to the new process's clock: after a step nothing runs twice

Callers could have a charge run twice, or meet wrong graces and windows, where the machine's wall clock was stepped between the starts of two processes: each reads the wall clock once at its start, and the state of the old one carries its times (what was tried, ejections, slow starts) to the new one as they are. With a clock an hour behind the new process took all that was tried for impossible and dropped it (DuplicateDetector::restore).

The state now tells how far its clock is from the machine's monotonic one, which both processes share; the new one moves all times by the difference. An older release says nothing of it, and its times are taken as they are. What the old process knew of a slow start goes before what the first list suggests.

--- a/src/decision/discovery_updates.h
+++ b/src/decision/discovery_updates.h
@@ -39,7 +39,8 @@
     if (!subscribed_) out.push_back({.kind = ActionKind::Subscribe});
   }
   // The list is another Balancer's: it is asked for anew.
-  void onRestored(Actions& out) const {
+  void onRestored(Actions& out) {
+    synchronized_ = true;
     if (polls() && !subscribed_) context_.setTimer(context_.now, kTimer, out);
   }
 
--- a/src/decision/endpoint_snapshot.h
+++ b/src/decision/endpoint_snapshot.h
@@ -28,9 +28,13 @@
   if (std::isfinite(snapshot.failure_score) && snapshot.failure_score >= 0)
     endpoint.failure_score = snapshot.failure_score;
   endpoint.failure_score_at = std::min(std::max<Time>(snapshot.failure_score_at, 0), context.now);
+  // The other has followed the list: it knows of a start what a list alone can't tell.
   const Time age = context.now - snapshot.slow_start_since;
-  if (snapshot.slow_start_since > 0 && age >= 0 && age < context.settings.slow_start_duration)
+  if (snapshot.slow_start_since == 0 || age >= context.settings.slow_start_duration) {
+    endpoint.slow_start_since = 0;
+  } else if (snapshot.slow_start_since > 0 && age >= 0) {
     slow_start.begin(endpoint, snapshot.slow_start_since);
+  }
   if (endpoint.slow_start_since != 0) endpoint.slow_start_tokens = 0;  // the other may have spent them
   if (!snapshot.ejected) return;
   endpoint.ejected = true;
--- a/src/front/include/front/proxy.h
+++ b/src/front/include/front/proxy.h
@@ -38,7 +38,7 @@
   // Tells the module the known hosts, then listens.
   void start();
   // The same with what the process before this one knew.
-  void start(const hot_restart::State& state);
+  void start(hot_restart::State state);
   // What the process after this one is to know.
   hot_restart::State state() const;
   // That one serves now: nobody is accepted here, and it gets each client's connection at rest.
@@ -48,9 +48,7 @@
   // A client's connection at rest, from the process before this one.
   void adopt(int descriptor) { server_.adopt(descriptor); }
   // What may not run a second time here, from the process before this one.
-  void recordPredecessorRequests(const std::vector<admission::RequestRecord>& record) {
-    duplicates_.restore(clock_.now(), record);
-  }
+  void recordPredecessorRequests(std::vector<admission::RequestRecord> tried);
   // Nothing is left here.
   bool idle() const { return remainingConnections() == 0 && pool_.openRequests() == 0; }
   // Of clients and hosts, and the process's own.
@@ -193,6 +191,7 @@
   Registry registry_;
   Log& log_;
   const Clock& clock_;
+  Time predecessor_clock_shift_ = 0;  // from the times of the process before this one to ours
   Timers timers_;
   Descriptors descriptors_;
   Server server_;
--- a/src/front/proxy_life.cpp
+++ b/src/front/proxy_life.cpp
@@ -18,7 +18,9 @@
   awaitLifecycle();
 }
 
-void Proxy::start(const hot_restart::State& state) {
+void Proxy::start(hot_restart::State state) {
+  predecessor_clock_shift_ = state.clock_offset ? clock_.offset() - *state.clock_offset : 0;
+  shiftTimes(state, predecessor_clock_shift_);
   HostList known = std::exchange(config_.known, {});
   if (!state.hosts.empty()) {
     try {
@@ -40,9 +42,15 @@
   state.servers = pool_.snapshot();
   state.drained = drained();
   state.tried = duplicates_.snapshot(clock_.now());
+  state.clock_offset = clock_.offset();
   return state;
 }
 
+void Proxy::recordPredecessorRequests(std::vector<admission::RequestRecord> tried) {
+  hot_restart::shiftTimes(tried, predecessor_clock_shift_);
+  duplicates_.restore(clock_.now(), tried);
+}
+
 void Proxy::handOn(hot_restart::Successor successor) {
   successor_ = std::move(successor);
   if (successor_.tell) {  // before any client can repeat something there
--- a/src/hot_restart/state.cpp
+++ b/src/hot_restart/state.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr load_balancer::Time kMostClockOffset = 10'000'000'000'000'000;  // microseconds; some 300 years
+
 // An id need not be UTF-8.
 std::string textOf(const json& doc) { return doc.dump(-1, ' ', false, json::error_handler_t::replace); }
 
@@ -34,6 +36,13 @@
   return static_cast<T>(number);
 }
 
+// 0 stands for no time, the ends of the range for never and ever.
+void shiftTime(load_balancer::Time& time, load_balancer::Time by) {
+  using Limits = std::numeric_limits<load_balancer::Time>;
+  if (time == 0 || time == Limits::max() || time == Limits::min()) return;
+  if (__builtin_add_overflow(time, by, &time)) time = by > 0 ? Limits::max() : Limits::min();
+}
+
 std::vector<admission::RequestRecord> requestRecordOf(const json& list) {
   std::vector<admission::RequestRecord> out;
   for (const json& t : list) {
@@ -46,6 +55,34 @@
 
 }  // namespace
 
+namespace {
+
+load_balancer::Time clockOffsetOf(const json& doc) {
+  const auto offset = whole<load_balancer::Time>(doc, "clock_offset");
+  if (offset > kMostClockOffset || offset < -kMostClockOffset)
+    throw std::runtime_error("clock_offset is out of range: " + std::to_string(offset));
+  return offset;
+}
+
+}  // namespace
+
+void shiftTimes(std::vector<admission::RequestRecord>& tried, load_balancer::Time by) {
+  for (admission::RequestRecord& record : tried) {
+    shiftTime(record.began, by);
+    shiftTime(record.ended, by);
+  }
+}
+
+void shiftTimes(State& state, load_balancer::Time by) {
+  shiftTimes(state.tried, by);
+  for (load_balancer::HostSnapshot& host : state.servers) {
+    shiftTime(host.ejected_since, by);
+    shiftTime(host.ejected_until, by);
+    shiftTime(host.failure_score_at, by);
+    shiftTime(host.slow_start_since, by);
+  }
+}
+
 std::string toText(const State& state) {
   json servers = json::array();
   for (const load_balancer::HostSnapshot& s : state.servers) {
@@ -66,6 +103,7 @@
   json doc = {{"hosts", state.hosts}, {"servers", servers}, {"drained", state.drained}};
   if (state.tells_tried) doc["tried"] = tried;  // a process one release older neither says nor reads this
   if (!state.fleet.empty()) doc["fleet"] = state.fleet;
+  if (state.clock_offset) doc["clock_offset"] = *state.clock_offset;
   return textOf(doc);
 }
 
@@ -78,6 +116,7 @@
     state.tells_tried = doc.contains("tried");
     if (state.tells_tried) state.tried = requestRecordOf(doc.at("tried"));
     if (doc.contains("fleet")) state.fleet = doc.at("fleet").get<std::string>();
+    if (doc.contains("clock_offset")) state.clock_offset = clockOffsetOf(doc);
     for (const json& s : doc.at("servers")) {
       load_balancer::HostSnapshot r;
       r.id = s.at("id").get<std::string>();
--- a/src/net/include/net/clock.h
+++ b/src/net/include/net/clock.h
@@ -17,6 +17,9 @@
 
 class Clock {
  public:
+  // Its times less those of the machine's monotonic clock, which all processes of a machine share: it tells
+  // how far the clocks of two of them are apart.
+  Time offset() const { return unix_at_start_ - micros(steady_at_start_.time_since_epoch()); }
   Time now() const { return unix_at_start_ + micros(std::chrono::steady_clock::now() - steady_at_start_); }
 
  private:
--- a/tests/hot_restart_test.cpp
+++ b/tests/hot_restart_test.cpp
@@ -63,6 +63,25 @@
   EXPECT_EQ(fromText(toText(State{})), State{});
 }
 
+TEST(HandoverState, TimesMoveToAnotherClockAndNoTimeStaysNone) {
+  State state{"", {remembered("s-1", 7)}, true, {tried("a")}};
+  state.clock_offset = -5;
+  EXPECT_EQ(fromText(toText(state)), state);
+  State moved = state;
+  moved.tried[0].ended = 0;
+  const State before = moved;
+  shiftTimes(moved, 1000);
+  EXPECT_EQ(moved.tried[0].began, before.tried[0].began + 1000);
+  EXPECT_EQ(moved.tried[0].ended, 0) << "it is open";
+  EXPECT_EQ(moved.tried[0].deduplication_window, before.tried[0].deduplication_window) << "a span";
+  EXPECT_EQ(moved.servers[0].ejected_since, before.servers[0].ejected_since + 1000);
+  EXPECT_EQ(moved.servers[0].ejected_until, before.servers[0].ejected_until + 1000);
+  shiftTimes(moved, -1000);
+  EXPECT_EQ(moved, before);
+  EXPECT_THROW(fromText(R"({"hosts":"","servers":[],"drained":false,"clock_offset":-9223372036854775808})"),
+               std::runtime_error);
+}
+
 TEST(HandoverState, OneThatIsNotWholeIsRefusedAsAWhole) {
   const std::string text = toText({"x", {remembered("s-1", 1)}, false, {tried("a")}});
   for (std::size_t cut = 0; cut < text.size(); ++cut)
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -29,15 +29,15 @@
     tcp::endpoint console;
   };
   // Starts one more and waits until it says that it can serve.
-  Running& startOne() {
+  Running& startOne(const std::vector<std::string>& more_environment = {}) {
     Running next;
     next.console = freePort(loop);
-    next.program = std::make_unique<Program>(
-        std::vector<std::string>{},
-        std::vector<std::string>{"PROXY_CONFIG=" + file.path, "TMPDIR=" + folder, "PROXY_INHERITED_FD=3",
-                                 "PROXY_CONSOLE=" + textOf(next.console),
-                                 "PROXY_DISCOVERY=" + file.doc["discovery"].get<std::string>()},
-        folder + "/log", listener.native_handle());
+    std::vector<std::string> environment = {"PROXY_CONFIG=" + file.path, "TMPDIR=" + folder,
+                                            "PROXY_INHERITED_FD=3", "PROXY_CONSOLE=" + textOf(next.console),
+                                            "PROXY_DISCOVERY=" + file.doc["discovery"].get<std::string>()};
+    environment.insert(environment.end(), more_environment.begin(), more_environment.end());
+    next.program = std::make_unique<Program>(std::vector<std::string>{}, environment, folder + "/log",
+                                             listener.native_handle());
     running.push_back(std::move(next));
     EXPECT_TRUE(loop.until([&] {
       serveHosts();
@@ -204,6 +204,30 @@
   for (const auto& [id, times] : seen) EXPECT_EQ(times, 1) << id;
 }
 
+// Incident 4e2499: times of one process's wall clock were compared with another's.
+TEST_F(Upgrade, WhatRanBeforeAWallClockWasSteppedDoesNotRunAgainAfterIt) {
+  for (const char* const step : {"-3600", "3600"}) {
+    startOne();
+    const std::string id = std::string("charge") + step;
+    const auto ask = [&] {
+      const auto client = Peer::connect(loop, listener.local_endpoint());
+      client->say(charge(id));
+      EXPECT_TRUE(loop.until([&] {
+        serveHosts();
+        return client->got.find("HTTP/1.1 ") == 0;
+      }));
+      return client->got.substr(0, 12);
+    };
+    EXPECT_EQ(ask(), "HTTP/1.1 200");
+    startOne({"LD_PRELOAD=" STEPPED_CLOCK, std::string("CLOCK_STEP_SECONDS=") + step});
+    running.front().program->signal(SIGTERM);
+    ASSERT_TRUE(ended(running.front()));
+    EXPECT_NE(ask(), "HTTP/1.1 200") << step;
+    EXPECT_EQ(seen[id], 1) << step;
+    running.clear();
+  }
+}
+
 TEST_F(Upgrade, ABanHoldsOverItAndMayBeCalledAtEitherAddress) {
   const tcp::endpoint old = startOne().console;
   EXPECT_EQ(call(old, "POST /hosts/s-1/maint").find("HTTP/1.1 200"), 0U);
