A connection aborted before it is accepted holds up nobody

Callers saw the whole program stand still, with answers out, until the next client connected: accept(2) gave ECONNABORTED. Asio's synchronous accept passes that over and then waits in poll without an end, on the loop's own thread; its asynchronous one waits for an event that comes with the next connection only. Where the listener closed at a shutdown, the error ended the taking of what was still queued.

Evidence: the program with a preloaded library that fails 30 of 100 accepts (tests/shims/failing_calls.cpp): FailingCalls.AConnectionAbortedBeforeItIsAcceptedHoldsUpNobody, seen to fail at the seventh client.

The listeners of clients, the console and the replica ask to be told of it (enable_connection_aborted) and go on. Measured: that test passes, 150 of 150 clients answered. The replica's listener has no test of its own for it.

--- a/src/console/console_server.cpp
+++ b/src/console/console_server.cpp
@@ -111,6 +111,7 @@
   if (!ec) listener.set_option(asio::socket_base::reuse_address(true), ec);
   if (!ec) listener.bind(at, ec);
   if (!ec) listener.listen(256, ec);
+  if (!ec) listener.set_option(asio::socket_base::enable_connection_aborted(true), ec);
   if (ec)
     throw std::runtime_error("can't listen at " + at.address().to_string() + ":" + std::to_string(at.port()) +
                              ": " + ec.message());
@@ -125,6 +126,7 @@
 void ConsoleServer::accept(std::size_t listener) {
   listeners_[listener].async_accept([this, listener](error_code ec, asio::ip::tcp::socket socket) {
     if (ec == asio::error::operation_aborted) return;
+    if (ec == asio::error::connection_aborted) return accept(listener);
     if (ec) return acceptLater(listener);
     makeRoom();
     const auto session = std::make_shared<Session>(std::move(socket), *this);
--- a/src/net/include/net/server.h
+++ b/src/net/include/net/server.h
@@ -91,6 +91,7 @@
   using ConnectionId = admission::ConnectionId;
 
   Time now() const { return timers_.clock().now(); }
+  void beginAccepting();
   void accept();
   void acceptLater();
   void acceptBatch();
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -20,6 +20,7 @@
 constexpr Time kSweep = 100 * kMillisecond;       // how often connections are looked at for what is overdue
 constexpr Time kAcceptAgain = 20 * kMillisecond;  // after the system or the budget had no descriptor
 constexpr int kAcceptBatch = 64;                  // connections taken before others have their turn
+constexpr int kAcceptQueue = 4096;
 
 admission::PeerAddress addressOf(const asio::ip::tcp::socket& socket) {
   error_code ec;
@@ -62,10 +63,9 @@
   const bool six = address.ss_family == AF_INET6;
   if (!ec) acceptor_.assign(six ? asio::ip::tcp::v6() : asio::ip::tcp::v4(), descriptor, ec);
   // It may be bound only; where it listens already this changes the length of its queue.
-  if (!ec) acceptor_.listen(4096, ec);
-  if (!ec) acceptor_.non_blocking(true, ec);
+  if (!ec) acceptor_.listen(kAcceptQueue, ec);
   if (ec) throw std::runtime_error("descriptor " + std::to_string(descriptor) + ": " + ec.message());
-  accept();
+  beginAccepting();
 }
 
 void Server::handOn(std::function<bool(int)> give) {
@@ -107,8 +107,14 @@
   // A client proxy that was killed starts again at once under its address.
   acceptor_.set_option(asio::socket_base::reuse_address(true));
   acceptor_.bind(endpoint);
-  acceptor_.listen(4096);
+  acceptor_.listen(kAcceptQueue);
+  beginAccepting();
+}
+
+void Server::beginAccepting() {
   acceptor_.non_blocking(true);
+  // Else accept() waits for the next connection where one was aborted, on this thread and without an end.
+  acceptor_.set_option(asio::socket_base::enable_connection_aborted(true));
   accept();
 }
 
@@ -248,10 +254,11 @@
 void Server::stopListening() {
   if (!acceptor_.is_open()) return;
   // Whoever stands in the accept queue would be reset with the listener, and may have sent a request already.
-  for (;;) {
+  for (int tries = 0; tries < kAcceptQueue; ++tries) {
     error_code ec;
     Socket socket(io_);
     acceptor_.accept(socket, ec);
+    if (ec == asio::error::connection_aborted || ec == asio::error::interrupted) continue;
     if (ec) break;
     descriptors_.takeAnyway(Side::Clients);  // these few are the last
     admit(std::move(socket));
--- a/src/replica/replica_server.cpp
+++ b/src/replica/replica_server.cpp
@@ -199,6 +199,7 @@
   if (!ec) acceptor_.set_option(asio::socket_base::reuse_address(true), ec);
   if (!ec) acceptor_.bind(at, ec);
   if (!ec) acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+  if (!ec) acceptor_.set_option(asio::socket_base::enable_connection_aborted(true), ec);
   if (ec)
     throw std::runtime_error("can't listen at " + at.address().to_string() + ":" + std::to_string(at.port()) +
                              ": " + ec.message());
@@ -207,6 +208,7 @@
 void ReplicaServer::Impl::accept() {
   acceptor_.async_accept([this, alive = alive_](error_code ec, asio::ip::tcp::socket socket) {
     if (!*alive) return;
+    if (ec == asio::error::connection_aborted) return accept();
     if (ec) return acceptLater();
     sessions_.remove_if([](const auto& session) { return session.expired(); });
     if (sessions_.size() < kMaxSessions) {
