A read or write that a signal has interrupted is made again

Callers saw connections reset within 20 ms, and 502, 503 and 504 from sound hosts, where recv(2) or send(2) returned EINTR: Asio's synchronous calls report it, and it passed for a broken connection, or left a request to a host half written until its time was up. The look for a closed idle connection to a host took it for an end.

Evidence: the program with a preloaded library that fails a fifth of both: FailingCalls.ACallThatWasInterruptedIsMadeAgain failed at the third request. Clients' and hosts' connections now read by readAvailable() and write on, and the look is repeated.

--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -72,10 +72,8 @@
   if (ec) return onReadEnd(ec);
   if (state_ == State::Lingering) return discard();
   const bool body = state_ == State::Reading && head_seen_;
-  const std::size_t n = socket_.read_some(in_.space(uploading_ ? kLongRead
-                                                    : body     ? kBodyRead
-                                                               : kHeadRead),
-                                          ec);
+  const std::size_t most = uploading_ ? kLongRead : body ? kBodyRead : kHeadRead;
+  const std::size_t n = readAvailable(socket_, in_.space(most), ec);
   if (ec == asio::error::would_block) return armRead();
   if (ec) return onReadEnd(ec);
   in_.commit(n);
@@ -280,7 +278,7 @@
 
 void Server::Connection::discard() {
   error_code ec;
-  socket_.read_some(asio::buffer(server_.discarded_), ec);
+  readAvailable(socket_, asio::buffer(server_.discarded_), ec);
   if (ec && ec != asio::error::would_block) return close();
   armRead();
 }
--- a/src/net/host_connection.cpp
+++ b/src/net/host_connection.cpp
@@ -37,7 +37,10 @@
 
 bool Upstream::Connection::stale() {
   char byte;
-  const ssize_t n = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  ssize_t n = 0;
+  do {
+    n = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  } while (n < 0 && errno == EINTR);
   return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
@@ -119,7 +122,7 @@
   if (!begun_ && !prepareHead()) return end(Result::NotSent);
   error_code ec;
   do {
-    while (!ec && sent_ < total()) {
+    while ((!ec || ec == asio::error::interrupted) && sent_ < total()) {
       sent_ += socket_.write_some(unsent(), ec);
       begun_ = begun_ || sent_ > 0;
     }
--- a/src/net/host_reading.cpp
+++ b/src/net/host_reading.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "host_connection.h"
+#include "net/socket_io.h"
 
 namespace client_proxy {
 namespace {
@@ -29,7 +30,7 @@
   if (closed_) return;
   if (!busy_) return close();  // idle: the host has closed it, or says something that nobody asked
   if (ec) return broken();
-  const std::size_t n = socket_.read_some(in_.space(stream_ ? kLongRead : kRead), ec);
+  const std::size_t n = readAvailable(socket_, in_.space(stream_ ? kLongRead : kRead), ec);
   if (ec == asio::error::would_block) return armRead();
   if (ec) return onReadEnd(ec);
   in_.commit(n);
--- a/tests/failing_calls_test.cpp
+++ b/tests/failing_calls_test.cpp
@@ -89,6 +89,11 @@
   askAll(10, kRequests / 10);
 }
 
+TEST_F(FailingCalls, ACallThatWasInterruptedIsMadeAgain) {
+  start("recv=EINTR:20 send=EINTR:20");
+  askAll(10, kRequests / 10);
+}
+
 TEST_F(FailingCalls, TheConsoleAnswersWholeToo) {
   start("accept=ECONNABORTED:30 send=short:50");
   for (int n = 0; n < 30; ++n) {
