What is served bounds a share only where a start was told; else arrivals give it

A client's share is now that of its arrivals, as before the incident, and where the list or staff told the start at most so much of what a warm endpoint serves: half of the overload factor, or three quarters where the endpoint responds fast. A line in the log says that slow starts began, why and of how many hosts, and which endpoint came back through one.

--- a/src/decision/discovery_updates.h
+++ b/src/decision/discovery_updates.h
@@ -23,8 +23,12 @@
     }
     if (kind != ListKind::Restored && std::exchange(stale_, false))
       log_.write(RateLimitedLog::Kind::Discovery, "list fresh again", out);
+    starts_ = 0;
     const bool changed = applyList(kind == ListKind::Changes, hosts);
     synchronized_ = synchronized_ || kind != ListKind::Restored;
+    if (starts_ > 0)
+      log_.write(RateLimitedLog::Kind::SlowStart,
+                 "slow start began hosts=" + std::to_string(starts_) + " reason=listed", out);
     return changed;
   }
   // Clients that restart together must not call together: the first call waits at random.
@@ -99,8 +103,7 @@
     const bool changed = !endpoint.listed || endpoint.host.state != host.state || restarted;
     endpoint.host = host;
     if (restarted) {
-      const Time age = ageOf(host);
-      if (age < context_.settings.slow_start_duration) slow_start_.begin(endpoint, context_.now - age);
+      beginSlowStart(endpoint);
       endpoint.forgetFailures();
     }
     if (!endpoint.listed) added.push_back(&endpoint);
@@ -108,6 +111,13 @@
     return changed;
   }
 
+  void beginSlowStart(Endpoint& endpoint) {
+    const Time age = ageOf(endpoint.host);
+    if (age >= context_.settings.slow_start_duration) return;
+    slow_start_.begin(endpoint, context_.now - age, StartEvidence::Told);
+    ++starts_;
+  }
+
   PolicyContext& context_;
   RateLimitedLog& log_;
   EndpointTable& endpoints_;
@@ -115,6 +125,7 @@
   double backoff_ = kFirstBackoff;
   bool subscribed_ = false, stale_ = false;
   bool synchronized_ = false;  // discovery itself has told the list, not only the process before this one
+  std::size_t starts_ = 0;     // that the present list has told
   Time newest_start_ = 0;      // of all hosts, by the clock that tells them
 };
 
--- a/src/decision/endpoint.h
+++ b/src/decision/endpoint.h
@@ -7,6 +7,12 @@
 
 namespace load_balancer::policy {
 
+// What says that an endpoint has started lately.
+enum class StartEvidence : std::uint8_t {
+  Told,       // the list, or staff
+  Suspected,  // it was silent and responds again: it may have restarted meanwhile
+};
+
 struct Endpoint {
   static constexpr double kLongestLatencyRatio = 8;
 
@@ -29,6 +35,7 @@
   bool health_check_pending = false;
   Time ejected_since = 0, ejected_until = 0;  // after the second a health check or a trial may readmit it
   Time slow_start_since = 0;                  // 0: it is warm; it is, too, when the time is over
+  StartEvidence start_evidence = StartEvidence::Told;
   double slow_start_tokens = 0;
   Time slow_start_refilled = 0;
   double reported_load = 0;  // requests it held, by its last load report
--- a/src/decision/endpoint_snapshot.h
+++ b/src/decision/endpoint_snapshot.h
@@ -33,7 +33,7 @@
   if (snapshot.slow_start_since == 0 || age >= context.settings.slow_start_duration) {
     endpoint.slow_start_since = 0;
   } else if (snapshot.slow_start_since > 0 && age >= 0) {
-    slow_start.begin(endpoint, snapshot.slow_start_since);
+    slow_start.begin(endpoint, snapshot.slow_start_since, StartEvidence::Told);
   }
   if (endpoint.slow_start_since != 0) endpoint.slow_start_tokens = 0;  // the other may have spent them
   if (!snapshot.ejected) return;
--- a/src/decision/event_handling.h
+++ b/src/decision/event_handling.h
@@ -49,7 +49,7 @@
     endpoint->in_maintenance = in_maintenance;
     if (!in_maintenance) {
       endpoint->forgetFailures();
-      policy_.slow_start.begin(*endpoint, policy_.context.now);
+      policy_.slow_start.begin(*endpoint, policy_.context.now, StartEvidence::Told);
       if (!endpoint->listed) policy_.endpoints.freeSlot(*endpoint);
     }
     onListChanged();
--- a/src/decision/outlier_detection.h
+++ b/src/decision/outlier_detection.h
@@ -46,10 +46,12 @@
   void readmit(Endpoint& endpoint, Time asked, Actions& out) {
     if (!endpoint.ejected) return;
     endpoint.ejected = endpoint.ejected_with_zone = false;
-    if (endpoint.unresponsive && context_.settings.slow_start_duration > 0 && asked > endpoint.ejected_since)
-      slow_start_.begin(endpoint, context_.now);
+    const bool may_have_restarted =
+        endpoint.unresponsive && context_.settings.slow_start_duration > 0 && asked > endpoint.ejected_since;
+    if (may_have_restarted) slow_start_.begin(endpoint, context_.now, StartEvidence::Suspected);
     subset_.recompute();
-    log_.write(RateLimitedLog::Kind::Readmitted, "readmitted " + endpoint.host.id, out);
+    log_.write(RateLimitedLog::Kind::Readmitted,
+               "readmitted " + endpoint.host.id + (may_have_restarted ? " into slow start" : ""), out);
   }
 
   // Checks the health of ejected endpoints whose time is over, where that is permitted; of a zone one.
--- a/src/decision/policy_context.h
+++ b/src/decision/policy_context.h
@@ -36,7 +36,17 @@
 // A line at a change of state; at most one of each kind a second.
 class RateLimitedLog {
  public:
-  enum class Kind : std::uint8_t { Ejected, Readmitted, SubsetSize, Shedding, Discovery, Zone };
+  enum class Kind : std::uint8_t {
+    Ejected,
+    Readmitted,
+    SubsetSize,
+    Shedding,
+    Discovery,
+    Zone,
+    SlowStart,
+    Violation,
+    Count
+  };
 
   explicit RateLimitedLog(const PolicyContext& context) : context_(context) {}
   void start(Time now) { next_.fill(now); }
@@ -49,7 +59,7 @@
 
  private:
   const PolicyContext& context_;
-  std::array<Time, 6> next_{};
+  std::array<Time, static_cast<std::size_t>(Kind::Count)> next_{};
 };
 
 }  // namespace load_balancer::policy
--- a/src/decision/slow_start.h
+++ b/src/decision/slow_start.h
@@ -26,8 +26,9 @@
   // It rejects what it can't take.
   static void onRejected(Endpoint& endpoint) { endpoint.slow_start_tokens = 0; }
 
-  void begin(Endpoint& endpoint, Time since) const {
+  void begin(Endpoint& endpoint, Time since, StartEvidence evidence) const {
     endpoint.slow_start_since = since;
+    endpoint.start_evidence = evidence;
     endpoint.slow_start_refilled = context_.now;
     // Clients that learn of it together do not come together, and a restarted client gains nothing on
     // average but its part of what any endpoint bears.
@@ -42,23 +43,31 @@
     if (!endpoint.in_subset) return false;  // this client has no share of it
     warm_.update();
     const bool any_warm = warm_.anyWarm();
-    const bool by_arrivals = !any_warm && !warm_.known();
-    refill(endpoint, by_arrivals ? shareOfArrivals() : warm_.perSecond(), any_warm);
-    // What no measure bounds, the responses do: the next request waits for that of the last.
-    if (by_arrivals && context_.attempts_in_flight > 0) return false;
+    const double by_arrivals = shareOfArrivals() * gain(endpoint, any_warm);
+    if (endpoint.start_evidence == StartEvidence::Suspected) {
+      refill(endpoint, by_arrivals);
+    } else if (any_warm || warm_.known()) {
+      refill(endpoint, std::min(by_arrivals, warm_.perSecond() * mostGain(endpoint)));
+    } else {
+      refill(endpoint, kUnmeasuredGain * by_arrivals);
+      // What no measure bounds, the responses do: the next request waits for that of the last.
+      if (context_.attempts_in_flight > 0) return false;
+    }
     return endpoint.slow_start_tokens >= 1;
   }
-  void spend(Endpoint& endpoint) const {
-    if (endpoint.slow_start_since != 0)
-      endpoint.slow_start_tokens = std::max(0.0, endpoint.slow_start_tokens - 1);
+  void spend(Endpoint& endpoint) {
+    if (endpoint.slow_start_since == 0) return;
+    ++sent_;
+    endpoint.slow_start_tokens = std::max(0.0, endpoint.slow_start_tokens - 1);
   }
+  std::uint64_t sent() const { return sent_; }
 
  private:
   static constexpr double kAlwaysBorne = 2;  // requests, of all clients: those that the rule leaves to chance
   static constexpr double kRateMemory = 4e6;   // microseconds that arrivals are averaged over; exceeds bursts
   static constexpr double kFastLatency = 0.7;  // of the others' latency: such an endpoint has spare capacity
   static constexpr double kSpareGain = 1.5;    // of the headroom
-  static constexpr double kArrivalsGain = 0.5;  // a burst of several times the ordinary fits
+  static constexpr double kUnmeasuredGain = 0.5;  // a burst of several times the ordinary fits
 
   // How far above its ordinary share a client may go: half of what an endpoint bears, the rest is for chance.
   double headroom() const { return std::max(1.0, context_.settings.slow_start_overload_factor / 2); }
@@ -76,18 +85,21 @@
     const double listed = std::max<double>(Subset::kSize, static_cast<double>(subset_.order().size()));
     return std::max(1.0, clients * Subset::kSize / listed);
   }
-  // For a client that is new or was idle, and finds nothing warm.
   double shareOfArrivals() const {
-    return kArrivalsGain * arrivals_.perSecond(context_.now) / std::max(1U, subset_.usable());
+    return arrivals_.perSecond(context_.now) / std::max(1U, subset_.usable());
   }
-  // The headroom is for endpoints that respond fast, and for requests that have nowhere else to go.
+  // How much of its share of arrivals a client sends there. The headroom is for endpoints that respond fast,
+  // and for requests that have nowhere else to go.
   double gain(const Endpoint& endpoint, bool any_warm) const {
-    if (hasSpareCapacity(endpoint)) return headroom() * kSpareGain;
-    return any_warm ? 1 : headroom();
+    return any_warm && !hasSpareCapacity(endpoint) ? 1 : mostGain(endpoint);
+  }
+  // The same of what a warm endpoint serves, at the most.
+  double mostGain(const Endpoint& endpoint) const {
+    return headroom() * (hasSpareCapacity(endpoint) ? kSpareGain : 1);
   }
-  // `share`: requests a second that this client may send to a warm endpoint of mean size.
-  void refill(Endpoint& endpoint, double share, bool any_warm) const {
-    const double rate = share * relativeSize(endpoint) * capacity(endpoint) * gain(endpoint, any_warm);
+  // `share`: requests a second that this client would send to a warm endpoint of mean size.
+  void refill(Endpoint& endpoint, double share) const {
+    const double rate = share * relativeSize(endpoint) * capacity(endpoint);
     const double elapsed = static_cast<double>(context_.now - endpoint.slow_start_refilled) / kSecond;
     endpoint.slow_start_tokens = std::min(1.0, endpoint.slow_start_tokens + rate * elapsed);
     endpoint.slow_start_refilled = context_.now;
@@ -111,6 +123,7 @@
   const Subset& subset_;
   WarmThroughput warm_;
   client_proxy::statistics::RateEstimator arrivals_{kRateMemory};
+  std::uint64_t sent_ = 0;  // to endpoints in slow start
 };
 
 }  // namespace load_balancer::policy
