One guard for every attempt, and a check at run time that counts what would break a rule

A send was decided in three places (the selector, the sending, the late connection), each with its own part of the conditions, and a trial of an ejected endpoint passed slow start by. SendGuard now answers at all three, with a verdict that names the reason. InvariantChecker asks the records instead of the guard right before each attempt and each rejection; what would break a rule is stopped, counted by rule, logged with request and host, and the request gets its answer, where before it would have waited for its deadline without an attempt.

New figures: app_rule_violations{rule}, app_slow_start_targets, app_slow_start_dispatches.

--- a/include/load_balancer/balancer.h
+++ b/include/load_balancer/balancer.h
@@ -176,6 +176,19 @@
   std::size_t listed = 0, avoided = 0;
 };
 
+// What was about to break a rule and was stopped, by rule: each is a defect of the library. Since the start.
+struct RuleViolations {
+  std::uint64_t lost = 0;       // an attempt for a request that has its answer
+  std::uint64_t duplicate = 0;  // a repeat, or a promise that it is harmless, of what may have run
+  std::uint64_t drain = 0;      // an attempt at a host that drains, has left or is in maintenance
+  std::uint64_t failback = 0;   // an attempt beyond this client's share of a host in slow start
+};
+// Hosts in slow start, and what was sent to hosts in slow start since the start.
+struct SlowStartCounts {
+  std::size_t hosts = 0;
+  std::uint64_t sent = 0;
+};
+
 // What a Balancer has found out about a host, for the one that takes its place. Times are of the same clock.
 struct HostSnapshot {
   std::string id;
@@ -269,6 +282,8 @@
   void onTimer(Time now, std::uint64_t timer, Actions& out);
 
   HostCounts hostCounts() const;
+  RuleViolations ruleViolations() const;
+  SlowStartCounts slowStartCounts() const;
   // What the fleet holds of a zone: nothing goes there but where no other is left. A directive never makes a
   // client send to a zone that it does not use.
   void setZone(Time now, std::int32_t zone, ZoneDirective order, Actions& out);
--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -50,6 +50,8 @@
   impl_->at(now).restore(servers, out);
 }
 HostCounts Balancer::hostCounts() const { return impl_->hostCounts(); }
+RuleViolations Balancer::ruleViolations() const { return impl_->components.invariants.counts(); }
+SlowStartCounts Balancer::slowStartCounts() const { return impl_->slowStartCounts(); }
 std::vector<std::string> Balancer::subset(Time now) {
   std::vector<std::string> ids;
   for (const policy::Endpoint* endpoint : impl_->at(now).components.subset.span()) {
--- a/src/decision/balancer_impl.h
+++ b/src/decision/balancer_impl.h
@@ -64,6 +64,16 @@
     return counts;
   }
 
+  SlowStartCounts slowStartCounts() const {
+    SlowStartCounts counts{.sent = components.slow_start.sent()};
+    for (const auto& [id, endpoint] : components.endpoints.all()) {
+      const bool slow =
+          endpoint.inSlowStart(components.context.now, components.context.settings.slow_start_duration);
+      counts.hosts += endpoint.listed && slow ? 1U : 0U;
+    }
+    return counts;
+  }
+
   policy::Components components;
   policy::RequestLifecycle lifecycle{components};
   policy::EventHandling events{components, lifecycle};
--- a/src/decision/components.h
+++ b/src/decision/components.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "discovery_updates.h"
+#include "invariant_checker.h"
 #include "load_report_polling.h"
 #include "load_shedding.h"
 #include "zone_ejection.h"
@@ -20,7 +21,9 @@
   OutlierDetector outliers{context, log, subset, slow_start};
   ZoneEjection zones{context, log, subset, outliers};
   RetryPolicy retries{context};
-  EndpointSelector selector{context, subset, slow_start, retries};
+  SendGuard guard{context, retries, slow_start};
+  InvariantChecker invariants{context, log};
+  EndpointSelector selector{context, subset, guard, retries};
   LoadReportPolling polling{context, subset, selector, requests};
   LoadShedder shedder{context, log};
   DiscoveryUpdates discovery{context, log, endpoints, slow_start};
--- a/src/decision/endpoint_selection.h
+++ b/src/decision/endpoint_selection.h
@@ -1,16 +1,14 @@
 // Which endpoint takes a request: the least loaded member of the subset, ties by weighted turns.
 #pragma once
 
-#include "retry_policy.h"
-#include "slow_start.h"
+#include "send_guard.h"
 
 namespace load_balancer::policy {
 
 class EndpointSelector {
  public:
-  EndpointSelector(const PolicyContext& context, Subset& subset, SlowStart& slow_start,
-                   const RetryPolicy& retries)
-      : context_(context), subset_(subset), slow_start_(slow_start), retries_(retries) {}
+  EndpointSelector(const PolicyContext& context, Subset& subset, SendGuard& guard, const RetryPolicy& retries)
+      : context_(context), subset_(subset), guard_(guard), retries_(retries) {}
 
   // Null: none can take it.
   Endpoint* select(const PendingRequest& request) {
@@ -29,14 +27,13 @@
     return leastLoaded(request, 0, subset_.end());
   }
 
+  // `last_resort`: no other is left.
   bool eligible(const PendingRequest& request, Endpoint& endpoint, bool last_resort = false) const {
-    if (!retries_.maySend(request, endpoint)) return false;
-    if (last_resort) return slow_start_.allows(endpoint);
-    if (request.tried(endpoint)) return false;
-    if (endpoint.ejected) return mayTry(request, endpoint);
-    if (slow_start_.allows(endpoint)) return true;
-    subset_.dropMissedTurns(endpoint);
-    return false;
+    if (!last_resort && request.tried(endpoint)) return false;
+    if (!last_resort && endpoint.ejected && !mayTry(request, endpoint)) return false;
+    const SendVerdict verdict = guard_.check(request, endpoint);
+    if (verdict == SendVerdict::NoShare) subset_.dropMissedTurns(endpoint);
+    return verdict == SendVerdict::Allowed;
   }
 
   // The turn of an endpoint is over. How often it has one follows from its listed size and measured latency.
@@ -79,7 +76,7 @@
 
   const PolicyContext& context_;
   Subset& subset_;
-  SlowStart& slow_start_;
+  SendGuard& guard_;
   const RetryPolicy& retries_;
   std::uint64_t examined_ = 0;  // endpoints, in all choices
 };
--- a/src/decision/request_lifecycle.h
+++ b/src/decision/request_lifecycle.h
@@ -37,12 +37,10 @@
   bool mayStart(RequestId id, std::int32_t index) {
     PendingRequest* const request = policy_.requests.find(id);
     Attempt* const attempt = request == nullptr ? nullptr : request->attemptInFlight(index);
-    if (attempt == nullptr || !policy_.retries.maySend(*request, *attempt->endpoint, attempt)) return false;
+    if (attempt == nullptr || !policy_.guard.allows(*request, *attempt->endpoint, attempt)) return false;
     Endpoint& endpoint = *attempt->endpoint;
-    if (endpoint.slow_start_since == 0 || endpoint.slow_start_since == attempt->slow_start_since) return true;
-    if (!policy_.slow_start.allows(endpoint)) return false;  // it has restarted since it was chosen
-    attempt->slow_start_since = endpoint.slow_start_since;
-    policy_.slow_start.spend(endpoint);
+    if (std::exchange(attempt->slow_start_since, endpoint.slow_start_since) != endpoint.slow_start_since)
+      policy_.slow_start.spend(endpoint);  // it has restarted since it was chosen
     return true;
   }
 
@@ -139,8 +137,7 @@
   }
 
   void send(PendingRequest& request, Endpoint& endpoint, bool by_load_report, Actions& out) {
-    if (!policy_.retries.maySend(request, endpoint))
-      return;  // selection asked already; nothing passes without it
+    if (!policy_.invariants.onSend(request, endpoint, out)) return answer(request, out);
     Reason reason = Reason::None;
     if (policy_.context.settings.explain)
       reason = explain(request, endpoint, by_load_report, policy_.retries, policy_.subset);
@@ -166,8 +163,9 @@
     if (request.answered) return;
     request.answered = true;
     policy_.polling.stopWaiting(request);
-    if (!policy_.retries.mayReject(request) || request.malformed)
-      return out.push_back({.kind = ActionKind::Fail, .request = request.id});
+    const bool reject =
+        policy_.retries.mayReject(request) && !request.malformed && policy_.invariants.onReject(request, out);
+    if (!reject) return out.push_back({.kind = ActionKind::Fail, .request = request.id});
     const Time advice = std::min(policy_.context.settings.max_retry_after,
                                  policy_.context.classOf(request.request_class).latency_objective / 8);
     const Time retry_after = policy_.context.settings.retry_after ? advice : 0;
--- a/src/decision/retry_policy.h
+++ b/src/decision/retry_policy.h
@@ -48,12 +48,6 @@
              mayRepeat(context_.classOf(request.request_class), earlier, endpoint);
     });
   }
-  // The gate that every send passes, when the endpoint is chosen and when its first byte can be written.
-  bool maySend(const PendingRequest& request, const Endpoint& endpoint, const Attempt* self = nullptr) const {
-    return !request.answered && !request.streaming && endpoint.inService() &&
-           context_.now < request.deadline && mayAttempt(request, &endpoint, self) &&
-           (request.required_zone == kUnset || request.required_zone == endpoint.host.zone);
-  }
   // A rejection says that repeating is harmless.
   bool mayReject(const PendingRequest& request) const {
     const RequestClass& c = context_.classOf(request.request_class);
--- a/src/front/proxy_report.cpp
+++ b/src/front/proxy_report.cpp
@@ -69,6 +69,14 @@
   page.concurrent = server_.openRequests();
   page.targets = hosts.listed;
   page.targets_disabled = hosts.avoided;
+  const load_balancer::SlowStartCounts slow_start = pool_.slowStartCounts();
+  page.slow_start_targets = slow_start.hosts;
+  page.slow_start_sent = slow_start.sent;
+  const load_balancer::RuleViolations violations = pool_.ruleViolations();
+  page.violations = {{"lost", violations.lost},
+                     {"duplicate", violations.duplicate},
+                     {"drain", violations.drain},
+                     {"failback", violations.failback}};
   return metrics::toPrometheusText(page);
 }
 
--- a/src/metrics/include/metrics/metrics.h
+++ b/src/metrics/include/metrics/metrics.h
@@ -48,6 +48,10 @@
   std::vector<Row> classes;                       // those of one name are added up
   std::size_t concurrent = 0;                     // requests taken but not yet ended
   std::size_t targets = 0, targets_disabled = 0;  // hosts listed; those of them that are avoided
+  std::size_t slow_start_targets = 0;             // hosts listed that are in slow start
+  std::uint64_t slow_start_sent = 0;              // attempts at hosts in slow start
+  // By rule: what would have broken it, was stopped, and is a defect.
+  std::vector<std::pair<std::string, std::uint64_t>> violations;
 };
 
 // In Prometheus' text format 0.0.4: app_success{type="C"} 812.
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -43,6 +43,12 @@
   return {.name = name, .help = help, .type = MetricType::Gauge, .metric = {metric}};
 }
 
+MetricFamily total(const char* name, const char* help, std::uint64_t value) {
+  ClientMetric metric;
+  metric.counter.value = static_cast<double>(value);
+  return {.name = name, .help = help, .type = MetricType::Counter, .metric = {metric}};
+}
+
 }  // namespace
 
 RequestOutcome outcomeOf(int status) {
@@ -83,6 +89,10 @@
       gauge("app_targets", "Hosts in the list.", page.targets),
       gauge("app_targets_disabled", "Hosts in the list that are avoided, by hand or by choice.",
             page.targets_disabled),
+      gauge("app_slow_start_targets", "Hosts in the list that are in slow start.", page.slow_start_targets),
+      total("app_slow_start_dispatches", "Attempts at hosts in slow start.", page.slow_start_sent),
+      rows("app_rule_violations", "Stopped before they broke a rule, and defects of the program.",
+           MetricType::Counter, "rule", page.violations),
   });
 }
 
--- a/src/pools/include/pools/pool.h
+++ b/src/pools/include/pools/pool.h
@@ -102,6 +102,13 @@
   }
   void setZone(std::int32_t zone, load_balancer::ZoneDirective order);
   load_balancer::HostCounts hostCounts() const { return balancer_.hostCounts(); }
+  load_balancer::SlowStartCounts slowStartCounts() const { return balancer_.slowStartCounts(); }
+  // With requests that had no answer at their deadline.
+  load_balancer::RuleViolations ruleViolations() const {
+    load_balancer::RuleViolations counts = balancer_.ruleViolations();
+    counts.lost += missing_answers_;
+    return counts;
+  }
 
   std::size_t openRequests() const { return open_.size(); }
   bool closeOneIdle() { return upstream_.closeOneIdle(); }
@@ -187,7 +194,8 @@
   std::unordered_map<RequestId, Open> open_;
   std::map<std::string, Listed, std::less<>> listed_;  // the hosts that upstream knows
   std::deque<std::function<void(Time)>> events_;
-  Time shutdown_deadline_ = kNever;  // no request may be open longer
+  Time shutdown_deadline_ = kNever;    // no request may be open longer
+  std::uint64_t missing_answers_ = 0;  // by the module, at a deadline
   bool dispatching_ = false;
   load_balancer::Actions actions_;
 };
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -241,6 +241,7 @@
   const auto after = open_.find(id);
   if (after == open_.end() || after->second.answered) return;
   // The module owes an answer at the latest now. A client must not wait for a mistake of ours.
+  ++missing_answers_;
   log("defect: no final answer at the deadline of request " + std::to_string(id), LogLevel::Error);
   finish(id, plainAnswer(504));
   dispatch([this, id](Time now) { balancer_.onClientGone(now, id, actions_); });
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -194,6 +194,15 @@
     return static_cast<std::size_t>(
         std::count_if(clients_.begin(), clients_.end(), [](const Client& c) { return c.watches; }));
   }
+  // What the clients' own checks have stopped.
+  std::uint64_t violations() const {
+    std::uint64_t all = 0;
+    for (const Client& c : clients_) {
+      const RuleViolations counts = c.balancer->ruleViolations();
+      all += counts.lost + counts.duplicate + counts.drain + counts.failback;
+    }
+    return all;
+  }
   // Requests that a warm host serves in this time.
   double capacity(Time span) const {
     return shape_.cores * static_cast<double>(span) / static_cast<double>(shape_.work);
--- a/tests/metrics_test.cpp
+++ b/tests/metrics_test.cpp
@@ -44,7 +44,14 @@
   page.concurrent = 14;
   page.targets = 9;
   page.targets_disabled = 2;
+  page.slow_start_targets = 3;
+  page.slow_start_sent = 41;
+  page.violations = {{"lost", 0}, {"failback", 1}};
   const std::string text = toPrometheusText(page);
+  EXPECT_EQ(valueOf(text, "app_slow_start_targets"), 3);
+  EXPECT_EQ(valueOf(text, "app_slow_start_dispatches"), 41);
+  EXPECT_EQ(valueOf(text, "app_rule_violations{rule=\"lost\"}"), 0);
+  EXPECT_EQ(valueOf(text, "app_rule_violations{rule=\"failback\"}"), 1);
   EXPECT_EQ(valueOf(text, "app_success{type=\"swap-charge\"}"), 7);
   EXPECT_EQ(valueOf(text, "app_overload{type=\"swap-charge\"}"), 2);
   EXPECT_EQ(valueOf(text, "app_error{type=\"swap-charge\"}"), 1);
--- a/tests/slow_start_fleet_test.cpp
+++ b/tests/slow_start_fleet_test.cpp
@@ -162,6 +162,7 @@
               << fleet.hosts().size() << " hosts; sent " << sent << ", answered " << fleet.answered()
               << " of " << fleet.asked() << '\n';
     EXPECT_LE(worst, 1) << over << " of " << fleet.hosts().size() << " hosts";
+    EXPECT_EQ(fleet.violations(), 0U);
     EXPECT_GT(sent, 0U) << "hosts in slow start are used";
   }
 };
