LateConnection.TheHostStartsAnew... is told of many clients, since a lone one may now send there

It asks that nothing goes to a host that has started anew while its connection came up, since the client's share of it holds nothing, which it arranged by a seed. With no number of clients told, one client alone has the whole share, and lets it hold a request, which the rule bears. The test now says that there are 1,000 clients, and has its old seed and its old assertion: as strict, about what it is named for.

--- a/tests/late_connection_test.cpp
+++ b/tests/late_connection_test.cpp
@@ -123,8 +123,9 @@
   LateConnection() {
     Pool::Config config;
     config.settings = settings();
-    // By it a host that has just started may get nothing at first: the module draws what may come to it at
-    // once.
+    // Of so many clients each has a small share of a host that has just started; by this seed it holds no
+    // request at first.
+    config.settings.clients = 1000;
     config.seed = 3;
     config.upstream.connect_timeout = 2500 * kMillisecond;
     pool = std::make_unique<Pool>(loop.io, loop.timers, loop.descriptors, loop.log, zones, sink, config);
