--- a/src/decision/slow_start.h
+++ b/src/decision/slow_start.h
@@ -6,9 +6,10 @@
 
 namespace load_balancer::policy {
 
-// Each client holds itself to the part of an endpoint's capacity that it uses of a warm one, by a token
-// bucket for one request. The sum over all clients is then within the endpoint's present capacity, whatever
-// arrives, since each client has a share of its members alone and measures it by what is served.
+// Each client holds itself to its part of an endpoint's present capacity, by a token bucket for one request:
+// it has a part of its members alone, that of its arrivals, and where the start was told no more than follows
+// from what warm members serve of it. Those serve no more than they can, so the sum over all clients is
+// bounded too.
 class SlowStart {
  public:
   SlowStart(PolicyContext& context, const Subset& subset)
