--- a/src/decision/slow_start.h
+++ b/src/decision/slow_start.h
@@ -42,8 +42,7 @@
       return true;
     }
     if (!endpoint.in_subset) return false;  // this client has no share of it
-    warm_.update();
-    const bool any_warm = warm_.anyWarm();
+    const bool any_warm = warm_.update() > 0;
     const double by_arrivals = shareOfArrivals() * gain(endpoint, any_warm);
     if (endpoint.start_evidence == StartEvidence::Suspected) {
       refill(endpoint, by_arrivals);
--- a/src/decision/warm_throughput.h
+++ b/src/decision/warm_throughput.h
@@ -17,21 +17,21 @@
     served_.begin(now);
     updated_ = now;
   }
-  // At each event that reads or changes it, while the subset is as it has been since the last one.
-  void update() {
-    const bool warm = warmMembers() > 0;
-    const Time passed = context_.now - updated_;
-    if (warm) {
+  // At each event that reads or changes it, while the subset is as it has been since the last one. Returns
+  // how many members are warm.
+  std::uint32_t update() {
+    const std::uint32_t warm = warmMembers();
+    if (warm > 0) {
       observed_members_ = subset_.usable();
     } else {
-      served_.pause(passed);
+      served_.pause(context_.now - updated_);
     }
     updated_ = context_.now;
+    return warm;
   }
   void onServed(const Endpoint& endpoint) {
-    update();
-    if (!isWarm(endpoint)) return;
-    if (const std::uint32_t members = warmMembers(); members > 0) served_.note(context_.now, 1.0 / members);
+    const std::uint32_t warm = update();
+    if (warm > 0 && isWarm(endpoint)) served_.note(context_.now, 1.0 / warm);
   }
 
   // Whether enough was served lately to tell.
@@ -44,7 +44,6 @@
     const double members = std::max(1U, subset_.usable());
     return served_.perSecond(context_.now) * std::min(1.0, observed_members_ / members);
   }
-  bool anyWarm() const { return warmMembers() > 0; }
 
  private:
   static constexpr double kMemory = 15e6;  // microseconds; an overload in which little is served ends sooner
--- a/src/hot_restart/state.cpp
+++ b/src/hot_restart/state.cpp
@@ -53,10 +53,6 @@
   return out;
 }
 
-}  // namespace
-
-namespace {
-
 load_balancer::Time clockOffsetOf(const json& doc) {
   const auto offset = whole<load_balancer::Time>(doc, "clock_offset");
   if (offset > kMostClockOffset || offset < -kMostClockOffset)
--- a/tests/slow_start_fleet_test.cpp
+++ b/tests/slow_start_fleet_test.cpp
@@ -2,29 +2,31 @@
 // the budget that the settings and the capacity of a warm host give, over every window of their length.
 #include <gtest/gtest.h>
 
-#include <cmath>
 #include <functional>
 #include <iostream>
 #include <ostream>
 #include <string>
 
 #include "fleet_model.h"
+#include "rig/slow_start_budget.h"
 
 namespace load_balancer::test {
 namespace {
 
+namespace rig = client_proxy::rig;
+
 constexpr Time kOrdinary = 15 * kSec;  // before the faults
 constexpr double kLoad = 0.7;
 constexpr std::uint64_t kSeed = 1;
 
-// The slow start that the settings state.
-struct SlowStartPlan {
+struct NamedPlan {
   const char* name;
-  double initial_capacity, overload_factor;
-  Time duration, window;
+  rig::SlowStartPlan slow_start;
 };
-constexpr SlowStartPlan kSite{"site", 0.32, 3, 8900 * kMs, 2 * kSec};
-constexpr SlowStartPlan kTight{"tight", 0.2, 2, 15 * kSec, 2 * kSec};
+const NamedPlan kSite{"site",
+                      {.initial_capacity = 0.32, .duration = rig::Span(8900 * kMs), .overload_factor = 3}};
+const NamedPlan kTight{"tight",
+                       {.initial_capacity = 0.2, .duration = rig::Span(15 * kSec), .overload_factor = 2}};
 
 struct FleetPlan {
   const char* name;
@@ -106,22 +108,15 @@
                          {"ClientsInWaves", restartClientsInWaves},
                          {"EverythingInABurst", restartEverythingInABurst}};
 
-// Beyond the budget only so much is put down to chance.
-double bound(double budget) {
-  return budget < 30 ? budget + 3 * std::sqrt(budget) + 3 : budget + 2 * std::sqrt(budget) + 2;
-}
-
 // The worst window of a host's slow start, as a part of its bound; by the capacity at the window's end.
-double worstWindow(const FleetModel& fleet, const FleetModel::Machine& host, const SlowStartPlan& plan) {
+double worstWindow(const FleetModel& fleet, const FleetModel::Machine& host, const rig::SlowStartPlan& plan) {
   if (host.started == 0) return 0;
   const Time start = host.started - kStart;
+  const Time window = plan.overload_window.count();
   double worst = 0;
-  for (Time age = FleetModel::kStep; age <= plan.duration; age += FleetModel::kStep) {
-    const double part = static_cast<double>(age) / static_cast<double>(plan.duration);
-    const double capacity = plan.initial_capacity + (1 - plan.initial_capacity) * part;
-    const double budget = plan.overload_factor * capacity * fleet.capacity(plan.window);
-    const std::uint32_t sent = host.cold_sends.between(start + age - std::min(age, plan.window), start + age);
-    worst = std::max(worst, sent / bound(budget));
+  for (Time age = FleetModel::kStep; age <= plan.duration.count(); age += FleetModel::kStep) {
+    const std::uint32_t sent = host.cold_sends.between(start + age - std::min(age, window), start + age);
+    worst = std::max(worst, sent / rig::mostInWindow(plan, fleet.capacity(kSec), rig::Span(age)));
   }
   return worst;
 }
@@ -140,15 +135,15 @@
     shape.rate = all / (shape.clients * (0.9 + 0.1 * shape.hot));
     return shape;
   }
-  static Settings settingsOf(const SlowStartPlan& plan) {
+  static Settings settingsOf(const rig::SlowStartPlan& plan) {
     Settings settings = fleetSettings();
     settings.slow_start_initial_capacity = plan.initial_capacity;
     settings.slow_start_overload_factor = plan.overload_factor;
-    settings.slow_start_duration = plan.duration;
-    settings.slow_start_overload_window = plan.window;
+    settings.slow_start_duration = plan.duration.count();
+    settings.slow_start_overload_window = plan.overload_window.count();
     return settings;
   }
-  static void expectWithinBudget(const FleetModel& fleet, const SlowStartPlan& plan) {
+  static void expectWithinBudget(const FleetModel& fleet, const rig::SlowStartPlan& plan) {
     double worst = 0;
     std::size_t over = 0;
     std::uint32_t sent = 0;
@@ -169,13 +164,13 @@
 
 TEST_P(SlowStartFaults, NoHostIsSentMoreThanItsBudgetByAllClientsTogether) {
   for (const FleetPlan& fleet_plan : {kSmall, kCrowded, kWide, kSlowHosts}) {
-    for (const SlowStartPlan& plan : {kSite, kTight}) {
+    for (const NamedPlan& plan : {kSite, kTight}) {
       SCOPED_TRACE(std::string(fleet_plan.name) + ", " + plan.name);
       std::cout << fleet_plan.name << ", " << plan.name << ": ";
-      FleetModel fleet(shapeOf(fleet_plan), settingsOf(plan), kSeed);
+      FleetModel fleet(shapeOf(fleet_plan), settingsOf(plan.slow_start), kSeed);
       fleet.runFor(kOrdinary);
       GetParam().inject(fleet);
-      expectWithinBudget(fleet, plan);
+      expectWithinBudget(fleet, plan.slow_start);
     }
   }
 }
