Review case 3: an attempt of a long request begins long after its client has closed

Reason: while a long upload waits for a host, nothing looks for the end of its client's connection. Added: review/3.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec "$(dirname "$0")/../run-case" "$(dirname "$0")"
