--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,18 +1,18 @@
-// Clients get answers that were made for other requests, and unsafe requests run twice: a host's second answer,
-// some milliseconds after the first, comes when the connection is in use again.
-#include "common.h"
-
+// Clients get answers that were made for other requests, and unsafe requests run twice: a host's second
+// answer, some milliseconds after the first, comes when the connection is in use again.
 #include <condition_variable>
 #include <deque>
 
+#include "common.h"
+
 using namespace review;
 
 namespace {
 
-constexpr Ms kOneWay = 8;    // between two data centres: 5.6 to 10 ms
-constexpr Ms kLater = 5;     // how much later the second answer comes
-constexpr int kEvery = 25;   // one answer of so many has a second copy
-constexpr int kFull = 10;    // a host turns away one request of so many: its queue is full
+constexpr Ms kOneWay = 8;   // between two data centres: 5.6 to 10 ms
+constexpr Ms kLater = 5;    // how much later the second answer comes
+constexpr int kEvery = 25;  // one answer of so many has a second copy
+constexpr int kFull = 10;   // a host turns away one request of so many: its queue is full
 constexpr Ms kWork = 60;
 constexpr int kHosts = 4, kClients = 12;
 constexpr Ms kLength = 20'000;
@@ -77,6 +77,7 @@
       if (!sendAll(fd, "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")) break;
       continue;
     }
+    the.record->line("host " + std::to_string(number) + ": runs " + m.id());
     if (m.first.rfind("POST", 0) == 0) {
       const std::lock_guard lock(mutex);
       if (++charged[m.id()] > 1)
@@ -103,16 +104,20 @@
     const std::string id = newId();
     const bool charge = (i + number) % 3 == 0;
     const Ms sent = now();
+    const std::string asked =
+        "client " + std::to_string(number) + ": " + (charge ? "swap-charge " : "slot-status ") + id;
+    the.record->line(asked + " sent");
     sendAll(fd, request(charge ? "POST" : "GET",
-                        (charge ? "/swap-charge/rider-" : "/slot-status/rider-") + std::to_string(number), id, 2.0, "",
-                        charge ? "x" : ""));
+                        (charge ? "/swap-charge/rider-" : "/slot-status/rider-") + std::to_string(number), id,
+                        2.0, "", charge ? "x" : ""));
     const Message m = readMessage(fd, in, sent + 2600);
+    the.record->line(asked + " answered " +
+                     (m.whole ? std::to_string(m.status()) + " \"" + m.body + "\"" : "not at all"));
     if (m.status() == 200 && m.whole && m.body == "answer to " + id) {
       ++served;
     } else if (m.status() == 200 && m.whole) {
       ++foreign;
-      the.record->line("client " + std::to_string(number) + ": " + (charge ? "swap-charge " : "slot-status ") + id +
-                       " was answered 200 with \"" + m.body + "\"");
+      the.record->line(asked + ": FOREIGN, this answer was made for another request");
     } else {
       ++failed;
     }
@@ -133,8 +138,8 @@
     serve(listener, [i](int fd) { host(i, fd); });
     serve(entry, [port](int fd) { relay(fd, port); });
     // One host is in the proxy's own zone, the others in another.
-    targets += (i > 0 ? "," : "") +
-               target("s-" + std::to_string(i), i == 0 ? port : front, i == 0 ? "a" : "b");
+    targets +=
+        (i > 0 ? "," : "") + target("s-" + std::to_string(i), i == 0 ? port : front, i == 0 ? "a" : "b");
   }
   Discovery discovery(targets);
   const std::string settings = R"({"me":0,"peers_total":3,"discovery":"ask","my_zone":0,"tick_us":5000,
@@ -157,7 +162,8 @@
   for (std::thread& t : clients) t.join();
   const std::string counts = std::to_string(foreign) + " of " + std::to_string(served + foreign + failed) +
                              " requests were served with an answer made for another one (" +
-                             std::to_string(failed) + " failed, " + std::to_string(copies) + " second answers)";
+                             std::to_string(failed) + " failed, " + std::to_string(copies) +
+                             " second answers)";
   int twice = 0;
   for (const auto& [id, times] : charged) twice += times > 1 ? 1 : 0;
   if (served == 0) cannotRun("nothing was served");
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -6,12 +6,13 @@
 
 namespace {
 
-constexpr Ms kWindow = 750, kSlack = 50;  // of the key, by the settings; how much longer each limit is on sockets
-constexpr Ms kHeldUp = 150;               // the time that a proxy may be held up between its clock and a write
-constexpr Ms kWork = 300, kBooked = 30;   // of one request; the effect is there early in the work
-constexpr Ms kReset = 270;                // after a request's last byte, while connections are being reset
-constexpr Ms kTrouble = 900;              // how long connections are being reset under requests
-constexpr Ms kWait = 80;                  // a client's, before it tries again
+constexpr Ms kWindow = 750,
+             kSlack = 50;    // of the key, by the settings; how much longer each limit is on sockets
+constexpr Ms kHeldUp = 150;  // the time that a proxy may be held up between its clock and a write
+constexpr Ms kWork = 300, kBooked = 30;  // of one request; the effect is there early in the work
+constexpr Ms kReset = 270;               // after a request's last byte, while connections are being reset
+constexpr Ms kTrouble = 900;             // how long connections are being reset under requests
+constexpr Ms kWait = 80;                 // a client's, before it tries again
 constexpr int kKeys = 3, kHosts = 4;
 
 struct Effects {
@@ -110,11 +111,11 @@
       if (left <= 0.05) break;
       const std::string id = newId();
       the.record->line("client: sends " + id + " key=" + key + (attempt > 0 ? " (its repeat)" : ""));
-      const Message m = ask(proxy.port(),
-                            request("POST", "/slot-book/" + std::to_string(k), id, left,
-                                    "Idempotency-Key: " + key + "\r\n" +
-                                        (attempt > 0 ? "X-Repeat: 1\r\n" : ""), "x"),
-                            id, left);
+      const Message m =
+          ask(proxy.port(),
+              request("POST", "/slot-book/" + std::to_string(k), id, left,
+                      "Idempotency-Key: " + key + "\r\n" + (attempt > 0 ? "X-Repeat: 1\r\n" : ""), "x"),
+              id, left);
       if (m.status() == 200) break;
       sleepFor(kWait);
       if (now() >= first + kWindow - 20) break;  // a client repeats within the window only
@@ -131,7 +132,8 @@
   for (const auto& [key, at] : effects.at) {
     for (std::size_t i = 1; i < at.size(); ++i) {
       const Ms later = at[i] - at[0];
-      the.record->line("key " + key + " took effect again, sent " + std::to_string(later) + " ms after the first");
+      the.record->line("key " + key + " took effect again, sent " + std::to_string(later) +
+                       " ms after the first");
       if (later > kWindow + kSlack + kHeldUp) ++broken;
     }
   }
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,5 +1,5 @@
-// An attempt begins long after its client has closed: while a long request waits for a connection to a host, the
-// proxy does not look whether its client is still there.
+// An attempt begins long after its client has closed: while a long request waits for a connection to a host,
+// the proxy does not look whether its client is still there.
 #include "common.h"
 
 using namespace review;
@@ -10,7 +10,7 @@
 constexpr int kHosts = 3;
 constexpr std::size_t kLong = 256 * 1024;
 constexpr Ms kLate = 1400;  // a connection comes up 1.5 s late at most
-constexpr Ms kStays = 20;  // how long the client stays after its last byte
+constexpr Ms kStays = 20;   // how long the client stays after its last byte
 
 std::mutex mutex;
 std::map<std::string, Ms> begun, whole, closed;
@@ -24,7 +24,9 @@
       const std::lock_guard lock(mutex);
       begun[m.id()] = m.begun;
       if (m.whole) whole[m.id()] = m.done;
-      the.record->line("host " + std::to_string(number) + ": " + m.id() + " began at " + std::to_string(m.begun) + (m.whole ? ", whole" : ", never whole") + ", X-Time-Left " + header(m.head, "X-Time-Left"));
+      the.record->line("host " + std::to_string(number) + ": " + m.id() + " began at " +
+                       std::to_string(m.begun) + (m.whole ? ", whole" : ", never whole") + ", X-Time-Left " +
+                       header(m.head, "X-Time-Left"));
     }
     if (!m.whole) break;
     sleepFor(60);
@@ -95,7 +97,8 @@
   for (int i = 0; i < kHosts; ++i) {
     const std::string id = newId();
     const int fd = connectTo(proxy.port());
-    const bool sent = sendAll(fd, request("POST", "/swap-charge/rider-" + std::to_string(i), id, 2.0, "", std::string(kLong, 'x')));
+    const bool sent = sendAll(
+        fd, request("POST", "/swap-charge/rider-" + std::to_string(i), id, 2.0, "", std::string(kLong, 'x')));
     const Ms last = now();
     the.record->line("client: " + id + (sent ? " sent whole" : " not sent"));
     sleepUntil(last + kStays);
@@ -113,7 +116,8 @@
   for (const auto& [id, at] : begun) {
     if (at <= closed[id] + kAllowed) continue;
     ++broken;
-    the.record->line("the attempt of " + id + " began " + std::to_string(at - closed[id]) + " ms after its client had closed" + (whole.count(id) ? "; its host got all of it" : ""));
+    the.record->line("the attempt of " + id + " began " + std::to_string(at - closed[id]) +
+                     " ms after its client had closed" + (whole.count(id) ? "; its host got all of it" : ""));
   }
   finish(broken > 0 ? 1 : 0, std::to_string(broken) + " attempts began late");
 }
--- a/review/common.h
+++ b/review/common.h
@@ -230,8 +230,10 @@
   void watch(int fd) {
     std::string in;
     while (readMessage(fd, in, now() + 60'000).whole) {
-      bool on = sendAll(fd, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                            "Transfer-Encoding: chunked\r\n\r\n" + chunk(list_ + "\n"));
+      bool on = sendAll(fd,
+                        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n" +
+                            chunk(list_ + "\n"));
       asked_ = true;
       for (bool ended = false; on && !ended;) {
         if (!readMore(fd, in, now() + 2000, ended) && !ended) on = sendAll(fd, chunk("\n"));
@@ -253,7 +255,8 @@
 // The project's program, by `run` of the deploy file.
 class Proxy {
  public:
-  Proxy(const std::string& root, const std::string& run, const Discovery& discovery, const std::string& settings)
+  Proxy(const std::string& root, const std::string& run, const Discovery& discovery,
+        const std::string& settings)
       : port_(freePort()) {
     const char* base = std::getenv("TMPDIR");
     std::string folder = std::string(base != nullptr && *base != 0 ? base : "/tmp") + "/review-XXXXXX";
