Second answers of hosts are not taken for the answers to the next requests

Cause: a connection to a host was used again as soon as its answer was complete. A second answer of the host's, some milliseconds later, met the next request on the connection and passed for its answer; from then on each answer belonged to the request before, and a rejection of another request counted as proof that this one never ran.

Change: a connection is used again 50 ms after an answer at the earliest (Upstream::Limits::reuse_delay). The newest one that may be used is taken. What can't be reused yet counts as needed (IdleNeed), so connections are not closed and opened in turn. Bytes on an idle connection count as a broken reuse of the host, so what can't be repeated goes on new connections for a while: that covers later copies.

Evidence: with the delay taken out, UpstreamTest.ASecondAnswer..., ASecondRejection... and AfterBytesThatNobodyAskedFor... fail ("written behind the first request").

Tests that reuse connections at once for another purpose set the delay to 0 or wait for it.

--- a/src/net/host_connection.cpp
+++ b/src/net/host_connection.cpp
@@ -41,6 +41,7 @@
   do {
     n = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   } while (n < 0 && errno == EINTR);
+  if (n > 0) up_.noteReuse(uid_, true);
   return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
@@ -57,7 +58,7 @@
 void Upstream::Connection::begin(AttemptRequest request) {
   request_ = std::move(request);
   busy_ = true;
-  up_.countBusy(uid_, true);
+  up_.countBusy(uid_);
   ++turn_;
   started_ = up_.timers_.clock().now();
   sent_ = 0;
@@ -188,7 +189,7 @@
 void Upstream::Connection::end(Result result) {
   if (!busy_) return;
   busy_ = false;
-  up_.countBusy(uid_, false);
+  up_.countIdle(uid_);
   AttemptEnd report;
   report.result = result;
   report.begun = answer_begun_;
--- a/src/net/host_connection.h
+++ b/src/net/host_connection.h
@@ -37,7 +37,7 @@
 
   // An idle connection that the host has closed, or on which something lies that nobody asked for (a second
   // copy of the last answer, say): the next request must not take that for its answer. Nothing is read while
-  // a connection is idle, so whatever has come is still to be seen here.
+  // a connection is idle, so whatever has come is still to be seen here. Bytes are noted for the host.
   bool stale();
 
   void close();
--- a/src/net/host_reading.cpp
+++ b/src/net/host_reading.cpp
@@ -28,7 +28,7 @@
 void Upstream::Connection::onReadable(error_code ec) {
   reading_ = false;
   if (closed_) return;
-  if (!busy_) return close();  // idle: the host has closed it, or says something that nobody asked
+  if (!busy_) return ec || stale() ? close() : armRead();
   if (ec) return broken();
   const std::size_t n = readAvailable(socket_, in_.space(stream_ ? kLongRead : kRead), ec);
   if (ec == asio::error::would_block) return armRead();
--- a/src/net/include/net/upstream.h
+++ b/src/net/include/net/upstream.h
@@ -74,6 +74,9 @@
     Time answer_whole = 250 * kMillisecond;  // an answer may stand still for, on its way
     Time long_still = 4 * kSecond;           // the same for a long one, and for a long request on its way
     bool health_check_load = false;          // hosts report their load to probes
+    // A connection is not used again for so long after an answer: a second answer of the host's, which may
+    // come some milliseconds later, would pass for the answer to the next request.
+    Time reuse_delay = 50 * kMillisecond;
   };
 
   Upstream(boost::asio::io_context& io, Timers& timers, Descriptors& descriptors, AttemptSink& sink,
@@ -108,9 +111,10 @@
   friend class Connection;
   struct Pool {
     Endpoint endpoint;
-    std::vector<Connection*> idle;  // the most recently used last
+    std::vector<Connection*> idle;  // the most recently used last; the last ones may not be reusable yet
     IdleNeed need;
-    double broken_reuse = 0;  // part of the uses of kept connections that broke without an answer
+    double broken_reuse = 0;  // part of the uses of kept connections that broke without an answer, or after
+                              // which the host sent what nobody had asked for
   };
   struct NameHash {
     using is_transparent = void;
@@ -118,12 +122,15 @@
   };
 
   Connection* takeIdle(Pool& pool);
+  // The end of the idle connections that may be used again.
+  std::vector<Connection*>::iterator reusableEnd(Pool& pool) const;
   Connection* open(const std::string& uid, const Endpoint& endpoint);
   void noteReuse(const std::string& uid, bool broke);
   void keep(Connection& connection);
   void forget(Connection& connection);  // no longer idle
   void closeIdle(Pool& pool);
-  void countBusy(const std::string& uid, bool busy);
+  void countBusy(const std::string& uid);
+  void countIdle(const std::string& uid);
   void sweep();
   Time idleLimit() const;
 
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -1,6 +1,7 @@
 #include "net/upstream.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "host_connection.h"
@@ -87,23 +88,30 @@
 
 Upstream::Connection* Upstream::takeIdle(Pool& pool) {
   const Time now = timers_.clock().now();
-  while (!pool.idle.empty()) {
-    Connection* const connection = pool.idle.back();
+  for (auto end = reusableEnd(pool); end != pool.idle.begin(); end = reusableEnd(pool)) {
+    const auto newest = std::prev(end);
+    Connection* const connection = *newest;
     // The sweep may be late after a stall, and the host's end may lie unread in the socket.
     if (now - connection->idleSince() > idleLimit() || connection->stale()) {
       connection->close();
       continue;
     }
-    pool.idle.pop_back();
+    pool.idle.erase(newest);
     return connection;
   }
   return nullptr;
 }
 
-// Guards against hosts that end or reset kept connections while the next request is on its way: what can't be
-// repeated then fails. It should catch whatever else makes a host's kept connections unsafe, and costs a
-// handshake for a few requests after each such break; where breaks come from the network, that is spent for
-// nothing.
+std::vector<Upstream::Connection*>::iterator Upstream::reusableEnd(Pool& pool) const {
+  const Time latest = timers_.clock().now() - limits_.reuse_delay;
+  const auto reusable = [latest](const Connection* connection) { return connection->idleSince() <= latest; };
+  return std::partition_point(pool.idle.begin(), pool.idle.end(), reusable);
+}
+
+// Guards against hosts that end or reset kept connections while the next request is on its way, or send more
+// than the answer on them: what can't be repeated then fails. It should catch whatever else makes a host's
+// kept connections unsafe, and costs a handshake for a few requests after each such break; where breaks come
+// from the network, that is spent for nothing.
 void Upstream::noteReuse(const std::string& uid, bool broke) {
   const auto it = pools_.find(uid);
   if (it != pools_.end())
@@ -152,9 +160,16 @@
   return true;
 }
 
-void Upstream::countBusy(const std::string& uid, bool busy) {
+void Upstream::countBusy(const std::string& uid) {
+  const auto it = pools_.find(uid);
+  if (it == pools_.end()) return;
+  Pool& pool = it->second;
+  pool.need.onBusy(static_cast<std::size_t>(pool.idle.end() - reusableEnd(pool)));
+}
+
+void Upstream::countIdle(const std::string& uid) {
   const auto it = pools_.find(uid);
-  if (it != pools_.end()) busy ? it->second.need.onBusy() : it->second.need.onIdle();
+  if (it != pools_.end()) it->second.need.onIdle();
 }
 
 void Upstream::sweep() {
--- a/tests/client_left_test.cpp
+++ b/tests/client_left_test.cpp
@@ -23,6 +23,7 @@
     ASSERT_TRUE(loop.until([&] { return host.peers.size() == 1 && host.peers[0]->heard("warm"); }));
     host.peers[0]->say(answerOf("warm"));
     ASSERT_TRUE(loop.until([&] { return c->heard("warm"); }));
+    awaitReuse();
   }
 };
 
--- a/tests/proxy_support.h
+++ b/tests/proxy_support.h
@@ -90,6 +90,11 @@
         loop.until([&] { return !at.peers.empty() && at.peers.back()->heard("\r\n\r\n"); });
     return requested ? at.peers.back() : nullptr;
   }
+  // Waits until the connections to hosts that are idle now may be used again.
+  void awaitReuse() {
+    const Time reusable = loop.clock.now() + Upstream::Limits{}.reuse_delay;
+    ASSERT_TRUE(loop.until([&] { return loop.clock.now() > reusable; }));
+  }
   Loop loop;
   Host host{loop}, other{loop}, discovery{loop}, moved{loop};
   std::unique_ptr<ConfigFile> file;
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -13,6 +13,8 @@
 
 using load_balancer::Result;
 
+constexpr Time kLongerThanTheTest = 60 * kSecond;
+
 struct Reports : AttemptSink {
   void onAttemptEnd(AttemptId id, AttemptEnd end) override {
     EXPECT_TRUE(ends.emplace(id, std::move(end)).second) << "two reports of attempt " << id;
@@ -57,8 +59,14 @@
   static Upstream::Limits limits() {
     Upstream::Limits l;
     l.answer_whole = 200 * kMillisecond;
+    l.reuse_delay = 0;  // connections are used again at once, but for the tests of the delay
     return l;
   }
+  void setReuseDelay(Time delay) {
+    Upstream::Limits changed = limits();
+    changed.reuse_delay = delay;
+    up.reconfigure(changed);
+  }
   Loop loop;
   Host host{loop};
   Reports reports;
@@ -141,6 +149,77 @@
   EXPECT_EQ(reports.ends[2].body, "two");
 }
 
+// Guards against a client that gets the answer to another request: the host's second copy of an answer came
+// when the next request was already on the connection.
+TEST_F(UpstreamTest, ASecondAnswerAfterTheNextRequestIsNotTakenForItsAnswer) {
+  setReuseDelay(kLongerThanTheTest);
+  start(1);
+  const auto first = asked(1);
+  ASSERT_TRUE(first);
+  first->say(answerOf("one"));
+  ASSERT_TRUE(ended(1));
+  start(2);
+  loop.turn();
+  first->say(answerOf("one"));
+  ASSERT_TRUE(loop.until([&] { return first->said == 2 || reports.ends.count(2) > 0; }));
+  ASSERT_TRUE(asked(2)) << "written behind the first request";
+  host.peers[1]->say(answerOf("two"));
+  ASSERT_TRUE(ended(2));
+  EXPECT_EQ(reports.ends[2].body, "two");
+}
+
+// Guards against an unsafe request that is sent again: the rejection of the request before it on its
+// connection, sent twice, passed for its own.
+TEST_F(UpstreamTest, ASecondRejectionAfterTheNextRequestIsNotTakenForItsOutcome) {
+  setReuseDelay(kLongerThanTheTest);
+  const std::string rejection = "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+  start(1);
+  const auto first = asked(1);
+  ASSERT_TRUE(first);
+  first->say(rejection);
+  ASSERT_TRUE(ended(1));
+  up.start(2, "h", {nullptr, nullptr, true});
+  loop.turn();
+  first->say(rejection);
+  ASSERT_TRUE(loop.until([&] { return first->said == 2 || reports.ends.count(2) > 0; }));
+  ASSERT_TRUE(asked(2)) << "written behind the first request";
+  host.peers[1]->say(answerOf("two"));
+  ASSERT_TRUE(ended(2));
+  EXPECT_EQ(reports.ends[2].result, Result::Ok);
+}
+
+TEST_F(UpstreamTest, AConnectionIsUsedAgainAfterTheReuseDelay) {
+  setReuseDelay(20 * kMillisecond);
+  start(1);
+  const auto first = asked(1);
+  ASSERT_TRUE(first);
+  first->say(answerOf("one"));
+  ASSERT_TRUE(ended(1));
+  const Time rested = loop.clock.now() + 20 * kMillisecond;
+  ASSERT_TRUE(loop.until([&] { return loop.clock.now() > rested; }));
+  start(2);
+  EXPECT_TRUE(asked(1, 2)) << "a new connection, though one rests";
+  EXPECT_EQ(host.peers.size(), 1U);
+}
+
+// Guards against unsafe requests behind a second answer that is later than the delay: what a host has sent
+// unasked is remembered.
+TEST_F(UpstreamTest, AfterBytesThatNobodyAskedForTheUnrepeatableGoOnNewOnes) {
+  for (AttemptId id = 1; id <= 2; ++id) start(id);
+  ASSERT_TRUE(asked(1));
+  ASSERT_TRUE(asked(2));
+  for (const auto& peer : host.peers) peer->say(answerOf("x"));
+  ASSERT_TRUE(ended(1));
+  ASSERT_TRUE(ended(2));
+  ASSERT_EQ(up.connections(), 2U);
+  host.peers[0]->say(answerOf("x"));
+  ASSERT_TRUE(loop.until([&] { return up.connections() == 1; }));
+  up.start(3, "h", {nullptr, nullptr, true});
+  EXPECT_TRUE(asked(3));
+  start(4);  // what may be repeated still takes the kept one
+  EXPECT_TRUE(asked(2, 2));
+}
+
 TEST_F(UpstreamTest, ARequestThatTheHostHasReadNeverPassesForOneThatNeverRan) {
   start(1);
   const auto peer = asked(1);
@@ -223,6 +302,12 @@
   EXPECT_EQ(need.worthKeeping(), 5U);
   need.tick();
   EXPECT_EQ(need.worthKeeping(), 1U);
+  // A request on a new connection, while two were idle and not to be used again yet.
+  need.onBusy(2);
+  need.onIdle();
+  EXPECT_EQ(need.worthKeeping(), 3U);
+  for (int i = 0; i < 4; ++i) need.tick();
+  EXPECT_EQ(need.worthKeeping(), 1U);
   need.onIdle();  // of one that was counted elsewhere
   need.onBusy();
   EXPECT_EQ(need.worthKeeping(), 0U);
