A client's repeat of a key is sent only within the window of the first request

Cause: DuplicateDetector counts the window from the first request with the key and admits the repeat by that, but passed nothing on; RetryPolicy counted the window from the repeat's own attempts. A first send of the repeat that was late was held to no window at all.

Change: the detector's decision names the end of the window; it goes with the request through the queue (QueuedRequest) to the pool and the module (Request::deduplication_time_left). RetryPolicy::mayAttempt asks for it at each choice of a host, and by Balancer::mayStart before the first byte of an attempt that had to wait.

The tests' rule checker holds every repeat against the first request's window.

--- a/include/load_balancer/balancer.h
+++ b/include/load_balancer/balancer.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -112,6 +113,9 @@
   std::int32_t tenant = kUnset;         // index into Settings::tenants
   std::int64_t key = kUnset;            // identifies what the request operates on, for Settings::warm_keys
   std::int32_t required_zone = kUnset;  // only hosts in this zone may receive it; kUnset: any host
+  // If it repeats the idempotency key of an earlier request, which may have run: for how long hosts still
+  // discard the repeat. It is not sent after that.
+  std::optional<Time> deduplication_time_left = {};
 };
 
 enum class Result : std::uint8_t {
--- a/src/admission/duplicate_detector.cpp
+++ b/src/admission/duplicate_detector.cpp
@@ -22,27 +22,28 @@
   return found == entries_by_id_.end() ? nullptr : &found->second.record;
 }
 
-DuplicateDetector::Verdict DuplicateDetector::offer(Time now, RequestRecord request) {
+DuplicateDetector::Decision DuplicateDetector::offer(Time now, RequestRecord request) {
   expire(now);
+  Decision decision;
   if (const auto it = entries_by_id_.find(request.id); it != entries_by_id_.end()) {
     const RequestRecord& before = it->second.record;
-    if (before.ended == 0) return Verdict::Open;
-    if (!before.safe || !request.safe) return Verdict::MayHaveRun;
+    if (before.ended == 0) return {Verdict::Open};
+    if (!before.safe || !request.safe) return {Verdict::MayHaveRun};
     erase(request.id);
   }
   if (const RequestRecord* const before = findByKey(request.key)) {
     // The client repeats the request under a new id. Where every host drops the repeat, it may be sent as
     // well.
-    const bool dropped =
-        before->deduplication_window > 0 && now < before->began + before->deduplication_window;
-    if (!dropped) return before->ended == 0 ? Verdict::Open : Verdict::MayHaveRun;
+    const Time dropped_until = before->began + before->deduplication_window;
+    if (now >= dropped_until) return {before->ended == 0 ? Verdict::Open : Verdict::MayHaveRun};
     request.began = before->began;  // hosts count the window from the first request
+    decision.dropped_until = dropped_until;
   } else {
     request.began = now;
   }
   request.ended = 0;
   keep(now, std::move(request), 0);
-  return Verdict::New;
+  return decision;
 }
 
 RequestRecord DuplicateDetector::end(Time now, std::string_view id, bool may_have_run) {
--- a/src/admission/include/admission/duplicate_detector.h
+++ b/src/admission/include/admission/duplicate_detector.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -41,12 +42,17 @@
     Open,        // a request with this id or key is open: two responses could not be distinguished
     MayHaveRun,  // a request with this id or key may have run, and no host is sure to drop this repeat
   };
+  struct Decision {
+    Verdict verdict = Verdict::New;
+    // Of a new request that repeats the key of an earlier one: hosts drop it until then, and not after.
+    std::optional<Time> dropped_until = {};
+  };
 
   explicit DuplicateDetector(Limits limits) : limits_(limits) {}
   void reconfigure(Limits limits) { limits_ = limits; }
 
   // Checks a request that has been received completely, and records it if it is new.
-  Verdict offer(Time now, RequestRecord request);
+  Decision offer(Time now, RequestRecord request);
   // The request has ended: no attempt of it is in flight any more. Returns the record to be sent to the other
   // process during a hand-over; its id is empty if no request with this id was open here.
   RequestRecord end(Time now, std::string_view id, bool may_have_run);
--- a/src/decision/pending_request.h
+++ b/src/decision/pending_request.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <limits>
 #include <vector>
 
 #include "containers/generational_slot_map.h"
@@ -9,6 +10,8 @@
 
 namespace load_balancer::policy {
 
+constexpr Time kNever = std::numeric_limits<Time>::max();
+
 enum class Execution : std::uint8_t { InFlight, MayHaveRun, NeverRan };
 
 struct Attempt {
@@ -27,7 +30,8 @@
   bool malformed = false;  // a host rejected the request as invalid, so a retry is useless
   std::int32_t request_class = 0;
   Time arrived = 0, deadline = 0;
-  Time useful_until = 0;  // later answers have no value
+  Time useful_until = 0;             // later answers have no value
+  Time deduplicated_until = kNever;  // an earlier request with its key may have run: it is not sent later
   std::vector<Attempt> attempts;
   std::int32_t in_flight = 0;  // attempts without an outcome
   std::int64_t key = kUnset;
@@ -44,6 +48,7 @@
     required_zone = arrival.required_zone;
     arrived = now;
     deadline = useful_until = now + arrival.time_left;
+    deduplicated_until = arrival.deduplication_time_left ? now + *arrival.deduplication_time_left : kNever;
   }
   bool tried(const Endpoint& endpoint) const {
     return std::any_of(attempts.begin(), attempts.end(),
--- a/src/decision/retry_policy.h
+++ b/src/decision/retry_policy.h
@@ -45,6 +45,7 @@
   bool mayAttempt(const PendingRequest& request, const Endpoint* endpoint,
                   const Attempt* attempt = nullptr) const {
     if (attempt == nullptr && !attemptsLeft(request)) return false;
+    if (context_.now >= request.deduplicated_until - context_.settings.tick) return false;
     return std::all_of(request.attempts.begin(), request.attempts.end(), [&](const Attempt& earlier) {
       return earlier.execution == Execution::NeverRan || &earlier == attempt ||
              mayRepeat(context_.classOf(request.request_class), earlier, endpoint);
--- a/src/decision/send_guard.h
+++ b/src/decision/send_guard.h
@@ -12,7 +12,8 @@
   Answered,        // the request has its final answer, or a response is being forwarded
   NoTimeLeft,      // its deadline has passed
   OutOfService,    // the endpoint is draining, removed or in maintenance
-  MayHaveRun,      // an earlier attempt may have run, and this endpoint would not discard the repeat
+  MayHaveRun,      // an earlier attempt, or request with its key, may have run, and this endpoint would not
+                   // discard the repeat
   OutsideZone,     // only its service's zone may receive it
   SlowStartLimit,  // the endpoint is in slow start, and this client's share is used up for now
 };
--- a/src/front/include/front/proxy.h
+++ b/src/front/include/front/proxy.h
@@ -133,12 +133,13 @@
     ServiceGate::Service service = 0;
     std::string zone;
   };
-  struct QueuedRequest {  // waits for a permit
+  struct QueuedRequest {  // waits for a permit, or has just got one
     ClientRequest request;
     ClassInfo info;
     admission::AdmissionRequest admission_request;
     Time upload_completed_at = 0;  // of a long request; 0: not yet
     std::optional<ServicePlacement> placement = {};
+    std::optional<Time> dropped_until = {};  // see AdmittedRequest
   };
 
   // Callbacks of the server and the pool.
@@ -181,8 +182,7 @@
   void logSummary();
   void listen();
   std::optional<ClassInfo> classOf(std::string_view target) const;
-  void open(const admission::AdmissionRequest& admission_request, ClientRequest request,
-            const ClassInfo& info, const std::optional<ServicePlacement>& placement);
+  void open(QueuedRequest admitted);
   void acquireIndices(const admission::AdmissionRequest& admission_request);
   void releaseIndices(const ClientRequest& request, std::int32_t request_class, std::int32_t tenant,
                       bool may_have_run = false);
--- a/src/front/proxy.cpp
+++ b/src/front/proxy.cpp
@@ -168,24 +168,26 @@
   // not run again. A request counts as open while any of its attempts is in flight, even after its answer.
   // Clients that reuse an id, or a key for another request, within seconds are rejected too.
   const admission::RequestRecord record = requestRecordOf(request.head, info->index);
-  if (duplicates_.offer(clock_.now(), record) != admission::DuplicateDetector::Verdict::New)
+  const admission::DuplicateDetector::Decision repeat = duplicates_.offer(clock_.now(), record);
+  if (repeat.verdict != admission::DuplicateDetector::Verdict::New)
     return sendFinalAnswer(id, info->index, plainAnswer(409));
   if (request.rest) time_after_upload_[id] = left;
   std::vector<admission::Refusal> displaced;
   const admission::Verdict verdict = requests_.offer(clock_.now(), admission_request, displaced);
+  QueuedRequest offered{std::move(request), *info, admission_request, 0, placement, repeat.dropped_until};
   switch (verdict.outcome) {
     case admission::AdmissionOutcome::Admitted:
       acquireIndices(admission_request);
       rejection_counters_.note(RejectionReason::None, admission_request.request_class,
                                admission_request.tenant);
-      open(admission_request, std::move(request), *info, placement);
+      open(std::move(offered));
       break;
     case admission::AdmissionOutcome::Queued:
       acquireIndices(admission_request);
-      waiting_.emplace(id, QueuedRequest{std::move(request), *info, admission_request, 0, placement});
+      waiting_.emplace(id, std::move(offered));
       break;
     case admission::AdmissionOutcome::Refused:
-      onRequestDone(request.head.correlation, false);
+      onRequestDone(offered.request.head.correlation, false);
       time_after_upload_.erase(id);
       sendFinalAnswer(id, info->index, rejection(admission_request, verdict.reason));
       break;
@@ -262,9 +264,10 @@
     waiting_.erase(it);
     rejection_counters_.note(RejectionReason::None, queued.admission_request.request_class,
                              queued.admission_request.tenant);
-    open(queued.admission_request, std::move(queued.request), queued.info, queued.placement);
-    if (queued.upload_completed_at != 0)
-      pool_.onUploadComplete(id, queued.upload_completed_at, queued.admission_request.deadline);
+    const Time upload_completed_at = queued.upload_completed_at;
+    const Time deadline = queued.admission_request.deadline;
+    open(std::move(queued));
+    if (upload_completed_at != 0) pool_.onUploadComplete(id, upload_completed_at, deadline);
   }
   armPermitTimer();
 }
@@ -296,17 +299,20 @@
 
 // ---- admitted requests ----
 
-void Proxy::open(const admission::AdmissionRequest& admission_request, ClientRequest request,
-                 const ClassInfo& info, const std::optional<ServicePlacement>& placement) {
-  AdmittedRequest admitted{.exchange = admission_request.id,
-                           .request = std::move(request),
-                           .request_class = admission_request.request_class,
-                           .tenant = admission_request.tenant,
-                           .idempotency = info.idempotency,
-                           .deadline = admission_request.deadline,
-                           .time_after_upload = info.deadline};
-  if (placement) admitted.service = placement->service, admitted.zone = placement->zone;
-  pool_.open(std::move(admitted));
+void Proxy::open(QueuedRequest admitted) {
+  AdmittedRequest request{.exchange = admitted.admission_request.id,
+                          .request = std::move(admitted.request),
+                          .request_class = admitted.admission_request.request_class,
+                          .tenant = admitted.admission_request.tenant,
+                          .idempotency = admitted.info.idempotency,
+                          .deadline = admitted.admission_request.deadline,
+                          .time_after_upload = admitted.info.deadline,
+                          .dropped_until = admitted.dropped_until};
+  if (admitted.placement) {
+    request.service = admitted.placement->service;
+    request.zone = admitted.placement->zone;
+  }
+  pool_.open(std::move(request));
 }
 
 void Proxy::onAnswer(const AdmittedRequest& request, Answer answer) {
--- a/src/pools/include/pools/pool.h
+++ b/src/pools/include/pools/pool.h
@@ -33,7 +33,9 @@
   load_balancer::Idempotency idempotency = load_balancer::Idempotency::NonIdempotent;
   Time deadline = 0;
   Time time_after_upload = 0;  // of a long request: how long its client waits after the last byte, at most
-  bool may_have_run = false;   // set before onCompleted(): a host may have processed one of its attempts
+  // Of a repeat of an earlier request's key: hosts drop it until then, and it is not sent later.
+  std::optional<Time> dropped_until = {};
+  bool may_have_run = false;  // set before onCompleted(): a host may have processed one of its attempts
   std::optional<ServiceGate::Service> service = {};  // set if only one site may run it
   std::string zone = {};                             // the zone of that site
   std::string last_zone = {};                        // with a service gate: the zone of its last attempt
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -150,10 +150,12 @@
       if (const auto it = open_.find(id); it != open_.end()) it->second.admitted.request.body.reset();
     });
   }
+  const std::optional<Time> dropped_until = admitted.dropped_until;
   open_[id].admitted = std::move(admitted);
   timers_.at(deadline, [this, id] { onDeadline(id); });
-  dispatch([this, request, deadline, max_time_left](Time now) mutable {
+  dispatch([this, request, deadline, max_time_left, dropped_until](Time now) mutable {
     request.time_left = std::min(deadline - now, max_time_left);
+    if (dropped_until) request.deduplication_time_left = *dropped_until - now;
     balancer_.onRequest(now, request, actions_);
   });
 }
--- a/tests/duplicate_detector_test.cpp
+++ b/tests/duplicate_detector_test.cpp
@@ -56,14 +56,14 @@
     // its end.
     for (const bool handed_over : {false, true}) {
       DuplicateDetector first({.kept = 5 * kSec}), second({.kept = 5 * kSec});
-      ASSERT_EQ(first.offer(kStart, row.first), Verdict::New);
+      ASSERT_EQ(first.offer(kStart, row.first).verdict, Verdict::New);
       if (handed_over) second.restore(kStart, first.snapshot(kStart));
       if (row.ended) {
         const RequestRecord record = first.end(kStart, row.first.id, *row.ended);
         EXPECT_EQ(record.id, row.first.id);
         if (handed_over) second.restore(kStart, std::vector{record});
       }
-      EXPECT_EQ((handed_over ? second : first).offer(kStart + row.later, row.next), row.verdict)
+      EXPECT_EQ((handed_over ? second : first).offer(kStart + row.later, row.next).verdict, row.verdict)
           << row.description << (handed_over ? ", handed over" : "");
     }
   }
@@ -74,40 +74,49 @@
   Time now = kStart;
   for (int n = 0; n < 5; ++n, now += 300 * kMs) {
     const std::string id = "a" + std::to_string(n);
-    EXPECT_EQ(detector.offer(now, keyed(id, "k", kSec)), n < 4 ? Verdict::New : Verdict::MayHaveRun) << n;
+    EXPECT_EQ(detector.offer(now, keyed(id, "k", kSec)).verdict, n < 4 ? Verdict::New : Verdict::MayHaveRun)
+        << n;
     detector.end(now, id, true);
   }
 }
 
+// Guards against a repeat that is sent by a window of its own.
+TEST_F(RepeatsTest, ARepeatOfAKeyIsToldTheEndOfTheFirstRequestsWindow) {
+  EXPECT_EQ(detector.offer(kStart, keyed("a", "k", kSec)).dropped_until, std::nullopt);
+  EXPECT_EQ(detector.offer(kStart + 300 * kMs, keyed("b", "k", kSec)).dropped_until, kStart + kSec);
+  EXPECT_EQ(detector.offer(kStart + 600 * kMs, keyed("c", "k", kSec)).dropped_until, kStart + kSec);
+  EXPECT_EQ(detector.offer(kStart + 600 * kMs, keyed("d", "l", kSec)).dropped_until, std::nullopt);
+}
+
 TEST_F(RepeatsTest, ARepeatThatNeverRanKeepsTheRecordOfTheFirst) {
-  ASSERT_EQ(detector.offer(kStart, keyed("a", "k", kSec)), Verdict::New);
+  ASSERT_EQ(detector.offer(kStart, keyed("a", "k", kSec)).verdict, Verdict::New);
   detector.end(kStart + kMs, "a", true);
-  ASSERT_EQ(detector.offer(kStart + 2 * kMs, keyed("b", "k", kSec)), Verdict::New);
+  ASSERT_EQ(detector.offer(kStart + 2 * kMs, keyed("b", "k", kSec)).verdict, Verdict::New);
   detector.end(kStart + 3 * kMs, "b", false);
-  EXPECT_EQ(detector.offer(kStart + 2 * kSec, keyed("c", "k", kSec)), Verdict::MayHaveRun);
+  EXPECT_EQ(detector.offer(kStart + 2 * kSec, keyed("c", "k", kSec)).verdict, Verdict::MayHaveRun);
 }
 
 TEST_F(RepeatsTest, MemoryIsBoundedForAnyClientIds) {
   for (int n = 0; n < 5000; ++n) {
     const std::string id = std::to_string(n) + std::string(n % 3 == 0 ? 3000 : 10, 'x');
-    ASSERT_EQ(detector.offer(kStart + n, unsafe(id)), Verdict::New);
+    ASSERT_EQ(detector.offer(kStart + n, unsafe(id)).verdict, Verdict::New);
     detector.end(kStart + n, id, true);
     ASSERT_LE(detector.bytes(), 100'000U);
   }
   EXPECT_GT(detector.size(), 10U);
-  EXPECT_EQ(detector.offer(kStart + 5000, unsafe("4999xxxxxxxxxx")), Verdict::MayHaveRun)
+  EXPECT_EQ(detector.offer(kStart + 5000, unsafe("4999xxxxxxxxxx")).verdict, Verdict::MayHaveRun)
       << "the latest records are kept";
-  EXPECT_EQ(detector.offer(kStart + 60 * kSec, unsafe("late")), Verdict::New);
+  EXPECT_EQ(detector.offer(kStart + 60 * kSec, unsafe("late")).verdict, Verdict::New);
   EXPECT_EQ(detector.bytes(), 0U);
   EXPECT_EQ(detector.size(), 1U);
 }
 
 TEST_F(RepeatsTest, RecordsOfAnotherProcessDoNotEndRequestsThatAreOpenHere) {
-  ASSERT_EQ(detector.offer(kStart, unsafe("a")), Verdict::New);
+  ASSERT_EQ(detector.offer(kStart, unsafe("a")).verdict, Verdict::New);
   RequestRecord record = unsafe("a");
   record.began = kStart - kSec, record.ended = kStart, record.never_ran = true;
   detector.restore(kStart, std::vector{record});
-  EXPECT_EQ(detector.offer(kStart + kMs, unsafe("a")), Verdict::Open);
+  EXPECT_EQ(detector.offer(kStart + kMs, unsafe("a")).verdict, Verdict::Open);
   record.id = "from the future", record.began = kStart + kSec;
   detector.restore(kStart, std::vector{record});
   EXPECT_EQ(detector.size(), 1U);
@@ -147,8 +156,8 @@
         const std::string id =
             (other_id ? std::to_string(n) + "-" : "") + "r" + std::to_string(request_number);
         const Time deduplication_window = request_number % 4 == 1 ? kSec : 0;
-        if (serving->detector.offer(now, is_keyed ? keyed(id, key, deduplication_window) : unsafe(id)) !=
-            Verdict::New)
+        if (serving->detector.offer(now, is_keyed ? keyed(id, key, deduplication_window) : unsafe(id))
+                .verdict != Verdict::New)
           break;
         const bool ran = below(4) != 0;
         serving->open[id] = ran;
--- a/tests/late_connection_test.cpp
+++ b/tests/late_connection_test.cpp
@@ -1,13 +1,6 @@
 // Tests of events between the choice of a host and the first byte of the request: the connection to the host
 // is established late, and something changes meanwhile. docs/crossings.md lists these cases.
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <algorithm>
-#include <utility>
-#include <vector>
-
-#include "net_support.h"
+#include "late_host.h"
 #include "pools/pool.h"
 
 namespace client_proxy::test {
@@ -16,65 +9,6 @@
 using load_balancer::HostState;
 using load_balancer::Idempotency;
 
-// A host whose accept queue is full until open(): the kernel drops the SYN of a further connection, and the
-// peer retransmits it a second later. So a connection is established late, and is never refused.
-class LateHost {
- public:
-  explicit LateHost(Loop& loop) : loop_(loop), acceptor_(loop.io) {
-    acceptor_.open(tcp::v4());
-    acceptor_.bind(anyPort());
-    acceptor_.listen(0);
-    while (fill()) {
-    }
-  }
-  tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
-  void open() {
-    filled_ = std::exchange(fillers_, {}).size();
-    accept();
-  }
-  // Everything received so far, over all connections.
-  std::string received() const {
-    std::string all;
-    for (const auto& p : peers_) all += p->got;
-    return all;
-  }
-  // Connections accepted, without those that filled the queue before open().
-  std::size_t connections() const { return peers_.size() - std::min(peers_.size(), filled_); }
-  void answer(const std::string& body) {
-    for (const auto& p : peers_) {
-      if (p->heard("\r\n\r\n")) p->say(answerOf(body));
-    }
-  }
-
- private:
-  // Opens one more connection. Returns false if the queue is full: it was not established within 100 ms,
-  // which a loopback connection never takes.
-  bool fill() {
-    auto socket = std::make_shared<tcp::socket>(loop_.io);
-    bool connected = false;
-    socket->async_connect(endpoint(), [&connected, socket](error_code ec) { connected = !ec; });
-    loop_.io.restart();
-    loop_.io.run_for(std::chrono::milliseconds(100));
-    if (connected) fillers_.push_back(socket);
-    if (!connected) socket->close();
-    loop_.turn();
-    return connected;
-  }
-  void accept() {
-    acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
-      if (ec) return;
-      peers_.push_back(std::make_shared<Peer>(std::move(socket)));
-      peers_.back()->listen();
-      accept();
-    });
-  }
-  Loop& loop_;
-  tcp::acceptor acceptor_;
-  std::vector<std::shared_ptr<tcp::socket>> fillers_;
-  std::vector<std::shared_ptr<Peer>> peers_;
-  std::size_t filled_ = 0;
-};
-
 struct Recorder : PoolSink {
   void onDispatched(std::int32_t) override { ++dispatched; }
   void onAnswer(const AdmittedRequest& request, Answer answer) override {
@@ -146,8 +80,10 @@
     return list;
   }
   // Opens the only request, of this class, while the connection to its host is not established.
-  void openRequest(std::int32_t request_class, std::optional<ServiceGate::Service> service = {}) {
+  void openRequest(std::int32_t request_class, std::optional<ServiceGate::Service> service = {},
+                   std::optional<Time> dropped_for = {}) {
     AdmittedRequest request;
+    if (dropped_for) request.dropped_until = loop.clock.now() + *dropped_for;
     request.service = service;
     if (service) request.zone = service_gate.zone;
     request.exchange = 1;
@@ -299,6 +235,25 @@
   EXPECT_NE(sink.last_answer.status, 200);
 }
 
+// Guards against a client's repeat of a key that hosts no longer drop: the connection came up after the
+// window of the first request with that key.
+TEST_F(LateConnection, RepeatOfAKeyIsNotSentAfterTheWindowOfTheFirstRequest) {
+  pool->start(listOfLateHost());
+  openRequest(2, {}, 300 * kMillisecond);
+  openLateHost();  // one second later
+  ASSERT_TRUE(loop.until([&] { return sink.completed == 1; }));
+  EXPECT_EQ(late.received(), "");
+  EXPECT_EQ(sink.dispatched, 0);
+  EXPECT_EQ(sink.last_answer.status, 503);
+}
+
+TEST_F(LateConnection, RepeatOfAKeyIsSentWithinTheWindowOfTheFirstRequest) {
+  pool->start(listOfLateHost());
+  openRequest(2, {}, kClientTimeout);
+  openLateHost();
+  ASSERT_TRUE(loop.until([&] { return sink.dispatched == 1; }));
+}
+
 TEST_F(LateConnection, RequestIsAnsweredByShutdownDeadlineWithoutConnection) {
   pool->start(listOfLateHost());
   openRequest(1);
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -20,6 +20,47 @@
       loop.until([&] { return host.peers[0]->got.rfind("same") != host.peers[0]->got.find("same"); }));
 }
 
+// Guards against a reservation that takes effect twice: the client repeated its key within the window, and
+// after a reset the proxy sent that repeat once more when hosts no longer dropped it.
+TEST_F(ProxyTest, RepeatOfAKeyIsNotRetriedAfterTheWindowOfItsFirstRequest) {
+  constexpr Time kWindow = 2 * kSecond;
+  start({entry("s-1", host.endpoint()), entry("s-2", other.endpoint())}, [](Config& c) {
+    for (load_balancer::RequestClass& k : c.site.settings.classes) {
+      k.latency_objective = k.deadline = 20 * kSecond;
+      k.deduplication_scope = load_balancer::DeduplicationScope::All;
+      k.deduplication_window = kWindow;
+    }
+  });
+  const auto reserve = [](const std::string& id) {
+    return "POST /reservation/7 HTTP/1.1\r\nHost: h\r\nX-Account: acme\r\nIdempotency-Key: k\r\n"
+           "X-Correlation-Id: " +
+           id + "\r\nContent-Length: 2\r\n\r\nhi";
+  };
+  // The connections on which a host has this request.
+  const auto connectionsWith = [&](const std::string& id) {
+    std::vector<std::shared_ptr<Peer>> found;
+    for (const Host* h : {&host, &other}) {
+      for (const auto& p : h->peers) {
+        if (p->heard("X-Correlation-Id: " + id)) found.push_back(p);
+      }
+    }
+    return found;
+  };
+  const auto first = client(), second = client();
+  const Time began = loop.clock.now();
+  first->say(reserve("first"));
+  ASSERT_TRUE(loop.until([&] { return connectionsWith("first").size() == 1; }));
+  first->close();
+  ASSERT_TRUE(loop.until([&] { return loop.clock.now() > began + kWindow / 2; }));
+  second->say(reserve("second"));
+  ASSERT_TRUE(loop.until([&] { return connectionsWith("second").size() == 1; }));
+  ASSERT_TRUE(loop.until([&] { return loop.clock.now() > began + kWindow + 100 * kMillisecond; }));
+  connectionsWith("second")[0]->close();
+  ASSERT_TRUE(
+      loop.until([&] { return second->heard("HTTP/1.1 503") || connectionsWith("second").size() == 2; }));
+  EXPECT_EQ(connectionsWith("second").size(), 1U);
+}
+
 TEST_F(ProxyTest, BadRequestResponseFailsWithoutRetry) {
   start({entry("s-1", host.endpoint()), entry("s-2", other.endpoint())});
   const auto c = client();
--- a/tests/rule_checker.h
+++ b/tests/rule_checker.h
@@ -144,6 +144,8 @@
 
   void checkRetry(Time now, const TrackedRequest& t, const KnownHost& host) {
     const RequestClass& c = settings_.classes.at(static_cast<std::size_t>(t.request.request_class));
+    if (t.request.deduplication_time_left && now >= t.arrived_at + *t.request.deduplication_time_left)
+      violations.push_back("rule 2: repeat of a key after the window of its first request");
     Time first = kNever;
     for (const Attempt& a : t.attempts) {
       if (a.run == Run::NeverRan) continue;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -85,6 +85,32 @@
                              RetryCase{4, Result::TimedOut, 100 * kMs, false, kFail},
                              RetryCase{4, Result::Cancelled, 100 * kMs, false, kFail}));
 
+// Guards against a repeat of a key that is sent again, or for the first time, when hosts no longer drop it:
+// the window begins with the first request of the key, not with its repeat.
+TEST(GateTest, RepeatOfAKeyIsSentOnlyWithinTheWindowOfItsFirstRequest) {
+  Driver d(makeSettings());
+  d.servers(ListKind::Restored, makeHosts(24));
+  d.request(7, 1, 2 * kSec, kUnset, 200 * kMs);
+  ASSERT_EQ(d.count(ActionKind::Send), 1);
+  d.now += 150 * kMs;
+  d.outcome(7, 0, Result::Reset);
+  EXPECT_EQ(d.count(ActionKind::Send), 1) << "within both windows";
+  d.now += 60 * kMs;
+  d.outcome(7, 1, Result::Reset);
+  EXPECT_EQ(d.count(ActionKind::Send), 0);
+  EXPECT_EQ(d.count(ActionKind::Reject), 1);
+
+  d.request(8, 1, 2 * kSec, kUnset, 0);
+  EXPECT_EQ(d.count(ActionKind::Send), 0);
+  EXPECT_EQ(d.count(ActionKind::Reject), 1);
+
+  d.request(9, 1, 2 * kSec, kUnset, 200 * kMs);
+  d.now += 210 * kMs;
+  d.outcome(9, 0, Result::ConnectFailed);
+  EXPECT_EQ(d.count(ActionKind::Send), 0) << "it never ran, but the earlier request may have";
+  EXPECT_EQ(d.checker.violations, std::vector<std::string>{});
+}
+
 TEST(GateTest, RequestIsRejectedAfterMaxAttempts) {
   Settings settings = makeSettings();
   settings.max_attempts = 2;
--- a/tests/support.h
+++ b/tests/support.h
@@ -74,8 +74,10 @@
     checker.servers(now, kind, hosts);
     return act([&](Actions& out) { balancer.onServers(now, kind, hosts, out); });
   }
-  const Actions& request(RequestId id, std::int32_t cls, Time left = 2 * kSec, std::int32_t tenant = kUnset) {
+  const Actions& request(RequestId id, std::int32_t cls, Time left = 2 * kSec, std::int32_t tenant = kUnset,
+                         std::optional<Time> deduplication_time_left = {}) {
     Request r;
+    r.deduplication_time_left = deduplication_time_left;
     r.id = id;
     r.time_left = left;
     r.request_class = cls;
