A long request does not begin after its client has closed behind unread bytes

Cause: of an upload that its host does not take, 32 KiB beyond what is held were read. The rest filled the receive buffer, so the close had not even been delivered to the proxy's kernel: looking for it alone, tried first, left the case broken.

Change: until an attempt takes something of it, an upload is read ahead up to 1 MiB, within the budget of bodies; while reading is paused the close is looked for. Of a longer one nobody can see whether its client is there: if it has stood still for over 0.1 s, no attempt of it begins and it is refused with 503. The close is also looked for before a long request begins and before its last bytes are passed on, as for short ones.

--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -72,6 +72,8 @@
 
   // Nothing more is read, yet a client that leaves is to be noticed.
   void lookForEnd();
+  // While nothing is read of what it sends.
+  void onClientLeft();
 
   void onReadEnd(boost::system::error_code ec);
 
@@ -85,6 +87,10 @@
 
   void readOn();
 
+  // Whether more of a long body may be read; if not, its host has to take some first.
+  bool uploadHasRoom();
+  void pauseUpload();
+
   // The host's side has taken what waited for it.
   void uploadMayGoOn();
 
@@ -134,6 +140,8 @@
   bool uploading_ = false;  // a long body: its request is with the sink already
   bool writing_ = false, chunked_ = false;
   bool reading_ = false, waits_for_room_ = false;
+  bool looking_ = false;  // a timer for lookForEnd() is set
+  bool paused_ = false;   // the rest of a long body stays in the kernel
 };
 
 }  // namespace client_proxy
--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -91,15 +91,30 @@
 
 void Server::Connection::awaitMoreOrEnd() { in_.size() < kReadAhead ? armRead() : lookForEnd(); }
 
+bool Server::Connection::uploadHasRoom() {
+  if (!pipe_->hasRoom()) return false;
+  return pipe_->started() || pipe_->held() < BodyPipe::kWindow ||
+         share_->mayReadAhead(kMostBody + pipe_->held());
+}
+
 void Server::Connection::lookForEnd() {
-  if (state_ != State::Waiting) return;
-  if (hungUp(socket_.native_handle())) return onReadEnd(asio::error::eof);
-  server_.timers_.after(kLookForEnd, [weak = weak_from_this(), exchange = exchange_] {
+  if (reading_ || !(state_ == State::Waiting || paused_)) return;
+  if (hungUp(socket_.native_handle())) return onClientLeft();
+  if (std::exchange(looking_, true)) return;
+  server_.timers_.after(kLookForEnd, [weak = weak_from_this()] {
     const auto self = weak.lock();
-    if (self && self->exchange_ == exchange) self->lookForEnd();
+    if (!self) return;
+    self->looking_ = false;
+    self->lookForEnd();
   });
 }
 
+void Server::Connection::onClientLeft() {
+  if (state_ == State::Waiting) return onReadEnd(asio::error::eof);
+  abandonUpload();
+  if (state_ != State::Closed) refuse(502);
+}
+
 void Server::Connection::onReadEnd(error_code ec) {
   switch (state_) {
     case State::Waiting: {
@@ -125,6 +140,7 @@
 
 void Server::Connection::abandonUpload() {
   if (!std::exchange(uploading_, false)) return;
+  paused_ = false;
   const ExchangeId exchange = exchange_;
   server_.exchanges_.erase(exchange);
   std::exchange(pipe_, nullptr)->breakOff();
@@ -148,7 +164,10 @@
     if (parser_->is_header_done() && !head_seen_ && !acceptHead()) return;
     if (!uploading_ && parser_->body.size() > kMostBody) beginLong();
     if (state_ != State::Reading) return;  // answered already
-    if (uploading_) pipe_->put(std::exchange(parser_->body, {}));
+    if (!uploading_) continue;
+    // As in complete(): then the host never gets all of it.
+    if (parser_->is_done() && hungUp(socket_.native_handle())) return onClientLeft();
+    pipe_->put(std::exchange(parser_->body, {}));
     if (state_ != State::Reading) return;
   }
   uploading_ ? completeLong() : complete();
@@ -178,12 +197,7 @@
 }
 
 void Server::Connection::readOn() {
-  if (uploading_ && !pipe_->hasRoom()) {
-    clock_->pause(server_.now());  // the host's side is slow: not the client's fault
-    in_.release();
-    server_.gate_.extend(id_, 0);
-    return;
-  }
+  if (uploading_ && !uploadHasRoom()) return pauseUpload();
   if (share_ && !uploading_ && !share_->mayGrow(parser_->body.size())) {
     waits_for_room_ = true;  // backpressure: the kernel's buffer fills, then the client's
     clock_->pause(server_.now());
@@ -193,16 +207,30 @@
   armRead();
 }
 
+// The host's side is slow: not the client's fault.
+void Server::Connection::pauseUpload() {
+  paused_ = true;
+  clock_->pause(server_.now());
+  pipe_->pausedSince(server_.now());
+  in_.release();
+  server_.gate_.extend(id_, 0);
+  lookForEnd();
+}
+
 void Server::Connection::uploadMayGoOn() {
   if (!uploading_ || state_ != State::Reading) return;
+  paused_ = false;
   clock_->resume(server_.now());
+  pipe_->pausedSince({});
   server_.gate_.extend(id_, clock_->due());
   armRead();
 }
 
 void Server::Connection::beginLong() {
+  if (hungUp(socket_.native_handle())) return refuse(503);
   const auto length = parser_->content_length();
-  pipe_ = std::make_shared<BodyPipe>(length ? std::optional<std::uint64_t>(*length) : std::nullopt);
+  pipe_ = std::make_shared<BodyPipe>(length ? std::optional<std::uint64_t>(*length) : std::nullopt,
+                                     BodyPipe::kUploadReadAhead);
   pipe_->onRoom([weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->uploadMayGoOn();
   });
--- a/src/net/include/net/body_budget.h
+++ b/src/net/include/net/body_budget.h
@@ -36,6 +36,8 @@
  private:
   friend class BodyShare;
 
+  bool hasRoom() const { return waiting_.empty() && shared_ + kPiece <= shared_limit_; }
+
   // Room for one more piece. False: the share waits until it is woken.
   bool grow(BodyShare* share, std::size_t& held) {
     if (reserve_user_ == share) return true;
@@ -81,6 +83,12 @@
     granted_ = size + BodyBudget::kPiece;
     return true;
   }
+  // The same for what can do without: nothing waits if there is no room, and the reserve is left to others.
+  bool mayReadAhead(std::size_t size) {
+    if (size < granted_) return true;
+    if (!budget_->hasRoom()) return false;
+    return mayGrow(size);
+  }
 
  private:
   friend class BodyBudget;
--- a/src/net/include/net/body_pipe.h
+++ b/src/net/include/net/body_pipe.h
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <utility>
 
+#include "net/clock.h"
+
 namespace client_proxy {
 
 // Both sides run on one loop. Whoever puts asks hasRoom() before it reads more, so that no more than a window
@@ -17,10 +19,15 @@
 class BodyPipe {
  public:
   static constexpr std::size_t kWindow = std::size_t{32} * 1024;
+  // Of an upload that nobody has begun to take: it is read ahead, since the end of its client's connection is
+  // seen only when all before it has been read.
+  static constexpr std::size_t kUploadReadAhead = std::size_t{1024} * 1024;
   enum class End : std::uint8_t { Open, Whole, Broken };
 
   // `length`: of the whole body, with what was held before the pipe; nothing: it is not known beforehand.
-  explicit BodyPipe(std::optional<std::uint64_t> length) : length_(length) {}
+  // `read_ahead`: the window until something is taken.
+  explicit BodyPipe(std::optional<std::uint64_t> length, std::size_t read_ahead = kWindow)
+      : length_(length), read_ahead_(read_ahead) {}
   BodyPipe(const BodyPipe&) = delete;
   BodyPipe& operator=(const BodyPipe&) = delete;
 
@@ -28,7 +35,10 @@
 
   // ---- who puts ----
 
-  bool hasRoom() const { return held_.size() < kWindow; }
+  bool hasRoom() const { return held_.size() < (started_ ? kWindow : read_ahead_); }
+  std::size_t held() const { return held_.size(); }
+  // Nothing is put in since this time, although there is more; nothing: all that comes is put in.
+  void pausedSince(std::optional<Time> time) { paused_since_ = time; }
   void put(std::string_view piece) {
     if (end_ != End::Open || abandoned_ || piece.empty()) return;
     held_.append(piece);
@@ -56,6 +66,7 @@
   End end() const { return held_.empty() ? end_ : End::Open; }
   // Something has been taken: it can't be sent once more.
   bool started() const { return started_; }
+  Time pausedFor(Time now) const { return paused_since_ ? now - *paused_since_ : 0; }
   // From now on what was held before the pipe is of no use either.
   void onStarted(std::function<void()> callback) { on_started_ = std::move(callback); }
   void onMore(std::function<void()> callback) { on_more_ = std::move(callback); }
@@ -77,6 +88,8 @@
   }
 
   const std::optional<std::uint64_t> length_;
+  const std::size_t read_ahead_;
+  std::optional<Time> paused_since_;
   std::string held_;
   End end_ = End::Open;
   bool started_ = false, abandoned_ = false;
--- a/src/pools/include/pools/pool.h
+++ b/src/pools/include/pools/pool.h
@@ -178,6 +178,7 @@
   // The term under which the request may be sent to its service's zone; 0 if it has no service. Empty: the
   // service has another owner by now, or may not be sent to.
   std::optional<std::uint32_t> termFor(const OpenRequest& request) const;
+  static bool clientMayHaveLeft(const OpenRequest& request, Time now);
   // The time announced to the host for an attempt that starts now: never more than the client has left.
   static Time timeLeft(const OpenRequest& request, const Attempt& attempt, Time now);
   std::string headFor(const OpenRequest& request, Time time_left, std::uint32_t term) const;
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -17,6 +17,7 @@
 using load_balancer::Result;
 
 constexpr std::uint64_t kMaxKey = 1ULL << 53;
+constexpr Time kMaxUnseenClient = 100 * kMillisecond;  // no attempt begins later after its client has left
 
 // The balancer's key of a request: the last path segment, as a number below 2^53 or else as a stable hash
 // (FNV-1a) of its text. kUnset if the path has one segment or ends in a slash.
@@ -280,6 +281,13 @@
   });
 }
 
+// The end of a client's connection lies behind what it has sent: while that is not read, nobody can see
+// whether it is still there.
+bool Pool::clientMayHaveLeft(const OpenRequest& r, Time now) {
+  const BodyPipe* const rest = r.admitted.request.rest.get();
+  return rest != nullptr && !rest->started() && rest->pausedFor(now) > kMaxUnseenClient;
+}
+
 std::optional<std::string> Pool::onAttemptReady(AttemptId id, bool late) {
   const Time now = clock_.now();
   const RequestId request = id / kMaxAttempts;
@@ -288,6 +296,7 @@
   const auto it = open_.find(request);
   if (it == open_.end()) return std::nullopt;
   const OpenRequest& r = it->second;
+  if (clientMayHaveLeft(r, now)) return std::nullopt;
   const std::optional<std::uint32_t> term = termFor(r);
   const Time left = timeLeft(r, r.attempts[static_cast<std::size_t>(attempt)], now);
   if (!term || left <= 0) return std::nullopt;
--- a/tests/client_left_test.cpp
+++ b/tests/client_left_test.cpp
@@ -2,11 +2,14 @@
 // cases.
 #include <sys/socket.h>
 
+#include "late_host.h"
 #include "proxy_support.h"
 
 namespace client_proxy::test {
 namespace {
 
+constexpr Time kLongerThanTheTest = 60 * kSecond;
+
 class ClientLeft : public ProxyTest {
  protected:
   // Everything the host has received, over all connections.
@@ -15,6 +18,12 @@
     for (const auto& p : host.peers) all += p->got;
     return all;
   }
+  static constexpr const char* kLastBytes = "the last bytes";
+  static std::string longUpload(const std::string& id, std::size_t size = std::size_t{256} * 1024) {
+    const std::string body = std::string(size, 'x') + kLastBytes;
+    return "POST /swap-charge/7 HTTP/1.1\r\nHost: h\r\nX-Account: acme\r\nX-Correlation-Id: " + id +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
   // The connection to the host stays open, so a request is forwarded in the same iteration of the event loop.
   void startWithOpenHostConnection() {
     start(json::array({entry("s-1", host.endpoint())}));
@@ -62,6 +71,66 @@
   ASSERT_TRUE(loop.until([&] { return proxy->openRequests() == 0 && proxy->server().connections() == 0; }));
 }
 
+// Guards against an unsafe request that begins long after its client has closed: the end of the connection
+// lay unread behind the body, while the connection to the host was not established.
+TEST_F(ClientLeft, DisconnectBehindALongUploadThatHasNotBegunIsNoticed) {
+  LateHost late(loop);
+  start(json::array({entry("s-1", late.endpoint())}), [](Config& c) {
+    c.own.connect = kLongerThanTheTest;
+    for (load_balancer::RequestClass& k : c.site.settings.classes)
+      k.latency_objective = k.deadline = kLongerThanTheTest;
+  });
+  const auto c = client();
+  c->say(longUpload("disconnected"));
+  ASSERT_TRUE(loop.until([&] { return c->said == 1 && proxy->openRequests() == 1; }));
+  c->close();
+  ASSERT_TRUE(loop.until([&] { return proxy->openRequests() == 0; }));
+  late.open();
+  const auto next = client();
+  next->say(request("after"));
+  ASSERT_TRUE(loop.until([&] { return late.received().find("after") != std::string::npos; }));
+  EXPECT_EQ(late.received().find("disconnected"), std::string::npos);
+}
+
+// So much of it lies unread that the proxy can't see whether its client is still there.
+TEST_F(ClientLeft, LongUploadThatStoodStillIsNotBegunLate) {
+  LateHost late(loop);
+  start(json::array({entry("s-1", late.endpoint())}), [](Config& c) {
+    c.own.connect = 20 * kSecond;
+    for (load_balancer::RequestClass& k : c.site.settings.classes)
+      k.latency_objective = k.deadline = 20 * kSecond;
+  });
+  const auto c = client();
+  c->say(longUpload("unseen", 8 * BodyPipe::kUploadReadAhead));
+  ASSERT_TRUE(loop.until([&] { return proxy->openRequests() == 1; }));
+  late.open();  // its connections come up a second after they were begun
+  ASSERT_TRUE(loop.until([&] { return c->heard("HTTP/1.1 503"); }));
+  EXPECT_EQ(late.received().find("unseen"), std::string::npos);
+}
+
+// Guards against the same for a long request that waited in a kernel queue: nothing is sent of one whose end
+// was visible from the start, and not the last bytes of one that lay before it.
+TEST_F(ClientLeft, DisconnectBeforeALongUploadIsReadSendsNoWholeRequest) {
+  startWithOpenHostConnection();
+  constexpr std::size_t kSmall = std::size_t{80} * 1024;
+  tcp::socket small(loop.io), large(loop.io);
+  for (tcp::socket* s : {&small, &large}) s->connect(proxy->localEndpoint());
+  asio::write(small, asio::buffer(longUpload("small", kSmall)));
+  asio::write(large, asio::buffer(longUpload("large")));
+  for (tcp::socket* s : {&small, &large}) s->close();
+  const auto c = client();
+  c->say(request("after"));
+  ASSERT_TRUE(loop.until([&] { return receivedByHost().find("after") != std::string::npos; }));
+  constexpr std::size_t kRemaining = 2;  // the clients of "warm" and "after"
+  ASSERT_TRUE(loop.until([&] { return proxy->server().connections() == kRemaining; }));
+  ASSERT_TRUE(loop.until([&] {
+    return std::all_of(host.peers.begin(), host.peers.end(),
+                       [](const auto& p) { return p->ended || !p->heard("large"); });
+  }));
+  EXPECT_EQ(receivedByHost().find("small"), std::string::npos);
+  EXPECT_EQ(receivedByHost().find(kLastBytes), std::string::npos);
+}
+
 // Many clients send two requests each and disconnect at once: none of these reaches a host, and a client that
 // stays connected is served.
 TEST_F(ClientLeft, BurstOfDisconnectingClientsSendsNothingToHosts) {
