Rig: hosts that answer twice and reject some, and answers that name their request

The cause is that of the second answers: keyed and unsafe repeats come with the foreign rejections and go with them.

SecondAnswerPlan: one answer of so many has a copy, at a distance from the proxies; ZonePlan::rejected_every.

--- a/rig/callers.cpp
+++ b/rig/callers.cpp
@@ -205,7 +205,7 @@
                        if (failed) return broke(call);
                        if (call->response.keep_alive() && !call->ended)
                          proxies_[call->proxy].idle.push_back(call->socket);
-                       ended(call, call->response.result_int());
+                       ended(call, call->response.result_int(), call->response.body());
                      });
   });
 }
@@ -228,7 +228,7 @@
   ended(call, 0);
 }
 
-void Callers::ended(const std::shared_ptr<Call>& call, int status) {
+void Callers::ended(const std::shared_ptr<Call>& call, int status, const std::string& body) {
   if (call->ended) return;
   call->ended = true;
   call->limit.cancel();
@@ -238,7 +238,8 @@
                .id = call->id,
                .proxy = static_cast<int>(call->proxy),
                .status = status,
-               .excused = call->excused});
+               .excused = call->excused,
+               .answer_to = status == 200 ? body : std::string()});
   proxies_[call->proxy].calls.erase(call);
   if (status != 200 && call->asked != nullptr) askAgain(*call);
 }
--- a/rig/callers.h
+++ b/rig/callers.h
@@ -54,7 +54,8 @@
              std::chrono::steady_clock::time_point until);
   void askAgain(const Call& call);
   void send(const std::shared_ptr<Call>& call);
-  void ended(const std::shared_ptr<Call>& call, int status);
+  // `body`: of a served one, the id of the request that it was made for.
+  void ended(const std::shared_ptr<Call>& call, int status, const std::string& body = {});
   void broke(const std::shared_ptr<Call>& call);
   const ClassPlan& draw();
   void carryOut(const std::function<void()>& what);
--- a/rig/events.cpp
+++ b/rig/events.cpp
@@ -50,6 +50,7 @@
     if (e.excused) line["excused"] = true;
     if (e.limit > 0) line["limit"] = e.limit;
     if (!e.key.empty()) line["key"] = e.key;
+    if (!e.answer_to.empty()) line["answer_to"] = e.answer_to;
     if (!e.note.empty()) line["note"] = e.note;
     out << line.dump() << '\n';
   }
@@ -71,6 +72,7 @@
                         .excused = line.value("excused", false),
                         .limit = line.value("limit", 0.0),
                         .key = line.value("key", ""),
+                        .answer_to = line.value("answer_to", ""),
                         .note = line.value("note", "")});
     } catch (const std::exception& e) {
       throw std::runtime_error("line " + std::to_string(number) + ": " + e.what());
--- a/rig/events.h
+++ b/rig/events.h
@@ -31,6 +31,7 @@
   bool excused = false;       // lost or late: its proxy was killed or frozen meanwhile
   double limit = 0;           // asked: seconds until an answer is too late
   std::string key{};          // asked, ran: of a keyed request
+  std::string answer_to{};    // answered: the request that the answer was made for, if it names one
   std::string note{};         // of a fault: its step and what it does
 };
 
--- a/rig/plan.h
+++ b/rig/plan.h
@@ -28,7 +28,8 @@
 struct ZonePlan {
   std::string name, region;
   std::size_t hosts = 4, cores = 2, queue = 64;
-  Span work{10'000};  // of one request on one core, at the mean; falls by e as a rule (M/M/c)
+  Span work{10'000};               // of one request on one core, at the mean; falls by e as a rule (M/M/c)
+  std::size_t rejected_every = 0;  // one request of so many is rejected, as by a full queue; 0: none
 };
 
 struct CallersPlan {
@@ -72,6 +73,14 @@
   Span overload_window{2'000'000};
 };
 
+// Hosts far from their proxies, some of whose answers come twice.
+struct SecondAnswerPlan {
+  std::size_t every = 0;  // one answer of so many has a copy; 0: none
+  Span delay{5'000};      // between an answer and its copy
+  Span round_trip{
+      16'000};  // over `delay`: nothing that the answer brought about reaches the host before the copy
+};
+
 // What one zone alone may run at a time.
 struct ServicePlan {
   std::string name, request_class;
@@ -87,6 +96,7 @@
   std::vector<ClassPlan> classes;
   std::vector<ZonePlan> zones;
   SlowStartPlan slow_start;
+  SecondAnswerPlan second_answers;
   Span host_clock_error{0};              // of the clocks by which hosts tell when they started
   std::vector<std::string> environment;  // of the proxies, further variables
   std::vector<Step> steps;
--- a/rig/rules.cpp
+++ b/rig/rules.cpp
@@ -83,6 +83,7 @@
     Request& r = it->second;
     if (++r.ends > 1) say(e, "answered twice");
     r.status = e.status;
+    if (!e.answer_to.empty() && e.answer_to != e.id) say(e, "served with the answer to " + e.answer_to);
     const double took = e.at - r.asked.at;
     if (e.what == Event::What::Lost) {
       if (e.excused)
--- a/rig/site.cpp
+++ b/rig/site.cpp
@@ -41,24 +41,36 @@
   // `hold`: does what follows once the network lets it pass.
   using Hold = std::function<void(std::function<void()>)>;
 
-  Session(Tcp::socket socket, Serve serve, Hold hold)
-      : socket_(std::move(socket)), serve_(std::move(serve)), hold_(std::move(hold)) {}
+  Session(Tcp::socket socket, Serve serve, Hold hold, Span round_trip = Span(0))
+      : socket_(std::move(socket)),
+        serve_(std::move(serve)),
+        hold_(std::move(hold)),
+        round_trip_(round_trip) {}
 
   void read() {
     parser_.emplace();
     http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code ec, std::size_t) {
       if (ec) return;
-      self->hold_([self] {
-        if (self->socket_.is_open() && !self->gone()) self->serve_(self, self->parser_->release());
+      self->after(self->round_trip_, [self] {
+        self->hold_([self] {
+          if (self->socket_.is_open() && !self->gone()) self->serve_(self, self->parser_->release());
+        });
       });
     });
   }
+  // The same bytes as those of the last answer, once more.
+  void answerAgain(Span delay) {
+    after(delay, [self = shared_from_this(), response = last_answer_] {
+      http::async_write(self->socket_, *response, [self, response](error_code, std::size_t) {});
+    });
+  }
   void answer(http::status status, std::string body, bool unprocessed = false, std::uint32_t term = 0) {
     auto response = std::make_shared<http::response<http::string_body>>(status, 11);
     if (unprocessed) response->set("X-Unprocessed", "1");
     if (term != 0) response->set("X-Service-Term", std::to_string(term));
     response->body() = std::move(body);
     response->prepare_payload();
+    last_answer_ = response;
     hold_([self = shared_from_this(), response] {
       http::async_write(self->socket_, *response, [self, response](error_code ec, std::size_t) {
         if (!ec) self->read();
@@ -86,6 +98,11 @@
   }
 
  private:
+  void after(Span delay, std::function<void()> then) {
+    if (delay == Span(0)) return then();
+    auto timer = std::make_shared<asio::steady_timer>(socket_.get_executor(), delay);
+    timer->async_wait([timer, then = std::move(then)](error_code) { then(); });
+  }
   // Whoever sent it gave it up while the way was cut: it never got through.
   bool gone() {
     char byte = 0;
@@ -104,6 +121,8 @@
   std::deque<std::string> out_;
   Serve serve_;
   Hold hold_;
+  const Span round_trip_;
+  std::shared_ptr<http::response<http::string_body>> last_answer_;
 };
 
 using Sessions = std::set<std::weak_ptr<Session>, std::owner_less<std::weak_ptr<Session>>>;
@@ -197,6 +216,7 @@
         zone_(plan.zoneOfHost(number)),
         plan_(plan.zones[zone_]),
         slow_start_(plan.slow_start),
+        second_answers_(plan.second_answers),
         clock_error_(plan.host_clock_error),
         number_(number),
         random_(random),
@@ -207,7 +227,8 @@
       doors_.push_back(std::make_unique<Door>(io, address, [this, from](Tcp::socket socket) {
         const auto session = std::make_shared<Session>(
             std::move(socket), [this](const auto& s, auto request) { take(s, std::move(request)); },
-            [this, from](auto then) { ways_.whenOpen(from, zone_, std::move(then)); });
+            [this, from](auto then) { ways_.whenOpen(from, zone_, std::move(then)); },
+            second_answers_.every > 0 ? second_answers_.round_trip : Span(0));
         sessions_.insert(session);
         session->read();
       }));
@@ -251,8 +272,10 @@
                  .id = std::string(request["X-Correlation-Id"]),
                  .host = static_cast<int>(number_)});
     if (!mine(session, request)) return;
-    if (busy_ < plan_.cores) return work({session, std::move(request)});
-    if (waiting_.size() >= plan_.queue) return session->answer(http::status::service_unavailable, "", true);
+    const bool rejected = plan_.rejected_every > 0 && ++requests_ % plan_.rejected_every == 0;
+    if (!rejected && busy_ < plan_.cores) return work({session, std::move(request)});
+    if (rejected || waiting_.size() >= plan_.queue)
+      return session->answer(http::status::service_unavailable, "", true);
     waiting_.push_back({session, std::move(request)});
   }
 
@@ -275,7 +298,7 @@
     if (key.empty() || c == classes_.end()) return true;
     const auto ran = memory_.keys.find(key);
     if (ran == memory_.keys.end() || Clock::now() - ran->second > c->window + c->deadline) return true;
-    session->answer(http::status::ok, "a repeat");
+    session->answer(http::status::ok, std::string(request["X-Correlation-Id"]));
     return false;
   }
 
@@ -293,7 +316,9 @@
     timer->async_wait([this, timer, job = std::move(job), life = life_](error_code) {
       if (life != life_) return;
       --busy_;
-      job.session->answer(http::status::ok, "host " + std::to_string(number_));
+      job.session->answer(http::status::ok, std::string(job.request["X-Correlation-Id"]));
+      if (second_answers_.every > 0 && ++answers_ % second_answers_.every == 0)
+        job.session->answerAgain(second_answers_.delay);
       if (waiting_.empty()) return;
       Job next = std::move(waiting_.front());
       waiting_.pop_front();
@@ -311,6 +336,7 @@
   const std::size_t zone_;
   const ZonePlan plan_;
   const SlowStartPlan slow_start_;
+  const SecondAnswerPlan second_answers_;
   const Span clock_error_;
   const std::size_t number_;
   load_balancer::Random& random_;
@@ -320,7 +346,7 @@
   std::vector<std::unique_ptr<Door>> doors_;  // by the zone of who comes
   Sessions sessions_;
   std::deque<Job> waiting_;
-  std::size_t busy_ = 0, ran_ = 0;
+  std::size_t busy_ = 0, ran_ = 0, answers_ = 0, requests_ = 0;
   std::uint64_t life_ = 0;
   bool up_ = true;
   std::optional<Clock::time_point> started_;  // nothing: long ago
--- a/tests/rig_processes_test.cpp
+++ b/tests/rig_processes_test.cpp
@@ -53,6 +53,22 @@
   EXPECT_TRUE(keepsTheRules(plan));
 }
 
+// Guards against second answers of hosts that pass for the answers to the next requests: clients got answers
+// made for others, and unsafe and keyed requests were sent again because of another request's rejection.
+TEST(RigProcesses, HostsAnswerTwiceAndRejectSome) {
+  Plan plan = world(34);
+  plan.proxies = 3;
+  plan.callers = {.rate = 120};
+  plan.classes.push_back({.name = "reservation", .idempotency = Idempotency::IdempotentWithKey});
+  for (ZonePlan& zone : plan.zones) {
+    zone.hosts = 2;
+    zone.work = milliseconds(25);
+    zone.rejected_every = 10;
+  }
+  plan.second_answers.every = 20;
+  EXPECT_TRUE(keepsTheRules(plan));
+}
+
 TEST(RigProcesses, ProxiesAreUpgradedEndedFrozenAndOnesLinkFlaps) {
   Plan plan = world(33);
   plan.steps = {
--- a/tests/rig_test.cpp
+++ b/tests/rig_test.cpp
@@ -45,6 +45,11 @@
   says({asked(), ran(), answered(200), answered(200)}, "answered twice");
   says({asked(), answered(200)}, "served by no host");
   says({asked(), ran(), answered(200, 4.6)}, "answered after 3.600 s");
+  Event foreign = answered(200);
+  foreign.answer_to = "s";
+  says({asked(), ran(), foreign}, "served with the answer to s");
+  foreign.answer_to = "r";
+  EXPECT_EQ(brokenBy({asked(), ran(), foreign}), "");
   says({asked(), {.at = 2, .what = What::Lost, .id = "r"}}, "lost");
   says({asked(true), ran(), ran(), answered(200)}, "ran 2 times");
   says({asked(true), ran(), answered(200), ran(3)}, "ran 2 times");
