An attempt waits for a connection that may be reused soon, and opens no new one

The delay of reuse of the change for second answers opened a new connection where an idle one had to rest, 50 ms each.

Now the attempt takes the idle connection that may be used next and is written when its delay of 25 ms is over, checked again at its first byte like one whose connection comes up late. If bytes or the connection's end come meanwhile, it ends as never sent. What is worth keeping is counted as before the delay.

Evidence: UpstreamTest.ASecondAnswer..., ASecondRejection... and TheNextRequestIsWrittenAfterTheReuseDelay.

--- a/src/net/host_connection.cpp
+++ b/src/net/host_connection.cpp
@@ -35,14 +35,21 @@
   });
 }
 
-bool Upstream::Connection::stale() {
+ssize_t Upstream::Connection::peek() {
   char byte;
   ssize_t n = 0;
   do {
     n = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   } while (n < 0 && errno == EINTR);
-  if (n > 0) up_.noteReuse(uid_, true);
-  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  return n;
+}
+
+bool Upstream::Connection::inputWaits() { return peek() >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK); }
+
+bool Upstream::Connection::stale() {
+  if (!inputWaits()) return false;
+  if (peek() > 0) up_.noteReuse(uid_, true);
+  return true;
 }
 
 void Upstream::Connection::close() {
@@ -58,7 +65,7 @@
 void Upstream::Connection::begin(AttemptRequest request) {
   request_ = std::move(request);
   busy_ = true;
-  up_.countBusy(uid_);
+  up_.countBusy(uid_, true);
   ++turn_;
   started_ = up_.timers_.clock().now();
   sent_ = 0;
@@ -69,7 +76,18 @@
   rest_done_ = waits_for_client_ = false;
   parser_.emplace();
   if (request_.rest) watchLong();
-  connected_ ? write() : connect();
+  connected_ ? writeWhenReusable() : connect();
+}
+
+void Upstream::Connection::writeWhenReusable() {
+  const Time reusable_at = idle_since_ + up_.limits_.reuse_delay;
+  if (reusable_at <= started_) return write();
+  late_ = true;
+  up_.timers_.at(reusable_at, [weak = weak_from_this(), turn = turn_] {
+    const auto self = weak.lock();
+    if (!self || !self->busy_ || self->turn_ != turn) return;
+    self->inputWaits() ? self->end(Result::NotSent) : self->write();
+  });
 }
 
 void Upstream::Connection::connect() {
@@ -189,7 +207,7 @@
 void Upstream::Connection::end(Result result) {
   if (!busy_) return;
   busy_ = false;
-  up_.countIdle(uid_);
+  up_.countBusy(uid_, false);
   AttemptEnd report;
   report.result = result;
   report.begun = answer_begun_;
@@ -198,7 +216,7 @@
     whole&& result == Result::Ok ? stream->finish() : stream->breakOff();
   }
   // Bytes behind a good answer take nothing from it, but the connection is out of step.
-  const bool unused = result == Result::NotSent && connected_ && !begun_;
+  const bool unused = result == Result::NotSent && connected_ && !begun_ && !stale();
   const bool reusable = unused || (whole && written() && parser_->keep_alive() && in_.size() == 0);
   if (whole) {
     report.load = probe_ && parser_->load.empty() ? parser_->body : std::move(parser_->load);
--- a/src/net/host_connection.h
+++ b/src/net/host_connection.h
@@ -1,6 +1,8 @@
 // One connection to a host: private to the package.
 #pragma once
 
+#include <sys/types.h>
+
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -45,6 +47,13 @@
  private:
   void begin(AttemptRequest request);
 
+  // At once, or when the delay after the last answer is over. If something comes until then, nothing is sent.
+  void writeWhenReusable();
+  // recv(2) of one byte that stays unread.
+  ssize_t peek();
+  // Bytes, or the end of the connection.
+  bool inputWaits();
+
   void connect();
 
   void later(Result result);
--- a/src/net/host_reading.cpp
+++ b/src/net/host_reading.cpp
@@ -29,6 +29,7 @@
   reading_ = false;
   if (closed_) return;
   if (!busy_) return ec || stale() ? close() : armRead();
+  if (!begun_) return end(Result::NotSent);  // waits to be reusable, and won't be
   if (ec) return broken();
   const std::size_t n = readAvailable(socket_, in_.space(stream_ ? kLongRead : kRead), ec);
   if (ec == asio::error::would_block) return armRead();
--- a/src/net/include/net/idle_need.h
+++ b/src/net/include/net/idle_need.h
@@ -8,13 +8,11 @@
 namespace client_proxy {
 
 // A host takes only so many connections, and what one proxy keeps without use another can't open. Worth
-// keeping is what was in use at once lately, or could not be reused yet, and one more for the next request
-// after a pause. A longer memory would save handshakes after bursts that are further apart, and hold the
-// host's places meanwhile.
+// keeping is what was in use at once lately, and one more for the next request after a pause. A longer memory
+// would save handshakes after bursts that are further apart, and hold the host's places meanwhile.
 class IdleNeed {
  public:
-  // `not_reusable`: idle connections that the request could not use.
-  void onBusy(std::size_t not_reusable = 0) { peaks_[0] = std::max(peaks_[0], ++busy_ + not_reusable); }
+  void onBusy() { peaks_[0] = std::max(peaks_[0], ++busy_); }
   void onIdle() { busy_ -= busy_ > 0 ? 1 : 0; }  // one of before a host left and came back is not counted
   // To be called once a period.
   void tick() {
--- a/src/net/include/net/upstream.h
+++ b/src/net/include/net/upstream.h
@@ -74,9 +74,9 @@
     Time answer_whole = 250 * kMillisecond;  // an answer may stand still for, on its way
     Time long_still = 4 * kSecond;           // the same for a long one, and for a long request on its way
     bool health_check_load = false;          // hosts report their load to probes
-    // A connection is not used again for so long after an answer: a second answer of the host's, which may
-    // come some milliseconds later, would pass for the answer to the next request.
-    Time reuse_delay = 50 * kMillisecond;
+    // Nothing is written on a connection for so long after an answer: a second answer of the host's, which
+    // may come some milliseconds later, would pass for the answer to the next request.
+    Time reuse_delay = 25 * kMillisecond;
   };
 
   Upstream(boost::asio::io_context& io, Timers& timers, Descriptors& descriptors, AttemptSink& sink,
@@ -121,6 +121,7 @@
     std::size_t operator()(std::string_view s) const { return std::hash<std::string_view>{}(s); }
   };
 
+  // The newest idle connection that may be used at once, else the one that may be used next.
   Connection* takeIdle(Pool& pool);
   // The end of the idle connections that may be used again.
   std::vector<Connection*>::iterator reusableEnd(Pool& pool) const;
@@ -129,8 +130,7 @@
   void keep(Connection& connection);
   void forget(Connection& connection);  // no longer idle
   void closeIdle(Pool& pool);
-  void countBusy(const std::string& uid);
-  void countIdle(const std::string& uid);
+  void countBusy(const std::string& uid, bool busy);
   void sweep();
   Time idleLimit() const;
 
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -88,15 +88,16 @@
 
 Upstream::Connection* Upstream::takeIdle(Pool& pool) {
   const Time now = timers_.clock().now();
-  for (auto end = reusableEnd(pool); end != pool.idle.begin(); end = reusableEnd(pool)) {
-    const auto newest = std::prev(end);
-    Connection* const connection = *newest;
+  while (!pool.idle.empty()) {
+    const auto end = reusableEnd(pool);
+    const auto chosen = end == pool.idle.begin() ? end : std::prev(end);
+    Connection* const connection = *chosen;
     // The sweep may be late after a stall, and the host's end may lie unread in the socket.
     if (now - connection->idleSince() > idleLimit() || connection->stale()) {
       connection->close();
       continue;
     }
-    pool.idle.erase(newest);
+    pool.idle.erase(chosen);
     return connection;
   }
   return nullptr;
@@ -160,16 +161,9 @@
   return true;
 }
 
-void Upstream::countBusy(const std::string& uid) {
+void Upstream::countBusy(const std::string& uid, bool busy) {
   const auto it = pools_.find(uid);
-  if (it == pools_.end()) return;
-  Pool& pool = it->second;
-  pool.need.onBusy(static_cast<std::size_t>(pool.idle.end() - reusableEnd(pool)));
-}
-
-void Upstream::countIdle(const std::string& uid) {
-  const auto it = pools_.find(uid);
-  if (it != pools_.end()) it->second.need.onIdle();
+  if (it != pools_.end()) busy ? it->second.need.onBusy() : it->second.need.onIdle();
 }
 
 void Upstream::sweep() {
--- a/tests/long_bodies_test.cpp
+++ b/tests/long_bodies_test.cpp
@@ -68,7 +68,6 @@
   host.peers[0]->say(answerOf("one"));
   ASSERT_TRUE(loop.until([&] { return whole->heard("one"); }));
   host.peers[0]->got.clear();
-  awaitReuse();
 
   whole->say(post("b", "Transfer-Encoding: chunked\r\n") + chunked(body, 10'007));
   ASSERT_TRUE(loop.until([&] { return unchunked(bodyOf(host.peers[0]->got)).has_value(); }));
@@ -93,7 +92,6 @@
   EXPECT_TRUE(c->heard("Content-Length: " + std::to_string(body.size())));
   c->got.clear();
   host.peers[0]->got.clear();
-  awaitReuse();
 
   c->say(request("b"));
   ASSERT_TRUE(asked(host));
@@ -103,7 +101,6 @@
   EXPECT_EQ(host.peers.size(), 1U);
   c->got.clear();
   host.peers[0]->got.clear();
-  awaitReuse();
 
   c->say(request("d"));
   ASSERT_TRUE(asked(host));
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -46,7 +46,6 @@
     Pool::Config config;
     config.name = name;
     config.settings = settings();
-    config.upstream.reuse_delay = 0;  // as many requests in turn as a test likes, on few connections
     auto pool = std::make_unique<Pool>(loop.io, loop.timers, loop.descriptors, loop.log, zones, sink, config);
     pool->start(listOf(hosts));
     return pool;
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -14,7 +14,6 @@
   host.peers[0]->say(answerOf("hello"));
   ASSERT_TRUE(loop.until([&] { return first->heard("hello"); }));
   EXPECT_EQ(host.peers.size(), 1U);
-  awaitReuse();
   second->say(request("same"));  // accepted again after the first request is done
   ASSERT_TRUE(
       loop.until([&] { return host.peers[0]->got.rfind("same") != host.peers[0]->got.find("same"); }));
@@ -199,7 +198,6 @@
     const std::string got = host.peers[0]->got.substr(before);
     host.peers[0]->say(answerOf("x"));
     EXPECT_TRUE(loop.until([&] { return c->heard("200"); }));
-    awaitReuse();
     return got.substr(0, got.find("\r\n"));
   };
   const std::string h = "Host: h\r\n\r\n";
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -62,6 +62,22 @@
     l.reuse_delay = 0;  // connections are used again at once, but for the tests of the delay
     return l;
   }
+  // The connection of the first request gets its answer twice; the next one is to be sent in between.
+  void secondAnswerBeforeTheNextRequest(const std::string& answer) {
+    setReuseDelay(kLongerThanTheTest);
+    start(1);
+    const auto first = asked(1);
+    ASSERT_TRUE(first);
+    first->say(answer);
+    ASSERT_TRUE(ended(1));
+    up.start(2, "h", {nullptr, nullptr, true});
+    loop.turn();
+    first->say(answer);
+    ASSERT_TRUE(ended(2));
+    EXPECT_EQ(reports.ends[2].result, Result::NotSent);
+    EXPECT_EQ(first->got.find("GET"), first->got.rfind("GET")) << "sent behind the first request";
+    EXPECT_EQ(up.connections(), 0U);
+  }
   void setReuseDelay(Time delay) {
     Upstream::Limits changed = limits();
     changed.reuse_delay = delay;
@@ -151,55 +167,32 @@
 
 // Guards against a client that gets the answer to another request: the host's second copy of an answer came
 // when the next request was already on the connection.
-TEST_F(UpstreamTest, ASecondAnswerAfterTheNextRequestIsNotTakenForItsAnswer) {
-  setReuseDelay(kLongerThanTheTest);
-  start(1);
-  const auto first = asked(1);
-  ASSERT_TRUE(first);
-  first->say(answerOf("one"));
-  ASSERT_TRUE(ended(1));
-  start(2);
-  loop.turn();
-  first->say(answerOf("one"));
-  ASSERT_TRUE(loop.until([&] { return first->said == 2 || reports.ends.count(2) > 0; }));
-  ASSERT_TRUE(asked(2)) << "written behind the first request";
-  host.peers[1]->say(answerOf("two"));
-  ASSERT_TRUE(ended(2));
-  EXPECT_EQ(reports.ends[2].body, "two");
+TEST_F(UpstreamTest, ASecondAnswerBeforeTheNextRequestIsNotTakenForItsAnswer) {
+  secondAnswerBeforeTheNextRequest(answerOf("one"));
 }
 
 // Guards against an unsafe request that is sent again: the rejection of the request before it on its
 // connection, sent twice, passed for its own.
-TEST_F(UpstreamTest, ASecondRejectionAfterTheNextRequestIsNotTakenForItsOutcome) {
-  setReuseDelay(kLongerThanTheTest);
-  const std::string rejection = "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
-  start(1);
-  const auto first = asked(1);
-  ASSERT_TRUE(first);
-  first->say(rejection);
-  ASSERT_TRUE(ended(1));
-  up.start(2, "h", {nullptr, nullptr, true});
-  loop.turn();
-  first->say(rejection);
-  ASSERT_TRUE(loop.until([&] { return first->said == 2 || reports.ends.count(2) > 0; }));
-  ASSERT_TRUE(asked(2)) << "written behind the first request";
-  host.peers[1]->say(answerOf("two"));
-  ASSERT_TRUE(ended(2));
-  EXPECT_EQ(reports.ends[2].result, Result::Ok);
+TEST_F(UpstreamTest, ASecondRejectionBeforeTheNextRequestIsNotTakenForItsOutcome) {
+  secondAnswerBeforeTheNextRequest("HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n");
 }
 
-TEST_F(UpstreamTest, AConnectionIsUsedAgainAfterTheReuseDelay) {
-  setReuseDelay(20 * kMillisecond);
+TEST_F(UpstreamTest, TheNextRequestIsWrittenAfterTheReuseDelay) {
+  constexpr Time kDelay = 20 * kMillisecond;
+  setReuseDelay(kDelay);
   start(1);
   const auto first = asked(1);
   ASSERT_TRUE(first);
   first->say(answerOf("one"));
   ASSERT_TRUE(ended(1));
-  const Time rested = loop.clock.now() + 20 * kMillisecond;
-  ASSERT_TRUE(loop.until([&] { return loop.clock.now() > rested; }));
+  const Time answered = loop.clock.now();
   start(2);
-  EXPECT_TRUE(asked(1, 2)) << "a new connection, though one rests";
+  ASSERT_TRUE(asked(1, 2));
+  EXPECT_GE(loop.clock.now() - answered, kDelay - kMillisecond);
   EXPECT_EQ(host.peers.size(), 1U);
+  first->say(answerOf("two"));
+  ASSERT_TRUE(ended(2));
+  EXPECT_EQ(reports.ends[2].body, "two");
 }
 
 // Guards against unsafe requests behind a second answer that is later than the delay: what a host has sent
@@ -302,12 +295,6 @@
   EXPECT_EQ(need.worthKeeping(), 5U);
   need.tick();
   EXPECT_EQ(need.worthKeeping(), 1U);
-  // A request on a new connection, while two were idle and not to be used again yet.
-  need.onBusy(2);
-  need.onIdle();
-  EXPECT_EQ(need.worthKeeping(), 3U);
-  for (int i = 0; i < 4; ++i) need.tick();
-  EXPECT_EQ(need.worthKeeping(), 1U);
   need.onIdle();  // of one that was counted elsewhere
   need.onBusy();
   EXPECT_EQ(need.worthKeeping(), 0U);
