Reading over: one place each for a paused upload, a connection's reuse and the budget's bound

Behaviour is as before. A paused upload was noted in the connection and in its pipe; the pipe alone knows now, and two resets go. When a connection may be used again was computed in Upstream and in Connection; Connection::reusableAt() serves both. The bound of the shared part of bodies stood three times in BodyBudget. The two tests of uploads to a late host share their set-up, with the same assertions.

--- a/rig/plan.h
+++ b/rig/plan.h
@@ -77,8 +77,8 @@
 struct SecondAnswerPlan {
   std::size_t every = 0;  // one answer of so many has a copy; 0: none
   Span delay{5'000};      // between an answer and its copy
-  Span round_trip{
-      16'000};  // over `delay`: nothing that the answer brought about reaches the host before the copy
+  // Over `delay`: nothing that the answer brought about reaches the host before the copy.
+  Span round_trip{16'000};
 };
 
 // What one zone alone may run at a time.
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -69,7 +69,6 @@
 
 void Server::Connection::answer(Answer answer) {
   resting_ = false;
-  paused_ = false;
   if (std::exchange(uploading_, false)) {
     close_ = true;  // the rest of what it sends is not wanted
     pipe_->breakOff();
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -90,6 +90,8 @@
   // Whether more of a long body may be read; if not, its host has to take some first.
   bool uploadHasRoom();
   void pauseUpload();
+  // The rest of a long body stays in the kernel.
+  bool uploadPaused() const { return uploading_ && pipe_->paused(); }
 
   // The host's side has taken what waited for it.
   void uploadMayGoOn();
@@ -141,7 +143,6 @@
   bool writing_ = false, chunked_ = false;
   bool reading_ = false, waits_for_room_ = false;
   bool looking_ = false;  // a timer for lookForEnd() is set
-  bool paused_ = false;   // the rest of a long body stays in the kernel
 };
 
 }  // namespace client_proxy
--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -98,7 +98,7 @@
 }
 
 void Server::Connection::lookForEnd() {
-  if (reading_ || !(state_ == State::Waiting || paused_)) return;
+  if (reading_ || !(state_ == State::Waiting || uploadPaused())) return;
   if (hungUp(socket_.native_handle())) return onClientLeft();
   if (std::exchange(looking_, true)) return;
   server_.timers_.after(kLookForEnd, [weak = weak_from_this()] {
@@ -140,7 +140,6 @@
 
 void Server::Connection::abandonUpload() {
   if (!std::exchange(uploading_, false)) return;
-  paused_ = false;
   const ExchangeId exchange = exchange_;
   server_.exchanges_.erase(exchange);
   std::exchange(pipe_, nullptr)->breakOff();
@@ -209,7 +208,6 @@
 
 // The host's side is slow: not the client's fault.
 void Server::Connection::pauseUpload() {
-  paused_ = true;
   clock_->pause(server_.now());
   pipe_->pausedSince(server_.now());
   in_.release();
@@ -219,7 +217,6 @@
 
 void Server::Connection::uploadMayGoOn() {
   if (!uploading_ || state_ != State::Reading) return;
-  paused_ = false;
   clock_->resume(server_.now());
   pipe_->pausedSince({});
   server_.gate_.extend(id_, clock_->due());
--- a/src/net/host_connection.cpp
+++ b/src/net/host_connection.cpp
@@ -80,10 +80,9 @@
 }
 
 void Upstream::Connection::writeWhenReusable() {
-  const Time reusable_at = idle_since_ + up_.limits_.reuse_delay;
-  if (reusable_at <= started_) return write();
+  if (reusableAt() <= started_) return write();
   late_ = true;
-  up_.timers_.at(reusable_at, [weak = weak_from_this(), turn = turn_] {
+  up_.timers_.at(reusableAt(), [weak = weak_from_this(), turn = turn_] {
     const auto self = weak.lock();
     if (!self || !self->busy_ || self->turn_ != turn) return;
     self->inputWaits() ? self->end(Result::NotSent) : self->write();
--- a/src/net/host_connection.h
+++ b/src/net/host_connection.h
@@ -28,6 +28,7 @@
   const std::string& uid() const { return uid_; }
   const Endpoint& endpoint() const { return endpoint_; }
   Time idleSince() const { return idle_since_; }
+  Time reusableAt() const { return idle_since_ + up_.limits_.reuse_delay; }
 
   void startAttempt(AttemptId id, AttemptRequest request);
 
--- a/src/net/include/net/body_budget.h
+++ b/src/net/include/net/body_budget.h
@@ -36,13 +36,15 @@
  private:
   friend class BodyShare;
 
-  bool hasRoom() const { return waiting_.empty() && shared_ + kPiece <= shared_limit_; }
+  bool pieceFits() const { return shared_ + kPiece <= shared_limit_; }
+  // For one more piece, without anybody who waits being passed over.
+  bool hasRoom() const { return waiting_.empty() && pieceFits(); }
 
   // Room for one more piece. False: the share waits until it is woken.
   bool grow(BodyShare* share, std::size_t& held) {
     if (reserve_user_ == share) return true;
     const bool first = waiting_.empty() || std::exchange(called_, nullptr) == share;
-    if (first && shared_ + kPiece <= shared_limit_) {
+    if (first && pieceFits()) {
       shared_ += kPiece;
       held += kPiece;
       return true;
@@ -99,7 +101,7 @@
 
 inline void BodyBudget::wakeWaiting() {
   while (!waiting_.empty()) {
-    const bool room = shared_ + kPiece <= shared_limit_;
+    const bool room = pieceFits();
     if (!room && reserve_user_ != nullptr) return;
     BodyShare* const share = waiting_.front();
     waiting_.pop_front();
--- a/src/net/include/net/body_pipe.h
+++ b/src/net/include/net/body_pipe.h
@@ -39,6 +39,7 @@
   std::size_t held() const { return held_.size(); }
   // Nothing is put in since this time, although there is more; nothing: all that comes is put in.
   void pausedSince(std::optional<Time> time) { paused_since_ = time; }
+  bool paused() const { return paused_since_.has_value(); }
   void put(std::string_view piece) {
     if (end_ != End::Open || abandoned_ || piece.empty()) return;
     held_.append(piece);
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -104,8 +104,8 @@
 }
 
 std::vector<Upstream::Connection*>::iterator Upstream::reusableEnd(Pool& pool) const {
-  const Time latest = timers_.clock().now() - limits_.reuse_delay;
-  const auto reusable = [latest](const Connection* connection) { return connection->idleSince() <= latest; };
+  const Time now = timers_.clock().now();
+  const auto reusable = [now](const Connection* connection) { return connection->reusableAt() <= now; };
   return std::partition_point(pool.idle.begin(), pool.idle.end(), reusable);
 }
 
--- a/tests/client_left_test.cpp
+++ b/tests/client_left_test.cpp
@@ -24,6 +24,14 @@
     return "POST /swap-charge/7 HTTP/1.1\r\nHost: h\r\nX-Account: acme\r\nX-Correlation-Id: " + id +
            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
+  // `patience`: for its connections, and of the clients.
+  void startWithLateHost(const LateHost& late, Time patience) {
+    start(json::array({entry("s-1", late.endpoint())}), [patience](Config& c) {
+      c.own.connect = patience;
+      for (load_balancer::RequestClass& k : c.site.settings.classes)
+        k.latency_objective = k.deadline = patience;
+    });
+  }
   // The connection to the host stays open, so a request is forwarded in the same iteration of the event loop.
   void startWithOpenHostConnection() {
     start(json::array({entry("s-1", host.endpoint())}));
@@ -75,11 +83,7 @@
 // lay unread behind the body, while the connection to the host was not established.
 TEST_F(ClientLeft, DisconnectBehindALongUploadThatHasNotBegunIsNoticed) {
   LateHost late(loop);
-  start(json::array({entry("s-1", late.endpoint())}), [](Config& c) {
-    c.own.connect = kLongerThanTheTest;
-    for (load_balancer::RequestClass& k : c.site.settings.classes)
-      k.latency_objective = k.deadline = kLongerThanTheTest;
-  });
+  startWithLateHost(late, kLongerThanTheTest);
   const auto c = client();
   c->say(longUpload("disconnected"));
   ASSERT_TRUE(loop.until([&] { return c->said == 1 && proxy->openRequests() == 1; }));
@@ -95,11 +99,7 @@
 // So much of it lies unread that the proxy can't see whether its client is still there.
 TEST_F(ClientLeft, LongUploadThatStoodStillIsNotBegunLate) {
   LateHost late(loop);
-  start(json::array({entry("s-1", late.endpoint())}), [](Config& c) {
-    c.own.connect = 20 * kSecond;
-    for (load_balancer::RequestClass& k : c.site.settings.classes)
-      k.latency_objective = k.deadline = 20 * kSecond;
-  });
+  startWithLateHost(late, 20 * kSecond);
   const auto c = client();
   c->say(longUpload("unseen", 8 * BodyPipe::kUploadReadAhead));
   ASSERT_TRUE(loop.until([&] { return proxy->openRequests() == 1; }));
