--- a/review/standins-2/standin.h
+++ b/review/standins-2/standin.h
@@ -396,7 +396,8 @@
 struct ProxySettings {
   int memory_mb = 64;
   int sockets = 1024;
-  int deadline_ms = 2500;  // of each class; 3000 for reservation where it is not set lower
+  int deadline_ms = 2500;   // of each class; 3000 for reservation where it is not set lower
+  std::string classes = {};  // others than trocasul-main's: entries of request_classes
 };
 
 class ClientProxy;
@@ -477,7 +478,21 @@
   void write(const std::string& path, const ProxySettings& s, int discovery, const std::string& known) const {
     std::FILE* const f = std::fopen(path.c_str(), "w");
     if (f == nullptr) cannotRun("no configuration");
+    const auto entry = [](const char* name, const char* effect, int aim, int deadline, const char* group, int value,
+                          int window) {
+      char text[400];
+      std::snprintf(text, sizeof text,
+                    R"({"name":"%s","effect":"%s","goal_time_us":%d000,"deadline_us":%d000,"group":"%s",)"
+                    R"("late_worth":0.0,"stream":false,"value":%d.0,"window_us":%d000})",
+                    name, effect, aim, deadline, group, value, window);
+      return std::string(text);
+    };
     const int reservation = s.deadline_ms < 2500 ? s.deadline_ms : 3000;
+    const std::string classes =
+        !s.classes.empty() ? s.classes
+                           : entry("slot-status", "retryable", 800, s.deadline_ms, "all", 3, 5000) + "," +
+                                 entry("swap-charge", "fragile", 1000, s.deadline_ms, "all", 8, 5000) + "," +
+                                 entry("reservation", "dedup", 1200, reservation, "zone", 5, 2000);
     std::fprintf(
         f,
         R"({"name":"n0","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
@@ -489,15 +504,11 @@
 "second_copies":true,"streams_per_conn":1},
 "parties":[{"fraction":0.84,"name":"rede-pampa","quota_rps":200.0},{"fraction":0.16,"name":"rede-litoral","quota_rps":40.0}],
 "report":{"fields":["load_share","mean_ms"],"source":"answers"},
-"request_classes":[
-{"name":"slot-status","effect":"retryable","goal_time_us":800000,"deadline_us":%d,"group":"all","late_worth":0.0,"stream":false,"value":3.0,"window_us":5000000},
-{"name":"swap-charge","effect":"fragile","goal_time_us":1000000,"deadline_us":%d,"group":"all","late_worth":0.0,"stream":false,"value":8.0,"window_us":5000000},
-{"name":"reservation","effect":"dedup","goal_time_us":1200000,"deadline_us":%d,"group":"zone","late_worth":0.0,"stream":false,"value":5.0,"window_us":2000000}],
+"request_classes":[%s],
 "rules":{"answer_slack_us":20000,"ask_within_us":10000000,"cold_from":0.32,"cold_us":8900000,"drain_grace_us":2000000,"fall_us":2000000,"tip_multiple":3.0},
 "stage":0,"tick_us":5000,"weight_source":"rough","worth_by":"request","zones":["a"]}}
 )",
-        port_, discovery, s.memory_mb, s.sockets, known.c_str(), s.deadline_ms * 1000, s.deadline_ms * 1000,
-        reservation * 1000);
+        port_, discovery, s.memory_mb, s.sockets, known.c_str(), classes.c_str());
     std::fclose(f);
   }
 
