A key's window is asked for again before the last bytes of an attempt

What callers saw: a reservation took effect twice.

Cause: the window was asked for when a host was chosen and before the first byte. A host begins a request with its last byte, and nothing asked before that one.

Change: Balancer::mayComplete is asked whenever a part of an attempt is written and more can be; if hosts no longer drop the key, the attempt ends as NotSent and its connection is closed. A short request that the socket takes in several pieces passes the same check.

--- a/include/load_balancer/balancer.h
+++ b/include/load_balancer/balancer.h
@@ -273,6 +273,9 @@
   // ends as Result::NotSent. Since its host was chosen the client may have disconnected, its deadline or its
   // key's window may have passed, or the host may be draining, removed or restarted.
   bool mayStart(Time now, RequestId request, std::int32_t attempt);
+  // For an attempt of which bytes have been written, but not all: whether its host may still receive the
+  // rest. Not once the window has ended in which hosts discard repeats of its key.
+  bool mayComplete(Time now, RequestId request, std::int32_t attempt);
   // The process is about to exit: all requests in progress must be answered by clock time `last`. For
   // requests that arrive later the caller has to limit Request::time_left accordingly.
   void finishBy(Time now, Time last, Actions& out);
--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -22,6 +22,9 @@
 bool Balancer::mayStart(Time now, RequestId request, std::int32_t attempt) {
   return impl_->at(now).lifecycle.mayStart(request, attempt);
 }
+bool Balancer::mayComplete(Time now, RequestId request, std::int32_t attempt) {
+  return impl_->at(now).lifecycle.mayComplete(request, attempt);
+}
 void Balancer::finishBy(Time now, Time last, Actions& out) { impl_->at(now).lifecycle.finishBy(last, out); }
 void Balancer::onResponseStarted(Time now, RequestId request, std::int32_t attempt, Actions&) {
   impl_->at(now).lifecycle.onResponseStarted(request, attempt);
--- a/src/decision/request_lifecycle.h
+++ b/src/decision/request_lifecycle.h
@@ -44,6 +44,13 @@
     return true;
   }
 
+  // More of the attempt can be written: whether its host may receive the rest, with which it can run.
+  bool mayComplete(RequestId id, std::int32_t index) {
+    PendingRequest* const request = policy_.requests.find(id);
+    Attempt* const attempt = request == nullptr ? nullptr : request->attemptInFlight(index);
+    return attempt != nullptr && policy_.retries.mayAttempt(*request, attempt->endpoint, attempt);
+  }
+
   // The process is about to exit: all requests in progress must be answered by `last`.
   void finishBy(Time last, Actions& out) {
     policy_.requests.forEach([&](PendingRequest& request) {
--- a/src/net/include/net/upstream.h
+++ b/src/net/include/net/upstream.h
@@ -57,6 +57,9 @@
   // holds at this moment; nothing if the attempt must not begin any more, and then its end is NotSent.
   // `late`: there was a wait since start(), for the connection or for room in it. Must not call back.
   virtual std::optional<std::string> onAttemptReady(AttemptId id, bool late) = 0;
+  // A part of the attempt is written, and more can be. False: its host must not get the rest, and then its
+  // end is NotSent. Must not call back.
+  virtual bool mayComplete(AttemptId id) = 0;
   // Its last byte is with the kernel: the host may have it whole. Once at most, before its end.
   virtual void onAttemptWritten(AttemptId id) = 0;
   // It is served, by a long answer. Once at most; its end follows when all has come, or broke off, or when
--- a/src/pools/include/pools/pool.h
+++ b/src/pools/include/pools/pool.h
@@ -147,6 +147,7 @@
 
   void onAttemptEnd(AttemptId id, AttemptEnd end) override;
   std::optional<std::string> onAttemptReady(AttemptId id, bool late) override;
+  bool mayComplete(AttemptId id) override;
   void onAttemptWritten(AttemptId id) override;
   void onAttemptAnswers(AttemptId id, LongAnswer answer) override;
   void onHealthCheckEnd(const std::string& uid, bool ok, Time latency, const std::string& load) override;
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -303,6 +303,10 @@
   return headFor(r, left, *term);
 }
 
+bool Pool::mayComplete(AttemptId id) {
+  return balancer_.mayComplete(clock_.now(), id / kMaxAttempts, static_cast<std::int32_t>(id % kMaxAttempts));
+}
+
 void Pool::handleAttemptEnd(Time now, RequestId id, std::int32_t attempt, AttemptEnd end) {
   const auto it = open_.find(id);
   if (it == open_.end()) return;
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -60,6 +60,45 @@
   EXPECT_EQ(connectionsWith("second").size(), 1U);
 }
 
+// Guards against a reservation that takes effect twice: the repeat of its key was long and slowly written,
+// and its last bytes went to the host when hosts no longer dropped it (review case 6).
+TEST_F(ProxyTest, LongRepeatOfAKeyIsNotCompletedAfterTheWindowOfItsFirstRequest) {
+  constexpr Time kWindow = kSecond;
+  const std::string beginning(80'000, 'x'), last_bytes = "the last bytes";
+  start(json::array({entry("s-1", host.endpoint())}), [](Config& c) {
+    for (load_balancer::RequestClass& k : c.site.settings.classes) {
+      k.latency_objective = k.deadline = 20 * kSecond;
+      k.deduplication_scope = load_balancer::DeduplicationScope::All;
+      k.deduplication_window = kWindow;
+    }
+  });
+  const auto reserve = [&](const std::string& id) {
+    return "POST /reservation/7 HTTP/1.1\r\nHost: h\r\nX-Account: acme\r\nIdempotency-Key: k\r\n"
+           "X-Correlation-Id: " +
+           id + "\r\nContent-Length: " + std::to_string(beginning.size() + last_bytes.size()) + "\r\n\r\n";
+  };
+  const auto receivedWith = [&](const std::string& id) {
+    std::string all;
+    for (const auto& p : host.peers) {
+      if (p->heard("X-Correlation-Id: " + id)) all += p->got;
+    }
+    return all;
+  };
+  const auto first = client(), second = client();
+  first->say(reserve("first") + beginning + last_bytes);
+  ASSERT_TRUE(loop.until([&] { return receivedWith("first").ends_with(last_bytes); }));
+  const Time began = loop.clock.now();
+  first->close();
+  second->say(reserve("second") + beginning);
+  ASSERT_TRUE(loop.until([&] { return receivedWith("second").size() > beginning.size(); }));
+  ASSERT_TRUE(loop.until([&] { return loop.clock.now() > began + kWindow + 100 * kMillisecond; }));
+  second->say(last_bytes);
+  ASSERT_TRUE(
+      loop.until([&] { return second->heard("HTTP/1.1 ") || receivedWith("second").ends_with(last_bytes); }));
+  EXPECT_FALSE(receivedWith("second").ends_with(last_bytes));
+  EXPECT_TRUE(second->heard("HTTP/1.1 503")) << second->got;
+}
+
 TEST_F(ProxyTest, BadRequestResponseFailsWithoutRetry) {
   start({entry("s-1", host.endpoint()), entry("s-2", other.endpoint())});
   const auto c = client();
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -23,6 +23,7 @@
     if (begin_refused.count(id) > 0) return std::nullopt;
     return std::string(posts.count(id) > 0 ? "POST" : "GET") + " /x HTTP/1.1\r\nX-Correlation-Id: a\r\n\r\n";
   }
+  bool mayComplete(AttemptId id) override { return completion_refused.count(id) == 0; }
   void onAttemptWritten(AttemptId id) override {
     EXPECT_EQ(ends.count(id), 0U) << "written after its end: " << id;
     ++written[id];
@@ -33,7 +34,7 @@
   }
   void onHealthCheckEnd(const std::string&, bool, Time, const std::string&) override {}
   std::map<AttemptId, AttemptEnd> ends;
-  std::set<AttemptId> begin_refused, posts;
+  std::set<AttemptId> begin_refused, completion_refused, posts;
   std::map<AttemptId, int> written;
   std::map<AttemptId, LongAnswer> begun;
 };
