One account of the memory of all buffers, at their capacity

Cause: each part bounded its own buffers, some none. The budget of bodies did not count the first 32 KiB of a body, nor the read buffer beside it; heads, answers and pieces of long bodies had no count; a buffer that an empty string was assigned to kept its memory for as long as its connection was kept.

Change: MemoryAccount replaces the budget of bodies. All buffers of client and host connections, requests and streams report their capacity to it; what may wait asks for room before it reads more. Connections read into one common buffer and keep only what is not parsed yet. Blocks of 32 KiB and more are given back to the system at once. Buffers get three eighths of the memory, as the reference says now.

tests: the server's test of uploads gives its 192 KiB to the account now, with the same checks; a piped body is taken piece by piece, so its property test takes until nothing is left.

--- a/src/conf/schema.cpp
+++ b/src/conf/schema.cpp
@@ -345,7 +345,8 @@
         .live = false},
     Key{.name = "memory",
         .kind = Kind::Size,
-        .about = "What requests and their bodies are fitted to: a half for requests, a quarter for bodies.",
+        .about =
+            "What requests and their bodies are fitted to: three eighths for the buffers of all connections.",
         .otherwise = "what the platform says, else 256MiB",
         .least = 32.0 * 1024 * 1024,
         .most = 1024.0 * 1024 * 1024 * 1024,
--- a/src/daemon/serve.cpp
+++ b/src/daemon/serve.cpp
@@ -478,7 +478,7 @@
     Config config = source.read();
     fitToSystem(config);
     // Large bodies come and go: they are to leave no holes behind in the heap.
-    mallopt(M_MMAP_THRESHOLD, 256 * 1024);
+    mallopt(M_MMAP_THRESHOLD, 32 * 1024);
     mallopt(M_TRIM_THRESHOLD, 1024 * 1024);
     std::signal(SIGPIPE, SIG_IGN);
     Daemon(source, std::move(config)).run();
--- a/src/front/configured_limits.cpp
+++ b/src/front/configured_limits.cpp
@@ -15,6 +15,10 @@
 
 constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
 
+// The buffers of connections get this many eighths of the memory; the rest is for the process itself, its
+// lists, and what each connection and request holds beside its buffers.
+constexpr std::size_t kBufferEighths = 3;
+
 // Client retries that may be open in any case: about as many as a few failing hosts cause.
 constexpr std::size_t kMinRetries = 64;
 
@@ -37,9 +41,12 @@
   return longest;
 }
 
+std::size_t bufferMemory(const Config& config) {
+  return std::max<std::size_t>(config.memory_mb * kMegabyte / 8 * kBufferEighths, 2 * kMostBody);
+}
+
 Server::Limits serverLimits(const Config& config, std::size_t descriptors) {
   Server::Limits limits;
-  limits.body_bytes = std::max<std::size_t>(config.memory_mb * kMegabyte / 4, kMostBody);
   limits.connections.most = descriptors;  // fewer while hosts use their share
   limits.connections.overflow = std::max<std::size_t>(descriptors / 16, 4);
   limits.connections.kept = config.own.idle_kept.value_or(std::max<std::size_t>(descriptors / 24, 8));
--- a/src/front/configured_limits.h
+++ b/src/front/configured_limits.h
@@ -19,6 +19,8 @@
 
 // The longest deadline of all request classes.
 Time longestDeadline(const load_balancer::Settings& settings);
+// The limit of the buffers of all connections together, in bytes.
+std::size_t bufferMemory(const Config& config);
 // `descriptors`: the limit that client and host connections share.
 Server::Limits serverLimits(const Config& config, std::size_t descriptors);
 // Reorders `shares`, which belong to `share_names`, to the order of `names`. A name without a share gets the
--- a/src/front/include/front/proxy.h
+++ b/src/front/include/front/proxy.h
@@ -198,6 +198,7 @@
   Time predecessor_clock_shift_ = 0;  // added to times of the previous process
   Timers timers_;
   Descriptors descriptors_;
+  std::shared_ptr<MemoryAccount> memory_;  // of the buffers of all connections
   Server server_;
   Pool pool_;
 
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <utility>
 
+#include "net/buffers.h"
 #include "net/socket_io.h"
 
 namespace client_proxy {
@@ -20,6 +21,7 @@
 
 constexpr int kLongSendBuffer = 128 * 1024;  // a slow client is heard of before megabytes wait for it
 constexpr Time kHostMayRest = 10 * kSecond;  // between pieces of a long answer: the host's side ends it
+constexpr std::size_t kChunkFraming = 32;    // bytes: a chunk's size line, the line ends, the last chunk
 constexpr Time kRetired = kSecond;           // a client at rest has to close in turn
 
 std::string_view reasonOf(int status) {
@@ -112,8 +114,10 @@
   out_ += answer.body;
   server_.exchanges_.erase(exchange_);
   parser_.reset();  // with the body of a request that is refused
-  share_.reset();
   pipe_.reset();
+  waits_for_memory_ = false;
+  input_memory_.cancelWait();
+  countInput();
   state_ = State::Answering;
   write();
 }
@@ -123,6 +127,7 @@
   const std::string piece = rest_->take();
   const BodyPipe::End end = rest_->end();
   if (!piece.empty()) {
+    out_.reserve(piece.size() + kChunkFraming);
     if (chunked_) {
       out_ += "\r\n";
       out_ += chunkLine(piece.size());
@@ -147,10 +152,11 @@
     return server_.gate_.notePendingInput(server_.now(), id_);  // its reading is under way
   if (resting_ && reason == RejectionReason::IdleTimeout) return retire(reason);
   if (resting_ || state_ != State::Reading) return close(reason);
+  const bool waits = waits_for_memory_;
   abandonUpload();
   if (state_ == State::Closed) return;
-  refuse(waits_for_room_ ? 503 : 408);
-  cause_ = waits_for_room_ ? RejectionReason::BodyMemory : reason;
+  refuse(waits ? 503 : 408);
+  cause_ = waits ? RejectionReason::BodyMemory : reason;
 }
 
 void Server::Connection::retire(RejectionReason reason) {
@@ -172,7 +178,7 @@
   if (state_ == State::Closed) return;
   state_ = State::Closed;
   ended();
-  share_.reset();
+  input_memory_.cancelWait();
   if (pipe_) std::exchange(pipe_, nullptr)->breakOff();
   error_code ignored;
   if (rest_) {
@@ -195,18 +201,18 @@
   head_seen_ = false;
   exchange_ = 0;
   clock_.reset();
-  share_.reset();
+  countInput();
   if (in_.size() > 0) {
     begin();
     parse();
   } else {
-    in_.release();
     armRead();
   }
 }
 
 void Server::Connection::write() {
   writing_ = true;
+  output_memory_.set(out_.capacity());
   writeWhole(socket_, asio::buffer(out_),
              [self = shared_from_this()](error_code ec) { self->onWritten(ec); });
 }
@@ -214,7 +220,8 @@
 void Server::Connection::onWritten(error_code ec) {
   if (state_ == State::Closed) return;
   writing_ = false;
-  out_ = std::string();
+  release(out_);
+  output_memory_.set(0);
   if (ec) return close();
   if (rest_) return passOn();
   onAnswered();
@@ -238,7 +245,7 @@
   socket_.shutdown(asio::socket_base::shutdown_send, ec);
   if (ec) return close();
   in_.consume(in_.size());
-  in_.release();
+  countInput();
   armRead();
 }
 
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -15,7 +15,11 @@
 class Server::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(Server& server, ConnectionId id, Socket socket)
-      : server_(server), id_(id), socket_(std::move(socket)) {}
+      : server_(server),
+        id_(id),
+        socket_(std::move(socket)),
+        input_memory_(server.memory_, MemoryUse::Request, [this] { onMemoryFree(); }),
+        output_memory_(server.memory_, MemoryUse::Answer) {}
 
   // It has been at rest elsewhere.
   void rest();
@@ -30,7 +34,8 @@
   // Its answer waits for the host, or the host's next piece is here.
   void passOn();
 
-  void bodyMayGrow();
+  // There may be room for what it waits to read.
+  void onMemoryFree();
 
   // The limits of time. None is renewed by a byte more or less: whoever trickles gets no longer than whoever
   // is silent. They would harm clients on slow lines; the protocol's are on the same machine.
@@ -85,10 +90,15 @@
   // False: the request was answered by its head alone.
   bool acceptHead();
 
+  // Reads more of the request, or stops reading until there is room for it.
   void readOn();
+  // How much is read at a time in this state; 0: there is no room for any more now.
+  std::size_t mostToRead();
 
-  // Whether more of a long body may be read; if not, its host has to take some first.
-  bool uploadHasRoom();
+  // What is held of the request that is being read.
+  std::size_t inputMemory() const { return in_.capacity() + (parser_ ? parser_->memory() : 0); }
+  void countInput();
+  void awaitMemory();
   void pauseUpload();
   // The rest of a long body stays in the kernel.
   bool uploadPaused() const { return uploading_ && pipe_->paused(); }
@@ -129,8 +139,8 @@
   bool resting_ = true;                            // no request is open here
   ReadBuffer in_;
   std::unique_ptr<RequestParser> parser_;        // only while a request comes: it is large
-  std::shared_ptr<BodyShare> share_;             // of the body that is being read
   std::string out_;                              // the answer
+  MemoryShare input_memory_, output_memory_;     // of `in_` and `parser_`, and of `out_`
   std::shared_ptr<BodyPipe> pipe_;               // of the long body that is being read
   std::shared_ptr<BodyPipe> rest_;               // of the long answer that is being written
   std::optional<admission::UploadClock> clock_;  // of the body that is being read
@@ -141,7 +151,7 @@
   bool old_version_ = false, close_ = false;
   bool uploading_ = false;  // a long body: its request is with the sink already
   bool writing_ = false, chunked_ = false;
-  bool reading_ = false, waits_for_room_ = false;
+  bool reading_ = false, waits_for_memory_ = false;
   bool looking_ = false;  // a timer for lookForEnd() is set
 };
 
--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -3,6 +3,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <string>
@@ -10,6 +11,7 @@
 #include <utility>
 
 #include "client_connection.h"
+#include "net/buffers.h"
 #include "net/socket_io.h"
 
 namespace client_proxy {
@@ -18,10 +20,8 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-constexpr std::size_t kReadAhead = 4 * 1024;  // of a next request that comes before the answer
-constexpr std::size_t kBodyRead = 32 * 1024;  // at a time
-constexpr std::size_t kLongRead = 16 * 1024;  // of a long one, which may fill its window and one read
-constexpr std::size_t kHeadRead = 1024;
+constexpr std::size_t kReadAhead = 4 * 1024;     // of a next request that comes before the answer
+constexpr std::size_t kHeadRead = 1024;          // at a time
 constexpr Time kLookForEnd = 20 * kMillisecond;  // while nothing is read of what a waiting client sends
 
 int statusOf(error_code ec) {
@@ -47,8 +47,9 @@
 
 }  // namespace
 
-void Server::Connection::bodyMayGrow() {
-  if (!std::exchange(waits_for_room_, false) || state_ != State::Reading) return;
+void Server::Connection::onMemoryFree() {
+  const auto self = shared_from_this();
+  if (!std::exchange(waits_for_memory_, false) || state_ != State::Reading) return;
   clock_->resume(server_.now());
   server_.gate_.extend(id_, clock_->due());
   readOn();
@@ -71,12 +72,12 @@
   if (state_ == State::Closed) return;
   if (ec) return onReadEnd(ec);
   if (state_ == State::Lingering) return discard();
-  const bool body = state_ == State::Reading && head_seen_;
-  const std::size_t most = uploading_ ? kLongRead : body ? kBodyRead : kHeadRead;
-  const std::size_t n = readAvailable(socket_, in_.space(most), ec);
+  const std::size_t most = mostToRead();
+  if (most == 0) return pauseUpload();
+  const std::size_t n = readAvailable(socket_, asio::buffer(server_.received_.data(), most), ec);
   if (ec == asio::error::would_block) return armRead();
   if (ec) return onReadEnd(ec);
-  in_.commit(n);
+  in_.append(server_.received_.data(), n);
   if (state_ == State::Reading) {
     if (resting_) begin();
     if (clock_) {
@@ -85,20 +86,27 @@
     }
     return parse();
   }
-  // A further request before this one's answer: it waits, and so do we beyond a bound.
   awaitMoreOrEnd();
 }
 
-void Server::Connection::awaitMoreOrEnd() { in_.size() < kReadAhead ? armRead() : lookForEnd(); }
+void Server::Connection::awaitMoreOrEnd() {
+  countInput();
+  in_.size() < kReadAhead ? armRead() : lookForEnd();
+}
+
+std::size_t Server::Connection::mostToRead() {
+  if (state_ != State::Reading || !head_seen_) return kHeadRead;
+  if (uploading_) return pipe_->room();
+  return std::min(std::max<std::size_t>(parser_->bodyRoom(), 1), server_.received_.size());
+}
 
-bool Server::Connection::uploadHasRoom() {
-  if (!pipe_->hasRoom()) return false;
-  return pipe_->started() || pipe_->held() < BodyPipe::kWindow ||
-         share_->mayReadAhead(kMostBody + pipe_->held());
+void Server::Connection::countInput() {
+  in_.trim();
+  input_memory_.set(inputMemory());
 }
 
 void Server::Connection::lookForEnd() {
-  if (reading_ || !(state_ == State::Waiting || uploadPaused())) return;
+  if (reading_ || !(state_ == State::Waiting || waits_for_memory_ || uploadPaused())) return;
   if (hungUp(socket_.native_handle())) return onClientLeft();
   if (std::exchange(looking_, true)) return;
   server_.timers_.after(kLookForEnd, [weak = weak_from_this()] {
@@ -184,9 +192,6 @@
   if (parser_->is_done()) return true;
   clock_.emplace(server_.now());
   server_.gate_.extend(id_, clock_->due());
-  share_ = std::make_shared<BodyShare>(server_.bodies_, [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) self->bodyMayGrow();
-  });
   parser_->eager(true);
   if (parser_->head.expects_continue && !old_version_ && in_.size() == 0) {
     error_code ignored;  // a few bytes on a connection that has nothing else to send
@@ -196,21 +201,34 @@
 }
 
 void Server::Connection::readOn() {
-  if (uploading_ && !uploadHasRoom()) return pauseUpload();
-  if (share_ && !uploading_ && !share_->mayGrow(parser_->body.size())) {
-    waits_for_room_ = true;  // backpressure: the kernel's buffer fills, then the client's
-    clock_->pause(server_.now());
-    server_.gate_.extend(id_, server_.now() + server_.limits_.connections.request);
+  countInput();
+  if (uploading_) return pipe_->hasRoom() ? armRead() : pauseUpload();
+  if (!head_seen_) {
+    if (input_memory_.tryReserve(inputMemory() + kHeadRead)) return armRead();
+    refuse(503);  // how long its client waits is not known yet
+    cause_ = RejectionReason::BodyMemory;
     return;
   }
+  if (parser_->bodyRoom() == 0) {
+    const std::size_t capacity = parser_->nextBodyCapacity();
+    if (!input_memory_.reserve(inputMemory() - parser_->body.capacity() + capacity)) return awaitMemory();
+    growTo(parser_->body, capacity);
+  }
   armRead();
 }
 
+// Backpressure: the kernel's buffer fills, then the client's.
+void Server::Connection::awaitMemory() {
+  waits_for_memory_ = true;
+  clock_->pause(server_.now());
+  server_.gate_.extend(id_, server_.now() + server_.limits_.connections.request);
+  lookForEnd();
+}
+
 // The host's side is slow: not the client's fault.
 void Server::Connection::pauseUpload() {
   clock_->pause(server_.now());
   pipe_->pausedSince(server_.now());
-  in_.release();
   server_.gate_.extend(id_, 0);
   lookForEnd();
 }
@@ -227,15 +245,12 @@
   if (hungUp(socket_.native_handle())) return refuse(503);
   const auto length = parser_->content_length();
   pipe_ = std::make_shared<BodyPipe>(length ? std::optional<std::uint64_t>(*length) : std::nullopt,
-                                     BodyPipe::kUploadReadAhead);
+                                     server_.memory_, MemoryUse::Request, BodyPipe::kUploadReadAhead);
   pipe_->onRoom([weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->uploadMayGoOn();
   });
   uploading_ = true;
-  // What it may hold of the budget it may go on holding, for its window, when the beginning is let go.
-  const auto share = share_;
   ClientRequest request = takeRequest();
-  share_ = share;
   request.rest = pipe_;
   exchange_ = server_.next_exchange_++;
   server_.exchanges_.emplace(exchange_, this);
@@ -244,7 +259,6 @@
 
 void Server::Connection::completeLong() {
   uploading_ = false;
-  share_.reset();
   clock_.reset();
   state_ = State::Waiting;
   taken_ = true;
@@ -253,6 +267,7 @@
   const Time received = server_.now() - ageOfInput(socket_.native_handle());
   const ExchangeId exchange = exchange_;
   parser_.reset();
+  countInput();
   armRead();
   const auto pipe = pipe_;
   pipe->finish();
@@ -262,18 +277,14 @@
 ClientRequest Server::Connection::takeRequest() {
   ClientRequest request;
   request.received = server_.now() - ageOfInput(socket_.native_handle());
+  request.memory = std::make_shared<MemoryShare>(server_.memory_, MemoryUse::Request);
+  request.memory->set(parser_->memory());
   request.head = std::move(parser_->head);
-  // The body and its share of the budget go together, whoever holds them longest.
-  if (share_) {
-    struct Held {
-      std::shared_ptr<BodyShare> share;
-      std::string bytes;
-    };
-    auto held = std::make_shared<Held>(Held{std::move(share_), std::move(parser_->body)});
-    request.body = std::shared_ptr<const std::string>(held, &held->bytes);
-    share_.reset();
-    parser_->body = std::string();
+  if (clock_) {
+    request.body = std::make_shared<const std::string>(std::move(parser_->body));
+    release(parser_->body);
   }
+  countInput();
   return request;
 }
 
@@ -285,6 +296,7 @@
   ++server_.open_requests_;
   server_.gate_.onRequest(id_);  // its deadline is the sink's to keep
   parser_.reset();
+  countInput();
   exchange_ = server_.next_exchange_++;
   server_.exchanges_.emplace(exchange_, this);
   // It may have left while its request stood in a queue of the system's: then nothing is sent for it.
@@ -303,7 +315,7 @@
 
 void Server::Connection::discard() {
   error_code ec;
-  readAvailable(socket_, asio::buffer(server_.discarded_), ec);
+  readAvailable(socket_, asio::buffer(server_.received_), ec);
   if (ec && ec != asio::error::would_block) return close();
   armRead();
 }
--- a/src/net/host_connection.cpp
+++ b/src/net/host_connection.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <boost/asio/post.hpp>
+#include <string>
 #include <utility>
 
 namespace client_proxy {
@@ -15,6 +16,16 @@
 
 constexpr Time kLook = 250 * kMillisecond;  // between two looks whether a long body moves
 
+// A piece of a chunked body (RFC 9112, 7.1), behind an earlier chunk that lacks its line end.
+std::string asChunks(const std::string& piece, bool last) {
+  std::string chunks;
+  chunks.reserve(piece.size() + 32);
+  if (!piece.empty()) chunks += "\r\n" + chunkLine(piece.size());
+  chunks += piece;
+  if (last) chunks += "\r\n0\r\n\r\n";
+  return chunks;
+}
+
 }  // namespace
 
 void Upstream::Connection::startAttempt(AttemptId id, AttemptRequest request) {
@@ -26,7 +37,7 @@
 void Upstream::Connection::startHealthCheck(std::string head) {
   probe_ = true;
   attempt_ = 0;
-  prefix_ = std::move(head);
+  setPrefix(std::move(head));
   begin({});
   const std::uint64_t turn = turn_;
   up_.timers_.after(up_.limits_.health_check_timeout, [weak = weak_from_this(), turn] {
@@ -73,7 +84,8 @@
   late_ = !connected_;
   answer_begun_ = interims_ = 0;
   come_ = 0;
-  rest_done_ = waits_for_client_ = false;
+  rest_done_ = waits_for_client_ = waits_for_memory_ = false;
+  memory_wait_ = 0;
   parser_.emplace();
   if (request_.rest) watchLong();
   connected_ ? writeWhenReusable() : connect();
@@ -125,10 +137,15 @@
   if (probe_) return true;
   std::optional<std::string> head = up_.sink_.onAttemptReady(attempt_, late_);
   if (!head) return false;
-  prefix_ = std::move(*head);
+  setPrefix(std::move(*head));
   return true;
 }
 
+void Upstream::Connection::setPrefix(std::string prefix) {
+  prefix_ = std::move(prefix);
+  request_memory_.set(prefix_.capacity());
+}
+
 std::array<asio::const_buffer, 2> Upstream::Connection::unsent() const {
   const asio::const_buffer prefix = asio::buffer(prefix_);
   const asio::const_buffer body = request_.body ? asio::buffer(*request_.body) : asio::const_buffer{};
@@ -160,7 +177,7 @@
 
 bool Upstream::Connection::refill() {
   BodyPipe& rest = *request_.rest;
-  const std::string piece = rest.take();
+  std::string piece = rest.take();
   waits_for_client_ = piece.empty() && rest.end() == BodyPipe::End::Open;
   if (waits_for_client_) {
     rest.onMore([weak = weak_from_this(), turn = turn_] {
@@ -175,14 +192,9 @@
   }
   const bool chunked = !rest.length();
   request_.body.reset();
-  prefix_.clear();
   sent_ = 0;
-  if (!piece.empty()) {
-    if (chunked) prefix_ += "\r\n" + chunkLine(piece.size());
-    prefix_ += piece;
-  }
   rest_done_ = rest.end() == BodyPipe::End::Whole;
-  if (rest_done_ && chunked) prefix_ += "\r\n0\r\n\r\n";
+  setPrefix(chunked ? asChunks(piece, rest_done_) : std::move(piece));
   return true;
 }
 
@@ -234,15 +246,16 @@
   const std::string uid = uid_;
   Upstream& up = up_;
   parser_.reset();
+  answer_memory_.cancelWait();
   request_ = {};
-  prefix_.clear();
+  setPrefix({});
   sent_ = 0;
   const auto self = shared_from_this();
   if (!probe) up.attempts_.erase(attempt);
   // The connection is idle or closed before anyone hears of it: a next attempt may want it at once.
   if (reusable) {
     idle_since_ = up.timers_.clock().now();
-    in_.release();
+    countAnswer();
     armRead();
     up.keep(*this);
   } else {
--- a/src/net/host_connection.h
+++ b/src/net/host_connection.h
@@ -22,7 +22,13 @@
 
  public:
   Connection(Upstream& up, std::uint64_t id, std::string uid, const Endpoint& endpoint)
-      : up_(up), id_(id), uid_(std::move(uid)), endpoint_(endpoint), socket_(up.io_) {}
+      : up_(up),
+        id_(id),
+        uid_(std::move(uid)),
+        endpoint_(endpoint),
+        socket_(up.io_),
+        request_memory_(up.memory_, MemoryUse::Request),
+        answer_memory_(up.memory_, MemoryUse::Answer, [this] { onMemoryFree(); }) {}
 
   std::uint64_t id() const { return id_; }
   const std::string& uid() const { return uid_; }
@@ -115,6 +121,14 @@
   void abandoned() { later(Result::Cancelled); }
 
   void readOn();
+  // Room for the next piece of an answer that is held. False: it has to wait.
+  bool reserveAnswer();
+  std::size_t mostToRead();
+  void countAnswer();
+  // There may be room for what it waits to read.
+  void onMemoryFree();
+  // Its head or its piece of a long body, with what that holds.
+  void setPrefix(std::string prefix);
 
   // So far as it has come, what a head of HTTP/1 begins with: noise need not hold a line's end.
   bool beginsLikeAnswer() const;
@@ -138,16 +152,20 @@
   AttemptRequest request_;
   std::string prefix_;  // written before request_.body: the head, or a later piece of a long body
   std::shared_ptr<BodyPipe> stream_;  // of a long answer that is coming
+  // Of `prefix_`; of `in_` and the parser's body.
+  MemoryShare request_memory_, answer_memory_;
   std::size_t sent_ = 0;    // bytes of the request, of a long one of this piece, that the kernel has taken
   std::uint64_t come_ = 0;  // bytes of the answer
   Time moved_ = 0;          // when a byte went or came last
   AttemptId attempt_ = 0;
   std::uint64_t turn_ = 0;  // attempts and probes so far: tells late callbacks of earlier ones
   Time started_ = 0, answer_begun_ = 0, idle_since_ = 0;
+  Time memory_wait_since_ = 0, memory_wait_ = 0;  // of this answer: now, and so far
   int interims_ = 0;
   bool begun_ = false;             // the kernel has the request's first byte
   bool late_ = false;              // that had to wait
   bool rest_done_ = false;         // the last piece of a long request is in request_
+  bool waits_for_memory_ = false;  // to read more of an answer that is held
   bool waits_for_client_ = false;  // to send more of its request, or to take more of its answer
   bool connected_ = false, busy_ = false, probe_ = false, closed_ = false, reading_ = false;
 };
--- a/src/net/host_reading.cpp
+++ b/src/net/host_reading.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "host_connection.h"
+#include "net/buffers.h"
 #include "net/socket_io.h"
 
 namespace client_proxy {
@@ -14,7 +15,7 @@
 using boost::system::error_code;
 using load_balancer::Result;
 
-constexpr std::size_t kRead = 4 * 1024, kLongRead = 16 * 1024;
+constexpr std::size_t kHeadRead = 4 * 1024;
 constexpr double kLeastPace = 32 * 1024;  // bytes a second, of an answer that is held
 
 }  // namespace
@@ -31,10 +32,12 @@
   if (!busy_) return ec || stale() ? close() : armRead();
   if (!begun_) return end(Result::NotSent);  // waits to be reusable, and won't be
   if (ec) return broken();
-  const std::size_t n = readAvailable(socket_, in_.space(stream_ ? kLongRead : kRead), ec);
+  const std::size_t most = mostToRead();
+  if (most == 0) return readOn();
+  const std::size_t n = readAvailable(socket_, asio::buffer(up_.received_.data(), most), ec);
   if (ec == asio::error::would_block) return armRead();
   if (ec) return onReadEnd(ec);
-  in_.commit(n);
+  in_.append(up_.received_.data(), n);
   come_ += n;
   moved_ = up_.timers_.clock().now();
   if (answer_begun_ == 0) watchAnswer();
@@ -58,13 +61,13 @@
 Time Upstream::Connection::answerDue() const {
   const Time still = up_.limits_.answer_whole;
   const auto earned = static_cast<Time>(static_cast<double>(come_) / kLeastPace * 1e6);
-  return std::min(moved_ + still, answer_begun_ + still + earned);
+  return std::min(moved_ + still, answer_begun_ + still + earned + memory_wait_);
 }
 
 void Upstream::Connection::lookAfterAnswer() {
   up_.timers_.at(answerDue(), [weak = weak_from_this(), turn = turn_] {
     const auto self = weak.lock();
-    if (!self || !self->busy_ || self->turn_ != turn || self->stream_) return;
+    if (!self || !self->busy_ || self->turn_ != turn || self->stream_ || self->waits_for_memory_) return;
     if (self->up_.timers_.clock().now() >= self->answerDue()) return self->spoilt();
     self->lookAfterAnswer();
   });
@@ -78,7 +81,8 @@
 
 void Upstream::Connection::beginLong() {
   const auto length = parser_->content_length();
-  stream_ = std::make_shared<BodyPipe>(length ? std::optional<std::uint64_t>(*length) : std::nullopt);
+  stream_ =
+      std::make_shared<BodyPipe>(length ? std::optional<std::uint64_t>(*length) : std::nullopt, up_.memory_);
   const auto guarded = [this](void (Connection::*then)()) {
     return [weak = weak_from_this(), turn = turn_, then] {
       const auto self = weak.lock();
@@ -92,9 +96,43 @@
                              {std::exchange(parser_->body, {}), std::move(parser_->content_type), stream_});
 }
 
+void Upstream::Connection::countAnswer() {
+  in_.trim();
+  answer_memory_.set(in_.capacity() + (parser_ ? parser_->body.capacity() : 0));
+}
+
+std::size_t Upstream::Connection::mostToRead() {
+  if (stream_) return stream_->room();
+  if (!parser_->is_header_done()) return kHeadRead;
+  return std::min(std::max<std::size_t>(parser_->bodyRoom(), 1), up_.received_.size());
+}
+
+bool Upstream::Connection::reserveAnswer() {
+  const std::size_t held = answer_memory_.held();
+  if (!parser_->is_header_done()) return answer_memory_.reserve(held + kHeadRead);
+  if (parser_->bodyRoom() > 0) return true;
+  const std::size_t capacity = parser_->nextBodyCapacity();
+  if (!answer_memory_.reserve(held - parser_->body.capacity() + capacity)) return false;
+  growTo(parser_->body, capacity);
+  return true;
+}
+
 void Upstream::Connection::readOn() {
+  countAnswer();
   waits_for_client_ = stream_ && !stream_->hasRoom();
-  if (!waits_for_client_) armRead();
+  if (waits_for_client_) return;
+  if (stream_ || reserveAnswer()) return armRead();
+  waits_for_memory_ = true;
+  memory_wait_since_ = up_.timers_.clock().now();
+}
+
+void Upstream::Connection::onMemoryFree() {
+  const auto self = shared_from_this();
+  if (!std::exchange(waits_for_memory_, false)) return;
+  moved_ = up_.timers_.clock().now();
+  memory_wait_ += moved_ - memory_wait_since_;
+  if (answer_begun_ != 0) lookAfterAnswer();
+  readOn();
 }
 
 bool Upstream::Connection::beginsLikeAnswer() const {
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -14,6 +14,8 @@
 
 using boost::beast::iequals;
 
+constexpr std::size_t kSmallBody = 2048;  // bytes
+
 std::string_view view(Text text) { return {text.data(), text.size()}; }
 
 // Headers that concern one connection, or that the client proxy writes itself.
@@ -69,6 +71,17 @@
   return {text.data(), static_cast<std::size_t>(n)};
 }
 
+namespace {
+
+// What a body's buffer needs for the next piece; `length`: of the whole body, where it is known. A longer one
+// is passed on in pieces, so that its buffer holds one piece more than the longest that is held.
+std::size_t nextCapacity(const std::string& body, const boost::optional<std::uint64_t>& length) {
+  const std::size_t next = body.size() + kBodyPiece;
+  return length && *length > body.size() && *length < next ? static_cast<std::size_t>(*length) : next;
+}
+
+}  // namespace
+
 std::string chunkLine(std::size_t bytes) {
   std::array<char, 24> text;
   const int n = std::snprintf(text.data(), text.size(), "%zx\r\n", bytes);
@@ -77,6 +90,14 @@
 
 // ---- requests ----
 
+std::size_t RequestHead::memory() const {
+  std::size_t bytes = 0;
+  for (const std::string* text :
+       {&method, &target, &forward, &correlation, &account, &time_left, &weight_hint, &key})
+    bytes += text->capacity();
+  return bytes;
+}
+
 RequestParser::RequestParser() {
   header_limit(static_cast<std::uint32_t>(kMostHead));
   body_limit(kMostLong);
@@ -161,11 +182,12 @@
 
 void RequestParser::on_body_init_impl(const boost::optional<std::uint64_t>& length,
                                       boost::beast::error_code&) {
-  // The whole length at once: a string that grows by doubling would hold half as much again. Pages that were
-  // not written to cost nothing, so an untrue length does no harm.
-  if (length) body.reserve(static_cast<std::size_t>(std::min<std::uint64_t>(*length, kMostBody)));
+  // A small body in one piece; a larger one grows with what comes, since its length may be untrue.
+  if (length) body.reserve(static_cast<std::size_t>(std::min<std::uint64_t>(*length, kSmallBody)));
 }
 
+std::size_t RequestParser::nextBodyCapacity() const { return nextCapacity(body, content_length()); }
+
 std::size_t RequestParser::on_body_impl(Text part, boost::beast::error_code&) {
   body.append(part.data(), part.size());
   return part.size();
@@ -198,9 +220,11 @@
 
 void ResponseParser::on_body_init_impl(const boost::optional<std::uint64_t>& length,
                                        boost::beast::error_code&) {
-  if (length) body.reserve(static_cast<std::size_t>(std::min<std::uint64_t>(*length, kMostBody)));
+  if (length) body.reserve(static_cast<std::size_t>(std::min<std::uint64_t>(*length, kSmallBody)));
 }
 
+std::size_t ResponseParser::nextBodyCapacity() const { return nextCapacity(body, content_length()); }
+
 std::size_t ResponseParser::on_body_impl(Text part, boost::beast::error_code&) {
   body.append(part.data(), part.size());
   return part.size();
@@ -230,10 +254,30 @@
   if (begin_ == end_) begin_ = end_ = 0;
 }
 
+void ReadBuffer::append(const char* bytes, std::size_t size) {
+  if (bytes_.size() - end_ < size) {
+    std::vector<char> grown(this->size() + size);
+    std::copy_n(bytes_.data() + begin_, this->size(), grown.data());
+    end_ = this->size();
+    begin_ = 0;
+    bytes_.swap(grown);
+  }
+  std::copy_n(bytes, size, bytes_.data() + end_);
+  end_ += size;
+}
+
 void ReadBuffer::release() {
   if (size() > 0) return;
   bytes_ = std::vector<char>();
   begin_ = end_ = 0;
 }
 
+void ReadBuffer::trim() {
+  if (size() == bytes_.size()) return;
+  bytes_ = std::vector<char>(bytes_.begin() + static_cast<std::ptrdiff_t>(begin_),
+                             bytes_.begin() + static_cast<std::ptrdiff_t>(end_));
+  end_ = size();
+  begin_ = 0;
+}
+
 }  // namespace client_proxy
--- a/src/net/include/net/exchange.h
+++ b/src/net/include/net/exchange.h
@@ -8,6 +8,7 @@
 
 #include "net/body_pipe.h"
 #include "net/http.h"
+#include "net/memory_account.h"
 
 namespace client_proxy {
 
@@ -17,6 +18,7 @@
   RequestHead head;
   std::shared_ptr<const std::string> body;  // of a long one what came first
   std::shared_ptr<BodyPipe> rest;           // of a long one; null: `body` is all
+  std::shared_ptr<MemoryShare> memory;      // counts what `head` and `body` hold
   Time received = 0;                        // when its last byte came; of a long one when it became one
 };
 
--- a/src/net/include/net/http.h
+++ b/src/net/include/net/http.h
@@ -23,6 +23,7 @@
 
 constexpr std::size_t kMostHead = std::size_t{16} * 1024;
 constexpr std::uint64_t kMostBody = std::uint64_t{64} * 1024;  // held whole, so that it can be sent again
+constexpr std::size_t kBodyPiece = std::size_t{16} * 1024;     // by which the buffer of a body grows
 constexpr std::uint64_t kMostLong =
     std::uint64_t{40} * 1024 * 1024;  // passed on as it comes; more is refused or spoilt
 
@@ -48,6 +49,8 @@
   bool old_version = false;  // HTTP/1.0
   bool has_body = false;     // says that one follows
   bool ambiguous = false;    // says twice what can be said once: another reader might take the other value
+  // The bytes that its texts hold.
+  std::size_t memory() const;
 };
 
 // A request as it comes in. The body's bytes go to `body`; who feeds the parser bounds how fast.
@@ -57,6 +60,13 @@
   RequestHead head;
   std::string body;
 
+  // How many bytes of the body can be taken in without the buffer growing.
+  std::size_t bodyRoom() const { return body.capacity() - body.size(); }
+  // The capacity that the body's buffer needs for the next piece.
+  std::size_t nextBodyCapacity() const;
+  // The bytes that head and body hold.
+  std::size_t memory() const { return head.memory() + body.capacity(); }
+
  private:
   void on_request_impl(http::verb, Text method, Text target, int version,
                        boost::beast::error_code& ec) override;
@@ -86,6 +96,10 @@
   std::string content_type;
   std::string body;  // what came since it was last taken out
 
+  // As of RequestParser.
+  std::size_t bodyRoom() const { return body.capacity() - body.size(); }
+  std::size_t nextBodyCapacity() const;
+
  private:
   bool head_done_ = false;
   void on_request_impl(http::verb, Text, Text, int, boost::beast::error_code&) override {}
@@ -107,10 +121,13 @@
  public:
   boost::asio::mutable_buffer space(std::size_t least);
   void commit(std::size_t bytes) { end_ += bytes; }
+  void append(const char* bytes, std::size_t size);
   boost::asio::const_buffer data() const { return {bytes_.data() + begin_, end_ - begin_}; }
   std::size_t size() const { return end_ - begin_; }
   void consume(std::size_t bytes);
   void release();  // the memory too, where nothing is held
+  void trim();     // the memory that is not needed for what is held
+  std::size_t capacity() const { return bytes_.capacity(); }
 
  private:
   std::vector<char> bytes_;
--- a/src/net/include/net/server.h
+++ b/src/net/include/net/server.h
@@ -14,11 +14,11 @@
 #include <vector>
 
 #include "admission/connections.h"
-#include "net/body_budget.h"
 #include "net/descriptors.h"
 #include "net/exchange.h"
 #include "net/http.h"
 #include "net/log.h"
+#include "net/memory_account.h"
 #include "net/timers.h"
 
 namespace client_proxy {
@@ -43,15 +43,15 @@
 class Server {
  public:
   struct Limits {
-    std::size_t body_bytes = std::size_t{64} * 1024 * 1024;  // all request bodies together
     admission::ConnectionGate::Limits connections;
   };
 
+  // `memory`: of the buffers of all connections; the server wakes those that wait for room in it.
   Server(boost::asio::io_context& io, Timers& timers, Descriptors& descriptors, Log& log, RequestSink& sink,
-         Limits limits);
+         Limits limits, std::shared_ptr<MemoryAccount> memory = MemoryAccount::unlimited());
   ~Server();
 
-  // The limits of connections are others from now on; that of bodies stays.
+  // The limits of connections are others from now on.
   void reconfigure(const admission::ConnectionGate::Limits& limits);
   void listen(const boost::asio::ip::tcp::endpoint& endpoint);
   // The same on a socket that listens already and that others may share. Takes the descriptor over.
@@ -103,7 +103,7 @@
   std::shared_ptr<Connection> admit(Socket socket);
   void remove(ConnectionId connection, RejectionReason reason);
   void sweep();
-  void grantBodies();
+  void wakeWaitingForMemory();
 
   boost::asio::io_context& io_;
   Timers& timers_;
@@ -111,12 +111,12 @@
   Log& log_;
   RequestSink& sink_;
   Limits limits_;
-  std::shared_ptr<BodyBudget> bodies_;
+  std::shared_ptr<MemoryAccount> memory_;
   boost::asio::ip::tcp::acceptor acceptor_;
   admission::ConnectionGate gate_;
   std::unordered_map<ConnectionId, std::shared_ptr<Connection>> connections_;
   std::unordered_map<ExchangeId, Connection*> exchanges_;  // those that wait for their answer
-  std::array<char, std::size_t{64} * 1024> discarded_;     // where unwanted input goes, of all connections
+  std::array<char, std::size_t{64} * 1024> received_;      // of one read, of any connection
   std::vector<admission::ConnectionGate::Overdue> overdue_;
   ExchangeId next_exchange_ = 1;
   std::function<bool(int)> give_;  // not set: nothing is handed on
--- a/src/net/include/net/upstream.h
+++ b/src/net/include/net/upstream.h
@@ -2,6 +2,7 @@
 // probe() ends in exactly one report. It never resends, retries or picks a host.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
@@ -17,6 +18,7 @@
 #include "net/host_list.h"
 #include "net/http.h"
 #include "net/idle_need.h"
+#include "net/memory_account.h"
 #include "net/timers.h"
 
 namespace client_proxy {
@@ -82,8 +84,9 @@
     Time reuse_delay = 25 * kMillisecond;
   };
 
+  // `memory`: of the buffers of all connections.
   Upstream(boost::asio::io_context& io, Timers& timers, Descriptors& descriptors, AttemptSink& sink,
-           Limits limits);
+           Limits limits, std::shared_ptr<MemoryAccount> memory = MemoryAccount::unlimited());
   ~Upstream();
 
   // For what begins from now on.
@@ -142,6 +145,8 @@
   Descriptors& descriptors_;
   AttemptSink& sink_;
   Limits limits_;
+  std::shared_ptr<MemoryAccount> memory_;
+  std::array<char, std::size_t{32} * 1024> received_;  // of one read, of any connection
   std::unordered_map<std::string, Pool, NameHash, std::equal_to<>> pools_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> connections_;
   std::unordered_map<AttemptId, Connection*> attempts_;  // that have no report yet
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -34,23 +34,23 @@
 }  // namespace
 
 Server::Server(asio::io_context& io, Timers& timers, Descriptors& descriptors, Log& log, RequestSink& sink,
-               Limits limits)
+               Limits limits, std::shared_ptr<MemoryAccount> memory)
     : io_(io),
       timers_(timers),
       descriptors_(descriptors),
       log_(log),
       sink_(sink),
       limits_(limits),
-      bodies_(std::make_shared<BodyBudget>(limits.body_bytes)),
+      memory_(std::move(memory)),
       acceptor_(io),
       gate_(limits.connections) {
-  bodies_->onRoom([this] { grantBodies(); });
+  memory_->onRoom([this] { wakeWaitingForMemory(); });
   sweep();
 }
 
 Server::~Server() {
   ending_ = true;
-  bodies_->onRoom(nullptr);
+  memory_->onRoom(nullptr);
   const auto connections = std::exchange(connections_, {});
   for (const auto& [id, connection] : connections) connection->close(RejectionReason::Shutdown);
 }
@@ -236,9 +236,9 @@
   timers_.after(kSweep, [this] { sweep(); });
 }
 
-void Server::grantBodies() {
-  // Not at once: this may be called from within a body's release.
-  asio::post(io_, [bodies = bodies_] { bodies->wakeWaiting(); });
+void Server::wakeWaitingForMemory() {
+  // Not at once: this may be called while a buffer is released.
+  asio::post(io_, [memory = memory_] { memory->wakeWaiting(); });
 }
 
 void Server::answer(ExchangeId id, Answer answer) {
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -19,8 +19,13 @@
 }  // namespace
 
 Upstream::Upstream(asio::io_context& io, Timers& timers, Descriptors& descriptors, AttemptSink& sink,
-                   Limits limits)
-    : io_(io), timers_(timers), descriptors_(descriptors), sink_(sink), limits_(limits) {
+                   Limits limits, std::shared_ptr<MemoryAccount> memory)
+    : io_(io),
+      timers_(timers),
+      descriptors_(descriptors),
+      sink_(sink),
+      limits_(limits),
+      memory_(std::move(memory)) {
   sweep();
 }
 
--- a/src/pools/include/pools/pool.h
+++ b/src/pools/include/pools/pool.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -67,8 +68,9 @@
   };
 
   // `zones` and all other references must outlive the pool.
+  // `memory`: of the buffers of all connections.
   Pool(boost::asio::io_context& io, Timers& timers, Descriptors& descriptors, Log& log, Zones& zones,
-       PoolSink& sink, Config config);
+       PoolSink& sink, Config config, std::shared_ptr<MemoryAccount> memory = MemoryAccount::unlimited());
   ~Pool() override;
 
   // Decides whether requests of a service may be sent; must outlive the pool. Null: there are no services.
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -35,10 +35,16 @@
   return static_cast<std::int64_t>(key);
 }
 
+// Once its long body is being forwarded, what came first of it can't be sent again.
+void releaseBody(ClientRequest& request) {
+  request.body.reset();
+  if (request.memory) request.memory->set(request.head.memory());
+}
+
 }  // namespace
 
 Pool::Pool(boost::asio::io_context& io, Timers& timers, Descriptors& descriptors, Log& log, Zones& zones,
-           PoolSink& sink, Config config)
+           PoolSink& sink, Config config, std::shared_ptr<MemoryAccount> memory)
     : config_(std::move(config)),
       timers_(timers),
       clock_(timers.clock()),
@@ -46,7 +52,7 @@
       sink_(sink),
       zones_(zones),
       balancer_(config_.settings, config_.seed),
-      upstream_(io, timers, descriptors, *this, config_.upstream) {
+      upstream_(io, timers, descriptors, *this, config_.upstream, std::move(memory)) {
   if (!config_.discovery) return;
   discovery_.emplace(io, timers, zones, static_cast<DiscoverySink&>(*this), *config_.discovery,
                      config_.known_revision, usesPush() ? Discovery::agentLimits() : Discovery::Limits{});
@@ -148,7 +154,7 @@
   const Time max_time_left = admitted.request.rest ? admitted.time_after_upload : deadline;
   if (admitted.request.rest) {
     admitted.request.rest->onStarted([this, id] {
-      if (const auto it = open_.find(id); it != open_.end()) it->second.admitted.request.body.reset();
+      if (const auto it = open_.find(id); it != open_.end()) releaseBody(it->second.admitted.request);
     });
   }
   const std::optional<Time> dropped_until = admitted.dropped_until;
--- a/tests/admission_server_test.cpp
+++ b/tests/admission_server_test.cpp
@@ -41,7 +41,7 @@
  protected:
   void serve(std::size_t descriptors = 4096) {
     descriptor_pool = std::make_unique<Descriptors>(loop.clock, descriptors);
-    server = std::make_unique<Server>(loop.io, loop.timers, *descriptor_pool, loop.log, sink, limits);
+    server = std::make_unique<Server>(loop.io, loop.timers, *descriptor_pool, loop.log, sink, limits, memory);
     sink.server = server.get();
     server->listen(anyPort());
   }
@@ -66,6 +66,7 @@
   std::unique_ptr<Descriptors> descriptor_pool;
   RecordingSink sink;
   Server::Limits limits;
+  std::shared_ptr<MemoryAccount> memory = MemoryAccount::unlimited();
   std::unique_ptr<Server> server;
 };
 
@@ -186,7 +187,7 @@
 }
 
 TEST_F(AdmissionServerTest, UploadsThatFillTheBodyMemoryDoNotDelaySmallRequests) {
-  limits.body_bytes = 192 * 1024;
+  memory = std::make_shared<MemoryAccount>(192 * 1024);
   limits.connections.request = 1500 * kMillisecond;
   serve();
   std::vector<std::shared_ptr<Peer>> uploads;
--- a/tests/body_pipe_test.cpp
+++ b/tests/body_pipe_test.cpp
@@ -33,7 +33,7 @@
     }
   }
   pipe.finish();
-  out += pipe.take();
+  for (std::string piece = pipe.take(); !piece.empty(); piece = pipe.take()) out += piece;
   RC_ASSERT(in == out);
   RC_ASSERT(pipe.end() == BodyPipe::End::Whole);
   RC_ASSERT(most <= BodyPipe::kWindow + 20'000);
--- a/tests/proxy_support.h
+++ b/tests/proxy_support.h
@@ -146,6 +146,7 @@
     pid_ = -1;
     return WIFEXITED(wait_status) ? WEXITSTATUS(wait_status) : 1000 + wait_status;
   }
+  pid_t pid() const { return pid_; }
   bool runs() { return pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == 0; }
 
  private:
