A client's time runs on while nothing is read of its request

What callers saw: answers seconds after their time.

Cause: while the proxy waits for memory, or for a host to take more of an upload, it does not read, and the last byte, from which the client's time counts, may lie unread. Only its arrival was looked at.

Change: the client's wait is known from the head. From the moment since which the last byte may lie unread, the time runs; when it is over the request is refused, and its host never gets the last byte. A read that takes all that had come ends that. The deadline of a request that is then read whole counts from the same moment.

--- a/bench/admission.cpp
+++ b/bench/admission.cpp
@@ -122,6 +122,7 @@
 
 struct Nobody : RequestSink {
   std::optional<Answer> onHead(const RequestHead&, bool) override { return std::nullopt; }
+  Time clientWait(const RequestHead&) const override { return 20 * kSecond; }
   void onRequest(ExchangeId, ClientRequest) override {}
   void onUploaded(ExchangeId, Time) override {}
   void onClientGone(ExchangeId) override {}
--- a/src/front/include/front/proxy.h
+++ b/src/front/include/front/proxy.h
@@ -144,6 +144,7 @@
 
   // Callbacks of the server and the pool.
   std::optional<Answer> onHead(const RequestHead& head, bool room) override;
+  Time clientWait(const RequestHead& head) const override;
   void onRequest(ExchangeId id, ClientRequest request) override;
   void onUploaded(ExchangeId id, Time received) override;
   void onClientGone(ExchangeId id) override;
@@ -182,6 +183,7 @@
   void logSummary();
   void listen();
   std::optional<ClassInfo> classOf(std::string_view target) const;
+  static Time clientWait(const RequestHead& head, const ClassInfo& info);
   void open(QueuedRequest admitted);
   void acquireIndices(const admission::AdmissionRequest& admission_request);
   void releaseIndices(const ClientRequest& request, std::int32_t request_class, std::int32_t tenant,
--- a/src/front/proxy.cpp
+++ b/src/front/proxy.cpp
@@ -138,17 +138,25 @@
   return counted(rejection(admission_request, reason));
 }
 
+// At most the deadline of the class, even if the client announces more: nothing that is kept for a request
+// may outlive that deadline.
+Time Proxy::clientWait(const RequestHead& head, const ClassInfo& info) {
+  const Time announced = head.has_time_left ? parseSeconds(head.time_left).value_or(0) : info.deadline;
+  return std::min(announced, info.deadline);
+}
+
+Time Proxy::clientWait(const RequestHead& head) const {
+  const std::optional<ClassInfo> info = classOf(head.target);
+  return info ? clientWait(head, *info) : 0;
+}
+
 void Proxy::onRequest(ExchangeId id, ClientRequest request) {
   // A reload may have happened between the head of the request and its last byte.
   const std::optional<ClassInfo> info = classOf(request.head.target);
   if (!info) return server_.answer(id, plainAnswer(404));
   if (const auto fault = faultOf(request.head, info->idempotency))
     return sendFinalAnswer(id, info->index, plainAnswer(fault->status));
-  // At most the deadline of the class, even if the client announces more: nothing that is kept for a request
-  // may outlive that deadline.
-  const Time left =
-      std::min(request.head.has_time_left ? parseSeconds(request.head.time_left).value_or(0) : info->deadline,
-               info->deadline);
+  const Time left = clientWait(request.head, *info);
   // Only the start of a long request has arrived; its client's deadline counts from its last byte.
   const Time deadline =
       std::min(request.received + (request.rest ? kMaxUploadTime : left), shutdown_deadline_);
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -152,11 +152,14 @@
     return server_.gate_.notePendingInput(server_.now(), id_);  // its reading is under way
   if (resting_ && reason == RejectionReason::IdleTimeout) return retire(reason);
   if (resting_ || state_ != State::Reading) return close(reason);
-  const bool waits = waits_for_memory_;
+  // Not the client's fault: it may have sent all of its request.
+  std::optional<RejectionReason> unread;
+  if (waits_for_memory_) unread = RejectionReason::BodyMemory;
+  if (uploadPaused()) unread = RejectionReason::DeadlineUnreachable;
   abandonUpload();
   if (state_ == State::Closed) return;
-  refuse(waits ? 503 : 408);
-  cause_ = waits ? RejectionReason::BodyMemory : reason;
+  refuse(unread ? 503 : 408);
+  cause_ = unread.value_or(reason);
 }
 
 void Server::Connection::retire(RejectionReason reason) {
@@ -201,6 +204,7 @@
   head_seen_ = false;
   exchange_ = 0;
   clock_.reset();
+  unread_since_.reset();
   countInput();
   if (in_.size() > 0) {
     begin();
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -99,6 +99,9 @@
   std::size_t inputMemory() const { return in_.capacity() + (parser_ ? parser_->memory() : 0); }
   void countInput();
   void awaitMemory();
+  // Returns when its client stops waiting if it has sent all of the request; kNever if it can't have.
+  Time pauseReading();
+
   void pauseUpload();
   // The rest of a long body stays in the kernel.
   bool uploadPaused() const { return uploading_ && pipe_->paused(); }
@@ -111,6 +114,7 @@
 
   void completeLong();
 
+  Time lastByteAt();
   ClientRequest takeRequest();
 
   void complete();
@@ -144,6 +148,10 @@
   std::shared_ptr<BodyPipe> pipe_;               // of the long body that is being read
   std::shared_ptr<BodyPipe> rest_;               // of the long answer that is being written
   std::optional<admission::UploadClock> clock_;  // of the body that is being read
+  Time client_wait_ = 0;                         // of the request that is being read, from its last byte on
+  // Since when parts of the request may lie unread, perhaps its last byte among them: the client's time may
+  // be running. Nothing: all that had come was read.
+  std::optional<Time> unread_since_;
   ExchangeId exchange_ = 0;
   ExchangeId streamed_ = 0;  // whose long answer is being written; 0: none
   bool head_seen_ = false;
@@ -152,6 +160,7 @@
   bool uploading_ = false;  // a long body: its request is with the sink already
   bool writing_ = false, chunked_ = false;
   bool reading_ = false, waits_for_memory_ = false;
+  bool drained_ = false;  // the last read took all that had come
   bool looking_ = false;  // a timer for lookForEnd() is set
 };
 
--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -20,8 +20,11 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-constexpr std::size_t kReadAhead = 4 * 1024;     // of a next request that comes before the answer
-constexpr std::size_t kHeadRead = 1024;          // at a time
+constexpr std::size_t kReadAhead = 4 * 1024;  // of a next request that comes before the answer
+constexpr std::size_t kHeadRead = 1024;       // at a time
+// Bytes that the system may hold between a client's write and our read: 6 MB of ours and 4 MB of the client's
+// side, by Linux's default limits.
+constexpr std::uint64_t kMostUnread = std::uint64_t{10} * 1024 * 1024;
 constexpr Time kLookForEnd = 20 * kMillisecond;  // while nothing is read of what a waiting client sends
 
 int statusOf(error_code ec) {
@@ -78,6 +81,7 @@
   if (ec == asio::error::would_block) return armRead();
   if (ec) return onReadEnd(ec);
   in_.append(server_.received_.data(), n);
+  drained_ = n < most;
   if (state_ == State::Reading) {
     if (resting_) begin();
     if (clock_) {
@@ -192,6 +196,7 @@
   if (parser_->is_done()) return true;
   clock_.emplace(server_.now());
   server_.gate_.extend(id_, clock_->due());
+  client_wait_ = server_.sink_.clientWait(parser_->head);
   parser_->eager(true);
   if (parser_->head.expects_continue && !old_version_ && in_.size() == 0) {
     error_code ignored;  // a few bytes on a connection that has nothing else to send
@@ -201,6 +206,7 @@
 }
 
 void Server::Connection::readOn() {
+  if (std::exchange(drained_, false)) unread_since_.reset();
   countInput();
   if (uploading_) return pipe_->hasRoom() ? armRead() : pauseUpload();
   if (!head_seen_) {
@@ -220,16 +226,25 @@
 // Backpressure: the kernel's buffer fills, then the client's.
 void Server::Connection::awaitMemory() {
   waits_for_memory_ = true;
-  clock_->pause(server_.now());
-  server_.gate_.extend(id_, server_.now() + server_.limits_.connections.request);
+  const Time due = pauseReading();
+  server_.gate_.extend(id_, std::min(server_.now() + server_.limits_.connections.request, due));
   lookForEnd();
 }
 
-// The host's side is slow: not the client's fault.
-void Server::Connection::pauseUpload() {
+Time Server::Connection::pauseReading() {
   clock_->pause(server_.now());
+  const auto left = parser_->content_length_remaining();
+  if (left && *left > kMostUnread) return kNever;
+  if (!unread_since_) unread_since_ = server_.now() - ageOfInput(socket_.native_handle());
+  return *unread_since_ + client_wait_;
+}
+
+// The host's side is slow: not the client's fault. Its client's time runs all the same if the last byte may
+// be among those that are not read.
+void Server::Connection::pauseUpload() {
+  const Time due = pauseReading();
   pipe_->pausedSince(server_.now());
-  server_.gate_.extend(id_, 0);
+  server_.gate_.extend(id_, due == kNever ? 0 : due);
   lookForEnd();
 }
 
@@ -264,7 +279,7 @@
   taken_ = true;
   ++server_.open_requests_;
   server_.gate_.onRequest(id_);
-  const Time received = server_.now() - ageOfInput(socket_.native_handle());
+  const Time received = lastByteAt();
   const ExchangeId exchange = exchange_;
   parser_.reset();
   countInput();
@@ -274,9 +289,15 @@
   if (state_ == State::Waiting) server_.sink_.onUploaded(exchange, received);
 }
 
+// When the client wrote it, at the earliest.
+Time Server::Connection::lastByteAt() {
+  const Time arrived = server_.now() - ageOfInput(socket_.native_handle());
+  return unread_since_ ? std::min(*unread_since_, arrived) : arrived;
+}
+
 ClientRequest Server::Connection::takeRequest() {
   ClientRequest request;
-  request.received = server_.now() - ageOfInput(socket_.native_handle());
+  request.received = lastByteAt();
   request.memory = std::make_shared<MemoryShare>(server_.memory_, MemoryUse::Request);
   request.memory->set(parser_->memory());
   request.head = std::move(parser_->head);
--- a/src/net/include/net/server.h
+++ b/src/net/include/net/server.h
@@ -30,6 +30,8 @@
   // A request's head has come; `room`: its connection is within the bound. Something to refuse it with,
   // before its body is read; nothing: go on.
   virtual std::optional<Answer> onHead(const RequestHead& head, bool room) = 0;
+  // How long the client of such a request waits for its answer, from its last byte on.
+  virtual Time clientWait(const RequestHead& head) const = 0;
   // A whole request, or the beginning of a long one; it wants one answer.
   virtual void onRequest(ExchangeId id, ClientRequest request) = 0;
   // A long request's last byte has come.
--- a/tests/admission_server_test.cpp
+++ b/tests/admission_server_test.cpp
@@ -18,6 +18,7 @@
     ++refused;
     return Answer{.status = 503, .body = {}, .content_type = {}, .retry_after = kSecond};
   }
+  Time clientWait(const RequestHead&) const override { return 20 * kSecond; }
   void onRequest(ExchangeId id, ClientRequest) override {
     ++received;
     held.push_back(id);
--- a/tests/long_bodies_test.cpp
+++ b/tests/long_bodies_test.cpp
@@ -339,5 +339,59 @@
   EXPECT_EQ(bodyOf(reader->got), bytes(30'000'000));
 }
 
+// A host that takes nothing of a request beyond its buffers, or a little now and then.
+class SlowHosts : public LongBodies {
+ protected:
+  // `taken`: bytes every 100 ms.
+  void startHost(std::size_t taken) {
+    acceptor.open(tcp::v4());
+    acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+    acceptor.bind(anyPort());
+    acceptor.listen(16);
+    acceptor.async_accept([this, taken](error_code ec, tcp::socket socket) {
+      if (ec) return;
+      accepted.emplace(std::move(socket));
+      accepted->non_blocking(true);
+      take(taken);
+    });
+    start(json::array({entry("s-1", acceptor.local_endpoint())}));
+  }
+  void take(std::size_t bytes) {
+    if (bytes == 0) return;
+    loop.timers.after(100 * kMillisecond, [this, bytes] {
+      std::string room(bytes, ' ');
+      error_code ec;
+      accepted->read_some(asio::buffer(room), ec);
+      take(bytes);
+    });
+  }
+  // The client writes all of it at once, and waits a second.
+  void expectAnAnswerInTime() {
+    const auto c = client();
+    constexpr std::size_t kMoreThanTheSystemTakes = 4'000'000;  // on the way to the host
+    const std::string body = bytes(kMoreThanTheSystemTakes);
+    c->say(post("a", "X-Time-Left: 1.000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n") + body);
+    ASSERT_TRUE(loop.until([&] { return c->said == 1; }));
+    const Time sent = loop.clock.now();
+    ASSERT_TRUE(loop.until([&] { return c->heard("HTTP/1.1 "); }));
+    EXPECT_LE(loop.clock.now() - sent, 1'500 * kMillisecond) << c->got.substr(0, 40);
+    ASSERT_TRUE(loop.until([&] { return proxy->openRequests() == 0; }));
+  }
+  tcp::acceptor acceptor{loop.io};
+  std::optional<tcp::socket> accepted;
+};
+
+// Guards against a final answer that comes seconds after its time since the host stopped reading the request,
+// and the proxy its client's last bytes.
+TEST_F(SlowHosts, ALongRequestThatItsHostStopsReadingIsAnsweredInItsClientsTime) {
+  startHost(0);
+  expectAnAnswerInTime();
+}
+
+TEST_F(SlowHosts, ALongRequestThatItsHostReadsSlowlyIsAnsweredInItsClientsTime) {
+  startHost(8 * 1024);
+  expectAnAnswerInTime();
+}
+
 }  // namespace
 }  // namespace client_proxy::test
--- a/tests/memory_test.cpp
+++ b/tests/memory_test.cpp
@@ -171,6 +171,25 @@
   expectUnderLimit();
 }
 
+// Guards against requests that wait for memory behind bodies that are never completed, and are answered long
+// after their time (review case 10).
+TEST_F(Memory, RequestsBehindHalfBodiesAreAnsweredInTheirTime) {
+  startProgram();
+  for (int i = 0; i < 450; ++i) {
+    client()->say(post(60'000) + std::string(50'000, 'b'));
+    if (i % 20 == 0) runFor(5 * kMillisecond);
+  }
+  runFor(200 * kMillisecond);
+  for (int i = 0; i < 8; ++i) {
+    const auto usual = Peer::connect(loop, address);
+    const Time sent = loop.clock.now();
+    usual->say(post(40'000, "X-Time-Left: 0.600\r\n") + std::string(40'000, 'u'));
+    EXPECT_TRUE(until([&] { return usual->heard("HTTP/1.1 "); }));
+    EXPECT_LE(loop.clock.now() - sent, 1'100 * kMillisecond) << i << ": " << usual->got.substr(0, 40);
+  }
+  expectUnderLimit();
+}
+
 // Guards against heads that nobody counts, before and after they are complete.
 TEST_F(Memory, HeadsOfManyShortFieldsStayUnderTheLimit) {
   startProgram();
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -13,6 +13,7 @@
     if (!head.ambiguous) return std::nullopt;
     return Answer{.status = 400, .body = {}, .content_type = {}, .retry_after = {}};
   }
+  Time clientWait(const RequestHead&) const override { return 20 * kSecond; }
   void onRequest(ExchangeId id, ClientRequest request) override {
     requests.push_back(request.head.target);
     server->answer(id, {.status = 200, .body = "served", .content_type = {}, .retry_after = {}});
