Long answers that their host writes slowly are passed on

What callers saw: long answers were cut off while a host still wrote them, the next host was asked, and the client got 502 or 503.

Cause: an answer that has begun had to keep the pace of one that is held until it was known to be long: with the first bytes of its body and a length over 64 KiB, or with 64 KiB of its body.

Change: where that pace is missed, an answer 200 with no length, or one over 64 KiB, is passed on from its first bytes instead of being given up. One with a length of up to 64 KiB is given up as before.

Cost: a short answer in chunks that stops in the middle is cut, where a safe request was sent again.

--- a/src/net/host_connection.cpp
+++ b/src/net/host_connection.cpp
@@ -84,7 +84,7 @@
   late_ = !connected_;
   answer_begun_ = interims_ = 0;
   come_ = 0;
-  rest_done_ = waits_for_client_ = waits_for_memory_ = false;
+  rest_done_ = waits_for_client_ = waits_for_memory_ = slow_long_answer_ = false;
   memory_wait_ = 0;
   parser_.emplace();
   if (request_.rest) watchLong();
--- a/src/net/host_connection.h
+++ b/src/net/host_connection.h
@@ -109,13 +109,18 @@
 
   // An answer that has begun must come to its end: it may not stand still, nor come slower than a least pace,
   // so that an endless trickle is no way round it. Guards against lengths that promise more than comes; it
-  // would harm hosts that write an answer while they work on it.
+  // would harm hosts that write an answer while they work on it. One that may be long is passed on instead.
   void watchAnswer();
   Time answerDue() const;
   void lookAfterAnswer();
 
-  // More than is held, or the head says that there will be: it belongs to the client from here on.
+  // More than is held, or the head says that there will be, or it has no length and is slow: it belongs to
+  // the client from here on.
   bool becomesLong() const;
+  // Its head does not say that it can be held.
+  bool mayBeLong() const;
+  // The time is over in which it would come whole if it were short; but then its host may go on writing.
+  void onSlowLongAnswer();
 
   void beginLong();
   void abandoned() { later(Result::Cancelled); }
@@ -162,6 +167,7 @@
   Time started_ = 0, answer_begun_ = 0, idle_since_ = 0;
   Time memory_wait_since_ = 0, memory_wait_ = 0;  // of this answer: now, and so far
   int interims_ = 0;
+  bool slow_long_answer_ = false;
   bool begun_ = false;             // the kernel has the request's first byte
   bool late_ = false;              // that had to wait
   bool rest_done_ = false;         // the last piece of a long request is in request_
--- a/src/net/host_reading.cpp
+++ b/src/net/host_reading.cpp
@@ -68,15 +68,29 @@
   up_.timers_.at(answerDue(), [weak = weak_from_this(), turn = turn_] {
     const auto self = weak.lock();
     if (!self || !self->busy_ || self->turn_ != turn || self->stream_ || self->waits_for_memory_) return;
-    if (self->up_.timers_.clock().now() >= self->answerDue()) return self->spoilt();
-    self->lookAfterAnswer();
+    if (self->up_.timers_.clock().now() < self->answerDue()) return self->lookAfterAnswer();
+    self->mayBeLong() ? self->onSlowLongAnswer() : self->spoilt();
   });
 }
 
+bool Upstream::Connection::mayBeLong() const {
+  if (probe_ || !parser_->is_header_done() || parser_->status != 200 || !written()) return false;
+  const auto length = parser_->content_length();
+  return !length || *length > kMostBody;
+}
+
+void Upstream::Connection::onSlowLongAnswer() {
+  slow_long_answer_ = true;
+  if (!becomesLong()) return;  // nothing of its body has come yet: the attempt's time limit holds
+  beginLong();
+  if (busy_ && stream_) readOn();
+}
+
 bool Upstream::Connection::becomesLong() const {
   if (stream_ || probe_ || parser_->status != 200 || parser_->body.empty()) return false;
   const auto length = parser_->content_length();
-  return parser_->body.size() > kMostBody || (length && *length > kMostBody);
+  return parser_->body.size() > kMostBody || (length && *length > kMostBody) ||
+         (!length && slow_long_answer_ && !parser_->is_done());
 }
 
 void Upstream::Connection::beginLong() {
--- a/tests/long_bodies_test.cpp
+++ b/tests/long_bodies_test.cpp
@@ -339,6 +339,73 @@
   EXPECT_EQ(bodyOf(reader->got), bytes(30'000'000));
 }
 
+// A long answer that its host writes slowly: the head and `first` bytes at once, the rest in two lumps.
+class SlowLongAnswers : public LongBodies {
+ protected:
+  enum class Framing { Length, Chunked, Close };
+  static constexpr Time kPause = 400 * kMillisecond;  // longer than an answer that is held may stand still
+  static constexpr std::size_t kLump = 20'000;
+
+  static std::string headOf(Framing framing, std::size_t length) {
+    const std::string field = framing == Framing::Length    ? "Content-Length: " + std::to_string(length)
+                              : framing == Framing::Chunked ? "Transfer-Encoding: chunked"
+                                                            : "Connection: close";
+    return "HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n";
+  }
+  static std::string framed(Framing framing, const std::string& part) {
+    if (framing != Framing::Chunked) return part;
+    char size[20];
+    std::snprintf(size, sizeof size, "%zx\r\n", part.size());
+    return size + part + "\r\n";
+  }
+  void pause() {
+    const Time until = loop.clock.now() + kPause;
+    ASSERT_TRUE(loop.until([&] { return loop.clock.now() > until; }));
+  }
+  void write(Peer& host_side, Framing framing, const std::string& body, std::size_t first) {
+    host_side.say(headOf(framing, body.size()));
+    if (first > 0) host_side.say(framed(framing, body.substr(0, first)));
+    pause();
+    host_side.say(framed(framing, body.substr(first, kLump)));
+    pause();
+    host_side.say(framed(framing, body.substr(first + kLump)) +
+                  (framing == Framing::Chunked ? "0\r\n\r\n" : ""));
+    if (framing != Framing::Close) return;
+    const int all = first > 0 ? 4 : 3;
+    ASSERT_TRUE(loop.until([&] { return host_side.said + host_side.failed == all; }));
+    host_side.close();
+  }
+  // Whole, also where the proxy had to use chunks.
+  static bool isWhole(const Peer& c, const std::string& body) {
+    return bodyOf(c.got) == body || unchunked(bodyOf(c.got)) == body;
+  }
+  void expectPassedOnWhole(Framing framing, std::size_t first) {
+    startWithOne();
+    const std::string body = bytes(150'000);
+    const auto c = client();
+    c->say(request("a", "X-Time-Left: 2.000\r\n"));
+    ASSERT_TRUE(asked(host));
+    write(*host.peers.back(), framing, body, first);
+    ASSERT_TRUE(loop.until([&] { return isWhole(*c, body) || c->ended; }));
+    EXPECT_TRUE(isWhole(*c, body)) << c->got.substr(0, 40);
+    EXPECT_EQ(host.peers.size(), 1U) << "asked again";
+  }
+};
+
+// Guard against long answers that are cut off while their host still writes them.
+TEST_F(SlowLongAnswers, OneWithALengthWhoseBodyIsLateIsPassedOn) { expectPassedOnWhole(Framing::Length, 0); }
+TEST_F(SlowLongAnswers, OneInChunksWhoseBodyIsLateIsPassedOn) { expectPassedOnWhole(Framing::Chunked, 0); }
+TEST_F(SlowLongAnswers, OneUpToTheCloseWhoseBodyIsLateIsPassedOn) { expectPassedOnWhole(Framing::Close, 0); }
+TEST_F(SlowLongAnswers, OneWithALengthThatComesInLumpsIsPassedOn) {
+  expectPassedOnWhole(Framing::Length, kLump);
+}
+TEST_F(SlowLongAnswers, OneInChunksThatComesInLumpsIsPassedOn) {
+  expectPassedOnWhole(Framing::Chunked, kLump);
+}
+TEST_F(SlowLongAnswers, OneUpToTheCloseThatComesInLumpsIsPassedOn) {
+  expectPassedOnWhole(Framing::Close, kLump);
+}
+
 // A host that takes nothing of a request beyond its buffers, or a little now and then.
 class SlowHosts : public LongBodies {
  protected:
