Requests do not begin after their client has closed behind many unread ones

What callers saw: a client that had sent many requests at once closed, and one of them began long after.

Cause: while an answer is awaited 4 KiB were read ahead; the end of the connection lay unread behind the rest, in buffers that were full.

Change: 64 KiB are read ahead, as far as there is memory; what comes beyond that is read and forgotten, so that the end is seen, and the connection ends with the answer that is awaited.

Evidence: ClientLeft.DisconnectBehindManyUnreadRequestsIsNoticed failed before (30 s, its limit), passes now.

--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -72,7 +72,7 @@
 
   void onReadable(boost::system::error_code ec);
 
-  // While the answer is awaited: reads ahead up to a bound, and then only looks whether the client has left.
+  // While the answer is awaited: reads ahead, and sees whether the client leaves.
   void awaitMoreOrEnd();
 
   // Nothing more is read, yet a client that leaves is to be noticed.
@@ -160,8 +160,9 @@
   bool uploading_ = false;  // a long body: its request is with the sink already
   bool writing_ = false, chunked_ = false;
   bool reading_ = false, waits_for_memory_ = false;
-  bool drained_ = false;  // the last read took all that had come
-  bool looking_ = false;  // a timer for lookForEnd() is set
+  bool discards_ = false;  // what the client still sends; it has its last answer, or waits for it
+  bool drained_ = false;   // the last read took all that had come
+  bool looking_ = false;   // a timer for lookForEnd() is set
 };
 
 }  // namespace client_proxy
--- a/src/net/client_reading.cpp
+++ b/src/net/client_reading.cpp
@@ -20,8 +20,8 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-constexpr std::size_t kReadAhead = 4 * 1024;  // of a next request that comes before the answer
-constexpr std::size_t kHeadRead = 1024;       // at a time
+constexpr std::size_t kReadAhead = 64 * 1024;  // of further requests that come before the answer
+constexpr std::size_t kHeadRead = 1024;        // at a time
 // Bytes that the system may hold between a client's write and our read: 6 MB of ours and 4 MB of the client's
 // side, by Linux's default limits.
 constexpr std::uint64_t kMostUnread = std::uint64_t{10} * 1024 * 1024;
@@ -74,7 +74,7 @@
   reading_ = false;
   if (state_ == State::Closed) return;
   if (ec) return onReadEnd(ec);
-  if (state_ == State::Lingering) return discard();
+  if (state_ == State::Lingering || discards_) return discard();
   const std::size_t most = mostToRead();
   if (most == 0) return pauseUpload();
   const std::size_t n = readAvailable(socket_, asio::buffer(server_.received_.data(), most), ec);
@@ -93,9 +93,16 @@
   awaitMoreOrEnd();
 }
 
+// Further requests before this one's answer wait, up to a bound. More is read all the same, since the end of
+// the connection lies behind it, and forgotten: the connection ends with the answer.
 void Server::Connection::awaitMoreOrEnd() {
   countInput();
-  in_.size() < kReadAhead ? armRead() : lookForEnd();
+  if (in_.size() >= kReadAhead || !input_memory_.tryReserve(inputMemory() + kHeadRead)) {
+    discards_ = close_ = true;
+    in_.consume(in_.size());
+    countInput();
+  }
+  armRead();
 }
 
 std::size_t Server::Connection::mostToRead() {
@@ -110,7 +117,7 @@
 }
 
 void Server::Connection::lookForEnd() {
-  if (reading_ || !(state_ == State::Waiting || waits_for_memory_ || uploadPaused())) return;
+  if (reading_ || !(waits_for_memory_ || uploadPaused())) return;
   if (hungUp(socket_.native_handle())) return onClientLeft();
   if (std::exchange(looking_, true)) return;
   server_.timers_.after(kLookForEnd, [weak = weak_from_this()] {
@@ -122,7 +129,6 @@
 }
 
 void Server::Connection::onClientLeft() {
-  if (state_ == State::Waiting) return onReadEnd(asio::error::eof);
   abandonUpload();
   if (state_ != State::Closed) refuse(502);
 }
@@ -337,7 +343,7 @@
 void Server::Connection::discard() {
   error_code ec;
   readAvailable(socket_, asio::buffer(server_.received_), ec);
-  if (ec && ec != asio::error::would_block) return close();
+  if (ec && ec != asio::error::would_block) return onReadEnd(ec);
   armRead();
 }
 
--- a/tests/client_left_test.cpp
+++ b/tests/client_left_test.cpp
@@ -79,6 +79,26 @@
   ASSERT_TRUE(loop.until([&] { return proxy->openRequests() == 0 && proxy->server().connections() == 0; }));
 }
 
+// Guards against requests that begin long after their client has closed: so many pipelined ones lay unread
+// that the end of the connection behind them could not be seen.
+TEST_F(ClientLeft, DisconnectBehindManyUnreadRequestsIsNoticed) {
+  LateHost late(loop);
+  startWithLateHost(late, kLongerThanTheTest);
+  const auto c = client();
+  std::string pipelined;
+  for (int i = 0; pipelined.size() < 1'000'000; ++i) pipelined += request("pipelined-" + std::to_string(i));
+  c->say(request("disconnected") + pipelined);
+  ASSERT_TRUE(loop.until([&] { return c->said == 1 && proxy->openRequests() == 1; }));
+  c->close();
+  ASSERT_TRUE(loop.until([&] { return proxy->openRequests() == 0; }));
+  late.open();
+  const auto next = client();
+  next->say(request("after"));
+  ASSERT_TRUE(loop.until([&] { return late.received().find("after") != std::string::npos; }));
+  EXPECT_EQ(late.received().find("disconnected"), std::string::npos);
+  EXPECT_EQ(late.received().find("pipelined"), std::string::npos);
+}
+
 // Guards against an unsafe request that begins long after its client has closed: the end of the connection
 // lay unread behind the body, while the connection to the host was not established.
 TEST_F(ClientLeft, DisconnectBehindALongUploadThatHasNotBegunIsNoticed) {
