Hot restart: the next process is told what begins in the old one, too

What callers saw: a charge ran twice. It began in the old process after the hand-over, on a connection with more than one request; its client left, and the new process was asked for the same id.

Cause: the old process told what was open at the hand-over, and then only what had ended.

Change: it tells each request that begins as well.

Evidence: Upgrade.WhatBeginsInTheOldOneAfterItDoesNotRunInTheNewOneAsWell failed before, passes now.

--- a/src/admission/duplicate_detector.cpp
+++ b/src/admission/duplicate_detector.cpp
@@ -47,9 +47,8 @@
 }
 
 RequestRecord DuplicateDetector::end(Time now, std::string_view id, bool may_have_run) {
-  const auto it = entries_by_id_.find(std::string(id));
-  if (it == entries_by_id_.end() || it->second.until != 0) return {};
-  RequestRecord record = it->second.record;
+  RequestRecord record = openRecord(id);
+  if (record.id.empty()) return {};
   record.ended = std::max<Time>(now, 1);
   record.never_ran = !may_have_run;
   erase(record.id);
@@ -58,6 +57,11 @@
   return record;
 }
 
+RequestRecord DuplicateDetector::openRecord(std::string_view id) const {
+  const auto it = entries_by_id_.find(std::string(id));
+  return it == entries_by_id_.end() || it->second.until != 0 ? RequestRecord{} : it->second.record;
+}
+
 std::vector<RequestRecord> DuplicateDetector::snapshot(Time now) const {
   std::vector<const Entry*> entries;
   for (const auto& [id, entry] : entries_by_id_) {
--- a/src/admission/include/admission/duplicate_detector.h
+++ b/src/admission/include/admission/duplicate_detector.h
@@ -57,6 +57,8 @@
   // process during a hand-over; its id is empty if no request with this id was open here.
   RequestRecord end(Time now, std::string_view id, bool may_have_run);
 
+  // The record of a request that is open here; its id is empty if there is none.
+  RequestRecord openRecord(std::string_view id) const;
   // All open and remembered requests, oldest first.
   std::vector<RequestRecord> snapshot(Time now) const;
   // Takes over records of another process, which may update earlier ones. A request that is open there counts
--- a/src/front/proxy.cpp
+++ b/src/front/proxy.cpp
@@ -180,6 +180,8 @@
   const admission::DuplicateDetector::Decision repeat = duplicates_.offer(clock_.now(), record);
   if (repeat.verdict != admission::DuplicateDetector::Verdict::New)
     return sendFinalAnswer(id, info->index, plainAnswer(409));
+  // The next process may be asked for the same, once this one's client has left.
+  if (successor_.tell) successor_.tell({duplicates_.openRecord(record.id)});
   if (request.rest) time_after_upload_[id] = left;
   std::vector<admission::Refusal> displaced;
   const admission::Verdict verdict = requests_.offer(clock_.now(), admission_request, displaced);
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -228,6 +228,37 @@
   }
 }
 
+// Guards against a charge that runs twice: it began in the old process after that had told the new one what
+// it knew, its client left, and the new process was asked for it once more.
+TEST_F(Upgrade, WhatBeginsInTheOldOneAfterItDoesNotRunInTheNewOneAsWell) {
+  startOne();
+  const auto c = Peer::connect(loop, listener.local_endpoint());
+  c->say(charge("before") + charge("after"));
+  const auto holderOf = [&](const std::string& id) -> std::shared_ptr<Peer> {
+    for (Host* h : {&host, &other}) {
+      for (const auto& p : h->peers) {
+        if (p->heard("Id: " + id)) return p;
+      }
+    }
+    return nullptr;
+  };
+  const auto hold = [&](const std::string& id) {
+    EXPECT_TRUE(loop.until([&] { return holderOf(id) != nullptr; }));
+    const auto holder = holderOf(id);
+    read[holder.get()] = holder->got.size();  // serveHosts() does not answer it
+    return holder;
+  };
+  const auto before = hold("before");
+  startOne();
+  before->say(answerOf("yes"));
+  hold("after");
+  const auto again = Peer::connect(loop, listener.local_endpoint());
+  again->say(charge("after"));
+  ASSERT_TRUE(loop.until([&] { return serveHosts(), again->heard("HTTP/1.1 "); }));
+  EXPECT_TRUE(again->heard("HTTP/1.1 409")) << again->got;
+  EXPECT_EQ(seen.count("after"), 0U);
+}
+
 TEST_F(Upgrade, ABanHoldsOverItAndMayBeCalledAtEitherAddress) {
   const tcp::endpoint old = startOne().console;
   EXPECT_EQ(call(old, "POST /hosts/s-1/maint").find("HTTP/1.1 200"), 0U);
