Ids are remembered though thousands of others follow

What callers saw: an id ran twice at a process with 32 MB: some 1,200 others had run since, or ten with ids of 12 kB.

Cause: the records of ids had 1/128 of the memory, less than what runs in the time for which they are to be kept, and a long id counted with its whole length three times.

Change: they get 1/32; an id or key of over 64 bytes is stored as two hashes and its beginning.

Evidence: ProxyTest.AnIdIsRememberedThoughThousandsCameAfterIt failed before, passes now.

--- a/src/admission/duplicate_detector.cpp
+++ b/src/admission/duplicate_detector.cpp
@@ -6,7 +6,22 @@
 namespace client_proxy::admission {
 namespace {
 
-constexpr std::size_t kEntryCost = 200;  // bytes in addition to its strings: two map nodes and an expiry
+constexpr std::size_t kEntryCost = 200;   // bytes in addition to its strings: two map nodes and an expiry
+constexpr std::size_t kLongestName = 64;  // bytes of an id or key that is stored as it is
+
+std::uint64_t hashOf(std::string_view text, std::uint64_t seed) {  // FNV-1a
+  std::uint64_t hash = 0xCBF29CE484222325ULL ^ seed;
+  for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001B3ULL;
+  return hash;
+}
+
+// An id or key as it is stored. A very long one is replaced by hashes: otherwise a few of them would take the
+// memory of thousands of others.
+std::string storedName(std::string_view name) {
+  if (name.size() <= kLongestName) return std::string(name);
+  return std::string(name.substr(0, kLongestName / 4)) + '#' + std::to_string(hashOf(name, 0)) + '#' +
+         std::to_string(hashOf(name, name.size()));
+}
 
 }  // namespace
 
@@ -24,6 +39,8 @@
 
 DuplicateDetector::Decision DuplicateDetector::offer(Time now, RequestRecord request) {
   expire(now);
+  request.id = storedName(request.id);
+  request.key = storedName(request.key);
   Decision decision;
   if (const auto it = entries_by_id_.find(request.id); it != entries_by_id_.end()) {
     const RequestRecord& before = it->second.record;
@@ -58,7 +75,7 @@
 }
 
 RequestRecord DuplicateDetector::openRecord(std::string_view id) const {
-  const auto it = entries_by_id_.find(std::string(id));
+  const auto it = entries_by_id_.find(storedName(id));
   return it == entries_by_id_.end() || it->second.until != 0 ? RequestRecord{} : it->second.record;
 }
 
@@ -78,6 +95,8 @@
   expire(now);
   for (RequestRecord record : known) {
     if (record.id.empty() || record.began > now || record.ended > now) continue;  // from a different clock
+    record.id = storedName(record.id);
+    record.key = storedName(record.key);
     record.deduplication_window = std::clamp<Time>(record.deduplication_window, 0, limits_.kept);
     const auto it = entries_by_id_.find(record.id);
     if (it != entries_by_id_.end() && it->second.until == 0)
--- a/src/front/configured_limits.cpp
+++ b/src/front/configured_limits.cpp
@@ -19,6 +19,9 @@
 // lists, and what each connection and request holds beside its buffers.
 constexpr std::size_t kBufferEighths = 3;
 
+// Records of requests get this part: at 32 MB some 4,000, more than run in the time for which they are kept.
+constexpr std::size_t kMemoryPerRecords = 32;
+
 // Client retries that may be open in any case: about as many as a few failing hosts cause.
 constexpr std::size_t kMinRetries = 64;
 
@@ -104,7 +107,7 @@
         std::max({limits.kept, c.deadline,
                   c.idempotency == Idempotency::IdempotentWithKey ? 2 * c.deduplication_window : 0});
   limits.kept = std::min(limits.kept, kMaxRecordLifetime);
-  limits.bytes = config.memory_mb * kMegabyte / 128;
+  limits.bytes = config.memory_mb * kMegabyte / kMemoryPerRecords;
   return limits;
 }
 
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -99,6 +99,46 @@
   EXPECT_TRUE(second->heard("HTTP/1.1 503")) << second->got;
 }
 
+// Guards against an unsafe request that runs twice since the record of its first run was dropped for those of
+// others: with the least memory of a deployment, thousands of later ones or a few with very long ids.
+TEST_F(ProxyTest, AnIdIsRememberedThoughThousandsCameAfterIt) {
+  start(json::array({entry("s-1", host.endpoint())}), [](Config& c) {
+    c.memory_mb = 32;
+    for (load_balancer::RequestClass& k : c.site.settings.classes) k.deadline = 20 * kSecond;
+  });
+  std::map<const Peer*, std::size_t> read;
+  const auto serve = [&] {
+    for (const auto& p : host.peers) {
+      std::size_t& from = read[p.get()];
+      for (std::size_t end = 0; (end = p->got.find("\r\n\r\n", from)) != std::string::npos; from = end + 4)
+        p->say(answerOf("yes"));
+    }
+  };
+  const auto charge = [](const std::string& id) {
+    return "POST /swap-charge/7 HTTP/1.1\r\nHost: h\r\nX-Account: acme\r\nX-Correlation-Id: " + id +
+           "\r\nContent-Length: 0\r\n\r\n";
+  };
+  const auto ask = [&](const std::vector<std::string>& ids) {
+    std::vector<std::shared_ptr<Peer>> asking;
+    for (const std::string& id : ids) asking.push_back(client()), asking.back()->say(charge(id));
+    EXPECT_TRUE(loop.until([&] {
+      serve();
+      return std::all_of(asking.begin(), asking.end(), [](const auto& c) { return c->heard("HTTP/1.1 "); });
+    }));
+    return asking.front()->got.substr(0, 12);
+  };
+  EXPECT_EQ(ask({"first"}), "HTTP/1.1 200");
+  for (int n = 0; n < 80; ++n) {
+    std::vector<std::string> ids;
+    for (int i = 0; i < 25; ++i) ids.push_back("an-id-of-usual-length-" + std::to_string(25 * n + i));
+    ask(ids);
+  }
+  EXPECT_EQ(ask({"first"}), "HTTP/1.1 409");
+  for (int n = 0; n < 20; ++n) ask({std::string(12'000, 'x') + std::to_string(n)});
+  EXPECT_EQ(ask({"first"}), "HTTP/1.1 409");
+  EXPECT_EQ(ask({std::string(12'000, 'x') + "0"}), "HTTP/1.1 409");
+}
+
 TEST_F(ProxyTest, BadRequestResponseFailsWithoutRetry) {
   start({entry("s-1", host.endpoint()), entry("s-2", other.endpoint())});
   const auto c = client();
