Timers of requests that have ended are cancelled

Cause: the timers of each request stayed until they were due, 2.5 s for its deadline, so that memory grew with the rate of requests. Nobody counted it.

Change: Timers::cancel(); the deadline of a request and the limits of its attempts are cancelled with them. Timers are in an ordered map instead of a heap.

Evidence: PoolTest.RequestsThatHaveEndedLeaveNoTimers.

--- a/src/net/include/net/timers.h
+++ b/src/net/include/net/timers.h
@@ -3,39 +3,45 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <compare>
 #include <cstdint>
 #include <functional>
-#include <queue>
-#include <vector>
+#include <map>
+#include <utility>
 
 #include "net/clock.h"
 
 namespace client_proxy {
 
-// Timers are never withdrawn: a callback looks up by id whether what it was set for still matters. That costs
-// a heap entry until it is due, and saves a system call and two allocations for each time-out that is not
-// reached, which is nearly all of them.
+// A callback looks up by id whether what it was set for still matters. One whose time-out is long is
+// cancelled as well when that is over: else thousands of requests that have ended would hold memory until it
+// is due.
 class Timers {
  public:
+  class Id {
+   public:
+    Id() = default;  // of no timer
+    auto operator<=>(const Id&) const = default;
+
+   private:
+    friend class Timers;
+    Id(Time when, std::uint64_t order) : when_(when), order_(order) {}
+    Time when_ = 0;
+    std::uint64_t order_ = 0;
+  };
+
   Timers(boost::asio::io_context& io, const Clock& clock) : clock_(clock), timer_(io) {}
 
-  void at(Time when, std::function<void()> callback);
-  void after(Time delay, std::function<void()> callback) { at(clock_.now() + delay, std::move(callback)); }
+  Id at(Time when, std::function<void()> callback);
+  Id after(Time delay, std::function<void()> callback) {
+    return at(clock_.now() + delay, std::move(callback));
+  }
+  // Nothing happens if its callback has been called or cancelled.
+  void cancel(Id id) { pending_.erase(id); }
   const Clock& clock() const { return clock_; }
-  std::size_t pending() const { return heap_.size(); }
+  std::size_t pending() const { return pending_.size(); }
 
  private:
-  struct Entry {
-    Time when;
-    std::uint64_t order;
-    std::function<void()> callback;
-  };
-  struct Later {
-    bool operator()(const Entry& a, const Entry& b) const {
-      return a.when != b.when ? a.when > b.when : a.order > b.order;
-    }
-  };
-
   void arm();
   void fired();
   void yieldThenRun(int rounds);
@@ -43,8 +49,8 @@
 
   const Clock& clock_;
   boost::asio::steady_timer timer_;
-  std::vector<Entry> heap_;
-  std::uint64_t next_order_ = 0;
+  std::map<Id, std::function<void()>> pending_;
+  std::uint64_t next_order_ = 1;
   Time armed_for_ = kNever;
   bool running_ = false;
 };
--- a/src/net/timers.cpp
+++ b/src/net/timers.cpp
@@ -11,15 +11,16 @@
 
 }  // namespace
 
-void Timers::at(Time when, std::function<void()> callback) {
-  heap_.push_back({when, next_order_++, std::move(callback)});
-  std::push_heap(heap_.begin(), heap_.end(), Later{});
+Timers::Id Timers::at(Time when, std::function<void()> callback) {
+  const Id id(when, next_order_++);
+  pending_.emplace_hint(pending_.end(), id, std::move(callback));
   if (!running_ && when < armed_for_) arm();
+  return id;
 }
 
 void Timers::arm() {
-  armed_for_ = heap_.empty() ? kNever : heap_.front().when;
-  if (heap_.empty()) return;
+  armed_for_ = pending_.empty() ? kNever : pending_.begin()->first.when_;
+  if (pending_.empty()) return;
   const Time wait = std::max<Time>(0, armed_for_ - clock_.now());
   timer_.expires_after(std::chrono::microseconds(wait));
   timer_.async_wait([this](boost::system::error_code ec) {
@@ -43,11 +44,9 @@
 
 void Timers::runDue() {
   const Time now = clock_.now();
-  while (!heap_.empty() && heap_.front().when <= now) {
-    std::pop_heap(heap_.begin(), heap_.end(), Later{});
-    const std::function<void()> callback = std::move(heap_.back().callback);
-    heap_.pop_back();
-    callback();
+  while (!pending_.empty() && pending_.begin()->first.when_ <= now) {
+    const auto due = pending_.extract(pending_.begin());
+    due.mapped()();
   }
   running_ = false;
   arm();
--- a/src/pools/include/pools/pool.h
+++ b/src/pools/include/pools/pool.h
@@ -133,14 +133,16 @@
     Time streaming_limit = 0;      // the same if its response is being received by then
     Time response_started_at = 0;  // of a streamed response; 0: not started
     bool ended = false;            // its outcome is known
+    Timers::Id timeout = {};
   };
   struct OpenRequest {  // unanswered, or with an attempt in flight
     AdmittedRequest admitted;
     std::vector<Attempt> attempts;
     std::int32_t outstanding = 0;
     Time upload_completed_at = 0;  // of a long request; 0: not yet
-    bool answered = false;         // or its client disconnected
-    bool timed_out = false;        // at least one attempt timed out
+    Timers::Id deadline_timer = {};
+    bool answered = false;   // or its client disconnected
+    bool timed_out = false;  // at least one attempt timed out
   };
   struct ListedHost {
     load_balancer::Host host;
@@ -165,7 +167,8 @@
   void finish(RequestId id, Answer answer);
   void onAttemptTimeout(RequestId id, std::int32_t attempt);
   void onDeadline(RequestId id);
-  void armAttemptTimeout(RequestId id, const OpenRequest& request, std::int32_t attempt);
+  void armDeadline(RequestId id, OpenRequest& request);
+  void armAttemptTimeout(RequestId id, OpenRequest& request, std::int32_t attempt);
   // The earliest time the host could start processing: a long request needs its last byte first.
   static Time processingStart(const OpenRequest& request, const Attempt& attempt) {
     return std::max(attempt.sent_at, request.upload_completed_at);
--- a/src/pools/pool.cpp
+++ b/src/pools/pool.cpp
@@ -158,8 +158,9 @@
     });
   }
   const std::optional<Time> dropped_until = admitted.dropped_until;
-  open_[id].admitted = std::move(admitted);
-  timers_.at(deadline, [this, id] { onDeadline(id); });
+  OpenRequest& opened = open_[id];
+  opened.admitted = std::move(admitted);
+  armDeadline(id, opened);
   dispatch([this, request, deadline, max_time_left, dropped_until](Time now) mutable {
     request.time_left = std::min(deadline - now, max_time_left);
     if (dropped_until) request.deduplication_time_left = *dropped_until - now;
@@ -195,12 +196,18 @@
                    r.admitted.idempotency == load_balancer::Idempotency::NonIdempotent});
 }
 
+void Pool::armDeadline(RequestId id, OpenRequest& r) {
+  timers_.cancel(r.deadline_timer);
+  r.deadline_timer = timers_.at(r.admitted.deadline, [this, id] { onDeadline(id); });
+}
+
 // A host starts processing once it has the last byte, so the timeout of a long request's attempts runs only
 // from there.
-void Pool::armAttemptTimeout(RequestId id, const OpenRequest& r, std::int32_t attempt) {
+void Pool::armAttemptTimeout(RequestId id, OpenRequest& r, std::int32_t attempt) {
   if (r.admitted.request.rest && r.upload_completed_at == 0) return;
-  const Attempt& a = r.attempts[static_cast<std::size_t>(attempt)];
-  timers_.at(processingStart(r, a) + a.time_limit, [this, id, attempt] { onAttemptTimeout(id, attempt); });
+  Attempt& a = r.attempts[static_cast<std::size_t>(attempt)];
+  a.timeout = timers_.at(processingStart(r, a) + a.time_limit,
+                         [this, id, attempt] { onAttemptTimeout(id, attempt); });
 }
 
 void Pool::onUploadComplete(ExchangeId id, Time received, Time deadline) {
@@ -208,8 +215,8 @@
   if (it == open_.end()) return;
   OpenRequest& r = it->second;
   r.upload_completed_at = received;
-  r.admitted.deadline = deadline = std::min(deadline, shutdown_deadline_);
-  timers_.at(deadline, [this, id] { onDeadline(id); });
+  r.admitted.deadline = std::min(deadline, shutdown_deadline_);
+  armDeadline(id, r);
   for (std::size_t a = 0; a < r.attempts.size(); ++a) {
     if (!r.attempts[a].ended) armAttemptTimeout(id, r, static_cast<std::int32_t>(a));
   }
@@ -226,6 +233,7 @@
 void Pool::removeIfDone(RequestId id) {
   const auto it = open_.find(id);
   if (it == open_.end() || !it->second.answered || it->second.outstanding > 0) return;
+  timers_.cancel(it->second.deadline_timer);
   const AdmittedRequest request = std::move(it->second.admitted);
   open_.erase(it);
   sink_.onCompleted(request);
@@ -235,12 +243,12 @@
   const auto it = open_.find(id);
   if (it == open_.end()) return;
   // The attempt timeout ends with the first byte of a streamed response.
-  const OpenRequest& r = it->second;
-  const Attempt& a = r.attempts[static_cast<std::size_t>(attempt)];
+  OpenRequest& r = it->second;
+  Attempt& a = r.attempts[static_cast<std::size_t>(attempt)];
   if (a.ended || a.response_started_at != 0) return;
   const Time due = std::min(processingStart(r, a) + a.streaming_limit, r.admitted.deadline);
   if (clock_.now() < due && upstream_.answering(attemptId(id, attempt))) {
-    timers_.at(due, [this, id, attempt] { onAttemptTimeout(id, attempt); });
+    a.timeout = timers_.at(due, [this, id, attempt] { onAttemptTimeout(id, attempt); });
     return;
   }
   upstream_.giveUp(attemptId(id, attempt), Result::TimedOut);
@@ -267,7 +275,7 @@
   dispatch([this, last](Time now) { balancer_.finishBy(now, last, actions_); });
   for (auto& [id, request] : open_) {
     request.admitted.deadline = std::min(request.admitted.deadline, last);
-    timers_.at(last, [this, id = id] { onDeadline(id); });
+    armDeadline(id, request);
   }
 }
 
@@ -319,6 +327,7 @@
   OpenRequest& r = it->second;
   Attempt& a = r.attempts[static_cast<std::size_t>(attempt)];
   if (std::exchange(a.ended, true)) return;
+  timers_.cancel(a.timeout);
   --r.outstanding;
   r.admitted.may_have_run |= !load_balancer::provesNotProcessed(end.result);
   r.timed_out |= end.result == Result::TimedOut;
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -99,6 +99,22 @@
   EXPECT_EQ(pool->openRequests(), 0U);
 }
 
+// Guards against memory that grows with the rate of requests: the timers of each that had ended stayed until
+// its deadline.
+TEST_F(PoolTest, RequestsThatHaveEndedLeaveNoTimers) {
+  const auto pool = make("", {host.endpoint()});
+  const std::size_t before = loop.timers.pending();
+  constexpr ExchangeId kRequests = 10;
+  for (ExchangeId id = 1; id <= kRequests; ++id) pool->open(admittedRequest(id, true));
+  ASSERT_TRUE(loop.until([&] { return allReceivedRequest(host, kRequests); }));
+  const std::size_t most = loop.timers.pending();
+  EXPECT_GE(most, before + 2 * kRequests);
+  for (const auto& p : host.peers) p->say(answerOf("served"));
+  ASSERT_TRUE(loop.until([&] { return sink.completed.size() == kRequests; }));
+  // Each has had one more since, which looks after its answer; its deadline and its attempt's limit are gone.
+  EXPECT_LE(loop.timers.pending(), most - kRequests);
+}
+
 TEST_F(PoolTest, UnresponsiveHostTimesOutWithoutRetryOfUnsafeRequest) {
   const auto pool = make("", {host.endpoint()});
   pool->open(admittedRequest(1, false));
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -139,6 +139,23 @@
   EXPECT_EQ(ask({std::string(12'000, 'x') + "0"}), "HTTP/1.1 409");
 }
 
+// Guards against work that goes to the wrong process: a host came up at the address of one that has gone, and
+// connections to that one would be used for it.
+TEST_F(ProxyTest, AHostAtTheAddressOfOneThatHasGoneGetsConnectionsOfItsOwn) {
+  start(json::array({entry("s-1", host.endpoint())}));
+  const auto watching = watch(discovery);
+  ASSERT_TRUE(watching);
+  const auto c = client();
+  c->say(request("a"));
+  ASSERT_TRUE(loop.until([&] { return host.peers.size() == 1 && host.peers[0]->heard("Id: a"); }));
+  host.peers[0]->say(answerOf("one"));
+  ASSERT_TRUE(loop.until([&] { return c->heard("one"); }));
+  watching->say(kWatch + line(5, true, json::array({entry("s-2", host.endpoint())})));
+  ASSERT_TRUE(loop.until([&] { return host.peers[0]->ended; }));
+  c->say(request("b"));
+  ASSERT_TRUE(loop.until([&] { return host.peers.size() == 2 && host.peers[1]->heard("Id: b"); }));
+}
+
 TEST_F(ProxyTest, BadRequestResponseFailsWithoutRetry) {
   start({entry("s-1", host.endpoint()), entry("s-2", other.endpoint())});
   const auto c = client();
