A connection to a host that is closed writes nothing more

What was seen: under the sanitizers LongBodies.ABrokenChunk... ended with a call on a destroyed object, at the end of a process. A client's connection was closed, its upload broke off, and the connection to the host, which was closed already and kept alive by an operation of its socket, went on writing.

Cause: only the end of an attempt stops callbacks of its upload; a connection that is closed with the whole pool has no such end.

Change: write() does nothing once the connection is closed.

Evidence: that test fails so under CLIENT_PROXY_SANITIZE before. With the change all of client_proxy_tests and admission_tests pass there without a finding, but seven that preload a library into the program, which the sanitizer does not let start (FailingCalls.*, Upgrade.WhatRanBeforeAWallClock...).

--- a/src/net/host_connection.cpp
+++ b/src/net/host_connection.cpp
@@ -153,7 +153,7 @@
 }
 
 void Upstream::Connection::write() {
-  if (written()) return;
+  if (closed_ || written()) return;
   if (!begun_ && !prepareHead()) return end(Result::NotSent);
   if (begun_ && attempt_ != 0 && !up_.sink_.mayComplete(attempt_)) return end(Result::NotSent);
   error_code ec;
